Thin whole path in separate processes

Cause: nothing existed; every later part hangs on the narrow interfaces. What runs: 4 rosemarypind, 9 stand-in engines of 2 accelerator kinds in 3 failure domains, object API, booking service. npm run demo publishes notes 1 and 2 with the command line, streams an answer and checks its layer digest, orders a part twice by one key, recalls v2 under traffic, kills a stage. Conclusion: the path stands; the packages can now grow side by side.

--- /dev/null
+++ b/packages/backends/src/engine_client.ts
@@ -0,0 +1,135 @@
+/** Client of one model engine's interface. */
+import {
+  type Address,
+  type AttemptRequest,
+  type EngineEvent,
+  type EngineOrder,
+  type EngineState,
+  engineEventSchema,
+  engineStateSchema,
+  formatAddress,
+} from "@rosemarypin/schemas";
+import { Agent, request } from "undici";
+import {
+  classifyTransportError,
+  type TransportFailure,
+} from "./transport_failure.ts";
+
+const CALL_TIMEOUT_MS = 1_000;
+
+/** How the start of an attempt went. */
+export type AttemptStart =
+  | { readonly kind: "started"; readonly events: AsyncIterable<EngineEvent> }
+  /** The engine itself said that it did not start. */
+  | { readonly kind: "refused"; readonly reason: string }
+  | TransportFailure;
+
+/** How an order went. */
+export type OrderResult =
+  | { readonly kind: "ok"; readonly state: EngineState }
+  /** The engine has seen a higher fencing number. */
+  | { readonly kind: "fenced"; readonly detail: string }
+  | TransportFailure;
+
+/** The calls that engines answer. */
+export interface EngineClient {
+  start(
+    address: Address,
+    attempt: AttemptRequest,
+    options: { readonly signal: AbortSignal },
+  ): Promise<AttemptStart>;
+  cancel(address: Address, requestId: string): Promise<void>;
+  order(address: Address, order: EngineOrder): Promise<OrderResult>;
+  /** `null` when the engine does not answer in time. */
+  readState(address: Address): Promise<EngineState | null>;
+}
+
+/** Creates a client with one connection pool for each engine. */
+export function createEngineClient(): EngineClient {
+  const agent = new Agent({
+    connect: { timeout: CALL_TIMEOUT_MS },
+    headersTimeout: 0,
+    bodyTimeout: 0,
+  });
+
+  async function post(
+    address: Address,
+    path: string,
+    options: { readonly body: unknown; readonly signal: AbortSignal },
+  ) {
+    return request(`http://${formatAddress(address)}${path}`, {
+      dispatcher: agent,
+      method: "POST",
+      headers: { "content-type": "application/json" },
+      body: JSON.stringify(options.body),
+      signal: options.signal,
+    });
+  }
+
+  return {
+    async start(address, attempt, { signal }) {
+      try {
+        const response = await post(address, "/attempts", {
+          body: attempt,
+          signal,
+        });
+        if (response.statusCode !== 200) {
+          return { kind: "refused", reason: await response.body.text() };
+        }
+        return { kind: "started", events: readEvents(response.body) };
+      } catch (error) {
+        return classifyTransportError(error);
+      }
+    },
+    async cancel(address, requestId) {
+      const signal = AbortSignal.timeout(CALL_TIMEOUT_MS);
+      const path = `/attempts/${encodeURIComponent(requestId)}/cancel`;
+      try {
+        const response = await post(address, path, { body: {}, signal });
+        await response.body.dump();
+      } catch {
+        // The engine is gone, and its work with it.
+      }
+    },
+    async order(address, order) {
+      const signal = AbortSignal.timeout(CALL_TIMEOUT_MS);
+      try {
+        const response = await post(address, "/order", { body: order, signal });
+        if (response.statusCode === 409) {
+          return { kind: "fenced", detail: await response.body.text() };
+        }
+        const state = engineStateSchema.parse(await response.body.json());
+        return { kind: "ok", state };
+      } catch (error) {
+        return classifyTransportError(error);
+      }
+    },
+    async readState(address) {
+      try {
+        const response = await request(
+          `http://${formatAddress(address)}/state`,
+          { dispatcher: agent, signal: AbortSignal.timeout(CALL_TIMEOUT_MS) },
+        );
+        return engineStateSchema.parse(await response.body.json());
+      } catch {
+        return null;
+      }
+    },
+  };
+}
+
+/** Splits the engine's stream into lines; throws when the stream breaks. */
+async function* readEvents(
+  body: AsyncIterable<Buffer>,
+): AsyncGenerator<EngineEvent> {
+  const decoder = new TextDecoder();
+  let rest = "";
+  for await (const chunk of body) {
+    rest += decoder.decode(chunk, { stream: true });
+    const lines = rest.split("\n");
+    rest = lines.pop() ?? "";
+    for (const line of lines) {
+      yield engineEventSchema.parse(JSON.parse(line));
+    }
+  }
+}
--- /dev/null
+++ b/packages/cli/src/commands/status.ts
@@ -0,0 +1,100 @@
+/** Commands that show the deployment. */
+import { statusSchema } from "@rosemarypin/schemas";
+import { z } from "zod";
+import type { Command } from "../command.ts";
+import { exitCodes } from "../exit_codes.ts";
+import { show, table } from "../output.ts";
+
+const status: Command = {
+  name: "status",
+  summary: "show the note in use and how far it has come",
+  help: "Usage: rosemarypin status [--json]",
+  async run({ admin, output }) {
+    const value = await admin.get("/v1/status", statusSchema);
+    show(output, value, {
+      render: ({ deployment, note, phase, instances, backends }) =>
+        [
+          `deployment ${deployment}, note ${note} (${phase})`,
+          `instances  ${count(instances, "alive")} of ${instances.length} alive`,
+          `backends   ${count(backends, "ready")} of ${backends.length} ready`,
+        ].join("\n"),
+    });
+    return exitCodes.ok;
+  },
+};
+
+const instances: Command = {
+  name: "instances",
+  summary: "list the instances",
+  help: "Usage: rosemarypin instances [--json]",
+  async run({ admin, output }) {
+    const value = await admin.get("/v1/status", statusSchema);
+    show(output, value.instances, {
+      render: (rows) =>
+        table(
+          ["instance", "domain", "state", "note", "load", "heard ms ago"],
+          rows.map((row) => [
+            row.id,
+            row.failureDomain,
+            row.draining ? `${row.state}, draining` : row.state,
+            row.note,
+            row.load,
+            row.heardAgoMs,
+          ]),
+        ),
+    });
+    return exitCodes.ok;
+  },
+};
+
+const backends: Command = {
+  name: "backends",
+  summary: "list the backend servers",
+  help: "Usage: rosemarypin backends [--json]",
+  async run({ admin, output }) {
+    const value = await admin.get("/v1/status", statusSchema);
+    show(output, value.backends, {
+      render: (rows) =>
+        table(
+          ["server", "kind", "domain", "state", "in flight", "load", "holds"],
+          rows.map((row) => [
+            row.id,
+            row.kind,
+            row.failureDomain,
+            row.state,
+            row.inFlight,
+            row.load,
+            row.holds.join(" "),
+          ]),
+        ),
+    });
+    return exitCodes.ok;
+  },
+};
+
+const drain: Command = {
+  name: "drain",
+  summary: "make the instance at --admin unready, ahead of its stop",
+  help: "Usage: rosemarypin drain --admin URL",
+  async run({ admin, output }) {
+    const schema = z.object({ draining: z.boolean() });
+    const value = await admin.post("/v1/drain", { body: {}, schema });
+    show(output, value, { render: () => "the instance is draining" });
+    return exitCodes.ok;
+  },
+};
+
+/** Commands that show or drain. */
+export const statusCommands: readonly Command[] = [
+  status,
+  instances,
+  backends,
+  drain,
+];
+
+function count(
+  rows: readonly { readonly state: string }[],
+  state: string,
+): number {
+  return rows.filter((row) => row.state === state).length;
+}
--- /dev/null
+++ b/packages/cli/src/mod.ts
@@ -0,0 +1,2 @@
+/** The command line, as a library for its entry file and for tests. */
+export * from "./run_command.ts";
--- /dev/null
+++ b/packages/daemon/src/main.ts
@@ -0,0 +1,77 @@
+#!/usr/bin/env node
+/** Entry of `rosemarypind`. */
+import { readFileSync } from "node:fs";
+import {
+  formatProblem,
+  parseYamlFile,
+  type Settings,
+  settingsSchema,
+} from "@rosemarypin/schemas";
+import { createLogger, enableDefaultLogs } from "@rosemarypin/telemetry";
+import meow from "meow";
+import { startDaemon } from "./daemon.ts";
+
+const EXIT_BAD_SETTINGS = 2;
+const EXIT_WORK_CUT = 3;
+
+const log = createLogger("daemon");
+
+const command = meow(
+  `
+  Usage
+    $ rosemarypind --settings FILE [--check]
+
+  Options
+    --settings FILE  settings in YAML
+    --check          only check the settings
+
+  Exit codes
+    0  stopped with all work ended, or the settings are valid
+    2  the settings are not valid
+    3  stopped, but the grace time cut work in progress
+`,
+  {
+    importMeta: import.meta,
+    flags: {
+      settings: { type: "string", isRequired: true },
+      check: { type: "boolean", default: false },
+    },
+  },
+);
+
+function readSettings(file: string): Settings {
+  const result = parseYamlFile(settingsSchema, { text: readText(file), file });
+  if (result.kind === "valid") return result.value;
+  for (const problem of result.problems) {
+    console.error(formatProblem(problem));
+  }
+  process.exit(EXIT_BAD_SETTINGS);
+}
+
+function readText(file: string): string {
+  try {
+    return readFileSync(file, "utf8");
+  } catch (error) {
+    const reason = error instanceof Error ? error.message : String(error);
+    console.error(`${file}:1: (whole file): cannot be read: ${reason}`);
+    process.exit(EXIT_BAD_SETTINGS);
+  }
+}
+
+const settings = readSettings(command.flags.settings);
+if (command.flags.check) {
+  console.log(`${command.flags.settings}: valid`);
+  process.exit(0);
+}
+enableDefaultLogs();
+const daemon = await startDaemon(settings);
+
+let stopping = false;
+for (const signal of ["SIGTERM", "SIGINT"] as const) {
+  process.on(signal, () => {
+    if (stopping) return;
+    stopping = true;
+    log.info("stopping", { signal });
+    void daemon.stop().then((ended) => process.exit(ended ? 0 : EXIT_WORK_CUT));
+  });
+}
--- /dev/null
+++ b/packages/fakes/src/memory_store.ts
@@ -0,0 +1,130 @@
+/** An object store in memory, whose clients can each have faults. */
+import type {
+  ObjectStore,
+  StoredObject,
+  StoreFailure,
+  StoreResult,
+  WatchBatch,
+} from "@rosemarypin/platform";
+
+/** Faults of one client's calls; a test changes them as it goes. */
+export interface StoreFaults {
+  /** Calls have no effect and fail at once. */
+  down: boolean;
+  /** So many of the next writes take effect and lose their reply. */
+  loseReplies: number;
+  /** So many of the next writes have no effect and lose their reply. */
+  loseRequests: number;
+  /** Wait before each call has its effect, in milliseconds. */
+  delayMs: number;
+}
+
+/** A store that several clients share. */
+export interface MemoryStore {
+  /** Creates a client with its own faults. */
+  client(): { readonly store: ObjectStore; readonly faults: StoreFaults };
+  /** All objects, for a test to look at. */
+  objects(): readonly StoredObject[];
+  /** Calls so far by operation, over all clients. */
+  counts(): Readonly<Record<string, number>>;
+}
+
+const UNAVAILABLE: StoreFailure = { kind: "unavailable", detail: "down" };
+const REPLY_LOST: StoreFailure = { kind: "reply_lost", detail: "lost" };
+
+/** Creates an empty store. */
+export function createMemoryStore(): MemoryStore {
+  const objects = new Map<string, StoredObject>();
+  const watchers = new Set<() => void>();
+  const counts: Record<string, number> = {};
+  let revision = 0;
+
+  function below(prefix: string, since: number): StoredObject[] {
+    return [...objects.values()].filter(
+      ({ key, version }) => key.startsWith(prefix) && version > since,
+    );
+  }
+
+  function put(
+    key: string,
+    value: unknown,
+    expectedVersion: number | null,
+  ): StoreResult<number> {
+    const actual = objects.get(key) ?? null;
+    if ((actual?.version ?? null) !== expectedVersion) {
+      return { kind: "conflict", actual };
+    }
+    revision += 1;
+    const stored = structuredClone(value);
+    objects.set(key, { key, value: stored, version: revision });
+    for (const wake of [...watchers]) wake();
+    return { kind: "ok", value: revision };
+  }
+
+  function client() {
+    const faults: StoreFaults = {
+      down: false,
+      loseReplies: 0,
+      loseRequests: 0,
+      delayMs: 0,
+    };
+
+    async function enter(operation: string): Promise<boolean> {
+      counts[operation] = (counts[operation] ?? 0) + 1;
+      if (faults.delayMs > 0) await sleep(faults.delayMs);
+      return !faults.down;
+    }
+
+    const store: ObjectStore = {
+      async read(key) {
+        if (!(await enter("read"))) return UNAVAILABLE;
+        return { kind: "ok", value: objects.get(key) ?? null };
+      },
+      async list(prefix) {
+        if (!(await enter("list"))) return UNAVAILABLE;
+        return { kind: "ok", value: below(prefix, 0) };
+      },
+      async write(key, value, { expectedVersion }) {
+        if (!(await enter("write"))) return UNAVAILABLE;
+        if (faults.loseRequests > 0) {
+          faults.loseRequests -= 1;
+          return REPLY_LOST;
+        }
+        const result = put(key, value, expectedVersion);
+        if (faults.loseReplies > 0) {
+          faults.loseReplies -= 1;
+          return REPLY_LOST;
+        }
+        return result;
+      },
+      async watch(prefix, { since, signal }) {
+        if (!(await enter("watch"))) return UNAVAILABLE;
+        while (below(prefix, since).length === 0) {
+          if (signal?.aborted || faults.down) return UNAVAILABLE;
+          await nextChange(signal);
+        }
+        const batch: WatchBatch = { objects: below(prefix, since), revision };
+        return { kind: "ok", value: batch };
+      },
+    };
+    return { store, faults };
+  }
+
+  function nextChange(signal: AbortSignal | undefined): Promise<void> {
+    return new Promise((resolve) => {
+      const wake = () => {
+        watchers.delete(wake);
+        signal?.removeEventListener("abort", wake);
+        resolve();
+      };
+      watchers.add(wake);
+      signal?.addEventListener("abort", wake, { once: true });
+    });
+  }
+
+  return { client, objects: () => [...objects.values()], counts: () => counts };
+}
+
+function sleep(durationMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, durationMs));
+}
--- /dev/null
+++ b/packages/fakes/src/mod.ts
@@ -0,0 +1,3 @@
+/** Fakes of narrow interfaces, in process, for tests. */
+export * from "./memory_store.ts";
+export * from "./peer_network.ts";
--- /dev/null
+++ b/packages/launcher/src/deployment.ts
@@ -0,0 +1,107 @@
+/** Runs the processes of a plan. */
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { fileURLToPath } from "node:url";
+import { formatAddress } from "@rosemarypin/schemas";
+import { request } from "undici";
+import { stringify } from "yaml";
+import type { DeploymentPlan } from "./deployment_plan.ts";
+import { createProcessGroup, type ProcessGroup } from "./process_group.ts";
+
+const READY_WITHIN_MS = 15_000;
+const POLL_MS = 50;
+
+const daemonScript = scriptOf("daemon");
+const standInScript = scriptOf("stand_ins");
+
+/** A deployment whose processes run. */
+export interface Deployment {
+  readonly plan: DeploymentPlan;
+  readonly processes: ProcessGroup;
+  /** Folder with settings and logs of each process. */
+  readonly folder: string;
+  /** Starts an instance again, after it was ended. */
+  startInstance(id: string): void;
+  startStandIn(name: string): void;
+  /** Ends all processes; `keepFolder` leaves settings and logs. */
+  stop(options?: { readonly keepFolder?: boolean }): Promise<void>;
+}
+
+/** Starts every process of the plan and waits until each listens. */
+export async function startDeployment(
+  plan: DeploymentPlan,
+): Promise<Deployment> {
+  const folder = mkdtempSync(join(tmpdir(), "rosemarypin-"));
+  const processes = createProcessGroup(folder);
+
+  function writeSettings(name: string, settings: unknown): string {
+    const file = join(folder, `${name}.yaml`);
+    writeFileSync(file, stringify(settings, { aliasDuplicateObjects: false }));
+    return file;
+  }
+
+  function startStandIn(name: string): void {
+    const standIn = plan.standIns.find((entry) => entry.name === name);
+    const settings = writeSettings(name, standIn?.settings);
+    const args = ["--settings", settings];
+    processes.start(name, { script: standInScript, args });
+  }
+
+  function startInstance(id: string): void {
+    const settings = plan.daemons.find(({ instance }) => instance.id === id);
+    const file = writeSettings(id, settings);
+    const args = ["--settings", file];
+    processes.start(id, { script: daemonScript, args });
+  }
+
+  for (const { name } of plan.standIns) startStandIn(name);
+  for (const { instance } of plan.daemons) startInstance(instance.id);
+  await Promise.all(
+    plan.daemons.map(({ instance }) =>
+      waitForAnswer(
+        `http://${formatAddress(instance.addresses.admin)}/healthz`,
+      ),
+    ),
+  );
+  await Promise.all(
+    plan.standIns.map(({ settings }) =>
+      waitForAnswer(`http://${formatAddress(settings.address)}/`),
+    ),
+  );
+
+  return {
+    plan,
+    processes,
+    folder,
+    startInstance,
+    startStandIn,
+    async stop({ keepFolder = false } = {}) {
+      await processes.stopAll();
+      if (!keepFolder) rmSync(folder, { recursive: true, force: true });
+    },
+  };
+}
+
+/** Waits until something answers at `url`, whatever the status. */
+export async function waitForAnswer(url: string): Promise<void> {
+  const end = Date.now() + READY_WITHIN_MS;
+  while (true) {
+    try {
+      const response = await request(url);
+      await response.body.dump();
+      return;
+    } catch (error) {
+      if (Date.now() > end) {
+        throw new Error(`nothing answers at ${url}`, { cause: error });
+      }
+      await new Promise((resolve) => setTimeout(resolve, POLL_MS));
+    }
+  }
+}
+
+function scriptOf(packageName: string): string {
+  return fileURLToPath(
+    new URL(`../../${packageName}/dist/main.js`, import.meta.url),
+  );
+}
--- /dev/null
+++ b/packages/launcher/src/mod.ts
@@ -0,0 +1,6 @@
+/** Starts a whole deployment of processes for demo, scenarios and bench. */
+export * from "./caller.ts";
+export * from "./deployment.ts";
+export * from "./deployment_plan.ts";
+export * from "./ports.ts";
+export * from "./process_group.ts";
--- /dev/null
+++ b/packages/launcher/src/process_group.ts
@@ -0,0 +1,70 @@
+/** The processes of one deployment, each known by name. */
+import { type ChildProcess, spawn } from "node:child_process";
+import { once } from "node:events";
+import { createWriteStream } from "node:fs";
+import { join } from "node:path";
+
+const STOP_WITHIN_MS = 5_000;
+
+/** Starts, signals and ends processes; logs go to one file for each. */
+export interface ProcessGroup {
+  start(
+    name: string,
+    options: { readonly script: string; readonly args: readonly string[] },
+  ): void;
+  /** Sends a signal to a process that this group started. */
+  signal(name: string, signal: NodeJS.Signals): void;
+  /** Resolves to the exit code, or `null` after a signal. */
+  waitForExit(name: string): Promise<number | null>;
+  stopAll(): Promise<void>;
+}
+
+/** Creates a group whose logs go to `logFolder`. */
+export function createProcessGroup(logFolder: string): ProcessGroup {
+  const running = new Map<string, ChildProcess>();
+
+  function find(name: string): ChildProcess {
+    const child = running.get(name);
+    if (!child) throw new Error(`no process was started as '${name}'`);
+    return child;
+  }
+
+  function hasEnded(child: ChildProcess): boolean {
+    return child.exitCode !== null || child.signalCode !== null;
+  }
+
+  async function stop(child: ChildProcess): Promise<void> {
+    if (hasEnded(child)) return;
+    const exited = once(child, "exit");
+    child.kill("SIGCONT");
+    child.kill("SIGTERM");
+    const timer = setTimeout(() => child.kill("SIGKILL"), STOP_WITHIN_MS);
+    await exited;
+    clearTimeout(timer);
+  }
+
+  return {
+    start(name, { script, args }) {
+      const child = spawn(process.execPath, [script, ...args], {
+        stdio: ["ignore", "pipe", "pipe"],
+      });
+      const log = createWriteStream(join(logFolder, `${name}.log`), {
+        flags: "a",
+      });
+      child.stdout.pipe(log, { end: false });
+      child.stderr.pipe(log, { end: false });
+      running.set(name, child);
+    },
+    signal(name, signal) {
+      find(name).kill(signal);
+    },
+    async waitForExit(name) {
+      const child = find(name);
+      if (!hasEnded(child)) await once(child, "exit");
+      return child.exitCode;
+    },
+    async stopAll() {
+      await Promise.all([...running.values()].map(stop));
+    },
+  };
+}
--- /dev/null
+++ b/packages/membership/src/peer_rpc.ts
@@ -0,0 +1,118 @@
+/** Requests between instances: JSON-RPC 2.0 over kept-alive HTTP. */
+import { createServer, type IncomingMessage, type Server } from "node:http";
+import { type Address, formatAddress } from "@rosemarypin/schemas";
+import {
+  createJSONRPCErrorResponse,
+  JSONRPCClient,
+  type JSONRPCRequest,
+  JSONRPCServer,
+} from "json-rpc-2.0";
+import { Agent, request } from "undici";
+
+const CALL_TIMEOUT_MS = 1_000;
+const LARGEST_BODY_BYTES = 4 * 1024 * 1024;
+const PARSE_ERROR = -32_700;
+
+/** Why a call to a peer gave no answer. */
+export type PeerFailure =
+  /** Nothing listens there: the process that did has ended. */
+  | { readonly kind: "refused" }
+  /** Silence; the peer may be frozen, cut off or gone. */
+  | { readonly kind: "unreachable"; readonly detail: string }
+  /** The peer answered with an error. */
+  | { readonly kind: "rejected"; readonly detail: string };
+
+export type PeerResult =
+  | { readonly kind: "ok"; readonly value: unknown }
+  | PeerFailure;
+
+/** Handlers by method name; each checks its own parameters. */
+export type PeerMethods = Readonly<
+  Record<string, (params: unknown) => Promise<unknown> | unknown>
+>;
+
+/** Starts the server of peers' requests. */
+export async function startPeerServer(
+  address: Address,
+  methods: PeerMethods,
+): Promise<Server> {
+  const rpc = new JSONRPCServer();
+  for (const [name, handler] of Object.entries(methods)) {
+    rpc.addMethod(name, handler);
+  }
+  const server = createServer(async (incoming, outgoing) => {
+    const answer = await answerCall(rpc, incoming);
+    outgoing.setHeader("content-type", "application/json");
+    outgoing.end(JSON.stringify(answer));
+  });
+  await new Promise<void>((resolve, reject) => {
+    server.once("error", reject);
+    server.listen(address.port, address.host, resolve);
+  });
+  return server;
+}
+
+async function answerCall(rpc: JSONRPCServer, incoming: IncomingMessage) {
+  try {
+    const body = await readBody(incoming);
+    return await rpc.receive(JSON.parse(body) as JSONRPCRequest);
+  } catch {
+    return createJSONRPCErrorResponse(null, PARSE_ERROR, "Parse error");
+  }
+}
+
+async function readBody(incoming: IncomingMessage): Promise<string> {
+  const chunks: Buffer[] = [];
+  let size = 0;
+  for await (const chunk of incoming as AsyncIterable<Buffer>) {
+    size += chunk.length;
+    if (size > LARGEST_BODY_BYTES) throw new Error("body too large");
+    chunks.push(chunk);
+  }
+  return Buffer.concat(chunks).toString();
+}
+
+/** Calls methods of other instances. */
+export interface PeerCaller {
+  call(
+    address: Address,
+    method: string,
+    options?: { readonly params?: unknown; readonly timeoutMs?: number },
+  ): Promise<PeerResult>;
+}
+
+/** Creates a caller that keeps one connection pool for all peers. */
+export function createPeerCaller(): PeerCaller {
+  const agent = new Agent({ connect: { timeout: CALL_TIMEOUT_MS } });
+
+  return {
+    async call(address, method, options = {}) {
+      const timeoutMs = options.timeoutMs ?? CALL_TIMEOUT_MS;
+      const client: JSONRPCClient = new JSONRPCClient(async (payload) => {
+        const response = await request(`http://${formatAddress(address)}/`, {
+          dispatcher: agent,
+          method: "POST",
+          headers: { "content-type": "application/json" },
+          body: JSON.stringify(payload),
+          signal: AbortSignal.timeout(timeoutMs),
+        });
+        client.receive((await response.body.json()) as never);
+      });
+      try {
+        const value = await client.request(method, options.params ?? {});
+        return { kind: "ok", value };
+      } catch (error) {
+        return classify(error);
+      }
+    },
+  };
+}
+
+function classify(error: unknown): PeerFailure {
+  const code = (error as { code?: unknown }).code;
+  const detail = error instanceof Error ? error.message : String(error);
+  if (code === "ECONNREFUSED") return { kind: "refused" };
+  if (typeof code === "number" && code <= 0)
+    return { kind: "rejected", detail };
+  return { kind: "unreachable", detail };
+}
--- /dev/null
+++ b/packages/placement/src/mod.ts
@@ -0,0 +1,4 @@
+/** What each engine holds, and the orders that make it so. */
+export * from "./control_lease.ts";
+export * from "./engine_controller.ts";
+export * from "./wanted_layers.ts";
--- /dev/null
+++ b/packages/platform/src/object_store.ts
@@ -0,0 +1,65 @@
+/** The platform's object API as the rest of rosemarypin sees it. */
+
+/** An object with the version that its last write gave it. */
+export interface StoredObject {
+  readonly key: string;
+  readonly value: unknown;
+  /** Grows with each write of the object; never used twice. */
+  readonly version: number;
+}
+
+/** Why a call gave no result. */
+export type StoreFailure =
+  /** The object is not at the expected version; nothing was written. */
+  | { readonly kind: "conflict"; readonly actual: StoredObject | null }
+  /** The call did not reach the store, or the store refused it: no effect. */
+  | { readonly kind: "unavailable"; readonly detail: string }
+  /** The call may have had its effect, but no answer came. */
+  | { readonly kind: "reply_lost"; readonly detail: string }
+  /** This instance has used up its calls for now; nothing was sent. */
+  | { readonly kind: "over_budget"; readonly retryAfterMs: number };
+
+export type StoreResult<T> =
+  | { readonly kind: "ok"; readonly value: T }
+  | StoreFailure;
+
+/** Position in the store's history, from which a watch goes on. */
+export type Revision = number;
+
+/** What a watch brought. */
+export interface WatchBatch {
+  readonly objects: readonly StoredObject[];
+  /** Where to go on; may skip versions that were overwritten meanwhile. */
+  readonly revision: Revision;
+}
+
+/** Options of a call that may be given up. */
+export interface StoreCallOptions {
+  readonly signal?: AbortSignal;
+}
+
+/** Versions, conditional updates and watches. */
+export interface ObjectStore {
+  read(
+    key: string,
+    options?: StoreCallOptions,
+  ): Promise<StoreResult<StoredObject | null>>;
+  list(
+    prefix: string,
+    options?: StoreCallOptions,
+  ): Promise<StoreResult<readonly StoredObject[]>>;
+  /**
+   * Writes only if the object is at `expectedVersion`; `null` means that it
+   * must not exist. Resolves to the new version.
+   */
+  write(
+    key: string,
+    value: unknown,
+    options: StoreCallOptions & { readonly expectedVersion: number | null },
+  ): Promise<StoreResult<number>>;
+  /** Waits until something under `prefix` is newer than `since`. */
+  watch(
+    prefix: string,
+    options: StoreCallOptions & { readonly since: Revision },
+  ): Promise<StoreResult<WatchBatch>>;
+}
--- /dev/null
+++ b/packages/schemas/src/names.ts
@@ -0,0 +1,35 @@
+/** Names and small scalars that several schemas share. */
+import { z } from "zod";
+
+/** A name that is safe in paths, header values, log values and metric labels. */
+export const nameSchema = z
+  .string()
+  .regex(
+    /^[a-zA-Z0-9][a-zA-Z0-9._-]{0,62}$/,
+    "expected a name of 1 to 63 letters, digits, '.', '_' or '-'",
+  );
+
+/** Number of a release note: 1 for the first, then one more each time. */
+export const noteNumberSchema = z.number().int().nonnegative();
+
+/** Host and port of a listener or of a remote process, by IP number. */
+export const addressSchema = z.object({
+  host: z.union([z.ipv4(), z.ipv6()]),
+  port: z.number().int().min(1).max(65_535),
+});
+export type Address = z.infer<typeof addressSchema>;
+
+/** An address as the authority part of a URL. */
+export function formatAddress(address: Address): string {
+  const host = address.host.includes(":") ? `[${address.host}]` : address.host;
+  return `${host}:${address.port}`;
+}
+
+/** A half-open range of layers: `from` is included, `to` is not. */
+export const layerRangeSchema = z
+  .object({
+    from: z.number().int().nonnegative(),
+    to: z.number().int().positive(),
+  })
+  .refine((range) => range.from < range.to, "expected from < to");
+export type LayerRange = z.infer<typeof layerRangeSchema>;
--- /dev/null
+++ b/packages/schemas/src/settings.ts
@@ -0,0 +1,128 @@
+/** Settings of the daemon. */
+import { z } from "zod";
+import { prioritySchema } from "./completion.ts";
+import { addressSchema, layerRangeSchema, nameSchema } from "./names.ts";
+
+const addressesSchema = z.strictObject({
+  callers: addressSchema,
+  peers: addressSchema,
+  admin: addressSchema,
+});
+
+const organisationSchema = z.strictObject({
+  name: nameSchema,
+  /** SHA-256 of the organisation's key, in hexadecimal. */
+  keySha256: z.string().regex(/^[0-9a-f]{64}$/, "expected 64 hex digits"),
+  /** Share of the capacity relative to other organisations. */
+  weight: z.number().positive().default(1),
+  priority: prioritySchema.default("standard"),
+});
+export type Organisation = z.infer<typeof organisationSchema>;
+
+const engineSchema = z.strictObject({
+  id: nameSchema,
+  failureDomain: nameSchema,
+  address: addressSchema,
+  accelerator: nameSchema,
+  /** Whether the engine refuses orders that carry an old fencing number. */
+  checksFencing: z.boolean(),
+  roles: z
+    .array(z.strictObject({ model: nameSchema, layers: layerRangeSchema }))
+    .min(1),
+});
+export type EngineSettings = z.infer<typeof engineSchema>;
+
+const callRuleSchema = z.strictObject({
+  method: z.enum(["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"]),
+  /** Path below the service; `*` stands for one segment. */
+  path: z.string().startsWith("/"),
+  /** Whether a call may be repeated without changing its effect. */
+  idempotent: z.boolean(),
+});
+export type CallRule = z.infer<typeof callRuleSchema>;
+
+const serviceSchema = z.strictObject({
+  name: nameSchema,
+  servers: z
+    .array(
+      z.strictObject({
+        id: nameSchema,
+        failureDomain: nameSchema,
+        address: addressSchema,
+      }),
+    )
+    .min(1),
+  calls: z.array(callRuleSchema).min(1),
+  /** How long one call may take on a server, in milliseconds. */
+  timeoutMs: z.number().int().positive().default(5_000),
+});
+export type ServiceSettings = z.infer<typeof serviceSchema>;
+
+const peerSchema = z.strictObject({
+  id: nameSchema,
+  failureDomain: nameSchema,
+  address: addressSchema,
+});
+export type PeerSettings = z.infer<typeof peerSchema>;
+
+const limitsSchema = z.strictObject({
+  /** Largest request body, in bytes. */
+  bodyBytes: z.number().int().positive().default(262_144),
+  /** Largest header block, in bytes. */
+  headerBytes: z.number().int().positive().default(16_384),
+  /** How long a caller may take to send its headers, in milliseconds. */
+  headersTimeoutMs: z.number().int().positive().default(5_000),
+  /** How long a caller may take to send a request, in milliseconds. */
+  requestTimeoutMs: z.number().int().positive().default(10_000),
+  /** Requests that may wait for a pipeline. */
+  queueLength: z.number().int().positive().default(1_000),
+  /** Answers that one pipeline runs at once for this instance. */
+  answersPerPipeline: z.number().int().positive().default(16),
+});
+export type Limits = z.infer<typeof limitsSchema>;
+
+const objectivesSchema = z.strictObject({
+  firstTokenMs: z.number().positive().default(830),
+  betweenTokensMs: z.number().positive().default(79),
+  noteInForceMs: z.number().positive().default(5_000),
+  /** Share of events that must meet their objective, from 0 to 1. */
+  target: z.number().gt(0).lt(1).default(0.95),
+});
+
+/** The whole settings file of one daemon. */
+export const settingsSchema = z.strictObject({
+  deployment: nameSchema,
+  region: nameSchema,
+  instance: z.strictObject({
+    id: nameSchema,
+    failureDomain: nameSchema,
+    addresses: addressesSchema,
+  }),
+  /** SHA-256 of the administrators' key, in hexadecimal. */
+  adminKeySha256: z.string().regex(/^[0-9a-f]{64}$/, "expected 64 hex digits"),
+  platform: z.strictObject({
+    objectApi: z.url(),
+    instanceList: z.url().optional(),
+    weightStore: z.url().optional(),
+    /** Calls a second that this instance may make to the object API. */
+    callsPerSecond: z.number().positive().default(50),
+  }),
+  /** Where to look for other instances at the start; live ones are learned. */
+  peers: z.array(peerSchema).default([]),
+  organisations: z.array(organisationSchema).min(1),
+  engines: z.array(engineSchema).default([]),
+  services: z.array(serviceSchema).default([]),
+  release: z
+    .strictObject({
+      /** How long to serve with no contact to store or peers, in seconds. */
+      serveWithoutContactSeconds: z.number().positive().default(3_600),
+    })
+    .prefault({}),
+  /** How long a request may take when the caller does not say. */
+  defaultDeadlineMs: z.number().int().positive().default(60_000),
+  /** How long SIGTERM waits for work in progress, in milliseconds. */
+  shutdownGraceMs: z.number().int().positive().default(30_000),
+  limits: limitsSchema.prefault({}),
+  objectives: objectivesSchema.prefault({}),
+});
+export type Settings = z.infer<typeof settingsSchema>;
--- /dev/null
+++ b/packages/stand_ins/src/engine/step.ts
@@ -0,0 +1,44 @@
+/** Messages between the engines of one pipeline. */
+import type { AttemptRequest } from "@rosemarypin/schemas";
+
+/** Work for a stage: the outputs of the stage before it. */
+export interface StepMessage {
+  readonly type: "step";
+  readonly requestId: string;
+  readonly attempt: number;
+  readonly stage: number;
+  /** Position of the first input. */
+  readonly position: number;
+  readonly inputs: readonly number[];
+  /** Sent with the first step, which opens the sequence. */
+  readonly open?: AttemptRequest;
+}
+
+/** What the last stage, or a stage in trouble, tells the first one. */
+export interface ReturnMessage {
+  readonly type: "return";
+  readonly requestId: string;
+  readonly attempt: number;
+  readonly result:
+    | {
+        readonly kind: "token";
+        readonly index: number;
+        readonly text: string;
+        readonly digest: string;
+        readonly isStop: boolean;
+      }
+    | {
+        readonly kind: "lost";
+        readonly stage: number;
+        readonly reason: string;
+      };
+}
+
+/** Ends a sequence on a later stage. */
+export interface CloseMessage {
+  readonly type: "close";
+  readonly requestId: string;
+  readonly attempt: number;
+}
+
+export type EngineMessage = StepMessage | ReturnMessage | CloseMessage;
--- /dev/null
+++ b/packages/stand_ins/src/mod.ts
@@ -0,0 +1,9 @@
+/** Stand-ins of what surrounds rosemarypin, for tests, demo and bench. */
+export * from "./engine/engine.ts";
+export * from "./engine/layer_math.ts";
+export * from "./engine/speed.ts";
+export * from "./instance_list.ts";
+export * from "./object_api.ts";
+export * from "./plain_service.ts";
+export * from "./stand_in_settings.ts";
+export * from "./weight_store.ts";
--- /dev/null
+++ b/packages/telemetry/src/log.ts
@@ -0,0 +1,58 @@
+/** One line of key=value pairs for each event, through `debug`. */
+import debug from "debug";
+
+/** A value that a log line can carry. */
+export type LogValue = string | number | boolean | undefined;
+
+/** Writes events of one part of the program. */
+export interface Logger {
+  /** Something worth keeping in normal running. */
+  info(event: string, fields?: Readonly<Record<string, LogValue>>): void;
+  /** Something an operator should look at. */
+  warn(event: string, fields?: Readonly<Record<string, LogValue>>): void;
+  /** Detail for tracing; off unless `DEBUG` asks for it. */
+  detail(event: string, fields?: Readonly<Record<string, LogValue>>): void;
+}
+
+const NAMESPACE = "rosemarypin";
+
+debug.formatArgs = function formatArgs(args) {
+  args[0] = `time=${new Date().toISOString()} scope=${this.namespace} ${args[0]}`;
+};
+
+/**
+ * Creates the logger of one scope, such as `release`. The level is part of
+ * the namespace, so `DEBUG=rosemarypin:*:detail` turns on all detail.
+ */
+export function createLogger(scope: string): Logger {
+  const info = debug(`${NAMESPACE}:${scope}:info`);
+  const warn = debug(`${NAMESPACE}:${scope}:warn`);
+  const detail = debug(`${NAMESPACE}:${scope}:detail`);
+  return {
+    info: (event, fields) => info("%s", formatEvent(event, fields)),
+    warn: (event, fields) => warn("%s", formatEvent(event, fields)),
+    detail: (event, fields) => detail("%s", formatEvent(event, fields)),
+  };
+}
+
+/** Turns on info and warnings, unless `DEBUG` already chose. */
+export function enableDefaultLogs(): void {
+  if (process.env.DEBUG) return;
+  debug.enable(`${NAMESPACE}:*:info,${NAMESPACE}:*:warn`);
+}
+
+function formatEvent(
+  event: string,
+  fields: Readonly<Record<string, LogValue>> = {},
+): string {
+  const pairs = Object.entries(fields)
+    .filter(([, value]) => value !== undefined)
+    .map(([key, value]) => `${key}=${formatValue(value)}`);
+  return [`event=${event}`, ...pairs].join(" ");
+}
+
+/** Quotes what would break the line into other pairs. */
+function formatValue(value: LogValue): string {
+  const text = String(value);
+  return /^[^\s"=]+$/.test(text) ? text : JSON.stringify(text);
+}
--- /dev/null
+++ b/packages/telemetry/src/metrics.ts
@@ -0,0 +1,77 @@
+/** Metrics of the daemon; names and units stand in docs/OPERATIONS.md. */
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
+
+const SECONDS_BUCKETS = [
+  0.001, 0.0025, 0.005, 0.01, 0.02, 0.04, 0.079, 0.12, 0.2, 0.4, 0.83, 1.5, 3,
+  6, 15, 60,
+];
+
+/** Creates the metrics of one daemon, in a registry of their own. */
+export function createMetrics() {
+  const registry = new Registry();
+  const registers = [registry];
+  return {
+    registry,
+    requests: new Counter({
+      name: "rosemarypin_requests_total",
+      help: "Calls that got their final answer, by kind and outcome",
+      labelNames: ["kind", "name", "organisation", "outcome"] as const,
+      registers,
+    }),
+    firstToken: new Histogram({
+      name: "rosemarypin_first_token_seconds",
+      help: "Time from the whole request to the first token",
+      labelNames: ["model", "organisation"] as const,
+      buckets: SECONDS_BUCKETS,
+      registers,
+    }),
+    betweenTokens: new Histogram({
+      name: "rosemarypin_between_tokens_seconds",
+      help: "Time between two tokens of one answer",
+      labelNames: ["model", "organisation"] as const,
+      buckets: SECONDS_BUCKETS,
+      registers,
+    }),
+    recoveries: new Counter({
+      name: "rosemarypin_recoveries_total",
+      help: "Answers that went on after the loss of a stage",
+      labelNames: ["model"] as const,
+      registers,
+    }),
+    noteNumber: new Gauge({
+      name: "rosemarypin_note_number",
+      help: "Number of the release note that the instance applies",
+      registers,
+    }),
+    noteApplyDelay: new Histogram({
+      name: "rosemarypin_note_apply_seconds",
+      help: "Time from a note's recording to its use here, by both clocks",
+      buckets: SECONDS_BUCKETS,
+      registers,
+    }),
+    storeCalls: new Counter({
+      name: "rosemarypin_store_calls_total",
+      help: "Calls to the platform's object API, by operation and result",
+      labelNames: ["operation", "result"] as const,
+      registers,
+    }),
+    peerBytes: new Counter({
+      name: "rosemarypin_peer_bytes_total",
+      help: "Bytes of heartbeats, by direction",
+      labelNames: ["direction"] as const,
+      registers,
+    }),
+    inFlight: new Gauge({
+      name: "rosemarypin_in_flight",
+      help: "Answers and calls in progress",
+      registers,
+    }),
+    queued: new Gauge({
+      name: "rosemarypin_queued",
+      help: "Requests that wait for a pipeline",
+      registers,
+    }),
+  };
+}
+
+export type Metrics = ReturnType<typeof createMetrics>;
--- /dev/null
+++ b/packages/telemetry/src/mod.ts
@@ -0,0 +1,3 @@
+/** Structured logs and metrics. */
+export * from "./log.ts";
+export * from "./metrics.ts";
