--- /dev/null
+++ b/packages/bench/src/bench_command.ts
@@ -0,0 +1,13 @@
+/** What every measurement is. */
+
+/** One measurement; its last line holds the figures. */
+export interface BenchCommand {
+  readonly summary: string;
+  /** Runs with the words after the name; resolves to the exit code. */
+  run(words: readonly string[]): Promise<number>;
+}
+
+/** Commands by name, each loaded only when it is asked for. */
+export const benchCommands: Readonly<
+  Record<string, () => Promise<BenchCommand>>
+> = {};
--- /dev/null
+++ b/packages/checks/src/mod.ts
@@ -0,0 +1,2 @@
+/** Seeded checks of what must always hold. */
+export * from "./seeded_random.ts";
