Route by fair queue, learned windows and predicted first token

Cause: the thin router granted up to a fixed 16 answers an engine, polled every 20 ms in no order, and gave up only at the caller's deadline. (3) the rate was learned only with two or more waiting; it now starts when something begins to wait.

--- a/packages/bench/src/bench_command.ts
+++ b/packages/bench/src/bench_command.ts
@@ -10,4 +10,7 @@
 /** Commands by name, each loaded only when it is asked for. */
 export const benchCommands: Readonly<
   Record<string, () => Promise<BenchCommand>>
-> = {};
+> = {
+  throughput: async () =>
+    (await import("./throughput/throughput_bench.ts")).throughputBench,
+};
--- a/packages/calls/src/answer.ts
+++ b/packages/calls/src/answer.ts
@@ -175,6 +175,7 @@
     request,
     version,
     avoid: progress.avoid,
+    isRecovery: progress.started,
     signal: options.signal,
   });
   if (result.kind === "granted") return result;
@@ -268,6 +269,7 @@
         }
         progress.delivered.push(event.text);
         progress.digest = event.digest;
+        grant.observeToken();
         yield { type: "token", index: event.index, text: event.text };
         break;
       }
--- a/packages/daemon/src/caller_server.ts
+++ b/packages/daemon/src/caller_server.ts
@@ -123,6 +123,7 @@
       ...parsed.value,
       requestId,
       organisation: organisation.name,
+      weight: organisation.weight,
       priority: priorityOf(request, organisation),
       deadlineAt: Date.now() + deadlineMs(request, settings),
     };
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -24,7 +24,11 @@
   createPublisher,
   mayContinue,
 } from "@rosemarypin/release";
-import { createRouter } from "@rosemarypin/routing";
+import {
+  createRouter,
+  type Router,
+  type RouterOptions,
+} from "@rosemarypin/routing";
 import type {
   BackendView,
   InstanceView,
@@ -48,8 +52,16 @@
   stop(): Promise<boolean>;
 }
 
+/** Parts that a measurement may put in the place of the daemon's own. */
+export interface DaemonParts {
+  readonly createRouter?: (options: RouterOptions) => Router;
+}
+
 /** Starts a daemon with checked settings. */
-export async function startDaemon(settings: Settings): Promise<Daemon> {
+export async function startDaemon(
+  settings: Settings,
+  parts: DaemonParts = {},
+): Promise<Daemon> {
   const { deployment, instance } = settings;
   const { id, failureDomain, addresses } = instance;
   const incarnation = Date.now();
@@ -97,10 +109,12 @@
     keeper,
     lease,
   });
-  const router = createRouter({
+  const router = (parts.createRouter ?? createRouter)({
     fleet,
     failureDomain,
     limits: settings.limits,
+    objectives: settings.objectives,
+    seed: incarnation,
     metrics,
   });
   const publisher = createPublisher({
@@ -202,6 +216,7 @@
       const ended = await work.waitForEnd(settings.shutdownGraceMs);
       controller.stop();
       lease.stop();
+      router.stop();
       keeper.stop();
       fleet.stop();
       await membership.leave();
--- a/packages/launcher/src/deployment.ts
+++ b/packages/launcher/src/deployment.ts
@@ -28,9 +28,16 @@
   stop(options?: { readonly keepFolder?: boolean }): Promise<void>;
 }
 
+/** What a measurement may run in the place of `rosemarypind`. */
+export interface DeploymentOptions {
+  readonly daemonScript?: string;
+  readonly daemonArgs?: readonly string[];
+}
+
 /** Starts every process of the plan and waits until each listens. */
 export async function startDeployment(
   plan: DeploymentPlan,
+  options: DeploymentOptions = {},
 ): Promise<Deployment> {
   const folder = mkdtempSync(join(tmpdir(), "rosemarypin-"));
   const processes = createProcessGroup(folder);
@@ -51,8 +58,9 @@
   function startInstance(id: string): void {
     const settings = plan.daemons.find(({ instance }) => instance.id === id);
     const file = writeSettings(id, settings);
-    const args = ["--settings", file];
-    processes.start(id, { script: daemonScript, args });
+    const args = ["--settings", file, ...(options.daemonArgs ?? [])];
+    const script = options.daemonScript ?? daemonScript;
+    processes.start(id, { script, args });
   }
 
   for (const { name } of plan.standIns) startStandIn(name);
--- /dev/null
+++ b/packages/routing/src/fair_queue_test.ts
@@ -0,0 +1,107 @@
+import type { Priority } from "@rosemarypin/schemas";
+import { describe, expect, it } from "vitest";
+import { createFairQueue, type FairQueue } from "./fair_queue.ts";
+
+function facts(
+  organisation: string,
+  options: { priority?: Priority; cost?: number; weight?: number } = {},
+) {
+  const { priority = "standard", cost = 10, weight = 1 } = options;
+  return { organisation, priority, cost, weight };
+}
+
+function serveAll(queue: FairQueue<string>, count = 100): string[] {
+  const served: string[] = [];
+  for (let turn = 0; turn < count; turn++) {
+    const ticket = queue.peek();
+    if (!ticket) break;
+    queue.serve(ticket);
+    served.push(ticket.item);
+  }
+  return served;
+}
+
+describe("fair shares in a queue", () => {
+  it("serve a small organisation between the requests of a large one", () => {
+    // A large organisation has filled the queue. A small one sends a single
+    // request and waits behind all of it, unless shares are kept.
+    const queue = createFairQueue<string>();
+    for (let index = 0; index < 5; index++) {
+      queue.push(`large-${index}`, facts("large"));
+    }
+    queue.push("small", facts("small"));
+    expect(serveAll(queue).indexOf("small")).toBe(1);
+  });
+
+  it("follow weights", () => {
+    const queue = createFairQueue<string>();
+    for (let index = 0; index < 30; index++) {
+      queue.push("heavy", facts("heavy", { weight: 3 }));
+      queue.push("light", facts("light", { weight: 1 }));
+    }
+    const served = serveAll(queue, 20);
+    const heavy = served.filter((name) => name === "heavy").length;
+    expect(heavy).toBeGreaterThanOrEqual(14);
+    expect(heavy).toBeLessThanOrEqual(16);
+  });
+
+  it("charge long requests more than short ones", () => {
+    const queue = createFairQueue<string>();
+    for (let index = 0; index < 20; index++) {
+      queue.push("long", facts("long", { cost: 40 }));
+      queue.push("short", facts("short", { cost: 10 }));
+    }
+    const served = serveAll(queue, 20);
+    const short = served.filter((name) => name === "short").length;
+    expect(short).toBeGreaterThanOrEqual(15);
+  });
+
+  it("put urgent classes first and never stop the others", () => {
+    // Interactive work never ends. Batch work has to go on all the same, or
+    // an overload of a few hours would look like an outage to its callers.
+    const queue = createFairQueue<string>();
+    for (let index = 0; index < 60; index++) {
+      queue.push("interactive", facts("one", { priority: "interactive" }));
+      queue.push("batch", facts("two", { priority: "batch" }));
+    }
+    const served = serveAll(queue, 51);
+    const batch = served.filter((name) => name === "batch").length;
+    expect(batch).toBe(3);
+  });
+
+  it("give no credit for time in which a class asked for nothing", () => {
+    // Batch work was served alone for a long time. When interactive work
+    // starts, it must not be owed all of that time at once, nor may batch.
+    const queue = createFairQueue<string>();
+    for (let index = 0; index < 50; index++) {
+      queue.push("batch", facts("two", { priority: "batch" }));
+    }
+    serveAll(queue, 40);
+    for (let index = 0; index < 100; index++) {
+      queue.push("interactive", facts("one", { priority: "interactive" }));
+    }
+    const served = serveAll(queue, 34);
+    const batch = served.filter((name) => name === "batch").length;
+    expect(batch).toBeGreaterThanOrEqual(1);
+    expect(batch).toBeLessThanOrEqual(3);
+  });
+
+  it("forget organisations that wait for nothing", () => {
+    const queue = createFairQueue<string>();
+    for (let index = 0; index < 6_400; index++) {
+      queue.push("one", facts(`organisation-${index}`));
+    }
+    expect(serveAll(queue, 10_000)).toHaveLength(6_400);
+    expect(queue.length()).toBe(0);
+    expect(queue.workAhead(facts("organisation-1"))).toBe(0);
+  });
+
+  it("say how much work is ahead of a request", () => {
+    const queue = createFairQueue<string>();
+    for (let index = 0; index < 5; index++) {
+      queue.push("large", facts("large"));
+    }
+    expect(queue.workAhead(facts("large"))).toBe(50);
+    expect(queue.workAhead(facts("small"))).toBe(10);
+  });
+});
--- a/packages/routing/src/mod.ts
+++ b/packages/routing/src/mod.ts
@@ -1,4 +1,9 @@
 /** Admission, queueing and choice of pipeline or server. */
+export * from "./admission.ts";
+export * from "./engine_window.ts";
+export * from "./engine_windows.ts";
+export * from "./fair_queue.ts";
 export * from "./pipeline_choice.ts";
 export * from "./router.ts";
 export * from "./server_choice.ts";
+export * from "./service_rate.ts";
--- /dev/null
+++ b/packages/routing/src/model_queue.ts
@@ -0,0 +1,189 @@
+/** The requests that wait for the engines of one model. */
+import { admit, retryAfter } from "./admission.ts";
+import {
+  createFairQueue,
+  type QueueFacts,
+  type QueueTicket,
+} from "./fair_queue.ts";
+import type { GrantRequest, GrantResult } from "./router.ts";
+import { createServiceRate } from "./service_rate.ts";
+
+/** Weight of an older first-token time against a new one. */
+const FIRST_TOKEN_KEEP = 0.9;
+/** Share of the work of a decoded token that a token of a prompt costs. */
+const PROMPT_COST = 0.05;
+
+/** Tries to find engines now. */
+export type TryGrant = (need: GrantRequest) => GrantResult | "busy";
+
+export interface ModelQueueOptions {
+  readonly tryGrant: TryGrant;
+  readonly firstTokenObjectiveMs: number;
+  readonly largestLength: number;
+  /** Called whenever the number of waiting requests changes. */
+  readonly onLength: (change: 1 | -1) => void;
+}
+
+export interface ModelQueue {
+  acquire(need: GrantRequest): Promise<GrantResult>;
+  /** Grants whatever can be granted now. */
+  pump(): void;
+  observeFirstToken(afterGrantMs: number): void;
+  length(): number;
+}
+
+interface Waiting {
+  readonly need: GrantRequest;
+  readonly settle: (result: GrantResult) => void;
+}
+
+/** Creates a queue with nothing in it. */
+export function createModelQueue(options: ModelQueueOptions): ModelQueue {
+  const queue = createFairQueue<Waiting>();
+  const recoveries: Waiting[] = [];
+  const rate = createServiceRate();
+  let firstTokenMs = 0;
+
+  function length(): number {
+    return queue.length() + recoveries.length;
+  }
+
+  async function acquire(need: GrantRequest): Promise<GrantResult> {
+    const facts = factsOf(need);
+    if (length() === 0) {
+      const result = options.tryGrant(need);
+      if (result !== "busy") {
+        if (result.kind === "granted")
+          rate.granted(facts.cost, { waiting: false });
+        return result;
+      }
+    }
+    if (need.isRecovery) return waitAsRecovery(need);
+    if (length() >= options.largestLength) {
+      return refuse("queue_full", rate.predictMs(queue.workAhead(facts)));
+    }
+    const predictedWaitMs = rate.predictMs(queue.workAhead(facts) + facts.cost);
+    const admission = admit(
+      { ...need.request, predictedWaitMs, firstTokenMs },
+      options,
+    );
+    if (admission.kind === "refused") {
+      const { retryAfterSeconds } = admission;
+      return { kind: "refused", code: "too_late", retryAfterSeconds };
+    }
+    return waitInLine(need, { facts, until: admission.until });
+  }
+
+  function waitInLine(
+    need: GrantRequest,
+    place: { readonly facts: QueueFacts; readonly until: number },
+  ): Promise<GrantResult> {
+    return new Promise((resolve) => {
+      const leave = watchEnd(need, place.until, () => {
+        queue.remove(ticket);
+        const predictedMs = rate.predictMs(queue.workAhead(place.facts));
+        settle(refuse("too_late", predictedMs));
+      });
+      const settle = (result: GrantResult) => {
+        leave();
+        options.onLength(-1);
+        resolve(result);
+      };
+      rate.waitBegan();
+      const ticket = queue.push({ need, settle }, place.facts);
+      options.onLength(1);
+    });
+  }
+
+  /** An answer that lost a stage goes first: its caller is reading it. */
+  function waitAsRecovery(need: GrantRequest): Promise<GrantResult> {
+    return new Promise((resolve) => {
+      const leave = watchEnd(need, need.request.deadlineAt, () => {
+        recoveries.splice(recoveries.indexOf(waiting), 1);
+        settle(refuse("deadline", 0));
+      });
+      const settle = (result: GrantResult) => {
+        leave();
+        options.onLength(-1);
+        resolve(result);
+      };
+      const waiting: Waiting = { need, settle };
+      recoveries.push(waiting);
+      options.onLength(1);
+    });
+  }
+
+  function pump(): void {
+    while (recoveries[0]) {
+      const result = options.tryGrant(recoveries[0].need);
+      if (result === "busy") return;
+      recoveries.shift()?.settle(result);
+    }
+    let ticket = queue.peek();
+    while (ticket) {
+      const result = options.tryGrant(ticket.item.need);
+      if (result === "busy") return;
+      finish(ticket, result);
+      ticket = queue.peek();
+    }
+  }
+
+  function finish(ticket: QueueTicket<Waiting>, result: GrantResult): void {
+    if (result.kind === "granted") {
+      queue.serve(ticket);
+      rate.granted(ticket.facts.cost, { waiting: queue.length() > 0 });
+    } else {
+      queue.remove(ticket);
+    }
+    ticket.item.settle(result);
+  }
+
+  return {
+    acquire,
+    pump,
+    length,
+    observeFirstToken(afterGrantMs) {
+      firstTokenMs =
+        firstTokenMs === 0
+          ? afterGrantMs
+          : firstTokenMs * FIRST_TOKEN_KEEP +
+            afterGrantMs * (1 - FIRST_TOKEN_KEEP);
+    },
+  };
+}
+
+/** Calls `giveUp` once, at the time or when the caller leaves. */
+function watchEnd(
+  need: GrantRequest,
+  until: number,
+  giveUp: () => void,
+): () => void {
+  const timer = setTimeout(end, Math.max(0, until - Date.now()));
+  need.signal.addEventListener("abort", end, { once: true });
+  function leave(): void {
+    clearTimeout(timer);
+    need.signal.removeEventListener("abort", end);
+  }
+  function end(): void {
+    leave();
+    giveUp();
+  }
+  return leave;
+}
+
+function factsOf({ request }: GrantRequest): QueueFacts {
+  return {
+    organisation: request.organisation,
+    weight: request.weight,
+    priority: request.priority,
+    cost: request.maxTokens + request.promptTokens.length * PROMPT_COST,
+  };
+}
+
+function refuse(
+  code: "queue_full" | "too_late" | "deadline",
+  excessMs: number,
+): GrantResult {
+  const retryAfterSeconds = retryAfter(excessMs);
+  return { kind: "refused", code, retryAfterSeconds };
+}
--- a/packages/routing/src/router.ts
+++ b/packages/routing/src/router.ts
@@ -1,4 +1,4 @@
-/** Admits requests, lets them wait in order, and grants pipelines. */
+/** Admits requests, lets them wait in fair order, and grants pipelines. */
 import type { EngineFleet } from "@rosemarypin/backends";
 import type {
   AnswerRequest,
@@ -7,23 +7,37 @@
   Stage,
 } from "@rosemarypin/schemas";
 import type { Metrics } from "@rosemarypin/telemetry";
+import { uniformInt } from "pure-rand/distribution/uniformInt";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { createEngineWindows } from "./engine_windows.ts";
+import { createModelQueue, type ModelQueue } from "./model_queue.ts";
 import { choosePipeline } from "./pipeline_choice.ts";
 
-const RETRY_CHECK_MS = 20;
+/** How often waiting requests look for engines that came back. */
+const PUMP_EVERY_MS = 20;
 const UNCOVERED_RETRY_SECONDS = 2;
+const RANDOM_RANGE = 1 << 20;
 
 /** The engines granted to one attempt. */
 export interface Grant {
   readonly stages: readonly Stage[];
+  /** Tells the router of each token that comes, for its windows. */
+  observeToken(): void;
   /** Gives the engines back; more calls do nothing. */
   release(): void;
 }
 
+export type RefusalCode =
+  | "queue_full"
+  | "too_late"
+  | "no_capacity"
+  | "deadline";
+
 export type GrantResult =
   | { readonly kind: "granted"; readonly grant: Grant }
   | {
       readonly kind: "refused";
-      readonly code: "queue_full" | "no_capacity" | "deadline";
+      readonly code: RefusalCode;
       readonly retryAfterSeconds: number;
     };
 
@@ -31,69 +45,120 @@
   readonly request: AnswerRequest;
   readonly version: ModelVersion;
   readonly avoid: ReadonlySet<string>;
+  /** Whether an earlier attempt of the answer lost its engines. */
+  readonly isRecovery: boolean;
   readonly signal: AbortSignal;
 }
 
 /** Grants pipelines to answers. */
 export interface Router {
   acquire(need: GrantRequest): Promise<GrantResult>;
+  stop(): void;
 }
 
 export interface RouterOptions {
   readonly fleet: EngineFleet;
   readonly failureDomain: string;
   readonly limits: Limits;
+  readonly objectives: {
+    readonly firstTokenMs: number;
+    readonly betweenTokensMs: number;
+  };
+  /** Seed of random choices. */
+  readonly seed: number;
   readonly metrics?: Metrics;
 }
 
 /** Creates the router of one instance. */
 export function createRouter(options: RouterOptions): Router {
-  const { fleet, limits, metrics } = options;
+  const { fleet, limits, metrics, objectives } = options;
+  const queues = new Map<string, ModelQueue>();
+  const windows = createEngineWindows({
+    betweenTokensMs: objectives.betweenTokensMs,
+    largest: limits.answersPerEngine,
+  });
+  const random = createRandom(options.seed);
   let waiting = 0;
+  let timer: NodeJS.Timeout | null = null;
 
   function tryGrant(need: GrantRequest): GrantResult | "busy" {
-    const choice = choosePipeline(fleet.engines(), {
+    const engines = fleet.engines();
+    windows.follow(engines);
+    const choice = choosePipeline(engines, {
       model: need.request.model,
       version: need.version,
       adapter: need.request.adapter,
       failureDomain: options.failureDomain,
       avoid: need.avoid,
-      answersPerEngine: limits.answersPerPipeline,
+      windowOf: windows.sizeOf,
+      random,
     });
     if (choice.kind === "busy") return "busy";
     if (choice.kind === "uncovered") {
       const retryAfterSeconds = UNCOVERED_RETRY_SECONDS;
       return { kind: "refused", code: "no_capacity", retryAfterSeconds };
     }
-    const { stages } = choice;
-    const release = fleet.occupy(stages.map(({ engine }) => engine));
-    return { kind: "granted", grant: { stages, release } };
+    const grant = createGrant(choice.stages, queueOf(need.request.model));
+    return { kind: "granted", grant };
   }
 
-  async function wait(need: GrantRequest): Promise<GrantResult> {
-    while (Date.now() < need.request.deadlineAt && !need.signal.aborted) {
-      await new Promise((resolve) => setTimeout(resolve, RETRY_CHECK_MS));
-      const result = tryGrant(need);
-      if (result !== "busy") return result;
-    }
-    return { kind: "refused", code: "deadline", retryAfterSeconds: 1 };
+  function createGrant(stages: readonly Stage[], queue: ModelQueue): Grant {
+    const engines = stages.map(({ engine }) => engine);
+    const free = fleet.occupy(engines);
+    const grantedAt = performance.now();
+    let lastTokenAt: number | null = null;
+    return {
+      stages,
+      observeToken() {
+        const now = performance.now();
+        if (lastTokenAt === null) queue.observeFirstToken(now - grantedAt);
+        else windows.observe(engines, now - lastTokenAt);
+        lastTokenAt = now;
+      },
+      release() {
+        free();
+        queue.pump();
+      },
+    };
+  }
+
+  function queueOf(model: string): ModelQueue {
+    const known = queues.get(model);
+    if (known) return known;
+    const created = createModelQueue({
+      tryGrant,
+      firstTokenObjectiveMs: objectives.firstTokenMs,
+      largestLength: limits.queueLength,
+      onLength: changeWaiting,
+    });
+    queues.set(model, created);
+    return created;
+  }
+
+  /** The timer runs only while something waits. */
+  function changeWaiting(change: 1 | -1): void {
+    waiting += change;
+    metrics?.queued.set(waiting);
+    if (waiting > 0 && !timer) timer = setInterval(pumpAll, PUMP_EVERY_MS);
+    if (waiting === 0) stop();
+  }
+
+  function pumpAll(): void {
+    for (const queue of queues.values()) queue.pump();
+  }
+
+  function stop(): void {
+    if (timer) clearInterval(timer);
+    timer = null;
   }
 
   return {
-    async acquire(need) {
-      const result = tryGrant(need);
-      if (result !== "busy") return result;
-      if (waiting >= limits.queueLength) {
-        return { kind: "refused", code: "queue_full", retryAfterSeconds: 1 };
-      }
-      waiting += 1;
-      metrics?.queued.set(waiting);
-      try {
-        return await wait(need);
-      } finally {
-        waiting -= 1;
-        metrics?.queued.set(waiting);
-      }
-    },
+    acquire: (need) => queueOf(need.request.model).acquire(need),
+    stop,
   };
 }
+
+function createRandom(seed: number): () => number {
+  const generator = xoroshiro128plus(seed);
+  return () => uniformInt(generator, 0, RANDOM_RANGE) / RANDOM_RANGE;
+}
--- a/packages/schemas/src/completion.ts
+++ b/packages/schemas/src/completion.ts
@@ -35,6 +35,8 @@
 export interface AnswerRequest {
   readonly requestId: string;
   readonly organisation: string;
+  /** Share of the organisation relative to others. */
+  readonly weight: number;
   readonly model: string;
   readonly adapter: string | undefined;
   /** Words of the prompt; one word counts as one token. */
--- a/packages/schemas/src/settings.ts
+++ b/packages/schemas/src/settings.ts
@@ -76,8 +76,8 @@
   requestTimeoutMs: z.number().int().positive().default(10_000),
   /** Requests that may wait for a pipeline. */
   queueLength: z.number().int().positive().default(1_000),
-  /** Answers that one pipeline runs at once for this instance. */
-  answersPerPipeline: z.number().int().positive().default(16),
+  /** Answers that one engine may run at once for this instance, at most. */
+  answersPerEngine: z.number().int().positive().default(256),
 });
 export type Limits = z.infer<typeof limitsSchema>;
 
--- a/packages/stand_ins/src/engine/engine.ts
+++ b/packages/stand_ins/src/engine/engine.ts
@@ -23,7 +23,7 @@
   type Sequence,
   takeOutputs,
 } from "./sequence.ts";
-import { batchDurationMs } from "./speed.ts";
+import { batchDurationMs, createBatchClock } from "./speed.ts";
 import type { EngineMessage, ReturnMessage, StepMessage } from "./step.ts";
 
 const SEND_TIMEOUT_MS = 1_000;
@@ -43,6 +43,7 @@
   };
   let leaving = false;
   let isBatching = false;
+  const clock = createBatchClock();
 
   function handle(exchange: JsonExchange): void {
     const { method, url, response, body } = exchange;
@@ -198,9 +199,11 @@
   async function batch(): Promise<void> {
     if (isBatching) return;
     isBatching = true;
+    let waitingSince = performance.now();
     while (inbox.length > 0) {
       const steps = inbox.splice(0, settings.speed.batchSize);
-      await sleep(durationOf(steps));
+      await clock.run(durationOf(steps), waitingSince);
+      waitingSince = inbox.length > 0 ? 0 : performance.now();
       const messages = steps.flatMap(runStep);
       dispatch(messages);
     }
--- a/packages/stand_ins/src/engine/speed.ts
+++ b/packages/stand_ins/src/engine/speed.ts
@@ -13,3 +13,20 @@
   const tokens = work.decodeTokens + work.promptTokens * speed.promptFactor;
   return speed.batchMs + (tokens * work.layers * speed.layerMicros) / 1_000;
 }
+
+/**
+ * Times batches one after the other by their planned ends. A timer fires up
+ * to a few milliseconds late; counted from the late end, each batch would be
+ * slower than stated and the engine's bound could not be reached.
+ */
+export function createBatchClock() {
+  let plannedEnd = 0;
+  return {
+    /** Resolves when a batch that waited since `waitingSince` is done. */
+    async run(durationMs: number, waitingSince: number): Promise<void> {
+      plannedEnd = Math.max(plannedEnd, waitingSince) + durationMs;
+      const waitMs = plannedEnd - performance.now();
+      if (waitMs > 0) await new Promise((done) => setTimeout(done, waitMs));
+    },
+  };
+}
