--- a/packages/bench/src/bench_command.ts
+++ b/packages/bench/src/bench_command.ts
@@ -11,6 +11,8 @@
 export const benchCommands: Readonly<
   Record<string, () => Promise<BenchCommand>>
 > = {
+  capacity: async () =>
+    (await import("./capacity/capacity_bench.ts")).capacityBench,
   throughput: async () =>
     (await import("./throughput/throughput_bench.ts")).throughputBench,
 };
