Wait a moment for engines that are just becoming known

Waiting within the first token's time covers the lag; the refusal at its end still says no_capacity. One uncovered request no longer holds up those behind it. covers() lets calls keep to a version that is loaded.

--- a/packages/bench/src/throughput/baseline_router.ts
+++ b/packages/bench/src/throughput/baseline_router.ts
@@ -49,7 +49,7 @@
     return { kind: "granted", grant };
   }
 
-  return { acquire, stop: () => {} };
+  return { acquire, covers: () => true, stop: () => {} };
 }
 
 function startsAt(
--- a/packages/routing/src/fair_queue.ts
+++ b/packages/routing/src/fair_queue.ts
@@ -39,8 +39,8 @@
 /** Holds waiting requests; memory is bounded by their number. */
 export interface FairQueue<T> {
   push(item: T, facts: QueueFacts): QueueTicket<T>;
-  /** The ticket whose turn it is; it stays in the queue. */
-  peek(): QueueTicket<T> | undefined;
+  /** The ticket whose turn it is, but for those in `skipped`; it stays. */
+  peek(skipped?: ReadonlySet<QueueTicket<T>>): QueueTicket<T> | undefined;
   /** Takes a ticket out because it was served; its cost is charged. */
   serve(ticket: QueueTicket<T>): void;
   /** Takes a ticket out without charging it. */
@@ -140,12 +140,18 @@
       state.tickets.splice(index, 0, ticket);
       return ticket;
     },
-    peek() {
-      const next = waitingClasses().reduce<ClassState<T> | undefined>(
-        (best, state) => (best && best.served <= state.served ? best : state),
+    peek(skipped) {
+      const firsts = [...classes.values()]
+        .map((state) => ({
+          served: state.served,
+          ticket: state.tickets.find((ticket) => !skipped?.has(ticket)),
+        }))
+        .filter(({ ticket }) => ticket !== undefined);
+      // `reduce` keeps the more urgent class among equals.
+      return firsts.reduce<(typeof firsts)[number] | undefined>(
+        (best, next) => (best && best.served <= next.served ? best : next),
         undefined,
-      );
-      return next?.tickets[0];
+      )?.ticket;
     },
     serve(ticket) {
       const state = takeOut(ticket);
--- a/packages/routing/src/router.ts
+++ b/packages/routing/src/router.ts
@@ -10,12 +10,15 @@
 import { uniformInt } from "pure-rand/distribution/uniformInt";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { createEngineWindows } from "./engine_windows.ts";
-import { createModelQueue, type ModelQueue } from "./model_queue.ts";
+import {
+  createModelQueue,
+  type ModelQueue,
+  type Shortage,
+} from "./model_queue.ts";
 import { choosePipeline } from "./pipeline_choice.ts";
 
 /** How often waiting requests look for engines that came back. */
 const PUMP_EVERY_MS = 20;
-const UNCOVERED_RETRY_SECONDS = 2;
 const RANDOM_RANGE = 1 << 20;
 
 /** The engines granted to one attempt. */
@@ -50,9 +53,18 @@
   readonly signal: AbortSignal;
 }
 
+/** What engines would have to hold. */
+export interface CoverRequest {
+  readonly model: string;
+  readonly version: ModelVersion;
+  readonly adapter: string | undefined;
+}
+
 /** Grants pipelines to answers. */
 export interface Router {
   acquire(need: GrantRequest): Promise<GrantResult>;
+  /** Whether usable engines hold all layers, busy or not. */
+  covers(need: CoverRequest): boolean;
   stop(): void;
 }
 
@@ -81,25 +93,22 @@
   let waiting = 0;
   let timer: NodeJS.Timeout | null = null;
 
-  function tryGrant(need: GrantRequest): GrantResult | "busy" {
+  function tryGrant(need: GrantRequest): Grant | Shortage {
+    const { model, adapter } = need.request;
+    const choice = choose({ ...need, model, adapter });
+    if (choice.kind !== "chosen") return choice.kind;
+    return createGrant(choice.stages, queueOf(model));
+  }
+
+  function choose(need: CoverRequest & { avoid: ReadonlySet<string> }) {
     const engines = fleet.engines();
     windows.follow(engines);
-    const choice = choosePipeline(engines, {
-      model: need.request.model,
-      version: need.version,
-      adapter: need.request.adapter,
+    return choosePipeline(engines, {
+      ...need,
       failureDomain: options.failureDomain,
-      avoid: need.avoid,
       windowOf: windows.sizeOf,
       random,
     });
-    if (choice.kind === "busy") return "busy";
-    if (choice.kind === "uncovered") {
-      const retryAfterSeconds = UNCOVERED_RETRY_SECONDS;
-      return { kind: "refused", code: "no_capacity", retryAfterSeconds };
-    }
-    const grant = createGrant(choice.stages, queueOf(need.request.model));
-    return { kind: "granted", grant };
   }
 
   function createGrant(stages: readonly Stage[], queue: ModelQueue): Grant {
@@ -154,6 +163,8 @@
 
   return {
     acquire: (need) => queueOf(need.request.model).acquire(need),
+    covers: (need) =>
+      choose({ ...need, avoid: new Set() }).kind !== "uncovered",
     stop,
   };
 }
