--- a/packages/bench/src/bench_command.ts
+++ b/packages/bench/src/bench_command.ts
@@ -10,4 +10,9 @@
 /** Commands by name, each loaded only when it is asked for. */
 export const benchCommands: Readonly<
   Record<string, () => Promise<BenchCommand>>
-> = {};
+> = {
+  capacity: async () =>
+    (await import("./capacity/capacity_bench.ts")).capacityBench,
+  throughput: async () =>
+    (await import("./throughput/throughput_bench.ts")).throughputBench,
+};
