--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -161,6 +161,7 @@
     return {
       deployment,
       instance: id,
+      startedAt: incarnation,
       note,
       phase,
       instances: viewInstances(membership),
--- /dev/null
+++ b/packages/scenarios/src/observations.ts
@@ -0,0 +1,53 @@
+/** What a run saw: the only thing that promises are judged by. */
+import type { StreamedAnswer } from "@rosemarypin/launcher";
+import type { Outcome } from "@rosemarypin/schemas";
+
+/** An answer with the times of its tokens, in milliseconds of the run. */
+export interface ObservedAnswer {
+  readonly prompt: string;
+  readonly maxTokens: number;
+  readonly instance: string;
+  readonly startedAt: number;
+  readonly lastTokenAt: number;
+  readonly answer: StreamedAnswer;
+}
+
+/** A call that may not be repeated, as its caller was told. */
+export interface ObservedOrder {
+  readonly idempotencyKey: string;
+  readonly told: "answered" | Outcome | "broken";
+}
+
+/** The note that an instance said it applies. */
+export interface ObservedNote {
+  readonly instance: string;
+  readonly incarnation: number;
+  readonly note: number;
+}
+
+/** A note that was reported in force. */
+export interface InForceReport {
+  readonly name: string;
+  readonly at: number;
+  /** Versions that the note withdrew. */
+  readonly withdrawnVersions: readonly string[];
+}
+
+/** One line of the timeline. */
+export interface TimelineEntry {
+  readonly at: number;
+  readonly what: string;
+}
+
+/** All that a run saw. */
+export interface Observations {
+  readonly model: string;
+  readonly layers: number;
+  readonly answers: ObservedAnswer[];
+  readonly orders: ObservedOrder[];
+  readonly notes: ObservedNote[];
+  readonly inForce: InForceReport[];
+  readonly timeline: TimelineEntry[];
+  /** Keys that the services' journals hold, once for each run. */
+  readonly journal: string[];
+}
--- /dev/null
+++ b/packages/scenarios/src/promises.ts
@@ -0,0 +1,145 @@
+/** Judges what a run saw against the promises of the product. */
+import { expectedAnswer } from "@rosemarypin/stand_ins";
+import type { Observations, ObservedAnswer } from "./observations.ts";
+import type { PromiseName } from "./scenario_schema.ts";
+
+/** How a promise fared; `broken` says what broke it first. */
+export interface Verdict {
+  readonly promise: PromiseName;
+  readonly broken: string | null;
+  /** How many things were judged; none means that nothing was shown. */
+  readonly judged: number;
+}
+
+type Judge = (seen: Observations) => Omit<Verdict, "promise">;
+
+const judges: Readonly<Record<PromiseName, Judge>> = {
+  answers_true: (seen) =>
+    judgeEach(
+      seen.answers.filter(({ answer }) => answer.kind === "whole"),
+      (observed) =>
+        isTrue(observed, seen) ? null : `wrong answer to '${observed.prompt}'`,
+    ),
+  nothing_cut: (seen) =>
+    judgeEach(seen.answers, ({ answer, instance }) =>
+      answer.kind === "whole"
+        ? null
+        : `an answer of ${instance} ended as ${JSON.stringify(answer)}`,
+    ),
+  withdrawn_is_silent: (seen) =>
+    judgeEach(seen.answers, (observed) => judgeSilence(observed, seen)),
+  notes_never_revert: judgeNotes,
+  at_most_once: (seen) =>
+    judgeEach([...countRuns(seen)], ([key, runs]) =>
+      runs <= 1 ? null : `'${key}' ran ${runs} times`,
+    ),
+  not_run_is_true: (seen) => {
+    const runs = countRuns(seen);
+    return judgeEach(
+      seen.orders.filter(({ told }) => told === "not_run"),
+      ({ idempotencyKey }) =>
+        runs.has(idempotencyKey)
+          ? `'${idempotencyKey}' was refused as not run, but ran`
+          : null,
+    );
+  },
+  answered_calls_ran: (seen) => {
+    const runs = countRuns(seen);
+    return judgeEach(
+      seen.orders.filter(({ told }) => told === "answered"),
+      ({ idempotencyKey }) =>
+        runs.has(idempotencyKey)
+          ? null
+          : `'${idempotencyKey}' was answered, but never ran`,
+    );
+  },
+};
+
+/** Judges the named promises in order. */
+export function judge(
+  promises: readonly PromiseName[],
+  seen: Observations,
+): readonly Verdict[] {
+  return promises.map((promise) => ({ promise, ...judges[promise](seen) }));
+}
+
+function judgeEach<T>(
+  items: readonly T[],
+  problemOf: (item: T) => string | null,
+): Omit<Verdict, "promise"> {
+  for (const item of items) {
+    const broken = problemOf(item);
+    if (broken !== null) return { broken, judged: items.length };
+  }
+  return { broken: null, judged: items.length };
+}
+
+function isTrue(observed: ObservedAnswer, seen: Observations): boolean {
+  const { answer, prompt, maxTokens } = observed;
+  if (answer.kind !== "whole") return false;
+  const { version, digest } = answer.provenance;
+  const expected = expectedAnswer({
+    weights: { model: seen.model, version },
+    layers: seen.layers,
+    promptTokens: prompt.split(" "),
+    maxTokens,
+  });
+  const isSame = answer.tokens.join(" ") === expected.tokens.join(" ");
+  return isSame && digest === expected.digest;
+}
+
+/**
+ * A whole answer names its version. One that was cut does not, so its tokens
+ * are compared with those of each withdrawn version.
+ */
+function judgeSilence(
+  observed: ObservedAnswer,
+  seen: Observations,
+): string | null {
+  for (const { name, at, withdrawnVersions } of seen.inForce) {
+    if (observed.lastTokenAt <= at) continue;
+    const version = withdrawnVersions.find((withdrawn) =>
+      isFrom(observed, withdrawn, seen),
+    );
+    if (version === undefined) continue;
+    const lateMs = Math.round(observed.lastTokenAt - at);
+    return `${observed.instance} sent a token of ${version} ${lateMs} ms after '${name}' was in force`;
+  }
+  return null;
+}
+
+function isFrom(
+  observed: ObservedAnswer,
+  version: string,
+  seen: Observations,
+): boolean {
+  const { answer, prompt, maxTokens } = observed;
+  if (answer.kind === "whole") return answer.provenance.version === version;
+  if (answer.tokens.length === 0) return false;
+  const expected = expectedAnswer({
+    weights: { model: seen.model, version },
+    layers: seen.layers,
+    promptTokens: prompt.split(" "),
+    maxTokens,
+  });
+  return answer.tokens.every(
+    (token, index) => token === expected.tokens[index],
+  );
+}
+
+function judgeNotes(seen: Observations): Omit<Verdict, "promise"> {
+  const highest = new Map<string, number>();
+  return judgeEach(seen.notes, ({ instance, incarnation, note }) => {
+    const key = `${instance}/${incarnation}`;
+    const before = highest.get(key) ?? 0;
+    if (note < before) return `${instance} went from note ${before} to ${note}`;
+    highest.set(key, note);
+    return null;
+  });
+}
+
+function countRuns(seen: Observations): Map<string, number> {
+  const runs = new Map<string, number>();
+  for (const key of seen.journal) runs.set(key, (runs.get(key) ?? 0) + 1);
+  return runs;
+}
--- /dev/null
+++ b/packages/scenarios/src/run_scenario.ts
@@ -0,0 +1,130 @@
+/** Runs a whole scenario against separate processes. */
+import {
+  type Deployment,
+  KANEM_LAYERS,
+  kanemShape,
+  planDeployment,
+  startDeployment,
+} from "@rosemarypin/launcher";
+import { formatAddress } from "@rosemarypin/schemas";
+import { request } from "undici";
+import { createAdminCalls } from "./admin_calls.ts";
+import type { Observations } from "./observations.ts";
+import { judge, type Verdict } from "./promises.ts";
+import { runStep, type StepContext } from "./run_step.ts";
+import type { Scenario } from "./scenario_schema.ts";
+
+const WATCH_NOTES_EVERY_MS = 250;
+
+/** How a scenario ended. */
+export interface ScenarioResult {
+  readonly verdicts: readonly Verdict[];
+  /** A step that could not be carried out. */
+  readonly stuck: string | null;
+  readonly seen: Observations;
+  /** Folder with settings and logs, kept after a failure. */
+  readonly folder: string;
+}
+
+/** Whether all went as promised, and something was judged for each promise. */
+export function hasHeld({ verdicts, stuck }: ScenarioResult): boolean {
+  const isShown = verdicts.every(({ broken }) => broken === null);
+  return stuck === null && isShown;
+}
+
+/** Starts the cast, runs the steps, judges the promises. */
+export async function runScenario(
+  scenario: Scenario,
+  options: { readonly seed: number },
+): Promise<ScenarioResult> {
+  const deployment = await startCast(scenario);
+  const startedAt = performance.now();
+  const seen = emptyObservations();
+  const context: StepContext = {
+    scenario,
+    deployment,
+    admin: createAdminCalls(deployment),
+    seen,
+    clock: () => performance.now() - startedAt,
+    seed: options.seed,
+    numbers: new Map(),
+    traffic: new Map(),
+  };
+  const stopWatching = watchNotes(context);
+  const stuck = await runSteps(context);
+  for (const traffic of context.traffic.values()) await traffic.stop();
+  stopWatching();
+  seen.journal.push(...(await readJournals(deployment)));
+  const verdicts = judge(scenario.promises, seen);
+  const result = { verdicts, stuck, seen, folder: deployment.folder };
+  await deployment.stop({ keepFolder: !hasHeld(result) });
+  return result;
+}
+
+function startCast({ cast }: Scenario): Promise<Deployment> {
+  const shape = {
+    ...kanemShape,
+    instances: cast.instances,
+    engineGroups: kanemShape.engineGroups.map((group) => ({
+      ...group,
+      perDomain: cast.enginesPerStage,
+    })),
+  };
+  return planDeployment(shape).then((plan) => startDeployment(plan));
+}
+
+async function runSteps(context: StepContext): Promise<string | null> {
+  for (const step of context.scenario.steps) {
+    try {
+      await runStep(step, context);
+    } catch (error) {
+      const reason = error instanceof Error ? error.message : String(error);
+      return `${JSON.stringify(step)}: ${reason}`;
+    }
+  }
+  return null;
+}
+
+function emptyObservations(): Observations {
+  return {
+    model: kanemShape.model,
+    layers: KANEM_LAYERS,
+    answers: [],
+    orders: [],
+    notes: [],
+    inForce: [],
+    timeline: [],
+    journal: [],
+  };
+}
+
+/** Asks each instance again and again which note it applies. */
+function watchNotes({ deployment, admin, seen }: StepContext): () => void {
+  const timers = deployment.plan.daemons.map(({ instance }) =>
+    setInterval(async () => {
+      const status = await admin.statusOf(instance.id);
+      if (!status) return;
+      const incarnation = status.startedAt;
+      seen.notes.push({
+        instance: instance.id,
+        incarnation,
+        note: status.note,
+      });
+    }, WATCH_NOTES_EVERY_MS),
+  );
+  return () => {
+    for (const timer of timers) clearInterval(timer);
+  };
+}
+
+/** The keys that each service server ran, once for each run. */
+async function readJournals(deployment: Deployment): Promise<string[]> {
+  const journals = await Promise.all(
+    deployment.plan.services.servers.map(async ({ address }) => {
+      const url = `http://${formatAddress(address)}/journal`;
+      const response = await request(url);
+      return (await response.body.json()) as { idempotencyKey: string }[];
+    }),
+  );
+  return journals.flat().map(({ idempotencyKey }) => idempotencyKey);
+}
--- /dev/null
+++ b/packages/scenarios/src/run_step.ts
@@ -0,0 +1,171 @@
+/** Runs single steps of a scenario. */
+import { randomUUID } from "node:crypto";
+import type { Deployment } from "@rosemarypin/launcher";
+import { formatAddress } from "@rosemarypin/schemas";
+import { request } from "undici";
+import type { AdminCalls } from "./admin_calls.ts";
+import type { Observations } from "./observations.ts";
+import type { Scenario, SimpleStep, Step } from "./scenario_schema.ts";
+import { standardNotes } from "./standard_notes.ts";
+import { startTraffic, type Traffic } from "./traffic.ts";
+
+const POLL_MS = 100;
+
+/** What the steps of one run share. */
+export interface StepContext {
+  readonly scenario: Scenario;
+  readonly deployment: Deployment;
+  readonly admin: AdminCalls;
+  readonly seen: Observations;
+  readonly clock: () => number;
+  readonly seed: number;
+  /** Numbers of published notes by their names. */
+  readonly numbers: Map<string, number>;
+  readonly traffic: Map<string, Traffic>;
+}
+
+/** Runs a step; throws when it cannot be carried out. */
+export async function runStep(step: Step, context: StepContext): Promise<void> {
+  context.seen.timeline.push({
+    at: context.clock(),
+    what: JSON.stringify(step),
+  });
+  if ("race" in step) {
+    await Promise.all(step.race.map((one) => runSimple(one, context)));
+    return;
+  }
+  await runSimple(step, context);
+}
+
+async function runSimple(
+  step: SimpleStep,
+  context: StepContext,
+): Promise<void> {
+  const { deployment, traffic } = context;
+  const { processes } = deployment;
+  if ("publish" in step) return publish(step.publish, context);
+  if ("waitInForce" in step) {
+    return waitInForce(step.waitInForce, {
+      ...context,
+      withinSeconds: step.withinSeconds,
+    });
+  }
+  if ("startTraffic" in step) {
+    const { startTraffic: settings } = step;
+    traffic.set(settings.name, startTraffic(settings, context));
+    return;
+  }
+  if ("stopTraffic" in step) {
+    await traffic.get(step.stopTraffic)?.stop();
+    traffic.delete(step.stopTraffic);
+    return;
+  }
+  if ("wait" in step) return sleep(step.wait * 1_000);
+  if ("kill" in step) return processes.signal(step.kill, "SIGKILL");
+  if ("freeze" in step) return processes.signal(step.freeze, "SIGSTOP");
+  if ("thaw" in step) return processes.signal(step.thaw, "SIGCONT");
+  if ("stop" in step) return stopGracefully(step.stop, context);
+  if ("start" in step) return start(step.start, deployment);
+  if ("storeDown" in step)
+    return setStoreFaults(deployment, { down: step.storeDown });
+  if ("storeDelayMs" in step) {
+    return setStoreFaults(deployment, { delayMs: step.storeDelayMs });
+  }
+  if ("loseStoreReplies" in step) {
+    return setStoreFaults(deployment, { loseReplies: step.loseStoreReplies });
+  }
+  return setFaults(deployment, {
+    standIn: step.of,
+    faults: { loseAnswers: step.loseServiceAnswers },
+  });
+}
+
+async function publish(name: string, context: StepContext): Promise<void> {
+  const note = findNote(name, context.scenario);
+  if (!note) throw new Error(`the scenario has no note '${name}'`);
+  const supersedes = Math.max(0, ...context.numbers.values());
+  const result = await context.admin.publish({
+    ...note,
+    supersedes,
+    publishId: randomUUID(),
+  });
+  const what = "number" in result ? `is note ${result.number}` : result.code;
+  context.seen.timeline.push({ at: context.clock(), what: `${name}: ${what}` });
+  if ("number" in result) context.numbers.set(name, result.number);
+}
+
+function findNote(name: string, scenario: Scenario) {
+  return scenario.notes[name] ?? standardNotes[name];
+}
+
+async function waitInForce(
+  name: string,
+  context: StepContext & { readonly withinSeconds: number },
+): Promise<void> {
+  const number = context.numbers.get(name);
+  if (number === undefined) throw new Error(`note '${name}' was not recorded`);
+  const end = context.clock() + context.withinSeconds * 1_000;
+  while (context.clock() < end) {
+    const status = await context.admin.noteStatus(number);
+    if (status?.phase === "in_force") return reportInForce(name, context);
+    await sleep(POLL_MS);
+  }
+  const status = await context.admin.noteStatus(number);
+  throw new Error(`'${name}' is not in force: ${JSON.stringify(status)}`);
+}
+
+function reportInForce(name: string, context: StepContext): void {
+  const { seen, scenario, clock } = context;
+  const withdrawn = findNote(name, scenario)?.withdrawn ?? [];
+  const withdrawnVersions = withdrawn.flatMap((line) =>
+    line.kind === "version" ? [line.version] : [],
+  );
+  const at = clock();
+  seen.inForce.push({ name, at, withdrawnVersions });
+  seen.timeline.push({ at, what: `'${name}' is in force` });
+}
+
+async function stopGracefully(
+  name: string,
+  { deployment, seen, clock }: StepContext,
+): Promise<void> {
+  deployment.processes.signal(name, "SIGTERM");
+  const code = await deployment.processes.waitForExit(name);
+  seen.timeline.push({ at: clock(), what: `${name} exited with ${code}` });
+  if (code !== 0) throw new Error(`${name} exited with ${code}, not 0`);
+}
+
+function start(name: string, deployment: Deployment): void {
+  const isInstance = deployment.plan.daemons.some(
+    ({ instance }) => instance.id === name,
+  );
+  if (isInstance) deployment.startInstance(name);
+  else deployment.startStandIn(name);
+}
+
+function setStoreFaults(
+  deployment: Deployment,
+  faults: unknown,
+): Promise<void> {
+  return setFaults(deployment, { standIn: "object-api", faults });
+}
+
+async function setFaults(
+  deployment: Deployment,
+  options: { readonly standIn: string; readonly faults: unknown },
+): Promise<void> {
+  const standIn = deployment.plan.standIns.find(
+    ({ name }) => name === options.standIn,
+  );
+  if (!standIn) throw new Error(`the cast has no '${options.standIn}'`);
+  const address = formatAddress(standIn.settings.address);
+  const response = await request(`http://${address}/faults`, {
+    method: "POST",
+    body: JSON.stringify(options.faults),
+  });
+  await response.body.dump();
+}
+
+function sleep(durationMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, durationMs));
+}
--- a/packages/schemas/src/admin.ts
+++ b/packages/schemas/src/admin.ts
@@ -73,6 +73,8 @@
 export const statusSchema = z.object({
   deployment: nameSchema,
   instance: nameSchema,
+  /** Start of the process, in milliseconds since the epoch. */
+  startedAt: z.number(),
   note: noteNumberSchema,
   phase: notePhaseSchema.or(z.literal("none")),
   instances: z.array(instanceViewSchema),
