--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -175,6 +175,7 @@
     return {
       deployment,
       instance: id,
+      startedAt: incarnation,
       note,
       phase,
       instances: viewInstances(membership),
