--- a/packages/schemas/src/admin.ts
+++ b/packages/schemas/src/admin.ts
@@ -79,3 +79,62 @@
   backends: z.array(backendViewSchema),
 });
 export type Status = z.infer<typeof statusSchema>;
+
+/** Where a decision stands: a line of a recorded note. */
+export const noteLineReferenceSchema = z.object({
+  /** Number of the note. */
+  number: noteNumberSchema,
+  /** Place in the note, such as `withdrawn[0]`. */
+  line: z.string(),
+  reason: z.string(),
+});
+export type NoteLineReference = z.infer<typeof noteLineReferenceSchema>;
+
+/** Why a model or service is answered or not, as one instance sees it. */
+export const explainSchema = z.object({
+  /** The note that the answering instance applies; 0 for none. */
+  number: noteNumberSchema,
+  subject: z.object({
+    kind: z.enum(["model", "service"]),
+    name: nameSchema,
+    adapter: nameSchema.optional(),
+  }),
+  verdict: z.enum(["answered", "withdrawn", "unknown", "no_note"]),
+  /** The version that answers new requests. */
+  version: nameSchema.optional(),
+  /** The line that decides; absent for what no note names. */
+  decidedBy: noteLineReferenceSchema.optional(),
+  message: z.string(),
+});
+export type Explain = z.infer<typeof explainSchema>;
+
+/** One thing that two notes treat differently. */
+export const noteChangeSchema = z.object({
+  kind: z.enum(["version", "adapter", "service", "serve"]),
+  model: nameSchema.optional(),
+  name: z.string(),
+  change: z.enum(["added", "removed", "changed"]),
+  /** State before and after, for `changed`. */
+  before: z.string().optional(),
+  after: z.string().optional(),
+});
+export type NoteChange = z.infer<typeof noteChangeSchema>;
+
+/** What changes between the state of one note and that of another. */
+export const noteDiffSchema = z.object({
+  from: noteNumberSchema,
+  to: noteNumberSchema,
+  changes: z.array(noteChangeSchema),
+});
+export type NoteDiff = z.infer<typeof noteDiffSchema>;
+
+/** Whether a note could be published now; nothing is recorded. */
+export const noteCheckSchema = z.object({
+  valid: z.boolean(),
+  /** The note in use that the check was made against. */
+  against: noteNumberSchema,
+  problems: z.array(z.object({ line: z.string(), message: z.string() })),
+  /** What the note would change; empty if it is not valid. */
+  changes: z.array(noteChangeSchema),
+});
+export type NoteCheck = z.infer<typeof noteCheckSchema>;
