Serve only with contact, and collect confirmations by closure of names

Cause: the thin version called a note accepted once the members that the asked instance knew had confirmed. An instance that nobody asked knew (it had read the head just before and lost its peers), or one frozen, could still answer. Now a note answers only while a chain of reads shows it was the newest within the allowance; each instance enters itself in the store before its first read counts; silence excuses nobody until the allowance has lapsed.

Ruled out: excusing a silent instance because all engines confirmed. Tokens of the withdrawn version may stand in its sockets already.

--- /dev/null
+++ b/packages/release/src/head_follower.ts
@@ -0,0 +1,76 @@
+/** Reads and watches the head object in the store. */
+import type { ObjectStore, Revision } from "@rosemarypin/platform";
+import { headObjectSchema, type NoteRecord } from "@rosemarypin/schemas";
+import { createLogger } from "@rosemarypin/telemetry";
+import { backoffMs, pause } from "./backoff.ts";
+import { elapsedMs, type Moment, readMoment } from "./moment.ts";
+
+/** A watch that ends sooner, with nothing new, did not wait. */
+const QUICK_WATCH_MS = 1_000;
+
+const log = createLogger("release");
+
+/** What the head object held; `null` before the first note. */
+export interface HeadNews {
+  readonly record: NoteRecord | null;
+  /** When the read was started. */
+  readonly began: Moment;
+}
+
+export interface HeadFollowerOptions {
+  readonly store: ObjectStore;
+  readonly headKey: string;
+  readonly signal: AbortSignal;
+}
+
+/** Reads the head object once; `null` if it cannot be read or understood. */
+export async function readHead(
+  options: HeadFollowerOptions,
+): Promise<HeadNews | null> {
+  const began = readMoment();
+  const result = await options.store.read(options.headKey, {
+    signal: options.signal,
+  });
+  if (result.kind !== "ok") return null;
+  if (result.value === null) return { record: null, began };
+  const record = parseHead(result.value.value);
+  return record && { record, began };
+}
+
+/** Watches the head object until the signal is aborted. */
+export async function followHead(
+  options: HeadFollowerOptions & { readonly take: (news: HeadNews) => void },
+): Promise<void> {
+  const { store, headKey, signal } = options;
+  let since: Revision = 0;
+  let failures = 0;
+  while (!signal.aborted) {
+    const began = readMoment();
+    const result = await store.watch(headKey, { since, signal });
+    if (signal.aborted) return;
+    if (result.kind === "ok") {
+      const { objects, revision } = result.value;
+      for (const { value } of objects) {
+        const record = parseHead(value);
+        if (record) options.take({ record, began });
+      }
+      // A watch that returns at once with nothing new, over and over, shows
+      // as a busy loop that uses up the call budget; it counts as a failure.
+      const isSound = revision > since || elapsedMs(began) > QUICK_WATCH_MS;
+      since = revision;
+      failures = isSound ? 0 : failures + 1;
+      if (isSound) continue;
+    } else {
+      failures += 1;
+      log.detail("watch_failed", { reason: result.kind, failures });
+    }
+    await pause(backoffMs(failures), signal);
+  }
+}
+
+function parseHead(value: unknown): NoteRecord | null {
+  const parsed = headObjectSchema.safeParse(value);
+  if (parsed.success) return parsed.data;
+  log.warn("bad_head_object", { reason: parsed.error.message });
+  return null;
+}
--- a/packages/release/src/publisher.ts
+++ b/packages/release/src/publisher.ts
@@ -3,15 +3,18 @@
 import type { ObjectStore, StoredObject } from "@rosemarypin/platform";
 import {
   emptyCatalogue,
-  headObjectSchema,
   type NoteRecord,
   type ReleaseNote,
   storedKeys,
 } from "@rosemarypin/schemas";
 import { createLogger } from "@rosemarypin/telemetry";
 import { foldNote, type NoteProblem } from "./fold.ts";
+import { createNoteHistory, parseStoredNote } from "./note_history.ts";
 import type { NoteKeeper } from "./note_keeper.ts";
 
+/** The store takes values up to a megabyte; some room is left for its own. */
+const LARGEST_RECORD_BYTES = 950_000;
+
 const log = createLogger("release");
 
 /** Why a note was not published, or that nobody knows yet. */
@@ -25,7 +28,7 @@
   /** Another note came first; `head` is the one to supersede. */
   | { readonly kind: "conflict"; readonly head: NoteRecord | null }
   | { readonly kind: "invalid"; readonly problems: readonly NoteProblem[] }
-  /** The store cannot be reached; nothing was recorded. */
+  /** The store cannot be reached; this call recorded nothing. */
   | { readonly kind: "unavailable"; readonly detail: string }
   /** The write may have taken effect; publish again with the same id. */
   | { readonly kind: "unknown"; readonly detail: string };
@@ -39,24 +42,28 @@
 
 export interface Publisher {
   publish(note: ReleaseNote): Promise<PublishResult>;
-  /** Notes that are recorded, newest first; `null` if the store is away. */
-  history(): Promise<readonly NoteRecord[] | null>;
+  /** One recorded note; `undefined` if the store is away. */
+  find(number: number): Promise<NoteRecord | null | undefined>;
+  /** The latest notes, newest first; `null` if the store is away. */
+  history(limit?: number): Promise<readonly NoteRecord[] | null>;
 }
 
 /** Creates the publisher of one instance. */
 export function createPublisher(options: PublisherOptions): Publisher {
   const { deployment, store, keeper } = options;
   const headKey = storedKeys.head(deployment);
+  const history = createNoteHistory({ deployment, store });
 
   async function publish(note: ReleaseNote): Promise<PublishResult> {
     const read = await store.read(headKey);
     if (read.kind !== "ok") return { kind: "unavailable", detail: read.kind };
-    const head = parseHead(read.value);
+    const stored = parseStoredNote(read.value);
+    // Taking a head that cannot be read for no head would start again from
+    // nothing, and everything withdrawn would be forgotten.
+    if (stored.kind === "unreadable") return unreadableHead();
+    const head = stored.kind === "note" ? stored.record : null;
     if (head?.note.publishId === note.publishId) return recorded(head, true);
-    if ((head?.number ?? 0) !== note.supersedes) {
-      const earlier = await findInHistory(note.publishId);
-      return earlier ? recorded(earlier, true) : { kind: "conflict", head };
-    }
+    if ((head?.number ?? 0) !== note.supersedes) return settle(note, head);
     return record(note, { head, version: read.value?.version ?? null });
   }
 
@@ -75,16 +82,17 @@
       recordedAt: Date.now(),
       recordedBy: options.instance,
     };
+    if (JSON.stringify(next).length > LARGEST_RECORD_BYTES) return tooLarge();
     // The old head goes to history first: once the head is overwritten, no
     // other object would hold it.
-    if (base.head && !(await keepInHistory(base.head))) {
+    if (base.head && !(await history.keep(base.head))) {
       return { kind: "unavailable", detail: "history could not be written" };
     }
     const written = await store.write(headKey, next, {
       expectedVersion: base.version,
     });
     if (written.kind === "ok") return recorded(next, false);
-    if (written.kind === "conflict") return lost(note, written.actual);
+    if (written.kind === "conflict") return lostTo(written.actual, note);
     if (written.kind === "reply_lost") return resolveLostReply(note);
     return { kind: "unavailable", detail: written.kind };
   }
@@ -95,23 +103,42 @@
    */
   async function resolveLostReply(note: ReleaseNote): Promise<PublishResult> {
     const read = await store.read(headKey);
-    if (read.kind !== "ok") {
-      return { kind: "unknown", detail: "the store's answer was lost" };
-    }
-    const head = parseHead(read.value);
+    if (read.kind !== "ok") return unknown("the store's answer was lost");
+    const stored = parseStoredNote(read.value);
+    const number = stored.kind === "note" ? stored.record.number : 0;
+    if (number > note.supersedes) return lostTo(read.value, note);
+    return unknown("the write may still arrive");
+  }
+
+  function lostTo(
+    actual: StoredObject | null,
+    note: ReleaseNote,
+  ): PublishResult | Promise<PublishResult> {
+    const stored = parseStoredNote(actual);
+    if (stored.kind === "unreadable") return unreadableHead();
+    const head = stored.kind === "note" ? stored.record : null;
     if (head?.note.publishId === note.publishId) return recorded(head, true);
-    if ((head?.number ?? 0) > note.supersedes) return lost(note, read.value);
-    return { kind: "unknown", detail: "the write may still arrive" };
+    return settle(note, head);
   }
 
-  async function lost(
+  /**
+   * Another note is the head: this one lost, or it won earlier and has been
+   * superseded since. If it won, its number is the one after `supersedes`.
+   */
+  async function settle(
     note: ReleaseNote,
-    actual: StoredObject | null,
+    head: NoteRecord | null,
   ): Promise<PublishResult> {
-    const head = parseHead(actual);
-    if (head?.note.publishId === note.publishId) return recorded(head, true);
-    const earlier = await findInHistory(note.publishId);
-    return earlier ? recorded(earlier, true) : { kind: "conflict", head };
+    const number = note.supersedes + 1;
+    if ((head?.number ?? 0) < number) return { kind: "conflict", head };
+    const winner = head?.number === number ? head : await history.find(number);
+    if (winner === undefined) {
+      return unknown("the history cannot be read to see which note won");
+    }
+    if (winner?.note.publishId === note.publishId) {
+      return recorded(winner, true);
+    }
+    return { kind: "conflict", head };
   }
 
   function recorded(record: NoteRecord, repeated: boolean): PublishResult {
@@ -120,33 +147,19 @@
     return { kind: "recorded", record, repeated };
   }
 
-  async function keepInHistory(head: NoteRecord): Promise<boolean> {
-    const key = storedKeys.history(deployment, head.number);
-    const written = await store.write(key, head, { expectedVersion: null });
-    return written.kind === "ok" || written.kind === "conflict";
-  }
-
-  async function findInHistory(
-    publishId: string,
-  ): Promise<NoteRecord | undefined> {
-    const notes = await history();
-    return notes?.find(({ note }) => note.publishId === publishId);
-  }
+  return { publish, find: history.find, history: history.list };
+}
 
-  async function history(): Promise<readonly NoteRecord[] | null> {
-    const listed = await store.list(`${deployment}/notes/history/`);
-    const head = await store.read(headKey);
-    if (listed.kind !== "ok" || head.kind !== "ok") return null;
-    const records = [...listed.value, head.value]
-      .map(parseHead)
-      .filter((record) => record !== null);
-    return records.sort((a, b) => b.number - a.number);
-  }
+function unknown(detail: string): PublishResult {
+  return { kind: "unknown", detail };
+}
 
-  return { publish, history };
+function unreadableHead(): PublishResult {
+  const detail = "the head object cannot be read by this release";
+  return { kind: "unavailable", detail };
 }
 
-function parseHead(object: StoredObject | null): NoteRecord | null {
-  const parsed = headObjectSchema.safeParse(object?.value);
-  return parsed.success ? parsed.data : null;
+function tooLarge(): PublishResult {
+  const message = `the note would make the record larger than ${LARGEST_RECORD_BYTES} bytes; shorten the reason`;
+  return { kind: "invalid", problems: [{ line: "note", message }] };
 }
--- a/packages/schemas/src/mod.ts
+++ b/packages/schemas/src/mod.ts
@@ -4,6 +4,7 @@
 export * from "./completion.ts";
 export * from "./engine.ts";
 export * from "./names.ts";
+export * from "./note_exchange.ts";
 export * from "./outcome.ts";
 export * from "./peer.ts";
 export * from "./release_note.ts";
--- a/packages/schemas/src/peer.ts
+++ b/packages/schemas/src/peer.ts
@@ -32,23 +32,3 @@
   members: z.array(memberRecordSchema).min(1),
 });
 export type Heartbeat = z.infer<typeof heartbeatSchema>;
-
-/** What one instance confirms about a note. */
-export const noteConfirmationSchema = z.object({
-  instance: nameSchema,
-  failureDomain: nameSchema,
-  incarnation: z.number(),
-  /** Number of the note the instance applies now. */
-  applied: noteNumberSchema,
-  /** Answers of versions that note withdraws and that still run. */
-  withdrawnRunning: z.number().int().nonnegative(),
-  /** Instances this one knows, so that the asker can find missing names. */
-  knows: z.array(
-    z.object({ id: nameSchema, incarnation: z.number(), left: z.boolean() }),
-  ),
-  /** Engines this instance orders, with the note each has confirmed. */
-  engines: z.array(
-    z.object({ engine: nameSchema, confirmed: noteNumberSchema }),
-  ),
-});
-export type NoteConfirmation = z.infer<typeof noteConfirmationSchema>;
--- a/packages/schemas/src/settings.ts
+++ b/packages/schemas/src/settings.ts
@@ -116,6 +116,12 @@
     .strictObject({
       /** How long to serve with no contact to store or peers, in seconds. */
       serveWithoutContactSeconds: z.number().positive().default(3_600),
+      /**
+       * Whether a refused connection shows that an instance has ended. Set to
+       * false where something other than the host itself may refuse, such as
+       * a firewall, or where two hosts may hold one address.
+       */
+      refusedConnectionShowsEnd: z.boolean().default(true),
     })
     .prefault({}),
   /** How long a request may take when the caller does not say. */
--- a/packages/schemas/src/stored.ts
+++ b/packages/schemas/src/stored.ts
@@ -2,6 +2,7 @@
 import { z } from "zod";
 import { noteRecordSchema } from "./catalogue.ts";
 import { nameSchema } from "./names.ts";
+import { instanceReferenceSchema } from "./note_exchange.ts";
 
 /** Keys of stored objects, below the deployment's name. */
 export const storedKeys = {
@@ -10,6 +11,8 @@
     `${deployment}/notes/history/${String(number).padStart(9, "0")}`,
   lease: (deployment: string, domain: string) =>
     `${deployment}/leases/${domain}`,
+  instances: (deployment: string, domain: string) =>
+    `${deployment}/instances/${domain}`,
   claim: (deployment: string, service: string, claim: string) =>
     `${deployment}/claims/${service}/${claim}`,
 } as const;
@@ -28,9 +31,26 @@
   durationMs: z.number().int().positive(),
   /** Grows with each renewal, so that others can see it move. */
   renewal: z.number().int().nonnegative(),
+  /** Set by a holder that has stopped: nobody needs to wait. */
+  released: z.boolean().default(false),
 });
 export type LeaseObject = z.infer<typeof leaseObjectSchema>;
 
+/**
+ * The instances of one failure domain that may have read the head object: each
+ * enters itself before the first read that counts.
+ */
+export const registryObjectSchema = z.object({
+  instances: z.array(
+    instanceReferenceSchema.extend({
+      /** How long the instance may serve without contact. */
+      allowanceMs: z.number().positive(),
+    }),
+  ),
+});
+export type RegistryObject = z.infer<typeof registryObjectSchema>;
+export type RegistryEntry = RegistryObject["instances"][number];
+
 /** A non-repeatable call, recorded before its first byte is sent. */
 export const claimObjectSchema = z.object({
   requestId: z.string(),
