Order engines at once, rank candidates for leases, give leases back

Cause of the slow orders (650 ms to in force): the controller read the state first and skipped busy engines until a 500 ms tick, and instances confirmed by the engines' states, which are read every 500 ms. Each engine now has one task that a note wakes and that orders without reading first.

--- a/packages/backends/src/transport_failure.ts
+++ b/packages/backends/src/transport_failure.ts
@@ -4,7 +4,12 @@
 /** How a call to a backend server broke. */
 export type TransportFailure =
   /** No connection was made: no byte of the request was handed over. */
-  | { readonly kind: "not_sent"; readonly detail: string }
+  | {
+      readonly kind: "not_sent";
+      readonly detail: string;
+      /** The host answered that nothing listens: the process has ended. */
+      readonly refused: boolean;
+    }
   /** Bytes were handed over: the server may have run the call. */
   | { readonly kind: "broken"; readonly detail: string };
 
@@ -21,5 +26,6 @@
   const code = (error as { code?: string }).code ?? "";
   const neverConnected =
     NEVER_CONNECTED.has(code) || error instanceof errors.ConnectTimeoutError;
-  return { kind: neverConnected ? "not_sent" : "broken", detail };
+  if (!neverConnected) return { kind: "broken", detail };
+  return { kind: "not_sent", detail, refused: code === "ECONNREFUSED" };
 }
--- a/packages/calls/src/answer.ts
+++ b/packages/calls/src/answer.ts
@@ -73,7 +73,8 @@
 ): AsyncGenerator<AnswerEvent> {
   const progress = emptyProgress();
   while (!options.signal.aborted) {
-    const failure = chooseVersion(request, progress, options.keeper.current());
+    const record = await options.keeper.fresh();
+    const failure = chooseVersion(request, progress, record);
     if (failure) return yield { type: "failed", failure };
     if (progress.attempt >= LARGEST_ATTEMPT) {
       return yield { type: "failed", failure: gaveUp(progress) };
@@ -127,10 +128,11 @@
   record: NoteRecord | null,
 ): CallFailure | null {
   if (!record) {
-    return notRun("no_release_note", {
-      message: "this instance has no release note yet; try again",
-      retryAfterSeconds: NO_NOTE_RETRY_SECONDS,
-    });
+    const code = "no_release_note";
+    const message = "this instance has no release note to answer from";
+    const hint = { message, retryAfterSeconds: NO_NOTE_RETRY_SECONDS };
+    // Contact may lapse in the middle of an answer, which then did run.
+    return progress.started ? failedRun(code, hint) : notRun(code, hint);
   }
   const { version } = progress;
   if (version) {
@@ -210,6 +212,9 @@
     if (!mayContinue(record, attempt)) stop.abort();
   });
   try {
+    if (!(await mayGoOn(attempt, keeper))) {
+      return { kind: "retry", reason: "withdrawn while it waited" };
+    }
     const start = await engines.start(first.address, attempt, { signal });
     if (start.kind === "refused") {
       progress.avoid.add(first.engine);
@@ -245,7 +250,9 @@
   const iterator = events[Symbol.asyncIterator]();
   while (true) {
     const next = await nextEvent(iterator);
-    if (signal.aborted) return { kind: "retry", reason: "cancelled" };
+    if (signal.aborted || !(await mayGoOn(attempt, options.keeper))) {
+      return { kind: "retry", reason: "cancelled" };
+    }
     if (next.kind === "stalled") {
       await loseSilentStages(grant, options);
       return { kind: "retry", reason: "stalled" };
@@ -284,6 +291,19 @@
   }
 }
 
+/**
+ * A note may come while an answer waits for a pipeline, and a process that
+ * was frozen finds tokens of a withdrawn version in its sockets before it
+ * hears of the note: both are looked for at the point of use.
+ */
+async function mayGoOn(
+  attempt: AttemptRequest,
+  keeper: NoteKeeper,
+): Promise<boolean> {
+  const record = await keeper.fresh();
+  return record !== null && mayContinue(record, attempt);
+}
+
 type NextEvent =
   | { readonly kind: "event"; readonly event: EngineEvent }
   | { readonly kind: "ended" }
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -14,23 +14,30 @@
   startPeerServer,
 } from "@rosemarypin/membership";
 import {
+  type CandidateMember,
+  type ControlLease,
   createControlLease,
   createEngineController,
+  type EngineController,
+  isLeaseCandidate,
 } from "@rosemarypin/placement";
 import { createHttpObjectStore } from "@rosemarypin/platform";
 import {
-  collectStatus,
+  createConfirmer,
   createNoteKeeper,
   createPublisher,
-  mayContinue,
+  createRegistration,
+  createStatusCollector,
+  rankInDomain,
+  readRegistry,
 } from "@rosemarypin/release";
 import { createRouter } from "@rosemarypin/routing";
-import type {
-  BackendView,
-  InstanceView,
-  NoteConfirmation,
-  Settings,
-  Status,
+import {
+  type BackendView,
+  type InstanceView,
+  noteRequestSchema,
+  type Settings,
+  type Status,
 } from "@rosemarypin/schemas";
 import { createLogger, createMetrics } from "@rosemarypin/telemetry";
 import { startAdminServer } from "./admin_server.ts";
@@ -69,11 +76,26 @@
     seeds: settings.peers,
     metrics,
   });
+  const { refusedConnectionShowsEnd } = settings.release;
+  const allowanceMs = settings.release.serveWithoutContactSeconds * 1_000;
+  const registration = createRegistration({
+    deployment,
+    self: { id, failureDomain, incarnation, peer: addresses.peers },
+    allowanceMs,
+    store,
+    peers,
+    isPruner: () => rankInDomain(membership) === 0,
+    refusedConnectionShowsEnd,
+    onListed: () => void keeper.refresh(),
+  });
   const keeper = createNoteKeeper({
     deployment,
     store,
     membership,
     peers,
+    allowanceMs,
+    listedSince: registration.listedSince,
+    hintedNumber: () => highestNoteOf(fleet),
     metrics,
   });
   const engines = createEngineClient();
@@ -81,22 +103,37 @@
     engines: settings.engines,
     client: engines,
   });
-  const lease = createControlLease({
-    deployment,
-    failureDomain,
-    holder: id,
-    incarnation,
-    store,
-  });
-  const controller = createEngineController({
-    engines: settings.engines.filter(
-      (engine) => engine.failureDomain === failureDomain,
-    ),
-    client: engines,
-    fleet,
-    keeper,
-    lease,
-  });
+  const domains = [
+    ...new Set(settings.engines.map((engine) => engine.failureDomain)),
+  ];
+  const controllers = domains.map((domain) => controlDomain(domain));
+
+  function controlDomain(domain: string) {
+    const lease = createControlLease({
+      deployment,
+      failureDomain: domain,
+      holder: id,
+      incarnation,
+      store,
+      isCandidate: () =>
+        isLeaseCandidate(listCandidates(membership), {
+          id,
+          failureDomain: domain,
+        }),
+      onHeld: () => void keeper.refresh().then(() => controller.wake()),
+    });
+    const controller = createEngineController({
+      engines: settings.engines.filter(
+        (engine) => engine.failureDomain === domain,
+      ),
+      client: engines,
+      fleet,
+      keeper,
+      lease,
+    });
+    return { lease, controller };
+  }
+
   const router = createRouter({
     fleet,
     failureDomain,
@@ -118,45 +155,25 @@
   });
   let draining = false;
 
-  function confirm(): NoteConfirmation {
-    return {
-      instance: id,
-      failureDomain,
-      incarnation,
-      applied: keeper.current()?.number ?? 0,
-      withdrawnRunning: countWithdrawn(fleet),
-      knows: membership.peers().map(({ record }) => ({
-        id: record.id,
-        incarnation: record.incarnation,
-        left: record.left,
-      })),
-      engines: [...controller.confirmations()],
-    };
-  }
-
-  function countWithdrawn(known: EngineFleet): number {
-    const record = keeper.current();
-    if (!record) return 0;
-    return known
-      .engines()
-      .flatMap(({ state }) => state?.running ?? [])
-      .filter(
-        (running) => !mayContinue(record, { ...running, adapter: undefined }),
-      )
-      .reduce((sum, { count }) => sum + count, 0);
-  }
-
-  function noteStatus(number: number) {
-    return collectStatus(number, {
-      membership,
-      peers,
-      own: confirm,
-      engines: () => settings.engines,
-    });
-  }
+  const confirmer = createConfirmer({
+    membership,
+    keeper,
+    engines: () =>
+      controllers.flatMap(({ controller }) => controller.confirmations()),
+  });
+  const { status: noteStatus } = createStatusCollector({
+    membership,
+    peers,
+    keeper,
+    confirmer,
+    engines: () => settings.engines,
+    readRegistry: () => readRegistry({ deployment, store }),
+    allowanceMs,
+    refusedConnectionShowsEnd,
+  });
 
   async function status(): Promise<Status> {
-    const note = keeper.current()?.number ?? 0;
+    const note = keeper.applied()?.number ?? 0;
     const phase = note === 0 ? "none" : (await noteStatus(note)).phase;
     return {
       deployment,
@@ -169,8 +186,9 @@
   }
 
   const peerServer = await startPeerServer(addresses.peers, {
-    "note.current": () => keeper.current(),
-    "note.confirm": () => confirm(),
+    "note.current": (params) => keeper.answer(noteRequestSchema.parse(params)),
+    "note.confirm": (params) => confirmer.confirm(params),
+    "note.ping": () => true,
   });
   const adminServer = await startAdminServer({
     settings,
@@ -200,13 +218,15 @@
       await new Promise((resolve) => setTimeout(resolve, BALANCER_LAG_MS));
       const stopAccepting = closeServer(callerServer);
       const ended = await work.waitForEnd(settings.shutdownGraceMs);
-      controller.stop();
-      lease.stop();
+      // The goodbye is evidence that this instance answers nothing any more,
+      // so it comes after the last connection.
+      callerServer.closeAllConnections();
+      await stopAccepting;
+      await Promise.all(controllers.map(endControl));
       keeper.stop();
       fleet.stop();
+      await registration.leave();
       await membership.leave();
-      callerServer.closeAllConnections();
-      await stopAccepting;
       for (const server of [peerServer, adminServer]) {
         server.closeAllConnections();
         await closeServer(server);
@@ -224,6 +244,30 @@
   });
 }
 
+/** The lease goes back last: the next holder orders as soon as it is free. */
+async function endControl(control: {
+  readonly controller: EngineController;
+  readonly lease: ControlLease;
+}): Promise<void> {
+  await control.controller.stop();
+  await control.lease.release();
+}
+
+function highestNoteOf(fleet: EngineFleet): number {
+  const numbers = fleet.engines().map(({ state }) => state?.noteNumber ?? 0);
+  return Math.max(0, ...numbers);
+}
+
+function listCandidates(membership: Membership): readonly CandidateMember[] {
+  const { id, failureDomain } = membership.self();
+  const others = membership.peers().map(({ record, state }) => ({
+    id: record.id,
+    failureDomain: record.failureDomain,
+    isAlive: state === "alive" && !record.shared.draining,
+  }));
+  return [{ id, failureDomain, isAlive: true }, ...others];
+}
+
 function viewInstances(membership: Membership): InstanceView[] {
   const self = membership.self();
   const own: InstanceView = {
--- a/packages/placement/src/engine_controller.ts
+++ b/packages/placement/src/engine_controller.ts
@@ -1,16 +1,23 @@
 /** Orders the engines of one failure domain until they hold what they must. */
 import type { EngineClient, EngineFleet } from "@rosemarypin/backends";
-import type { NoteKeeper } from "@rosemarypin/release";
+import { elapsedMs, type NoteKeeper } from "@rosemarypin/release";
 import type {
+  EngineConfirmation,
   EngineSettings,
   EngineState,
   NoteRecord,
 } from "@rosemarypin/schemas";
 import { createLogger } from "@rosemarypin/telemetry";
-import type { ControlLease } from "./control_lease.ts";
-import { wantedState } from "./wanted_layers.ts";
+import type { ControlLease, HeldLease } from "./control_lease.ts";
+import { orderFencingNumber } from "./fencing_number.ts";
+import { holdsExactly } from "./held_state.ts";
+import { createWakeUp } from "./wake_up.ts";
+import { type WantedState, wantedState } from "./wanted_layers.ts";
 
-const CHECK_EVERY_MS = 500;
+/** How often an engine that holds what it must is read back. */
+const READ_BACK_EVERY_MS = 500;
+/** How soon an engine that does not is ordered again; doubled up to above. */
+const FIRST_RETRY_MS = 25;
 
 const log = createLogger("placement");
 
@@ -22,123 +29,134 @@
   readonly lease: ControlLease;
 }
 
-/** One engine with the note that it has confirmed. */
-export interface EngineConfirmation {
-  readonly engine: string;
-  readonly confirmed: number;
-}
-
 export interface EngineController {
   /** Engines ordered by this instance; empty while it holds no lease. */
   confirmations(): readonly EngineConfirmation[];
-  stop(): void;
+  /** Looks at all engines now. */
+  wake(): void;
+  /** Starts no order any more; resolves once none is in flight. */
+  stop(): Promise<void>;
 }
 
-/** Starts to order the engines whenever the lease is held. */
+/** How one look at an engine ended. */
+type Look = "idle" | "holds" | "retry";
+
+/** Starts one task for each engine, which acts while the lease is held. */
 export function createEngineController(
   options: EngineControllerOptions,
 ): EngineController {
   const { client, fleet, keeper, lease } = options;
-  const confirmed = new Map<string, number>();
-  const busy = new Set<string>();
-  const timer = setInterval(orderAll, CHECK_EVERY_MS);
-  const stopFollowing = keeper.onChange(orderAll);
+  const confirmed = new Map<string, EngineConfirmation>();
+  const wakeUp = createWakeUp();
+  const stopFollowing = keeper.onChange(() => wakeUp.wake());
+  let stopped = false;
+  const tasks = options.engines.map(follow);
 
-  function orderAll(): void {
-    const record = keeper.current();
-    if (!record || lease.fencingNumber() === null) return;
-    for (const engine of options.engines) void orderOne(engine, record);
+  async function follow(engine: EngineSettings): Promise<void> {
+    let retryMs = FIRST_RETRY_MS;
+    while (!stopped) {
+      const look = await bringToNote(engine);
+      if (stopped) return;
+      retryMs = look === "retry" ? retryMs * 2 : FIRST_RETRY_MS;
+      const waitMs = look === "retry" ? retryMs : READ_BACK_EVERY_MS;
+      await wakeUp.wait(Math.min(waitMs, READ_BACK_EVERY_MS));
+    }
   }
 
-  async function orderOne(
-    engine: EngineSettings,
-    record: NoteRecord,
-  ): Promise<void> {
-    if (busy.has(engine.id)) return;
-    busy.add(engine.id);
-    try {
-      await bringToNote(engine, record);
-    } finally {
-      busy.delete(engine.id);
+  async function bringToNote(engine: EngineSettings): Promise<Look> {
+    const record = keeper.applied();
+    if (!record || !mayOrder()) return "idle";
+    const wanted = wantedState(engine, record);
+    const known = confirmed.get(engine.id);
+    // A changed note is ordered at once; reading first would add a round trip
+    // to every recall. What was confirmed before is read back instead.
+    if (known?.confirmed === record.number && !known.stopped) {
+      const state = await client.readState(engine.address);
+      if (state && holdsExactly(state, wanted)) {
+        fleet.observe(state);
+        return "holds";
+      }
+      if (state) confirmed.delete(engine.id);
     }
-    // A note that came meanwhile found the engine busy.
-    const latest = keeper.current();
-    if (latest && latest.number > record.number) orderAll();
+    return order(engine, { wanted, record });
+  }
+
+  /**
+   * A new holder may be behind on notes, and an order from an old note would
+   * bring back what a newer one withdrew. So nothing is ordered before the
+   * head object was read, here or by a peer, after the lease was acquired.
+   */
+  function mayOrder(): HeldLease | null {
+    const held = lease.held();
+    const contactAgeMs = keeper.contactAgeMs();
+    if (!held || contactAgeMs === null) return null;
+    return contactAgeMs <= elapsedMs(held.since) ? held : null;
   }
 
-  async function bringToNote(
+  async function order(
     engine: EngineSettings,
-    record: NoteRecord,
-  ): Promise<void> {
-    const state = await client.readState(engine.address);
-    if (!state) return;
-    const wanted = wantedState(engine, record);
-    if (holdsExactly(state, wanted)) {
-      confirmed.set(engine.id, state.noteNumber);
-      fleet.observe(state);
-      return;
-    }
-    const fencingNumber = lease.fencingNumber();
-    if (fencingNumber === null) return;
+    wish: { readonly wanted: WantedState; readonly record: NoteRecord },
+  ): Promise<Look> {
+    const { wanted, record } = wish;
+    const held = mayOrder();
+    if (!held || keeper.applied() !== record) return "retry";
+    const fencingNumber = orderFencingNumber({
+      leaseNumber: held.fencingNumber,
+      noteNumber: record.number,
+    });
     const result = await client.order(engine.address, {
       ...wanted,
       fencingNumber,
     });
-    if (result.kind !== "ok") {
-      const reason = result.detail;
-      log.warn("order_failed", {
-        engine: engine.id,
-        kind: result.kind,
-        reason,
-      });
-      return;
+    if (result.kind === "ok") {
+      return takeState(result.state, { engine, wanted });
     }
-    fleet.observe(result.state);
-    if (holdsExactly(result.state, wanted)) {
-      confirmed.set(engine.id, result.state.noteNumber);
+    if (result.kind === "not_sent" && result.refused) {
+      confirm(engine, { number: record.number, stopped: true });
+      return "holds";
     }
+    const { kind, detail } = result;
+    log.warn("order_failed", { engine: engine.id, kind, reason: detail });
+    return "retry";
+  }
+
+  function takeState(
+    state: EngineState,
+    context: { readonly engine: EngineSettings; readonly wanted: WantedState },
+  ): Look {
+    const { engine, wanted } = context;
+    fleet.observe(state);
+    if (!holdsExactly(state, wanted)) return "retry";
+    confirm(engine, { number: wanted.noteNumber, stopped: false });
+    return "holds";
+  }
+
+  function confirm(
+    engine: EngineSettings,
+    result: { readonly number: number; readonly stopped: boolean },
+  ): void {
+    const { number, stopped: isStopped } = result;
+    confirmed.set(engine.id, {
+      engine: engine.id,
+      confirmed: number,
+      stopped: isStopped,
+    });
   }
 
   return {
     confirmations() {
-      if (lease.fencingNumber() === null) return [];
-      return options.engines.map(({ id }) => ({
-        engine: id,
-        confirmed: confirmed.get(id) ?? 0,
-      }));
+      if (!mayOrder()) return [];
+      return options.engines.map(
+        ({ id }) =>
+          confirmed.get(id) ?? { engine: id, confirmed: 0, stopped: false },
+      );
     },
-    stop() {
-      clearInterval(timer);
+    wake: () => wakeUp.wake(),
+    async stop() {
+      stopped = true;
       stopFollowing();
+      wakeUp.wake();
+      await Promise.all(tasks);
     },
   };
 }
-
-/** Whether the engine holds all it must, and nothing else runs on it. */
-function holdsExactly(
-  state: EngineState,
-  wanted: ReturnType<typeof wantedState>,
-): boolean {
-  const name = (held: EngineState["held"][number]) =>
-    `${held.model}/${held.version}/${held.layers.from}-${held.layers.to}`;
-  const held = new Set(state.held.map(name));
-  const sameLayers =
-    held.size === wanted.hold.length &&
-    wanted.hold.every((layers) => held.has(name(layers)));
-  const adapters = new Set(
-    state.adapters.map(({ model, adapter }) => `${model}/${adapter}`),
-  );
-  const sameAdapters =
-    adapters.size === wanted.adapters.length &&
-    wanted.adapters.every(({ model, adapter }) =>
-      adapters.has(`${model}/${adapter}`),
-    );
-  const runsOther = state.running.some(
-    ({ model, version }) =>
-      !wanted.hold.some(
-        (layers) => layers.model === model && layers.version === version,
-      ),
-  );
-  const sameNote = state.noteNumber >= wanted.noteNumber;
-  return sameLayers && sameAdapters && sameNote && !runsOther;
-}
--- a/packages/placement/src/mod.ts
+++ b/packages/placement/src/mod.ts
@@ -1,4 +1,6 @@
 /** What each engine holds, and the orders that make it so. */
+export * from "./candidates.ts";
 export * from "./control_lease.ts";
 export * from "./engine_controller.ts";
+export * from "./fencing_number.ts";
 export * from "./wanted_layers.ts";
--- a/packages/placement/src/wanted_layers.ts
+++ b/packages/placement/src/wanted_layers.ts
@@ -5,11 +5,17 @@
   NoteRecord,
 } from "@rosemarypin/schemas";
 
-/** The whole wanted state of one engine, without its fencing number. */
+/** Everything an engine is to hold; an order adds a fencing number. */
+export type WantedState = Omit<EngineOrder, "fencingNumber">;
+
+/**
+ * The whole wanted state of one engine. Layers and adapters of a withdrawn
+ * batch are not in the catalogue, so an order leaves no trace of them.
+ */
 export function wantedState(
   engine: EngineSettings,
   record: NoteRecord,
-): Omit<EngineOrder, "fencingNumber"> {
+): WantedState {
   const { models } = record.catalogue;
   const hold = engine.roles.flatMap(({ model, layers }) =>
     Object.values(models[model]?.versions ?? {})
