Prove the life of a note, orders and leases by stories of failure

Found by the tests: a note that came while an order was in flight waited for the next read-back, 500 ms, because the wake-up was lost on a busy task.

--- a/packages/fakes/src/peer_network.ts
+++ b/packages/fakes/src/peer_network.ts
@@ -21,6 +21,8 @@
   join(options: { readonly id: string; readonly domain: string }): PeerNode;
   /** Cuts the link between two instances, both ways. */
   cut(a: string, b: string): void;
+  /** Takes an instance out of what the others know. */
+  hide(id: string): void;
   heal(): void;
 }
 
@@ -35,6 +37,7 @@
 export function createPeerNetwork(): PeerNetwork {
   const nodes = new Map<string, Node>();
   const cuts = new Set<string>();
+  const hidden = new Set<string>();
   let nextPort = 1;
 
   function linked(a: string, b: string): boolean {
@@ -80,6 +83,7 @@
       peers: () =>
         [...nodes.values()]
           .filter(({ record }) => record.id !== id)
+          .filter(({ record }) => !hidden.has(record.id))
           .map(
             ({ record }): Member => ({
               record,
@@ -126,6 +130,7 @@
   return {
     join,
     cut: (a, b) => void cuts.add(`${a}|${b}`),
+    hide: (id) => void hidden.add(id),
     heal: () => cuts.clear(),
   };
 }
--- a/packages/placement/src/engine_controller.ts
+++ b/packages/placement/src/engine_controller.ts
@@ -55,11 +55,12 @@
   async function follow(engine: EngineSettings): Promise<void> {
     let retryMs = FIRST_RETRY_MS;
     while (!stopped) {
+      const seen = wakeUp.count();
       const look = await bringToNote(engine);
       if (stopped) return;
       retryMs = look === "retry" ? retryMs * 2 : FIRST_RETRY_MS;
       const waitMs = look === "retry" ? retryMs : READ_BACK_EVERY_MS;
-      await wakeUp.wait(Math.min(waitMs, READ_BACK_EVERY_MS));
+      await wakeUp.wait(Math.min(waitMs, READ_BACK_EVERY_MS), seen);
     }
   }
 
--- /dev/null
+++ b/packages/placement/src/engine_controller_test.ts
@@ -0,0 +1,194 @@
+import type { EngineClient, OrderResult } from "@rosemarypin/backends";
+import type { NoteKeeper } from "@rosemarypin/release";
+import {
+  type EngineOrder,
+  type EngineSettings,
+  type EngineState,
+  emptyCatalogue,
+  type NoteRecord,
+} from "@rosemarypin/schemas";
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import type { HeldLease } from "./control_lease.ts";
+import { createEngineController } from "./engine_controller.ts";
+import { orderFencingNumber } from "./fencing_number.ts";
+
+const settings: EngineSettings = {
+  id: "engine-1",
+  failureDomain: "a",
+  address: { host: "127.0.0.1", port: 1 },
+  accelerator: "fast",
+  checksFencing: false,
+  roles: [{ model: "assist", layers: { from: 0, to: 4 } }],
+};
+
+/** A note under which the versions in `names` answer. */
+function record(number: number, names: readonly string[]): NoteRecord {
+  const versions = Object.fromEntries(
+    names.map((version) => {
+      const layerSets = [{ name: version, from: 0, to: 4 }];
+      return [version, { version, layers: 4, layerSets, addedBy: 1 }];
+    }),
+  );
+  const assist = { versions, serve: [...names], adapters: [] };
+  return {
+    number,
+    note: {
+      supersedes: number - 1,
+      publishId: `publish-${number}`,
+      reason: "a test",
+      added: [],
+      changed: [],
+      withdrawn: [],
+    },
+    catalogue: { ...emptyCatalogue, models: { assist } },
+    recordedAt: 0,
+    recordedBy: "one",
+  };
+}
+
+/** An engine in process; it refuses old numbers only if it `checks`. */
+function createEngine(options: { readonly checks: boolean }) {
+  let order: EngineOrder = {
+    fencingNumber: 0,
+    noteNumber: 0,
+    hold: [],
+    adapters: [],
+  };
+  const state = (): EngineState => ({
+    engine: settings.id,
+    accelerator: "fast",
+    failureDomain: "a",
+    roles: settings.roles,
+    fencingNumber: order.fencingNumber,
+    noteNumber: order.noteNumber,
+    held: order.hold,
+    adapters: order.adapters,
+    running: [],
+    leaving: false,
+    load: 0,
+  });
+  function take(next: EngineOrder): OrderResult {
+    if (options.checks && next.fencingNumber < order.fencingNumber) {
+      return { kind: "fenced", detail: "old number" };
+    }
+    order = next;
+    return { kind: "ok", state: state() };
+  }
+  const client: EngineClient = {
+    start: () => Promise.reject(new Error("not used")),
+    cancel: () => Promise.resolve(),
+    order: async (_address, next) => take(next),
+    readState: async () => state(),
+  };
+  const versions = () => state().held.map(({ version }) => version);
+  return { client, take, versions };
+}
+
+function startController(engine: ReturnType<typeof createEngine>) {
+  const listeners = new Set<(record: NoteRecord) => void>();
+  let applied = record(1, ["v1"]);
+  let held: HeldLease | null = null;
+  let contactAgeMs = 0;
+  const keeper: Pick<NoteKeeper, "applied" | "onChange" | "contactAgeMs"> = {
+    applied: () => applied,
+    contactAgeMs: () => contactAgeMs,
+    onChange(listener) {
+      listeners.add(listener);
+      return () => listeners.delete(listener);
+    },
+  };
+  const controller = createEngineController({
+    engines: [settings],
+    client: engine.client,
+    fleet: {
+      engines: () => [],
+      observe() {},
+      reportLost() {},
+      occupy: () => () => {},
+      stop() {},
+    },
+    keeper: keeper as NoteKeeper,
+    lease: { held: () => held, release: () => Promise.resolve() },
+  });
+  return {
+    controller,
+    setContactAge: (ageMs: number) => (contactAgeMs = ageMs),
+    hold(fencingNumber: number) {
+      const since = { monotonic: performance.now(), wall: Date.now() };
+      held = { fencingNumber, since };
+    },
+    apply(next: NoteRecord) {
+      applied = next;
+      for (const listener of listeners) listener(next);
+    },
+  };
+}
+
+const oldOrder: EngineOrder = {
+  fencingNumber: orderFencingNumber({ leaseNumber: 1, noteNumber: 1 }),
+  noteNumber: 1,
+  hold: [{ model: "assist", version: "v1", layers: { from: 0, to: 4 } }],
+  adapters: [],
+};
+
+beforeEach(() => void vi.useFakeTimers());
+afterEach(() => void vi.useRealTimers());
+
+describe("orders to an engine", () => {
+  it("undo what a thawed holder did to an engine that ignores numbers", async () => {
+    // An old holder is frozen with an order in flight. v1 is recalled and the
+    // new holder clears the engine. The old order then lands, and the engine
+    // holds v1 again, until someone reads back.
+    const engine = createEngine({ checks: false });
+    const { hold, apply, controller } = startController(engine);
+    hold(2);
+    apply(record(2, []));
+    await vi.advanceTimersByTimeAsync(50);
+    expect(controller.confirmations()).toMatchObject([{ confirmed: 2 }]);
+    engine.take(oldOrder);
+    await vi.advanceTimersByTimeAsync(600);
+    expect(engine.versions()).toEqual([]);
+    expect(controller.confirmations()).toMatchObject([{ confirmed: 2 }]);
+  });
+
+  it("are refused late by an engine that checks, from the same holder too", async () => {
+    // The holder's own order for note 1 is delayed on its way and arrives
+    // after the one for note 2. With the lease's number alone both would be
+    // equal, and the engine would take v1 up again.
+    const engine = createEngine({ checks: true });
+    const { hold, apply } = startController(engine);
+    hold(1);
+    apply(record(2, []));
+    await vi.advanceTimersByTimeAsync(50);
+    expect(engine.take(oldOrder).kind).toBe("fenced");
+    expect(engine.versions()).toEqual([]);
+  });
+
+  it("wait until a new holder has read the head", async () => {
+    // The old holder cleared v1 under note 2 and died. The next holder was cut
+    // off for a while and still has note 1: its order, with a higher number,
+    // would bring v1 back.
+    const engine = createEngine({ checks: true });
+    const { hold, apply, setContactAge, controller } = startController(engine);
+    setContactAge(5_000);
+    hold(2);
+    await vi.advanceTimersByTimeAsync(2_000);
+    expect(engine.versions()).toEqual([]);
+    expect(controller.confirmations()).toEqual([]);
+    setContactAge(0);
+    apply(record(2, ["v2"]));
+    await vi.advanceTimersByTimeAsync(50);
+    expect(engine.versions()).toEqual(["v2"]);
+  });
+
+  it("stop with the controller, once none is in flight", async () => {
+    const engine = createEngine({ checks: true });
+    const { hold, apply, controller } = startController(engine);
+    hold(1);
+    await vi.advanceTimersByTimeAsync(600);
+    await controller.stop();
+    apply(record(2, []));
+    await vi.advanceTimersByTimeAsync(2_000);
+    expect(engine.versions()).toEqual(["v1"]);
+  });
+});
--- /dev/null
+++ b/packages/release/src/head_follower_test.ts
@@ -0,0 +1,70 @@
+import type { ObjectStore, StoredObject } from "@rosemarypin/platform";
+import { emptyCatalogue, type NoteRecord } from "@rosemarypin/schemas";
+import { afterEach, beforeEach, expect, it, vi } from "vitest";
+import { followHead } from "./head_follower.ts";
+
+beforeEach(() => void vi.useFakeTimers());
+afterEach(() => void vi.useRealTimers());
+
+const record = (number: number): NoteRecord => ({
+  number,
+  note: {
+    supersedes: number - 1,
+    publishId: `publish-${number}`,
+    reason: "a test",
+    added: [],
+    changed: [],
+    withdrawn: [],
+  },
+  catalogue: emptyCatalogue,
+  recordedAt: 0,
+  recordedBy: "one",
+});
+
+/** A store of which only the watch is used. */
+function watchOnly(watch: ObjectStore["watch"]): ObjectStore {
+  const unused = () => Promise.reject(new Error("only the watch is used"));
+  return { watch, read: unused, list: unused, write: unused };
+}
+
+it("takes what a watch brings, skipped and repeated versions alike", async () => {
+  // The store's watch leaves out note 2 and brings note 1 again after note 3.
+  // Whoever follows gets all of it; the keeper drops what is not higher.
+  const numbers = [1, 3, 1, 3];
+  const stopping = new AbortController();
+  const store = watchOnly(async (key, { since }) => {
+    const number = numbers.shift();
+    if (number === undefined) await new Promise(() => {});
+    const value = record(number ?? 0);
+    const objects: StoredObject[] = [{ key, value, version: since + 1 }];
+    return { kind: "ok", value: { objects, revision: since + 1 } };
+  });
+  const taken: (number | undefined)[] = [];
+  const { signal } = stopping;
+  void followHead({
+    store,
+    headKey: "head",
+    signal,
+    take: (news) => taken.push(news.record?.number),
+  });
+  await vi.advanceTimersByTimeAsync(10_000);
+  stopping.abort();
+  expect(taken).toEqual([1, 3, 1, 3]);
+});
+
+it("does not spin on a watch that ends at once with nothing new", async () => {
+  // A broken watch answers at once and for ever that nothing is new. Followed
+  // plainly, one instance uses up the store's whole call rate.
+  let calls = 0;
+  const stopping = new AbortController();
+  const store = watchOnly(async () => {
+    calls += 1;
+    return { kind: "ok", value: { objects: [], revision: 0 } };
+  });
+  const { signal } = stopping;
+  const take = () => {};
+  void followHead({ store, headKey: "head", signal, take });
+  await vi.advanceTimersByTimeAsync(60_000);
+  stopping.abort();
+  expect(calls).toBeLessThan(300);
+});
--- a/packages/release/src/publisher_test.ts
+++ b/packages/release/src/publisher_test.ts
@@ -1,5 +1,7 @@
 import { createMemoryStore, createPeerNetwork } from "@rosemarypin/fakes";
+import { storedKeys } from "@rosemarypin/schemas";
 import { describe, expect, it } from "vitest";
+import { createNoteHistory } from "./note_history.ts";
 import { createNoteKeeper } from "./note_keeper.ts";
 import { createPublisher } from "./publisher.ts";
 
@@ -109,3 +111,95 @@
     expect(one.keeper.current()?.number).toBe(2);
   });
 });
+
+describe("the history", () => {
+  it("holds every recorded note and none that lost its race", async () => {
+    const { one, two } = createPair();
+    await Promise.all([
+      one.publisher.publish(note(0, "publish-one")),
+      two.publisher.publish(note(0, "publish-two")),
+    ]);
+    await Promise.all([
+      one.publisher.publish(note(1, "publish-three")),
+      two.publisher.publish(note(1, "publish-four")),
+    ]);
+    const history = await one.publisher.history();
+    expect(history?.map(({ number }) => number)).toEqual([2, 1]);
+    expect(history?.[0]).toEqual(one.keeper.applied());
+  });
+
+  it("misses no note that is recorded while it is read", async () => {
+    // An operator lists the notes while another publishes. Between two reads
+    // the head moves to the history; read in the wrong order, the list has
+    // neither the old place nor the new one of a note.
+    const memory = createMemoryStore();
+    const network = createPeerNetwork();
+    const two = createInstance("two", { memory, network });
+    await two.publisher.publish(note(0, "publish-one"));
+    const { store } = memory.client();
+    let calls = 0;
+    async function publishAfterFirst(): Promise<void> {
+      calls += 1;
+      if (calls > 1) return;
+      await two.publisher.publish(note(1, "publish-two"));
+      await two.publisher.publish(note(2, "publish-three"));
+    }
+    const watched: typeof store = {
+      ...store,
+      async read(key) {
+        const result = await store.read(key);
+        await publishAfterFirst();
+        return result;
+      },
+      async list(prefix) {
+        const result = await store.list(prefix);
+        await publishAfterFirst();
+        return result;
+      },
+    };
+    const history = createNoteHistory({ deployment: "test", store: watched });
+    expect((await history.list())?.map(({ number }) => number)).toEqual([1]);
+  });
+
+  it("is not begun again over a head that cannot be read", async () => {
+    // A newer release wrote the head in another form. Taken for no head, a
+    // note on top of 0 would replace it and forget everything withdrawn.
+    const memory = createMemoryStore();
+    const network = createPeerNetwork();
+    const one = createInstance("one", { memory, network });
+    const { store } = memory.client();
+    const key = storedKeys.head("test");
+    await store.write(key, { form: 2 }, { expectedVersion: null });
+    const result = await one.publisher.publish(note(0, "publish-one"));
+    expect(result.kind).toBe("unavailable");
+    expect(memory.objects().map(({ value }) => value)).toContainEqual({
+      form: 2,
+    });
+  });
+
+  it("does not call a note lost while it cannot be read", async () => {
+    // The operator's note won and was superseded; its reply was lost. On the
+    // second try the history is away, and "conflict" would be a false answer.
+    const memory = createMemoryStore();
+    const network = createPeerNetwork();
+    const one = createInstance("one", { memory, network });
+    await one.publisher.publish(note(0, "publish-one"));
+    await one.publisher.publish(note(1, "publish-two"));
+    const { store } = memory.client();
+    const onlyHead: typeof store = {
+      ...store,
+      read: (key) =>
+        key === storedKeys.head("test")
+          ? store.read(key)
+          : Promise.resolve({ kind: "unavailable", detail: "down" }),
+    };
+    const publisher = createPublisher({
+      deployment: "test",
+      instance: "two",
+      store: onlyHead,
+      keeper: one.keeper,
+    });
+    const again = await publisher.publish(note(0, "publish-one"));
+    expect(again.kind).toBe("unknown");
+  });
+});
