Prove recalls in separate processes, and measure them

Three stories with real processes: a recall with the death of a stage, an instance stopped by SIGSTOP across a recall, and all instances replaced under traffic. A new instance is ready only once it has heard an engine of each role; before, a balancer sent it requests that it refused.

Found and not mended here: a version that a note adds and prefers at once is refused as not run until each instance has read the engines' states again, up to 500 ms after the note is in force (routing).

--- a/packages/bench/src/bench_command.ts
+++ b/packages/bench/src/bench_command.ts
@@ -10,4 +10,7 @@
 /** Commands by name, each loaded only when it is asked for. */
 export const benchCommands: Readonly<
   Record<string, () => Promise<BenchCommand>>
-> = {};
+> = {
+  recall: async () =>
+    (await import("./recall/recall_command.ts")).recallCommand,
+};
--- /dev/null
+++ b/packages/bench/src/recall/recall_command.ts
@@ -0,0 +1,179 @@
+/**
+ * `npm run bench -- recall`: the time from a recall to the last token of the
+ * withdrawn version that any caller saw, with real processes under traffic.
+ */
+import {
+  type DeploymentShape,
+  kanemShape,
+  planDeployment,
+  startDeployment,
+} from "@rosemarypin/launcher";
+import { formatAddress } from "@rosemarypin/schemas";
+import { build, type Histogram } from "hdr-histogram-js";
+import meow from "meow";
+import { request } from "undici";
+import type { BenchCommand } from "../bench_command.ts";
+import { publishFirst, type RecallRound, recallOnce } from "./recall_rounds.ts";
+import {
+  createVersionFinder,
+  type SeenAnswer,
+  startTraffic,
+} from "./recall_traffic.ts";
+
+const CALLERS_PER_INSTANCE = 2;
+/** Traffic between two recalls, so that streams of the version run. */
+const TRAFFIC_MS = 400;
+
+interface RecallScenario {
+  readonly title: string;
+  readonly shape: DeploymentShape;
+  readonly recalls: number;
+  /** Whether the store's watch tells of writes. */
+  readonly watch: boolean;
+}
+
+/** What a scenario showed. */
+interface RecallFigures {
+  readonly lastToken: Histogram;
+  readonly accepted: Histogram;
+  readonly inForce: Histogram;
+  readonly afterInForce: number;
+  /** Answers whose tokens fit no version: none may be. */
+  readonly wrong: number;
+  readonly answers: number;
+}
+
+/** The measurement of recalls. */
+export const recallCommand: BenchCommand = {
+  summary: "time from a recall to the last token of what it withdraws",
+  async run(words) {
+    const { flags } = meow("Usage: npm run bench -- recall [--recalls N]", {
+      importMeta: import.meta,
+      argv: [...words],
+      flags: {
+        recalls: { type: "number", default: 200 },
+        instances: { type: "number", default: 4 },
+      },
+    });
+    const shape = { ...kanemShape, instances: flags.instances };
+    const { recalls } = flags;
+    const title = `${flags.instances} instances`;
+    const scenarios: RecallScenario[] = [
+      { title: `${title}, watch broken`, shape, recalls, watch: false },
+      { title, shape, recalls, watch: true },
+    ];
+    let failed = false;
+    let last = "";
+    for (const scenario of scenarios) {
+      const figures = await measure(scenario);
+      printDetails(scenario, figures);
+      failed ||= figures.afterInForce > 0 || figures.wrong > 0;
+      last = summary(figures);
+    }
+    console.log(last);
+    return failed ? 1 : 0;
+  },
+};
+
+async function measure(scenario: RecallScenario): Promise<RecallFigures> {
+  const deployment = await startDeployment(
+    await planDeployment(scenario.shape),
+  );
+  try {
+    await publishFirst(deployment);
+    if (!scenario.watch) {
+      const body = JSON.stringify({ watchSilent: true });
+      const url = `${deployment.plan.objectApi}/faults`;
+      await request(url, { method: "POST", body });
+    }
+    const traffic = startTraffic({
+      baseUrls: deployment.plan.daemons.map(
+        ({ instance }) => `http://${formatAddress(instance.addresses.callers)}`,
+      ),
+      callers: CALLERS_PER_INSTANCE,
+      key: scenario.shape.organisations[0]?.key ?? "",
+      model: scenario.shape.model,
+    });
+    const rounds: RecallRound[] = [];
+    for (let number = 2; number < scenario.recalls + 2; number += 1) {
+      await new Promise((resolve) => setTimeout(resolve, TRAFFIC_MS));
+      rounds.push(await recallOnce(deployment, number));
+    }
+    return evaluate(rounds, {
+      seen: await traffic.stop(),
+      model: scenario.shape.model,
+    });
+  } finally {
+    await deployment.stop();
+  }
+}
+
+function evaluate(
+  rounds: readonly RecallRound[],
+  options: { readonly seen: readonly SeenAnswer[]; readonly model: string },
+): RecallFigures {
+  const versions = rounds.map(({ version }) => version);
+  const findVersions = createVersionFinder(options.model, [
+    ...versions,
+    `v${versions.length + 1}`,
+  ]);
+  const lastSeen = new Map<string, number>();
+  const inForceAt = new Map(
+    rounds.map((round) => [round.version, round.inForceAt]),
+  );
+  let afterInForce = 0;
+  let wrong = 0;
+  const answered = options.seen.filter(({ tokenTimes }) => tokenTimes.length);
+  for (const { answer, tokenTimes } of answered) {
+    const lastAt = tokenTimes.at(-1) ?? 0;
+    const fitting = findVersions(answer.tokens);
+    if (fitting.length === 0) wrong += 1;
+    // Few tokens may fit two versions; the one that was current is meant.
+    const version = fitting.at(-1) ?? "";
+    lastSeen.set(version, Math.max(lastAt, lastSeen.get(version) ?? 0));
+    if (lastAt > (inForceAt.get(version) ?? Infinity)) afterInForce += 1;
+  }
+  const lastToken = createHistogram();
+  const accepted = createHistogram();
+  const inForce = createHistogram();
+  for (const round of rounds) {
+    const lastAt = lastSeen.get(round.version);
+    if (lastAt !== undefined) record(lastToken, lastAt - round.sentAt);
+    record(accepted, round.acceptedAt - round.recordedAt);
+    record(inForce, round.inForceAt - round.recordedAt);
+  }
+  const answers = answered.length;
+  return { lastToken, accepted, inForce, afterInForce, wrong, answers };
+}
+
+function createHistogram(): Histogram {
+  return build({ lowestDiscernibleValue: 1, highestTrackableValue: 60_000 });
+}
+
+function record(histogram: Histogram, durationMs: number): void {
+  histogram.recordValue(Math.max(0, Math.round(durationMs)));
+}
+
+function printDetails(scenario: RecallScenario, figures: RecallFigures): void {
+  const { lastToken, accepted, inForce, afterInForce } = figures;
+  console.log(`${scenario.title}: ${figures.answers} answers`);
+  console.log(`  last token of a recalled version ${describe(lastToken)}`);
+  console.log(`  recorded to accepted ${describe(accepted)}`);
+  console.log(`  recorded to in force ${describe(inForce)}`);
+  console.log(`  answers with a token after in force ${afterInForce}`);
+  console.log(`  answers of no version ${figures.wrong}`);
+}
+
+function describe(histogram: Histogram): string {
+  const p50 = histogram.getValueAtPercentile(50);
+  const p99 = histogram.getValueAtPercentile(99);
+  const { totalCount, maxValue } = histogram;
+  return `p50 ${p50} ms p99 ${p99} ms max ${maxValue} ms (${totalCount} recalls)`;
+}
+
+function summary({ lastToken, afterInForce }: RecallFigures): string {
+  const p50 = lastToken.getValueAtPercentile(50);
+  const p99 = lastToken.getValueAtPercentile(99);
+  const { maxValue } = lastToken;
+  return `recall p50 ${p50} ms p99 ${p99} ms max ${maxValue} ms after-in-force ${afterInForce}`;
+}
--- /dev/null
+++ b/packages/bench/src/recall/recall_processes_test.ts
@@ -0,0 +1,162 @@
+import {
+  type Deployment,
+  kanemShape,
+  planDeployment,
+  type StreamedAnswer,
+  startDeployment,
+  streamAnswer,
+  waitForAnswer,
+} from "@rosemarypin/launcher";
+import { formatAddress } from "@rosemarypin/schemas";
+import { request } from "undici";
+import { afterAll, beforeAll, expect, it } from "vitest";
+import {
+  publishFirst,
+  publishRecall,
+  readStatus,
+  versionOf,
+  waitFor,
+} from "./recall_rounds.ts";
+
+const FROZEN = 0;
+const OTHER = 1;
+
+let deployment: Deployment;
+
+beforeAll(async () => {
+  deployment = await startDeployment(await planDeployment(kanemShape));
+  await publishFirst(deployment);
+});
+afterAll(() => deployment.stop());
+
+const addressesOf = (instance: number) => {
+  const daemon = deployment.plan.daemons[instance];
+  if (!daemon) throw new Error(`there is no instance ${instance}`);
+  return daemon.instance.addresses;
+};
+
+function ask(
+  instance: number,
+  options: { readonly onToken?: (index: number) => void } = {},
+): Promise<StreamedAnswer> {
+  return streamAnswer({
+    baseUrl: `http://${formatAddress(addressesOf(instance).callers)}`,
+    key: "kano-demo-key",
+    model: "assist",
+    prompt: "the header does not lift",
+    maxTokens: 60,
+    ...options,
+  });
+}
+
+async function until(check: () => Promise<boolean>): Promise<void> {
+  while (!(await check())) {
+    await new Promise((resolve) => setTimeout(resolve, 20));
+  }
+}
+
+/** Kills an engine that runs an answer; resolves to its name. */
+async function killBusyEngine(): Promise<string> {
+  let killed = "";
+  await until(async () => {
+    for (const { id, address, roles } of deployment.plan.engines) {
+      if (roles[0]?.layers.from !== 10) continue;
+      const response = await request(`http://${formatAddress(address)}/state`);
+      const { load } = (await response.body.json()) as { load: number };
+      if (load > 0) killed = id;
+    }
+    return killed !== "";
+  });
+  deployment.processes.signal(killed, "SIGKILL");
+  return killed;
+}
+
+it("recalls a version while a stage of its answers dies", async () => {
+  // v1 is recalled in the moment in which an engine of its pipeline dies. The
+  // recovery looks for other engines of v1; it must not find a way to go on,
+  // and the dead engine must not keep the note from being in force.
+  const streams = [0, 1, 2, 3].map((instance) => ask(instance));
+  await killBusyEngine();
+  await publishRecall(deployment, 2);
+  await waitFor(deployment, { number: 2, phase: "in_force" });
+  const ends = await Promise.all(streams);
+  expect(ends.map(({ kind }) => kind)).not.toContain("broken");
+  const after = await ask(OTHER);
+  expect(after).toMatchObject({
+    kind: "whole",
+    provenance: { version: versionOf(2) },
+  });
+});
+
+it("gives nothing withdrawn from an instance that was frozen", async () => {
+  // An instance is stopped in the middle of an answer from v2, which is then
+  // recalled. Requests queue in its sockets, as do tokens of v2. Thawed, it
+  // serves both before its watch has told it anything.
+  let tokens = 0;
+  const stream = ask(FROZEN, { onToken: () => (tokens += 1) });
+  await until(async () => tokens > 3);
+  const frozen = deployment.plan.daemons[FROZEN]?.instance.id ?? "";
+  deployment.processes.signal(frozen, "SIGSTOP");
+  const queued = [1, 2, 3, 4].map(() => ask(FROZEN));
+  await publishRecall(deployment, 3, { via: OTHER });
+  await until(async () => {
+    const { instances } = await readStatus(deployment, 3, { via: OTHER });
+    const states = instances.map(({ id, state }) => `${id} ${state}`);
+    const confirmed = instances.filter(({ state }) => state === "confirmed");
+    return states.includes(`${frozen} unheard`) && confirmed.length === 3;
+  });
+  const { phase } = await readStatus(deployment, 3, { via: OTHER });
+  const tokensBefore = tokens;
+  deployment.processes.signal(frozen, "SIGCONT");
+  const answers = await Promise.all(queued);
+  const cut = await stream;
+  expect(phase).toBe("recorded");
+  expect(cut).toMatchObject({ kind: "failed", outcome: "withdrawn" });
+  expect(tokens).toBe(tokensBefore);
+  for (const answer of answers) {
+    expect(answer).toMatchObject({
+      kind: "whole",
+      provenance: { version: versionOf(3) },
+    });
+  }
+  await waitFor(deployment, { number: 3, phase: "in_force", via: OTHER });
+});
+
+it("keeps a recall when every instance is replaced under traffic", async () => {
+  // All instances are replaced one after the other. Nothing is on their disks
+  // and each new one must find the note; one that started from an older note,
+  // or from none, would answer from what was recalled.
+  await publishRecall(deployment, 4);
+  await waitFor(deployment, { number: 4, phase: "in_force" });
+  const live = new Set([0, 1, 2, 3]);
+  const answers: StreamedAnswer[] = [];
+  let replacing = true;
+  const callers = [0, 1].map(async (caller) => {
+    for (let turn = caller; replacing; turn += 1) {
+      const ready = [...live];
+      answers.push(await ask(ready[turn % ready.length] ?? 0));
+    }
+  });
+  for (const instance of [0, 1, 2, 3]) {
+    const id = deployment.plan.daemons[instance]?.instance.id ?? "";
+    live.delete(instance);
+    deployment.processes.signal(id, "SIGTERM");
+    expect(await deployment.processes.waitForExit(id)).toBe(0);
+    deployment.startInstance(id);
+    const admin = formatAddress(addressesOf(instance).admin);
+    await waitForAnswer(`http://${admin}/healthz`);
+    await until(async () => {
+      const ready = await request(`http://${admin}/readyz`);
+      await ready.body.dump();
+      return ready.statusCode === 200;
+    });
+    live.add(instance);
+  }
+  replacing = false;
+  await Promise.all(callers);
+  const versions = answers.map((answer) =>
+    answer.kind === "whole" ? answer.provenance.version : answer,
+  );
+  expect([...new Set(versions)]).toEqual([versionOf(4)]);
+  await waitFor(deployment, { number: 4, phase: "in_force" });
+});
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -47,6 +47,9 @@
 /** How long an instance is unready before it stops, for balancers that lag. */
 const BALANCER_LAG_MS = 1_000;
 
+/** After this long, engines that stay silent are taken to be away. */
+const ENGINES_HEARD_WITHIN_MS = 3_000;
+
 const log = createLogger("daemon");
 
 /** A running daemon. */
@@ -155,6 +158,15 @@
   });
   let draining = false;
 
+  /**
+   * A balancer that trusts a new instance too early sends it requests that it
+   * must refuse: it has the note, and has not heard the engines yet.
+   */
+  function knowsEngines(): boolean {
+    const isLate = Date.now() - incarnation > ENGINES_HEARD_WITHIN_MS;
+    return isLate || hasHeardEachRole(fleet);
+  }
+
   const confirmer = createConfirmer({
     membership,
     keeper,
@@ -196,7 +208,7 @@
     publisher,
     status,
     noteStatus,
-    isReady: () => !draining && keeper.current() !== null,
+    isReady: () => !draining && keeper.current() !== null && knowsEngines(),
     drain: () => {
       draining = true;
       membership.share({ draining });
@@ -253,6 +265,15 @@
   await control.lease.release();
 }
 
+/** Whether some engine of each role has answered. */
+function hasHeardEachRole(fleet: EngineFleet): boolean {
+  const known = fleet.engines();
+  const roleOf = ({ settings }: (typeof known)[number]) =>
+    JSON.stringify(settings.roles);
+  const heard = new Set(known.filter(({ usable }) => usable).map(roleOf));
+  return known.every((engine) => heard.has(roleOf(engine)));
+}
+
 function highestNoteOf(fleet: EngineFleet): number {
   const numbers = fleet.engines().map(({ state }) => state?.noteNumber ?? 0);
   return Math.max(0, ...numbers);
--- a/packages/launcher/src/mod.ts
+++ b/packages/launcher/src/mod.ts
@@ -2,5 +2,6 @@
 export * from "./caller.ts";
 export * from "./deployment.ts";
 export * from "./deployment_plan.ts";
+export * from "./kanem.ts";
 export * from "./ports.ts";
 export * from "./process_group.ts";
--- a/packages/stand_ins/src/object_api.ts
+++ b/packages/stand_ins/src/object_api.ts
@@ -18,6 +18,8 @@
   delayMs: number;
   /** So many of the next writes take effect and lose their reply. */
   loseReplies: number;
+  /** Watches wait to their end, whatever is written. */
+  watchSilent: boolean;
 }
 
 interface Watcher {
@@ -34,7 +36,12 @@
 }): Promise<Server> {
   const objects = new Map<string, StoredEntry>();
   const watchers = new Set<Watcher>();
-  const faults: ObjectApiFaults = { down: false, delayMs: 0, loseReplies: 0 };
+  const faults: ObjectApiFaults = {
+    down: false,
+    delayMs: 0,
+    loseReplies: 0,
+    watchSilent: false,
+  };
   const counts: Record<string, number> = {};
   let revision = 0;
 
@@ -79,7 +86,8 @@
       clearTimeout(timer);
       watchers.delete(watcher);
     });
-    if (below(prefix, since).length > 0) end(watcher, 200);
+    const hasNews = below(prefix, since).length > 0;
+    if (hasNews && !faults.watchSilent) end(watcher, 200);
   }
 
   function end(watcher: Watcher, status: number): void {
@@ -105,6 +113,7 @@
     revision += 1;
     objects.set(key, { key, value: body, version: revision });
     for (const watcher of watchers) {
+      if (faults.watchSilent) break;
       if (key.startsWith(watcher.prefix)) end(watcher, 200);
     }
     if (faults.loseReplies > 0) {
