Judge silence by the shorter clock, and split keeper and collector

Cause: spans were measured by the longer of two clocks everywhere. That is right for whoever has to stop, and wrong for whoever waits: a wall clock set forward excused a silent instance early, and a waiter could take a lease. Also, a name that membership forgets between two questions stays asked for, and the digest stands for exactly the names that are asked.

--- a/packages/bench/src/bench_command.ts
+++ b/packages/bench/src/bench_command.ts
@@ -11,6 +11,8 @@
 export const benchCommands: Readonly<
   Record<string, () => Promise<BenchCommand>>
 > = {
+  confirmations: async () =>
+    (await import("./recall/confirmations_command.ts")).confirmationsCommand,
   recall: async () =>
     (await import("./recall/recall_command.ts")).recallCommand,
 };
--- a/packages/bench/src/recall/recall_command.ts
+++ b/packages/bench/src/recall/recall_command.ts
@@ -3,6 +3,7 @@
  * withdrawn version that any caller saw, with real processes under traffic.
  */
 import {
+  type Deployment,
   type DeploymentShape,
   kanemShape,
   planDeployment,
@@ -23,6 +24,8 @@
 const CALLERS_PER_INSTANCE = 2;
 /** Traffic between two recalls, so that streams of the version run. */
 const TRAFFIC_MS = 400;
+/** How long the store's calls are counted at rest. */
+const REST_MS = 10_000;
 
 interface RecallScenario {
   readonly title: string;
@@ -34,6 +37,8 @@
 
 /** What a scenario showed. */
 interface RecallFigures {
+  /** Calls to the store of all instances in a second at rest. */
+  readonly storeCallsPerSecond: number;
   readonly lastToken: Histogram;
   readonly accepted: Histogram;
   readonly inForce: Histogram;
@@ -81,6 +86,7 @@
   );
   try {
     await publishFirst(deployment);
+    const storeCallsPerSecond = await countAtRest(deployment);
     if (!scenario.watch) {
       const body = JSON.stringify({ watchSilent: true });
       const url = `${deployment.plan.objectApi}/faults`;
@@ -99,19 +105,31 @@
       await new Promise((resolve) => setTimeout(resolve, TRAFFIC_MS));
       rounds.push(await recallOnce(deployment, number));
     }
-    return evaluate(rounds, {
-      seen: await traffic.stop(),
-      model: scenario.shape.model,
-    });
+    const seen = await traffic.stop();
+    const { model } = scenario.shape;
+    return { storeCallsPerSecond, ...evaluate(rounds, { seen, model }) };
   } finally {
     await deployment.stop();
   }
 }
 
+async function countAtRest(deployment: Deployment): Promise<number> {
+  const before = await countStoreCalls(deployment);
+  await new Promise((resolve) => setTimeout(resolve, REST_MS));
+  const after = await countStoreCalls(deployment);
+  return ((after - before) * 1_000) / REST_MS;
+}
+
+async function countStoreCalls(deployment: Deployment): Promise<number> {
+  const response = await request(`${deployment.plan.objectApi}/counts`);
+  const counts = (await response.body.json()) as Record<string, number>;
+  return Object.values(counts).reduce((sum, count) => sum + count, 0);
+}
+
 function evaluate(
   rounds: readonly RecallRound[],
   options: { readonly seen: readonly SeenAnswer[]; readonly model: string },
-): RecallFigures {
+): Omit<RecallFigures, "storeCallsPerSecond"> {
   const versions = rounds.map(({ version }) => version);
   const findVersions = createVersionFinder(options.model, [
     ...versions,
@@ -157,6 +175,9 @@
 function printDetails(scenario: RecallScenario, figures: RecallFigures): void {
   const { lastToken, accepted, inForce, afterInForce } = figures;
   console.log(`${scenario.title}: ${figures.answers} answers`);
+  const calls = figures.storeCallsPerSecond;
+  const { instances } = scenario.shape;
+  console.log(`  store calls at rest ${calls}/s of ${instances} instances`);
   console.log(`  last token of a recalled version ${describe(lastToken)}`);
   console.log(`  recorded to accepted ${describe(accepted)}`);
   console.log(`  recorded to in force ${describe(inForce)}`);
--- a/packages/placement/src/control_lease.ts
+++ b/packages/placement/src/control_lease.ts
@@ -1,6 +1,11 @@
 /** The right to order the engines of one failure domain. */
 import type { ObjectStore, StoredObject } from "@rosemarypin/platform";
-import { elapsedMs, type Moment, readMoment } from "@rosemarypin/release";
+import {
+  elapsedMs,
+  type Moment,
+  readMoment,
+  surelyElapsedMs,
+} from "@rosemarypin/release";
 import {
   type LeaseObject,
   leaseObjectSchema,
@@ -112,7 +117,7 @@
     }
     // The holder's clock is not ours: only a lease that has not moved for its
     // whole duration, by our clock, has lapsed.
-    if (elapsedMs(seen.at) < lease.durationMs) return true;
+    if (surelyElapsedMs(seen.at) < lease.durationMs) return true;
     return acquire(lease.fencingNumber + 1, version);
   }
 
--- a/packages/placement/src/engine_controller.ts
+++ b/packages/placement/src/engine_controller.ts
@@ -1,6 +1,6 @@
 /** Orders the engines of one failure domain until they hold what they must. */
 import type { EngineClient, EngineFleet } from "@rosemarypin/backends";
-import { elapsedMs, type NoteKeeper } from "@rosemarypin/release";
+import { type NoteKeeper, surelyElapsedMs } from "@rosemarypin/release";
 import type {
   EngineConfirmation,
   EngineSettings,
@@ -91,7 +91,7 @@
     const held = lease.held();
     const contactAgeMs = keeper.contactAgeMs();
     if (!held || contactAgeMs === null) return null;
-    return contactAgeMs <= elapsedMs(held.since) ? held : null;
+    return contactAgeMs <= surelyElapsedMs(held.since) ? held : null;
   }
 
   async function order(
--- a/packages/release/src/contact.ts
+++ b/packages/release/src/contact.ts
@@ -6,7 +6,7 @@
  * Ages travel as durations and add up along a chain of peers, so no two clocks
  * are compared; only their rates are taken to agree within a bound.
  */
-import { elapsedMs, type Moment, momentBefore } from "./moment.ts";
+import { elapsedMs, isInOrder, type Moment, momentBefore } from "./moment.ts";
 
 /** Clocks of two machines run at rates no further apart than this share. */
 export const LARGEST_RATE_DRIFT = 0.01;
@@ -54,7 +54,7 @@
     // records a later note and then reads the list finds the name in it.
     heardFromStore(moment) {
       const since = options.listedSince();
-      if (since && elapsedMs(since) >= elapsedMs(moment)) renew(moment);
+      if (since && isInOrder(since, moment)) renew(moment);
     },
     heardFromPeer(asked, ageMs) {
       peerHeard = asked;
--- a/packages/release/src/note_keeper.ts
+++ b/packages/release/src/note_keeper.ts
@@ -3,35 +3,24 @@
 import type { Membership, PeerCaller } from "@rosemarypin/membership";
 import type { ObjectStore } from "@rosemarypin/platform";
 import {
-  type Address,
   emptyCatalogue,
   type InstanceReference,
   type NoteRecord,
   type NoteReply,
   type NoteRequest,
-  noteReplySchema,
   storedKeys,
 } from "@rosemarypin/schemas";
 import { createLogger, type Metrics } from "@rosemarypin/telemetry";
-import { jittered, pause } from "./backoff.ts";
-import { createContact, UNLISTED_ALLOWANCE_MS } from "./contact.ts";
-import { followHead, type HeadNews, readHead } from "./head_follower.ts";
-import { elapsedMs, type Moment, readMoment } from "./moment.ts";
+import { createContact } from "./contact.ts";
+import type { HeadNews } from "./head_follower.ts";
+import { type Moment, readMoment, surelyElapsedMs } from "./moment.ts";
+import { createNoteSources } from "./note_sources.ts";
 import { createPauseDetector } from "./pause_detector.ts";
-import { choosePeersToAsk, isReader } from "./refresh_roles.ts";
 
-/** How often a reader of the store renews the contact. */
-const READ_EVERY_MS = 1_000;
-/** How often the others renew theirs from a reader. */
-const ASK_EVERY_MS = 5_000;
-/** The contact is renewed this many times before it would lapse. */
-const RENEWALS_PER_ALLOWANCE = 4;
-/** How long an answer waits for a look around after a pause. */
-const RECHECK_WITHIN_MS = 1_000;
 const CHECK_CONTACT_EVERY_MS = 250;
-/** Peers fetch from the first to know over at most this span. */
-const LARGEST_FETCH_DELAY_MS = 200;
 const DEFAULT_ALLOWANCE_MS = 3_600_000;
+/** An asker is remembered this many allowances, more than it can live on. */
+const ALLOWANCES_REMEMBERED = 2;
 
 const log = createLogger("release");
 
@@ -75,9 +64,9 @@
   stop(): void;
 }
 
-/** Starts to follow the head object and the peers. */
+/** Starts to keep the note. */
 export function createNoteKeeper(options: NoteKeeperOptions): NoteKeeper {
-  const { store, membership, peers, metrics } = options;
+  const { membership, metrics } = options;
   const allowanceMs = options.allowanceMs ?? DEFAULT_ALLOWANCE_MS;
   const startedAt = readMoment();
   const listedSince = options.listedSince ?? (() => startedAt);
@@ -85,26 +74,28 @@
   const listeners = new Set<(record: NoteRecord) => void>();
   const askers = new Map<string, { from: InstanceReference; at: Moment }>();
   const stopping = new AbortController();
-  const { signal } = stopping;
-  const headKey = storedKeys.head(options.deployment);
-  const fetching = new Set<string>();
   let applied: NoteRecord | null = null;
   let mayAnswer = false;
-  let recheck: Promise<void> | null = null;
-
+  let lookingAround: Promise<void> | null = null;
+
+  const sources = createNoteSources({
+    ...options,
+    headKey: storedKeys.head(options.deployment),
+    signal: stopping.signal,
+    allowanceMs,
+    listedSince,
+    hintedNumber: options.hintedNumber ?? (() => 0),
+    appliedNumber,
+    takeHead,
+    takeReply,
+  });
   const pauses = createPauseDetector({
     onPause(gapMs) {
       log.warn("process_paused", { gap_ms: Math.round(gapMs) });
-      recheck = lookAround();
+      lookingAround = sources.lookAround();
     },
   });
   const contactTimer = setInterval(checkContact, CHECK_CONTACT_EVERY_MS);
-  const stopNews = membership.onNews((record) => {
-    if (record.left || record.shared.note <= appliedNumber()) return;
-    void fetchSoon(record.id);
-  });
-  void followHead({ store, headKey, signal, take: takeHead });
-  void refreshRepeatedly();
 
   function appliedNumber(): number {
     return applied?.number ?? 0;
@@ -117,6 +108,7 @@
     metrics?.noteNumber.set(record.number);
     metrics?.noteApplyDelay.observe(delayMs / 1_000);
     log.info("note_applied", { note: record.number, delay_ms: delayMs });
+    // Answers are cut before anyone is told: to apply is to confirm.
     tellListeners(record);
     membership.share({ note: record.number });
     return true;
@@ -132,126 +124,57 @@
     checkContact();
   }
 
+  function takeReply(reply: NoteReply, asked: Moment): void {
+    if (reply.record) offer(reply.record);
+    // The age vouches for the peer's number: it says nothing about a lower.
+    if (reply.contactAgeMs === null || reply.number > appliedNumber()) return;
+    contact.heardFromPeer(asked, reply.contactAgeMs);
+    checkContact();
+  }
+
   /** Cuts what runs when the allowance has lapsed. */
   function checkContact(): void {
     const may = contact.holds();
     if (may === mayAnswer) return;
     mayAnswer = may;
-    log.warn(may ? "contact_made" : "contact_lapsed", {
-      note: appliedNumber(),
-    });
-    if (!may && applied) {
-      tellListeners({ ...applied, catalogue: emptyCatalogue });
-    }
+    const event = may ? "contact_made" : "contact_lapsed";
+    log.warn(event, { note: appliedNumber() });
+    if (may || !applied) return;
+    tellListeners({ ...applied, catalogue: emptyCatalogue });
   }
 
   function current(): NoteRecord | null {
     return contact.holds() ? applied : null;
   }
 
-  async function refreshRepeatedly(): Promise<void> {
-    while (!signal.aborted) {
-      await pause(jittered(refreshEveryMs()), signal);
-      if (!signal.aborted) await refresh();
-    }
-  }
-
-  function refreshEveryMs(): number {
-    if (!listedSince()) return UNLISTED_ALLOWANCE_MS / RENEWALS_PER_ALLOWANCE;
-    const everyMs = isReader(membership) ? READ_EVERY_MS : ASK_EVERY_MS;
-    return Math.min(everyMs, allowanceMs / RENEWALS_PER_ALLOWANCE);
-  }
-
-  async function refresh(): Promise<void> {
-    const isBehind = (options.hintedNumber?.() ?? 0) > appliedNumber();
-    if (isReader(membership) || isBehind) {
-      if (!(await readStore()) || !listedSince()) await askPeers();
-    } else if (!(await askPeers())) {
-      await readStore();
-    }
-    checkContact();
-  }
-
-  async function readStore(): Promise<boolean> {
-    const news = await readHead({ store, headKey, signal });
-    if (news) takeHead(news);
-    return news !== null;
-  }
-
-  /** Asks a few peers; resolves to whether one answered. */
-  async function askPeers(): Promise<boolean> {
-    const answered = await Promise.all(
-      choosePeersToAsk(membership).map((address) => askPeer(address)),
-    );
-    return answered.includes(true);
-  }
-
-  async function askPeer(address: Address): Promise<boolean> {
-    const asked = readMoment();
-    const { id, failureDomain, incarnation, peer } = membership.self();
-    const from = { id, failureDomain, incarnation, peer };
-    const params: NoteRequest = { from, above: appliedNumber() };
-    const result = await peers.call(address, "note.current", { params });
-    if (result.kind !== "ok") return false;
-    const parsed = noteReplySchema.safeParse(result.value);
-    if (!parsed.success) return false;
-    const { record, number, contactAgeMs } = parsed.data;
-    if (record) offer(record);
-    // The age vouches for `number`: it says nothing about a lower note.
-    if (contactAgeMs !== null && number <= appliedNumber()) {
-      contact.heardFromPeer(asked, contactAgeMs);
-      checkContact();
-    }
-    return true;
-  }
-
-  /**
-   * News of a note comes to all at once; most have it from their watch
-   * already. The rest ask over a span that grows with the fleet, so that one
-   * instance is not asked for the record by 340 others in the same moment.
-   */
-  async function fetchSoon(id: string): Promise<void> {
-    const members = membership.peers();
-    const peer = members.find(({ record }) => record.id === id);
-    if (!peer || fetching.has(id)) return;
-    fetching.add(id);
-    const spanMs = Math.min(members.length, LARGEST_FETCH_DELAY_MS);
-    await pause(Math.random() * spanMs, signal);
-    if (peer.record.shared.note > appliedNumber()) {
-      await askPeer(peer.record.peer);
-    }
-    fetching.delete(id);
-  }
-
   /**
    * A process that was frozen across a recall wakes up with requests and
    * tokens queued; its clock shows the gap, its note does not. It answers
    * nothing before it has read the store or heard peers, unless it is cut off
    * from both: then its allowance decides, as for any cut-off instance.
    */
-  async function lookAround(): Promise<void> {
-    const deadline = pause(RECHECK_WITHIN_MS, signal);
-    const store = readStore();
-    const asked = askPeers();
-    const eitherHelped = Promise.all([store, asked]);
-    const storeRead = store.then((read) => (read ? undefined : eitherHelped));
-    await Promise.race([storeRead, deadline]);
-  }
-
   async function fresh(): Promise<NoteRecord | null> {
     pauses.look();
-    if (recheck) {
-      const mine = recheck;
-      await mine;
-      if (recheck === mine) recheck = null;
+    const pending = lookingAround;
+    if (pending) {
+      await pending;
+      if (lookingAround === pending) lookingAround = null;
     }
     return current();
   }
 
-  function pruneAskers(): void {
+  function answer({ from, above }: NoteRequest): NoteReply {
     for (const [key, { at }] of askers) {
-      if (elapsedMs(at) > 2 * allowanceMs) askers.delete(key);
+      const isOver = surelyElapsedMs(at) > ALLOWANCES_REMEMBERED * allowanceMs;
+      if (isOver) askers.delete(key);
     }
+    const key = `${from.id}/${from.incarnation}`;
+    askers.set(key, { from, at: readMoment() });
+    return {
+      number: appliedNumber(),
+      record: appliedNumber() > above ? applied : null,
+      contactAgeMs: contact.ageMs(),
+    };
   }
 
   return {
@@ -259,25 +182,15 @@
     fresh,
     applied: () => applied,
     offer,
-    refresh,
+    answer,
+    refresh: sources.refresh,
     onChange(listener) {
       listeners.add(listener);
       return () => listeners.delete(listener);
     },
-    answer({ from, above }) {
-      pruneAskers();
-      const key = `${from.id}/${from.incarnation}`;
-      askers.set(key, { from, at: readMoment() });
-      return {
-        number: appliedNumber(),
-        record: appliedNumber() > above ? applied : null,
-        contactAgeMs: contact.ageMs(),
-      };
-    },
     askers: () => [...askers.values()].map(({ from }) => from),
     contactAgeMs: contact.ageMs,
     stop() {
-      stopNews();
       stopping.abort();
       clearInterval(contactTimer);
       pauses.stop();
--- a/packages/release/src/recall_test.ts
+++ b/packages/release/src/recall_test.ts
@@ -249,6 +249,22 @@
   });
 });
 
+describe("a wall clock that is set forward", () => {
+  it("excuses nobody early", async () => {
+    // The clock of the collecting instance jumps by an hour. By that clock the
+    // allowance of a silent instance has lapsed, which still answers.
+    const fleet = createFleet();
+    const one = fleet.start("one", "a");
+    fleet.start("two", "b");
+    await vi.advanceTimersByTimeAsync(2_000);
+    await publish(one, addV1);
+    cutOff(fleet, ["one", "two"]);
+    await publish(one, recallV1);
+    vi.setSystemTime(Date.now() + 3_600_000);
+    expect((await statusOf(one, 2)).phase).toBe("recorded");
+  });
+});
+
 describe("an outage of the store", () => {
   it("lets a new instance answer from what a peer knows, or refuse", async () => {
     const fleet = createFleet();
--- a/packages/release/src/status_collector.ts
+++ b/packages/release/src/status_collector.ts
@@ -7,9 +7,9 @@
   RegistryEntry,
 } from "@rosemarypin/schemas";
 import { askToConfirm, type Confirmer } from "./confirmations.ts";
-import { LARGEST_RATE_DRIFT, UNLISTED_ALLOWANCE_MS } from "./contact.ts";
+import { createEvidence } from "./evidence.ts";
 import { digestOf, nameOf } from "./known_instances.ts";
-import { elapsedMs, type Moment, readMoment } from "./moment.ts";
+import { type Moment, readMoment } from "./moment.ts";
 import type { NoteKeeper } from "./note_keeper.ts";
 import {
   describeEngines,
@@ -20,15 +20,6 @@
 
 /** Notes whose confirmations are remembered. */
 const REMEMBERED_NOTES = 4;
-/** Ended processes remembered; forgetting one only costs a little waiting. */
-const LARGEST_ENDED = 1_000;
-/**
- * After this long the end of a process also shows the end of every instance
- * that lived on its word alone.
- */
-const END_IS_EVIDENCE_AFTER_MS =
-  UNLISTED_ALLOWANCE_MS * (1 + LARGEST_RATE_DRIFT) ** 2;
-
 export interface StatusCollectorOptions {
   readonly membership: Membership;
   readonly peers: PeerCaller;
@@ -47,7 +38,7 @@
   status(number: number): Promise<NoteStatus>;
 }
 
-/** What was found out about one note; none of it can become untrue. */
+/** What was found out about one note. */
 interface Findings {
   /** When this instance first knew that the note is recorded. */
   readonly recordedBefore: Moment;
@@ -55,6 +46,11 @@
   registry: readonly RegistryEntry[] | null;
   /** Confirmations of the note, by the name of the process. */
   readonly confirmed: Map<string, NoteConfirmation>;
+  /**
+   * Every process that was named since: a name that membership forgets, or
+   * that comes up between two questions, must not be left out.
+   */
+  readonly named: Map<string, InstanceReference>;
   /** Whether somebody ordered each engine when it was last asked for. */
   enginesHeard: boolean;
 }
@@ -65,8 +61,7 @@
 ): StatusCollector {
   const { keeper, confirmer, membership } = options;
   const findings = new Map<number, Findings>();
-  /** When a process was first seen to have ended. */
-  const endedAt = new Map<string, Moment>();
+  const evidence = createEvidence(options);
   const note = keeper.applied();
   if (note) findingsOf(note.number);
   // The clock of the slow path starts when this instance learns of the note:
@@ -80,6 +75,7 @@
       recordedBefore: readMoment(),
       registry: null,
       confirmed: new Map(),
+      named: new Map(),
       enginesHeard: false,
     };
     findings.set(number, fresh);
@@ -97,14 +93,23 @@
     const own = confirmer.confirm();
     const lines = [describe(own, number)];
     const confirmations = [own];
-    const asked = new Set([nameOf(membership.self())]);
-    let pending = firstNames(found);
+    const self = nameOf(membership.self());
+    const asked = new Set([self]);
+    // The digest stands for exactly the names that are asked below.
+    const known = confirmer.known();
+    const knownDigest = digestOf(known);
+    let pending = firstNames(found, known);
     // Each answer may name instances that nobody named before: the closure
     // of all names is what has to confirm.
     while (pending.length > 0) {
-      for (const instance of pending) asked.add(nameOf(instance));
+      for (const instance of pending) {
+        asked.add(nameOf(instance));
+        found.named.set(nameOf(instance), instance);
+      }
       const answers = await Promise.all(
-        pending.map((instance) => ask(instance, { number, found })),
+        pending.map((instance) =>
+          ask(instance, { number, found, knownDigest }),
+        ),
       );
       lines.push(...answers.map(({ line }) => line));
       const heard = answers.flatMap(({ confirmation }) => confirmation ?? []);
@@ -138,22 +143,26 @@
     };
   }
 
-  function firstNames(found: Findings): readonly InstanceReference[] {
+  function firstNames(
+    found: Findings,
+    known: readonly InstanceReference[],
+  ): readonly InstanceReference[] {
     const self = nameOf(membership.self());
     const members = membership.peers().map(({ record }) => record);
-    const names = unique([
-      ...members,
-      ...confirmer.known(),
-      ...(found.registry ?? []),
-    ]);
-    return names.filter((instance) => nameOf(instance) !== self);
+    const registry = found.registry ?? [];
+    const names = [...found.named.values(), ...members, ...known, ...registry];
+    return unique(names).filter((instance) => nameOf(instance) !== self);
   }
 
   async function ask(
     instance: InstanceReference,
-    context: { readonly number: number; readonly found: Findings },
+    context: {
+      readonly number: number;
+      readonly found: Findings;
+      readonly knownDigest: string;
+    },
   ): Promise<{ line: InstanceLine; confirmation?: NoteConfirmation }> {
-    const { number, found } = context;
+    const { number, found, knownDigest } = context;
     const name = nameOf(instance);
     const earlier = found.confirmed.get(name);
     // A confirmation holds for good. Who orders engines changes, so those who
@@ -161,12 +170,8 @@
     if (earlier?.engines.length === 0 && found.enginesHeard) {
       return { line: describe(earlier, number), confirmation: earlier };
     }
-    const goodbyeAgoMs = goodbyeAge(instance);
-    if (goodbyeAgoMs !== null) {
-      const detail = "said goodbye";
-      return { line: ended(instance, { detail, agoMs: goodbyeAgoMs }) };
-    }
-    const knownDigest = digestOf(confirmer.known());
+    const goodbye = evidence.goodbye(instance);
+    if (goodbye) return { line: goodbye };
     const answer = await askToConfirm(instance, {
       peers: options.peers,
       request: { knownDigest },
@@ -179,72 +184,7 @@
       return { line: describe(confirmation, number), confirmation };
     }
     if (earlier) return { line: describe(earlier, number) };
-    if (answer.kind === "replaced") {
-      return { line: foundEnded(instance, "its address has another process") };
-    }
-    if (answer.kind === "refused" && options.refusedConnectionShowsEnd) {
-      return { line: foundEnded(instance, "nothing listens at its address") };
-    }
-    const detail = answer.kind === "unheard" ? answer.detail : answer.kind;
-    return { line: silent(instance, { detail, found }) };
-  }
-
-  function goodbyeAge({ id, incarnation }: InstanceReference): number | null {
-    const member = membership.peers().find(({ record }) => record.id === id);
-    if (!member?.record.left) return null;
-    if (member.record.incarnation !== incarnation) return null;
-    return performance.now() - member.heardAt;
-  }
-
-  function foundEnded(
-    instance: InstanceReference,
-    detail: string,
-  ): InstanceLine {
-    const name = nameOf(instance);
-    const since = endedAt.get(name) ?? readMoment();
-    if (endedAt.size > LARGEST_ENDED) endedAt.clear();
-    endedAt.set(name, since);
-    return ended(instance, { detail, agoMs: elapsedMs(since) });
-  }
-
-  /** A process that has ended answers nothing; those it told may, a while. */
-  function ended(
-    instance: InstanceReference,
-    end: { readonly detail: string; readonly agoMs: number },
-  ): InstanceLine {
-    const isEvidence = end.agoMs >= END_IS_EVIDENCE_AFTER_MS;
-    return {
-      ...lineOf(instance),
-      state: isEvidence ? "stopped" : "unheard",
-      detail: isEvidence
-        ? end.detail
-        : `${end.detail}; what lived on its word alone ends within 3 s`,
-    };
-  }
-
-  /** Silence excuses nobody until the allowance has surely lapsed. */
-  function silent(
-    instance: InstanceReference,
-    context: { readonly detail: string; readonly found: Findings },
-  ): InstanceLine {
-    const { found } = context;
-    const allowances = (found.registry ?? []).map((entry) => entry.allowanceMs);
-    const longestMs = Math.max(options.allowanceMs, ...allowances);
-    const waitMs = longestMs * (1 + LARGEST_RATE_DRIFT);
-    const leftMs = waitMs - elapsedMs(found.recordedBefore);
-    if (leftMs <= 0) {
-      const detail = "silent for longer than it may serve without contact";
-      return { ...lineOf(instance), state: "stopped", detail };
-    }
-    const seconds = Math.ceil(leftMs / 1_000);
-    const detail = `no answer (${context.detail}); may serve for ${seconds} s more at most`;
-    return { ...lineOf(instance), state: "unheard", detail };
-  }
-
-  function lineOf(instance: InstanceReference) {
-    const { id, failureDomain } = instance;
-    const member = membership.peers().find(({ record }) => record.id === id);
-    return { id, failureDomain, applied: member?.record.shared.note ?? 0 };
+    return { line: evidence.judge(instance, { answer, ...found }) };
   }
 
   return { status };
@@ -279,6 +219,7 @@
 function unique(
   instances: readonly InstanceReference[],
 ): readonly InstanceReference[] {
-  const named = instances.map((instance) => [nameOf(instance), instance]);
-  return [...new Map(named as [string, InstanceReference][]).values()];
+  const named = new Map<string, InstanceReference>();
+  for (const instance of instances) named.set(nameOf(instance), instance);
+  return [...named.values()];
 }
