Look around once before a lapse cuts what runs

Cause: a wall clock that is set forward looks like a lapse, and the timer cut every answer before the next read renewed the contact. Tokens ask for the note by themselves, so waiting for one look around lets none out.

--- a/packages/bench/src/recall/recall_command.ts
+++ b/packages/bench/src/recall/recall_command.ts
@@ -24,6 +24,8 @@
 const CALLERS_PER_INSTANCE = 2;
 /** Traffic between two recalls, so that streams of the version run. */
 const TRAFFIC_MS = 400;
+/** More changes than a scenario makes: the watch tells of none. */
+const EVERY_CHANGE = 1_000_000;
 /** How long the store's calls are counted at rest. */
 const REST_MS = 10_000;
 
@@ -88,7 +90,7 @@
     await publishFirst(deployment);
     const storeCallsPerSecond = await countAtRest(deployment);
     if (!scenario.watch) {
-      const body = JSON.stringify({ watchSilent: true });
+      const body = JSON.stringify({ skipChanges: EVERY_CHANGE });
       const url = `${deployment.plan.objectApi}/faults`;
       await request(url, { method: "POST", body });
     }
--- a/packages/release/src/head_follower_test.ts
+++ b/packages/release/src/head_follower_test.ts
@@ -59,6 +59,7 @@
   const stopping = new AbortController();
   const store = watchOnly(async () => {
     calls += 1;
+    await new Promise((resolve) => setTimeout(resolve, 1));
     return { kind: "ok", value: { objects: [], revision: 0 } };
   });
   const { signal } = stopping;
--- a/packages/release/src/note_keeper.ts
+++ b/packages/release/src/note_keeper.ts
@@ -132,14 +132,23 @@
     checkContact();
   }
 
-  /** Cuts what runs when the allowance has lapsed. */
   function checkContact(): void {
     const may = contact.holds();
     if (may === mayAnswer) return;
     mayAnswer = may;
-    const event = may ? "contact_made" : "contact_lapsed";
-    log.warn(event, { note: appliedNumber() });
-    if (may || !applied) return;
+    if (may) log.info("contact_made", { note: appliedNumber() });
+    else void lapse();
+  }
+
+  /**
+   * Cuts what runs when the allowance has lapsed. A wall clock that is set
+   * forward looks the same, so there is one look around first. No token gets
+   * out meanwhile: each asks for the note by itself.
+   */
+  async function lapse(): Promise<void> {
+    await sources.lookAround();
+    if (contact.holds() || !applied) return;
+    log.warn("contact_lapsed", { note: appliedNumber() });
     tellListeners({ ...applied, catalogue: emptyCatalogue });
   }
 
--- a/packages/release/src/note_sources.ts
+++ b/packages/release/src/note_sources.ts
@@ -23,6 +23,8 @@
 const LOOK_AROUND_WITHIN_MS = 1_000;
 /** Peers fetch from the first to know over at most this span. */
 const LARGEST_FETCH_DELAY_MS = 200;
+/** Peers asked at once; the next heartbeat asks again if none helped. */
+const LARGEST_FETCHES = 3;
 
 export interface NoteSourcesOptions {
   readonly store: ObjectStore;
@@ -120,7 +122,7 @@
   async function fetchSoon(id: string): Promise<void> {
     const members = membership.peers();
     const peer = members.find(({ record }) => record.id === id);
-    if (!peer || fetching.has(id)) return;
+    if (!peer || fetching.has(id) || fetching.size >= LARGEST_FETCHES) return;
     fetching.add(id);
     const spanMs = Math.min(members.length, LARGEST_FETCH_DELAY_MS);
     await pause(Math.random() * spanMs, signal);
--- a/packages/release/src/recall_test.ts
+++ b/packages/release/src/recall_test.ts
@@ -250,6 +250,23 @@
 });
 
 describe("a wall clock that is set forward", () => {
+  it("does not cut what an instance in contact runs", async () => {
+    // The clock of an instance jumps by hours, as after a wrong start. Taken
+    // for a pause, its contact has lapsed, and every answer would be cut.
+    const fleet = createFleet();
+    const one = fleet.start("one", "a");
+    await vi.advanceTimersByTimeAsync(2_000);
+    await publish(one, addV1);
+    const seen: NoteRecord[] = [];
+    one.keeper.onChange((record) => seen.push(record));
+    // Between two looks of the pause detector, the contact is checked first.
+    await vi.advanceTimersByTimeAsync(320);
+    vi.setSystemTime(Date.now() + 7_200_000);
+    await vi.advanceTimersByTimeAsync(1_000);
+    expect(seen).toEqual([]);
+    expect(one.keeper.current()?.number).toBe(1);
+  });
+
   it("excuses nobody early", async () => {
     // The clock of the collecting instance jumps by an hour. By that clock the
     // allowance of a silent instance has lapsed, which still answers.
--- a/packages/stand_ins/src/object_api.ts
+++ b/packages/stand_ins/src/object_api.ts
@@ -18,8 +18,8 @@
   delayMs: number;
   /** So many of the next writes take effect and lose their reply. */
   loseReplies: number;
-  /** Watches wait to their end, whatever is written. */
-  watchSilent: boolean;
+  /** So many of the next changes are not told to watchers. */
+  skipChanges: number;
 }
 
 interface Watcher {
@@ -40,7 +40,7 @@
     down: false,
     delayMs: 0,
     loseReplies: 0,
-    watchSilent: false,
+    skipChanges: 0,
   };
   const counts: Record<string, number> = {};
   let revision = 0;
@@ -86,8 +86,7 @@
       clearTimeout(timer);
       watchers.delete(watcher);
     });
-    const hasNews = below(prefix, since).length > 0;
-    if (hasNews && !faults.watchSilent) end(watcher, 200);
+    if (below(prefix, since).length > 0) end(watcher, 200);
   }
 
   function end(watcher: Watcher, status: number): void {
@@ -112,10 +111,8 @@
     if (!matches) return reply(response, 412, { actual });
     revision += 1;
     objects.set(key, { key, value: body, version: revision });
-    for (const watcher of watchers) {
-      if (faults.watchSilent) break;
-      if (key.startsWith(watcher.prefix)) end(watcher, 200);
-    }
+    if (faults.skipChanges > 0) faults.skipChanges -= 1;
+    else tellWatchers(key);
     if (faults.loseReplies > 0) {
       faults.loseReplies -= 1;
       response.destroy();
@@ -124,6 +121,12 @@
     reply(response, 200, { version: revision });
   }
 
+  function tellWatchers(key: string): void {
+    for (const watcher of watchers) {
+      if (key.startsWith(watcher.prefix)) end(watcher, 200);
+    }
+  }
+
   function count(operation: string): void {
     counts[operation] = (counts[operation] ?? 0) + 1;
   }
