--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -14,27 +14,34 @@
   startPeerServer,
 } from "@rosemarypin/membership";
 import {
+  type CandidateMember,
+  type ControlLease,
   createControlLease,
   createEngineController,
+  type EngineController,
+  isLeaseCandidate,
 } from "@rosemarypin/placement";
 import { createHttpObjectStore } from "@rosemarypin/platform";
 import {
-  collectStatus,
+  createConfirmer,
   createNoteKeeper,
   createPublisher,
-  mayContinue,
+  createRegistration,
+  createStatusCollector,
+  rankInDomain,
+  readRegistry,
 } from "@rosemarypin/release";
 import {
   createRouter,
   type Router,
   type RouterOptions,
 } from "@rosemarypin/routing";
-import type {
-  BackendView,
-  InstanceView,
-  NoteConfirmation,
-  Settings,
-  Status,
+import {
+  type BackendView,
+  type InstanceView,
+  noteRequestSchema,
+  type Settings,
+  type Status,
 } from "@rosemarypin/schemas";
 import { createLogger, createMetrics } from "@rosemarypin/telemetry";
 import { startAdminServer } from "./admin_server.ts";
@@ -44,6 +51,9 @@
 /** How long an instance is unready before it stops, for balancers that lag. */
 const BALANCER_LAG_MS = 1_000;
 
+/** After this long, engines that stay silent are taken to be away. */
+const ENGINES_HEARD_WITHIN_MS = 3_000;
+
 const log = createLogger("daemon");
 
 /** A running daemon. */
@@ -81,11 +91,26 @@
     seeds: settings.peers,
     metrics,
   });
+  const { refusedConnectionShowsEnd } = settings.release;
+  const allowanceMs = settings.release.serveWithoutContactSeconds * 1_000;
+  const registration = createRegistration({
+    deployment,
+    self: { id, failureDomain, incarnation, peer: addresses.peers },
+    allowanceMs,
+    store,
+    peers,
+    isPruner: () => rankInDomain(membership) === 0,
+    refusedConnectionShowsEnd,
+    onListed: () => void keeper.refresh(),
+  });
   const keeper = createNoteKeeper({
     deployment,
     store,
     membership,
     peers,
+    allowanceMs,
+    listedSince: registration.listedSince,
+    hintedNumber: () => highestNoteOf(fleet),
     metrics,
   });
   const engines = createEngineClient();
@@ -93,22 +118,37 @@
     engines: settings.engines,
     client: engines,
   });
-  const lease = createControlLease({
-    deployment,
-    failureDomain,
-    holder: id,
-    incarnation,
-    store,
-  });
-  const controller = createEngineController({
-    engines: settings.engines.filter(
-      (engine) => engine.failureDomain === failureDomain,
-    ),
-    client: engines,
-    fleet,
-    keeper,
-    lease,
-  });
+  const domains = [
+    ...new Set(settings.engines.map((engine) => engine.failureDomain)),
+  ];
+  const controllers = domains.map((domain) => controlDomain(domain));
+
+  function controlDomain(domain: string) {
+    const lease = createControlLease({
+      deployment,
+      failureDomain: domain,
+      holder: id,
+      incarnation,
+      store,
+      isCandidate: () =>
+        isLeaseCandidate(listCandidates(membership), {
+          id,
+          failureDomain: domain,
+        }),
+      onHeld: () => void keeper.refresh().then(() => controller.wake()),
+    });
+    const controller = createEngineController({
+      engines: settings.engines.filter(
+        (engine) => engine.failureDomain === domain,
+      ),
+      client: engines,
+      fleet,
+      keeper,
+      lease,
+    });
+    return { lease, controller };
+  }
+
   const router = (parts.createRouter ?? createRouter)({
     fleet,
     failureDomain,
@@ -132,45 +172,34 @@
   });
   let draining = false;
 
-  function confirm(): NoteConfirmation {
-    return {
-      instance: id,
-      failureDomain,
-      incarnation,
-      applied: keeper.current()?.number ?? 0,
-      withdrawnRunning: countWithdrawn(fleet),
-      knows: membership.peers().map(({ record }) => ({
-        id: record.id,
-        incarnation: record.incarnation,
-        left: record.left,
-      })),
-      engines: [...controller.confirmations()],
-    };
+  /**
+   * A balancer that trusts a new instance too early sends it requests that it
+   * must refuse: it has the note, and has not heard the engines yet.
+   */
+  function knowsEngines(): boolean {
+    const isLate = Date.now() - incarnation > ENGINES_HEARD_WITHIN_MS;
+    return isLate || hasHeardEachRole(fleet);
   }
 
-  function countWithdrawn(known: EngineFleet): number {
-    const record = keeper.current();
-    if (!record) return 0;
-    return known
-      .engines()
-      .flatMap(({ state }) => state?.running ?? [])
-      .filter(
-        (running) => !mayContinue(record, { ...running, adapter: undefined }),
-      )
-      .reduce((sum, { count }) => sum + count, 0);
-  }
-
-  function noteStatus(number: number) {
-    return collectStatus(number, {
-      membership,
-      peers,
-      own: confirm,
-      engines: () => settings.engines,
-    });
-  }
+  const confirmer = createConfirmer({
+    membership,
+    keeper,
+    engines: () =>
+      controllers.flatMap(({ controller }) => controller.confirmations()),
+  });
+  const { status: noteStatus } = createStatusCollector({
+    membership,
+    peers,
+    keeper,
+    confirmer,
+    engines: () => settings.engines,
+    readRegistry: () => readRegistry({ deployment, store }),
+    allowanceMs,
+    refusedConnectionShowsEnd,
+  });
 
   async function status(): Promise<Status> {
-    const note = keeper.current()?.number ?? 0;
+    const note = keeper.applied()?.number ?? 0;
     const phase = note === 0 ? "none" : (await noteStatus(note)).phase;
     return {
       deployment,
@@ -184,8 +213,9 @@
   }
 
   const peerServer = await startPeerServer(addresses.peers, {
-    "note.current": () => keeper.current(),
-    "note.confirm": () => confirm(),
+    "note.current": (params) => keeper.answer(noteRequestSchema.parse(params)),
+    "note.confirm": (params) => confirmer.confirm(params),
+    "note.ping": () => true,
   });
   const adminServer = await startAdminServer({
     settings,
@@ -193,7 +223,7 @@
     publisher,
     status,
     noteStatus,
-    isReady: () => !draining && keeper.current() !== null,
+    isReady: () => !draining && keeper.current() !== null && knowsEngines(),
     drain: () => {
       draining = true;
       membership.share({ draining });
@@ -215,14 +245,16 @@
       await new Promise((resolve) => setTimeout(resolve, BALANCER_LAG_MS));
       const stopAccepting = closeServer(callerServer);
       const ended = await work.waitForEnd(settings.shutdownGraceMs);
-      controller.stop();
-      lease.stop();
+      // The goodbye is evidence that this instance answers nothing any more,
+      // so it comes after the last connection.
+      callerServer.closeAllConnections();
+      await stopAccepting;
+      await Promise.all(controllers.map(endControl));
       router.stop();
       keeper.stop();
       fleet.stop();
+      await registration.leave();
       await membership.leave();
-      callerServer.closeAllConnections();
-      await stopAccepting;
       for (const server of [peerServer, adminServer]) {
         server.closeAllConnections();
         await closeServer(server);
@@ -240,6 +272,39 @@
   });
 }
 
+/** The lease goes back last: the next holder orders as soon as it is free. */
+async function endControl(control: {
+  readonly controller: EngineController;
+  readonly lease: ControlLease;
+}): Promise<void> {
+  await control.controller.stop();
+  await control.lease.release();
+}
+
+/** Whether some engine of each role has answered. */
+function hasHeardEachRole(fleet: EngineFleet): boolean {
+  const known = fleet.engines();
+  const roleOf = ({ settings }: (typeof known)[number]) =>
+    JSON.stringify(settings.roles);
+  const heard = new Set(known.filter(({ usable }) => usable).map(roleOf));
+  return known.every((engine) => heard.has(roleOf(engine)));
+}
+
+function highestNoteOf(fleet: EngineFleet): number {
+  const numbers = fleet.engines().map(({ state }) => state?.noteNumber ?? 0);
+  return Math.max(0, ...numbers);
+}
+
+function listCandidates(membership: Membership): readonly CandidateMember[] {
+  const { id, failureDomain } = membership.self();
+  const others = membership.peers().map(({ record, state }) => ({
+    id: record.id,
+    failureDomain: record.failureDomain,
+    isAlive: state === "alive" && !record.shared.draining,
+  }));
+  return [{ id, failureDomain, isAlive: true }, ...others];
+}
+
 function viewInstances(membership: Membership): InstanceView[] {
   const self = membership.self();
   const own: InstanceView = {
--- a/packages/release/src/note_keeper.ts
+++ b/packages/release/src/note_keeper.ts
@@ -1,18 +1,26 @@
 /** Keeps the note that this instance applies, and never goes back. */
 
 import type { Membership, PeerCaller } from "@rosemarypin/membership";
-import type { ObjectStore, Revision } from "@rosemarypin/platform";
+import type { ObjectStore } from "@rosemarypin/platform";
 import {
-  headObjectSchema,
+  emptyCatalogue,
+  type InstanceReference,
   type NoteRecord,
-  noteRecordSchema,
+  type NoteReply,
+  type NoteRequest,
   storedKeys,
 } from "@rosemarypin/schemas";
 import { createLogger, type Metrics } from "@rosemarypin/telemetry";
+import { createContact } from "./contact.ts";
+import type { HeadNews } from "./head_follower.ts";
+import { type Moment, readMoment, surelyElapsedMs } from "./moment.ts";
+import { createNoteSources } from "./note_sources.ts";
+import { createPauseDetector } from "./pause_detector.ts";
 
-/** Pause after a failed watch; doubled up to the cap, then jittered. */
-const FIRST_BACKOFF_MS = 100;
-const LARGEST_BACKOFF_MS = 5_000;
+const CHECK_CONTACT_EVERY_MS = 250;
+const DEFAULT_ALLOWANCE_MS = 3_600_000;
+/** An asker is remembered this many allowances, more than it can live on. */
+const ALLOWANCES_REMEMBERED = 2;
 
 const log = createLogger("release");
 
@@ -21,121 +29,180 @@
   readonly store: ObjectStore;
   readonly membership: Membership;
   readonly peers: PeerCaller;
+  /** How long to serve with no contact to store or peers. */
+  readonly allowanceMs?: number;
+  /** Since when the store lists this instance; unset: since the start. */
+  readonly listedSince?: () => Moment | null;
+  /** The highest note number that an engine reported. */
+  readonly hintedNumber?: () => number;
   readonly metrics?: Metrics;
 }
 
 /** The note in use here. */
 export interface NoteKeeper {
+  /** The note to answer from; `null` without one or without contact. */
   current(): NoteRecord | null;
+  /** The same, after a look around if this process was paused. */
+  fresh(): Promise<NoteRecord | null>;
+  /** The highest note known, whether or not it may answer. */
+  applied(): NoteRecord | null;
   /** Applies a record if its number is higher; returns whether it did. */
   offer(record: NoteRecord): boolean;
-  /** Called after each change of the note; returns how to stop. */
+  /**
+   * Called after each change of the note, and with a record that allows
+   * nothing when the contact lapses; returns how to stop.
+   */
   onChange(listener: (record: NoteRecord) => void): () => void;
-  /** Milliseconds since the store last confirmed or gave the note. */
-  storeSilentMs(): number;
+  /** Answers a peer's `note.current`. */
+  answer(request: NoteRequest): NoteReply;
+  /** Instances that asked, until none can still live on the answer. */
+  askers(): readonly InstanceReference[];
+  /** Looks at the store, or at peers, now. */
+  refresh(): Promise<void>;
+  /** Age of the contact; `null` before the first. */
+  contactAgeMs(): number | null;
   stop(): void;
 }
 
-/** Starts to follow the head object and the peers. */
+/** Starts to keep the note. */
 export function createNoteKeeper(options: NoteKeeperOptions): NoteKeeper {
-  const { store, membership, peers, metrics } = options;
-  const headKey = storedKeys.head(options.deployment);
+  const { membership, metrics } = options;
+  const allowanceMs = options.allowanceMs ?? DEFAULT_ALLOWANCE_MS;
+  const startedAt = readMoment();
+  const listedSince = options.listedSince ?? (() => startedAt);
+  const contact = createContact({ allowanceMs, listedSince });
   const listeners = new Set<(record: NoteRecord) => void>();
+  const askers = new Map<string, { from: InstanceReference; at: Moment }>();
   const stopping = new AbortController();
-  const fetching = new Set<string>();
-  let current: NoteRecord | null = null;
-  let storeHeardAt = -Infinity;
+  let applied: NoteRecord | null = null;
+  let mayAnswer = false;
+  let lookingAround: Promise<void> | null = null;
+
+  const sources = createNoteSources({
+    ...options,
+    headKey: storedKeys.head(options.deployment),
+    signal: stopping.signal,
+    allowanceMs,
+    listedSince,
+    hintedNumber: options.hintedNumber ?? (() => 0),
+    appliedNumber,
+    takeHead,
+    takeReply,
+  });
+  const pauses = createPauseDetector({
+    onPause(gapMs) {
+      log.warn("process_paused", { gap_ms: Math.round(gapMs) });
+      lookingAround = sources.lookAround();
+    },
+  });
+  const contactTimer = setInterval(checkContact, CHECK_CONTACT_EVERY_MS);
+
+  function appliedNumber(): number {
+    return applied?.number ?? 0;
+  }
 
   function offer(record: NoteRecord): boolean {
-    if (current && record.number <= current.number) return false;
-    current = record;
+    if (record.number <= appliedNumber()) return false;
+    applied = record;
     const delayMs = Math.max(0, Date.now() - record.recordedAt);
     metrics?.noteNumber.set(record.number);
     metrics?.noteApplyDelay.observe(delayMs / 1_000);
     log.info("note_applied", { note: record.number, delay_ms: delayMs });
-    for (const listener of listeners) listener(record);
+    // Answers are cut before anyone is told: to apply is to confirm.
+    tellListeners(record);
     membership.share({ note: record.number });
     return true;
   }
 
-  const stopNews = membership.onNews((record) => {
-    if (record.left || record.shared.note <= (current?.number ?? 0)) return;
-    void fetchFrom(record.id);
-  });
+  function tellListeners(record: NoteRecord): void {
+    for (const listener of [...listeners]) listener(record);
+  }
+
+  function takeHead({ record, began }: HeadNews): void {
+    if (record) offer(record);
+    contact.heardFromStore(began);
+    checkContact();
+  }
+
+  function takeReply(reply: NoteReply, asked: Moment): void {
+    if (reply.record) offer(reply.record);
+    // The age vouches for the peer's number: it says nothing about a lower.
+    if (reply.contactAgeMs === null || reply.number > appliedNumber()) return;
+    contact.heardFromPeer(asked, reply.contactAgeMs);
+    checkContact();
+  }
 
-  async function fetchFrom(id: string): Promise<void> {
-    const peer = membership.peers().find(({ record }) => record.id === id);
-    if (!peer || fetching.has(id)) return;
-    fetching.add(id);
-    const result = await peers.call(peer.record.peer, "note.current");
-    fetching.delete(id);
-    if (result.kind !== "ok") return;
-    const parsed = noteRecordSchema.safeParse(result.value);
-    if (parsed.success) offer(parsed.data);
+  function checkContact(): void {
+    const may = contact.holds();
+    if (may === mayAnswer) return;
+    mayAnswer = may;
+    if (may) log.info("contact_made", { note: appliedNumber() });
+    else void lapse();
   }
 
-  void followStore();
-
-  async function followStore(): Promise<void> {
-    let since: Revision = 0;
-    let failures = 0;
-    while (!stopping.signal.aborted) {
-      const result = await store.watch(headKey, {
-        since,
-        signal: stopping.signal,
-      });
-      if (result.kind === "ok") {
-        failures = 0;
-        storeHeardAt = performance.now();
-        since = result.value.revision;
-        for (const object of result.value.objects) takeHead(object.value);
-        continue;
-      }
-      if (stopping.signal.aborted) return;
-      failures += 1;
-      log.detail("watch_failed", { reason: result.kind, failures });
-      await pause(backoffMs(failures), stopping.signal);
+  /**
+   * Cuts what runs when the allowance has lapsed. A wall clock that is set
+   * forward looks the same, so there is one look around first. No token gets
+   * out meanwhile: each asks for the note by itself.
+   */
+  async function lapse(): Promise<void> {
+    await sources.lookAround();
+    if (contact.holds() || !applied) return;
+    log.warn("contact_lapsed", { note: appliedNumber() });
+    tellListeners({ ...applied, catalogue: emptyCatalogue });
+  }
+
+  function current(): NoteRecord | null {
+    return contact.holds() ? applied : null;
+  }
+
+  /**
+   * A process that was frozen across a recall wakes up with requests and
+   * tokens queued; its clock shows the gap, its note does not. It answers
+   * nothing before it has read the store or heard peers, unless it is cut off
+   * from both: then its allowance decides, as for any cut-off instance.
+   */
+  async function fresh(): Promise<NoteRecord | null> {
+    pauses.look();
+    const pending = lookingAround;
+    if (pending) {
+      await pending;
+      if (lookingAround === pending) lookingAround = null;
     }
+    return current();
   }
 
-  function takeHead(value: unknown): void {
-    const parsed = headObjectSchema.safeParse(value);
-    if (parsed.success) offer(parsed.data);
-    else log.warn("bad_head_object", { reason: parsed.error.message });
+  function answer({ from, above }: NoteRequest): NoteReply {
+    for (const [key, { at }] of askers) {
+      const isOver = surelyElapsedMs(at) > ALLOWANCES_REMEMBERED * allowanceMs;
+      if (isOver) askers.delete(key);
+    }
+    const key = `${from.id}/${from.incarnation}`;
+    askers.set(key, { from, at: readMoment() });
+    return {
+      number: appliedNumber(),
+      record: appliedNumber() > above ? applied : null,
+      contactAgeMs: contact.ageMs(),
+    };
   }
 
   return {
-    current: () => current,
+    current,
+    fresh,
+    applied: () => applied,
     offer,
+    answer,
+    refresh: sources.refresh,
     onChange(listener) {
       listeners.add(listener);
       return () => listeners.delete(listener);
     },
-    storeSilentMs: () => performance.now() - storeHeardAt,
+    askers: () => [...askers.values()].map(({ from }) => from),
+    contactAgeMs: contact.ageMs,
     stop() {
-      stopNews();
       stopping.abort();
+      clearInterval(contactTimer);
+      pauses.stop();
     },
   };
 }
-
-/** Full jitter, so that instances do not return to the store in step. */
-function backoffMs(failures: number): number {
-  const cap = Math.min(
-    LARGEST_BACKOFF_MS,
-    FIRST_BACKOFF_MS * 2 ** Math.min(failures, 10),
-  );
-  return Math.random() * cap;
-}
-
-function pause(durationMs: number, signal: AbortSignal): Promise<void> {
-  return new Promise((resolve) => {
-    const timer = setTimeout(done, durationMs);
-    signal.addEventListener("abort", done, { once: true });
-    function done(): void {
-      clearTimeout(timer);
-      signal.removeEventListener("abort", done);
-      resolve();
-    }
-  });
-}
--- a/packages/stand_ins/src/object_api.ts
+++ b/packages/stand_ins/src/object_api.ts
@@ -18,6 +18,8 @@
   delayMs: number;
   /** So many of the next writes take effect and lose their reply. */
   loseReplies: number;
+  /** So many of the next changes are not told to watchers. */
+  skipChanges: number;
 }
 
 interface Watcher {
@@ -34,7 +36,12 @@
 }): Promise<Server> {
   const objects = new Map<string, StoredEntry>();
   const watchers = new Set<Watcher>();
-  const faults: ObjectApiFaults = { down: false, delayMs: 0, loseReplies: 0 };
+  const faults: ObjectApiFaults = {
+    down: false,
+    delayMs: 0,
+    loseReplies: 0,
+    skipChanges: 0,
+  };
   const counts: Record<string, number> = {};
   let revision = 0;
 
@@ -104,9 +111,8 @@
     if (!matches) return reply(response, 412, { actual });
     revision += 1;
     objects.set(key, { key, value: body, version: revision });
-    for (const watcher of watchers) {
-      if (key.startsWith(watcher.prefix)) end(watcher, 200);
-    }
+    if (faults.skipChanges > 0) faults.skipChanges -= 1;
+    else tellWatchers(key);
     if (faults.loseReplies > 0) {
       faults.loseReplies -= 1;
       response.destroy();
@@ -115,6 +121,12 @@
     reply(response, 200, { version: revision });
   }
 
+  function tellWatchers(key: string): void {
+    for (const watcher of watchers) {
+      if (key.startsWith(watcher.prefix)) end(watcher, 200);
+    }
+  }
+
   function count(operation: string): void {
     counts[operation] = (counts[operation] ?? 0) + 1;
   }
