--- a/packages/backends/src/engine_client.ts
+++ b/packages/backends/src/engine_client.ts
@@ -2,12 +2,15 @@
 import {
   type Address,
   type AttemptRequest,
+  attemptRefusalSchema,
   type EngineEvent,
   type EngineOrder,
   type EngineState,
   engineEventSchema,
   engineStateSchema,
   formatAddress,
+  type ParkedAnswer,
+  parkedAnswerSchema,
 } from "@rosemarypin/schemas";
 import { Agent, request } from "undici";
 import {
@@ -16,12 +19,19 @@
 } from "./transport_failure.ts";
 
 const CALL_TIMEOUT_MS = 1_000;
+/** The status with which an engine says that it did not start. */
+const REFUSED_STATUS = 409;
 
 /** How the start of an attempt went. */
 export type AttemptStart =
   | { readonly kind: "started"; readonly events: AsyncIterable<EngineEvent> }
   /** The engine itself said that it did not start. */
-  | { readonly kind: "refused"; readonly reason: string }
+  | {
+      readonly kind: "refused";
+      readonly reason: string;
+      /** Whether a later attempt, of any instance, has the answer. */
+      readonly takenOver?: boolean;
+    }
   | TransportFailure;
 
 /** How an order went. */
@@ -41,11 +51,26 @@
   cancel(address: Address, requestId: string): Promise<void>;
   order(address: Address, order: EngineOrder): Promise<OrderResult>;
   /** `null` when the engine does not answer in time. */
-  readState(address: Address): Promise<EngineState | null>;
+  readState(
+    address: Address,
+    options?: { readonly timeoutMs?: number },
+  ): Promise<EngineState | null>;
+}
+
+/** What an engine says of an answer that another instance ran. */
+export type ParkedAnswerResult =
+  | { readonly kind: "found"; readonly answer: ParkedAnswer }
+  /** The engine answers, and has nothing of the answer. */
+  | { readonly kind: "unknown" }
+  | { readonly kind: "unreachable" };
+
+/** Reads answers that another instance began. */
+export interface ParkedAnswers {
+  readAnswer(address: Address, requestId: string): Promise<ParkedAnswerResult>;
 }
 
 /** Creates a client with one connection pool for each engine. */
-export function createEngineClient(): EngineClient {
+export function createEngineClient(): EngineClient & ParkedAnswers {
   const agent = new Agent({
     connect: { timeout: CALL_TIMEOUT_MS },
     headersTimeout: 0,
@@ -73,8 +98,15 @@
           body: attempt,
           signal,
         });
+        if (response.statusCode === REFUSED_STATUS) {
+          return readRefusal(await response.body.text());
+        }
         if (response.statusCode !== 200) {
-          return { kind: "refused", reason: await response.body.text() };
+          // An engine that broke while it started may have run some of it;
+          // only its own refusal makes `not_run` true.
+          const detail = `status ${response.statusCode}`;
+          await response.body.dump();
+          return { kind: "broken", detail };
         }
         return { kind: "started", events: readEvents(response.body) };
       } catch (error) {
@@ -104,12 +136,27 @@
         return classifyTransportError(error);
       }
     },
-    async readState(address) {
+    async readAnswer(address, requestId) {
+      const path = `/attempts/${encodeURIComponent(requestId)}`;
       try {
         const response = await request(
-          `http://${formatAddress(address)}/state`,
+          `http://${formatAddress(address)}${path}`,
           { dispatcher: agent, signal: AbortSignal.timeout(CALL_TIMEOUT_MS) },
         );
+        const body = await response.body.text();
+        if (response.statusCode !== 200) return { kind: "unknown" };
+        const answer = parkedAnswerSchema.parse(JSON.parse(body));
+        return { kind: "found", answer };
+      } catch {
+        return { kind: "unreachable" };
+      }
+    },
+    async readState(address, { timeoutMs = CALL_TIMEOUT_MS } = {}) {
+      try {
+        const response = await request(
+          `http://${formatAddress(address)}/state`,
+          { dispatcher: agent, signal: AbortSignal.timeout(timeoutMs) },
+        );
         return engineStateSchema.parse(await response.body.json());
       } catch {
         return null;
@@ -118,6 +165,21 @@
   };
 }
 
+function readRefusal(text: string): AttemptStart {
+  const parsed = attemptRefusalSchema.safeParse(parseJson(text));
+  if (!parsed.success) return { kind: "refused", reason: text };
+  const { error: reason, takenOver } = parsed.data;
+  return { kind: "refused", reason, takenOver };
+}
+
+function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+}
+
 /** Splits the engine's stream into lines; throws when the stream breaks. */
 async function* readEvents(
   body: AsyncIterable<Buffer>,
--- a/packages/calls/src/answer.ts
+++ b/packages/calls/src/answer.ts
@@ -6,15 +6,22 @@
   permitAnswer,
 } from "@rosemarypin/release";
 import type { Grant, Router } from "@rosemarypin/routing";
-import type {
-  AnswerProvenance,
-  AnswerRequest,
-  AttemptRequest,
-  EngineEvent,
-  ModelVersion,
-  NoteRecord,
-} from "@rosemarypin/schemas";
+import type { AnswerRequest, NoteRecord } from "@rosemarypin/schemas";
 import { createLogger, type Metrics } from "@rosemarypin/telemetry";
+import { type AttemptEnd, runAttempt } from "./answer_attempt.ts";
+import type { AnswerEvent } from "./answer_event.ts";
+import {
+  createTokenPace,
+  defaultLiveness,
+  type LivenessLimits,
+  type TokenPace,
+} from "./answer_liveness.ts";
+import {
+  emptyProgress,
+  type Progress,
+  provenanceOf,
+} from "./answer_progress.ts";
+import type { RecoveryLimiter } from "./answer_recovery.ts";
 import {
   badCall,
   type CallFailure,
@@ -23,76 +30,74 @@
   withdrawnBy,
 } from "./call_failure.ts";
 
-/** Attempts before an answer is given up. */
-const LARGEST_ATTEMPT = 6;
-/** Silence on a stream after which its stages are asked for a sign of life. */
-const STALL_MS = 2_000;
+/** Attempts in a row without a new token before an answer is given up. */
+const FRUITLESS_AT_MOST = 8;
+/** How long an answer that began waits for engines to come back. */
+const ENGINES_BACK_MS = 8_000;
+const ENGINES_BACK_CHECK_MS = 100;
 const NO_NOTE_RETRY_SECONDS = 2;
+const SHORTEST_RETRY_SECONDS = 1;
 
 const log = createLogger("answer");
 
-/** What a caller of `runAnswer` sees, in order. */
-export type AnswerEvent =
-  | { readonly type: "token"; readonly index: number; readonly text: string }
-  | {
-      readonly type: "done";
-      readonly reason: "stop" | "length";
-      readonly provenance: AnswerProvenance;
-    }
-  | { readonly type: "failed"; readonly failure: CallFailure };
-
 export interface AnswerDependencies {
   readonly keeper: NoteKeeper;
   readonly router: Router;
   readonly fleet: EngineFleet;
   readonly engines: EngineClient;
+  readonly recoveries: RecoveryLimiter;
   readonly metrics?: Metrics;
+  readonly liveness?: LivenessLimits;
 }
 
-/** What has been reached so far, over all attempts. */
-interface Progress {
-  readonly delivered: string[];
-  digest: string;
-  version: ModelVersion | null;
-  noteNumber: number;
-  attempt: number;
-  /** Whether an engine may have run any of it. */
-  started: boolean;
-  readonly avoid: Set<string>;
+interface RunOptions extends AnswerDependencies {
+  readonly signal: AbortSignal;
+  /** What another instance reached, when the answer is taken over. */
+  readonly progress?: Progress;
 }
 
-/** How one attempt ended. */
-type AttemptEnd =
-  | { readonly kind: "done"; readonly reason: "stop" | "length" }
-  | { readonly kind: "retry"; readonly reason: string };
+type GrantEnd =
+  | { readonly kind: "granted"; readonly grant: Grant }
+  | { readonly kind: "refused"; readonly failure: CallFailure };
 
 /** Runs an answer; the last event is `done` or `failed`. */
 export async function* runAnswer(
   request: AnswerRequest,
-  options: AnswerDependencies & { readonly signal: AbortSignal },
+  options: RunOptions,
 ): AsyncGenerator<AnswerEvent> {
-  const progress = emptyProgress();
+  const progress = options.progress ?? emptyProgress();
+  try {
+    yield* runAttempts(request, { ...options, progress });
+  } catch (error) {
+    const reason = error instanceof Error ? error.message : String(error);
+    log.warn("answer_broke", { request: request.requestId, reason });
+    yield { type: "failed", failure: gaveUp("internal_error", progress) };
+  }
+}
+
+async function* runAttempts(
+  request: AnswerRequest,
+  options: RunOptions & { readonly progress: Progress },
+): AsyncGenerator<AnswerEvent> {
+  const { progress } = options;
+  const pace = createTokenPace(options.liveness ?? defaultLiveness);
   while (!options.signal.aborted) {
     const failure = chooseVersion(request, progress, options.keeper.current());
     if (failure) return yield { type: "failed", failure };
-    if (progress.attempt >= LARGEST_ATTEMPT) {
-      return yield { type: "failed", failure: gaveUp(progress) };
+    if (progress.fruitless >= FRUITLESS_AT_MOST) {
+      const final = gaveUp("attempts_used_up", progress);
+      return yield { type: "failed", failure: final };
     }
-    const granted = await acquire(request, progress, options);
-    if (granted.kind === "refused") {
-      return yield { type: "failed", failure: granted.failure };
-    }
-    const end = yield* runAttempt(request, {
-      ...options,
-      progress,
-      grant: granted.grant,
-    });
+    const end = yield* runTurn(request, { ...options, progress, pace });
     if (end.kind === "done") {
-      return yield {
-        type: "done",
-        reason: end.reason,
-        provenance: provenanceOf(progress),
-      };
+      const provenance = provenanceOf(progress);
+      return yield { type: "done", reason: end.reason, provenance };
+    }
+    if (end.kind === "refused") {
+      return yield { type: "failed", failure: end.failure };
+    }
+    if (end.kind === "taken_over") {
+      return yield { type: "failed", failure: takenOver() };
     }
     log.info("attempt_ended", {
       request: request.requestId,
@@ -100,21 +105,40 @@
       delivered: progress.delivered.length,
       reason: end.reason,
     });
-    if (progress.started)
-      options.metrics?.recoveries.inc({ model: request.model });
   }
 }
 
-function emptyProgress(): Progress {
-  return {
-    delivered: [],
-    digest: "",
-    version: null,
-    noteNumber: 0,
-    attempt: 0,
-    started: false,
-    avoid: new Set(),
-  };
+/** One attempt, in its turn when it is a recovery. */
+async function* runTurn(
+  request: AnswerRequest,
+  options: RunOptions & {
+    readonly progress: Progress;
+    readonly pace: TokenPace;
+  },
+): AsyncGenerator<
+  AnswerEvent,
+  AttemptEnd | { readonly kind: "refused"; readonly failure: CallFailure }
+> {
+  const { progress, recoveries, signal, metrics } = options;
+  const isRecovery = progress.started;
+  const endTurn = isRecovery
+    ? await recoveries.takeTurn(request.priority, signal)
+    : null;
+  try {
+    if (signal.aborted) return { kind: "retry", reason: "the caller left" };
+    const granted = await acquire(request, progress, options);
+    if (granted.kind === "refused") return granted;
+    const { grant } = granted;
+    const liveness = options.liveness ?? defaultLiveness;
+    const onProgress = () => {
+      endTurn?.();
+      if (isRecovery) metrics?.recoveries.inc({ model: request.model });
+    };
+    const attempt = { ...options, grant, liveness, onProgress };
+    return yield* runAttempt(request, attempt);
+  } finally {
+    endTurn?.();
+  }
 }
 
 /**
@@ -127,7 +151,9 @@
   record: NoteRecord | null,
 ): CallFailure | null {
   if (!record) {
-    return notRun("no_release_note", {
+    const code = "no_release_note";
+    if (progress.started) return gaveUp(code, progress);
+    return notRun(code, {
       message: "this instance has no release note yet; try again",
       retryAfterSeconds: NO_NOTE_RETRY_SECONDS,
     });
@@ -142,6 +168,8 @@
         reason: record.note.reason,
       });
     }
+    // Nothing of a withdrawn batch may go into an answer of another.
+    progress.kept.clear();
   }
   const permission = permitAnswer(record, request);
   if (permission.kind === "allowed") {
@@ -161,206 +189,60 @@
   });
 }
 
+/**
+ * An answer that began waits for engines to come back; one of which nothing
+ * ran is refused at once, since its caller can go elsewhere.
+ */
 async function acquire(
   request: AnswerRequest,
   progress: Progress,
-  options: AnswerDependencies & { readonly signal: AbortSignal },
-): Promise<
-  | { readonly kind: "granted"; readonly grant: Grant }
-  | { readonly kind: "refused"; readonly failure: CallFailure }
-> {
-  const version = progress.version;
+  options: RunOptions,
+): Promise<GrantEnd> {
+  const { router, signal } = options;
+  const { version, avoid } = progress;
   if (!version) throw new Error("a version is chosen before a pipeline");
-  const result = await options.router.acquire({
-    request,
-    version,
-    avoid: progress.avoid,
-    signal: options.signal,
-  });
-  if (result.kind === "granted") return result;
-  const { code, retryAfterSeconds } = result;
-  const failure = progress.started
-    ? failedRun(code, {
-        message: "the answer lost its engines and found no others; ask again",
-        retryAfterSeconds,
-      })
-    : notRun(code, {
-        message: "no engines are free for this request; ask again later",
-        retryAfterSeconds,
-      });
-  return { kind: "refused", failure };
-}
-
-async function* runAttempt(
-  request: AnswerRequest,
-  options: AnswerDependencies & {
-    readonly signal: AbortSignal;
-    readonly progress: Progress;
-    readonly grant: Grant;
-  },
-): AsyncGenerator<AnswerEvent, AttemptEnd> {
-  const { progress, grant, engines, fleet, keeper } = options;
-  const first = grant.stages[0];
-  if (!first) throw new Error("a pipeline has at least one stage");
-  progress.attempt += 1;
-  const attempt = describeAttempt(request, { progress, grant });
-  const stop = new AbortController();
-  const signal = AbortSignal.any([options.signal, stop.signal]);
-  const stopFollowing = keeper.onChange((record) => {
-    if (!mayContinue(record, attempt)) stop.abort();
-  });
-  try {
-    const start = await engines.start(first.address, attempt, { signal });
-    if (start.kind === "refused") {
-      progress.avoid.add(first.engine);
-      return { kind: "retry", reason: start.reason };
-    }
-    if (start.kind === "not_sent") {
-      lose(first.engine, { progress, fleet });
-      return { kind: "retry", reason: start.detail };
-    }
-    progress.started = true;
-    if (start.kind === "broken") {
-      if (!signal.aborted) lose(first.engine, { progress, fleet });
-      return { kind: "retry", reason: start.detail };
-    }
-    return yield* readAttempt(start.events, { ...options, attempt, signal });
-  } finally {
-    stopFollowing();
-    stop.abort();
-    grant.release();
-  }
-}
-
-async function* readAttempt(
-  events: AsyncIterable<EngineEvent>,
-  options: AnswerDependencies & {
-    readonly progress: Progress;
-    readonly grant: Grant;
-    readonly attempt: AttemptRequest;
-    readonly signal: AbortSignal;
-  },
-): AsyncGenerator<AnswerEvent, AttemptEnd> {
-  const { progress, grant, fleet, attempt, signal } = options;
-  const iterator = events[Symbol.asyncIterator]();
+  const giveUpAt = Math.min(Date.now() + ENGINES_BACK_MS, request.deadlineAt);
+  const prefer = new Set(progress.kept.keys());
   while (true) {
-    const next = await nextEvent(iterator);
-    if (signal.aborted) return { kind: "retry", reason: "cancelled" };
-    if (next.kind === "stalled") {
-      await loseSilentStages(grant, options);
-      return { kind: "retry", reason: "stalled" };
-    }
-    if (next.kind === "ended") {
-      const first = grant.stages[0];
-      if (first) lose(first.engine, { progress, fleet });
-      return { kind: "retry", reason: "stream broke" };
+    const need = { request, version, avoid, prefer, signal };
+    const result = await router.acquire(need);
+    if (result.kind === "granted") return result;
+    const { code, retryAfterSeconds } = result;
+    if (!progress.started) {
+      const message = "no engines are free for this request; ask again later";
+      const failure = notRun(code, { message, retryAfterSeconds });
+      return { kind: "refused", failure };
     }
-    const { event } = next;
-    if (event.attempt !== attempt.attempt) continue;
-    switch (event.type) {
-      case "started":
-        break;
-      case "token": {
-        const expected = progress.delivered.length;
-        if (event.index < expected) break;
-        if (event.index > expected) {
-          return { kind: "retry", reason: "a token is missing" };
-        }
-        progress.delivered.push(event.text);
-        progress.digest = event.digest;
-        yield { type: "token", index: event.index, text: event.text };
-        break;
-      }
-      case "done":
-        return { kind: "done", reason: event.reason };
-      case "stage_lost": {
-        const lost = grant.stages[event.stage];
-        if (lost) lose(lost.engine, { progress, fleet });
-        return { kind: "retry", reason: event.reason };
-      }
-      case "cancelled":
-        return { kind: "retry", reason: event.reason };
+    if (signal.aborted || Date.now() >= giveUpAt) {
+      const message = "the answer lost its engines and found no others";
+      const failure = failedRun(code, { message, retryAfterSeconds });
+      return { kind: "refused", failure };
     }
+    // An engine that failed this answer may have been restarted since.
+    avoid.clear();
+    await sleep(ENGINES_BACK_CHECK_MS);
   }
 }
 
-type NextEvent =
-  | { readonly kind: "event"; readonly event: EngineEvent }
-  | { readonly kind: "ended" }
-  | { readonly kind: "stalled" };
-
-async function nextEvent(
-  iterator: AsyncIterator<EngineEvent>,
-): Promise<NextEvent> {
-  let timer: NodeJS.Timeout | undefined;
-  const stalled = new Promise<NextEvent>((resolve) => {
-    timer = setTimeout(() => resolve({ kind: "stalled" }), STALL_MS);
-  });
-  const read = iterator.next().then(
-    (result): NextEvent =>
-      result.done ? { kind: "ended" } : { kind: "event", event: result.value },
-    (): NextEvent => ({ kind: "ended" }),
+/** Says when a new try may fare better: after the time one attempt takes. */
+function gaveUp(code: string, progress: Progress): CallFailure {
+  const message = `no attempt of ${progress.attempt} could finish; ask again`;
+  const lostForMs =
+    progress.lostAt === null ? 0 : performance.now() - progress.lostAt;
+  const retryAfterSeconds = Math.max(
+    SHORTEST_RETRY_SECONDS,
+    Math.ceil(lostForMs / 1_000),
   );
-  const next = await Promise.race([read, stalled]);
-  clearTimeout(timer);
-  return next;
+  const options = { message, retryAfterSeconds };
+  return progress.started ? failedRun(code, options) : notRun(code, options);
 }
 
-/** A stage that is frozen or cut off does not answer; the others do. */
-async function loseSilentStages(
-  grant: Grant,
-  options: AnswerDependencies & { readonly progress: Progress },
-): Promise<void> {
-  const { engines, fleet, progress } = options;
-  const states = await Promise.all(
-    grant.stages.map(({ address }) => engines.readState(address)),
-  );
-  grant.stages.forEach(({ engine }, index) => {
-    if (states[index] === null) lose(engine, { progress, fleet });
+function takenOver(): CallFailure {
+  return failedRun("taken_over", {
+    message: "another connection of yours goes on with this answer",
   });
 }
 
-function lose(
-  engine: string,
-  options: { readonly progress: Progress; readonly fleet: EngineFleet },
-): void {
-  options.progress.avoid.add(engine);
-  options.fleet.reportLost(engine);
-}
-
-function describeAttempt(
-  request: AnswerRequest,
-  options: { readonly progress: Progress; readonly grant: Grant },
-): AttemptRequest {
-  const { progress, grant } = options;
-  return {
-    requestId: request.requestId,
-    attempt: progress.attempt,
-    model: request.model,
-    version: progress.version?.version ?? "",
-    adapter: request.adapter,
-    noteNumber: progress.noteNumber,
-    stages: [...grant.stages],
-    promptTokens: [...request.promptTokens],
-    deliveredTokens: [...progress.delivered],
-    maxTokens: request.maxTokens,
-    priority: request.priority,
-  };
-}
-
-function gaveUp(progress: Progress): CallFailure {
-  const message = `no attempt of ${progress.attempt} could finish; ask again`;
-  const retryAfterSeconds = 2;
-  return progress.started
-    ? failedRun("attempts_used_up", { message, retryAfterSeconds })
-    : notRun("attempts_used_up", { message, retryAfterSeconds });
-}
-
-function provenanceOf(progress: Progress): AnswerProvenance {
-  return {
-    version: progress.version?.version ?? "",
-    noteNumber: progress.noteNumber,
-    digest: progress.digest,
-    attempts: progress.attempt,
-  };
+function sleep(durationMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, durationMs));
 }
--- a/packages/daemon/src/answer_stream.ts
+++ b/packages/daemon/src/answer_stream.ts
@@ -1,7 +1,11 @@
 /** Turns the events of an answer into OpenAI-style JSON or SSE. */
 import { once } from "node:events";
 import type { ServerResponse } from "node:http";
-import type { AnswerEvent, CallFailure } from "@rosemarypin/calls";
+import {
+  type AnswerEvent,
+  type CallFailure,
+  formatEventId,
+} from "@rosemarypin/calls";
 import type { AnswerProvenance } from "@rosemarypin/schemas";
 import { failureBody, sendFailure, sendJson } from "./http_basics.ts";
 
@@ -42,7 +46,7 @@
       const data = JSON.stringify(tokenChunk(event, output));
       await write(
         response,
-        `id: ${requestId}:${event.index}\ndata: ${data}\n\n`,
+        `id: ${formatEventId({ ...event, requestId })}\ndata: ${data}\n\n`,
       );
       continue;
     }
--- a/packages/daemon/src/caller_server.ts
+++ b/packages/daemon/src/caller_server.ts
@@ -2,10 +2,10 @@
 import { randomUUID } from "node:crypto";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import {
-  type AnswerDependencies,
   badCall,
   type CallFailure,
   notRun,
+  type ResumeDependencies,
   runAnswer,
   type ServiceCall,
   type ServiceCallResult,
@@ -21,6 +21,7 @@
 } from "@rosemarypin/schemas";
 import { createLogger, type Metrics } from "@rosemarypin/telemetry";
 import { z } from "zod";
+import { readResumePath, resume } from "./answer_resume.ts";
 import {
   type AnswerEnd,
   type AnswerStyle,
@@ -38,7 +39,7 @@
 
 export interface CallerServerOptions {
   readonly settings: Settings;
-  readonly answers: AnswerDependencies;
+  readonly answers: ResumeDependencies;
   readonly callService: (call: ServiceCall) => Promise<ServiceCallResult>;
   readonly metrics: Metrics;
   readonly work: WorkInProgress;
@@ -91,6 +92,10 @@
       return answer(exchange, "chat");
     }
     if (path === "/v1/completions" && isPost) return answer(exchange, "text");
+    const resumed = readResumePath(request);
+    if (resumed) {
+      return resume({ ...exchange, requestId: resumed }, options.answers);
+    }
     if (path.startsWith("/services/")) return callService(exchange);
     sendFailure(response, unknownPath(request), { requestId });
   }
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -6,7 +6,11 @@
   createServiceClient,
   type EngineFleet,
 } from "@rosemarypin/backends";
-import { createClaimStore, createServiceCaller } from "@rosemarypin/calls";
+import {
+  createClaimStore,
+  createRecoveryLimiter,
+  createServiceCaller,
+} from "@rosemarypin/calls";
 import {
   createMembership,
   createPeerCaller,
@@ -186,7 +190,15 @@
   });
   const callerServer = await startCallerServer({
     settings,
-    answers: { keeper, router, fleet, engines, metrics },
+    answers: {
+      keeper,
+      router,
+      fleet,
+      engines,
+      parked: engines,
+      recoveries: createRecoveryLimiter({ metrics }),
+      metrics,
+    },
     callService,
     metrics,
     work,
--- a/packages/routing/src/pipeline_choice.ts
+++ b/packages/routing/src/pipeline_choice.ts
@@ -10,6 +10,8 @@
   readonly failureDomain: string;
   /** Engines that just failed this answer. */
   readonly avoid: ReadonlySet<string>;
+  /** Engines that still have the answer's KV cache; they go first. */
+  readonly prefer?: ReadonlySet<string>;
   /** Answers that one engine may run at once for this instance. */
   readonly answersPerEngine: number;
 }
@@ -43,7 +45,10 @@
     const free = next.filter(
       ({ engine }) => engine.inFlight < need.answersPerEngine,
     );
-    const best = leastBusy(free, need.failureDomain);
+    const keeping = free.filter(({ engine }) =>
+      need.prefer?.has(engine.settings.id),
+    );
+    const best = keeping[0] ?? leastBusy(free, need.failureDomain);
     if (!best) return { kind: "busy" };
     stages.push(toStage(best));
     layer = best.layers.to;
--- a/packages/routing/src/router.ts
+++ b/packages/routing/src/router.ts
@@ -31,6 +31,8 @@
   readonly request: AnswerRequest;
   readonly version: ModelVersion;
   readonly avoid: ReadonlySet<string>;
+  /** Engines that still have the answer's KV cache. */
+  readonly prefer?: ReadonlySet<string>;
   readonly signal: AbortSignal;
 }
 
@@ -58,6 +60,7 @@
       adapter: need.request.adapter,
       failureDomain: options.failureDomain,
       avoid: need.avoid,
+      ...(need.prefer ? { prefer: need.prefer } : {}),
       answersPerEngine: limits.answersPerPipeline,
     });
     if (choice.kind === "busy") return "busy";
--- a/packages/schemas/src/engine.ts
+++ b/packages/schemas/src/engine.ts
@@ -13,6 +13,11 @@
   engine: nameSchema,
   address: addressSchema,
   layers: layerRangeSchema,
+  /**
+   * Positions whose KV cache the engine still has from an earlier attempt
+   * of the same request; left out when it has none.
+   */
+  keptPositions: z.number().int().nonnegative().optional(),
 });
 export type Stage = z.infer<typeof stageSchema>;
 
@@ -22,6 +27,8 @@
  */
 export const attemptRequestSchema = z.object({
   requestId: z.string(),
+  /** Who may resume the answer. */
+  organisation: z.string(),
   /** Grows by one each time the answer is taken up again. */
   attempt: z.number().int().positive(),
   model: nameSchema,
@@ -38,6 +45,23 @@
 });
 export type AttemptRequest = z.infer<typeof attemptRequestSchema>;
 
+/** Body of an engine's refusal: nothing of the attempt ran there. */
+export const attemptRefusalSchema = z.object({
+  error: z.string(),
+  /** Whether a later attempt, of any instance, has the answer. */
+  takenOver: z.boolean().default(false),
+});
+export type AttemptRefusal = z.infer<typeof attemptRefusalSchema>;
+
+/** Why a stage cannot go on. */
+export const lostCauseSchema = z.enum([
+  /** The engine does not answer or does not hold the layers. */
+  "unreachable",
+  /** The engine answers, but has no KV cache of the request. */
+  "no_cache",
+]);
+export type LostCause = z.infer<typeof lostCauseSchema>;
+
 /** One line of an attempt's event stream. */
 export const engineEventSchema = z.discriminatedUnion("type", [
   /** The engine took the attempt; from here on, work may run. */
@@ -50,27 +74,47 @@
     text: z.string(),
     /** Digest over all layers of this token and of what came before it. */
     digest: z.string(),
+    /** On the last token: why the answer ends with it. */
+    ends: z.enum(["stop", "length"]).optional(),
   }),
   z.object({
     type: z.literal("done"),
     attempt: z.number().int(),
     reason: z.enum(["stop", "length"]),
   }),
-  /** A later stage cannot be reached or does not hold the layers. */
+  /** A stage cannot go on with the attempt. */
   z.object({
     type: z.literal("stage_lost"),
     attempt: z.number().int(),
     stage: z.number().int(),
+    cause: lostCauseSchema,
     reason: z.string(),
   }),
   z.object({
     type: z.literal("cancelled"),
     attempt: z.number().int(),
+    /** Whether a later attempt, of any instance, took the answer over. */
+    takenOver: z.boolean(),
     reason: z.string(),
   }),
 ]);
 export type EngineEvent = z.infer<typeof engineEventSchema>;
 
+/**
+ * An answer whose reader went away: the engine of the first stage keeps it
+ * for a short time, so that any instance can take it over.
+ */
+export const parkedAnswerSchema = z.object({
+  request: attemptRequestSchema,
+  /** All tokens that the engine knows of, from index 0. */
+  tokens: z.array(z.string()),
+  /** Digest after the last of them. */
+  digest: z.string(),
+  /** How the answer ended, if all of it was computed. */
+  ended: z.enum(["stop", "length"]).nullable(),
+});
+export type ParkedAnswer = z.infer<typeof parkedAnswerSchema>;
+
 /** A range of layers of one version that an engine holds. */
 export const heldLayersSchema = z.object({
   model: nameSchema,
@@ -95,6 +139,8 @@
 /** What an engine reports about itself. */
 export const engineStateSchema = z.object({
   engine: nameSchema,
+  /** Differs after each restart, which empties the engine's memory. */
+  incarnation: z.number().int().optional(),
   accelerator: nameSchema,
   failureDomain: nameSchema,
   /** Layer range of the engine's role for each model it can serve. */
--- a/packages/stand_ins/src/engine/engine.ts
+++ b/packages/stand_ins/src/engine/engine.ts
@@ -4,37 +4,69 @@
  */
 import type { Server, ServerResponse } from "node:http";
 import {
-  type Address,
+  type AttemptRefusal,
+  type AttemptRequest,
   attemptRequestSchema,
-  type EngineEvent,
   type EngineOrder,
   type EngineState,
   engineOrderSchema,
-  formatAddress,
+  type LostCause,
+  type ParkedAnswer,
 } from "@rosemarypin/schemas";
-import { Agent, request } from "undici";
 import { type JsonExchange, reply, startJsonServer } from "../http_json.ts";
 import type { EngineStandInSettings } from "../stand_in_settings.ts";
+import {
+  createEngineLink,
+  type LinkFault,
+  type Outgoing,
+} from "./engine_link.ts";
+import { createEmit } from "./event_stream.ts";
 import { embed } from "./layer_math.ts";
+import { createFileJournal, type RunJournal } from "./run_journal.ts";
 import {
   firstInputs,
+  nextPosition,
   openSequence,
   runStage,
   type Sequence,
+  startPosition,
   takeOutputs,
 } from "./sequence.ts";
+import { createSequenceTable, type SequenceEnd } from "./sequence_table.ts";
 import { batchDurationMs } from "./speed.ts";
 import type { EngineMessage, ReturnMessage, StepMessage } from "./step.ts";
 
-const SEND_TIMEOUT_MS = 1_000;
+/** What tests reach into an engine with. */
+export interface EngineHooks {
+  readonly journal?: RunJournal;
+  readonly linkFault?: LinkFault;
+  /** Aborts when the engine is killed: it does nothing from then on. */
+  readonly killed?: AbortSignal;
+  /** Resolves while the engine is not frozen. */
+  readonly whenRunning?: () => Promise<void>;
+}
 
 /** Starts an engine that holds nothing until it is ordered to. */
 export async function startEngine(
   settings: EngineStandInSettings,
+  hooks: EngineHooks = {},
 ): Promise<Server> {
-  const agent = new Agent({ connect: { timeout: SEND_TIMEOUT_MS } });
-  const sequences = new Map<string, Sequence>();
+  const incarnation = Date.now();
+  const journal =
+    hooks.journal ??
+    (settings.journal ? createFileJournal(settings.journal) : null);
+  const table = createSequenceTable();
   const inbox: StepMessage[] = [];
+  const dispatch = createEngineLink({
+    own: settings.address,
+    linkMs: settings.speed.linkMs,
+    fault: hooks.linkFault,
+    receive: (message) => void receive(message),
+    onUnsent: (messages, reason) =>
+      reportLost(messages, { cause: "unreachable", reason }),
+    onUnknown: (messages) =>
+      reportLost(messages, { cause: "no_cache", reason: "no KV cache" }),
+  });
   let order: EngineOrder = {
     fencingNumber: 0,
     noteNumber: 0,
@@ -44,15 +76,19 @@
   let leaving = false;
   let isBatching = false;
 
-  function handle(exchange: JsonExchange): void {
+  async function handle(exchange: JsonExchange): Promise<void> {
+    await hooks.whenRunning?.();
     const { method, url, response, body } = exchange;
     const call = `${method} ${url.pathname}`;
     if (call === "GET /state") return reply(response, 200, state());
     if (call === "POST /attempts") return startAttempt(exchange);
     if (call === "POST /steps") {
-      reply(response, 200, {});
-      for (const message of body as EngineMessage[]) receive(message);
-      return;
+      const messages = body as EngineMessage[];
+      const known = messages.map(receive);
+      const unknown = messages
+        .filter((_, index) => !known[index])
+        .map(({ requestId }) => requestId);
+      return reply(response, 200, { unknown });
     }
     if (call === "POST /order") return takeOrder(exchange);
     if (call === "POST /leave") {
@@ -60,16 +96,17 @@
       return reply(response, 200, state());
     }
     const cancel = /^POST \/attempts\/([^/]+)\/cancel$/.exec(call);
-    if (cancel?.[1]) {
-      end(decodeURIComponent(cancel[1]), "cancelled by the caller");
-      return reply(response, 200, {});
-    }
+    if (cancel?.[1])
+      return cancelAnswer(decodeURIComponent(cancel[1]), response);
+    const read = /^GET \/attempts\/([^/]+)$/.exec(call);
+    if (read?.[1]) return readAnswer(decodeURIComponent(read[1]), response);
     reply(response, 404, { error: `no ${call}` });
   }
 
   function state(): EngineState {
     const running = new Map<string, EngineState["running"][number]>();
-    for (const { request: answer } of sequences.values()) {
+    const sequences = [...table.allRunning()];
+    for (const { request: answer } of sequences) {
       const { model, version } = answer;
       const key = `${model}/${version}`;
       const count = (running.get(key)?.count ?? 0) + 1;
@@ -77,6 +114,7 @@
     }
     return {
       engine: settings.id,
+      incarnation,
       accelerator: settings.accelerator,
       failureDomain: settings.failureDomain,
       roles: settings.roles,
@@ -86,7 +124,7 @@
       adapters: order.adapters,
       running: [...running.values()],
       leaving,
-      load: sequences.size,
+      load: sequences.length,
     };
   }
 
@@ -97,90 +135,147 @@
       return reply(response, 409, { fencingNumber: order.fencingNumber });
     }
     order = next;
-    for (const [id, { request: answer }] of sequences) {
-      if (!holds(answer.model, answer.version)) end(id, "no longer held");
+    for (const sequence of [...table.allRunning()]) {
+      if (!holds(sequence.request))
+        stop(sequence, { reason: "no longer held" });
     }
+    table.dropParked(({ request }) => holds(request));
     reply(response, 200, state());
   }
 
-  function holds(model: string, version: string): boolean {
+  function holds(answer: AttemptRequest): boolean {
     return order.hold.some(
-      (held) => held.model === model && held.version === version,
+      (held) => held.model === answer.model && held.version === answer.version,
     );
   }
 
   function startAttempt({ response, body }: JsonExchange): void {
     const attempt = attemptRequestSchema.parse(body);
+    const { requestId } = attempt;
     const refusal = refuse(attempt);
-    if (refusal) return reply(response, 409, { error: refusal });
-    response.writeHead(200, { "content-type": "application/x-ndjson" });
-    const emit = (event: EngineEvent) => writeEvent(response, event);
-    const sequence = openSequence(attempt, { stage: 0, emit });
-    sequences.set(attempt.requestId, sequence);
+    if (refusal) return reply(response, 409, refusal);
+    const running = table.running(requestId);
+    if (running) stop(running, { reason: "taken over", takenOver: true });
+    const emit = createEmit(response);
+    const earlier = table.parked(requestId)?.sequence;
+    const sequence = openSequence(attempt, { stage: 0, emit, earlier });
+    if (!sequence) {
+      const lost = { stage: 0, cause: "no_cache", reason: "no cache" } as const;
+      void emit({ type: "stage_lost", attempt: attempt.attempt, ...lost });
+      return;
+    }
+    table.run(sequence);
     response.once("close", () => {
-      if (sequences.get(attempt.requestId) === sequence) {
-        end(attempt.requestId, "the caller left");
-      }
+      if (table.running(requestId) !== sequence) return;
+      stop(sequence, { reason: "the reader left" });
     });
-    emit({ type: "started", attempt: attempt.attempt });
-    enqueue(sequence, { position: 0, inputs: firstInputs(attempt) });
+    void emit({ type: "started", attempt: attempt.attempt });
+    const position = startPosition(attempt, 0);
+    enqueue(sequence, { position, inputs: firstInputs(attempt) });
   }
 
-  function refuse(attempt: {
-    readonly requestId: string;
-    readonly attempt: number;
-    readonly model: string;
-    readonly version: string;
-  }): string | null {
-    if (leaving) return "leaving";
-    if (!holds(attempt.model, attempt.version)) return "version not held";
-    const running = sequences.get(attempt.requestId);
-    if (running && running.request.attempt >= attempt.attempt) {
-      return "a later attempt runs";
+  function refuse(attempt: AttemptRequest): AttemptRefusal | null {
+    const { requestId } = attempt;
+    if (leaving) return { error: "leaving", takenOver: false };
+    if (!holds(attempt)) return { error: "not held", takenOver: false };
+    if (table.latestAttempt(requestId) >= attempt.attempt) {
+      return { error: "a later attempt ran", takenOver: true };
     }
-    if (running) end(attempt.requestId, "replaced by a later attempt");
     return null;
   }
 
-  function receive(message: EngineMessage): void {
-    const sequence = sequences.get(message.requestId);
+  /** Tells any instance what there is of an answer that it takes over. */
+  function readAnswer(requestId: string, response: ServerResponse): void {
+    const parked = table.parked(requestId);
+    const sequence = table.running(requestId) ?? parked?.sequence;
+    if (!sequence?.emit) return reply(response, 404, { error: "not here" });
+    const { request, tokens, lastDigest: digest } = sequence;
+    const ended = parked?.ended ?? null;
+    const answer: ParkedAnswer = { request, tokens, digest, ended };
+    reply(response, 200, answer);
+  }
+
+  function cancelAnswer(requestId: string, response: ServerResponse): void {
+    const sequence =
+      table.running(requestId) ?? table.parked(requestId)?.sequence;
+    if (sequence) {
+      void sequence.emit?.({
+        type: "cancelled",
+        attempt: sequence.request.attempt,
+        takenOver: false,
+        reason: "cancelled by the caller",
+      });
+      closeLaterStages(sequence, { drop: true });
+      table.drop(requestId);
+    }
+    reply(response, 200, {});
+  }
+
+  /** Returns whether the message found its sequence, or needs none. */
+  function receive(message: EngineMessage): boolean {
+    const { requestId, attempt } = message;
     if (message.type === "step") {
-      if (message.open) openFor(message);
-      inbox.push(message);
-      return void batch();
+      if (message.open) openFor(message.open, message.stage);
+      const isKnown = table.latestAttempt(requestId) >= attempt;
+      if (isKnown) inbox.push(message);
+      void batch();
+      return isKnown || message.open !== undefined;
     }
-    if (!sequence || sequence.request.attempt !== message.attempt) return;
-    if (message.type === "close") sequences.delete(message.requestId);
-    else takeReturn(sequence, message);
+    const sequence = table.running(requestId);
+    if (sequence?.request.attempt !== attempt) return true;
+    if (message.type === "return") void takeReturn(sequence, message);
+    else if (message.drop) table.drop(requestId);
+    else table.park(sequence, null);
+    return true;
   }
 
-  /** Opens a later stage's sequence, unless a later attempt runs. */
-  function openFor(message: StepMessage): void {
-    const { open, stage } = message;
-    if (!open) return;
-    const running = sequences.get(open.requestId);
-    if (running && running.request.attempt >= open.attempt) return;
-    if (!holds(open.model, open.version)) {
-      return sendLost(open, { stage, reason: "version not held" });
+  /**
+   * Opens a later stage's sequence. A late message of an older attempt must
+   * not open it again: it would run layers a second time and take the KV
+   * cache away from the attempt that goes on.
+   */
+  function openFor(open: AttemptRequest, stage: number): void {
+    const { requestId } = open;
+    if (table.latestAttempt(requestId) >= open.attempt) return;
+    if (!holds(open)) {
+      const reason = "version not held";
+      return sendLost(open, { stage, cause: "unreachable", reason });
     }
-    sequences.set(open.requestId, openSequence(open, { stage, emit: null }));
+    const earlier =
+      table.running(requestId) ?? table.parked(requestId)?.sequence;
+    const sequence = openSequence(open, { stage, emit: null, earlier });
+    if (sequence) return table.run(sequence);
+    sendLost(open, { stage, cause: "no_cache", reason: "no KV cache" });
   }
 
-  function takeReturn(sequence: Sequence, { result }: ReturnMessage): void {
-    const { emit, request: answer } = sequence;
-    const { attempt, requestId } = answer;
+  async function takeReturn(
+    sequence: Sequence,
+    { result }: ReturnMessage,
+  ): Promise<void> {
+    const { emit, request: answer, tokens } = sequence;
+    const { attempt } = answer;
     if (!emit) return;
     if (result.kind === "lost") {
-      const { stage, reason } = result;
-      emit({ type: "stage_lost", attempt, stage, reason });
-      return end(requestId, "a stage was lost");
+      const { stage, cause, reason } = result;
+      void emit({ type: "stage_lost", attempt, stage, cause, reason });
+      return stop(sequence, { reason });
     }
     const { index, text, digest, isStop } = result;
-    emit({ type: "token", attempt, index, text, digest });
+    // A repeated message would run the next token twice.
+    if (index !== tokens.length) return;
+    tokens.push(text);
+    sequence.lastDigest = digest;
+    const token = { type: "token", attempt, index, text, digest } as const;
     if (isStop || index + 1 >= answer.maxTokens) {
-      emit({ type: "done", attempt, reason: isStop ? "stop" : "length" });
-      return end(requestId, "done");
+      const reason = isStop ? "stop" : "length";
+      void emit({ ...token, ends: reason });
+      void emit({ type: "done", attempt, reason });
+      return stop(sequence, { reason, ended: reason });
     }
+    const room = emit(token);
+    // A slow reader holds its own answer back, not the engine's memory.
+    if (room) await room;
+    if (table.running(answer.requestId) !== sequence) return;
     const position = answer.promptTokens.length + index;
     enqueue(sequence, { position, inputs: [embed(text, position)] });
   }
@@ -201,8 +296,9 @@
     while (inbox.length > 0) {
       const steps = inbox.splice(0, settings.speed.batchSize);
       await sleep(durationOf(steps));
-      const messages = steps.flatMap(runStep);
-      dispatch(messages);
+      await hooks.whenRunning?.();
+      if (hooks.killed?.aborted) return;
+      dispatch(steps.flatMap(runStep));
     }
     isBatching = false;
   }
@@ -218,108 +314,88 @@
   }
 
   function runStep(step: StepMessage): Outgoing[] {
-    const sequence = sequences.get(step.requestId);
-    if (!sequence || sequence.request.attempt !== step.attempt) return [];
-    if (step.position !== sequence.nextPosition) return [];
+    const sequence = table.running(step.requestId);
+    if (sequence?.request.attempt !== step.attempt) return [];
+    if (step.position !== nextPosition(sequence)) return [];
     const { request: answer, stage } = sequence;
     const outputs = runStage(sequence, step.inputs);
+    record(sequence, step);
     const next = answer.stages[stage + 1];
     if (next) {
-      const isFirst = step.position === 0;
-      const message: StepMessage = {
-        ...step,
-        stage: stage + 1,
-        inputs: outputs,
-        ...(isFirst ? { open: answer } : {}),
-      };
+      const message = nextStep(step, { answer, outputs });
       return [{ to: next.address, message }];
     }
     const result = takeOutputs(sequence, outputs);
-    const first = answer.stages[0];
-    if (!result || !first) return [];
-    const { requestId, attempt } = answer;
-    const message: ReturnMessage = {
-      type: "return",
-      requestId,
-      attempt,
-      result,
-    };
-    return [{ to: first.address, message }];
+    return result ? returnTo(answer, result) : [];
   }
 
-  /** Sends all messages for one engine in one call. */
-  function dispatch(outgoing: readonly Outgoing[]): void {
-    const byAddress = new Map<string, EngineMessage[]>();
-    for (const { to, message } of outgoing) {
-      const address = formatAddress(to);
-      const messages = byAddress.get(address) ?? [];
-      messages.push(message);
-      byAddress.set(address, messages);
-    }
-    for (const [address, messages] of byAddress) void send(address, messages);
+  function record({ request, stage }: Sequence, step: StepMessage): void {
+    const layers = request.stages[stage]?.layers ?? { from: 0, to: 0 };
+    journal?.append([
+      {
+        engine: settings.id,
+        incarnation,
+        requestId: request.requestId,
+        attempt: request.attempt,
+        ...layers,
+        position: step.position,
+        count: step.inputs.length,
+        at: Date.now(),
+      },
+    ]);
   }
 
-  async function send(
-    address: string,
+  function reportLost(
     messages: readonly EngineMessage[],
-  ): Promise<void> {
-    if (address === formatAddress(settings.address)) {
-      for (const message of messages) receive(message);
-      return;
-    }
-    await sleep(settings.speed.linkMs);
-    try {
-      const response = await request(`http://${address}/steps`, {
-        dispatcher: agent,
-        method: "POST",
-        body: JSON.stringify(messages),
-        signal: AbortSignal.timeout(SEND_TIMEOUT_MS),
-      });
-      await response.body.dump();
-    } catch (error) {
-      const reason = error instanceof Error ? error.message : String(error);
-      for (const message of messages) reportUnsent(message, reason);
+    lost: { readonly cause: LostCause; readonly reason: string },
+  ): void {
+    for (const message of messages) {
+      const sequence = table.running(message.requestId);
+      const isCurrent = sequence?.request.attempt === message.attempt;
+      if (message.type !== "step" || !isCurrent) continue;
+      sendLost(sequence.request, { stage: message.stage, ...lost });
     }
   }
 
-  function reportUnsent(message: EngineMessage, reason: string): void {
-    if (message.type !== "step") return;
-    const sequence = sequences.get(message.requestId);
-    if (sequence?.request.attempt !== message.attempt) return;
-    sendLost(sequence.request, { stage: message.stage, reason });
-  }
-
-  /** Tells the first stage that a later one cannot go on. */
+  /** Tells the first stage that a stage cannot go on. */
   function sendLost(
-    answer: Sequence["request"],
-    lost: { readonly stage: number; readonly reason: string },
+    answer: AttemptRequest,
+    lost: {
+      readonly stage: number;
+      readonly cause: LostCause;
+      readonly reason: string;
+    },
   ): void {
-    const { requestId, attempt, stages } = answer;
-    const first = stages[0];
-    if (!first) return;
-    const result = { kind: "lost" as const, ...lost };
-    const message: ReturnMessage = {
-      type: "return",
-      requestId,
-      attempt,
-      result,
-    };
-    void send(formatAddress(first.address), [message]);
+    dispatch(returnTo(answer, { kind: "lost", ...lost }));
   }
 
-  /** Ends a sequence here, and on later stages if this is the first. */
-  function end(requestId: string, reason: string): void {
-    const sequence = sequences.get(requestId);
-    if (!sequence) return;
-    sequences.delete(requestId);
-    const { emit, request: answer } = sequence;
+  /** Stops work on all stages; the KV caches are kept for a while. */
+  function stop(
+    sequence: Sequence,
+    options: {
+      readonly reason: string;
+      readonly takenOver?: boolean;
+      readonly ended?: SequenceEnd;
+    },
+  ): void {
+    const { reason, takenOver = false, ended = null } = options;
+    const { emit, request } = sequence;
+    table.park(sequence, ended);
     if (!emit) return;
-    emit({ type: "cancelled", attempt: answer.attempt, reason });
-    const { attempt } = answer;
+    const { attempt } = request;
+    void emit({ type: "cancelled", attempt, takenOver, reason });
+    closeLaterStages(sequence, { drop: ended !== null });
+  }
+
+  function closeLaterStages(
+    { request, stage }: Sequence,
+    { drop }: { readonly drop: boolean },
+  ): void {
+    const { requestId, attempt } = request;
     dispatch(
-      answer.stages.slice(1).map(({ address }) => ({
+      request.stages.slice(stage + 1).map(({ address }) => ({
         to: address,
-        message: { type: "close", requestId, attempt },
+        message: { type: "close", requestId, attempt, drop },
       })),
     );
   }
@@ -328,19 +404,40 @@
   return startJsonServer({ host, port, handle });
 }
 
-interface Outgoing {
-  readonly to: Address;
-  readonly message: EngineMessage;
+/** The step of the next stage, which may need only the last outputs. */
+function nextStep(
+  step: StepMessage,
+  options: {
+    readonly answer: AttemptRequest;
+    readonly outputs: readonly number[];
+  },
+): StepMessage {
+  const { answer, outputs } = options;
+  const stage = step.stage + 1;
+  const start = startPosition(answer, stage);
+  const skipped = Math.max(0, start - step.position);
+  const position = step.position + skipped;
+  const { requestId, attempt } = step;
+  return {
+    type: "step",
+    requestId,
+    attempt,
+    stage,
+    position,
+    inputs: outputs.slice(skipped),
+    ...(position === start ? { open: answer } : {}),
+  };
 }
 
-function writeEvent(response: ServerResponse, event: EngineEvent): void {
-  if (response.destroyed || response.writableEnded) return;
-  response.write(`${JSON.stringify(event)}\n`);
-  const isLast =
-    event.type === "done" ||
-    event.type === "cancelled" ||
-    event.type === "stage_lost";
-  if (isLast) response.end();
+function returnTo(
+  answer: AttemptRequest,
+  result: ReturnMessage["result"],
+): Outgoing[] {
+  const { requestId, attempt, stages } = answer;
+  const [first] = stages;
+  if (!first) return [];
+  const message: ReturnMessage = { type: "return", requestId, attempt, result };
+  return [{ to: first.address, message }];
 }
 
 function sleep(durationMs: number): Promise<void> {
--- /dev/null
+++ b/packages/stand_ins/src/engine/engine_link.ts
@@ -0,0 +1,82 @@
+/** Carries messages from one engine to the others. */
+import { type Address, formatAddress } from "@rosemarypin/schemas";
+import { Agent, request } from "undici";
+import type { EngineMessage, StepsReply } from "./step.ts";
+
+const SEND_TIMEOUT_MS = 1_000;
+
+/** Decides what becomes of messages; tests lose, repeat and delay them. */
+export type LinkFault = (
+  messages: readonly EngineMessage[],
+) => Promise<readonly EngineMessage[]>;
+
+/** A message and the engine that gets it. */
+export interface Outgoing {
+  readonly to: Address;
+  readonly message: EngineMessage;
+}
+
+export interface EngineLinkOptions {
+  readonly own: Address;
+  readonly linkMs: number;
+  readonly fault: LinkFault | undefined;
+  /** Takes the messages of the engine to itself. */
+  receive(message: EngineMessage): void;
+  /** Hears of messages that did not arrive. */
+  onUnsent(messages: readonly EngineMessage[], reason: string): void;
+  /** Hears of requests of which the receiver has no KV cache. */
+  onUnknown(messages: readonly EngineMessage[]): void;
+}
+
+/** Creates the sending half; returns how to send. */
+export function createEngineLink(
+  options: EngineLinkOptions,
+): (outgoing: readonly Outgoing[]) => void {
+  const agent = new Agent({ connect: { timeout: SEND_TIMEOUT_MS } });
+  const own = formatAddress(options.own);
+
+  async function send(
+    address: string,
+    messages: readonly EngineMessage[],
+  ): Promise<void> {
+    if (address === own) {
+      for (const message of messages) options.receive(message);
+      return;
+    }
+    await sleep(options.linkMs);
+    const arriving = (await options.fault?.(messages)) ?? messages;
+    if (arriving.length === 0) return;
+    try {
+      const response = await request(`http://${address}/steps`, {
+        dispatcher: agent,
+        method: "POST",
+        body: JSON.stringify(arriving),
+        signal: AbortSignal.timeout(SEND_TIMEOUT_MS),
+      });
+      const { unknown } = (await response.body.json()) as StepsReply;
+      const lost = messages.filter(({ requestId }) =>
+        unknown.includes(requestId),
+      );
+      options.onUnknown(lost);
+    } catch (error) {
+      const reason = error instanceof Error ? error.message : String(error);
+      options.onUnsent(messages, reason);
+    }
+  }
+
+  /** Sends all messages for one engine in one call. */
+  return (outgoing) => {
+    const byAddress = new Map<string, EngineMessage[]>();
+    for (const { to, message } of outgoing) {
+      const address = formatAddress(to);
+      const messages = byAddress.get(address) ?? [];
+      messages.push(message);
+      byAddress.set(address, messages);
+    }
+    for (const [address, messages] of byAddress) void send(address, messages);
+  };
+}
+
+function sleep(durationMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, durationMs));
+}
--- a/packages/stand_ins/src/engine/sequence.ts
+++ b/packages/stand_ins/src/engine/sequence.ts
@@ -9,41 +9,93 @@
 } from "./layer_math.ts";
 import type { ReturnMessage } from "./step.ts";
 
+/** Takes an event; resolves when the reader has room for the next. */
+export type Emit = (event: EngineEvent) => Promise<void> | null;
+
 /** A sequence with its KV cache; `emit` is set on the first stage only. */
 export interface Sequence {
   readonly request: AttemptRequest;
   readonly stage: number;
-  readonly cache: LayerCache;
-  /** Position that comes next; anything else is a repeat or a gap. */
-  nextPosition: number;
-  /** Digest over the tokens so far; kept on the last stage. */
-  digest: string;
-  /** Index of the next token; kept on the last stage. */
-  nextIndex: number;
-  readonly emit: ((event: EngineEvent) => void) | null;
+  /** KV cache: what the layers held after each position. */
+  readonly cache: LayerCache[];
+  /** Digest after each token; kept on the last stage. */
+  readonly digests: string[];
+  /** Tokens that were emitted, from index 0; kept on the first stage. */
+  readonly tokens: string[];
+  /** Digest after the last of them; kept on the first stage. */
+  lastDigest: string;
+  readonly emit: Emit | null;
+}
+
+/** The position from which a stage must get inputs. */
+export function startPosition(request: AttemptRequest, stage: number): number {
+  const kept = request.stages
+    .slice(stage)
+    .map(({ keptPositions }) => keptPositions ?? 0);
+  return Math.min(...kept);
 }
 
-/** Opens a sequence with an empty cache. */
+/** The position that comes next; anything else is a repeat or a gap. */
+export function nextPosition(sequence: Sequence): number {
+  return sequence.cache.length;
+}
+
+/**
+ * Opens a sequence. It takes over the KV cache of an earlier attempt of the
+ * same request up to the position where this attempt starts; `null` when the
+ * cache that the attempt counts on is not there.
+ */
 export function openSequence(
   request: AttemptRequest,
   options: {
     readonly stage: number;
-    readonly emit: ((event: EngineEvent) => void) | null;
+    readonly emit: Emit | null;
+    readonly earlier: Sequence | undefined;
   },
-): Sequence {
+): Sequence | null {
+  const { stage, emit, earlier } = options;
+  const start = startPosition(request, stage);
+  const usable =
+    earlier && hasSameLayers(earlier, { request, stage }) ? earlier : null;
+  if (start > (usable?.cache.length ?? 0)) return null;
+  const tokenCount = Math.max(0, start - request.promptTokens.length + 1);
   return {
     request,
-    ...options,
-    cache: [],
-    nextPosition: 0,
-    digest: "",
-    nextIndex: 0,
+    stage,
+    emit,
+    cache: usable?.cache.slice(0, start) ?? [],
+    digests: usable?.digests.slice(0, tokenCount) ?? [],
+    tokens: [...request.deliveredTokens],
+    lastDigest: usable?.lastDigest ?? "",
   };
 }
 
+/**
+ * A KV cache belongs to one version, adapter and layer range: nothing of a
+ * withdrawn batch may go into an answer of another.
+ */
+function hasSameLayers(
+  earlier: Sequence,
+  next: { readonly request: AttemptRequest; readonly stage: number },
+): boolean {
+  const { request } = next;
+  const old = earlier.request;
+  const oldLayers = old.stages[earlier.stage]?.layers;
+  const layers = request.stages[next.stage]?.layers;
+  return (
+    old.model === request.model &&
+    old.version === request.version &&
+    old.adapter === request.adapter &&
+    oldLayers?.from === layers?.from &&
+    oldLayers?.to === layers?.to
+  );
+}
+
 /** Inputs of the first stage: the prompt, then what was delivered before. */
 export function firstInputs(request: AttemptRequest): number[] {
-  return [...request.promptTokens, ...request.deliveredTokens].map(embed);
+  const start = startPosition(request, 0);
+  const words = [...request.promptTokens, ...request.deliveredTokens];
+  return words.map(embed).slice(start);
 }
 
 /** Runs the stage's layers on inputs that follow what it has seen. */
@@ -51,12 +103,14 @@
   sequence: Sequence,
   inputs: readonly number[],
 ): number[] {
-  const { request, stage, cache } = sequence;
+  const { request, stage } = sequence;
   const layers = request.stages[stage]?.layers ?? { from: 0, to: 0 };
-  sequence.nextPosition += inputs.length;
-  return inputs.map((input) =>
-    runLayers(input, { weights: request, ...layers, cache }),
-  );
+  return inputs.map((input) => {
+    const cache = [...(sequence.cache.at(-1) ?? [])];
+    const output = runLayers(input, { weights: request, ...layers, cache });
+    sequence.cache.push(cache);
+    return output;
+  });
 }
 
 /**
@@ -67,17 +121,16 @@
   sequence: Sequence,
   outputs: readonly number[],
 ): ReturnMessage["result"] | null {
-  const { request } = sequence;
-  const firstPosition = sequence.nextPosition - outputs.length;
+  const { request, digests } = sequence;
+  const firstPosition = nextPosition(sequence) - outputs.length;
   let result: ReturnMessage["result"] | null = null;
   outputs.forEach((output, offset) => {
     const position = firstPosition + offset;
     if (position < request.promptTokens.length - 1) return;
-    const index = sequence.nextIndex;
-    sequence.nextIndex += 1;
-    sequence.digest = extendDigest(sequence.digest, output);
+    const index = digests.length;
+    const digest = extendDigest(digests.at(-1) ?? "", output);
+    digests.push(digest);
     if (index < request.deliveredTokens.length) return;
-    const { digest } = sequence;
     result = { kind: "token", index, digest, ...sample(output) };
   });
   return result;
--- a/packages/stand_ins/src/engine/step.ts
+++ b/packages/stand_ins/src/engine/step.ts
@@ -1,5 +1,5 @@
 /** Messages between the engines of one pipeline. */
-import type { AttemptRequest } from "@rosemarypin/schemas";
+import type { AttemptRequest, LostCause } from "@rosemarypin/schemas";
 
 /** Work for a stage: the outputs of the stage before it. */
 export interface StepMessage {
@@ -30,15 +30,24 @@
     | {
         readonly kind: "lost";
         readonly stage: number;
+        readonly cause: LostCause;
         readonly reason: string;
       };
 }
 
-/** Ends a sequence on a later stage. */
+/** Stops a sequence on a later stage; its KV cache is kept for a while. */
 export interface CloseMessage {
   readonly type: "close";
   readonly requestId: string;
   readonly attempt: number;
+  /** Whether the KV cache is of no more use. */
+  readonly drop: boolean;
+}
+
+/** What an engine says to the messages of another. */
+export interface StepsReply {
+  /** Requests of which the engine has no KV cache. */
+  readonly unknown: readonly string[];
 }
 
 export type EngineMessage = StepMessage | ReturnMessage | CloseMessage;
--- a/packages/stand_ins/src/mod.ts
+++ b/packages/stand_ins/src/mod.ts
@@ -1,7 +1,10 @@
 /** Stand-ins of what surrounds rosemarypin, for tests, demo and bench. */
 export * from "./engine/engine.ts";
+export * from "./engine/engine_link.ts";
 export * from "./engine/layer_math.ts";
+export * from "./engine/run_journal.ts";
 export * from "./engine/speed.ts";
+export * from "./engine/step.ts";
 export * from "./instance_list.ts";
 export * from "./object_api.ts";
 export * from "./plain_service.ts";
--- a/packages/stand_ins/src/stand_in_settings.ts
+++ b/packages/stand_ins/src/stand_in_settings.ts
@@ -33,6 +33,8 @@
     z.strictObject({ model: nameSchema, layers: layerRangeSchema }),
   ),
   speed: engineSpeedSchema.prefault({}),
+  /** File to which the engine appends what ran; none when left out. */
+  journal: z.string().optional(),
 });
 export type EngineStandInSettings = z.infer<typeof engineStandInSchema>;
 
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -38,6 +38,18 @@
       labelNames: ["model"] as const,
       registers,
     }),
+    recoverySeconds: new Histogram({
+      name: "rosemarypin_recovery_seconds",
+      help: "Time from the loss of a stage being seen to the next token",
+      labelNames: ["model"] as const,
+      buckets: SECONDS_BUCKETS,
+      registers,
+    }),
+    recoveriesWaiting: new Gauge({
+      name: "rosemarypin_recoveries_waiting",
+      help: "Answers that wait for their turn to recover",
+      registers,
+    }),
     noteNumber: new Gauge({
       name: "rosemarypin_note_number",
       help: "Number of the release note that the instance applies",
