--- a/packages/calls/src/answer.ts
+++ b/packages/calls/src/answer.ts
@@ -41,7 +41,7 @@
 const log = createLogger("answer");
 
 export interface AnswerDependencies {
-  readonly keeper: NoteKeeper;
+  readonly keeper: Pick<NoteKeeper, "current" | "onChange">;
   readonly router: Router;
   readonly fleet: EngineFleet;
   readonly engines: EngineClient;
--- a/packages/calls/src/answer_attempt.ts
+++ b/packages/calls/src/answer_attempt.ts
@@ -37,7 +37,7 @@
   | { readonly kind: "taken_over" };
 
 export interface AttemptOptions {
-  readonly keeper: NoteKeeper;
+  readonly keeper: Pick<NoteKeeper, "current" | "onChange">;
   readonly fleet: EngineFleet;
   readonly engines: EngineClient;
   readonly metrics?: Metrics;
--- /dev/null
+++ b/packages/checks/src/answer_faults.ts
@@ -0,0 +1,102 @@
+/** Faults of the check of answers, all drawn from one seed. */
+import type { EngineClient } from "@rosemarypin/backends";
+import type { EngineEvent } from "@rosemarypin/schemas";
+import type { EngineGroup, LinkFault } from "@rosemarypin/stand_ins";
+import type { SeededRandom } from "./seeded_random.ts";
+
+const LOST_MESSAGE = 0.002;
+const REPEATED_MESSAGE = 0.03;
+const LATE_MESSAGE = 0.03;
+const SLOW_LINK = 0.003;
+const LATE_MS = 30;
+const SLOW_MS = 400;
+const LOST_EVENT = 0.002;
+const REPEATED_EVENT = 0.05;
+const SWAPPED_EVENTS = 0.05;
+const BETWEEN_FAULTS_MS = { low: 80, high: 350 };
+const DOWN_MS = { low: 20, high: 500 };
+const FROZEN_MS = { low: 100, high: 1_500 };
+
+/** Loses, repeats and delays messages between engines. */
+export function createLinkFault(random: SeededRandom): LinkFault {
+  return async (messages) => {
+    if (random.chance(LOST_MESSAGE)) return [];
+    if (random.chance(LATE_MESSAGE)) await sleep(random.between(1, LATE_MS));
+    if (random.chance(SLOW_LINK)) await sleep(SLOW_MS);
+    if (random.chance(REPEATED_MESSAGE)) return [...messages, ...messages];
+    return messages;
+  };
+}
+
+/** Loses, repeats and swaps the events of each stream. */
+export function createFaultyClient<T extends EngineClient>(
+  client: T,
+  random: SeededRandom,
+): T {
+  return {
+    ...client,
+    async start(address, attempt, options) {
+      const start = await client.start(address, attempt, options);
+      if (start.kind !== "started") return start;
+      return { ...start, events: disturb(start.events, random) };
+    },
+  } satisfies T;
+}
+
+async function* disturb(
+  events: AsyncIterable<EngineEvent>,
+  random: SeededRandom,
+): AsyncGenerator<EngineEvent> {
+  let held: EngineEvent | null = null;
+  for await (const event of events) {
+    if (random.chance(LOST_EVENT)) continue;
+    if (held === null && random.chance(SWAPPED_EVENTS)) {
+      held = event;
+      continue;
+    }
+    yield event;
+    if (random.chance(REPEATED_EVENT)) yield event;
+    if (held) yield held;
+    held = null;
+  }
+  if (held) yield held;
+}
+
+/** Kills, restarts, freezes and thaws engines until it is told to stop. */
+export async function breakEngines(
+  group: EngineGroup,
+  options: {
+    readonly random: SeededRandom;
+    readonly signal: AbortSignal;
+    readonly onFault: (what: string) => void;
+  },
+): Promise<void> {
+  const { random, signal, onFault } = options;
+  const names = group.engines.map(({ id }) => id);
+  const [first = "", ...rest] = names;
+  const pending: Promise<void>[] = [];
+  while (!signal.aborted) {
+    await sleep(random.between(BETWEEN_FAULTS_MS.low, BETWEEN_FAULTS_MS.high));
+    const engine = random.pick([first, ...rest]);
+    pending.push(random.chance(0.6) ? killFor(engine) : freezeFor(engine));
+  }
+  await Promise.all(pending);
+
+  async function killFor(engine: string): Promise<void> {
+    onFault(`kill ${engine}`);
+    group.kill(engine);
+    await sleep(random.between(DOWN_MS.low, DOWN_MS.high));
+    await group.restart(engine);
+  }
+
+  async function freezeFor(engine: string): Promise<void> {
+    onFault(`freeze ${engine}`);
+    group.freeze(engine);
+    await sleep(random.between(FROZEN_MS.low, FROZEN_MS.high));
+    group.thaw(engine);
+  }
+}
+
+function sleep(durationMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, durationMs));
+}
--- a/packages/fakes/src/mod.ts
+++ b/packages/fakes/src/mod.ts
@@ -1,3 +1,4 @@
 /** Fakes of narrow interfaces, in process, for tests. */
+export * from "./fixed_note.ts";
 export * from "./memory_store.ts";
 export * from "./peer_network.ts";
--- /dev/null
+++ b/packages/stand_ins/src/engine/engine_group.ts
@@ -0,0 +1,163 @@
+/** Engines in one process that tests kill, freeze and cut off. */
+import type { Server } from "node:http";
+import {
+  type Address,
+  type EngineSettings,
+  formatAddress,
+  type LayerRange,
+} from "@rosemarypin/schemas";
+import { request } from "undici";
+import type { EngineSpeed } from "../stand_in_settings.ts";
+import { startEngine } from "./engine.ts";
+import type { LinkFault } from "./engine_link.ts";
+import type { RunEntry } from "./run_journal.ts";
+
+/** Engines that hold the same layers. */
+export interface EngineGroupStage {
+  readonly layers: LayerRange;
+  readonly count: number;
+  readonly speed: EngineSpeed;
+}
+
+export interface EngineGroupOptions {
+  readonly model: string;
+  readonly versions: readonly string[];
+  readonly stages: readonly EngineGroupStage[];
+  readonly nextAddress: () => Address;
+  /** Applies to each message between two engines. */
+  readonly linkFault?: LinkFault;
+}
+
+/** The engines, and what can happen to them. */
+export interface EngineGroup {
+  readonly engines: readonly EngineSettings[];
+  /** All that ran, in order; it outlives each engine. */
+  readonly journal: readonly RunEntry[];
+  kill(engine: string): void;
+  /** Starts a killed engine at its address, with empty memory. */
+  restart(engine: string): Promise<void>;
+  freeze(engine: string): void;
+  thaw(engine: string): void;
+  stop(): void;
+}
+
+interface Member {
+  readonly settings: EngineSettings;
+  readonly speed: EngineSpeed;
+  server: Server | null;
+  killed: AbortController;
+  frozen: PromiseWithResolver | null;
+}
+
+interface PromiseWithResolver {
+  readonly promise: Promise<void>;
+  resolve(): void;
+}
+
+/** Starts all engines and orders them to hold their layers. */
+export async function startEngineGroup(
+  options: EngineGroupOptions,
+): Promise<EngineGroup> {
+  const journal: RunEntry[] = [];
+  const members = new Map<string, Member>();
+  for (const [index, stage] of options.stages.entries()) {
+    for (let copy = 1; copy <= stage.count; copy++) {
+      const settings: EngineSettings = {
+        id: `engine-${index + 1}-${copy}`,
+        failureDomain: `domain-${copy}`,
+        address: options.nextAddress(),
+        accelerator: "stand-in",
+        checksFencing: true,
+        roles: [{ model: options.model, layers: stage.layers }],
+      };
+      members.set(settings.id, {
+        settings,
+        speed: stage.speed,
+        server: null,
+        killed: new AbortController(),
+        frozen: null,
+      });
+    }
+  }
+  for (const member of members.values()) await start(member);
+
+  async function start(member: Member): Promise<void> {
+    const { settings, speed } = member;
+    const killed = new AbortController();
+    member.killed = killed;
+    member.server = await startEngine(
+      { kind: "engine", ...settings, speed },
+      {
+        journal: { append: (entries) => journal.push(...entries) },
+        killed: killed.signal,
+        whenRunning: () => whenRunning(member, killed.signal),
+        linkFault: async (messages) => {
+          await whenRunning(member, killed.signal);
+          return (await options.linkFault?.(messages)) ?? messages;
+        },
+      },
+    );
+    const hold = options.versions.map((version) => ({
+      model: options.model,
+      version,
+      layers: settings.roles[0]?.layers,
+    }));
+    const order = { fencingNumber: 1, noteNumber: 1, hold, adapters: [] };
+    const url = `http://${formatAddress(settings.address)}/order`;
+    const response = await request(url, {
+      method: "POST",
+      body: JSON.stringify(order),
+    });
+    await response.body.dump();
+  }
+
+  /** A killed engine never goes on; a frozen one does when it is thawed. */
+  function whenRunning(member: Member, killed: AbortSignal): Promise<void> {
+    if (killed.aborted) return new Promise(() => {});
+    return member.frozen?.promise ?? Promise.resolve();
+  }
+
+  function find(engine: string): Member {
+    const member = members.get(engine);
+    if (!member) throw new Error(`there is no ${engine}`);
+    return member;
+  }
+
+  function kill(member: Member): void {
+    member.killed.abort();
+    member.server?.closeAllConnections();
+    member.server?.close();
+    member.server = null;
+    thaw(member);
+  }
+
+  function thaw(member: Member): void {
+    member.frozen?.resolve();
+    member.frozen = null;
+  }
+
+  return {
+    engines: [...members.values()].map(({ settings }) => settings),
+    journal,
+    kill: (engine) => kill(find(engine)),
+    async restart(engine) {
+      const member = find(engine);
+      if (!member.server) await start(member);
+    },
+    freeze(engine) {
+      find(engine).frozen ??= createResolver();
+    },
+    thaw: (engine) => thaw(find(engine)),
+    stop() {
+      for (const member of members.values()) kill(member);
+    },
+  };
+}
+
+function createResolver(): PromiseWithResolver {
+  let resolve = () => {};
+  const promise = new Promise<void>((done) => {
+    resolve = done;
+  });
+  return { promise, resolve };
+}
