--- /dev/null
+++ b/packages/backends/src/engine_client_test.ts
@@ -0,0 +1,77 @@
+import { createServer, type Server } from "node:http";
+import type { AddressInfo } from "node:net";
+import type { AttemptRequest } from "@rosemarypin/schemas";
+import { afterEach, describe, expect, test } from "vitest";
+import { createEngineClient } from "./engine_client.ts";
+
+let server: Server | undefined;
+afterEach(() => {
+  server?.closeAllConnections();
+  server?.close();
+});
+
+const attempt: AttemptRequest = {
+  requestId: "answer-1",
+  organisation: "kano",
+  attempt: 1,
+  model: "assist",
+  version: "v1",
+  noteNumber: 1,
+  stages: [],
+  promptTokens: ["a"],
+  deliveredTokens: [],
+  maxTokens: 1,
+  priority: "standard",
+};
+
+/**
+ * Only an engine's own refusal, or no connection at all, proves that nothing
+ * ran. Anything else taken for a refusal would become a false `not_run`.
+ */
+describe("how the start of an attempt is understood", () => {
+  const rows: [string, number, string, string][] = [
+    ["its own refusal", 409, '{"error":"leaving"}', "refused"],
+    ["an error after it may have begun", 500, "{}", "broken"],
+    ["a proxy's refusal", 503, "", "broken"],
+    ["a started attempt", 200, "", "started"],
+  ];
+  test.each(rows)("%s", async (_name, status, body, kind) => {
+    server = createServer((_request, response) => {
+      response.writeHead(status);
+      response.end(body);
+    });
+    const address = await listen(server);
+    const { signal } = new AbortController();
+    const start = await createEngineClient().start(address, attempt, {
+      signal,
+    });
+    expect(start.kind).toBe(kind);
+  });
+
+  test("reset before an answer", async () => {
+    server = createServer((request) => request.socket.destroy());
+    const address = await listen(server);
+    const { signal } = new AbortController();
+    const start = await createEngineClient().start(address, attempt, {
+      signal,
+    });
+    expect(start.kind).toBe("broken");
+  });
+
+  test("connection refused", async () => {
+    const closed = createServer();
+    const address = await listen(closed);
+    await new Promise((resolve) => closed.close(resolve));
+    const { signal } = new AbortController();
+    const start = await createEngineClient().start(address, attempt, {
+      signal,
+    });
+    expect(start.kind).toBe("not_sent");
+  });
+});
+
+async function listen(target: Server) {
+  await new Promise<void>((resolve) => target.listen(0, "127.0.0.1", resolve));
+  const { port } = target.address() as AddressInfo;
+  return { host: "127.0.0.1", port };
+}
--- a/packages/fakes/src/mod.ts
+++ b/packages/fakes/src/mod.ts
@@ -2,3 +2,4 @@
 export * from "./fixed_note.ts";
 export * from "./memory_store.ts";
 export * from "./peer_network.ts";
+export * from "./scripted_engines.ts";
--- a/packages/stand_ins/src/engine/engine_group.ts
+++ b/packages/stand_ins/src/engine/engine_group.ts
@@ -107,6 +107,8 @@
     const response = await request(url, {
       method: "POST",
       body: JSON.stringify(order),
+      // The next engine at this address must not get a dead connection.
+      reset: true,
     });
     await response.body.dump();
   }
--- /dev/null
+++ b/packages/stand_ins/src/engine/engine_test.ts
@@ -0,0 +1,115 @@
+import { findFreePorts } from "@rosemarypin/launcher";
+import type { AttemptRequest } from "@rosemarypin/schemas";
+import { request } from "undici";
+import { afterEach, beforeEach, expect, test } from "vitest";
+import { type EngineGroup, startEngineGroup } from "./engine_group.ts";
+import { embed } from "./layer_math.ts";
+import type { EngineMessage, StepsReply } from "./step.ts";
+
+const SPEED = {
+  batchMs: 1,
+  layerMicros: 0,
+  promptFactor: 0.1,
+  linkMs: 0,
+  batchSize: 8,
+};
+
+let group: EngineGroup;
+
+beforeEach(async () => {
+  const ports = await findFreePorts(2);
+  group = await startEngineGroup({
+    model: "assist",
+    versions: ["v1"],
+    stages: [
+      { layers: { from: 0, to: 2 }, count: 1, speed: SPEED },
+      { layers: { from: 2, to: 4 }, count: 1, speed: SPEED },
+    ],
+    nextAddress: () => ({ host: "127.0.0.1", port: ports.shift() ?? 0 }),
+  });
+});
+
+afterEach(() => group.stop());
+
+function attempt(number: number): AttemptRequest {
+  return {
+    requestId: "answer-1",
+    organisation: "kano",
+    attempt: number,
+    model: "assist",
+    version: "v1",
+    noteNumber: 1,
+    stages: group.engines.map(({ id, address, roles }) => ({
+      engine: id,
+      address,
+      layers: roles[0]?.layers ?? { from: 0, to: 1 },
+    })),
+    promptTokens: ["a", "b"],
+    deliveredTokens: [],
+    maxTokens: 4,
+    priority: "standard",
+  };
+}
+
+function step(number: number, open: boolean): EngineMessage {
+  return {
+    type: "step",
+    requestId: "answer-1",
+    attempt: number,
+    stage: 1,
+    position: 0,
+    inputs: [embed("a", 0), embed("b", 1)],
+    ...(open ? { open: attempt(number) } : {}),
+  };
+}
+
+async function sendToLast(message: EngineMessage): Promise<StepsReply> {
+  const { address } = group.engines[1] ?? { address: { port: 0 } };
+  const url = `http://127.0.0.1:${address.port}/steps`;
+  const body = JSON.stringify([message]);
+  const response = await request(url, { method: "POST", body });
+  return (await response.body.json()) as StepsReply;
+}
+
+async function settle(): Promise<string[]> {
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  return group.journal.map((run) => `attempt ${run.attempt}`);
+}
+
+/**
+ * A message of a given-up attempt hangs in a slow link and comes after the
+ * next attempt began. Opened again, the old attempt would take the place of
+ * the new one, and layers would run for an answer that nobody reads.
+ */
+test("a late message of an older attempt runs nothing", async () => {
+  await sendToLast(step(2, true));
+  expect(await settle()).toEqual(["attempt 2"]);
+  await sendToLast(step(1, true));
+  expect(await settle()).toEqual(["attempt 2"]);
+});
+
+/** The same, when the newer attempt is already stopped and parked. */
+test("nor after the newer attempt was stopped", async () => {
+  const close = { type: "close", requestId: "answer-1", attempt: 2 } as const;
+  await sendToLast(step(2, true));
+  await sendToLast({ ...close, drop: false });
+  await settle();
+  await sendToLast(step(2, true));
+  await sendToLast(step(1, true));
+  expect(await settle()).toEqual(["attempt 2"]);
+});
+
+/** A message comes twice: each layer still runs once for the position. */
+test("a repeated message runs nothing", async () => {
+  await sendToLast(step(1, true));
+  await sendToLast(step(1, true));
+  expect(await settle()).toEqual(["attempt 1"]);
+});
+
+/**
+ * A stage was restarted with empty memory. If it took messages in silence,
+ * the stage before it would believe that its work goes on.
+ */
+test("an engine says that it knows nothing of a request", async () => {
+  expect(await sendToLast(step(1, false))).toEqual({ unknown: ["answer-1"] });
+});
