--- a/packages/calls/src/answer.ts
+++ b/packages/calls/src/answer.ts
@@ -168,8 +168,6 @@
         reason: record.note.reason,
       });
     }
-    // Nothing of a withdrawn batch may go into an answer of another.
-    progress.kept.clear();
   }
   const permission = permitAnswer(record, request);
   if (permission.kind === "allowed") {
--- a/packages/stand_ins/src/engine/engine_group.ts
+++ b/packages/stand_ins/src/engine/engine_group.ts
@@ -97,6 +97,10 @@
         },
       },
     );
+    await orderToHold(member);
+  }
+
+  async function orderToHold({ settings, killed }: Member): Promise<void> {
     const hold = options.versions.map((version) => ({
       model: options.model,
       version,
@@ -104,13 +108,19 @@
     }));
     const order = { fencingNumber: 1, noteNumber: 1, hold, adapters: [] };
     const url = `http://${formatAddress(settings.address)}/order`;
-    const response = await request(url, {
-      method: "POST",
-      body: JSON.stringify(order),
-      // The next engine at this address must not get a dead connection.
-      reset: true,
-    });
-    await response.body.dump();
+    while (!killed.signal.aborted) {
+      try {
+        const response = await request(url, {
+          method: "POST",
+          body: JSON.stringify(order),
+          // The next engine at this address must not get a dead connection.
+          reset: true,
+        });
+        return await response.body.dump();
+      } catch {
+        // Killed while it started, or not listening yet: the loop tells.
+      }
+    }
   }
 
   /** A killed engine never goes on; a frozen one does when it is thawed. */
--- a/packages/stand_ins/src/engine/engine_test.ts
+++ b/packages/stand_ins/src/engine/engine_test.ts
@@ -71,6 +71,14 @@
   return (await response.body.json()) as StepsReply;
 }
 
+async function sendToFirst(path: string, message: unknown): Promise<void> {
+  const { address } = group.engines[0] ?? { address: { port: 0 } };
+  const url = `http://127.0.0.1:${address.port}${path}`;
+  const body = JSON.stringify(message);
+  const response = await request(url, { method: "POST", body });
+  response.body.on("error", () => {}).resume();
+}
+
 async function settle(): Promise<string[]> {
   await new Promise((resolve) => setTimeout(resolve, 50));
   return group.journal.map((run) => `attempt ${run.attempt}`);
@@ -106,6 +114,28 @@
   expect(await settle()).toEqual(["attempt 1"]);
 });
 
+/**
+ * The last stage's token comes to the first stage twice. Kept twice, it
+ * would be in the answer twice for a caller who resumes it.
+ */
+test("a repeated token is kept once", async () => {
+  group.kill("engine-2-1");
+  await sendToFirst("/attempts", attempt(1));
+  const result = {
+    kind: "token",
+    index: 0,
+    text: "w",
+    digest: "",
+    isStop: false,
+  };
+  const back = { type: "return", requestId: "answer-1", attempt: 1, result };
+  await sendToFirst("/steps", [back, back]);
+  const { address } = group.engines[0] ?? { address: { port: 0 } };
+  const url = `http://127.0.0.1:${address.port}/attempts/answer-1`;
+  const response = await request(url);
+  expect(await response.body.json()).toMatchObject({ tokens: ["w"] });
+});
+
 /**
  * A stage was restarted with empty memory. If it took messages in silence,
  * the stage before it would believe that its work goes on.
