--- a/packages/stand_ins/src/engine/engine_test.ts
+++ b/packages/stand_ins/src/engine/engine_test.ts
@@ -119,7 +119,7 @@
  * would be in the answer twice for a caller who resumes it.
  */
 test("a repeated token is kept once", async () => {
-  group.kill("engine-2-1");
+  group.freeze("engine-2-1");
   await sendToFirst("/attempts", attempt(1));
   const result = {
     kind: "token",
