--- a/packages/bench/src/bench_command.ts
+++ b/packages/bench/src/bench_command.ts
@@ -10,4 +10,9 @@
 /** Commands by name, each loaded only when it is asked for. */
 export const benchCommands: Readonly<
   Record<string, () => Promise<BenchCommand>>
-> = {};
+> = {
+  recovery: async () =>
+    (await import("./answers/recovery_command.ts")).recoveryCommand,
+  streams: async () =>
+    (await import("./answers/streams_command.ts")).streamsCommand,
+};
--- a/packages/stand_ins/src/engine/engine.ts
+++ b/packages/stand_ins/src/engine/engine.ts
@@ -340,7 +340,7 @@
         ...layers,
         position: step.position,
         count: step.inputs.length,
-        at: Date.now(),
+        at: performance.timeOrigin + performance.now(),
       },
     ]);
   }
