--- a/packages/bench/src/answers/recovery_command.ts
+++ b/packages/bench/src/answers/recovery_command.ts
@@ -24,6 +24,9 @@
 const TOKENS = 30;
 const BREAK_AT = [5, 9, 14, 18];
 const SETTLE_MS = 700;
+const CANCELS = 12;
+const LEAVE_AT = 6;
+const AFTER_LEAVING_MS = 1_000;
 const MICROS = 1_000;
 
 const FAST = {
@@ -71,11 +74,43 @@
       }
       tell(fault, rounds);
     }
+    await measureCancel(group);
     group.stop();
     return 0;
   },
 };
 
+/** From a caller's departure to the last work of any stage for it. */
+async function measureCancel(group: EngineGroup): Promise<void> {
+  const entry = await startEntry({ engines: group.engines, layers: LAYERS });
+  const histogram = build();
+  for (let number = 0; number < CANCELS; number++) {
+    const requestId = `cancel-${number}`;
+    const left = new AbortController();
+    const { signal } = left;
+    const request = describeRequest(requestId, { words: WORDS, tokens: 500 });
+    for await (const event of runAnswer(request, {
+      ...entry.answers,
+      signal,
+    })) {
+      if (event.type !== "token" || event.index === LEAVE_AT) break;
+    }
+    left.abort();
+    const leftAt = performance.timeOrigin + performance.now();
+    await sleep(AFTER_LEAVING_MS);
+    const last = group.journal.findLast((run) => run.requestId === requestId);
+    const workedMs = Math.max(0, (last?.at ?? leftAt) - leftAt);
+    histogram.recordValue(Math.round(workedMs * MICROS));
+  }
+  entry.stop();
+  const at = (percentile: number) =>
+    (histogram.getValueAtPercentile(percentile) / MICROS).toFixed(1);
+  console.log(
+    `cancel rounds=${CANCELS} work_after_leaving_ms=[p50 ${at(50)} ` +
+      `p99 ${at(99)}] watched_ms=${AFTER_LEAVING_MS}`,
+  );
+}
+
 async function runRound(
   group: EngineGroup,
   options: { readonly fault: Fault; readonly number: number },
