Give second callers of a key the first answer, and ask the owner

Cause: a second caller that came while the first still ran was told outcome_unknown at once; a claim whose write came late after not_run was told, or whose release could not be written, blocked its key for good; keys such as '..' became other paths in the store's URL and could meet.

A claim is freed only by its owner's own word (in memory, asked for over the peers' RPC) or by its released record. Ruled out: freeing a claim by a look-up that finds nothing, or when the owner seems dead: its bytes may still wait in a frozen server, or the owner may be frozen before sending.

Non-repeatable calls go over a connection of their own, so that everything before the connection stands is certain not to have run. Idempotent calls draw their retries on a budget. Servers that fail are trusted with less and come back slowly; leaving is decided by settings, then the server's own word, then the platform's list.

--- a/packages/backends/src/mod.ts
+++ b/packages/backends/src/mod.ts
@@ -1,5 +1,8 @@
 /** Clients of engines and of plain services. */
 export * from "./engine_client.ts";
 export * from "./engine_fleet.ts";
+export * from "./leaving.ts";
+export * from "./server_health.ts";
 export * from "./service_client.ts";
+export * from "./service_fleet.ts";
 export * from "./transport_failure.ts";
--- /dev/null
+++ b/packages/calls/src/idempotent_call.ts
@@ -0,0 +1,44 @@
+/** A call that may be repeated: tries servers until one answers. */
+import { failedRun, notRun } from "./call_failure.ts";
+import {
+  answered,
+  failed,
+  type ServiceCall,
+  type ServiceCallContext,
+  type ServiceCallResult,
+} from "./service_context.ts";
+import { logServerFailure } from "./service_log.ts";
+
+const RETRY_SECONDS = 1;
+
+/** Tries servers in turn, within the deadline and the retry budget. */
+export async function runIdempotent(
+  call: ServiceCall,
+  context: ServiceCallContext,
+): Promise<ServiceCallResult> {
+  const { service, budget, fleet } = context;
+  let mayHaveRun = false;
+  let tries = 0;
+  budget.earn();
+  for (const server of context.servers()) {
+    const leftMs = call.deadlineAt - Date.now();
+    if (leftMs <= 0) break;
+    if (tries > 0 && !budget.spend()) break;
+    tries += 1;
+    const result = await fleet.send(server, call.request, {
+      timeoutMs: Math.min(service.timeoutMs, leftMs),
+    });
+    if (result.kind === "answer") {
+      return answered(result.answer, { repeated: false });
+    }
+    mayHaveRun ||= result.kind === "broken";
+    logServerFailure(call, { server: server.id, result });
+  }
+  const message = `no server of '${call.service}' answered; ask again`;
+  const retryAfterSeconds = RETRY_SECONDS;
+  return failed(
+    mayHaveRun
+      ? failedRun("no_answer", { message, retryAfterSeconds })
+      : notRun("no_server", { message, retryAfterSeconds }),
+  );
+}
--- a/packages/calls/src/mod.ts
+++ b/packages/calls/src/mod.ts
@@ -1,5 +1,10 @@
 /** One call from admission to its final answer. */
 export * from "./answer.ts";
 export * from "./call_failure.ts";
-export * from "./claims.ts";
+export * from "./claim_key.ts";
+export * from "./claim_owners.ts";
+export * from "./claim_registry.ts";
+export * from "./claim_store.ts";
+export * from "./record_claims.ts";
 export * from "./service_call.ts";
+export * from "./service_context.ts";
--- a/packages/daemon/src/caller_server.ts
+++ b/packages/daemon/src/caller_server.ts
@@ -6,6 +6,7 @@
   badCall,
   type CallFailure,
   notRun,
+  outcomeUnknown,
   runAnswer,
   type ServiceCall,
   type ServiceCallResult,
@@ -49,6 +50,8 @@
   readonly response: ServerResponse;
   readonly requestId: string;
   readonly organisation: Organisation;
+  /** Set once work was handed on, which from then on may have run. */
+  handedOn: boolean;
 }
 
 /** Starts to take calls at the callers' address. */
@@ -69,12 +72,20 @@
       return sendFailure(response, wrongKey(), { requestId });
     }
     const end = work.begin();
+    const exchange: Exchange = {
+      request,
+      response,
+      requestId,
+      organisation,
+      handedOn: false,
+    };
     try {
-      await route({ request, response, requestId, organisation });
+      await route(exchange);
     } catch (error) {
       const reason = error instanceof Error ? error.message : String(error);
       log.warn("internal_error", { request: requestId, reason });
-      sendFailure(response, internalError(), { requestId });
+      if (response.headersSent) response.destroy();
+      sendFailure(response, internalError(exchange), { requestId });
     } finally {
       end();
     }
@@ -126,6 +137,7 @@
       priority: priorityOf(request, organisation),
       deadlineAt: Date.now() + deadlineMs(request, settings),
     };
+    exchange.handedOn = true;
     const events = runAnswer(answerRequest, {
       ...options.answers,
       signal: left.signal,
@@ -186,8 +198,11 @@
     const body = await takeBody(exchange);
     if (!body) return;
     const contentType = request.headers["content-type"];
+    const deadlineAt = Date.now() + deadlineMs(request, settings);
+    exchange.handedOn = true;
     const result = await options.callService({
       requestId,
+      deadlineAt,
       organisation: organisation.name,
       service,
       idempotencyKey: key === undefined ? undefined : String(key),
@@ -344,7 +359,12 @@
   });
 }
 
-function internalError(): CallFailure {
+/** After work was handed on, `not_run` could be untrue. */
+function internalError({ handedOn }: Exchange): CallFailure {
+  if (handedOn) {
+    const message = "something broke in this instance; the call may have run";
+    return outcomeUnknown("internal_error", message);
+  }
   return notRun("internal_error", {
     message: "something broke in this instance; ask again",
     retryAfterSeconds: REFUSAL_RETRY_SECONDS,
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,12 +1,16 @@
 /** Wires the packages into one daemon. */
-import type { Server } from "node:http";
 import {
   createEngineClient,
   createEngineFleet,
   createServiceClient,
+  createServiceFleet,
   type EngineFleet,
 } from "@rosemarypin/backends";
-import { createClaimStore, createServiceCaller } from "@rosemarypin/calls";
+import {
+  createClaimRegistry,
+  createRecordClaims,
+  createServiceCaller,
+} from "@rosemarypin/calls";
 import {
   createMembership,
   createPeerCaller,
@@ -17,7 +21,7 @@
   createControlLease,
   createEngineController,
 } from "@rosemarypin/placement";
-import { createHttpObjectStore } from "@rosemarypin/platform";
+import { createHttpObjectStore, readInstanceList } from "@rosemarypin/platform";
 import {
   collectStatus,
   createNoteKeeper,
@@ -35,10 +39,11 @@
 import { createLogger, createMetrics } from "@rosemarypin/telemetry";
 import { startAdminServer } from "./admin_server.ts";
 import { startCallerServer } from "./caller_server.ts";
+import { claimOwnerMethods, createPeerClaimOwners } from "./claim_owners.ts";
+import { closeGracefully, closeNow } from "./graceful_close.ts";
 import { createWorkInProgress } from "./work_in_progress.ts";
 
-/** How long an instance is unready before it stops, for balancers that lag. */
-const BALANCER_LAG_MS = 1_000;
+const INSTANCE_LIST_EVERY_MS = 1_000;
 
 const log = createLogger("daemon");
 
@@ -109,13 +114,31 @@
     store,
     keeper,
   });
+  const services = createServiceFleet({
+    services: settings.services,
+    client: createServiceClient(),
+  });
+  const registry = createClaimRegistry({ incarnation });
   const callService = createServiceCaller({
     keeper,
     services: settings.services,
-    client: createServiceClient(),
-    claims: createClaimStore({ deployment, owner: id, incarnation, store }),
+    fleet: services,
+    claims: createRecordClaims({ deployment, owner: id, incarnation, store }),
+    registry,
+    owners: createPeerClaimOwners({ id, membership, peers, registry }),
     failureDomain,
+    runInBackground(task) {
+      const end = work.begin();
+      void task.finally(end);
+    },
   });
+  const listTimer = setInterval(() => void readList(), INSTANCE_LIST_EVERY_MS);
+
+  async function readList(): Promise<void> {
+    const { instanceList } = settings.platform;
+    if (instanceList) services.takeList(await readInstanceList(instanceList));
+  }
+
   let draining = false;
 
   function confirm(): NoteConfirmation {
@@ -171,6 +194,7 @@
   const peerServer = await startPeerServer(addresses.peers, {
     "note.current": () => keeper.current(),
     "note.confirm": () => confirm(),
+    ...claimOwnerMethods(registry),
   });
   const adminServer = await startAdminServer({
     settings,
@@ -191,25 +215,31 @@
     metrics,
     work,
   });
+  callerServer.prependListener("request", (_request, response) => {
+    if (draining) response.setHeader("connection", "close");
+  });
   log.info("started", { instance: id, domain: failureDomain });
 
   return {
     async stop() {
       draining = true;
       membership.share({ draining });
-      await new Promise((resolve) => setTimeout(resolve, BALANCER_LAG_MS));
-      const stopAccepting = closeServer(callerServer);
+      await new Promise((resolve) =>
+        setTimeout(resolve, settings.balancerLagMs),
+      );
+      const stopAccepting = closeGracefully(callerServer);
       const ended = await work.waitForEnd(settings.shutdownGraceMs);
       controller.stop();
       lease.stop();
       keeper.stop();
       fleet.stop();
+      services.stop();
+      clearInterval(listTimer);
       await membership.leave();
       callerServer.closeAllConnections();
       await stopAccepting;
       for (const server of [peerServer, adminServer]) {
-        server.closeAllConnections();
-        await closeServer(server);
+        await closeNow(server);
       }
       log.info("stopped", { instance: id, all_work_ended: ended });
       return ended;
@@ -217,13 +247,6 @@
   };
 }
 
-function closeServer(server: Server): Promise<void> {
-  return new Promise((resolve) => {
-    server.close(() => resolve());
-    server.closeIdleConnections();
-  });
-}
-
 function viewInstances(membership: Membership): InstanceView[] {
   const self = membership.self();
   const own: InstanceView = {
--- /dev/null
+++ b/packages/daemon/src/graceful_close.ts
@@ -0,0 +1,31 @@
+/** Ways to close a server of HTTP. */
+import type { Server } from "node:http";
+
+const SWEEP_EVERY_MS = 100;
+
+/**
+ * Takes no new connection, lets requests end, and closes what falls idle.
+ *
+ * A connection whose last answer began before the drain is kept alive by its
+ * caller and would hold the server open until the grace time cuts it.
+ */
+export function closeGracefully(server: Server): Promise<void> {
+  return new Promise((resolve) => {
+    const sweep = setInterval(
+      () => server.closeIdleConnections(),
+      SWEEP_EVERY_MS,
+    );
+    server.close(() => {
+      clearInterval(sweep);
+      resolve();
+    });
+  });
+}
+
+/** Cuts all connections. */
+export function closeNow(server: Server): Promise<void> {
+  return new Promise((resolve) => {
+    server.close(() => resolve());
+    server.closeAllConnections();
+  });
+}
--- a/packages/schemas/src/peer.ts
+++ b/packages/schemas/src/peer.ts
@@ -1,6 +1,7 @@
 /** Messages between instances, carried as JSON-RPC 2.0. */
 import { z } from "zod";
 import { addressSchema, nameSchema, noteNumberSchema } from "./names.ts";
+import { claimStateSchema } from "./stored.ts";
 
 /** The small state that each instance shares with its peers. */
 export const sharedStateSchema = z.object({
@@ -52,3 +53,24 @@
   ),
 });
 export type NoteConfirmation = z.infer<typeof noteConfirmationSchema>;
+
+/** Asks the owner of a claim what became of the call. */
+export const claimQuestionSchema = z.object({
+  /** Start of the owner's process that made the claim. */
+  incarnation: z.number(),
+  requestId: z.string(),
+  /** How long to wait for the end of a call that still runs. */
+  waitMs: z.number().nonnegative(),
+});
+export type ClaimQuestion = z.infer<typeof claimQuestionSchema>;
+
+/** What the owner of a claim knows of the call. */
+export const claimWordSchema = z.discriminatedUnion("kind", [
+  z.object({ kind: z.literal("running") }),
+  /** The call was not sent, and never will be under this claim. */
+  z.object({ kind: z.literal("never_sent") }),
+  z.object({ kind: z.literal("settled"), state: claimStateSchema }),
+  /** Another process made the claim, or it was too long ago. */
+  z.object({ kind: z.literal("forgotten") }),
+]);
+export type ClaimWord = z.infer<typeof claimWordSchema>;
--- a/packages/schemas/src/settings.ts
+++ b/packages/schemas/src/settings.ts
@@ -49,14 +49,23 @@
         id: nameSchema,
         failureDomain: nameSchema,
         address: addressSchema,
+        /** Set by operators: nothing new goes to the server. */
+        leaving: z.boolean().optional(),
       }),
     )
     .min(1),
+  /** Where a server says whether it takes new calls; 200 means yes. */
+  health: z.strictObject({ path: z.string().startsWith("/") }).optional(),
+  /** Where a call that ran is found by its key, put in place of `{key}`. */
+  lookup: z
+    .strictObject({ path: z.string().startsWith("/").includes("{key}") })
+    .optional(),
   calls: z.array(callRuleSchema).min(1),
   /** How long one call may take on a server, in milliseconds. */
   timeoutMs: z.number().int().positive().default(5_000),
 });
 export type ServiceSettings = z.infer<typeof serviceSchema>;
+export type ServiceServer = ServiceSettings["servers"][number];
 
 const peerSchema = z.strictObject({
   id: nameSchema,
@@ -120,6 +129,8 @@
     .prefault({}),
   /** How long a request may take when the caller does not say. */
   defaultDeadlineMs: z.number().int().positive().default(60_000),
+  /** How long a stopping instance still takes what late balancers send. */
+  balancerLagMs: z.number().int().nonnegative().default(2_000),
   /** How long SIGTERM waits for work in progress, in milliseconds. */
   shutdownGraceMs: z.number().int().positive().default(30_000),
   limits: limitsSchema.prefault({}),
--- a/packages/schemas/src/stored.ts
+++ b/packages/schemas/src/stored.ts
@@ -31,6 +31,21 @@
 });
 export type LeaseObject = z.infer<typeof leaseObjectSchema>;
 
+/** What is known of a non-repeatable call. */
+export const claimStateSchema = z.discriminatedUnion("kind", [
+  z.object({ kind: z.literal("claimed") }),
+  /** Proved not to have run: the key may be used again. */
+  z.object({ kind: z.literal("released") }),
+  z.object({
+    kind: z.literal("answered"),
+    status: z.number().int(),
+    contentType: z.string(),
+    body: z.string(),
+  }),
+  z.object({ kind: z.literal("unknown"), reason: z.string() }),
+]);
+export type ClaimState = z.infer<typeof claimStateSchema>;
+
 /** A non-repeatable call, recorded before its first byte is sent. */
 export const claimObjectSchema = z.object({
   requestId: z.string(),
@@ -39,18 +54,7 @@
   /** Digest of method, path and body, to tell another call by the same key. */
   fingerprint: z.string(),
   claimedAt: z.number(),
-  state: z.discriminatedUnion("kind", [
-    z.object({ kind: z.literal("claimed") }),
-    /** Proved not to have run: the key may be used again. */
-    z.object({ kind: z.literal("released") }),
-    z.object({
-      kind: z.literal("answered"),
-      status: z.number().int(),
-      contentType: z.string(),
-      body: z.string(),
-    }),
-    z.object({ kind: z.literal("unknown"), reason: z.string() }),
-  ]),
+  state: claimStateSchema,
 });
 export type ClaimObject = z.infer<typeof claimObjectSchema>;
 
