--- a/packages/calls/src/claim_registry.ts
+++ b/packages/calls/src/claim_registry.ts
@@ -39,7 +39,7 @@
 
   function end(requestId: string, word: ClaimWord): void {
     const entry = entries.get(requestId);
-    if (!entry || entry.word.kind !== "running") return;
+    if (entry?.word.kind !== "running") return;
     entry.word = word;
     for (const wake of entry.waiters) wake();
     forgetOldest();
--- a/packages/calls/src/service_context.ts
+++ b/packages/calls/src/service_context.ts
@@ -35,7 +35,7 @@
 
 /** What calls need of the rest of the daemon. */
 export interface ServiceCallDependencies {
-  readonly keeper: NoteKeeper;
+  readonly keeper: Pick<NoteKeeper, "current">;
   readonly services: readonly ServiceSettings[];
   readonly fleet: ServiceFleet;
   readonly claims: ClaimStore;
--- a/packages/calls/src/service_rules.ts
+++ b/packages/calls/src/service_rules.ts
@@ -15,7 +15,7 @@
 /** Why the current release note does not allow the service, if so. */
 export function refuseByNote(
   service: string,
-  keeper: NoteKeeper,
+  keeper: Pick<NoteKeeper, "current">,
 ): CallFailure | null {
   const record = keeper.current();
   if (!record) {
