--- a/packages/checks/src/bookings/history.ts
+++ b/packages/checks/src/bookings/history.ts
@@ -15,8 +15,10 @@
 const OUTAGE_END_CHANCE = 0.05;
 const OTHER_BODY_CHANCE = 0.15;
 const LOOKUP_CHANCE = 0.5;
+const REFUSING_SHARE = 0.3;
 const DEADLINE_MS = 10_000;
 const LATEST_START_MS = 3_000;
+const LATEST_RESTART_MS = 10_000;
 const LAST_TRIES = 3;
 /** Longer than any store gate stays shut after an outage. */
 const RECOVERY_MS = 20_000;
@@ -103,10 +105,12 @@
   const faults: Faults = createFaults(random, size.faults);
   const memory = createMemoryStore();
   const outage: StoreOutage = { away: false };
-  const service = createJournaledService({ interleaving, faults });
+  const refusing = random.chance(REFUSING_SHARE);
+  const service = createJournaledService({ interleaving, faults, refusing });
   const withLookup = random.chance(LOOKUP_CHANCE);
   const told: Told[] = [];
   let incarnation = 0;
+  /** Those that now run; a crashed one is missing until it is back. */
   const instances = Array.from({ length: size.instances }, (_, index) =>
     launch(`entry-${index + 1}`),
   );
@@ -146,14 +150,17 @@
       outage.away = true;
       interleaving.note("the store goes away");
     }
-    const index = random.between(0, instances.length - 1);
-    const instance = instances[index];
-    if (!instance) return;
+    const instance = random.pick(instances as [Instance, ...Instance[]]);
     if (faults.strikes(FREEZE_CHANCE)) interleaving.freeze(instance.process);
-    if (faults.strikes(CRASH_CHANCE)) {
-      interleaving.crash(instance.process);
-      instances[index] = launch(instance.id);
-    }
+    const isLast = instances.length === 1;
+    if (!isLast && faults.strikes(CRASH_CHANCE)) void crash(instance);
+  }
+
+  async function crash(instance: Instance): Promise<void> {
+    interleaving.crash(instance.process);
+    instances.splice(instances.indexOf(instance), 1);
+    await interleaving.sleep(random.between(0, LATEST_RESTART_MS));
+    instances.push(launch(instance.id));
   }
 
   function recover(): void {
--- a/packages/checks/src/bookings/journaled_service.ts
+++ b/packages/checks/src/bookings/journaled_service.ts
@@ -8,8 +8,18 @@
 import type { Interleaving } from "./interleaving.ts";
 
 const FAULT_CHANCE = 0.2;
+/** Where servers often refuse, whole calls end without having run. */
+const REFUSING_CHANCE = 0.6;
 const LATEST_RUN_MS = 15_000;
 
+const REFUSALS = ["connect refused", "refused as not started"] as const;
+const ALL_FAULTS = [
+  ...REFUSALS,
+  "server dies before running",
+  "server dies after running",
+  "timeout, runs late",
+] as const;
+
 /** One run, as the service itself saw it. */
 export interface Run {
   readonly key: string;
@@ -22,8 +32,10 @@
 export function createJournaledService(options: {
   readonly interleaving: Interleaving;
   readonly faults: Faults;
+  /** Whether most faults are refusals, so that claims are released. */
+  readonly refusing: boolean;
 }) {
-  const { interleaving, faults } = options;
+  const { interleaving, faults, refusing } = options;
   const { pause, deliver } = interleaving;
   const journal: Run[] = [];
 
@@ -48,7 +60,8 @@
   async function sendBooking(request: ServiceRequest): Promise<ServiceResult> {
     const id = request.headers["x-request-id"];
     await pause(`sends ${id} to a server`);
-    if (faults.strikes(FAULT_CHANCE)) return fail(request);
+    const chance = refusing ? REFUSING_CHANCE : FAULT_CHANCE;
+    if (faults.strikes(chance)) return fail(request);
     const result = await deliver(async () => {
       await pause(`${id} arrives at the server`);
       return run(request);
@@ -58,13 +71,7 @@
   }
 
   async function fail(request: ServiceRequest): Promise<ServiceResult> {
-    const fault = faults.pick([
-      "connect refused",
-      "refused as not started",
-      "server dies before running",
-      "server dies after running",
-      "timeout, runs late",
-    ]);
+    const fault = faults.pick(refusing ? REFUSALS : ALL_FAULTS);
     interleaving.note(`${request.headers["x-request-id"]}: ${fault}`);
     switch (fault) {
       case "connect refused":
