--- a/packages/backends/src/engine_fleet.ts
+++ b/packages/backends/src/engine_fleet.ts
@@ -23,6 +23,8 @@
 /** The engines of the settings, with fresh facts about each. */
 export interface EngineFleet {
   engines(): readonly KnownEngine[];
+  /** Whether each engine has answered, or failed to, at least once. */
+  hasAskedAll(): boolean;
   /** Takes in a state that another call brought. */
   observe(state: EngineState): void;
   /** Marks an engine as not to be used until it answers again. */
@@ -50,8 +52,11 @@
       { settings, state: null, heardAt: -Infinity, inFlight: 0 },
     ]),
   );
+  let unasked = entries.size;
   const timers = [...entries.values()].map((entry) => {
-    void refresh(entry);
+    void refresh(entry).finally(() => {
+      unasked -= 1;
+    });
     return setInterval(() => void refresh(entry), READ_EVERY_MS);
   });
 
@@ -81,6 +86,7 @@
         usable: isUsable(entry),
         inFlight: entry.inFlight,
       })),
+    hasAskedAll: () => unasked === 0,
     observe(state) {
       const entry = entries.get(state.engine);
       if (entry) take(entry, state);
--- a/packages/backends/src/engine_fleet_test.ts
+++ b/packages/backends/src/engine_fleet_test.ts
@@ -41,6 +41,25 @@
   return () => known.engines()[0]?.usable;
 }
 
+describe("a fleet that has just started", () => {
+  it("says so until it has asked each engine once", async () => {
+    // An instance restarts and the balancer sends it answers at once. It had
+    // not heard its engines yet and refused them for want of capacity.
+    let reply: (state: EngineState | null) => void = () => {};
+    const client = {
+      readState: () =>
+        new Promise<EngineState | null>((resolve) => {
+          reply = resolve;
+        }),
+    } as unknown as EngineClient;
+    fleet = createEngineFleet({ engines: [engine], client });
+    expect(fleet.hasAskedAll()).toBe(false);
+    reply(null);
+    await vi.advanceTimersByTimeAsync(0);
+    expect(fleet.hasAskedAll()).toBe(true);
+  });
+});
+
 describe("an engine that leaves", () => {
   it("gets nothing new within a second of saying so, then returns", async () => {
     // The engine's own state decides, read twice a second; the platform's
--- a/packages/calls/src/unknown_call.ts
+++ b/packages/calls/src/unknown_call.ts
@@ -30,8 +30,8 @@
     const result = await context.fleet.send(server, request, {
       timeoutMs: LOOKUP_TIMEOUT_MS,
     });
-    if (result.kind !== "answer") continue;
-    return result.answer.status === OK ? result.answer : null;
+    const isFound = result.kind === "answer" && result.answer.status === OK;
+    if (isFound) return result.answer;
   }
   return null;
 }
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -202,7 +202,10 @@
     publisher,
     status,
     noteStatus,
-    isReady: () => !draining && keeper.current() !== null,
+    // An instance that has not heard its engines yet refuses answers as not
+    // run, for want of capacity: a balancer must not send it any.
+    isReady: () =>
+      !draining && keeper.current() !== null && fleet.hasAskedAll(),
     drain: () => {
       draining = true;
       membership.share({ draining });
--- a/packages/launcher/src/caller.ts
+++ b/packages/launcher/src/caller.ts
@@ -19,6 +19,7 @@
       readonly kind: "failed";
       readonly tokens: readonly string[];
       readonly outcome: Outcome;
+      readonly code: string;
       readonly status: number;
       readonly retryAfterSeconds: number | undefined;
     }
@@ -104,6 +105,6 @@
   options: { readonly tokens: readonly string[]; readonly status: number },
 ): StreamedAnswer {
   const { error } = failureBodySchema.parse(body);
-  const { outcome, retryAfterSeconds } = error;
-  return { kind: "failed", ...options, outcome, retryAfterSeconds };
+  const { outcome, code, retryAfterSeconds } = error;
+  return { kind: "failed", ...options, outcome, code, retryAfterSeconds };
 }
--- a/packages/launcher/src/deployment_plan.ts
+++ b/packages/launcher/src/deployment_plan.ts
@@ -45,7 +45,9 @@
   }[];
   readonly adminKey: string;
   /** Overrides of each daemon's settings. */
-  readonly overrides?: Partial<Pick<Settings, "limits" | "release">>;
+  readonly overrides?: Partial<
+    Pick<Settings, "limits" | "release" | "balancerLagMs">
+  >;
 }
 
 /** Settings of every process of a deployment. */
@@ -182,6 +184,8 @@
   return {
     name,
     calls,
+    health: { path: "/health" },
+    lookup: { path: "/orders/by-key/{key}" },
     timeoutMs: 5_000,
     servers: Array.from({ length: servers }, (_, index) => ({
       id: `${name}-${index + 1}`,
--- /dev/null
+++ b/packages/launcher/src/rolling_restart_test.ts
@@ -0,0 +1,247 @@
+import { formatAddress } from "@rosemarypin/schemas";
+import {
+  expectedAnswer,
+  type JournalEntry,
+  type StandInSettings,
+} from "@rosemarypin/stand_ins";
+import { request } from "undici";
+import { afterAll, beforeAll, describe, expect, it } from "vitest";
+import { streamAnswer } from "./caller.ts";
+import { type Deployment, startDeployment } from "./deployment.ts";
+import { type DeploymentPlan, planDeployment } from "./deployment_plan.ts";
+import { KANEM_LAYERS, kanemShape } from "./kanem.ts";
+import { findFreePorts } from "./ports.ts";
+
+const KEY = "kano-demo-key";
+const TOKENS = 40;
+
+let deployment: Deployment;
+let balancer: string;
+
+beforeAll(async () => {
+  const plan = await planDeployment({
+    ...kanemShape,
+    overrides: { balancerLagMs: 1_500 },
+  });
+  const [port = 0] = await findFreePorts(1);
+  const settings: StandInSettings = {
+    kind: "balancer",
+    address: { host: "127.0.0.1", port },
+    instances: plan.daemons.map(({ instance }) => {
+      const { callers, admin } = instance.addresses;
+      return { callers, admin };
+    }),
+    checkEveryMs: 300,
+  };
+  balancer = `http://127.0.0.1:${port}`;
+  deployment = await startDeployment(withBalancer(plan, settings));
+  await publishFirstNote(deployment);
+});
+afterAll(() => deployment?.stop());
+
+describe("a planned stop under load", () => {
+  it("loses no stream and no call when all instances restart", async () => {
+    // Operators replace the four instances one after the other while callers
+    // stream answers and place orders. The balancer goes on to send work to
+    // an instance for a while after it became unready. Each answer must be
+    // whole, and each order must have run once, at its caller's first try.
+    const load = startLoad();
+    for (const { instance } of deployment.plan.daemons) {
+      deployment.processes.signal(instance.id, "SIGTERM");
+      expect(await deployment.processes.waitForExit(instance.id)).toBe(0);
+      deployment.startInstance(instance.id);
+      await waitUntilReady(`${urlOf(instance.addresses.admin)}/readyz`);
+    }
+    await load.stop();
+    expect(load.broken).toEqual([]);
+    expect(load.streams).toBeGreaterThan(20);
+    expect(load.orders.length).toBeGreaterThan(20);
+    const journal = await readJournals();
+    const ran = journal.map((entry) => entry.idempotencyKey).sort();
+    expect(ran).toEqual([...load.orders].sort());
+  });
+
+  it("ends work on a leaving server and gives it nothing new", async () => {
+    // A server of the booking service is told to leave and says so, while it
+    // still runs an order; the platform's list goes on to call it live. The
+    // order ends undisturbed, and no later one goes there.
+    const [server] = deployment.plan.services.servers;
+    if (!server) throw new Error("the service has no server");
+    const url = urlOf(server.address);
+    const load = startLoad();
+    await postJson(`${url}/faults`, { leaving: true, delayMs: 1_000 });
+    await sleep(3_000);
+    const before = await readJson<JournalEntry[]>(`${url}/journal`);
+    await sleep(2_000);
+    const after = await readJson<JournalEntry[]>(`${url}/journal`);
+    await load.stop();
+    expect(load.broken).toEqual([]);
+    expect(after).toHaveLength(before.length);
+  });
+});
+
+/** Callers that ask again as soon as they have their answer. */
+function startLoad() {
+  const broken: unknown[] = [];
+  const orders: string[] = [];
+  let streams = 0;
+  let stopped = false;
+
+  async function stream(): Promise<void> {
+    const prompt = `the combine stops, case ${streams}`;
+    const model = kanemShape.model;
+    const baseUrl = balancer;
+    const answer = await streamAnswer({
+      baseUrl,
+      key: KEY,
+      model,
+      prompt,
+      maxTokens: TOKENS,
+    });
+    streams += 1;
+    if (answer.kind !== "whole") return void broken.push(answer);
+    const { version, digest } = answer.provenance;
+    const expected = expectedAnswer({
+      weights: { model, version },
+      layers: KANEM_LAYERS,
+      promptTokens: prompt.split(" "),
+      maxTokens: TOKENS,
+    });
+    const isWhole = answer.tokens.join(" ") === expected.tokens.join(" ");
+    if (!isWhole || digest !== expected.digest) broken.push(answer);
+  }
+
+  async function order(): Promise<void> {
+    const key = `order-${Date.now()}-${orders.length}`;
+    orders.push(key);
+    const response = await request(`${balancer}/services/dealer-app/orders`, {
+      method: "POST",
+      headers: { authorization: `Bearer ${KEY}`, "idempotency-key": key },
+      body: JSON.stringify({ part: "belt-22" }),
+    });
+    const body = await response.body.text();
+    if (response.statusCode !== 201) broken.push(body);
+    await sleep(20);
+  }
+
+  async function lookUp(): Promise<void> {
+    const response = await request(`${balancer}/services/dealer-app/stock/7`, {
+      headers: { authorization: `Bearer ${KEY}` },
+    });
+    const body = await response.body.text();
+    if (response.statusCode !== 200) broken.push(body);
+    await sleep(20);
+  }
+
+  async function repeat(work: () => Promise<void>): Promise<void> {
+    while (!stopped) {
+      await work().catch((error: unknown) => void broken.push(String(error)));
+    }
+  }
+
+  const loops = [stream, stream, stream, stream, order, order, lookUp];
+  const running = loops.map(repeat);
+  return {
+    broken,
+    orders,
+    get streams() {
+      return streams;
+    },
+    async stop() {
+      stopped = true;
+      await Promise.all(running);
+    },
+  };
+}
+
+function withBalancer(
+  plan: DeploymentPlan,
+  settings: StandInSettings,
+): DeploymentPlan {
+  return {
+    ...plan,
+    standIns: [...plan.standIns, { name: "balancer", settings }],
+  };
+}
+
+async function publishFirstNote({ plan }: Deployment): Promise<void> {
+  const [daemon] = plan.daemons;
+  if (!daemon) throw new Error("the plan has no instance");
+  const admin = urlOf(daemon.instance.addresses.admin);
+  const model = plan.shape.model;
+  const layerSets = [{ name: "base", from: 0, to: KANEM_LAYERS }];
+  await postJson(`${admin}/v1/notes`, {
+    supersedes: 0,
+    publishId: "first-note",
+    reason: "the first version",
+    added: [
+      {
+        kind: "version",
+        model,
+        version: "v1",
+        layers: KANEM_LAYERS,
+        layerSets,
+        serve: true,
+      },
+      { kind: "service", service: plan.services.name },
+    ],
+    changed: [],
+    withdrawn: [],
+  });
+  await waitFor(async () => {
+    const status = await readJson<{ phase: string }>(`${admin}/v1/status`);
+    return status.phase === "in_force";
+  });
+  await waitUntilReady(`${balancer}/v1/models`);
+}
+
+async function readJournals(): Promise<JournalEntry[]> {
+  const { servers } = deployment.plan.services;
+  const journals = await Promise.all(
+    servers.map(({ address }) =>
+      readJson<JournalEntry[]>(`${urlOf(address)}/journal`),
+    ),
+  );
+  return journals.flat();
+}
+
+const adminHeaders = {
+  authorization: `Bearer ${kanemShape.adminKey}`,
+  "content-type": "application/json",
+};
+
+async function postJson(url: string, body: unknown): Promise<void> {
+  const response = await request(url, {
+    method: "POST",
+    headers: adminHeaders,
+    body: JSON.stringify(body),
+  });
+  const text = await response.body.text();
+  if (response.statusCode >= 400) throw new Error(text);
+}
+
+async function readJson<T>(url: string): Promise<T> {
+  const response = await request(url, { headers: adminHeaders });
+  return (await response.body.json()) as T;
+}
+
+function waitUntilReady(url: string): Promise<void> {
+  const headers = { authorization: `Bearer ${KEY}` };
+  return waitFor(async () => {
+    const response = await request(url, { headers });
+    await response.body.dump();
+    return response.statusCode === 200;
+  });
+}
+
+async function waitFor(isDone: () => Promise<boolean>): Promise<void> {
+  while (!(await isDone().catch(() => false))) await sleep(50);
+}
+
+function urlOf(address: { host: string; port: number }): string {
+  return `http://${formatAddress(address)}`;
+}
+
+function sleep(durationMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, durationMs));
+}
--- a/packages/stand_ins/src/main.ts
+++ b/packages/stand_ins/src/main.ts
@@ -3,6 +3,7 @@
 import { readFileSync } from "node:fs";
 import { formatProblem, parseYamlFile } from "@rosemarypin/schemas";
 import meow from "meow";
+import { startBalancer } from "./balancer.ts";
 import { startEngine } from "./engine/engine.ts";
 import { startInstanceList } from "./instance_list.ts";
 import { startObjectApi } from "./object_api.ts";
@@ -44,6 +45,10 @@
       const { megabytesPerSecond } = settings;
       return startWeightStore({ host, port, megabytesPerSecond });
     }
+    case "balancer": {
+      const { instances, checkEveryMs } = settings;
+      return startBalancer({ host, port, instances, checkEveryMs });
+    }
     case "service":
       return startPlainService({ host, port, id: settings.id });
   }
--- a/packages/stand_ins/src/mod.ts
+++ b/packages/stand_ins/src/mod.ts
@@ -1,4 +1,5 @@
 /** Stand-ins of what surrounds rosemarypin, for tests, demo and bench. */
+export * from "./balancer.ts";
 export * from "./engine/engine.ts";
 export * from "./engine/layer_math.ts";
 export * from "./engine/speed.ts";
--- a/packages/stand_ins/src/plain_service.ts
+++ b/packages/stand_ins/src/plain_service.ts
@@ -6,6 +6,7 @@
 export interface JournalEntry {
   readonly idempotencyKey: string;
   readonly organisation: string;
+  readonly requestId: string;
   readonly path: string;
   readonly at: number;
 }
@@ -18,8 +19,12 @@
   loseAnswers: number;
   /** So many of the next calls are refused as not started. */
   refuse: number;
+  /** The server says that it leaves, but runs what it gets. */
+  leaving: boolean;
 }
 
+const LOOKUP_PATH = "/orders/by-key/";
+
 /** Starts a service that takes any POST as an order, any GET as a lookup. */
 export function startPlainService(options: {
   readonly host: string;
@@ -27,7 +32,12 @@
   readonly id: string;
 }): Promise<Server> {
   const journal: JournalEntry[] = [];
-  const faults: PlainServiceFaults = { delayMs: 0, loseAnswers: 0, refuse: 0 };
+  const faults: PlainServiceFaults = {
+    delayMs: 0,
+    loseAnswers: 0,
+    refuse: 0,
+    leaving: false,
+  };
 
   async function handle(exchange: JsonExchange): Promise<void> {
     const { url, method, response, body } = exchange;
@@ -36,6 +46,11 @@
       Object.assign(faults, body);
       return reply(response, 200, faults);
     }
+    if (url.pathname === "/health") {
+      return reply(response, faults.leaving ? 503 : 200, faults);
+    }
+    if (url.pathname.startsWith(LOOKUP_PATH)) return lookUp(exchange);
+    if (faults.leaving) response.setHeader("x-leaving", "1");
     if (faults.refuse > 0) {
       faults.refuse -= 1;
       response.setHeader("x-not-started", "busy");
@@ -48,10 +63,23 @@
     run(exchange);
   }
 
+  /** Finds only what this server ran itself. */
+  function lookUp({ request, url, response }: JsonExchange): void {
+    const key = decodeURIComponent(url.pathname.slice(LOOKUP_PATH.length));
+    const organisation = String(request.headers["x-organisation"] ?? "");
+    const index = journal.findIndex(
+      (entry) =>
+        entry.idempotencyKey === key && entry.organisation === organisation,
+    );
+    if (index < 0) return reply(response, 404, { error: "no such key" });
+    reply(response, 200, { number: index + 1, server: options.id });
+  }
+
   function run({ request, url, response }: JsonExchange): void {
     journal.push({
       idempotencyKey: String(request.headers["idempotency-key"] ?? ""),
       organisation: String(request.headers["x-organisation"] ?? ""),
+      requestId: String(request.headers["x-request-id"] ?? ""),
       path: url.pathname,
       at: Date.now(),
     });
--- a/packages/stand_ins/src/stand_in_settings.ts
+++ b/packages/stand_ins/src/stand_in_settings.ts
@@ -51,6 +51,15 @@
     address: addressSchema,
     megabytesPerSecond: z.number().positive().default(1_000),
   }),
+  z.strictObject({
+    kind: z.literal("balancer"),
+    address: addressSchema,
+    instances: z.array(
+      z.strictObject({ callers: addressSchema, admin: addressSchema }),
+    ),
+    /** How often readiness is asked for: the balancer's lag. */
+    checkEveryMs: z.number().positive().default(300),
+  }),
   z.strictObject({
     kind: z.literal("service"),
     id: nameSchema,
