Prove a rolling restart and a leaving server in processes under load

Cause of the one stream that was refused (no_capacity): it came in the half second between the note's coming into force and this instance's next read of its engines, before any restart; the test now waits until each instance answers. Ruled out: the restart itself, by the instances' logs. Kept from the search: an instance is ready only once it has asked all its engines, since a balancer sends it answers at once.

--- a/packages/launcher/src/rolling_restart_test.ts
+++ b/packages/launcher/src/rolling_restart_test.ts
@@ -193,6 +193,17 @@
     return status.phase === "in_force";
   });
   await waitUntilReady(`${balancer}/v1/models`);
+  for (const { instance } of plan.daemons) {
+    const baseUrl = urlOf(instance.addresses.callers);
+    await waitFor(() => canAnswer(baseUrl));
+  }
+}
+
+/** An instance sees engines load a version half a second after the note. */
+async function canAnswer(baseUrl: string): Promise<boolean> {
+  const { model } = kanemShape;
+  const asked = { baseUrl, key: KEY, model, prompt: "ready", maxTokens: 1 };
+  return (await streamAnswer(asked)).kind === "whole";
 }
 
 async function readJournals(): Promise<JournalEntry[]> {
