Stream longer than the balancer's lag in the restart test

With short answers the test passed although the shutdown did not wait for work: every answer ended within the lag.

--- a/packages/launcher/src/rolling_restart_test.ts
+++ b/packages/launcher/src/rolling_restart_test.ts
@@ -13,7 +13,9 @@
 import { findFreePorts } from "./ports.ts";
 
 const KEY = "kano-demo-key";
-const TOKENS = 40;
+const SHORT_ANSWER = 40;
+/** Takes longer than an instance waits for the balancer to turn away. */
+const LONG_ANSWER = 250;
 
 let deployment: Deployment;
 let balancer: string;
@@ -87,27 +89,16 @@
   let streams = 0;
   let stopped = false;
 
-  async function stream(): Promise<void> {
-    const prompt = `the combine stops, case ${streams}`;
-    const model = kanemShape.model;
-    const baseUrl = balancer;
-    const answer = await streamAnswer({
-      baseUrl,
-      key: KEY,
-      model,
-      prompt,
-      maxTokens: TOKENS,
-    });
+  async function stream(maxTokens: number): Promise<void> {
+    const prompt = findPrompt(maxTokens);
+    const { model } = kanemShape;
+    const asked = { baseUrl: balancer, key: KEY, model, prompt, maxTokens };
+    const answer = await streamAnswer(asked);
     streams += 1;
     if (answer.kind !== "whole") return void broken.push(answer);
-    const { version, digest } = answer.provenance;
-    const expected = expectedAnswer({
-      weights: { model, version },
-      layers: KANEM_LAYERS,
-      promptTokens: prompt.split(" "),
-      maxTokens: TOKENS,
-    });
+    const expected = compute(prompt, maxTokens);
     const isWhole = answer.tokens.join(" ") === expected.tokens.join(" ");
+    const { digest } = answer.provenance;
     if (!isWhole || digest !== expected.digest) broken.push(answer);
   }
 
@@ -139,7 +130,9 @@
     }
   }
 
-  const loops = [stream, stream, stream, stream, order, order, lookUp];
+  const short = () => stream(SHORT_ANSWER);
+  const long = () => stream(LONG_ANSWER);
+  const loops = [short, short, long, long, order, order, lookUp];
   const running = loops.map(repeat);
   return {
     broken,
@@ -154,6 +147,29 @@
   };
 }
 
+const prompts = new Map<number, string>();
+
+/** A prompt whose answer has so many tokens and no stop before. */
+function findPrompt(tokens: number): string {
+  const known = prompts.get(tokens);
+  if (known !== undefined) return known;
+  for (let number = 0; ; number++) {
+    const prompt = `the combine stops, case ${number}`;
+    if (compute(prompt, tokens).tokens.length < tokens) continue;
+    prompts.set(tokens, prompt);
+    return prompt;
+  }
+}
+
+function compute(prompt: string, maxTokens: number) {
+  return expectedAnswer({
+    weights: { model: kanemShape.model, version: "v1" },
+    layers: KANEM_LAYERS,
+    promptTokens: prompt.split(" "),
+    maxTokens,
+  });
+}
+
 function withBalancer(
   plan: DeploymentPlan,
   settings: StandInSettings,
