--- a/packages/bench/src/bench_command.ts
+++ b/packages/bench/src/bench_command.ts
@@ -10,4 +10,6 @@
 /** Commands by name, each loaded only when it is asked for. */
 export const benchCommands: Readonly<
   Record<string, () => Promise<BenchCommand>>
-> = {};
+> = {
+  bookings: async () => (await import("./bookings/bookings_bench.ts")).command,
+};
