--- a/packages/bench/src/bench_command.ts
+++ b/packages/bench/src/bench_command.ts
@@ -12,4 +12,8 @@
   Record<string, () => Promise<BenchCommand>>
 > = {
   bookings: async () => (await import("./bookings/bookings_bench.ts")).command,
+  capacity: async () =>
+    (await import("./capacity/capacity_bench.ts")).capacityBench,
+  throughput: async () =>
+    (await import("./throughput/throughput_bench.ts")).throughputBench,
 };
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -28,7 +28,11 @@
   createPublisher,
   mayContinue,
 } from "@rosemarypin/release";
-import { createRouter } from "@rosemarypin/routing";
+import {
+  createRouter,
+  type Router,
+  type RouterOptions,
+} from "@rosemarypin/routing";
 import type {
   BackendView,
   InstanceView,
@@ -43,6 +47,7 @@
 import { closeGracefully, closeNow } from "./graceful_close.ts";
 import { createWorkInProgress } from "./work_in_progress.ts";
 
+const ENGINES_WAIT_MS = 2_000;
 const INSTANCE_LIST_EVERY_MS = 1_000;
 
 const log = createLogger("daemon");
@@ -53,8 +58,16 @@
   stop(): Promise<boolean>;
 }
 
+/** Parts that a measurement may put in the place of the daemon's own. */
+export interface DaemonParts {
+  readonly createRouter?: (options: RouterOptions) => Router;
+}
+
 /** Starts a daemon with checked settings. */
-export async function startDaemon(settings: Settings): Promise<Daemon> {
+export async function startDaemon(
+  settings: Settings,
+  parts: DaemonParts = {},
+): Promise<Daemon> {
   const { deployment, instance } = settings;
   const { id, failureDomain, addresses } = instance;
   const incarnation = Date.now();
@@ -102,10 +115,12 @@
     keeper,
     lease,
   });
-  const router = createRouter({
+  const router = (parts.createRouter ?? createRouter)({
     fleet,
     failureDomain,
     limits: settings.limits,
+    objectives: settings.objectives,
+    seed: incarnation,
     metrics,
   });
   const publisher = createPublisher({
@@ -134,6 +149,13 @@
   });
   const listTimer = setInterval(() => void readList(), INSTANCE_LIST_EVERY_MS);
 
+  /** Engines that stay silent are waited for only this long. */
+  function hasHeardEngines(): boolean {
+    const waitedMs = Date.now() - incarnation;
+    const isHeard = fleet.engines().every(({ state }) => state !== null);
+    return isHeard || waitedMs > ENGINES_WAIT_MS;
+  }
+
   async function readList(): Promise<void> {
     const { instanceList } = settings.platform;
     if (instanceList) services.takeList(await readInstanceList(instanceList));
@@ -184,6 +206,7 @@
     return {
       deployment,
       instance: id,
+      startedAt: incarnation,
       note,
       phase,
       instances: viewInstances(membership),
@@ -204,8 +227,7 @@
     noteStatus,
     // An instance that has not heard its engines yet refuses answers as not
     // run, for want of capacity: a balancer must not send it any.
-    isReady: () =>
-      !draining && keeper.current() !== null && fleet.hasAskedAll(),
+    isReady: () => !draining && keeper.current() !== null && hasHeardEngines(),
     drain: () => {
       draining = true;
       membership.share({ draining });
@@ -234,6 +256,7 @@
       const ended = await work.waitForEnd(settings.shutdownGraceMs);
       controller.stop();
       lease.stop();
+      router.stop();
       keeper.stop();
       fleet.stop();
       services.stop();
