Remove claims of expired keys, by time bucket

Cause: claims stayed in the platform's store for good. A key that is a UUID of version 7 says when it was made; it is refused once a day old, and its claim goes two hours later, so clocks may differ by that much. Keys that do not say their age are kept for good. ObjectStore got a conditional remove.

Ruled out: a header with the key's time, since a retry that makes the header anew would put the same key into another bucket and run it again.

--- a/packages/calls/src/claim_key.ts
+++ b/packages/calls/src/claim_key.ts
@@ -49,15 +49,19 @@
   return `${bucketOf(idempotencyKey)}/${digest}`;
 }
 
-/** Whether all keys of a bucket are too old to be used by any instance. */
-export function isExpiredBucket(bucket: string): boolean {
-  if (!/^\d+$/.test(bucket)) return false;
-  const end = (Number(bucket) + 1) * HOUR_MS;
-  return Date.now() - end > KEY_WINDOW_MS + CLOCK_DOUBT_MS;
+/** The newest `count` buckets that no instance takes keys of any more. */
+export function expiredBuckets(count: number): string[] {
+  const lastMs = Date.now() - KEY_WINDOW_MS - CLOCK_DOUBT_MS;
+  const last = Math.floor(lastMs / HOUR_MS) - 1;
+  return Array.from({ length: count }, (_, index) => bucketName(last - index));
 }
 
 function bucketOf(idempotencyKey: string): string {
   const time = keyTime(idempotencyKey);
   if (time === null) return UNDATED_BUCKET;
-  return String(Math.floor(time / HOUR_MS)).padStart(BUCKET_DIGITS, "0");
+  return bucketName(Math.floor(time / HOUR_MS));
+}
+
+function bucketName(hour: number): string {
+  return String(hour).padStart(BUCKET_DIGITS, "0");
 }
--- a/packages/checks/src/bookings/faulty_store.ts
+++ b/packages/checks/src/bookings/faulty_store.ts
@@ -71,6 +71,7 @@
       await pause(`gives up on ${label}`);
       return REPLY_LOST;
     },
+    remove: () => Promise.resolve(UNAVAILABLE),
     watch: () => Promise.resolve(UNAVAILABLE),
   };
 }
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -8,6 +8,7 @@
 } from "@rosemarypin/backends";
 import {
   createClaimRegistry,
+  createClaimSweeper,
   createRecordClaims,
   createServiceCaller,
 } from "@rosemarypin/calls";
@@ -147,6 +148,12 @@
       void task.finally(end);
     },
   });
+  const sweeper = createClaimSweeper({
+    deployment,
+    services: settings.services.map(({ name }) => name),
+    store,
+    instances: () => membership.peers().length + 1,
+  });
   const listTimer = setInterval(() => void readList(), INSTANCE_LIST_EVERY_MS);
 
   /** Engines that stay silent are waited for only this long. */
@@ -260,6 +267,7 @@
       keeper.stop();
       fleet.stop();
       services.stop();
+      sweeper.stop();
       clearInterval(listTimer);
       await membership.leave();
       callerServer.closeAllConnections();
--- a/packages/fakes/src/memory_store.ts
+++ b/packages/fakes/src/memory_store.ts
@@ -97,6 +97,15 @@
         }
         return result;
       },
+      async remove(key, { expectedVersion }) {
+        if (!(await enter("remove"))) return UNAVAILABLE;
+        const actual = objects.get(key) ?? null;
+        if (actual?.version !== expectedVersion) {
+          return { kind: "conflict", actual };
+        }
+        objects.delete(key);
+        return { kind: "ok", value: null };
+      },
       async watch(prefix, { since, signal }) {
         if (!(await enter("watch"))) return UNAVAILABLE;
         while (below(prefix, since).length === 0) {
--- a/packages/platform/src/http_object_store.ts
+++ b/packages/platform/src/http_object_store.ts
@@ -92,6 +92,19 @@
       const written = result.value.body as { version: number };
       return { kind: "ok", value: written.version };
     },
+    async remove(key, { expectedVersion, ...callOptions }) {
+      const result = await call("remove", objectPath(key), {
+        method: "DELETE",
+        headers: { "if-match": String(expectedVersion) },
+        ...callOptions,
+      });
+      if (result.kind !== "ok") return result;
+      if (result.value.status === 412) {
+        const body = result.value.body as { actual: StoredObject | null };
+        return { kind: "conflict", actual: body.actual };
+      }
+      return { kind: "ok", value: null };
+    },
     async watch(prefix, { since, ...callOptions }) {
       const query = new URLSearchParams({ prefix, since: String(since) });
       const result = await call("watch", `/watch?${query}`, {
@@ -106,7 +119,7 @@
 }
 
 interface CallInit extends StoreCallOptions {
-  readonly method: "GET" | "PUT";
+  readonly method: "GET" | "PUT" | "DELETE";
   readonly headers?: Record<string, string>;
   readonly body?: string;
   readonly timeoutMs?: number;
@@ -146,7 +159,7 @@
  * A call that never got a connection had no effect. Any other broken write
  * may have taken effect: the store can lose its answer after writing.
  */
-function classify(error: unknown, method: "GET" | "PUT"): StoreFailure {
+function classify(error: unknown, method: CallInit["method"]): StoreFailure {
   const detail = error instanceof Error ? error.message : String(error);
   const code = (error as { code?: string }).code;
   const neverSent =
--- a/packages/platform/src/object_store.ts
+++ b/packages/platform/src/object_store.ts
@@ -57,6 +57,11 @@
     value: unknown,
     options: StoreCallOptions & { readonly expectedVersion: number | null },
   ): Promise<StoreResult<number>>;
+  /** Removes the object only if it is at `expectedVersion`. */
+  remove(
+    key: string,
+    options: StoreCallOptions & { readonly expectedVersion: number },
+  ): Promise<StoreResult<null>>;
   /** Waits until something under `prefix` is newer than `since`. */
   watch(
     prefix: string,
--- a/packages/schemas/src/stored.ts
+++ b/packages/schemas/src/stored.ts
@@ -10,6 +10,8 @@
     `${deployment}/notes/history/${String(number).padStart(9, "0")}`,
   lease: (deployment: string, domain: string) =>
     `${deployment}/leases/${domain}`,
+  claimBucket: (deployment: string, service: string, bucket: string) =>
+    `${deployment}/claims/${service}/${bucket}/`,
   claim: (deployment: string, service: string, claim: string) =>
     `${deployment}/claims/${service}/${claim}`,
 } as const;
--- a/packages/stand_ins/src/object_api.ts
+++ b/packages/stand_ins/src/object_api.ts
@@ -4,6 +4,11 @@
 
 const WATCH_HOLD_MS = 25_000;
 
+const OPERATIONS: Readonly<Record<string, string>> = {
+  PUT: "write",
+  DELETE: "remove",
+};
+
 interface StoredEntry {
   readonly key: string;
   readonly value: unknown;
@@ -48,8 +53,9 @@
     if (url.pathname === "/objects") return list(exchange);
     const key = keyOf(url);
     if (key === null) return reply(response, 404, { error: "no such path" });
-    count(method === "PUT" ? "write" : "read");
+    count(OPERATIONS[method] ?? "read");
     if (method === "PUT") return write(key, exchange);
+    if (method === "DELETE") return remove(key, exchange);
     const found = objects.get(key);
     return found
       ? reply(response, 200, found)
@@ -95,6 +101,14 @@
     );
   }
 
+  function remove(key: string, { request, response }: JsonExchange): void {
+    const actual = objects.get(key) ?? null;
+    const wanted = Number(request.headers["if-match"] ?? Number.NaN);
+    if (actual?.version !== wanted) return reply(response, 412, { actual });
+    objects.delete(key);
+    reply(response, 200, {});
+  }
+
   function write(key: string, exchange: JsonExchange): void {
     const { request, response, body } = exchange;
     const actual = objects.get(key) ?? null;
