--- a/packages/routing/src/router_test.ts
+++ b/packages/routing/src/router_test.ts
@@ -219,6 +219,16 @@
     expect(await asked).toMatchObject({ kind: "refused", code: "no_capacity" });
   });
 
+  it("tells an answer at once that its other engines do not suffice", async () => {
+    // An answer avoids the engine that failed it, and no other holds those
+    // layers. Waiting here until its deadline kept it from trying the engine
+    // again once that was back (seed 7 of check:answers, 7 broken of 100).
+    const { router, health } = createTestRouter();
+    health.usable = false;
+    const result = await ask(router, { isRecovery: true });
+    expect(result).toMatchObject({ kind: "refused", code: "no_capacity" });
+  });
+
   it("waits a moment for engines that are just becoming known", async () => {
     // A note has come into force, and this instance has not yet read the
     // state of the engines that hold it. To refuse now would be a refusal
--- a/packages/schemas/src/stored.ts
+++ b/packages/schemas/src/stored.ts
@@ -13,6 +13,8 @@
     `${deployment}/leases/${domain}`,
   instances: (deployment: string, domain: string) =>
     `${deployment}/instances/${domain}`,
+  claimBucket: (deployment: string, service: string, bucket: string) =>
+    `${deployment}/claims/${service}/${bucket}/`,
   claim: (deployment: string, service: string, claim: string) =>
     `${deployment}/claims/${service}/${claim}`,
 } as const;
@@ -50,6 +52,20 @@
 });
 export type RegistryObject = z.infer<typeof registryObjectSchema>;
 export type RegistryEntry = RegistryObject["instances"][number];
+/** What is known of a non-repeatable call. */
+export const claimStateSchema = z.discriminatedUnion("kind", [
+  z.object({ kind: z.literal("claimed") }),
+  /** Proved not to have run: the key may be used again. */
+  z.object({ kind: z.literal("released") }),
+  z.object({
+    kind: z.literal("answered"),
+    status: z.number().int(),
+    contentType: z.string(),
+    body: z.string(),
+  }),
+  z.object({ kind: z.literal("unknown"), reason: z.string() }),
+]);
+export type ClaimState = z.infer<typeof claimStateSchema>;
 
 /** A non-repeatable call, recorded before its first byte is sent. */
 export const claimObjectSchema = z.object({
@@ -59,18 +75,7 @@
   /** Digest of method, path and body, to tell another call by the same key. */
   fingerprint: z.string(),
   claimedAt: z.number(),
-  state: z.discriminatedUnion("kind", [
-    z.object({ kind: z.literal("claimed") }),
-    /** Proved not to have run: the key may be used again. */
-    z.object({ kind: z.literal("released") }),
-    z.object({
-      kind: z.literal("answered"),
-      status: z.number().int(),
-      contentType: z.string(),
-      body: z.string(),
-    }),
-    z.object({ kind: z.literal("unknown"), reason: z.string() }),
-  ]),
+  state: claimStateSchema,
 });
 export type ClaimObject = z.infer<typeof claimObjectSchema>;
 
