--- a/packages/launcher/src/deployment.ts
+++ b/packages/launcher/src/deployment.ts
@@ -1,9 +1,16 @@
 /** Runs the processes of a plan. */
-import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import {
+  existsSync,
+  mkdtempSync,
+  readFileSync,
+  rmSync,
+  writeFileSync,
+} from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
 import { formatAddress } from "@rosemarypin/schemas";
+import type { JournalEntry } from "@rosemarypin/stand_ins";
 import { request } from "undici";
 import { stringify } from "yaml";
 import type { DeploymentPlan } from "./deployment_plan.ts";
@@ -24,6 +31,8 @@
   /** Starts an instance again, after it was ended. */
   startInstance(id: string): void;
   startStandIn(name: string): void;
+  /** What the service's servers ran, those that were killed included. */
+  readJournals(): readonly JournalEntry[];
   /** Ends all processes; `keepFolder` leaves settings and logs. */
   stop(options?: { readonly keepFolder?: boolean }): Promise<void>;
 }
@@ -48,9 +57,25 @@
     return file;
   }
 
+  function journalFileOf(name: string): string {
+    return join(folder, `${name}.journal`);
+  }
+
+  function readJournals(): readonly JournalEntry[] {
+    return plan.services.servers
+      .map(({ id }) => journalFileOf(id))
+      .filter((file) => existsSync(file))
+      .flatMap((file) => readFileSync(file, "utf8").split("\n"))
+      .filter((line) => line !== "")
+      .map((line) => JSON.parse(line) as JournalEntry);
+  }
+
   function startStandIn(name: string): void {
     const standIn = plan.standIns.find((entry) => entry.name === name);
-    const settings = writeSettings(name, standIn?.settings);
+    if (!standIn) throw new Error(`the plan has no stand-in '${name}'`);
+    const isService = standIn.settings.kind === "service";
+    const journal = isService ? { journalFile: journalFileOf(name) } : {};
+    const settings = writeSettings(name, { ...standIn.settings, ...journal });
     const args = ["--settings", settings];
     processes.start(name, { script: standInScript, args });
   }
@@ -84,6 +109,7 @@
     folder,
     startInstance,
     startStandIn,
+    readJournals,
     async stop({ keepFolder = false } = {}) {
       await processes.stopAll();
       if (!keepFolder) rmSync(folder, { recursive: true, force: true });
--- a/packages/launcher/src/process_group.ts
+++ b/packages/launcher/src/process_group.ts
@@ -23,6 +23,12 @@
 export function createProcessGroup(logFolder: string): ProcessGroup {
   const running = new Map<string, ChildProcess>();
 
+  // A launcher that breaks would leave its processes behind, and they would
+  // go on to take processor time from whatever is measured next.
+  process.once("exit", () => {
+    for (const child of running.values()) child.kill("SIGKILL");
+  });
+
   function find(name: string): ChildProcess {
     const child = running.get(name);
     if (!child) throw new Error(`no process was started as '${name}'`);
--- a/packages/scenarios/src/run_scenario.ts
+++ b/packages/scenarios/src/run_scenario.ts
@@ -6,8 +6,6 @@
   planDeployment,
   startDeployment,
 } from "@rosemarypin/launcher";
-import { formatAddress } from "@rosemarypin/schemas";
-import { request } from "undici";
 import { createAdminCalls } from "./admin_calls.ts";
 import type { Observations } from "./observations.ts";
 import { judge, type Verdict } from "./promises.ts";
@@ -54,7 +52,8 @@
   const stuck = await runSteps(context);
   for (const traffic of context.traffic.values()) await traffic.stop();
   stopWatching();
-  seen.journal.push(...(await readJournals(deployment)));
+  const journal = deployment.readJournals();
+  seen.journal.push(...journal.map((entry) => entry.idempotencyKey));
   const verdicts = judge(scenario.promises, seen);
   const result = { verdicts, stuck, seen, folder: deployment.folder };
   await deployment.stop({ keepFolder: !hasHeld(result) });
@@ -116,15 +115,3 @@
     for (const timer of timers) clearInterval(timer);
   };
 }
-
-/** The keys that each service server ran, once for each run. */
-async function readJournals(deployment: Deployment): Promise<string[]> {
-  const journals = await Promise.all(
-    deployment.plan.services.servers.map(async ({ address }) => {
-      const url = `http://${formatAddress(address)}/journal`;
-      const response = await request(url);
-      return (await response.body.json()) as { idempotencyKey: string }[];
-    }),
-  );
-  return journals.flat().map(({ idempotencyKey }) => idempotencyKey);
-}
--- a/packages/stand_ins/src/main.ts
+++ b/packages/stand_ins/src/main.ts
@@ -49,7 +49,9 @@
       const { instances, checkEveryMs } = settings;
       return startBalancer({ host, port, instances, checkEveryMs });
     }
-    case "service":
-      return startPlainService({ host, port, id: settings.id });
+    case "service": {
+      const { id, journalFile } = settings;
+      return startPlainService({ host, port, id, journalFile });
+    }
   }
 }
--- a/packages/stand_ins/src/plain_service.ts
+++ b/packages/stand_ins/src/plain_service.ts
@@ -1,4 +1,5 @@
 /** Stand-in of a booking service, which keeps a journal of what it ran. */
+import { appendFileSync } from "node:fs";
 import type { Server } from "node:http";
 import { type JsonExchange, reply, startJsonServer } from "./http_json.ts";
 
@@ -30,6 +31,8 @@
   readonly host: string;
   readonly port: number;
   readonly id: string;
+  /** Keeps the journal in a file as well, which outlives the process. */
+  readonly journalFile?: string | undefined;
 }): Promise<Server> {
   const journal: JournalEntry[] = [];
   const faults: PlainServiceFaults = {
@@ -76,13 +79,17 @@
   }
 
   function run({ request, url, response }: JsonExchange): void {
-    journal.push({
+    const entry: JournalEntry = {
       idempotencyKey: String(request.headers["idempotency-key"] ?? ""),
       organisation: String(request.headers["x-organisation"] ?? ""),
       requestId: String(request.headers["x-request-id"] ?? ""),
       path: url.pathname,
       at: Date.now(),
-    });
+    };
+    journal.push(entry);
+    if (options.journalFile) {
+      appendFileSync(options.journalFile, `${JSON.stringify(entry)}\n`);
+    }
     if (faults.loseAnswers > 0) {
       faults.loseAnswers -= 1;
       response.destroy();
--- a/packages/stand_ins/src/stand_in_settings.ts
+++ b/packages/stand_ins/src/stand_in_settings.ts
@@ -66,6 +66,7 @@
     kind: z.literal("service"),
     id: nameSchema,
     address: addressSchema,
+    journalFile: z.string().optional(),
   }),
 ]);
 export type StandInSettings = z.infer<typeof standInSettingsSchema>;
