--- a/packages/calls/src/claim_registry.ts
+++ b/packages/calls/src/claim_registry.ts
@@ -7,6 +7,8 @@
 
 /** Ended calls that are remembered; the oldest are forgotten first. */
 const LARGEST_MEMORY = 1_000;
+/** Bound of the answers among them; a few large ones would fill the heap. */
+const LARGEST_MEMORY_BYTES = 8 * 1024 * 1024;
 
 const NEVER_SENT: ClaimWord = { kind: "never_sent" };
 
@@ -36,19 +38,25 @@
   readonly incarnation: number;
 }): ClaimRegistry {
   const entries = new Map<string, Entry>();
+  let bytes = 0;
 
   function end(requestId: string, word: ClaimWord): void {
     const entry = entries.get(requestId);
     if (entry?.word.kind !== "running") return;
     entry.word = word;
+    bytes += sizeOf(word);
     for (const wake of entry.waiters) wake();
     forgetOldest();
   }
 
   function forgetOldest(): void {
     for (const [requestId, { word }] of entries) {
-      if (entries.size <= LARGEST_MEMORY) return;
-      if (word.kind !== "running") entries.delete(requestId);
+      const isFull =
+        entries.size > LARGEST_MEMORY || bytes > LARGEST_MEMORY_BYTES;
+      if (!isFull) return;
+      if (word.kind === "running") continue;
+      entries.delete(requestId);
+      bytes -= sizeOf(word);
     }
   }
 
@@ -94,3 +102,8 @@
     },
   };
 }
+
+function sizeOf(word: ClaimWord): number {
+  const isAnswer = word.kind === "settled" && word.state.kind === "answered";
+  return isAnswer ? word.state.body.length : 0;
+}
--- /dev/null
+++ b/packages/calls/src/claim_registry_test.ts
@@ -0,0 +1,36 @@
+import { describe, expect, it } from "vitest";
+import { createClaimRegistry } from "./claim_registry.ts";
+
+const MEGABYTE = 1024 * 1024;
+
+function answered(bytes: number) {
+  const body = "x".repeat(bytes);
+  return { kind: "answered", status: 200, contentType: "x", body } as const;
+}
+
+describe("the memory of ended calls", () => {
+  it("forgets the oldest answers before they fill the heap", async () => {
+    const registry = createClaimRegistry({ incarnation: 1 });
+    registry.begin("runs");
+    for (let count = 0; count < 20; count++) {
+      registry.begin(`r${count}`);
+      registry.endSent(`r${count}`, answered(MEGABYTE));
+    }
+    const ask = async (requestId: string) => {
+      const question = { requestId, incarnation: 1, waitMs: 0 };
+      return (await registry.ask(question)).kind;
+    };
+    expect(await ask("r0")).toBe("forgotten");
+    expect(await ask("r12")).toBe("settled");
+    expect(await ask("r19")).toBe("settled");
+    expect(await ask("runs")).toBe("running");
+  });
+
+  it("answers only for the process that made the claim", async () => {
+    const registry = createClaimRegistry({ incarnation: 2 });
+    registry.begin("r1");
+    registry.endUnsent("r1");
+    const question = { requestId: "r1", incarnation: 1, waitMs: 0 };
+    expect(await registry.ask(question)).toEqual({ kind: "forgotten" });
+  });
+});
--- a/packages/schemas/src/settings.ts
+++ b/packages/schemas/src/settings.ts
@@ -130,7 +130,7 @@
   /** How long a request may take when the caller does not say. */
   defaultDeadlineMs: z.number().int().positive().default(60_000),
   /** How long a stopping instance still takes what late balancers send. */
-  balancerLagMs: z.number().int().nonnegative().default(2_000),
+  balancerLagMs: z.number().int().nonnegative().default(1_000),
   /** How long SIGTERM waits for work in progress, in milliseconds. */
   shutdownGraceMs: z.number().int().positive().default(30_000),
   limits: limitsSchema.prefault({}),
