--- a/packages/calls/src/claim_registry.ts
+++ b/packages/calls/src/claim_registry.ts
@@ -104,6 +104,6 @@
 }
 
 function sizeOf(word: ClaimWord): number {
-  const isAnswer = word.kind === "settled" && word.state.kind === "answered";
-  return isAnswer ? word.state.body.length : 0;
+  if (word.kind !== "settled") return 0;
+  return word.state.kind === "answered" ? word.state.body.length : 0;
 }
--- a/packages/launcher/src/rolling_restart_test.ts
+++ b/packages/launcher/src/stops_test.ts
@@ -2,6 +2,7 @@
 import {
   expectedAnswer,
   type JournalEntry,
+  type PlainServiceFaults,
   type StandInSettings,
 } from "@rosemarypin/stand_ins";
 import { request } from "undici";
@@ -82,6 +83,69 @@
   });
 });
 
+describe("an unplanned stop of the instance that has an order", () => {
+  it("frozen between claim and sending, runs the order once", async () => {
+    // The instance is frozen while its claim is written, and the caller's
+    // next try goes to another one. Were the key freed there, the order would
+    // run twice: once there, and once when the first instance goes on.
+    const key = "order-of-a-frozen-instance";
+    const { objectApi } = deployment.plan;
+    await postJson(`${objectApi}/faults`, { delayMs: 500 });
+    const first = placeOrder(0, key);
+    await sleep(250);
+    deployment.processes.signal("entry-1", "SIGSTOP");
+    await sleep(500);
+    const second = await placeOrder(1, key);
+    deployment.processes.signal("entry-1", "SIGCONT");
+    expect(second).toMatchObject({ error: { outcome: "outcome_unknown" } });
+    const answer = await first;
+    expect(answer).toMatchObject({ number: expect.any(Number) });
+    await postJson(`${objectApi}/faults`, { delayMs: 0 });
+    expect(await placeOrder(2, key)).toEqual(answer);
+    expect(await countRuns(key)).toBe(1);
+  });
+
+  it("killed while the order runs, leaves it to be looked up", async () => {
+    // The instance dies after it sent the order. The claim stays, the answer
+    // is lost; the service knows the order by its key.
+    const key = "order-of-a-killed-instance";
+    await setServices({ delayMs: 1_000, leaving: false });
+    const first = placeOrder(3, key).catch(() => "broken");
+    await sleep(500);
+    deployment.processes.signal("entry-4", "SIGKILL");
+    expect(await first).toBe("broken");
+    await waitFor(async () => (await countRuns(key)) > 0);
+    await setServices({ delayMs: 0 });
+    expect(await placeOrder(1, key)).toMatchObject({
+      number: expect.any(Number),
+    });
+    expect(await countRuns(key)).toBe(1);
+  });
+});
+
+async function placeOrder(instance: number, key: string): Promise<unknown> {
+  const daemon = deployment.plan.daemons[instance];
+  if (!daemon) throw new Error(`there is no instance ${instance}`);
+  const url = urlOf(daemon.instance.addresses.callers);
+  const response = await request(`${url}/services/dealer-app/orders`, {
+    method: "POST",
+    headers: { authorization: `Bearer ${KEY}`, "idempotency-key": key },
+    body: JSON.stringify({ part: "belt-22" }),
+  });
+  return response.body.json();
+}
+
+async function countRuns(key: string): Promise<number> {
+  const journal = await readJournals();
+  return journal.filter((entry) => entry.idempotencyKey === key).length;
+}
+
+async function setServices(faults: Partial<PlainServiceFaults>) {
+  for (const { address } of deployment.plan.services.servers) {
+    await postJson(`${urlOf(address)}/faults`, faults);
+  }
+}
+
 /** Callers that ask again as soon as they have their answer. */
 function startLoad() {
   const broken: unknown[] = [];
