--- a/packages/backends/src/service_client.ts
+++ b/packages/backends/src/service_client.ts
@@ -108,8 +108,11 @@
     try {
       return await exchange(client, { address, call, timeoutMs });
     } catch (error) {
-      const { detail } = classifyTransportError(error);
-      return { kind: connected ? "broken" : "not_sent", detail };
+      const failure = classifyTransportError(error);
+      const { detail } = failure;
+      if (connected) return { kind: "broken", detail };
+      const refused = failure.kind === "not_sent" && failure.refused;
+      return { kind: "not_sent", detail, refused };
     } finally {
       void client.destroy();
     }
--- a/packages/bench/src/bench_command.ts
+++ b/packages/bench/src/bench_command.ts
@@ -16,4 +16,12 @@
     (await import("./capacity/capacity_bench.ts")).capacityBench,
   throughput: async () =>
     (await import("./throughput/throughput_bench.ts")).throughputBench,
+  confirmations: async () =>
+    (await import("./recall/confirmations_command.ts")).confirmationsCommand,
+  recall: async () =>
+    (await import("./recall/recall_command.ts")).recallCommand,
+  recovery: async () =>
+    (await import("./answers/recovery_command.ts")).recoveryCommand,
+  streams: async () =>
+    (await import("./answers/streams_command.ts")).streamsCommand,
 };
--- a/packages/calls/src/single_call_test.ts
+++ b/packages/calls/src/single_call_test.ts
@@ -54,7 +54,11 @@
 }
 
 const broken: ServiceResult = { kind: "broken", detail: "reset" };
-const notSent: ServiceResult = { kind: "not_sent", detail: "refused" };
+const notSent: ServiceResult = {
+  kind: "not_sent",
+  detail: "refused",
+  refused: true,
+};
 
 function createInstance(
   id: string,
--- a/packages/checks/src/bookings/journaled_service.ts
+++ b/packages/checks/src/bookings/journaled_service.ts
@@ -76,7 +76,7 @@
     switch (fault) {
       case "connect refused":
         await pause("connect fails");
-        return { kind: "not_sent", detail: fault };
+        return { kind: "not_sent", detail: fault, refused: true };
       case "refused as not started":
         await pause("server refuses");
         return { kind: "not_started", detail: fault, leaving: false };
@@ -101,7 +101,7 @@
       if (request.method === "POST") return sendBooking(request);
       await pause("looks the key up");
       if (faults.strikes(FAULT_CHANCE)) {
-        return { kind: "not_sent", detail: "look-up failed" };
+        return { kind: "not_sent", detail: "look-up failed", refused: true };
       }
       return lookUp(request);
     },
--- a/packages/daemon/src/caller_server.ts
+++ b/packages/daemon/src/caller_server.ts
@@ -2,11 +2,11 @@
 import { randomUUID } from "node:crypto";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import {
-  type AnswerDependencies,
   badCall,
   type CallFailure,
   notRun,
   outcomeUnknown,
+  type ResumeDependencies,
   runAnswer,
   type ServiceCall,
   type ServiceCallResult,
@@ -22,6 +22,7 @@
 } from "@rosemarypin/schemas";
 import { createLogger, type Metrics } from "@rosemarypin/telemetry";
 import { z } from "zod";
+import { readResumePath, resume } from "./answer_resume.ts";
 import {
   type AnswerEnd,
   type AnswerStyle,
@@ -39,7 +40,7 @@
 
 export interface CallerServerOptions {
   readonly settings: Settings;
-  readonly answers: AnswerDependencies;
+  readonly answers: ResumeDependencies;
   readonly callService: (call: ServiceCall) => Promise<ServiceCallResult>;
   readonly metrics: Metrics;
   readonly work: WorkInProgress;
@@ -102,6 +103,10 @@
       return answer(exchange, "chat");
     }
     if (path === "/v1/completions" && isPost) return answer(exchange, "text");
+    const resumed = readResumePath(request);
+    if (resumed) {
+      return resume({ ...exchange, requestId: resumed }, options.answers);
+    }
     if (path.startsWith("/services/")) return callService(exchange);
     sendFailure(response, unknownPath(request), { requestId });
   }
--- a/packages/fakes/src/mod.ts
+++ b/packages/fakes/src/mod.ts
@@ -1,3 +1,5 @@
 /** Fakes of narrow interfaces, in process, for tests. */
+export * from "./fixed_note.ts";
 export * from "./memory_store.ts";
 export * from "./peer_network.ts";
+export * from "./scripted_engines.ts";
--- a/packages/placement/src/mod.ts
+++ b/packages/placement/src/mod.ts
@@ -1,5 +1,7 @@
 /** What each engine holds, and the orders that make it so. */
+export * from "./candidates.ts";
 export * from "./control_lease.ts";
 export * from "./engine_controller.ts";
+export * from "./fencing_number.ts";
 export * from "./layer_split.ts";
 export * from "./wanted_layers.ts";
--- a/packages/routing/src/model_queue.ts
+++ b/packages/routing/src/model_queue.ts
@@ -190,7 +190,7 @@
 function factsOf({ request }: GrantRequest): QueueFacts {
   return {
     organisation: request.organisation,
-    weight: request.weight,
+    weight: request.weight ?? 1,
     priority: request.priority,
     cost: request.maxTokens + request.promptTokens.length * PROMPT_COST,
   };
--- a/packages/routing/src/pipeline_choice.ts
+++ b/packages/routing/src/pipeline_choice.ts
@@ -15,6 +15,8 @@
   readonly failureDomain: string;
   /** Engines that just failed this answer. */
   readonly avoid: ReadonlySet<string>;
+  /** Engines that still have the answer's KV cache; they go first. */
+  readonly prefer?: ReadonlySet<string>;
   /** Answers that may run at once on an engine, by its id. */
   readonly windowOf: (engine: string) => number;
   /** A number from 0 to 1, seeded; see `TIE_COST`. */
@@ -65,7 +67,9 @@
   if (!state || !holdsAdapter(state.adapters, need)) return [];
   const window = Math.max(1, need.windowOf(settings.id));
   const far = settings.failureDomain === need.failureDomain ? 0 : FAR_COST;
-  const cost = (inFlight + 1) / window + far + need.random() * TIE_COST;
+  const load = (inFlight + 1) / window;
+  const hasCache = need.prefer?.has(settings.id) ?? false;
+  const cost = hasCache ? 0 : load + far + need.random() * TIE_COST;
   const isFree = inFlight < window;
   return state.held
     .filter(
--- a/packages/routing/src/router.ts
+++ b/packages/routing/src/router.ts
@@ -50,6 +50,8 @@
   readonly avoid: ReadonlySet<string>;
   /** Whether an earlier attempt of the answer lost its engines. */
   readonly isRecovery: boolean;
+  /** Engines that still have the answer's KV cache. */
+  readonly prefer?: ReadonlySet<string>;
   readonly signal: AbortSignal;
 }
 
@@ -95,12 +97,19 @@
 
   function tryGrant(need: GrantRequest): Grant | Shortage {
     const { model, adapter } = need.request;
-    const choice = choose({ ...need, model, adapter });
+    const { version, avoid, prefer } = need;
+    const choice = choose({
+      model,
+      adapter,
+      version,
+      avoid,
+      ...(prefer ? { prefer } : {}),
+    });
     if (choice.kind !== "chosen") return choice.kind;
     return createGrant(choice.stages, queueOf(model));
   }
 
-  function choose(need: CoverRequest & { avoid: ReadonlySet<string> }) {
+  function choose(need: CoverRequest & Pick<GrantRequest, "avoid" | "prefer">) {
     const engines = fleet.engines();
     windows.follow(engines);
     return choosePipeline(engines, {
--- a/packages/schemas/src/peer.ts
+++ b/packages/schemas/src/peer.ts
@@ -34,26 +34,6 @@
 });
 export type Heartbeat = z.infer<typeof heartbeatSchema>;
 
-/** What one instance confirms about a note. */
-export const noteConfirmationSchema = z.object({
-  instance: nameSchema,
-  failureDomain: nameSchema,
-  incarnation: z.number(),
-  /** Number of the note the instance applies now. */
-  applied: noteNumberSchema,
-  /** Answers of versions that note withdraws and that still run. */
-  withdrawnRunning: z.number().int().nonnegative(),
-  /** Instances this one knows, so that the asker can find missing names. */
-  knows: z.array(
-    z.object({ id: nameSchema, incarnation: z.number(), left: z.boolean() }),
-  ),
-  /** Engines this instance orders, with the note each has confirmed. */
-  engines: z.array(
-    z.object({ engine: nameSchema, confirmed: noteNumberSchema }),
-  ),
-});
-export type NoteConfirmation = z.infer<typeof noteConfirmationSchema>;
-
 /** Asks the owner of a claim what became of the call. */
 export const claimQuestionSchema = z.object({
   /** Start of the owner's process that made the claim. */
