--- a/packages/calls/src/service_context.ts
+++ b/packages/calls/src/service_context.ts
@@ -6,6 +6,7 @@
 } from "@rosemarypin/backends";
 import type { NoteKeeper } from "@rosemarypin/release";
 import type { ServiceServer, ServiceSettings } from "@rosemarypin/schemas";
+import type { Metrics } from "@rosemarypin/telemetry";
 import type { CallFailure } from "./call_failure.ts";
 import type { ClaimOwners } from "./claim_owners.ts";
 import type { ClaimRegistry } from "./claim_registry.ts";
@@ -42,6 +43,7 @@
   readonly registry: ClaimRegistry;
   readonly owners: ClaimOwners;
   readonly failureDomain: string;
+  readonly metrics?: Metrics;
   /** Takes work that goes on after the answer; a shutdown waits for it. */
   readonly runInBackground: (work: Promise<unknown>) => void;
 }
--- a/packages/calls/src/single_call.ts
+++ b/packages/calls/src/single_call.ts
@@ -69,9 +69,15 @@
       request,
       claim: result.claim,
     });
-    if (followed.kind === "ended") return followed.result;
+    if (followed.kind === "ended") {
+      const result = "followed";
+      context.metrics?.claims.inc({ service: call.service, result });
+      return followed.result;
+    }
     result = await claims.reuse(request, followed.neverSent);
   }
+  const { kind } = result;
+  context.metrics?.claims.inc({ service: call.service, result: kind });
   if (result.kind === "taken") return failed(mayHaveRun());
   if (result.kind === "unavailable") return refuse(call, result);
   const refusal = refuseBeforeSending(call, context);
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -183,9 +183,12 @@
     registry,
     owners: createPeerClaimOwners({ id, membership, peers, registry }),
     failureDomain,
+    metrics,
     runInBackground(task) {
       const end = work.begin();
-      void task.finally(end);
+      const report = (error: unknown) =>
+        log.warn("background_failed", { reason: String(error) });
+      void task.catch(report).finally(end);
     },
   });
   const sweeper = createClaimSweeper({
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -61,6 +61,12 @@
       buckets: SECONDS_BUCKETS,
       registers,
     }),
+    claims: new Counter({
+      name: "rosemarypin_claims_total",
+      help: "Claims of calls that must not be repeated, by what became of them",
+      labelNames: ["service", "result"] as const,
+      registers,
+    }),
     storeCalls: new Counter({
       name: "rosemarypin_store_calls_total",
       help: "Calls to the platform's object API, by operation and result",
