--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -300,10 +300,10 @@
       router.stop();
       keeper.stop();
       fleet.stop();
+      await registration.leave();
       services.stop();
       sweeper.stop();
       clearInterval(listTimer);
-      await registration.leave();
       await membership.leave();
       for (const server of [peerServer, adminServer]) {
         await closeNow(server);
