--- a/packages/bench/src/bench_command.ts
+++ b/packages/bench/src/bench_command.ts
@@ -11,6 +11,10 @@
 export const benchCommands: Readonly<
   Record<string, () => Promise<BenchCommand>>
 > = {
+  capacity: async () =>
+    (await import("./capacity/capacity_bench.ts")).capacityBench,
+  throughput: async () =>
+    (await import("./throughput/throughput_bench.ts")).throughputBench,
   confirmations: async () =>
     (await import("./recall/confirmations_command.ts")).confirmationsCommand,
   recall: async () =>
--- a/packages/calls/src/answer.ts
+++ b/packages/calls/src/answer.ts
@@ -177,6 +177,7 @@
     request,
     version,
     avoid: progress.avoid,
+    isRecovery: progress.started,
     signal: options.signal,
   });
   if (result.kind === "granted") return result;
@@ -275,6 +276,7 @@
         }
         progress.delivered.push(event.text);
         progress.digest = event.digest;
+        grant.observeToken();
         yield { type: "token", index: event.index, text: event.text };
         break;
       }
