--- a/packages/bench/src/recall/recall_processes_test.ts
+++ b/packages/bench/src/recall/recall_processes_test.ts
@@ -22,6 +22,8 @@
 const OTHER = 1;
 
 let deployment: Deployment;
+/** Number of the last note that was published. */
+let note = 1;
 
 beforeAll(async () => {
   deployment = await startDeployment(await planDeployment(kanemShape));
@@ -72,25 +74,26 @@
 }
 
 it("recalls a version while a stage of its answers dies", async () => {
-  // v1 is recalled in the moment in which an engine of its pipeline dies. The
-  // recovery looks for other engines of v1; it must not find a way to go on,
+  // A version is recalled in the moment in which an engine of its pipeline dies. The
+  // recovery looks for other engines of it; it must not find a way to go on,
   // and the dead engine must not keep the note from being in force.
   const streams = [0, 1, 2, 3].map((instance) => ask(instance));
   await killBusyEngine();
-  await publishRecall(deployment, 2);
-  await waitFor(deployment, { number: 2, phase: "in_force" });
+  note += 1;
+  await publishRecall(deployment, note);
+  await waitFor(deployment, { number: note, phase: "in_force" });
   const ends = await Promise.all(streams);
   expect(ends.map(({ kind }) => kind)).not.toContain("broken");
   const after = await ask(OTHER);
   expect(after).toMatchObject({
     kind: "whole",
-    provenance: { version: versionOf(2) },
+    provenance: { version: versionOf(note) },
   });
 });
 
 it("gives nothing withdrawn from an instance that was frozen", async () => {
-  // An instance is stopped in the middle of an answer from v2, which is then
-  // recalled. Requests queue in its sockets, as do tokens of v2. Thawed, it
+  // An instance is stopped in the middle of an answer, whose version is then
+  // recalled. Requests queue in its sockets, as do tokens of it. Thawed, it
   // serves both before its watch has told it anything.
   let tokens = 0;
   const stream = ask(FROZEN, { onToken: () => (tokens += 1) });
@@ -98,14 +101,15 @@
   const frozen = deployment.plan.daemons[FROZEN]?.instance.id ?? "";
   deployment.processes.signal(frozen, "SIGSTOP");
   const queued = [1, 2, 3, 4].map(() => ask(FROZEN));
-  await publishRecall(deployment, 3, { via: OTHER });
+  note += 1;
+  await publishRecall(deployment, note, { via: OTHER });
   await until(async () => {
-    const { instances } = await readStatus(deployment, 3, { via: OTHER });
+    const { instances } = await readStatus(deployment, note, { via: OTHER });
     const states = instances.map(({ id, state }) => `${id} ${state}`);
     const confirmed = instances.filter(({ state }) => state === "confirmed");
     return states.includes(`${frozen} unheard`) && confirmed.length === 3;
   });
-  const { phase } = await readStatus(deployment, 3, { via: OTHER });
+  const { phase } = await readStatus(deployment, note, { via: OTHER });
   const tokensBefore = tokens;
   deployment.processes.signal(frozen, "SIGCONT");
   const answers = await Promise.all(queued);
@@ -116,18 +120,19 @@
   for (const answer of answers) {
     expect(answer).toMatchObject({
       kind: "whole",
-      provenance: { version: versionOf(3) },
+      provenance: { version: versionOf(note) },
     });
   }
-  await waitFor(deployment, { number: 3, phase: "in_force", via: OTHER });
+  await waitFor(deployment, { number: note, phase: "in_force", via: OTHER });
 });
 
 it("keeps a recall when every instance is replaced under traffic", async () => {
   // All instances are replaced one after the other. Nothing is on their disks
   // and each new one must find the note; one that started from an older note,
   // or from none, would answer from what was recalled.
-  await publishRecall(deployment, 4);
-  await waitFor(deployment, { number: 4, phase: "in_force" });
+  note += 1;
+  await publishRecall(deployment, note);
+  await waitFor(deployment, { number: note, phase: "in_force" });
   const live = new Set([0, 1, 2, 3]);
   const answers: StreamedAnswer[] = [];
   let replacing = true;
@@ -157,6 +162,6 @@
   const versions = answers.map((answer) =>
     answer.kind === "whole" ? answer.provenance.version : answer,
   );
-  expect([...new Set(versions)]).toEqual([versionOf(4)]);
-  await waitFor(deployment, { number: 4, phase: "in_force" });
+  expect([...new Set(versions)]).toEqual([versionOf(note)]);
+  await waitFor(deployment, { number: note, phase: "in_force" });
 });
