--- a/packages/release/src/head_follower_test.ts
+++ b/packages/release/src/head_follower_test.ts
@@ -24,7 +24,13 @@
 /** A store of which only the watch is used. */
 function watchOnly(watch: ObjectStore["watch"]): ObjectStore {
   const unused = () => Promise.reject(new Error("only the watch is used"));
-  return { watch, read: unused, list: unused, write: unused };
+  return {
+    watch,
+    read: unused,
+    list: unused,
+    write: unused,
+    remove: unused,
+  };
 }
 
 it("takes what a watch brings, skipped and repeated versions alike", async () => {
