Keep old withdrawals in objects of their own, not in the head

Older ones move to an object each before the head that lacks them is written, as the old head moves to the history. Only what was read from a recorded head is moved, so a publisher that loses its race leaves only true objects. A publish reads the objects of the names that it adds.

Ruled out: an object made when a name is first given out. A loser's object would have to be told from the winner's, by a read of the history, and layer sets may be named by several versions. Ruled out: a count alone, since 256 reasons of 2,000 characters of three bytes are 1.5 MB. The size is counted in bytes now, not in characters.

--- a/packages/release/src/publisher.ts
+++ b/packages/release/src/publisher.ts
@@ -11,6 +11,7 @@
 import { foldNote, type NoteProblem } from "./fold.ts";
 import { createNoteHistory, parseStoredNote } from "./note_history.ts";
 import type { NoteKeeper } from "./note_keeper.ts";
+import { createWithdrawnNames, splitWithdrawals } from "./withdrawn_names.ts";
 
 /** The store takes values up to a megabyte; some room is left for its own. */
 const LARGEST_RECORD_BYTES = 950_000;
@@ -53,10 +54,11 @@
   const { deployment, store, keeper } = options;
   const headKey = storedKeys.head(deployment);
   const history = createNoteHistory({ deployment, store });
+  const withdrawnNames = createWithdrawnNames({ deployment, store });
 
   async function publish(note: ReleaseNote): Promise<PublishResult> {
     const read = await store.read(headKey);
-    if (read.kind !== "ok") return { kind: "unavailable", detail: read.kind };
+    if (read.kind !== "ok") return unavailable(read.kind);
     const stored = parseStoredNote(read.value);
     // Taking a head that cannot be read for no head would start again from
     // nothing, and everything withdrawn would be forgotten.
@@ -75,26 +77,37 @@
     const catalogue = base.head?.catalogue ?? emptyCatalogue;
     const folded = foldNote(catalogue, note, { number });
     if (folded.kind === "invalid") return folded;
+    const { kept, moved } = splitWithdrawals(folded.catalogue.withdrawn, {
+      before: number,
+    });
     const next: NoteRecord = {
       number,
       note,
-      catalogue: folded.catalogue,
+      catalogue: { ...folded.catalogue, withdrawn: kept },
       recordedAt: Date.now(),
       recordedBy: options.instance,
     };
-    if (JSON.stringify(next).length > LARGEST_RECORD_BYTES) return tooLarge();
-    // The old head goes to history first: once the head is overwritten, no
-    // other object would hold it.
-    if (base.head && !(await history.keep(base.head))) {
-      return { kind: "unavailable", detail: "history could not be written" };
-    }
+    const size = Buffer.byteLength(JSON.stringify(next));
+    if (size > LARGEST_RECORD_BYTES) return tooLarge(size);
+    const problems = await withdrawnNames.findReused(note);
+    if (problems === null) return unavailable("withdrawn names not read");
+    if (problems.length > 0) return { kind: "invalid", problems };
+    // The old head goes to history first, and withdrawals that it alone holds
+    // to their own objects: once it is overwritten, no other object would
+    // hold them.
+    const [isInHistory, areMoved] = await Promise.all([
+      base.head === null || history.keep(base.head),
+      withdrawnNames.keep(moved),
+    ]);
+    if (!isInHistory) return unavailable("history could not be written");
+    if (!areMoved) return unavailable("old withdrawals could not be written");
     const written = await store.write(headKey, next, {
       expectedVersion: base.version,
     });
     if (written.kind === "ok") return recorded(next, false);
     if (written.kind === "conflict") return lostTo(written.actual, note);
     if (written.kind === "reply_lost") return resolveLostReply(note);
-    return { kind: "unavailable", detail: written.kind };
+    return unavailable(written.kind);
   }
 
   /**
@@ -154,12 +167,15 @@
   return { kind: "unknown", detail };
 }
 
-function unreadableHead(): PublishResult {
-  const detail = "the head object cannot be read by this release";
+function unavailable(detail: string): PublishResult {
   return { kind: "unavailable", detail };
 }
 
-function tooLarge(): PublishResult {
-  const message = `the note would make the record larger than ${LARGEST_RECORD_BYTES} bytes; shorten the reason`;
+function unreadableHead(): PublishResult {
+  return unavailable("the head object cannot be read by this release");
+}
+
+function tooLarge(size: number): PublishResult {
+  const message = `the record would have ${size} bytes, more than the ${LARGEST_RECORD_BYTES} that the store takes; withdraw what is not used any more or split the note`;
   return { kind: "invalid", problems: [{ line: "note", message }] };
 }
--- a/packages/schemas/src/catalogue.ts
+++ b/packages/schemas/src/catalogue.ts
@@ -25,7 +25,10 @@
 });
 export type Model = z.infer<typeof modelSchema>;
 
-/** A withdrawal is kept for good, so that nothing withdrawn comes back. */
+/**
+ * A withdrawal is kept for good, so that nothing withdrawn comes back: the
+ * newest in the catalogue, older ones as an object each in the store.
+ */
 export const withdrawalSchema = z.object({
   line: withdrawnLineSchema,
   number: noteNumberSchema,
@@ -36,6 +39,7 @@
 export const catalogueSchema = z.object({
   models: z.record(nameSchema, modelSchema),
   services: z.array(nameSchema),
+  /** The newest withdrawals, the oldest of them first. */
   withdrawn: z.array(withdrawalSchema),
 });
 export type Catalogue = z.infer<typeof catalogueSchema>;
--- a/packages/schemas/src/stored.ts
+++ b/packages/schemas/src/stored.ts
@@ -9,6 +9,8 @@
   head: (deployment: string) => `${deployment}/notes/head`,
   history: (deployment: string, number: number) =>
     `${deployment}/notes/history/${String(number).padStart(9, "0")}`,
+  withdrawn: (deployment: string, name: string) =>
+    `${deployment}/notes/withdrawn/${name}`,
   lease: (deployment: string, domain: string) =>
     `${deployment}/leases/${domain}`,
   instances: (deployment: string, domain: string) =>
