Test that no withdrawal is moved before it is recorded

The guard in splitWithdrawals stood without a test; without it the new test fails. Not tested alone: that the whole record is counted in bytes.

--- a/packages/release/src/withdrawn_names_test.ts
+++ b/packages/release/src/withdrawn_names_test.ts
@@ -21,7 +21,8 @@
     number: index + 1,
     reason,
   }));
-  const assist = { versions: {}, serve: [], adapters: ["live", "other"] };
+  const adapters = ["live", "other"];
+  const assist = { versions: {}, serve: [], adapters };
   return {
     number: count,
     note: { ...emptyNote(count - 1), publishId: "publish-head" },
@@ -245,3 +246,30 @@
   const again = await loser?.publish(add(KEPT + 1, 5_000));
   expect(JSON.stringify(again)).toContain("is there already");
 });
+
+it("moves no withdrawal before it is recorded", async () => {
+  // One note withdraws more than a head keeps, and its head is not written.
+  // An object for one of its names would refuse a name that still answers.
+  const { store, publisherOn, movedNames } = await createStore(null);
+  const failing: ObjectStore = {
+    ...store,
+    write: async (key, value, options) =>
+      key === HEAD
+        ? { kind: "unavailable", detail: "down" }
+        : store.write(key, value, options),
+  };
+  const names = Array.from({ length: KEPT + 40 }, (_, index) => index);
+  const head = headWith(1);
+  head.catalogue.models.assist.adapters.push(
+    ...names.map((index) => `b${index}`),
+  );
+  await store.write(HEAD, head, { expectedVersion: 1 });
+  const withdrawn = names.map((index) => ({
+    ...adapter(index),
+    adapter: `b${index}`,
+  }));
+  const note = { ...emptyNote(1), withdrawn };
+  const result = await publisherOn(failing, "one").publish(note);
+  expect(result.kind).toBe("unavailable");
+  expect(movedNames().filter((name) => name.includes("/b"))).toEqual([]);
+});
