Read a share of the engines in each instance, within a budget

Cause: every instance read every engine twice a second; 340 instances and 650 engines would make 442,000 reads a second.

Above 64 engines an instance uses four engines of each role, its own domain's first, and watches its share, so that each engine has two watchers, both by rendezvous hashing. Watchers read within 1,500 bytes a second and name changed engines to the other instances, which then read those once. Other engines are read within 500 bytes a second, to make up for a lost notice, and again soon after a call to them failed. Up to 64 engines nothing changes.

Ruled out: reading the whole subset within the budget, since a leaving engine would be noticed after minutes; notices that carry the state, since two may come in the wrong order.

--- a/packages/backends/src/engine_fleet_test.ts
+++ b/packages/backends/src/engine_fleet_test.ts
@@ -64,3 +64,102 @@
     expect(isUsable()).toBe(false);
   });
 });
+
+/** One of many instances: it watches one engine and uses two. */
+async function createSharedFleet() {
+  const ids = ["engine-1", "engine-2"];
+  const engines = ids.map((id, index) => ({
+    ...engine,
+    id,
+    address: { host: "127.0.0.1", port: 1 + index },
+  }));
+  const states = new Map<string, EngineState | null>(
+    ids.map((id) => [id, { ...state, engine: id }]),
+  );
+  const reads: string[] = [];
+  const client = {
+    async readState({ port }: { port: number }) {
+      const id = ids[port - 1] ?? "";
+      reads.push(id);
+      return states.get(id) ?? null;
+    },
+  } as unknown as EngineClient;
+  const subset = {
+    used: new Set(ids),
+    watched: new Set(["engine-1"]),
+    isWhole: false,
+  };
+  const changed: string[] = [];
+  const shared = createEngineFleet({
+    engines,
+    client,
+    subset: () => subset,
+    onChanged: (id) => void changed.push(id),
+  });
+  fleet = shared;
+  await vi.advanceTimersByTimeAsync(0);
+  const usable = () =>
+    shared
+      .engines()
+      .filter((known) => known.usable)
+      .map(({ settings }) => settings.id);
+  return { fleet: shared, states, reads, changed, usable };
+}
+
+describe("an engine that many instances use", () => {
+  it("is read often by its watchers and seldom by others", async () => {
+    const { reads, usable } = await createSharedFleet();
+    await vi.advanceTimersByTimeAsync(20_000);
+    const watched = reads.filter((id) => id === "engine-1").length;
+    expect(reads.length - watched).toBeLessThan(watched / 2);
+    expect(usable()).toEqual(["engine-1", "engine-2"]);
+  });
+
+  it("is told of by its watchers when it leaves, is lost and returns", async () => {
+    // An engine leaves. Instances that do not read it must hear of it within
+    // seconds, or they would send it new work until a call is refused.
+    const { states, changed } = await createSharedFleet();
+    states.set("engine-1", { ...state, leaving: true });
+    await vi.advanceTimersByTimeAsync(2_000);
+    expect(changed).toEqual(["engine-1"]);
+    states.set("engine-1", null);
+    await vi.advanceTimersByTimeAsync(4_000);
+    states.set("engine-1", state);
+    await vi.advanceTimersByTimeAsync(8_000);
+    expect(changed).toEqual(["engine-1", "engine-1", "engine-1"]);
+  });
+
+  it("is not told of when only its load changes", async () => {
+    const { states, changed } = await createSharedFleet();
+    states.set("engine-1", { ...state, load: 7 });
+    await vi.advanceTimersByTimeAsync(4_000);
+    expect(changed).toEqual([]);
+  });
+
+  it("gets nothing new soon after another instance's notice", async () => {
+    // The engine is watched elsewhere and leaves. The notice names it, and it
+    // is read at once; a notice of a cut-off watcher changes nothing.
+    const { fleet: shared, states, usable } = await createSharedFleet();
+    shared.recheck(["engine-2", "engine-of-a-newer-settings-file"]);
+    await vi.advanceTimersByTimeAsync(1_500);
+    expect(usable()).toContain("engine-2");
+    states.set("engine-2", { ...state, engine: "engine-2", leaving: true });
+    shared.recheck(["engine-2"]);
+    await vi.advanceTimersByTimeAsync(1_500);
+    expect(usable()).toEqual(["engine-1"]);
+  });
+
+  it("is found lost by the calls that fail, and found again", async () => {
+    // Nobody tells that the engine died. The call that fails does, and from
+    // then on it is read often enough to be used again when it returns.
+    const { fleet: shared, states, usable } = await createSharedFleet();
+    states.set("engine-2", null);
+    shared.reportLost("engine-2");
+    expect(usable()).toEqual(["engine-1"]);
+    await vi.advanceTimersByTimeAsync(30_000);
+    expect(usable()).toEqual(["engine-1"]);
+    states.set("engine-2", { ...state, engine: "engine-2" });
+    await vi.advanceTimersByTimeAsync(9_000);
+    expect(usable()).toEqual(["engine-1", "engine-2"]);
+  });
+});
--- /dev/null
+++ b/packages/backends/src/engine_subset_test.ts
@@ -0,0 +1,94 @@
+import type { EngineSettings } from "@rosemarypin/schemas";
+import { describe, expect, it } from "vitest";
+import { chooseEngines, type SubsetMember } from "./engine_subset.ts";
+
+/** Engines of four roles, spread over the domains. */
+function enginesOf(count: number, domains: number): EngineSettings[] {
+  return Array.from({ length: count }, (_, index) => {
+    const from = (Math.floor(index / domains) % 4) * 12;
+    return {
+      id: `engine-${index}`,
+      failureDomain: `domain-${index % domains}`,
+      address: { host: "127.0.0.1", port: 1 + index },
+      accelerator: "fast",
+      checksFencing: true,
+      roles: [{ model: "assist", layers: { from, to: from + 12 } }],
+    };
+  });
+}
+
+function membersOf(count: number, domains: number): SubsetMember[] {
+  return Array.from({ length: count }, (_, index) => ({
+    id: `entry-${index}`,
+    failureDomain: `domain-${index % domains}`,
+  }));
+}
+
+const engines = enginesOf(650, 8);
+const members = membersOf(340, 8);
+const chooseAll = (live: readonly SubsetMember[]) =>
+  live.map((self) => chooseEngines(engines, { self, members: live }));
+
+describe("the engines of an instance", () => {
+  it("are all of them at today's size", () => {
+    const few = enginesOf(40, 3);
+    for (const self of membersOf(4, 3)) {
+      const subset = chooseEngines(few, { self, members: membersOf(4, 3) });
+      expect(subset.used.size).toBe(40);
+      expect(subset.watched.size).toBe(40);
+    }
+  });
+
+  it("hold enough of each role, of its own domain where there are", () => {
+    for (const self of members.slice(0, 16)) {
+      const { used, watched } = chooseEngines(engines, { self, members });
+      const chosen = engines.filter(({ id }) => used.has(id));
+      for (const from of [0, 12, 24, 36]) {
+        const group = chosen.filter(
+          ({ roles }) => roles[0]?.layers.from === from,
+        );
+        expect(group.length).toBeGreaterThanOrEqual(4);
+      }
+      const far = chosen.filter(
+        ({ id, failureDomain }) =>
+          failureDomain !== self.failureDomain && !watched.has(id),
+      );
+      expect(far).toEqual([]);
+    }
+  });
+
+  it("leave no engine without two watchers and a user", () => {
+    const watchers = new Map<string, number>();
+    for (const { used, watched } of chooseAll(members)) {
+      for (const id of watched) {
+        watchers.set(id, (watchers.get(id) ?? 0) + 1);
+        expect(used.has(id)).toBe(true);
+      }
+    }
+    expect(watchers.size).toBe(650);
+    expect(new Set(watchers.values())).toEqual(new Set([2]));
+  });
+
+  it("are watched from elsewhere when a domain has lost its instances", () => {
+    // All instances of one domain are lost; its engines go on and are used
+    // from other domains, so somebody has to find out when one leaves.
+    const rest = members.filter((one) => one.failureDomain !== "domain-3");
+    const watched = new Set(chooseAll(rest).flatMap((one) => [...one.watched]));
+    expect(watched.size).toBe(650);
+  });
+
+  it("change little when an instance goes", () => {
+    // 99 instances a day are replaced. If each moved all engines, windows and
+    // connections would start over at every instance each time.
+    const before = chooseAll(members);
+    const after = chooseAll(members.slice(1));
+    let moved = 0;
+    after.forEach(({ used, watched }, index) => {
+      const old = before[index + 1];
+      for (const id of watched) if (!old?.watched.has(id)) moved += 1;
+      const lost = [...(old?.used ?? [])].filter((id) => !used.has(id));
+      expect(lost).toEqual([]);
+    });
+    expect(moved).toBe(before[0]?.watched.size);
+  });
+});
--- a/packages/backends/src/mod.ts
+++ b/packages/backends/src/mod.ts
@@ -1,7 +1,9 @@
 /** Clients of engines and of plain services. */
 export * from "./engine_client.ts";
 export * from "./engine_fleet.ts";
+export * from "./engine_subset.ts";
 export * from "./leaving.ts";
+export * from "./read_interval.ts";
 export * from "./server_health.ts";
 export * from "./service_client.ts";
 export * from "./service_fleet.ts";
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -53,6 +53,12 @@
 import { startAdminServer } from "./admin_server.ts";
 import { startCallerServer } from "./caller_server.ts";
 import { claimOwnerMethods, createPeerClaimOwners } from "./claim_owners.ts";
+import {
+  createEngineNotices,
+  createSubsetChoice,
+  ENGINES_CHANGED,
+  readEngineNotice,
+} from "./engine_notices.ts";
 import { closeGracefully, closeNow, closeRest } from "./graceful_close.ts";
 import { createWorkInProgress } from "./work_in_progress.ts";
 
@@ -124,6 +130,8 @@
   const fleet = createEngineFleet({
     engines: settings.engines,
     client: engines,
+    subset: createSubsetChoice({ engines: settings.engines, membership }),
+    onChanged: createEngineNotices({ membership, peers }),
   });
   const domains = [
     ...new Set(settings.engines.map((engine) => engine.failureDomain)),
@@ -250,6 +258,7 @@
     "note.current": (params) => keeper.answer(noteRequestSchema.parse(params)),
     "note.confirm": (params) => confirmer.confirm(params),
     "note.ping": () => true,
+    [ENGINES_CHANGED]: (params) => fleet.recheck(readEngineNotice(params)),
     ...claimOwnerMethods(registry),
   });
   const adminServer = await startAdminServer({
