Read engines back seldom where nothing changes in a large domain

Cause: the holder of a domain's lease read each of its engines twice a second, 81 of them at the size to design for.

Above 16 engines the reads back double up to an interval within 1,500 bytes a second. Notes wake all tasks as before, each order starts the reads over, and a watcher's notice wakes the task of the engine that it names.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -127,17 +127,25 @@
     metrics,
   });
   const engines = createEngineClient();
+  const noticeEngine = createEngineNotices({ membership, peers });
   const fleet = createEngineFleet({
     engines: settings.engines,
     client: engines,
     subset: createSubsetChoice({ engines: settings.engines, membership }),
-    onChanged: createEngineNotices({ membership, peers }),
+    onChanged(engine) {
+      recheckOrders([engine]);
+      noticeEngine(engine);
+    },
   });
   const domains = [
     ...new Set(settings.engines.map((engine) => engine.failureDomain)),
   ];
   const controllers = domains.map((domain) => controlDomain(domain));
 
+  function recheckOrders(engines: readonly string[]): void {
+    for (const { controller } of controllers) controller.recheck(engines);
+  }
+
   function controlDomain(domain: string) {
     const lease = createControlLease({
       deployment,
@@ -258,7 +266,11 @@
     "note.current": (params) => keeper.answer(noteRequestSchema.parse(params)),
     "note.confirm": (params) => confirmer.confirm(params),
     "note.ping": () => true,
-    [ENGINES_CHANGED]: (params) => fleet.recheck(readEngineNotice(params)),
+    [ENGINES_CHANGED](params) {
+      const changed = readEngineNotice(params);
+      fleet.recheck(changed);
+      recheckOrders(changed);
+    },
     ...claimOwnerMethods(registry),
   });
   const adminServer = await startAdminServer({
--- a/packages/placement/src/engine_controller.ts
+++ b/packages/placement/src/engine_controller.ts
@@ -1,5 +1,9 @@
 /** Orders the engines of one failure domain until they hold what they must. */
-import type { EngineClient, EngineFleet } from "@rosemarypin/backends";
+import {
+  type EngineClient,
+  type EngineFleet,
+  readIntervalMs,
+} from "@rosemarypin/backends";
 import { type NoteKeeper, surelyElapsedMs } from "@rosemarypin/release";
 import type {
   EngineConfirmation,
@@ -14,8 +18,11 @@
 import { createWakeUp } from "./wake_up.ts";
 import { type WantedState, wantedState } from "./wanted_layers.ts";
 
-/** How often an engine that holds what it must is read back. */
-const READ_BACK_EVERY_MS = 500;
+/** How soon an engine that holds what it must is read back. */
+const READ_BACK_MS = 500;
+/** With more engines than this, the reads back slow down within a budget. */
+const READ_BACK_ALL_UP_TO = 16;
+const READ_BACK_BYTES_PER_SECOND = 1_500;
 /** How soon an engine that does not is ordered again; doubled up to above. */
 const FIRST_RETRY_MS = 25;
 
@@ -34,6 +41,8 @@
   confirmations(): readonly EngineConfirmation[];
   /** Looks at all engines now. */
   wake(): void;
+  /** Looks at these engines now, because they are said to have changed. */
+  recheck(engines: readonly string[]): void;
   /** Starts no order any more; resolves once none is in flight. */
   stop(): Promise<void>;
 }
@@ -47,20 +56,38 @@
 ): EngineController {
   const { client, fleet, keeper, lease } = options;
   const confirmed = new Map<string, EngineConfirmation>();
-  const wakeUp = createWakeUp();
-  const stopFollowing = keeper.onChange(() => wakeUp.wake());
+  const wakeUps = new Map(
+    options.engines.map(({ id }) => [id, createWakeUp()]),
+  );
+  const stopFollowing = keeper.onChange(wake);
+  const longestReadBackMs = longestReadBack(options.engines.length);
   let stopped = false;
   const tasks = options.engines.map(follow);
 
+  function wake(): void {
+    for (const wakeUp of wakeUps.values()) wakeUp.wake();
+  }
+
   async function follow(engine: EngineSettings): Promise<void> {
+    const wakeUp = wakeUps.get(engine.id) ?? createWakeUp();
     let retryMs = FIRST_RETRY_MS;
+    let readBackMs = READ_BACK_MS;
     while (!stopped) {
       const seen = wakeUp.count();
+      const before = confirmed.get(engine.id);
       const look = await bringToNote(engine);
       if (stopped) return;
       retryMs = look === "retry" ? retryMs * 2 : FIRST_RETRY_MS;
-      const waitMs = look === "retry" ? retryMs : READ_BACK_EVERY_MS;
-      await wakeUp.wait(Math.min(waitMs, READ_BACK_EVERY_MS), seen);
+      // An engine that was as it should be is read back ever later. A late
+      // order of an earlier holder may still land on one that ignores fencing
+      // numbers, most likely soon, so each order starts the reads over.
+      const isQuiet = look === "holds" && confirmed.get(engine.id) === before;
+      readBackMs = isQuiet
+        ? Math.min(readBackMs * 2, longestReadBackMs)
+        : READ_BACK_MS;
+      const waitMs =
+        look === "retry" ? Math.min(retryMs, READ_BACK_MS) : readBackMs;
+      await wakeUp.wait(waitMs, seen);
     }
   }
 
@@ -152,12 +179,22 @@
           confirmed.get(id) ?? { engine: id, confirmed: 0, stopped: false },
       );
     },
-    wake: () => wakeUp.wake(),
+    wake,
+    recheck(engines) {
+      for (const id of engines) wakeUps.get(id)?.wake();
+    },
     async stop() {
       stopped = true;
       stopFollowing();
-      wakeUp.wake();
+      wake();
       await Promise.all(tasks);
     },
   };
 }
+
+/** One engine's turn when all of `engines` are read within the budget. */
+function longestReadBack(engines: number): number {
+  if (engines <= READ_BACK_ALL_UP_TO) return READ_BACK_MS;
+  const bytesPerSecond = READ_BACK_BYTES_PER_SECOND;
+  return readIntervalMs(engines, { bytesPerSecond });
+}
--- a/packages/placement/src/engine_controller_test.ts
+++ b/packages/placement/src/engine_controller_test.ts
@@ -81,10 +81,19 @@
     readState: async () => state(),
   };
   const versions = () => state().held.map(({ version }) => version);
-  return { client, take, versions };
+  const reads = vi.spyOn(client, "readState");
+  return { client, take, versions, reads: () => reads.mock.calls.length };
 }
 
-function startController(engine: ReturnType<typeof createEngine>) {
+/** Controls one engine, or so many that answer as one. */
+function startController(
+  engine: ReturnType<typeof createEngine>,
+  options: { readonly engines?: number } = {},
+) {
+  const engines = Array.from({ length: options.engines ?? 1 }, (_, index) => ({
+    ...settings,
+    id: `engine-${index + 1}`,
+  }));
   const listeners = new Set<(record: NoteRecord) => void>();
   let applied = record(1, ["v1"]);
   let held: HeldLease | null = null;
@@ -98,7 +107,7 @@
     },
   };
   const controller = createEngineController({
-    engines: [settings],
+    engines,
     client: engine.client,
     fleet: {
       engines: () => [],
@@ -192,3 +201,48 @@
     expect(engine.versions()).toEqual(["v1"]);
   });
 });
+
+describe("the reads back of a large domain", () => {
+  async function settle() {
+    const engine = createEngine({ checks: false });
+    const started = startController(engine, { engines: 81 });
+    started.hold(1);
+    await vi.advanceTimersByTimeAsync(310_000);
+    return { engine, ...started };
+  }
+
+  it("grow rare while nothing changes", async () => {
+    const { engine, controller } = await settle();
+    const before = engine.reads();
+    await vi.advanceTimersByTimeAsync(60_000);
+    expect(engine.reads() - before).toBeLessThan(60 * 2);
+    await controller.stop();
+  });
+
+  it("do not hold up a recall", async () => {
+    // Nothing has changed for minutes, and a version is recalled. Waiting for
+    // the next read back would keep it on the engines for a minute.
+    const { engine, apply, controller } = await settle();
+    apply(record(2, []));
+    await vi.advanceTimersByTimeAsync(100);
+    expect(engine.versions()).toEqual([]);
+    const confirmed = controller.confirmations();
+    expect(new Set(confirmed.map((one) => one.confirmed))).toEqual(
+      new Set([2]),
+    );
+    await controller.stop();
+  });
+
+  it("come at once when a watcher says that an engine has changed", async () => {
+    // An engine restarts and holds nothing. Until it is read back and ordered
+    // again, its accelerators stand idle.
+    const { engine, controller } = await settle();
+    engine.take({ ...oldOrder, noteNumber: 0, hold: [] });
+    await vi.advanceTimersByTimeAsync(1_000);
+    expect(engine.versions()).toEqual([]);
+    controller.recheck(["engine-7"]);
+    await vi.advanceTimersByTimeAsync(100);
+    expect(engine.versions()).toEqual(["v1"]);
+    await controller.stop();
+  });
+});
