--- a/packages/schemas/src/mod.ts
+++ b/packages/schemas/src/mod.ts
@@ -8,5 +8,6 @@
 export * from "./peer.ts";
 export * from "./release_note.ts";
 export * from "./settings.ts";
+export * from "./settings_checks.ts";
 export * from "./settings_file.ts";
 export * from "./stored.ts";
--- a/packages/schemas/src/names.ts
+++ b/packages/schemas/src/names.ts
@@ -7,6 +7,14 @@
   .regex(
     /^[a-zA-Z0-9][a-zA-Z0-9._-]{0,62}$/,
     "expected a name of 1 to 63 letters, digits, '.', '_' or '-'",
+  )
+  .refine(
+    // Names are keys of plain objects, such as a catalogue's models. There,
+    // `constructor` would find what every object inherits: a request for such
+    // a model broke inside, and a note that added one would have changed
+    // `Object` itself. A name that no object inherits cannot be mistaken.
+    (name) => !(name in Object.prototype),
+    "expected a name that no object inherits, such as 'constructor'",
   );
 
 /** Number of a release note: 1 for the first, then one more each time. */
--- a/packages/schemas/src/settings.ts
+++ b/packages/schemas/src/settings.ts
@@ -2,6 +2,7 @@
 import { z } from "zod";
 import { prioritySchema } from "./completion.ts";
 import { addressSchema, layerRangeSchema, nameSchema } from "./names.ts";
+import { checkSettings } from "./settings_checks.ts";
 
 const addressesSchema = z.strictObject({
   callers: addressSchema,
@@ -19,6 +20,18 @@
 });
 export type Organisation = z.infer<typeof organisationSchema>;
 
+/**
+ * A kind of work with a priority of its own, such as the drafts that come
+ * first this season. A caller names it with the `x-work` header.
+ */
+const workSchema = z.strictObject({
+  name: nameSchema,
+  priority: prioritySchema,
+  /** Organisations that may use the name; all when left out. */
+  organisations: z.array(nameSchema).min(1).optional(),
+});
+export type WorkKind = z.infer<typeof workSchema>;
+
 const engineSchema = z.strictObject({
   id: nameSchema,
   failureDomain: nameSchema,
@@ -74,6 +87,14 @@
   headersTimeoutMs: z.number().int().positive().default(5_000),
   /** How long a caller may take to send a request, in milliseconds. */
   requestTimeoutMs: z.number().int().positive().default(10_000),
+  /** How long a caller may leave its answer unread, in milliseconds. */
+  readerStallMs: z.number().int().positive().default(15_000),
+  /** Connections of callers that may be open at once. */
+  connections: z.number().int().positive().default(2_000),
+  /** Requests that one connection may have in progress. */
+  requestsPerConnection: z.number().int().positive().default(8),
+  /** Bytes of request bodies that may be in memory at once. */
+  bodiesBytes: z.number().int().positive().default(33_554_432),
   /** Requests that may wait for a pipeline. */
   queueLength: z.number().int().positive().default(1_000),
   /** Answers that one pipeline runs at once for this instance. */
@@ -85,14 +106,17 @@
   firstTokenMs: z.number().positive().default(830),
   betweenTokensMs: z.number().positive().default(79),
   noteInForceMs: z.number().positive().default(5_000),
+  /** Share of bookings that must end with a known outcome. */
+  bookingsTarget: z.number().gt(0).lt(1).default(0.999),
   /** Share of events that must meet their objective, from 0 to 1. */
   target: z.number().gt(0).lt(1).default(0.95),
 });
 
-/** The whole settings file of one daemon. */
-export const settingsSchema = z.strictObject({
+const settingsShape = z.strictObject({
   deployment: nameSchema,
   region: nameSchema,
+  /** All failure domains; others are refused when the list is given. */
+  failureDomains: z.array(nameSchema).min(1).optional(),
   instance: z.strictObject({
     id: nameSchema,
     failureDomain: nameSchema,
@@ -110,6 +134,8 @@
   /** Where to look for other instances at the start; live ones are learned. */
   peers: z.array(peerSchema).default([]),
   organisations: z.array(organisationSchema).min(1),
+  /** Kinds of work whose priority is not that of the organisation. */
+  work: z.array(workSchema).default([]),
   engines: z.array(engineSchema).default([]),
   services: z.array(serviceSchema).default([]),
   release: z
@@ -125,4 +151,11 @@
   limits: limitsSchema.prefault({}),
   objectives: objectivesSchema.prefault({}),
 });
-export type Settings = z.infer<typeof settingsSchema>;
+export type Settings = z.infer<typeof settingsShape>;
+
+/** The whole settings file of one daemon, with its cross-checks. */
+export const settingsSchema = settingsShape.superRefine((settings, context) => {
+  for (const { path, message } of checkSettings(settings)) {
+    context.addIssue({ code: "custom", path: [...path], message });
+  }
+});
--- a/packages/schemas/src/settings_file.ts
+++ b/packages/schemas/src/settings_file.ts
@@ -1,5 +1,12 @@
 /** Reads YAML against a schema, with errors that name file, line and key. */
-import { LineCounter, parseDocument } from "yaml";
+import {
+  type Document,
+  isMap,
+  isNode,
+  isScalar,
+  LineCounter,
+  parseDocument,
+} from "yaml";
 import type { z } from "zod";
 
 /** One thing wrong with a file. */
@@ -33,9 +40,15 @@
     }));
     return { kind: "invalid", problems };
   }
-  const parsed = schema.safeParse(document.toJS());
+  const plain = toPlain(document);
+  if (plain.kind === "broken") {
+    const { expected } = plain;
+    const problem = { file, line: 1, key: "(syntax)", expected };
+    return { kind: "invalid", problems: [problem] };
+  }
+  const parsed = schema.safeParse(plain.value);
   if (parsed.success) return { kind: "valid", value: parsed.data };
-  const problems = parsed.error.issues.map((issue) => ({
+  const problems = parsed.error.issues.flatMap(splitIssue).map((issue) => ({
     file,
     line: lineOf(document, issue.path, lineCounter),
     key: formatKey(issue.path),
@@ -44,6 +57,30 @@
   return { kind: "invalid", problems };
 }
 
+type Plain =
+  | { readonly kind: "plain"; readonly value: unknown }
+  | { readonly kind: "broken"; readonly expected: string };
+
+/** Aliases that multiply without end throw only when they are resolved. */
+function toPlain(document: Document): Plain {
+  try {
+    return { kind: "plain", value: document.toJS() };
+  } catch {
+    const expected = "expected aliases that name an anchor, and few of them";
+    return { kind: "broken", expected };
+  }
+}
+
+/** Unknown keys come as one issue of their parent; each has its own line. */
+function splitIssue(issue: z.core.$ZodIssue): readonly {
+  readonly path: readonly PropertyKey[];
+  readonly message: string;
+}[] {
+  if (issue.code !== "unrecognized_keys") return [issue];
+  const message = "unknown key; expected one that the schema lists";
+  return issue.keys.map((key) => ({ path: [...issue.path, key], message }));
+}
+
 /** One line for people: file, line, key, and what was expected. */
 export function formatProblem(problem: FileProblem): string {
   const { file, line, key, expected } = problem;
@@ -52,19 +89,29 @@
 
 /** The line of a key, or of the nearest parent that the file has. */
 function lineOf(
-  document: ReturnType<typeof parseDocument>,
+  document: Document,
   path: readonly PropertyKey[],
   lineCounter: LineCounter,
 ): number {
-  for (let length = path.length; length >= 0; length--) {
-    const node = document.getIn(path.slice(0, length), true);
-    const range = (node as { range?: [number, number, number] } | undefined)
-      ?.range;
-    if (range) return lineCounter.linePos(range[0]).line;
+  for (let length = path.length; length > 0; length--) {
+    const node = keyNode(document, path.slice(0, length));
+    const start = isNode(node) ? node.range?.[0] : undefined;
+    if (start !== undefined) return lineCounter.linePos(start).line;
   }
   return 1;
 }
 
+/** The node of a key itself: its value may begin on a later line. */
+function keyNode(document: Document, path: readonly PropertyKey[]): unknown {
+  const parent = document.getIn(path.slice(0, -1), true);
+  const last = path.at(-1);
+  if (!isMap(parent)) return document.getIn(path, true);
+  const pair = parent.items.find(
+    ({ key }) => (isScalar(key) ? key.value : key) === last,
+  );
+  return pair?.key;
+}
+
 function formatKey(path: readonly PropertyKey[]): string {
   if (path.length === 0) return "(whole file)";
   return path
