Harden both HTTP interfaces, with contract tests on a real server

Causes found by sending each shape by hand: - a body that grew too large cut the connection before its 413, because leaving a 'for await' destroys the request; node then also read on for as long as a refused caller liked to send; - '/services/x/stock/..%2f..%2forders' and '..' matched the rule '/stock/*' and were resolved by the client: a lookup reached other paths of the service; - each wrong model or service name became a label of the metrics for good; - a caller that stopped reading held its engines for ever; - requests sent ahead on one connection all ran at once; - a few hundred slow bodies could take any amount of memory; - 'constructor' as a model broke inside and was answered 503 as not run; - node's own 400, 408, 417 and 431 had no body; - an exception in the administration API ended the process. Ruled out: one limit of memory for all bodies (one organisation's slow bodies then shut out the rest; its share is a quarter), and letting callers choose the request id (ids are what a resume will need, so they stay unguessable; a caller's own id is logged and sent back as x-caller-request-id).

--- a/packages/daemon/src/admin_server.ts
+++ b/packages/daemon/src/admin_server.ts
@@ -1,58 +1,138 @@
 /** The administration API, metrics and health. */
+import { randomUUID } from "node:crypto";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { badCall, type CallFailure, notRun } from "@rosemarypin/calls";
-import type { Publisher, PublishResult } from "@rosemarypin/release";
+import type { Publisher } from "@rosemarypin/release";
 import {
   type NoteStatus,
+  nameSchema,
+  type ReleaseNote,
   releaseNoteSchema,
+  type ServiceLevels,
   type Settings,
   type Status,
 } from "@rosemarypin/schemas";
-import type { Metrics } from "@rosemarypin/telemetry";
+import { createLogger, type Metrics } from "@rosemarypin/telemetry";
 import { z } from "zod";
+import {
+  badNote,
+  publishReply,
+  type Reply,
+  storeAway,
+} from "./admin_replies.ts";
+import { checkJsonType } from "./answer_request.ts";
 import { keyHashOf } from "./authentication.ts";
-import { readBody, sendFailure, sendJson, startServer } from "./http_basics.ts";
+import { sendFailure, sendJson } from "./http_basics.ts";
+import { startServer } from "./http_server.ts";
+import type { NoteInspector } from "./note_inspector.ts";
+import { createBodyMemory, readBody } from "./request_body.ts";
+
+/** Administrators share one part of the memory for bodies. */
+const SENDER = "administrators";
+const INTERNAL_RETRY_SECONDS = 2;
+const LARGEST_EXPLANATION = 2_000;
 
-const STORE_RETRY_SECONDS = 5;
-const REQUEST_ID = "admin";
+const log = createLogger("admin");
 
 export interface AdminServerOptions {
   readonly settings: Settings;
   readonly metrics: Metrics;
   readonly publisher: Publisher;
+  readonly inspector: NoteInspector;
   readonly status: () => Promise<Status>;
   readonly noteStatus: (number: number) => Promise<NoteStatus>;
+  readonly serviceLevels: () => ServiceLevels;
   readonly isReady: () => boolean;
   readonly drain: () => void;
 }
 
+interface Exchange {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly requestId: string;
+  readonly url: URL;
+}
+
+interface Route {
+  readonly method: "GET" | "POST";
+  readonly path: RegExp;
+  /** `number` is the first group of `path`. */
+  run(exchange: Exchange, number: number): Promise<Reply>;
+}
+
+const explainQuerySchema = z.union([
+  z.strictObject({ model: nameSchema, adapter: nameSchema.optional() }),
+  z.strictObject({ service: nameSchema }),
+]);
+const diffQuerySchema = z.strictObject({
+  to: z.coerce.number().int().positive(),
+});
+
 /** Starts to answer at the administrators' address. */
 export function startAdminServer(options: AdminServerOptions): Promise<Server> {
-  const { settings, publisher } = options;
+  const { settings, publisher, inspector } = options;
+  const memory = createBodyMemory(settings.limits.bodiesBytes);
+
+  const routes: readonly Route[] = [
+    {
+      method: "GET",
+      path: /^\/v1\/status$/,
+      run: async () => ok(await options.status()),
+    },
+    {
+      method: "GET",
+      path: /^\/v1\/service-levels$/,
+      run: async () => ok(options.serviceLevels()),
+    },
+    { method: "GET", path: /^\/v1\/notes$/, run: history },
+    { method: "POST", path: /^\/v1\/notes$/, run: publish },
+    { method: "POST", path: /^\/v1\/notes\/check$/, run: check },
+    {
+      method: "GET",
+      path: /^\/v1\/notes\/(\d{1,9})\/status$/,
+      run: async (_, number) => ok(await options.noteStatus(number)),
+    },
+    { method: "GET", path: /^\/v1\/notes\/(\d{1,9})\/diff$/, run: diff },
+    { method: "GET", path: /^\/v1\/explain$/, run: explain },
+    {
+      method: "POST",
+      path: /^\/v1\/drain$/,
+      run: async () => {
+        options.drain();
+        return { status: 202, body: { draining: true } };
+      },
+    },
+  ];
 
   async function handle(
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    const path = (request.url ?? "/").split("?")[0] ?? "/";
-    if (await answerOpen(path, response)) return;
-    if (keyHashOf(request) !== settings.adminKeySha256) {
-      return sendFailure(response, wrongKey(), { requestId: REQUEST_ID });
+    const requestId = randomUUID();
+    try {
+      const url = parseUrl(request.url);
+      if (!url) return sendFailure(response, unknownPath(), { requestId });
+      const exchange = { request, response, requestId, url };
+      if (await answerOpen(exchange)) return;
+      if (keyHashOf(request) !== settings.adminKeySha256) {
+        return sendFailure(response, wrongKey(), { requestId });
+      }
+      send(await route(exchange), exchange);
+    } catch (error) {
+      const reason = error instanceof Error ? error.message : String(error);
+      log.warn("internal_error", { request: requestId, reason });
+      sendFailure(response, internalError(), { requestId });
     }
-    await route(request, response, path);
   }
 
   /** Health and metrics need no key: balancers and scrapers have none. */
-  async function answerOpen(
-    path: string,
-    response: ServerResponse,
-  ): Promise<boolean> {
-    if (path === "/healthz") {
+  async function answerOpen({ url, response }: Exchange): Promise<boolean> {
+    if (url.pathname === "/healthz") {
       sendJson(response, 200, { body: { alive: true } });
-    } else if (path === "/readyz") {
+    } else if (url.pathname === "/readyz") {
       const ready = options.isReady();
       sendJson(response, ready ? 200 : 503, { body: { ready } });
-    } else if (path === "/metrics") {
+    } else if (url.pathname === "/metrics") {
       const { registry } = options.metrics;
       response.setHeader("content-type", registry.contentType);
       response.end(await registry.metrics());
@@ -62,47 +142,79 @@
     return true;
   }
 
-  async function route(
-    request: IncomingMessage,
-    response: ServerResponse,
-    path: string,
-  ): Promise<void> {
-    const call = `${request.method} ${path}`;
-    const statusMatch = /^GET \/v1\/notes\/(\d+)\/status$/.exec(call);
-    if (statusMatch) {
-      const body = await options.noteStatus(Number(statusMatch[1]));
-      return sendJson(response, 200, { body });
-    }
-    switch (call) {
-      case "GET /v1/status":
-        return sendJson(response, 200, { body: await options.status() });
-      case "GET /v1/notes":
-        return history(response);
-      case "POST /v1/notes":
-        return publish(request, response);
-      case "POST /v1/drain":
-        options.drain();
-        return sendJson(response, 202, { body: { draining: true } });
-      default:
-        return fail(response, unknownPath(call));
+  async function route(exchange: Exchange): Promise<Reply> {
+    const { request, response, url } = exchange;
+    const found = routes.filter(({ path }) => path.test(url.pathname));
+    if (found.length === 0) return { failure: unknownPath() };
+    const chosen = found.find(({ method }) => method === request.method);
+    if (!chosen) {
+      const allowed = found.map(({ method }) => method).join(", ");
+      response.setHeader("allow", allowed);
+      return { failure: wrongMethod(allowed) };
     }
+    const number = Number(chosen.path.exec(url.pathname)?.[1] ?? 0);
+    return chosen.run(exchange, number);
   }
 
-  async function history(response: ServerResponse): Promise<void> {
+  async function history(): Promise<Reply> {
     const notes = await publisher.history();
-    if (!notes) return fail(response, storeAway("the history"));
-    sendJson(response, 200, { body: { notes } });
+    return notes ? ok({ notes }) : { failure: storeAway("the history") };
   }
 
-  async function publish(
-    request: IncomingMessage,
-    response: ServerResponse,
-  ): Promise<void> {
-    const result = await readBody(request, settings.limits.bodyBytes);
-    if (result.kind !== "body") return fail(response, badNote("too large"));
-    const parsed = parseNote(result.body);
-    if (typeof parsed === "string") return fail(response, badNote(parsed));
-    sendPublished(response, await publisher.publish(parsed));
+  async function publish(exchange: Exchange): Promise<Reply> {
+    const note = await readNote(exchange);
+    if (note.kind === "refused") return { failure: note.failure };
+    const result = await publisher.publish(note.note);
+    return publishReply(result, exchange.requestId);
+  }
+
+  async function check(exchange: Exchange): Promise<Reply> {
+    const note = await readNote(exchange);
+    if (note.kind === "refused") return { failure: note.failure };
+    return ok(inspector.check(note.note));
+  }
+
+  async function diff({ url }: Exchange, from: number): Promise<Reply> {
+    const query = diffQuerySchema.safeParse(queryOf(url));
+    if (!query.success) return { failure: badQuery("?to=NUMBER") };
+    const result = await inspector.diff(from, query.data.to);
+    switch (result.kind) {
+      case "diff":
+        return ok(result.diff);
+      case "missing":
+        return { failure: unknownNote(result.number) };
+      case "unavailable":
+        return { failure: storeAway("the history") };
+    }
+  }
+
+  async function explain({ url }: Exchange): Promise<Reply> {
+    const query = explainQuerySchema.safeParse(queryOf(url));
+    const expected = "?model=NAME, ?model=NAME&adapter=NAME or ?service=NAME";
+    if (!query.success) return { failure: badQuery(expected) };
+    const { data } = query;
+    const subject =
+      "model" in data
+        ? ({ kind: "model", name: data.model, adapter: data.adapter } as const)
+        : ({ kind: "service", name: data.service } as const);
+    return ok(await inspector.explain(subject));
+  }
+
+  async function readNote(
+    exchange: Exchange,
+  ): Promise<
+    | { readonly kind: "note"; readonly note: ReleaseNote }
+    | { readonly kind: "refused"; readonly failure: CallFailure }
+  > {
+    const badType = checkJsonType(exchange.request);
+    if (badType) return { kind: "refused", failure: badType };
+    const limit = settings.limits.bodyBytes;
+    const result = await readBody(exchange, { limit, memory, sender: SENDER });
+    if (result.kind === "refused") return result;
+    const note = result.kind === "body" ? parseNote(result.body) : "cut off";
+    return typeof note === "string"
+      ? { kind: "refused", failure: badNote(note) }
+      : { kind: "note", note };
   }
 
   return startServer(settings.instance.addresses.admin, {
@@ -111,62 +223,38 @@
   });
 }
 
-function sendPublished(response: ServerResponse, result: PublishResult): void {
-  switch (result.kind) {
-    case "recorded": {
-      const { number } = result.record;
-      const { repeated } = result;
-      const body = { number, phase: "recorded", repeated };
-      return sendJson(response, 201, { body });
-    }
-    case "conflict":
-      return sendJson(response, 409, {
-        body: {
-          error: {
-            outcome: "failed",
-            code: "conflict",
-            message: `note ${result.head?.number ?? 0} came first; look at it and publish again`,
-            requestId: REQUEST_ID,
-          },
-          head: result.head,
-        },
-      });
-    case "invalid": {
-      const lines = result.problems.map(
-        ({ line, message }) => `${line}: ${message}`,
-      );
-      return fail(response, badNote(lines.join("; ")));
-    }
-    case "unavailable":
-      return fail(response, storeAway("the note"));
-    case "unknown":
-      return fail(response, {
-        outcome: "outcome_unknown",
-        code: "publish_unknown",
-        status: 504,
-        message: `${result.detail}; publish the same file again, with the same publish id`,
-        retryAfterSeconds: STORE_RETRY_SECONDS,
-      });
+function ok(body: unknown): Reply {
+  return { status: 200, body };
+}
+
+function send(reply: Reply, { response, requestId }: Exchange): void {
+  if ("failure" in reply) {
+    return sendFailure(response, reply.failure, { requestId });
   }
+  const { status, body } = reply;
+  sendJson(response, status, { body, headers: { "x-request-id": requestId } });
+}
+
+/** `null` for what is no path of this server, such as `//` or `*`. */
+function parseUrl(text: string | undefined): URL | null {
+  if (!text?.startsWith("/") || text.startsWith("//")) return null;
+  return new URL(text, "http://admin");
 }
 
-function parseNote(body: Buffer) {
+function queryOf(url: URL): Record<string, string> {
+  return Object.fromEntries(url.searchParams);
+}
+
+function parseNote(body: Buffer): ReleaseNote | string {
   try {
     const parsed = releaseNoteSchema.safeParse(JSON.parse(body.toString()));
-    return parsed.success ? parsed.data : z.prettifyError(parsed.error);
+    if (parsed.success) return parsed.data;
+    return z.prettifyError(parsed.error).slice(0, LARGEST_EXPLANATION);
   } catch {
     return "the body is not JSON";
   }
 }
 
-function fail(response: ServerResponse, failure: CallFailure): void {
-  sendFailure(response, failure, { requestId: REQUEST_ID });
-}
-
-function badNote(message: string): CallFailure {
-  return badCall("bad_note", { message, status: 422 });
-}
-
 function wrongKey(): CallFailure {
   return badCall("wrong_key", {
     message: "send the administrators' key as 'authorization: Bearer KEY'",
@@ -174,13 +262,34 @@
   });
 }
 
-function unknownPath(call: string): CallFailure {
-  return badCall("unknown_path", { message: `no ${call} here`, status: 404 });
+function unknownPath(): CallFailure {
+  return badCall("unknown_path", {
+    message: "there is nothing at this path; see docs/openapi/admin.yaml",
+    status: 404,
+  });
+}
+
+function unknownNote(number: number): CallFailure {
+  return badCall("unknown_note", {
+    message: `there is no note ${number}; see 'rosemarypin note history'`,
+    status: 404,
+  });
+}
+
+function wrongMethod(allowed: string): CallFailure {
+  return badCall("wrong_method", {
+    message: `this path takes ${allowed} only`,
+    status: 405,
+  });
+}
+
+function badQuery(expected: string): CallFailure {
+  return badCall("bad_query", { message: `expected ${expected}`, status: 400 });
 }
 
-function storeAway(what: string): CallFailure {
-  return notRun("store_unavailable", {
-    message: `the platform's store cannot be reached, so ${what} was not touched; try again`,
-    retryAfterSeconds: STORE_RETRY_SECONDS,
+function internalError(): CallFailure {
+  return notRun("internal_error", {
+    message: "something broke in this instance; ask another one",
+    retryAfterSeconds: INTERNAL_RETRY_SECONDS,
   });
 }
--- a/packages/daemon/src/answer_stream.ts
+++ b/packages/daemon/src/answer_stream.ts
@@ -5,6 +5,8 @@
 import type { AnswerProvenance } from "@rosemarypin/schemas";
 import { failureBody, sendFailure, sendJson } from "./http_basics.ts";
 
+const KEEP_ALIVE_MS = 10_000;
+
 /** Which of the two completion endpoints was called. */
 export type AnswerStyle = "chat" | "text";
 
@@ -13,6 +15,8 @@
   readonly requestId: string;
   readonly model: string;
   readonly style: AnswerStyle;
+  /** How long the caller may leave bytes unread, in milliseconds. */
+  readonly readerStallMs: number;
 }
 
 /** How an answer ended, for logs and metrics. */
@@ -25,6 +29,24 @@
 export async function sendStream(
   events: AsyncIterable<AnswerEvent>,
   output: AnswerOutput,
+): Promise<AnswerEnd> {
+  const keepAlive = setInterval(() => sendComment(output), KEEP_ALIVE_MS);
+  try {
+    return await sendEvents(events, output);
+  } finally {
+    clearInterval(keepAlive);
+  }
+}
+
+/** Shows proxies on the way that the stream lives while no token comes. */
+function sendComment({ response }: AnswerOutput): void {
+  const isOpen = response.headersSent && !response.writableEnded;
+  if (isOpen && !response.writableNeedDrain) response.write(": keep-alive\n\n");
+}
+
+async function sendEvents(
+  events: AsyncIterable<AnswerEvent>,
+  output: AnswerOutput,
 ): Promise<AnswerEnd> {
   const { response, requestId } = output;
   for await (const event of events) {
@@ -40,10 +62,8 @@
     if (!response.headersSent) startStream(output);
     if (event.type === "token") {
       const data = JSON.stringify(tokenChunk(event, output));
-      await write(
-        response,
-        `id: ${requestId}:${event.index}\ndata: ${data}\n\n`,
-      );
+      const text = `id: ${requestId}:${event.index}\ndata: ${data}\n\n`;
+      await write(text, output);
       continue;
     }
     const data = JSON.stringify(lastChunk(event, output));
@@ -86,17 +106,23 @@
   });
 }
 
-/** A slow caller holds its own answer back, not the daemon's memory. */
-async function write(response: ServerResponse, text: string): Promise<void> {
+/**
+ * A slow caller holds its own answer back, not the daemon's memory. One that
+ * stops reading would keep its engines busy for good, so it is cut off.
+ */
+async function write(text: string, output: AnswerOutput): Promise<void> {
+  const { response, readerStallMs } = output;
   if (response.write(text) || response.destroyed) return;
   const closed = new AbortController();
   const onClose = () => closed.abort();
+  const timer = setTimeout(() => response.destroy(), readerStallMs);
   response.once("close", onClose);
   try {
     await once(response, "drain", { signal: closed.signal });
   } catch {
     // The caller left; the answer's own signal ends the work.
   } finally {
+    clearTimeout(timer);
     response.off("close", onClose);
   }
 }
--- a/packages/daemon/src/caller_server.ts
+++ b/packages/daemon/src/caller_server.ts
@@ -10,17 +10,22 @@
   type ServiceCall,
   type ServiceCallResult,
 } from "@rosemarypin/calls";
-import {
-  type AnswerRequest,
-  chatRequestSchema,
-  completionRequestSchema,
-  type Organisation,
-  type Priority,
-  prioritySchema,
-  type Settings,
+import type {
+  AnswerRequest,
+  Organisation,
+  Settings,
 } from "@rosemarypin/schemas";
-import { createLogger, type Metrics } from "@rosemarypin/telemetry";
-import { z } from "zod";
+import {
+  createLogger,
+  type Metrics,
+  type ServiceLevelCounter,
+} from "@rosemarypin/telemetry";
+import {
+  checkJsonType,
+  parseAnswer,
+  parseDeadlineMs,
+  parsePriority,
+} from "./answer_request.ts";
 import {
   type AnswerEnd,
   type AnswerStyle,
@@ -28,10 +33,15 @@
   sendWhole,
 } from "./answer_stream.ts";
 import { createAuthenticator } from "./authentication.ts";
-import { readBody, sendFailure, sendJson, startServer } from "./http_basics.ts";
+import { sendFailure, sendJson } from "./http_basics.ts";
+import { startServer } from "./http_server.ts";
+import { createBodyMemory, readBody } from "./request_body.ts";
+import { isIdempotencyKey, parseServicePath } from "./service_request.ts";
 import type { WorkInProgress } from "./work_in_progress.ts";
 
-const KEY_PATTERN = /^[\x21-\x7e]{1,128}$/;
+const CALLER_ID = /^[\x21-\x7e]{1,128}$/;
+/** Label of what no settings and no note name. */
+const UNKNOWN_NAME = "unknown";
 const REFUSAL_RETRY_SECONDS = 2;
 
 const log = createLogger("callers");
@@ -41,6 +51,7 @@
   readonly answers: AnswerDependencies;
   readonly callService: (call: ServiceCall) => Promise<ServiceCallResult>;
   readonly metrics: Metrics;
+  readonly levels: ServiceLevelCounter;
   readonly work: WorkInProgress;
 }
 
@@ -51,19 +62,27 @@
   readonly organisation: Organisation;
 }
 
+interface Endpoint {
+  readonly method: "GET" | "POST";
+  run(exchange: Exchange): Promise<void>;
+}
+
 /** Starts to take calls at the callers' address. */
 export function startCallerServer(
   options: CallerServerOptions,
 ): Promise<Server> {
-  const { settings, metrics, work } = options;
+  const { settings, metrics, levels, work } = options;
+  const { firstTokenMs, betweenTokensMs } = settings.objectives;
   const authenticate = createAuthenticator(settings.organisations);
+  const memory = createBodyMemory(settings.limits.bodiesBytes);
 
   async function handle(
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
     const requestId = randomUUID();
-    response.on("error", () => response.destroy());
+    const callerId = callerRequestId(request);
+    if (callerId) response.setHeader("x-caller-request-id", callerId);
     const organisation = authenticate(request);
     if (!organisation) {
       return sendFailure(response, wrongKey(), { requestId });
@@ -83,18 +102,26 @@
   async function route(exchange: Exchange): Promise<void> {
     const { request, response, requestId } = exchange;
     const path = (request.url ?? "/").split("?")[0] ?? "/";
-    if (path === "/v1/models" && request.method === "GET") {
-      return listModels(exchange);
-    }
-    const isPost = request.method === "POST";
-    if (path === "/v1/chat/completions" && isPost) {
-      return answer(exchange, "chat");
-    }
-    if (path === "/v1/completions" && isPost) return answer(exchange, "text");
     if (path.startsWith("/services/")) return callService(exchange);
-    sendFailure(response, unknownPath(request), { requestId });
+    const endpoint = endpoints.get(path);
+    if (!endpoint) return sendFailure(response, unknownPath(), { requestId });
+    if (request.method === endpoint.method) return endpoint.run(exchange);
+    response.setHeader("allow", endpoint.method);
+    sendFailure(response, wrongMethod(endpoint.method), { requestId });
   }
 
+  const endpoints: ReadonlyMap<string, Endpoint> = new Map([
+    ["/v1/models", { method: "GET", run: async (call) => listModels(call) }],
+    [
+      "/v1/chat/completions",
+      { method: "POST", run: (call) => answer(call, "chat") },
+    ],
+    [
+      "/v1/completions",
+      { method: "POST", run: (call) => answer(call, "text") },
+    ],
+  ]);
+
   function listModels({ response }: Exchange): void {
     const models = options.answers.keeper.current()?.catalogue.models ?? {};
     const data = Object.entries(models)
@@ -111,6 +138,13 @@
 
   async function answer(exchange: Exchange, style: AnswerStyle): Promise<void> {
     const { request, response, requestId, organisation } = exchange;
+    const badType = checkJsonType(request);
+    if (badType) return sendFailure(response, badType, { requestId });
+    const { work: kinds, defaultDeadlineMs } = settings;
+    const ranked = parsePriority(request, { organisation, work: kinds });
+    if (ranked.kind === "invalid") {
+      return sendFailure(response, ranked.failure, { requestId });
+    }
     const body = await takeBody(exchange);
     if (!body) return;
     const parsed = parseAnswer(body, style);
@@ -123,19 +157,25 @@
       ...parsed.value,
       requestId,
       organisation: organisation.name,
-      priority: priorityOf(request, organisation),
-      deadlineAt: Date.now() + deadlineMs(request, settings),
+      priority: ranked.priority,
+      deadlineAt: Date.now() + parseDeadlineMs(request, defaultDeadlineMs),
     };
     const events = runAnswer(answerRequest, {
       ...options.answers,
       signal: left.signal,
     });
-    const output = { response, requestId, model: answerRequest.model, style };
+    const output = {
+      response,
+      requestId,
+      model: answerRequest.model,
+      style,
+      readerStallMs: settings.limits.readerStallMs,
+    };
     const timed = timeTokens(events, answerRequest);
     const end = parsed.stream
       ? await sendStream(timed, output)
       : await sendWhole(timed, output);
-    finish(answerRequest, end);
+    finish(exchange, { answerRequest, end });
   }
 
   async function* timeTokens(
@@ -149,24 +189,45 @@
       if (event.type === "token") {
         const metric = first ? metrics.firstToken : metrics.betweenTokens;
         metric.observe({ model, organisation }, (now - last) / 1_000);
+        const objective = first ? "firstToken" : "betweenTokens";
+        const limitMs = first ? firstTokenMs : betweenTokensMs;
+        const key = { objective, organisation, name: model } as const;
+        levels.count(key, now - last <= limitMs);
         first = false;
         last = now;
       }
+      if (event.type === "failed" && first) countRefusal(event.failure);
       yield event;
     }
+
+    /** An answer that we could not give has missed its first token too. */
+    function countRefusal({ status, outcome }: CallFailure): void {
+      if (status < 500 || outcome === "withdrawn") return;
+      const key = {
+        objective: "firstToken",
+        organisation,
+        name: model,
+      } as const;
+      levels.count(key, false);
+    }
   }
 
-  function finish(answerRequest: AnswerRequest, end: AnswerEnd): void {
+  function finish(
+    { request }: Exchange,
+    ended: { readonly answerRequest: AnswerRequest; readonly end: AnswerEnd },
+  ): void {
+    const { answerRequest, end } = ended;
     const { requestId, organisation, model } = answerRequest;
     const outcome = end.kind === "failed" ? end.failure.outcome : end.kind;
     metrics.requests.inc({
       kind: "answer",
-      name: model,
+      name: knownModel(model),
       organisation,
       outcome,
     });
     log.info("answer_ended", {
       request: requestId,
+      caller_request: callerRequestId(request),
       organisation,
       model,
       outcome,
@@ -176,11 +237,29 @@
     });
   }
 
+  /**
+   * A label for each name that callers think of would fill the memory with
+   * metrics, one wrong name at a time.
+   */
+  function knownModel(model: string): string {
+    const models = options.answers.keeper.current()?.catalogue.models ?? {};
+    return Object.hasOwn(models, model) ? model : UNKNOWN_NAME;
+  }
+
+  function knownService(service: string): string {
+    const isKnown = settings.services.some(({ name }) => name === service);
+    return isKnown ? service : UNKNOWN_NAME;
+  }
+
   async function callService(exchange: Exchange): Promise<void> {
     const { request, response, requestId, organisation } = exchange;
-    const [, , service = "", ...rest] = (request.url ?? "").split("/");
+    const parsed = parseServicePath(request.url ?? "");
+    if (parsed.kind === "invalid") {
+      return sendFailure(response, parsed.failure, { requestId });
+    }
+    const { service, path } = parsed;
     const key = request.headers["idempotency-key"];
-    if (key !== undefined && !KEY_PATTERN.test(String(key))) {
+    if (key !== undefined && !isIdempotencyKey(String(key))) {
       return sendFailure(response, badKey(), { requestId });
     }
     const body = await takeBody(exchange);
@@ -193,7 +272,7 @@
       idempotencyKey: key === undefined ? undefined : String(key),
       request: {
         method: request.method ?? "GET",
-        path: `/${rest.join("/")}`,
+        path,
         headers: {
           "x-request-id": requestId,
           "x-organisation": organisation.name,
@@ -204,13 +283,29 @@
       },
     });
     const outcome = result.kind === "answer" ? "done" : result.failure.outcome;
+    if (key !== undefined) {
+      const name = knownService(service);
+      const booking = {
+        objective: "booking",
+        organisation: organisation.name,
+        name,
+      } as const;
+      levels.count(booking, outcome !== "outcome_unknown");
+    }
     metrics.requests.inc({
       kind: "service",
-      name: service,
+      name: knownService(service),
       organisation: organisation.name,
       outcome,
     });
-    log.info("service_call_ended", { request: requestId, service, outcome });
+    log.info("service_call_ended", {
+      request: requestId,
+      caller_request: callerRequestId(request),
+      organisation: organisation.name,
+      service,
+      outcome,
+      code: result.kind === "failed" ? result.failure.code : undefined,
+    });
     if (result.kind === "failed") {
       return sendFailure(response, result.failure, { requestId });
     }
@@ -223,12 +318,15 @@
   }
 
   async function takeBody(exchange: Exchange): Promise<Buffer | null> {
-    const { request, response, requestId } = exchange;
-    const result = await readBody(request, settings.limits.bodyBytes);
+    const { response, requestId, organisation } = exchange;
+    const result = await readBody(exchange, {
+      limit: settings.limits.bodyBytes,
+      memory,
+      sender: organisation.name,
+    });
     if (result.kind === "body") return result.body;
-    if (result.kind === "too_large") {
-      response.setHeader("connection", "close");
-      sendFailure(response, tooLarge(settings), { requestId });
+    if (result.kind === "refused") {
+      sendFailure(response, result.failure, { requestId });
     }
     return null;
   }
@@ -239,81 +337,10 @@
   });
 }
 
-type ParsedAnswer =
-  | {
-      readonly kind: "valid";
-      readonly stream: boolean;
-      readonly value: Pick<
-        AnswerRequest,
-        "model" | "adapter" | "promptTokens" | "maxTokens"
-      >;
-    }
-  | { readonly kind: "invalid"; readonly failure: CallFailure };
-
-function parseAnswer(body: Buffer, style: AnswerStyle): ParsedAnswer {
-  const json = parseJson(body);
-  if (json === undefined) return invalid("the body is not JSON");
-  if (style === "chat") {
-    const parsed = chatRequestSchema.safeParse(json);
-    if (!parsed.success) return invalid(z.prettifyError(parsed.error));
-    const { messages } = parsed.data;
-    const prompt = messages.map(({ role, content }) => `${role}: ${content}`);
-    return valid(parsed.data, prompt.join("\n"));
-  }
-  const parsed = completionRequestSchema.safeParse(json);
-  if (!parsed.success) return invalid(z.prettifyError(parsed.error));
-  return valid(parsed.data, parsed.data.prompt);
-}
-
-function valid(
-  data: {
-    readonly model: string;
-    readonly adapter?: string | undefined;
-    readonly stream: boolean;
-    readonly max_tokens: number;
-  },
-  prompt: string,
-): ParsedAnswer {
-  const promptTokens = prompt.split(/\s+/).filter((word) => word !== "");
-  const { model, adapter, stream, max_tokens: maxTokens } = data;
-  const value = { model, adapter, promptTokens, maxTokens };
-  return { kind: "valid", stream, value };
-}
-
-function invalid(message: string): ParsedAnswer {
-  const failure = badCall("bad_request", { message, status: 400 });
-  return { kind: "invalid", failure };
-}
-
-function parseJson(body: Buffer): unknown {
-  try {
-    return JSON.parse(body.toString());
-  } catch {
-    return undefined;
-  }
-}
-
-/** A caller may ask for less urgency than its organisation has, not more. */
-function priorityOf(
-  request: IncomingMessage,
-  organisation: Organisation,
-): Priority {
-  const asked = prioritySchema.safeParse(request.headers["x-priority"]);
-  if (!asked.success) return organisation.priority;
-  const order = prioritySchema.options;
-  const index = Math.max(
-    order.indexOf(asked.data),
-    order.indexOf(organisation.priority),
-  );
-  return order[index] ?? organisation.priority;
-}
-
-function deadlineMs(request: IncomingMessage, settings: Settings): number {
-  const asked = Number(request.headers["x-deadline-ms"]);
-  const isUsable = Number.isFinite(asked) && asked > 0;
-  return isUsable
-    ? Math.min(asked, settings.defaultDeadlineMs)
-    : settings.defaultDeadlineMs;
+/** The caller's own id of its request, if it can stand in a log line. */
+function callerRequestId(request: IncomingMessage): string | undefined {
+  const id = request.headers["x-request-id"];
+  return typeof id === "string" && CALLER_ID.test(id) ? id : undefined;
 }
 
 function wrongKey(): CallFailure {
@@ -330,17 +357,17 @@
   });
 }
 
-function unknownPath(request: IncomingMessage): CallFailure {
+function unknownPath(): CallFailure {
   return badCall("unknown_path", {
-    message: `there is no ${request.method} ${request.url}; see docs/openapi`,
+    message: "there is nothing at this path; see docs/openapi/callers.yaml",
     status: 404,
   });
 }
 
-function tooLarge(settings: Settings): CallFailure {
-  return badCall("body_too_large", {
-    message: `a body may have ${settings.limits.bodyBytes} bytes`,
-    status: 413,
+function wrongMethod(allowed: string): CallFailure {
+  return badCall("wrong_method", {
+    message: `this path takes ${allowed} only`,
+    status: 405,
   });
 }
 
--- /dev/null
+++ b/packages/daemon/src/contract/fake_parts.ts
@@ -0,0 +1,191 @@
+/** Parts behind the two HTTP servers, faked for their contract tests. */
+import type { EngineClient, EngineFleet } from "@rosemarypin/backends";
+import type { NoteKeeper } from "@rosemarypin/release";
+import type { Router } from "@rosemarypin/routing";
+import {
+  type AttemptRequest,
+  type EngineEvent,
+  type NoteRecord,
+  type Settings,
+  settingsSchema,
+} from "@rosemarypin/schemas";
+import { createMetrics } from "@rosemarypin/telemetry";
+import { hashKey } from "../authentication.ts";
+import { createInstanceLevels } from "../instance_levels.ts";
+import { createWorkInProgress } from "../work_in_progress.ts";
+
+const HOST = "127.0.0.1";
+/** The settings ask for a real port; the tests let the system choose. */
+const ANY_PORT = 0;
+const PLACEHOLDER_PORT = 9;
+/** A prompt that asks for words longer than all buffers on the way. */
+export const LONG_WORDS = "long";
+const LONG_WORD_LENGTH = 65_536;
+
+export const goodKey = "good-caller-key";
+export const badCallerKey = "bad-caller-key";
+export const adminKey = "administrators-key";
+
+/** Limits that a test can run into within a second or two. */
+const tightLimits = {
+  bodyBytes: 8_192,
+  headerBytes: 4_096,
+  headersTimeoutMs: 300,
+  requestTimeoutMs: 600,
+  readerStallMs: 300,
+  bodiesBytes: 65_536,
+  requestsPerConnection: 4,
+};
+
+/** Settings of one instance that listens on ports of the system's choice. */
+export function fakeSettings(): Settings {
+  const address = (port: number) => ({ host: HOST, port });
+  const settings = settingsSchema.parse({
+    deployment: "contract",
+    region: "here",
+    instance: {
+      id: "entry-1",
+      failureDomain: "a",
+      addresses: {
+        callers: address(PLACEHOLDER_PORT),
+        peers: address(PLACEHOLDER_PORT + 1),
+        admin: address(PLACEHOLDER_PORT + 2),
+      },
+    },
+    adminKeySha256: hashKey(adminKey),
+    platform: { objectApi: "http://127.0.0.1:9" },
+    organisations: [
+      { name: "good", keySha256: hashKey(goodKey) },
+      { name: "bad", keySha256: hashKey(badCallerKey), priority: "batch" },
+    ],
+    work: [{ name: "draft", priority: "interactive", organisations: ["good"] }],
+    services: [
+      {
+        name: "bookings",
+        servers: [{ id: "s1", failureDomain: "a", address: address(9) }],
+        calls: [
+          { method: "POST", path: "/orders", idempotent: false },
+          { method: "GET", path: "/stock/*", idempotent: true },
+        ],
+      },
+    ],
+    limits: tightLimits,
+  });
+  const { instance } = settings;
+  const addresses = {
+    callers: address(ANY_PORT),
+    peers: address(ANY_PORT),
+    admin: address(ANY_PORT),
+  };
+  return { ...settings, instance: { ...instance, addresses } };
+}
+
+/** Note 1 allows model `assist` with adapter `parts`, and the bookings. */
+export const fakeRecord: NoteRecord = {
+  number: 1,
+  note: {
+    supersedes: 0,
+    publishId: "publish-1",
+    reason: "first",
+    added: [],
+    changed: [],
+    withdrawn: [],
+  },
+  catalogue: {
+    models: {
+      assist: {
+        versions: {
+          v1: {
+            version: "v1",
+            layers: 2,
+            layerSets: [{ name: "all", from: 0, to: 2 }],
+            addedBy: 1,
+          },
+        },
+        serve: ["v1"],
+        adapters: ["parts"],
+      },
+    },
+    services: ["bookings"],
+    withdrawn: [],
+  },
+  recordedAt: 0,
+  recordedBy: "entry-1",
+};
+
+/** Everything that a callers' server needs, with engines that give words. */
+export function fakeCallerParts(settings: Settings) {
+  const metrics = createMetrics();
+  const started: { requestId: string; priority: string }[] = [];
+  const keeper = fakeKeeper();
+  const engines: EngineClient = {
+    ...unusedEngineCalls,
+    async start(_address, attempt, { signal }) {
+      const { requestId, priority } = attempt;
+      started.push({ requestId, priority });
+      return { kind: "started", events: speak(attempt, signal) };
+    },
+  };
+  const fleet = { reportLost() {} } as unknown as EngineFleet;
+  return {
+    settings,
+    metrics,
+    levels: createInstanceLevels(settings),
+    work: createWorkInProgress(),
+    answers: { keeper, router: fakeRouter, fleet, engines, metrics },
+    callService: async () => ({
+      kind: "answer" as const,
+      repeated: false,
+      answer: {
+        status: 201,
+        contentType: "application/json",
+        body: Buffer.from("{}"),
+      },
+    }),
+    /** Attempts that reached an engine. */
+    started,
+  };
+}
+
+/** A keeper of note 1. */
+export function fakeKeeper(): NoteKeeper {
+  return {
+    current: () => fakeRecord,
+    onChange: () => () => {},
+  } as unknown as NoteKeeper;
+}
+
+const fakeRouter: Router = {
+  async acquire() {
+    const address = { host: HOST, port: PLACEHOLDER_PORT };
+    const layers = { from: 0, to: 2 };
+    const stages = [{ engine: "engine-1", address, layers }];
+    return { kind: "granted", grant: { stages, release() {} } };
+  },
+} as Router;
+
+const unusedEngineCalls = {
+  async cancel() {},
+  async order() {
+    return { kind: "not_sent", detail: "not faked" };
+  },
+  async readState() {
+    return null;
+  },
+} as unknown as EngineClient;
+
+async function* speak(
+  { maxTokens, promptTokens }: AttemptRequest,
+  signal: AbortSignal,
+): AsyncGenerator<EngineEvent> {
+  const attempt = 1;
+  const isLong = promptTokens[0] === LONG_WORDS;
+  const padding = isLong ? "x".repeat(LONG_WORD_LENGTH) : "";
+  for (let index = 0; index < maxTokens; index++) {
+    if (signal.aborted) return;
+    await new Promise((resolve) => setTimeout(resolve, 1));
+    const text = `w${index}${padding}`;
+    yield { type: "token", attempt, index, text, digest: "d" };
+  }
+  yield { type: "done", attempt, reason: "length" };
+}
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -35,6 +35,8 @@
 import { createLogger, createMetrics } from "@rosemarypin/telemetry";
 import { startAdminServer } from "./admin_server.ts";
 import { startCallerServer } from "./caller_server.ts";
+import { countNotes, createInstanceLevels } from "./instance_levels.ts";
+import { createNoteInspector } from "./note_inspector.ts";
 import { createWorkInProgress } from "./work_in_progress.ts";
 
 /** How long an instance is unready before it stops, for balancers that lag. */
@@ -116,6 +118,8 @@
     claims: createClaimStore({ deployment, owner: id, incarnation, store }),
     failureDomain,
   });
+  const levels = createInstanceLevels(settings);
+  countNotes(keeper, { levels, objectives: settings.objectives });
   let draining = false;
 
   function confirm(): NoteConfirmation {
@@ -176,6 +180,8 @@
     settings,
     metrics,
     publisher,
+    inspector: createNoteInspector({ keeper, publisher }),
+    serviceLevels: levels.read,
     status,
     noteStatus,
     isReady: () => !draining && keeper.current() !== null,
@@ -189,6 +195,7 @@
     answers: { keeper, router, fleet, engines, metrics },
     callService,
     metrics,
+    levels,
     work,
   });
   log.info("started", { instance: id, domain: failureDomain });
--- a/packages/daemon/src/http_basics.ts
+++ b/packages/daemon/src/http_basics.ts
@@ -1,40 +1,10 @@
 /** Small pieces that both HTTP servers use. */
-import {
-  createServer,
-  type IncomingMessage,
-  type Server,
-  type ServerResponse,
-} from "node:http";
+import type { ServerResponse } from "node:http";
 import type { CallFailure } from "@rosemarypin/calls";
-import type { Address, FailureBody, Limits } from "@rosemarypin/schemas";
+import type { FailureBody } from "@rosemarypin/schemas";
 
-/** The body of a request, or why it was not taken. */
-export type BodyResult =
-  | { readonly kind: "body"; readonly body: Buffer }
-  | { readonly kind: "too_large" }
-  | { readonly kind: "aborted" };
-
-/** Reads a whole body of at most `limit` bytes. */
-export async function readBody(
-  request: IncomingMessage,
-  limit: number,
-): Promise<BodyResult> {
-  if (Number(request.headers["content-length"] ?? 0) > limit) {
-    return { kind: "too_large" };
-  }
-  const chunks: Buffer[] = [];
-  let size = 0;
-  try {
-    for await (const chunk of request as AsyncIterable<Buffer>) {
-      size += chunk.length;
-      if (size > limit) return { kind: "too_large" };
-      chunks.push(chunk);
-    }
-  } catch {
-    return { kind: "aborted" };
-  }
-  return { kind: "body", body: Buffer.concat(chunks) };
-}
+/** How long a caller may go on sending after it was refused. */
+const LINGER_MS = 1_000;
 
 /** Sends a whole JSON answer. */
 export function sendJson(
@@ -46,11 +16,13 @@
   },
 ): void {
   if (response.headersSent || response.destroyed) return;
+  const body = JSON.stringify(options.body);
   response.writeHead(status, {
     "content-type": "application/json",
+    "content-length": Buffer.byteLength(body),
     ...options.headers,
   });
-  response.end(JSON.stringify(options.body));
+  response.end(body);
 }
 
 /** The body that tells a caller of a failure. */
@@ -75,36 +47,25 @@
   if (failure.retryAfterSeconds !== undefined) {
     headers["retry-after"] = String(Math.ceil(failure.retryAfterSeconds));
   }
+  if (!response.req.complete) closeAfterRefusal(response, headers);
   sendJson(response, failure.status, {
     body: failureBody(failure, requestId),
     headers,
   });
 }
 
-/** Starts a server whose slow or oversized callers are cut off. */
-export async function startServer(
-  address: Address,
-  options: {
-    readonly limits: Limits;
-    readonly handle: (
-      request: IncomingMessage,
-      response: ServerResponse,
-    ) => void;
-  },
-): Promise<Server> {
-  const { limits } = options;
-  const server = createServer(
-    {
-      maxHeaderSize: limits.headerBytes,
-      headersTimeout: limits.headersTimeoutMs,
-      requestTimeout: limits.requestTimeoutMs,
-      connectionsCheckingInterval: 1_000,
-    },
-    options.handle,
-  );
-  await new Promise<void>((resolve, reject) => {
-    server.once("error", reject);
-    server.listen(address.port, address.host, resolve);
+/**
+ * A refused caller may go on sending its body. Node would read and drop all
+ * of it, for as long as the caller likes; so the connection ends soon after
+ * the refusal, and not at once, so that the caller can still read why.
+ */
+function closeAfterRefusal(
+  response: ServerResponse,
+  headers: Record<string, string>,
+): void {
+  const { socket } = response.req;
+  headers.connection = "close";
+  response.once("finish", () => {
+    setTimeout(() => socket.destroy(), LINGER_MS).unref();
   });
-  return server;
 }
--- /dev/null
+++ b/packages/daemon/src/note_inspector.ts
@@ -0,0 +1,56 @@
+/** Questions about release notes that change nothing. */
+import {
+  checkNote,
+  diffNotes,
+  type ExplainSubject,
+  explain,
+  type NoteKeeper,
+  type Publisher,
+} from "@rosemarypin/release";
+import type {
+  Explain,
+  NoteCheck,
+  NoteDiff,
+  ReleaseNote,
+} from "@rosemarypin/schemas";
+
+export type DiffResult =
+  | { readonly kind: "diff"; readonly diff: NoteDiff }
+  | { readonly kind: "missing"; readonly number: number }
+  | { readonly kind: "unavailable" };
+
+/** Answers questions about notes from what the instance holds. */
+export interface NoteInspector {
+  explain(subject: ExplainSubject): Promise<Explain>;
+  /** What changed between the states after two notes; 0 is before the first. */
+  diff(from: number, to: number): Promise<DiffResult>;
+  /** Whether a note could be published now; records nothing. */
+  check(note: ReleaseNote): NoteCheck;
+}
+
+/** Creates an inspector of the note in use and of the history. */
+export function createNoteInspector(options: {
+  readonly keeper: Pick<NoteKeeper, "current">;
+  readonly publisher: Pick<Publisher, "history">;
+}): NoteInspector {
+  const { keeper, publisher } = options;
+
+  return {
+    async explain(subject) {
+      const history = (await publisher.history()) ?? [];
+      return explain(subject, { record: keeper.current(), history });
+    },
+    async diff(from, to) {
+      const notes = await publisher.history();
+      if (!notes) return { kind: "unavailable" };
+      const find = (wanted: number) =>
+        notes.find(({ number }) => number === wanted);
+      const before = find(from) ?? null;
+      const after = find(to);
+      if (!before && from !== 0) return { kind: "missing", number: from };
+      if (!after) return { kind: "missing", number: to };
+      return { kind: "diff", diff: diffNotes(before, after) };
+    },
+    check: (note) => checkNote(note, keeper.current()),
+  };
+}
--- a/packages/schemas/src/completion.ts
+++ b/packages/schemas/src/completion.ts
@@ -15,9 +15,12 @@
   max_tokens: z.number().int().min(1).max(4096).default(128),
 };
 
+/** Most messages in one request. */
+export const LARGEST_MESSAGE_COUNT = 256;
+
 export const chatRequestSchema = z.object({
   ...commonShape,
-  messages: z.array(chatMessageSchema).min(1).max(256),
+  messages: z.array(chatMessageSchema).min(1).max(LARGEST_MESSAGE_COUNT),
 });
 export type ChatRequest = z.infer<typeof chatRequestSchema>;
 
--- a/packages/schemas/src/mod.ts
+++ b/packages/schemas/src/mod.ts
@@ -7,6 +7,7 @@
 export * from "./outcome.ts";
 export * from "./peer.ts";
 export * from "./release_note.ts";
+export * from "./service_levels.ts";
 export * from "./settings.ts";
 export * from "./settings_checks.ts";
 export * from "./settings_file.ts";
--- a/packages/telemetry/src/mod.ts
+++ b/packages/telemetry/src/mod.ts
@@ -1,3 +1,4 @@
 /** Structured logs and metrics. */
 export * from "./log.ts";
 export * from "./metrics.ts";
+export * from "./service_levels.ts";
