--- a/packages/daemon/src/contract/admin_contract_test.ts
+++ b/packages/daemon/src/contract/admin_contract_test.ts
@@ -36,6 +36,10 @@
   async history() {
     return storeIsAway ? null : [fakeRecord];
   },
+  async find(number: number) {
+    if (storeIsAway) return undefined;
+    return number === 1 ? fakeRecord : null;
+  },
 };
 
 beforeAll(async () => {
--- a/packages/daemon/src/contract/fake_parts.ts
+++ b/packages/daemon/src/contract/fake_parts.ts
@@ -151,6 +151,8 @@
 export function fakeKeeper(): NoteKeeper {
   return {
     current: () => fakeRecord,
+    applied: () => fakeRecord,
+    fresh: async () => fakeRecord,
     onChange: () => () => {},
   } as unknown as NoteKeeper;
 }
--- a/packages/daemon/src/instance_levels.ts
+++ b/packages/daemon/src/instance_levels.ts
@@ -35,7 +35,11 @@
 ): void {
   const { levels, objectives } = options;
   const startedAt = Date.now();
-  keeper.onChange(({ recordedAt }) => {
+  let highest = 0;
+  // The same note comes again when contact lapses and returns.
+  keeper.onChange(({ number, recordedAt }) => {
+    if (number <= highest) return;
+    highest = number;
     if (recordedAt < startedAt) return;
     const met = Date.now() - recordedAt <= objectives.noteInForceMs;
     levels.count({ objective: "note", organisation: ALL, name: ALL }, met);
--- a/packages/daemon/src/note_inspector.ts
+++ b/packages/daemon/src/note_inspector.ts
@@ -30,8 +30,8 @@
 
 /** Creates an inspector of the note in use and of the history. */
 export function createNoteInspector(options: {
-  readonly keeper: Pick<NoteKeeper, "current">;
-  readonly publisher: Pick<Publisher, "history">;
+  readonly keeper: Pick<NoteKeeper, "current" | "applied">;
+  readonly publisher: Pick<Publisher, "history" | "find">;
 }): NoteInspector {
   const { keeper, publisher } = options;
 
@@ -41,16 +41,15 @@
       return explain(subject, { record: keeper.current(), history });
     },
     async diff(from, to) {
-      const notes = await publisher.history();
-      if (!notes) return { kind: "unavailable" };
-      const find = (wanted: number) =>
-        notes.find(({ number }) => number === wanted);
-      const before = find(from) ?? null;
-      const after = find(to);
+      const before = from === 0 ? null : await publisher.find(from);
+      const after = await publisher.find(to);
+      if (before === undefined || after === undefined) {
+        return { kind: "unavailable" };
+      }
       if (!before && from !== 0) return { kind: "missing", number: from };
       if (!after) return { kind: "missing", number: to };
       return { kind: "diff", diff: diffNotes(before, after) };
     },
-    check: (note) => checkNote(note, keeper.current()),
+    check: (note) => checkNote(note, keeper.applied()),
   };
 }
