--- a/packages/cli/src/admin_client.ts
+++ b/packages/cli/src/admin_client.ts
@@ -1,30 +1,57 @@
 /** Calls of the administration API. */
 import { failureBodySchema } from "@rosemarypin/schemas";
 import { request } from "undici";
-import { z } from "zod";
+import type { z } from "zod";
+import { CommandError, usageError } from "./command_error.ts";
 import { exitCodes } from "./exit_codes.ts";
 
 const CALL_TIMEOUT_MS = 10_000;
 
-/** A failure that ends the command with a message and an exit code. */
-export class CommandError extends Error {
-  constructor(
-    message: string,
-    readonly exitCode: number,
-  ) {
-    super(message);
-  }
-}
+/** Errors that show that no byte of a call was taken. */
+const NEVER_CONNECTED = new Set([
+  "ECONNREFUSED",
+  "EHOSTUNREACH",
+  "ENETUNREACH",
+  "ENOTFOUND",
+  "UND_ERR_CONNECT_TIMEOUT",
+]);
+
+/** What one instance answered, or why it did not. */
+export type InstanceAnswer<T> =
+  | { readonly kind: "answer"; readonly value: T }
+  | { readonly kind: "silent"; readonly reason: string };
 
 /** Calls one instance, or the next one if it cannot be reached. */
 export interface AdminClient {
+  /** Addresses of the instances. */
+  readonly urls: readonly string[];
   get<S extends z.ZodType>(path: string, schema: S): Promise<z.infer<S>>;
   post<S extends z.ZodType>(
     path: string,
     options: { readonly body: unknown; readonly schema: S },
   ): Promise<z.infer<S>>;
+  /** Asks every instance; one that is silent does not fail the call. */
+  getAll<S extends z.ZodType>(
+    path: string,
+    schema: S,
+  ): Promise<ReadonlyMap<string, InstanceAnswer<z.infer<S>>>>;
+}
+
+interface CallOptions<S extends z.ZodType> {
+  readonly method: "GET" | "POST";
+  readonly body?: unknown;
+  readonly schema: S;
 }
 
+type Try<T> =
+  | { readonly kind: "answer"; readonly value: T }
+  | {
+      readonly kind: "failed";
+      readonly reason: string;
+      /** Whether the instance may have done what it was asked. */
+      readonly mayHaveRun: boolean;
+    };
+
 /** Creates a client of the instances at `urls`. */
 export function createAdminClient(options: {
   readonly urls: readonly string[];
@@ -32,41 +59,45 @@
 }): AdminClient {
   async function call<S extends z.ZodType>(
     path: string,
-    init: {
-      readonly method: "GET" | "POST";
-      readonly body?: unknown;
-      readonly schema: S;
-    },
+    init: CallOptions<S>,
   ): Promise<z.infer<S>> {
+    checkOptions();
     const reasons: string[] = [];
+    let mayHaveRun = false;
     for (const url of options.urls) {
-      const answer = await tryOne(new URL(path, url), init);
-      if (answer.kind === "answer") return answer.value;
-      reasons.push(`${url}: ${answer.reason}`);
-      if (answer.kind === "sent") break;
+      const result = await tryOne(new URL(path, url), init);
+      if (result.kind === "answer") return result.value;
+      mayHaveRun ||= result.mayHaveRun;
+      reasons.push(`${url}: ${result.reason}`);
     }
-    throw new CommandError(
-      `no instance answered:\n  ${reasons.join("\n  ")}\n` +
-        "check --admin (or ROSEMARYPIN_ADMIN), or try again",
-      exitCodes.unavailable,
+    const isUnknown = mayHaveRun && init.method === "POST";
+    throw noAnswer(reasons, isUnknown);
+  }
+
+  function checkOptions(): void {
+    if (options.urls.length === 0) {
+      throw usageError(
+        "no instance is named; use --admin URL[,URL] or ROSEMARYPIN_ADMIN",
+      );
+    }
+    const wrong = options.urls.find((url) => !URL.canParse(url));
+    if (wrong !== undefined) {
+      throw usageError(`'${wrong}' is no URL; write http://HOST:PORT`);
+    }
+    if (options.key !== "") return;
+    throw usageError(
+      "there is no administrators' key; put it in ROSEMARYPIN_ADMIN_KEY",
     );
   }
 
   async function tryOne<S extends z.ZodType>(
     url: URL,
-    init: {
-      readonly method: "GET" | "POST";
-      readonly body?: unknown;
-      readonly schema: S;
-    },
-  ): Promise<
-    | { readonly kind: "answer"; readonly value: z.infer<S> }
-    | { readonly kind: "unreached" | "sent"; readonly reason: string }
-  > {
-    let response: Awaited<ReturnType<typeof request>>;
+    init: CallOptions<S>,
+  ): Promise<Try<z.infer<S>>> {
+    let status: number;
     let body: unknown;
     try {
-      response = await request(url, {
+      const response = await request(url, {
         method: init.method,
         headers: {
           authorization: `Bearer ${options.key}`,
@@ -75,28 +106,84 @@
         body: init.body === undefined ? null : JSON.stringify(init.body),
         signal: AbortSignal.timeout(CALL_TIMEOUT_MS),
       });
+      status = response.statusCode;
       body = await response.body.json();
     } catch (error) {
-      const reason = error instanceof Error ? error.message : String(error);
-      return { kind: "unreached", reason };
+      const code = (error as { readonly code?: string }).code ?? "";
+      const message = error instanceof Error ? error.message : String(error);
+      const reason = message === "" ? code : message;
+      const mayHaveRun = !NEVER_CONNECTED.has(code);
+      return { kind: "failed", reason, mayHaveRun };
     }
-    if (response.statusCode >= 400) throw toCommandError(body);
-    return { kind: "answer", value: init.schema.parse(body) };
+    if (status >= 400) throw toCommandError(body);
+    const parsed = init.schema.safeParse(body);
+    if (parsed.success) return { kind: "answer", value: parsed.data };
+    throw new CommandError(
+      "the answer has no known form; use a command line of the daemon's release",
+      exitCodes.failed,
+    );
   }
 
   return {
+    urls: options.urls,
     get: (path, schema) => call(path, { method: "GET", schema }),
     post: (path, { body, schema }) =>
       call(path, { method: "POST", body, schema }),
+    async getAll(path, schema) {
+      checkOptions();
+      const entries = options.urls.map(
+        async (url) => [url, await askOne(new URL(path, url), schema)] as const,
+      );
+      return new Map(await Promise.all(entries));
+    },
   };
+
+  async function askOne<S extends z.ZodType>(
+    url: URL,
+    schema: S,
+  ): Promise<InstanceAnswer<z.infer<S>>> {
+    try {
+      const result = await tryOne(url, { method: "GET", schema });
+      if (result.kind === "answer") return result;
+      return { kind: "silent", reason: result.reason };
+    } catch (error) {
+      const isUsage =
+        error instanceof CommandError && error.exitCode === exitCodes.usage;
+      if (isUsage || !(error instanceof Error)) throw error;
+      return { kind: "silent", reason: error.message };
+    }
+  }
+}
+
+function noAnswer(reasons: readonly string[], isUnknown: boolean) {
+  const lines = reasons.map((reason) => `\n  ${reason}`).join("");
+  return isUnknown
+    ? new CommandError(
+        `no instance answered, but one may have done it:${lines}\n` +
+          "repeat it with the same --publish-id, or look at 'note history'",
+        exitCodes.unknown,
+      )
+    : new CommandError(
+        `no instance answered:${lines}\n` +
+          "check --admin (or ROSEMARYPIN_ADMIN), or try again",
+        exitCodes.unavailable,
+      );
 }
 
 function toCommandError(body: unknown): CommandError {
   const parsed = failureBodySchema.safeParse(body);
   if (!parsed.success) {
-    return new CommandError("the answer has no known form", exitCodes.failed);
+    return new CommandError(
+      "the answer has no known form; is --admin the administration address?",
+      exitCodes.failed,
+    );
   }
   const { outcome, code, message } = parsed.data.error;
+  if (code === "wrong_key") {
+    return usageError(
+      "the administrators' key was refused; check ROSEMARYPIN_ADMIN_KEY",
+    );
+  }
   return new CommandError(message, exitCodeOf(outcome, code));
 }
 
@@ -107,5 +194,3 @@
   if (outcome === "outcome_unknown") return exitCodes.unknown;
   return exitCodes.failed;
 }
-
-export { z };
--- a/packages/cli/src/commands/status.ts
+++ b/packages/cli/src/commands/status.ts
@@ -2,8 +2,9 @@
 import { statusSchema } from "@rosemarypin/schemas";
 import { z } from "zod";
 import type { Command } from "../command.ts";
+import { usageError } from "../command_error.ts";
 import { exitCodes } from "../exit_codes.ts";
-import { show, table } from "../output.ts";
+import { paintState, show, table } from "../output.ts";
 
 const status: Command = {
   name: "status",
@@ -14,7 +15,7 @@
     show(output, value, {
       render: ({ deployment, note, phase, instances, backends }) =>
         [
-          `deployment ${deployment}, note ${note} (${phase})`,
+          `deployment ${deployment}, note ${note} (${paintState(output, phase)})`,
           `instances  ${count(instances, "alive")} of ${instances.length} alive`,
           `backends   ${count(backends, "ready")} of ${backends.length} ready`,
         ].join("\n"),
@@ -31,17 +32,24 @@
     const value = await admin.get("/v1/status", statusSchema);
     show(output, value.instances, {
       render: (rows) =>
-        table(
-          ["instance", "domain", "state", "note", "load", "heard ms ago"],
-          rows.map((row) => [
+        table(output, {
+          titles: [
+            "instance",
+            "domain",
+            "state",
+            "note",
+            "load",
+            "heard ms ago",
+          ],
+          rows: rows.map((row) => [
             row.id,
             row.failureDomain,
             row.draining ? `${row.state}, draining` : row.state,
             row.note,
             row.load,
-            row.heardAgoMs,
+            Math.round(row.heardAgoMs),
           ]),
-        ),
+        }),
     });
     return exitCodes.ok;
   },
@@ -55,9 +63,17 @@
     const value = await admin.get("/v1/status", statusSchema);
     show(output, value.backends, {
       render: (rows) =>
-        table(
-          ["server", "kind", "domain", "state", "in flight", "load", "holds"],
-          rows.map((row) => [
+        table(output, {
+          titles: [
+            "server",
+            "kind",
+            "domain",
+            "state",
+            "in flight",
+            "load",
+            "holds",
+          ],
+          rows: rows.map((row) => [
             row.id,
             row.kind,
             row.failureDomain,
@@ -66,7 +82,7 @@
             row.load,
             row.holds.join(" "),
           ]),
-        ),
+        }),
     });
     return exitCodes.ok;
   },
@@ -75,8 +91,17 @@
 const drain: Command = {
   name: "drain",
   summary: "make the instance at --admin unready, ahead of its stop",
-  help: "Usage: rosemarypin drain --admin URL",
+  help: `Usage: rosemarypin drain --admin URL
+
+Makes one instance unready at once, so that the balancer sends it nothing new.
+Work in progress goes on. It stays up until SIGTERM stops it, and cannot be
+made ready again but by a restart.`,
   async run({ admin, output }) {
+    // With several addresses, the next instance would be drained in place of
+    // one that does not answer.
+    if (admin.urls.length !== 1) {
+      throw usageError("name the one instance to drain with --admin URL");
+    }
     const schema = z.object({ draining: z.boolean() });
     const value = await admin.post("/v1/drain", { body: {}, schema });
     show(output, value, { render: () => "the instance is draining" });
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -4,29 +4,31 @@
 import { createOutput } from "./output.ts";
 import { overview, runCommand } from "./run_command.ts";
 
-const DEFAULT_WAIT_SECONDS = 60;
-
 const { input, flags } = meow(overview(), {
   importMeta: import.meta,
   autoHelp: false,
+  allowUnknownFlags: false,
+  booleanDefault: undefined,
   flags: {
     admin: { type: "string", default: process.env.ROSEMARYPIN_ADMIN ?? "" },
-    json: { type: "boolean", default: false },
-    help: { type: "boolean", default: false },
+    json: { type: "boolean" },
+    help: { type: "boolean" },
     reason: { type: "string" },
     publishId: { type: "string" },
-    timeout: { type: "number", default: DEFAULT_WAIT_SECONDS },
+    timeout: { type: "number" },
+    adapter: { type: "string" },
+    service: { type: "boolean" },
+    html: { type: "string" },
+    top: { type: "number" },
   },
 });
 
+const { reason, publishId, timeout, adapter, service, html, top } = flags;
+
 process.exitCode = await runCommand(input, {
-  output: createOutput({ json: flags.json || !process.stdout.isTTY }),
-  help: flags.help,
+  output: createOutput({ json: flags.json }),
+  help: flags.help ?? false,
   adminUrls: flags.admin.split(",").filter((url) => url !== ""),
   key: process.env.ROSEMARYPIN_ADMIN_KEY ?? "",
-  flags: {
-    reason: flags.reason,
-    publishId: flags.publishId,
-    timeout: flags.timeout,
-  },
+  flags: { reason, publishId, timeout, adapter, service, html, top },
 });
--- a/packages/daemon/src/admin_server.ts
+++ b/packages/daemon/src/admin_server.ts
@@ -93,6 +93,7 @@
       run: async (_, number) => ok(await options.noteStatus(number)),
     },
     { method: "GET", path: /^\/v1\/notes\/(\d{1,9})\/diff$/, run: diff },
+    { method: "GET", path: /^\/v1\/notes\/(\d{1,9})$/, run: showNote },
     { method: "GET", path: /^\/v1\/explain$/, run: explain },
     {
       method: "POST",
@@ -161,6 +162,12 @@
     return notes ? ok({ notes }) : { failure: storeAway("the history") };
   }
 
+  async function showNote(_: Exchange, number: number): Promise<Reply> {
+    const record = await publisher.find(number);
+    if (record === undefined) return { failure: storeAway("the history") };
+    return record ? ok(record) : { failure: unknownNote(number) };
+  }
+
   async function publish(exchange: Exchange): Promise<Reply> {
     const note = await readNote(exchange);
     if (note.kind === "refused") return { failure: note.failure };
