Let the demo go round N times, with the platform's other stand-ins

Cause: the deployment had no instance list and no weight store, and the recall and the kill could be run once only. A killed engine is now started again, and the step holds only if it holds its layers again.

--- a/packages/launcher/src/demo_steps.ts
+++ b/packages/launcher/src/demo_steps.ts
@@ -8,13 +8,18 @@
 import { request } from "undici";
 import { stringify } from "yaml";
 import { type StreamedAnswer, streamAnswer } from "./caller.ts";
-import type { Deployment } from "./deployment.ts";
+import { type Deployment, waitForAnswer } from "./deployment.ts";
 import { KANEM_LAYERS } from "./kanem.ts";
 
 const cliScript = fileURLToPath(
   new URL("../../cli/dist/main.js", import.meta.url),
 );
 
+const TRAFFIC_BEFORE_MS = 500;
+const TRAFFIC_AFTER_MS = 800;
+const RESTART_WITHIN_MS = 10_000;
+const POLL_MS = 100;
+
 /** What a step saw. */
 export interface StepResult {
   readonly held: boolean;
@@ -32,10 +37,29 @@
   { title: "stream an answer", run: streamOne },
   { title: "order a part", run: orderPart },
   { title: "publish note 2", run: (d) => publishVersion(d, "v2") },
-  { title: "recall v2 under traffic", run: recallUnderTraffic },
+  {
+    title: "recall v2 under traffic",
+    run: (d) => recallUnderTraffic(d, "v2"),
+  },
   { title: "kill a stage mid-answer", run: killStage },
 ];
 
+/** The steps of one more round: `round` counts from 2. */
+export function roundSteps(round: number): readonly DemoStep[] {
+  const version = `v${round + 1}`;
+  return [
+    {
+      title: `round ${round}: publish ${version}`,
+      run: (d) => publishVersion(d, version),
+    },
+    {
+      title: `round ${round}: recall ${version} under traffic`,
+      run: (d) => recallUnderTraffic(d, version),
+    },
+    { title: `round ${round}: kill a stage mid-answer`, run: killStage },
+  ];
+}
+
 async function publishVersion(
   deployment: Deployment,
   version: string,
@@ -131,7 +155,10 @@
   return journals.flat().length;
 }
 
-async function recallUnderTraffic(deployment: Deployment): Promise<StepResult> {
+async function recallUnderTraffic(
+  deployment: Deployment,
+  version: string,
+): Promise<StepResult> {
   const prompt = "hydraulic pressure is low";
   const stop = { now: false };
   const answers: StreamedAnswer[] = [];
@@ -144,20 +171,20 @@
       (isAfter ? startedAfter : answers).push(answer);
     }
   });
-  await sleep(500);
+  await sleep(TRAFFIC_BEFORE_MS);
   const recalled = await runCli(deployment, [
     "note",
     "recall",
     "version",
     "assist",
-    "v2",
+    version,
     "--reason",
     "faulty batch",
   ]);
   const { number } = JSON.parse(recalled.output) as { number: number };
   const waited = await waitInForce(deployment, number);
   inForce = true;
-  await sleep(800);
+  await sleep(TRAFFIC_AFTER_MS);
   stop.now = true;
   await Promise.all(workers);
   const wrong = startedAfter.filter(
@@ -207,8 +234,31 @@
   const checked = checkAnswer(answer, { prompt, maxTokens });
   const attempts = answer.kind === "whole" ? answer.provenance.attempts : 0;
   const held = checked.held && killed !== null && attempts > 1;
-  const seen = `killed ${killed} after token 5; ${checked.seen}, ${attempts} attempts`;
-  return { held, seen };
+  const isBack = killed === null || (await restartEngine(deployment, killed));
+  const seen =
+    `killed ${killed} after token 5; ${checked.seen}, ${attempts} attempts; ` +
+    `${isBack ? "started again and holds its layers" : "did NOT come back"}`;
+  return { held: held && isBack, seen };
+}
+
+/** Starts an engine again; resolves to whether it holds its layers in time. */
+async function restartEngine(
+  deployment: Deployment,
+  id: string,
+): Promise<boolean> {
+  const engine = deployment.plan.engines.find((entry) => entry.id === id);
+  if (!engine) return false;
+  const url = `http://${formatAddress(engine.address)}/state`;
+  deployment.startStandIn(id);
+  await waitForAnswer(url);
+  const end = Date.now() + RESTART_WITHIN_MS;
+  while (Date.now() < end) {
+    const response = await request(url);
+    const { held } = (await response.body.json()) as { held: unknown[] };
+    if (held.length > 0) return true;
+    await sleep(POLL_MS);
+  }
+  return false;
 }
 
 interface Asked {
--- a/packages/launcher/src/deployment_plan.ts
+++ b/packages/launcher/src/deployment_plan.ts
@@ -1,18 +1,24 @@
 /** Describes a deployment: which processes, where, with which settings. */
 import { createHash } from "node:crypto";
-import type {
-  Address,
-  EngineSettings,
-  LayerRange,
-  Organisation,
-  ServiceSettings,
-  Settings,
+import {
+  type Address,
+  type EngineSettings,
+  formatAddress,
+  type InstanceList,
+  type LayerRange,
+  type Organisation,
+  type ServiceSettings,
+  type Settings,
 } from "@rosemarypin/schemas";
 import type { EngineSpeed, StandInSettings } from "@rosemarypin/stand_ins";
 import { findFreePorts } from "./ports.ts";
 
 const HOST = "127.0.0.1";
 const PORTS_PER_INSTANCE = 3;
+/** Object API, instance list and weight store. */
+const PLATFORM_PORTS = 3;
+const INSTANCE_LIST_LAG_MS = 3_000;
+const MEGABYTES_PER_SECOND = 1_000;
 
 /** One group of engines that hold the same layers on the same accelerator. */
 export interface EngineGroup {
@@ -66,13 +72,17 @@
   Settings,
   | "deployment"
   | "region"
+  | "failureDomains"
   | "instance"
   | "adminKeySha256"
   | "peers"
   | "organisations"
   | "engines"
 > & {
-  readonly platform: { readonly objectApi: string };
+  readonly platform: Pick<
+    Settings["platform"],
+    "objectApi" | "instanceList" | "weightStore"
+  >;
   readonly services: readonly ServiceSettings[];
 } & NonNullable<DeploymentShape["overrides"]>;
 
@@ -85,7 +95,7 @@
     0,
   );
   const ports = await findFreePorts(
-    1 +
+    PLATFORM_PORTS +
       engineCount +
       shape.service.servers +
       shape.instances * PORTS_PER_INSTANCE,
@@ -96,6 +106,8 @@
     return { host: HOST, port };
   };
   const objectApiAddress = nextAddress();
+  const instanceListAddress = nextAddress();
+  const weightStoreAddress = nextAddress();
   const engines = planEngines(shape, nextAddress);
   const services = planService(shape, nextAddress);
   const instances = Array.from({ length: shape.instances }, (_, index) => ({
@@ -107,14 +119,17 @@
       admin: nextAddress(),
     },
   }));
-  const objectApi = `http://${HOST}:${objectApiAddress.port}`;
+  const objectApi = `http://${formatAddress(objectApiAddress)}`;
+  const instanceList = `http://${formatAddress(instanceListAddress)}/instances`;
+  const weightStore = `http://${formatAddress(weightStoreAddress)}`;
   const daemons = instances.map(
     (instance): DaemonSettingsFile => ({
       deployment: shape.deployment,
       region: shape.region,
       instance,
       adminKeySha256: sha256(shape.adminKey),
-      platform: { objectApi },
+      failureDomains: [...shape.domains],
+      platform: { objectApi, instanceList, weightStore },
       peers: instances
         .filter(({ id }) => id !== instance.id)
         .map(({ id, failureDomain, addresses }) => ({
@@ -142,6 +157,23 @@
         name: "object-api",
         settings: { kind: "object_api", address: objectApiAddress },
       },
+      {
+        name: "instance-list",
+        settings: {
+          kind: "instance_list",
+          address: instanceListAddress,
+          lagMs: INSTANCE_LIST_LAG_MS,
+          initial: { instances: listInstances({ daemons, engines, services }) },
+        },
+      },
+      {
+        name: "weight-store",
+        settings: {
+          kind: "weight_store",
+          address: weightStoreAddress,
+          megabytesPerSecond: MEGABYTES_PER_SECOND,
+        },
+      },
       ...engines.map(({ settings, speed }) => ({
         name: settings.id,
         settings: { kind: "engine" as const, ...settings, speed },
@@ -154,6 +186,40 @@
   };
 }
 
+/** Everything that answers, as the platform would list it. */
+function listInstances(parts: {
+  readonly daemons: readonly DaemonSettingsFile[];
+  readonly engines: readonly { readonly settings: EngineSettings }[];
+  readonly services: ServiceSettings;
+}): InstanceList["instances"] {
+  const { daemons, engines, services } = parts;
+  const entries = daemons.map(({ deployment, instance }) => ({
+    id: instance.id,
+    kind: "entry" as const,
+    name: deployment,
+    failureDomain: instance.failureDomain,
+    ...instance.addresses.callers,
+    state: "live" as const,
+  }));
+  const models = engines.map(({ settings }) => ({
+    id: settings.id,
+    kind: "engine" as const,
+    name: settings.roles[0]?.model ?? settings.id,
+    failureDomain: settings.failureDomain,
+    ...settings.address,
+    state: "live" as const,
+  }));
+  const servers = services.servers.map(({ id, failureDomain, address }) => ({
+    id,
+    kind: "service" as const,
+    name: services.name,
+    failureDomain,
+    ...address,
+    state: "live" as const,
+  }));
+  return [...entries, ...models, ...servers];
+}
+
 function planEngines(shape: DeploymentShape, nextAddress: () => Address) {
   let count = 0;
   return shape.domains.flatMap((failureDomain) =>
