--- a/packages/daemon/src/contract/admin_contract_test.ts
+++ b/packages/daemon/src/contract/admin_contract_test.ts
@@ -2,13 +2,12 @@
 import type { AddressInfo } from "node:net";
 import type { PublishResult } from "@rosemarypin/release";
 import { failureBodySchema, type Settings } from "@rosemarypin/schemas";
-import { createMetrics } from "@rosemarypin/telemetry";
 import { afterAll, beforeAll, describe, expect, it } from "vitest";
 import { startAdminServer } from "../admin_server.ts";
-import { createInstanceLevels } from "../instance_levels.ts";
 import { createNoteInspector } from "../note_inspector.ts";
 import {
   adminKey,
+  fakeAdminParts,
   fakeKeeper,
   fakeRecord,
   fakeSettings,
@@ -44,20 +43,10 @@
 
 beforeAll(async () => {
   server = await startAdminServer({
-    settings,
-    metrics: createMetrics(),
+    ...fakeAdminParts(settings),
     publisher,
     inspector: createNoteInspector({ keeper, publisher }),
     status: () => Promise.reject(new Error("a peer sent nonsense")),
-    noteStatus: async (number) => ({
-      number,
-      phase: "recorded",
-      instances: [],
-      engines: [],
-    }),
-    serviceLevels: createInstanceLevels(settings).read,
-    isReady: () => false,
-    drain() {},
   });
   port = (server.address() as AddressInfo).port;
 });
--- a/packages/daemon/src/contract/fake_parts.ts
+++ b/packages/daemon/src/contract/fake_parts.ts
@@ -1,6 +1,6 @@
 /** Parts behind the two HTTP servers, faked for their contract tests. */
 import type { EngineClient, EngineFleet } from "@rosemarypin/backends";
-import type { NoteKeeper } from "@rosemarypin/release";
+import type { NoteKeeper, Publisher } from "@rosemarypin/release";
 import type { Router } from "@rosemarypin/routing";
 import {
   type AttemptRequest,
@@ -10,8 +10,10 @@
   settingsSchema,
 } from "@rosemarypin/schemas";
 import { createMetrics } from "@rosemarypin/telemetry";
+import type { AdminServerOptions } from "../admin_server.ts";
 import { hashKey } from "../authentication.ts";
 import { createInstanceLevels } from "../instance_levels.ts";
+import { createNoteInspector } from "../note_inspector.ts";
 import { createWorkInProgress } from "../work_in_progress.ts";
 
 const HOST = "127.0.0.1";
@@ -147,6 +149,43 @@
   };
 }
 
+/** Everything that an administration server needs, with note 1 recorded. */
+export function fakeAdminParts(settings: Settings): AdminServerOptions {
+  const publisher: Publisher = {
+    publish: async () => ({
+      kind: "recorded",
+      record: fakeRecord,
+      repeated: false,
+    }),
+    history: async () => [fakeRecord],
+    find: async (number) => (number === 1 ? fakeRecord : null),
+  };
+  const keeper = fakeKeeper();
+  return {
+    settings,
+    metrics: createMetrics(),
+    publisher,
+    inspector: createNoteInspector({ keeper, publisher }),
+    status: async () => ({
+      deployment: settings.deployment,
+      instance: settings.instance.id,
+      note: 1,
+      phase: "in_force",
+      instances: [],
+      backends: [],
+    }),
+    noteStatus: async (number) => ({
+      number,
+      phase: "recorded",
+      instances: [],
+      engines: [],
+    }),
+    serviceLevels: createInstanceLevels(settings).read,
+    isReady: () => false,
+    drain() {},
+  };
+}
+
 /** A keeper of note 1. */
 export function fakeKeeper(): NoteKeeper {
   return {
