Check a note as 'note amend' would publish it; say why a daemon did not start

Cause: the quick start's 'check' refused the very file that 'note amend' takes, for its missing 'supersedes'; an address in use ended the daemon with a stack trace, and an unknown flag was passed over.

--- a/packages/cli/src/admin_client.ts
+++ b/packages/cli/src/admin_client.ts
@@ -1,5 +1,5 @@
 /** Calls of the administration API. */
-import { failureBodySchema } from "@rosemarypin/schemas";
+import { failureBodySchema, statusSchema } from "@rosemarypin/schemas";
 import { request } from "undici";
 import type { z } from "zod";
 import { CommandError, usageError } from "./command_error.ts";
@@ -155,6 +155,12 @@
   }
 }
 
+/** The number of the note in use; 0 for none. */
+export async function readCurrentNumber(admin: AdminClient): Promise<number> {
+  const { note } = await admin.get("/v1/status", statusSchema);
+  return note;
+}
+
 function noAnswer(reasons: readonly string[], isUnknown: boolean) {
   const lines = reasons.map((reason) => `\n  ${reason}`).join("");
   return isUnknown
--- a/packages/cli/src/commands/check.ts
+++ b/packages/cli/src/commands/check.ts
@@ -9,6 +9,7 @@
   settingsSchema,
 } from "@rosemarypin/schemas";
 import { z } from "zod";
+import { readCurrentNumber } from "../admin_client.ts";
 import type { Command, CommandContext } from "../command.ts";
 import { usageError } from "../command_error.ts";
 import { exitCodes } from "../exit_codes.ts";
@@ -27,8 +28,9 @@
 
 Checks settings (a file with 'deployment') or a release note against their
 schema, offline. With --admin a note is also checked against the note in use:
-whether it could be published now, and what it would change. Exits 2 if the
-file is not valid.`,
+whether it could be published now, and what it would change. A note without
+'supersedes' is checked as 'note amend' would publish it. Exits 2 if the file
+is not valid.`,
   async run(context) {
     const file = context.words[0];
     if (!file) throw usageError("name a file: check FILE");
@@ -55,8 +57,9 @@
   file: string,
   { admin, output }: CommandContext,
 ): Promise<number> {
-  const result = parseNote(file, { publishId: randomUUID() });
   const isOffline = admin.urls.length === 0;
+  const supersedes = isOffline ? 0 : await readCurrentNumber(admin);
+  const result = parseNote(file, { publishId: randomUUID(), supersedes });
   if (result.kind === "invalid" || isOffline) {
     const what = `${file}: valid by its schema; use --admin URL to check it against the note in use`;
     return report(result, { output, what });
--- a/packages/cli/src/commands/note.ts
+++ b/packages/cli/src/commands/note.ts
@@ -4,10 +4,10 @@
   publishAnswerSchema,
   type ReleaseNote,
   releaseNoteSchema,
-  statusSchema,
   type WithdrawnLine,
   withdrawnLineSchema,
 } from "@rosemarypin/schemas";
+import { readCurrentNumber } from "../admin_client.ts";
 import type { Command, CommandContext } from "../command.ts";
 import { CommandError, usageError } from "../command_error.ts";
 import { exitCodes } from "../exit_codes.ts";
@@ -46,9 +46,10 @@
   async run(context) {
     const file = context.words[0];
     if (!file) throw usageError("name the note's file: note amend FILE");
-    const supersedes = await readCurrentNumber(context);
+    const supersedes = await readCurrentNumber(context.admin);
     const publishId = context.flags.publishId ?? randomUUID();
-    return publishNote(readNote(file, { publishId, supersedes }), context);
+    const defaults = { publishId, supersedes, isFixed: true };
+    return publishNote(readNote(file, defaults), context);
   },
 };
 
@@ -70,7 +71,7 @@
     const line = parseWithdrawn(context.words);
     const { reason, publishId = randomUUID() } = context.flags;
     if (!reason) throw usageError("say why with --reason TEXT");
-    const supersedes = await readCurrentNumber(context);
+    const supersedes = await readCurrentNumber(context.admin);
     const note = releaseNoteSchema.safeParse({
       supersedes,
       publishId,
@@ -86,11 +87,6 @@
 /** Commands that publish. */
 export const noteCommands: readonly Command[] = [publish, amend, recall];
 
-async function readCurrentNumber({ admin }: CommandContext): Promise<number> {
-  const { note } = await admin.get("/v1/status", statusSchema);
-  return note;
-}
-
 async function publishNote(
   note: ReleaseNote,
   { admin, output }: CommandContext,
--- a/packages/cli/src/commands/note_view.ts
+++ b/packages/cli/src/commands/note_view.ts
@@ -5,9 +5,9 @@
   type NoteRecord,
   noteDiffSchema,
   noteRecordSchema,
-  statusSchema,
 } from "@rosemarypin/schemas";
-import type { Command, CommandContext } from "../command.ts";
+import { readCurrentNumber } from "../admin_client.ts";
+import type { Command } from "../command.ts";
 import { CommandError, usageError } from "../command_error.ts";
 import { exitCodes } from "../exit_codes.ts";
 import { renderChanges } from "../note_changes.ts";
@@ -22,7 +22,8 @@
   words: 1,
   help: "Usage: rosemarypin note show [NUMBER] [--json]",
   async run(context) {
-    const number = parseNumber(context.words[0]) ?? (await current(context));
+    const number =
+      parseNumber(context.words[0]) ?? (await readCurrentNumber(context.admin));
     if (number === 0) {
       throw new CommandError(
         "there is no note yet; publish the first with 'note publish FILE'",
@@ -58,7 +59,7 @@
 neither, what the current note changed.`,
   async run(context) {
     const [first, second] = context.words.map(parseNumber);
-    const to = second ?? (await current(context));
+    const to = second ?? (await readCurrentNumber(context.admin));
     const from = first ?? Math.max(0, to - 1);
     const path = `/v1/notes/${from}/diff?to=${to}`;
     const value = await context.admin.get(path, noteDiffSchema);
@@ -78,7 +79,8 @@
 NUMBER. Exits 0 once it is in force, and 6 if the time (${DEFAULT_WAIT_SECONDS} seconds unless given)
 runs out; then it names who has not confirmed.`,
   async run(context) {
-    const number = parseNumber(context.words[0]) ?? (await current(context));
+    const number =
+      parseNumber(context.words[0]) ?? (await readCurrentNumber(context.admin));
     if (number < 1)
       throw usageError("name the note's number: note wait NUMBER");
     const { timeout = DEFAULT_WAIT_SECONDS } = context.flags;
@@ -96,12 +98,6 @@
   wait,
 ];
 
-/** The number of the note in use. */
-async function current({ admin }: CommandContext): Promise<number> {
-  const { note } = await admin.get("/v1/status", statusSchema);
-  return note;
-}
-
 function parseNumber(word: string | undefined): number | undefined {
   if (word === undefined) return undefined;
   if (/^\d{1,9}$/.test(word)) return Number(word);
--- a/packages/cli/src/files.ts
+++ b/packages/cli/src/files.ts
@@ -24,8 +24,10 @@
 /** What a note file may leave out. */
 export interface NoteDefaults {
   readonly publishId: string;
-  /** For a note that is to follow the current one, whatever its number. */
+  /** Filled in where the file has none. */
   readonly supersedes?: number;
+  /** Whether the file may name no other number. */
+  readonly isFixed?: boolean;
 }
 
 /** Checks a note; what it leaves out comes from `defaults`. */
@@ -33,18 +35,21 @@
   file: string,
   defaults: NoteDefaults,
 ): FileResult<ReleaseNote> {
-  const { shape } = releaseNoteSchema;
-  const { publishId, supersedes } = defaults;
-  const schema = releaseNoteSchema.extend({
-    publishId: shape.publishId.default(publishId),
-    supersedes:
-      supersedes === undefined
-        ? shape.supersedes
-        : z.literal(supersedes, noSupersedes).default(supersedes),
-  });
+  const publishId = releaseNoteSchema.shape.publishId.default(
+    defaults.publishId,
+  );
+  const supersedes = supersedesSchema(defaults);
+  const schema = releaseNoteSchema.extend({ publishId, supersedes });
   return parseYamlFile(schema, { text: readText(file), file });
 }
 
+function supersedesSchema({ supersedes, isFixed }: NoteDefaults) {
+  const schema = releaseNoteSchema.shape.supersedes;
+  if (supersedes === undefined) return schema;
+  if (!isFixed) return schema.default(supersedes);
+  return z.literal(supersedes, noSupersedes).default(supersedes);
+}
+
 /** Reads a valid note, or ends the command with what is wrong. */
 export function readNote(file: string, defaults: NoteDefaults): ReleaseNote {
   const result = parseNote(file, defaults);
--- a/packages/cli/src/run_command_test.ts
+++ b/packages/cli/src/run_command_test.ts
@@ -417,7 +417,7 @@
 
   it("names file, line and key of what is wrong", async () => {
     const file = writeFile("wrong.yaml", "deployment: x\nregoin: y\n");
-    const { exitCode, output } = await run(`check ${file}`);
+    const { exitCode, output } = await run(`check ${file}`, { urls: [] });
     expect(exitCode).toBe(2);
     expect(output).toContain("wrong.yaml:2: regoin: unknown key");
   });
@@ -430,7 +430,10 @@
     const { exitCode, output } = await run(`check ${file}`);
     expect(exitCode).toBe(0);
     expect(output).toContain("could be published on note 3");
-    expect(received.map(({ call }) => call)).toEqual(["POST /v1/notes/check"]);
+    expect(received.map(({ call }) => call)).toEqual([
+      "GET /v1/status",
+      "POST /v1/notes/check",
+    ]);
   });
 });
 
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -11,6 +11,7 @@
 import meow from "meow";
 import { startDaemon } from "./daemon.ts";
 
+const EXIT_NOT_STARTED = 1;
 const EXIT_BAD_SETTINGS = 2;
 const EXIT_WORK_CUT = 3;
 
@@ -27,11 +28,13 @@
 
   Exit codes
     0  stopped with all work ended, or the settings are valid
-    2  the settings are not valid
+    1  could not start, such as when an address is in use
+    2  the settings are not valid, or a flag is unknown
     3  stopped, but the grace time cut work in progress
 `,
   {
     importMeta: import.meta,
+    allowUnknownFlags: false,
     flags: {
       settings: { type: "string", isRequired: true },
       check: { type: "boolean", default: false },
@@ -64,7 +67,11 @@
   process.exit(0);
 }
 enableDefaultLogs();
-const daemon = await startDaemon(settings);
+const daemon = await startDaemon(settings).catch((error: unknown) => {
+  const reason = error instanceof Error ? error.message : String(error);
+  log.warn("not_started", { reason });
+  process.exit(EXIT_NOT_STARTED);
+});
 
 let stopping = false;
 for (const signal of ["SIGTERM", "SIGINT"] as const) {
