--- a/packages/daemon/src/contract/callers_contract_test.ts
+++ b/packages/daemon/src/contract/callers_contract_test.ts
@@ -589,6 +589,29 @@
     expect(parts.started.length - before).toBeLessThanOrEqual(4);
   });
 
+  // A caller's second request on a connection is broken while its first is
+  // still answered. A refusal written there would end up inside the answer.
+  it("by sending garbage behind a good request gets none into its answer", async () => {
+    const stream = call(completion({ stream: true, max_tokens: 400 }));
+    const open = stream.map((part) =>
+      String(part).replace("connection: close\r\n", ""),
+    );
+    const parts = [...open, 100, "no http at all\r\n\r\n"];
+    const answer = await rawCall({ port, parts });
+    expect(answer.status).toBe(200);
+    expect(answer.text).not.toContain("bad_http");
+  });
+
+  // A body of the allowed size holds thousands of wrong messages. Explaining
+  // each takes the processor from every other caller.
+  it("with thousands of wrong messages has only their number explained", async () => {
+    const body = `{"model":"assist","messages":[${"1,".repeat(4_000)}1]}`;
+    const path = "/v1/chat/completions";
+    const answer = await rawCall({ port, parts: call(body, { path }) });
+    const { error } = failureBodySchema.parse(answer.body);
+    expect(error.message).toBe("messages: expected at most 256");
+  });
+
   // An organisation sends many bodies that never end. Together they would
   // take all memory that bodies may have, and others would be refused.
   it("with many slow bodies takes no room from others", async () => {
