--- a/packages/cli/src/run_command_test.ts
+++ b/packages/cli/src/run_command_test.ts
@@ -120,6 +120,7 @@
 const status: Status = {
   deployment: "kanem",
   instance: "entry-1",
+  startedAt: 0,
   note: 3,
   phase: "accepted",
   instances: [
--- a/packages/daemon/src/caller_server.ts
+++ b/packages/daemon/src/caller_server.ts
@@ -159,6 +159,7 @@
       ...parsed.value,
       requestId,
       organisation: organisation.name,
+      weight: organisation.weight,
       priority: ranked.priority,
       deadlineAt: Date.now() + parseDeadlineMs(request, defaultDeadlineMs),
     };
--- a/packages/daemon/src/contract/callers_contract_test.ts
+++ b/packages/daemon/src/contract/callers_contract_test.ts
@@ -620,6 +620,23 @@
     expect(error.message).toBe("messages: expected at most 256");
   });
 
+  // A caller with a wrong key goes on sending for as long as it may. Nothing
+  // is answered any more, but its bytes would be read and dropped all along.
+  it("is not listened to for long after its refusal", async () => {
+    const settings = fakeSettings();
+    const limits = { ...settings.limits, requestTimeoutMs: 3_600_000 };
+    const own = await startCallerServer(
+      fakeCallerParts({ ...settings, limits }),
+    );
+    const { port: ownPort } = own.address() as AddressInfo;
+    const start = head({ key: "not-a-known-key", headers: [chunked] });
+    const open = start.replace("connection: close\r\n", "");
+    const parts = [open, "5\r\nhello\r\n"];
+    const answer = await rawCall({ port: ownPort, parts });
+    expect(answer.status).toBe(401);
+    own.close();
+  });
+
   // An organisation sends many bodies that never end. Together they would
   // take all memory that bodies may have, and others would be refused.
   it("with many slow bodies takes no room from others", async () => {
--- a/packages/daemon/src/contract/fake_parts.ts
+++ b/packages/daemon/src/contract/fake_parts.ts
@@ -169,6 +169,7 @@
     status: async () => ({
       deployment: settings.deployment,
       instance: settings.instance.id,
+      startedAt: 0,
       note: 1,
       phase: "in_force",
       instances: [],
@@ -196,14 +197,17 @@
   } as unknown as NoteKeeper;
 }
 
-const fakeRouter: Router = {
+const fakeRouter = {
+  covers: () => true,
+  stop() {},
   async acquire() {
     const address = { host: HOST, port: PLACEHOLDER_PORT };
     const layers = { from: 0, to: 2 };
     const stages = [{ engine: "engine-1", address, layers }];
-    return { kind: "granted", grant: { stages, release() {} } };
+    const grant = { stages, observeToken() {}, release() {} };
+    return { kind: "granted", grant };
   },
-} as Router;
+} as unknown as Router;
 
 const unusedEngineCalls = {
   async cancel() {},
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -31,7 +31,11 @@
   rankInDomain,
   readRegistry,
 } from "@rosemarypin/release";
-import { createRouter } from "@rosemarypin/routing";
+import {
+  createRouter,
+  type Router,
+  type RouterOptions,
+} from "@rosemarypin/routing";
 import {
   type BackendView,
   type InstanceView,
@@ -57,8 +61,16 @@
   stop(): Promise<boolean>;
 }
 
+/** Parts that a measurement may put in the place of the daemon's own. */
+export interface DaemonParts {
+  readonly createRouter?: (options: RouterOptions) => Router;
+}
+
 /** Starts a daemon with checked settings. */
-export async function startDaemon(settings: Settings): Promise<Daemon> {
+export async function startDaemon(
+  settings: Settings,
+  parts: DaemonParts = {},
+): Promise<Daemon> {
   const { deployment, instance } = settings;
   const { id, failureDomain, addresses } = instance;
   const incarnation = Date.now();
@@ -136,10 +148,12 @@
     return { lease, controller };
   }
 
-  const router = createRouter({
+  const router = (parts.createRouter ?? createRouter)({
     fleet,
     failureDomain,
     limits: settings.limits,
+    objectives: settings.objectives,
+    seed: incarnation,
     metrics,
   });
   const publisher = createPublisher({
@@ -182,6 +196,7 @@
     return {
       deployment,
       instance: id,
+      startedAt: incarnation,
       note,
       phase,
       instances: viewInstances(membership),
@@ -230,6 +245,7 @@
       callerServer.closeAllConnections();
       await stopAccepting;
       await Promise.all(controllers.map(endControl));
+      router.stop();
       keeper.stop();
       fleet.stop();
       await registration.leave();
