--- a/packages/bench/src/bench_command.ts
+++ b/packages/bench/src/bench_command.ts
@@ -15,4 +15,8 @@
     (await import("./capacity/capacity_bench.ts")).capacityBench,
   throughput: async () =>
     (await import("./throughput/throughput_bench.ts")).throughputBench,
+  confirmations: async () =>
+    (await import("./recall/confirmations_command.ts")).confirmationsCommand,
+  recall: async () =>
+    (await import("./recall/recall_command.ts")).recallCommand,
 };
--- a/packages/placement/src/engine_controller.ts
+++ b/packages/placement/src/engine_controller.ts
@@ -1,6 +1,6 @@
 /** Orders the engines of one failure domain until they hold what they must. */
 import type { EngineClient, EngineFleet } from "@rosemarypin/backends";
-import { elapsedMs, type NoteKeeper } from "@rosemarypin/release";
+import { type NoteKeeper, surelyElapsedMs } from "@rosemarypin/release";
 import type {
   EngineConfirmation,
   EngineSettings,
@@ -55,11 +55,12 @@
   async function follow(engine: EngineSettings): Promise<void> {
     let retryMs = FIRST_RETRY_MS;
     while (!stopped) {
+      const seen = wakeUp.count();
       const look = await bringToNote(engine);
       if (stopped) return;
       retryMs = look === "retry" ? retryMs * 2 : FIRST_RETRY_MS;
       const waitMs = look === "retry" ? retryMs : READ_BACK_EVERY_MS;
-      await wakeUp.wait(Math.min(waitMs, READ_BACK_EVERY_MS));
+      await wakeUp.wait(Math.min(waitMs, READ_BACK_EVERY_MS), seen);
     }
   }
 
@@ -90,7 +91,7 @@
     const held = lease.held();
     const contactAgeMs = keeper.contactAgeMs();
     if (!held || contactAgeMs === null) return null;
-    return contactAgeMs <= elapsedMs(held.since) ? held : null;
+    return contactAgeMs <= surelyElapsedMs(held.since) ? held : null;
   }
 
   async function order(
