Make the test of refused senders count what was left unsent

The sender now goes on sending: without the guard all thirty chunks are taken, with it the connection ends first. Switched off by hand: fails; on: passes.

--- a/packages/daemon/src/contract/callers_contract_test.ts
+++ b/packages/daemon/src/contract/callers_contract_test.ts
@@ -631,9 +631,11 @@
     const { port: ownPort } = own.address() as AddressInfo;
     const start = head({ key: "not-a-known-key", headers: [chunked] });
     const open = start.replace("connection: close\r\n", "");
-    const parts = [open, "5\r\nhello\r\n"];
+    const more = Array.from({ length: 30 }, () => ["5\r\nhello\r\n", 200]);
+    const parts = [open, ...more.flat()];
     const answer = await rawCall({ port: ownPort, parts });
     expect(answer.status).toBe(401);
+    expect(answer.unsent).toBeGreaterThan(0);
     own.close();
   });
 
--- a/packages/daemon/src/contract/raw_call.ts
+++ b/packages/daemon/src/contract/raw_call.ts
@@ -8,6 +8,8 @@
   /** Body of the first answer, parsed if it is JSON. */
   readonly body: unknown;
   readonly text: string;
+  /** Parts that were left when the connection ended. */
+  readonly unsent: number;
 }
 
 export interface RawCall {
@@ -33,8 +35,10 @@
     const isEnough = call.leaveAfter && text.includes(call.leaveAfter);
     if (isEnough) socket.destroy();
   });
+  let unsent = call.parts.length;
   for (const part of call.parts) {
     if (socket.destroyed) break;
+    unsent -= 1;
     if (typeof part === "number") {
       await new Promise((resolve) => setTimeout(resolve, part));
     } else {
@@ -42,10 +46,10 @@
     }
   }
   await closed;
-  return parseAnswer(text);
+  return { ...parseAnswer(text), unsent };
 }
 
-function parseAnswer(text: string): RawAnswer {
+function parseAnswer(text: string): Omit<RawAnswer, "unsent"> {
   const final = text.replace(/^HTTP\/1\.1 100 [^\r]*\r\n\r\n/, "");
   const status = /^HTTP\/1\.1 (\d{3})/.exec(final)?.[1];
   const [, body = ""] = final.split(/\r\n\r\n(.*)/s);
