--- a/packages/bench/src/bench_command.ts
+++ b/packages/bench/src/bench_command.ts
@@ -19,4 +19,8 @@
     (await import("./recall/confirmations_command.ts")).confirmationsCommand,
   recall: async () =>
     (await import("./recall/recall_command.ts")).recallCommand,
+  recovery: async () =>
+    (await import("./answers/recovery_command.ts")).recoveryCommand,
+  streams: async () =>
+    (await import("./answers/streams_command.ts")).streamsCommand,
 };
--- a/packages/checks/src/workspace_test.ts
+++ b/packages/checks/src/workspace_test.ts
@@ -68,8 +68,17 @@
 });
 
 describe("imports", () => {
-  /** What any test may import, from the workspace's own package.json. */
-  const tools = ["vitest", "fast-check", `${scope}fakes`];
+  /**
+   * What any test may import: tools of the workspace's own package.json, and
+   * the private packages that take the place of what surrounds the product.
+   */
+  const tools = [
+    "vitest",
+    "fast-check",
+    `${scope}fakes`,
+    `${scope}stand_ins`,
+    `${scope}launcher`,
+  ];
 
   it.each(names)("of %s are in its package.json", (name) => {
     const allowed = new Set(dependenciesOf(name));
--- a/packages/daemon/src/answer_stream.ts
+++ b/packages/daemon/src/answer_stream.ts
@@ -1,7 +1,11 @@
 /** Turns the events of an answer into OpenAI-style JSON or SSE. */
 import { once } from "node:events";
 import type { ServerResponse } from "node:http";
-import type { AnswerEvent, CallFailure } from "@rosemarypin/calls";
+import {
+  type AnswerEvent,
+  type CallFailure,
+  formatEventId,
+} from "@rosemarypin/calls";
 import type { AnswerProvenance } from "@rosemarypin/schemas";
 import { failureBody, sendFailure, sendJson } from "./http_basics.ts";
 
@@ -62,8 +66,8 @@
     if (!response.headersSent) startStream(output);
     if (event.type === "token") {
       const data = JSON.stringify(tokenChunk(event, output));
-      const text = `id: ${requestId}:${event.index}\ndata: ${data}\n\n`;
-      await write(text, output);
+      const id = formatEventId({ ...event, requestId });
+      await write(`id: ${id}\ndata: ${data}\n\n`, output);
       continue;
     }
     const data = JSON.stringify(lastChunk(event, output));
--- a/packages/daemon/src/answer_stream_test.ts
+++ b/packages/daemon/src/answer_stream_test.ts
@@ -15,8 +15,8 @@
   noteNumber: 2,
 };
 const tokens: readonly AnswerEvent[] = [
-  { type: "token", index: 0, text: "lift" },
-  { type: "token", index: 1, text: "the header" },
+  { type: "token", index: 0, text: "lift", engine: "engine-1" },
+  { type: "token", index: 1, text: "the header", engine: "engine-1" },
 ];
 const done: AnswerEvent = { type: "done", reason: "stop", provenance };
 const failed: AnswerEvent = { type: "failed", failure };
--- a/packages/daemon/src/caller_server.ts
+++ b/packages/daemon/src/caller_server.ts
@@ -2,10 +2,10 @@
 import { randomUUID } from "node:crypto";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import {
-  type AnswerDependencies,
   badCall,
   type CallFailure,
   notRun,
+  type ResumeDependencies,
   runAnswer,
   type ServiceCall,
   type ServiceCallResult,
@@ -26,6 +26,7 @@
   parseDeadlineMs,
   parsePriority,
 } from "./answer_request.ts";
+import { readResumePath, resume } from "./answer_resume.ts";
 import {
   type AnswerEnd,
   type AnswerStyle,
@@ -48,7 +49,7 @@
 
 export interface CallerServerOptions {
   readonly settings: Settings;
-  readonly answers: AnswerDependencies;
+  readonly answers: ResumeDependencies;
   readonly callService: (call: ServiceCall) => Promise<ServiceCallResult>;
   readonly metrics: Metrics;
   readonly levels: ServiceLevelCounter;
@@ -104,6 +105,12 @@
   async function route(exchange: Exchange): Promise<void> {
     const { request, response, requestId } = exchange;
     const path = (request.url ?? "/").split("?")[0] ?? "/";
+    const resumed = readResumePath(request);
+    if (resumed) {
+      const { readerStallMs } = settings.limits;
+      const own = { ...exchange, requestId: resumed, readerStallMs };
+      return resume(own, options.answers);
+    }
     if (path.startsWith("/services/")) return callService(exchange);
     const endpoint = endpoints.get(path);
     if (!endpoint) return sendFailure(response, unknownPath(), { requestId });
--- a/packages/daemon/src/contract/callers_contract_test.ts
+++ b/packages/daemon/src/contract/callers_contract_test.ts
@@ -384,6 +384,27 @@
     status: 404,
     code: "unknown_path",
   },
+  // Answers taken up again.
+  {
+    title: "an answer to resume, without its last event",
+    parts: service("/v1/answers/6a1f0c9e-6f0c-4a36-9f0e-0d1c2b3a4f5e"),
+    status: 400,
+    code: "bad_event_id",
+  },
+  {
+    title: "an answer to resume, with another answer's event",
+    parts: service("/v1/answers/6a1f0c9e-6f0c-4a36-9f0e-0d1c2b3a4f5e", [
+      "last-event-id: 00000000-6f0c-4a36-9f0e-0d1c2b3a4f5e:1:engine-1",
+    ]),
+    status: 400,
+    code: "bad_event_id",
+  },
+  {
+    title: "an answer to resume whose id climbs",
+    parts: service("/v1/answers/..%2f..%2fstate"),
+    status: 404,
+    code: "unknown_path",
+  },
   // Services.
   {
     title: "a path that climbs",
--- a/packages/daemon/src/contract/fake_parts.ts
+++ b/packages/daemon/src/contract/fake_parts.ts
@@ -1,5 +1,10 @@
 /** Parts behind the two HTTP servers, faked for their contract tests. */
-import type { EngineClient, EngineFleet } from "@rosemarypin/backends";
+import type {
+  EngineClient,
+  EngineFleet,
+  ParkedAnswers,
+} from "@rosemarypin/backends";
+import { createRecoveryLimiter } from "@rosemarypin/calls";
 import type { NoteKeeper, Publisher } from "@rosemarypin/release";
 import type { Router } from "@rosemarypin/routing";
 import {
@@ -128,13 +133,25 @@
       return { kind: "started", events: speak(attempt, signal) };
     },
   };
-  const fleet = { reportLost() {} } as unknown as EngineFleet;
+  const fleet = {
+    engines: () => [],
+    observe() {},
+    reportLost() {},
+  } as unknown as EngineFleet;
   return {
     settings,
     metrics,
     levels: createInstanceLevels(settings),
     work: createWorkInProgress(),
-    answers: { keeper, router: fakeRouter, fleet, engines, metrics },
+    answers: {
+      keeper,
+      router: fakeRouter,
+      fleet,
+      engines,
+      metrics,
+      parked: { readAnswer: async () => null } as unknown as ParkedAnswers,
+      recoveries: createRecoveryLimiter({ metrics }),
+    },
     callService: async () => ({
       kind: "answer" as const,
       repeated: false,
@@ -220,17 +237,17 @@
 } as unknown as EngineClient;
 
 async function* speak(
-  { maxTokens, promptTokens }: AttemptRequest,
+  { attempt, maxTokens, promptTokens }: AttemptRequest,
   signal: AbortSignal,
 ): AsyncGenerator<EngineEvent> {
-  const attempt = 1;
   const isLong = promptTokens[0] === LONG_WORDS;
   const padding = isLong ? "x".repeat(LONG_WORD_LENGTH) : "";
   for (let index = 0; index < maxTokens; index++) {
     if (signal.aborted) return;
     await new Promise((resolve) => setTimeout(resolve, 1));
+    const ends = index + 1 === maxTokens ? "length" : undefined;
     const text = `w${index}${padding}`;
-    yield { type: "token", attempt, index, text, digest: "d" };
+    yield { type: "token", attempt, index, text, digest: "d", ends };
   }
   yield { type: "done", attempt, reason: "length" };
 }
--- a/packages/daemon/src/openapi/callers_document.ts
+++ b/packages/daemon/src/openapi/callers_document.ts
@@ -132,6 +132,10 @@
           answer: "CompletionAnswer",
         }),
       },
+      "/v1/answers/{requestId}": {
+        parameters: [parameter("requestId", { in: "path", schema: z.uuid() })],
+        get: resumedAnswer,
+      },
       "/services/{service}/{path}": {
         parameters: [
           parameter("service", { in: "path", schema: nameSchema }),
@@ -166,8 +170,8 @@
   const stream = {
     schema: { type: "string" },
     description:
-      "With `stream: true`: one event for each token, whose `id` is " +
-      "REQUEST:INDEX; the last event has the provenance, then `[DONE]`. A " +
+      "With `stream: true`: one event for each token, whose `id` takes the " +
+      "answer up again; the last event has the provenance, then `[DONE]`. A " +
       "failure in the middle is an event `error` with the body of a " +
       "failure. Comments keep the connection alive between tokens.",
   };
@@ -183,6 +187,30 @@
   };
 }
 
+const resumedAnswer: JsonObject = {
+  summary: "The rest of a streamed answer, on any instance",
+  parameters: [
+    parameter("last-event-id", {
+      in: "header",
+      schema: z.string(),
+      required: true,
+      description: "The `id` of the last event that came",
+    }),
+    parameter("style", {
+      in: "query",
+      schema: z.enum(["chat", "text"]),
+      description: "As the answer was asked for; `text` if left out",
+    }),
+  ],
+  responses: {
+    "200": {
+      description: "The tokens after that event, as a stream",
+      content: { "text/event-stream": { schema: { type: "string" } } },
+    },
+    ...answerFailures,
+  },
+};
+
 function serviceCall(summary: string): JsonObject {
   return {
     summary,
--- a/packages/daemon/src/openapi/openapi_test.ts
+++ b/packages/daemon/src/openapi/openapi_test.ts
@@ -1,3 +1,4 @@
+import { randomUUID } from "node:crypto";
 import { readFileSync } from "node:fs";
 import type { Server } from "node:http";
 import type { AddressInfo } from "node:net";
@@ -71,7 +72,8 @@
         method: method.toUpperCase(),
         path: path
           .replace("{service}/{path}", "bookings/orders")
-          .replace("{number}", "1"),
+          .replace("{number}", "1")
+          .replace("{requestId}", randomUUID()),
         statuses: Object.keys(responses),
       })),
   );
--- a/packages/release/src/allowed.ts
+++ b/packages/release/src/allowed.ts
@@ -11,10 +11,16 @@
     }
   | { readonly kind: "unknown"; readonly what: string };
 
-/** The version that answers new requests for a model and adapter. */
+/**
+ * The version that answers new requests for a model and adapter: the first in
+ * the note's order of preference whose layers engines hold. A version that a
+ * note has just added is still being loaded; until it is, the next one that
+ * the note allows answers, instead of nobody.
+ */
 export function permitAnswer(
   record: NoteRecord,
   request: { readonly model: string; readonly adapter: string | undefined },
+  options: { readonly isLoaded?: (version: ModelVersion) => boolean } = {},
 ): Permission {
   const { catalogue } = record;
   const model = catalogue.models[request.model];
@@ -22,8 +28,11 @@
     const refusal = refuseAdapter(catalogue, request.model, request.adapter);
     if (refusal) return refusal;
   }
-  const name = model?.serve[0];
-  const version = name === undefined ? undefined : model?.versions[name];
+  const versions = (model?.serve ?? []).flatMap(
+    (name) => model?.versions[name] ?? [],
+  );
+  const { isLoaded = () => true } = options;
+  const version = versions.find(isLoaded) ?? versions[0];
   if (version) return { kind: "allowed", version };
   return refuseModel(catalogue, request.model);
 }
