--- a/packages/bench/src/bench_command.ts
+++ b/packages/bench/src/bench_command.ts
@@ -11,6 +11,7 @@
 export const benchCommands: Readonly<
   Record<string, () => Promise<BenchCommand>>
 > = {
+  bookings: async () => (await import("./bookings/bookings_bench.ts")).command,
   capacity: async () =>
     (await import("./capacity/capacity_bench.ts")).capacityBench,
   throughput: async () =>
--- a/packages/daemon/src/caller_server.ts
+++ b/packages/daemon/src/caller_server.ts
@@ -5,6 +5,7 @@
   badCall,
   type CallFailure,
   notRun,
+  outcomeUnknown,
   type ResumeDependencies,
   runAnswer,
   type ServiceCall,
@@ -61,6 +62,8 @@
   readonly response: ServerResponse;
   readonly requestId: string;
   readonly organisation: Organisation;
+  /** Set once work was handed on, which from then on may have run. */
+  handedOn: boolean;
 }
 
 interface Endpoint {
@@ -89,13 +92,21 @@
       return sendFailure(response, wrongKey(), { requestId });
     }
     const end = work.begin();
+    const exchange: Exchange = {
+      request,
+      response,
+      requestId,
+      organisation,
+      handedOn: false,
+    };
     metrics.inFlight.set(work.count());
     try {
-      await route({ request, response, requestId, organisation });
+      await route(exchange);
     } catch (error) {
       const reason = error instanceof Error ? error.message : String(error);
       log.warn("internal_error", { request: requestId, reason });
-      sendFailure(response, internalError(), { requestId });
+      if (response.headersSent) response.destroy();
+      sendFailure(response, internalError(exchange), { requestId });
     } finally {
       end();
       metrics.inFlight.set(work.count());
@@ -170,6 +181,7 @@
       priority: ranked.priority,
       deadlineAt: Date.now() + parseDeadlineMs(request, defaultDeadlineMs),
     };
+    exchange.handedOn = true;
     const events = runAnswer(answerRequest, {
       ...options.answers,
       signal: left.signal,
@@ -274,8 +286,12 @@
     const body = await takeBody(exchange);
     if (!body) return;
     const contentType = request.headers["content-type"];
+    const deadlineAt =
+      Date.now() + parseDeadlineMs(request, settings.defaultDeadlineMs);
+    exchange.handedOn = true;
     const result = await options.callService({
       requestId,
+      deadlineAt,
       organisation: organisation.name,
       service,
       idempotencyKey: key === undefined ? undefined : String(key),
@@ -379,7 +395,12 @@
   });
 }
 
-function internalError(): CallFailure {
+/** After work was handed on, `not_run` could be untrue. */
+function internalError({ handedOn }: Exchange): CallFailure {
+  if (handedOn) {
+    const message = "something broke in this instance; the call may have run";
+    return outcomeUnknown("internal_error", message);
+  }
   return notRun("internal_error", {
     message: "something broke in this instance; ask again",
     retryAfterSeconds: REFUSAL_RETRY_SECONDS,
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,13 +1,15 @@
 /** Wires the packages into one daemon. */
-import type { Server } from "node:http";
 import {
   createEngineClient,
   createEngineFleet,
   createServiceClient,
+  createServiceFleet,
   type EngineFleet,
 } from "@rosemarypin/backends";
 import {
-  createClaimStore,
+  createClaimRegistry,
+  createClaimSweeper,
+  createRecordClaims,
   createRecoveryLimiter,
   createServiceCaller,
 } from "@rosemarypin/calls";
@@ -25,7 +27,7 @@
   type EngineController,
   isLeaseCandidate,
 } from "@rosemarypin/placement";
-import { createHttpObjectStore } from "@rosemarypin/platform";
+import { createHttpObjectStore, readInstanceList } from "@rosemarypin/platform";
 import {
   createConfirmer,
   createNoteKeeper,
@@ -50,12 +52,13 @@
 import { createLogger, createMetrics } from "@rosemarypin/telemetry";
 import { startAdminServer } from "./admin_server.ts";
 import { startCallerServer } from "./caller_server.ts";
+import { claimOwnerMethods, createPeerClaimOwners } from "./claim_owners.ts";
+import { closeGracefully, closeNow } from "./graceful_close.ts";
 import { countNotes, createInstanceLevels } from "./instance_levels.ts";
 import { createNoteInspector } from "./note_inspector.ts";
 import { createWorkInProgress } from "./work_in_progress.ts";
 
-/** How long an instance is unready before it stops, for balancers that lag. */
-const BALANCER_LAG_MS = 1_000;
+const INSTANCE_LIST_EVERY_MS = 1_000;
 
 /** After this long, engines that stay silent are taken to be away. */
 const ENGINES_HEARD_WITHIN_MS = 3_000;
@@ -169,15 +172,39 @@
     store,
     keeper,
   });
+  const services = createServiceFleet({
+    services: settings.services,
+    client: createServiceClient(),
+  });
+  const registry = createClaimRegistry({ incarnation });
   const callService = createServiceCaller({
     keeper,
     services: settings.services,
-    client: createServiceClient(),
-    claims: createClaimStore({ deployment, owner: id, incarnation, store }),
+    fleet: services,
+    claims: createRecordClaims({ deployment, owner: id, incarnation, store }),
+    registry,
+    owners: createPeerClaimOwners({ id, membership, peers, registry }),
     failureDomain,
+    runInBackground(task) {
+      const end = work.begin();
+      void task.finally(end);
+    },
   });
   const levels = createInstanceLevels(settings);
   countNotes(keeper, { levels, objectives: settings.objectives });
+  const sweeper = createClaimSweeper({
+    deployment,
+    services: settings.services.map(({ name }) => name),
+    store,
+    instances: () => membership.peers().length + 1,
+  });
+  const listTimer = setInterval(() => void readList(), INSTANCE_LIST_EVERY_MS);
+
+  async function readList(): Promise<void> {
+    const { instanceList } = settings.platform;
+    if (instanceList) services.takeList(await readInstanceList(instanceList));
+  }
+
   let draining = false;
 
   /**
@@ -224,6 +251,7 @@
     "note.current": (params) => keeper.answer(noteRequestSchema.parse(params)),
     "note.confirm": (params) => confirmer.confirm(params),
     "note.ping": () => true,
+    ...claimOwnerMethods(registry),
   });
   const adminServer = await startAdminServer({
     settings,
@@ -255,14 +283,19 @@
     levels,
     work,
   });
+  callerServer.prependListener("request", (_request, response) => {
+    if (draining) response.setHeader("connection", "close");
+  });
   log.info("started", { instance: id, domain: failureDomain });
 
   return {
     async stop() {
       draining = true;
       membership.share({ draining });
-      await new Promise((resolve) => setTimeout(resolve, BALANCER_LAG_MS));
-      const stopAccepting = closeServer(callerServer);
+      await new Promise((resolve) =>
+        setTimeout(resolve, settings.balancerLagMs),
+      );
+      const stopAccepting = closeGracefully(callerServer);
       const ended = await work.waitForEnd(settings.shutdownGraceMs);
       // The goodbye is evidence that this instance answers nothing any more,
       // so it comes after the last connection.
@@ -273,10 +306,12 @@
       keeper.stop();
       fleet.stop();
       await registration.leave();
+      services.stop();
+      sweeper.stop();
+      clearInterval(listTimer);
       await membership.leave();
       for (const server of [peerServer, adminServer]) {
-        server.closeAllConnections();
-        await closeServer(server);
+        await closeNow(server);
       }
       log.info("stopped", { instance: id, all_work_ended: ended });
       return ended;
@@ -284,13 +319,6 @@
   };
 }
 
-function closeServer(server: Server): Promise<void> {
-  return new Promise((resolve) => {
-    server.close(() => resolve());
-    server.closeIdleConnections();
-  });
-}
-
 /** The lease goes back last: the next holder orders as soon as it is free. */
 async function endControl(control: {
   readonly controller: EngineController;
