--- a/packages/daemon/src/graceful_close.ts
+++ b/packages/daemon/src/graceful_close.ts
@@ -2,6 +2,7 @@
 import type { Server } from "node:http";
 
 const SWEEP_EVERY_MS = 100;
+const LAST_BYTES_MS = 2_000;
 
 /**
  * Takes no new connection, lets requests end, and closes what falls idle.
@@ -22,6 +23,22 @@
   });
 }
 
+/**
+ * Cuts what is still open after a while.
+ *
+ * Work has ended by then, but the last bytes of an answer may still be on
+ * their way into the socket; cut at once, the caller got half of an answer
+ * that was whole here.
+ */
+export async function closeRest(
+  server: Server,
+  closed: Promise<void>,
+): Promise<void> {
+  const timer = setTimeout(() => server.closeAllConnections(), LAST_BYTES_MS);
+  await closed;
+  clearTimeout(timer);
+}
+
 /** Cuts all connections. */
 export function closeNow(server: Server): Promise<void> {
   return new Promise((resolve) => {
