Make sure of the note before a service call and before a resumed answer

Cause: both looked at the note without asking whether it still holds. A thawed instance could pass a withdrawn service call on until its next read, and an instance without a usable note gave out the rest of a parked answer. Before: the new resume test gives tokens where it expects no_release_note.

--- a/packages/calls/src/answer_resume.ts
+++ b/packages/calls/src/answer_resume.ts
@@ -15,6 +15,7 @@
 
 /** A caller may send the request again at once: its answer is gone. */
 const LOST_RETRY_SECONDS = 1;
+const NO_NOTE_RETRY_SECONDS = 2;
 const EVENT_ID = /^([0-9a-zA-Z-]{1,64})@([0-9a-zA-Z._-]{1,63}):(\d{1,6})$/;
 
 /** Where an answer can be found again, and what its caller has of it. */
@@ -77,7 +78,7 @@
   const found = await options.parked.readAnswer(address, requestId);
   if (found.kind !== "found") return { kind: "failed", failure: lostAnswer() };
   const { answer } = found;
-  const failure = refuse(answer, { resume, ...options });
+  const failure = await refuse(answer, { resume, ...options });
   if (failure) return { kind: "failed", failure };
   const { model } = answer.request;
   const events = runRest(answer, { ...options, resume });
@@ -106,10 +107,10 @@
   yield* runAnswer(restoreRequest(answer, resume), { ...options, progress });
 }
 
-function refuse(
+async function refuse(
   { request, tokens }: ParkedAnswer,
   options: AnswerDependencies & { readonly resume: ResumeRequest },
-): CallFailure | null {
+): Promise<CallFailure | null> {
   const { resume, keeper } = options;
   // Another organisation learns nothing, not even that the answer exists.
   if (request.organisation !== resume.organisation) return lostAnswer();
@@ -117,14 +118,23 @@
     const message = "last-event-id is ahead of the answer";
     return badCall("bad_event_id", { message, status: 400 });
   }
-  const record = keeper.current();
-  if (!record || mayContinue(record, request)) return null;
+  // Without a note that holds, the tokens may be those of a withdrawn batch.
+  const record = await keeper.fresh();
+  if (!record) return noNote();
+  if (mayContinue(record, request)) return null;
   return withdrawnBy(record.number, {
     what: `version '${request.version}' of model '${request.model}'`,
     reason: record.note.reason,
   });
 }
 
+function noNote(): CallFailure {
+  return failedRun("no_release_note", {
+    message: "this instance has no release note to answer from; ask again",
+    retryAfterSeconds: NO_NOTE_RETRY_SECONDS,
+  });
+}
+
 function restoreRequest(
   { request }: ParkedAnswer,
   resume: ResumeRequest,
--- a/packages/calls/src/answer_resume_test.ts
+++ b/packages/calls/src/answer_resume_test.ts
@@ -199,6 +199,16 @@
   expect(await resumeAt(3)).toBe("withdrawn");
 });
 
+/**
+ * The instance has lost store and peers for longer than it may serve. The
+ * engine still has the answer, whose version may be withdrawn by now.
+ */
+test("nothing is given by an instance whose note does not hold", async () => {
+  await cutAfter(4, await startInstance());
+  keeper.fresh = async () => null;
+  expect(await resumeAt(2)).toBe("no_release_note");
+});
+
 /** The first engine was restarted, and the answer is gone with its memory. */
 test("an answer that is gone gets a clear end at once", async () => {
   await cutAfter(4, await startInstance());
--- a/packages/calls/src/outcome_table_test.ts
+++ b/packages/calls/src/outcome_table_test.ts
@@ -191,7 +191,7 @@
   const { store } = createMemoryStore().client();
   const registry = createClaimRegistry({ incarnation: 1 });
   const caller = createServiceCaller({
-    keeper: { current: () => note },
+    keeper: { fresh: async () => note },
     services,
     fleet: createServiceFleet({ services, client: createServiceClient() }),
     claims: createRecordClaims({
--- a/packages/calls/src/service_call.ts
+++ b/packages/calls/src/service_call.ts
@@ -26,7 +26,7 @@
   }
 
   return async (call: ServiceCall): Promise<ServiceCallResult> => {
-    const refusal = refuseByNote(call.service, dependencies.keeper);
+    const refusal = await refuseByNote(call.service, dependencies.keeper);
     if (refusal) return failed(refusal);
     const service = dependencies.services.find(
       ({ name }) => name === call.service,
--- a/packages/calls/src/service_context.ts
+++ b/packages/calls/src/service_context.ts
@@ -36,7 +36,7 @@
 
 /** What calls need of the rest of the daemon. */
 export interface ServiceCallDependencies {
-  readonly keeper: Pick<NoteKeeper, "current">;
+  readonly keeper: Pick<NoteKeeper, "fresh">;
   readonly services: readonly ServiceSettings[];
   readonly fleet: ServiceFleet;
   readonly claims: ClaimStore;
--- a/packages/calls/src/service_rules.ts
+++ b/packages/calls/src/service_rules.ts
@@ -12,12 +12,16 @@
 
 const NO_NOTE_RETRY_SECONDS = 2;
 
-/** Why the current release note does not allow the service, if so. */
-export function refuseByNote(
+/**
+ * Why the release note does not allow the service, if so. An instance that
+ * was frozen finds calls in its sockets before it hears of a recall: the note
+ * is made sure of after any pause, not only looked at.
+ */
+export async function refuseByNote(
   service: string,
-  keeper: Pick<NoteKeeper, "current">,
-): CallFailure | null {
-  const record = keeper.current();
+  keeper: Pick<NoteKeeper, "fresh">,
+): Promise<CallFailure | null> {
+  const record = await keeper.fresh();
   if (!record) {
     return notRun("no_release_note", {
       message: "this instance has no release note yet; try again",
--- a/packages/calls/src/single_call.ts
+++ b/packages/calls/src/single_call.ts
@@ -80,7 +80,7 @@
   context.metrics?.claims.inc({ service: call.service, result: kind });
   if (result.kind === "taken") return failed(mayHaveRun());
   if (result.kind === "unavailable") return refuse(call, result);
-  const refusal = refuseBeforeSending(call, context);
+  const refusal = await refuseBeforeSending(call, context);
   if (refusal) {
     release(result.claim, { call, context });
     return failed(refusal);
@@ -112,10 +112,12 @@
  * hours after keys expire, so a key that is still good here had its earlier
  * claim in place and would have met it.
  */
-function refuseBeforeSending(
+async function refuseBeforeSending(
   call: ServiceCall,
   context: ServiceCallContext,
-): CallFailure | null {
+): Promise<CallFailure | null> {
+  const refusal = await refuseByNote(call.service, context.keeper);
+  if (refusal) return refusal;
   if (isExpiredKey(call.idempotencyKey ?? "")) return keyExpired();
   if (Date.now() >= call.deadlineAt) {
     return notRun("deadline", {
@@ -123,7 +125,7 @@
       retryAfterSeconds: RETRY_SECONDS,
     });
   }
-  return refuseByNote(call.service, context.keeper);
+  return null;
 }
 
 interface Claimed {
--- a/packages/calls/src/single_call_test.ts
+++ b/packages/calls/src/single_call_test.ts
@@ -82,7 +82,7 @@
   const lookup = { path: "/orders/by-key/{key}" };
   const service = options.lookup ? { ...settings, lookup } : settings;
   const call = createServiceCaller({
-    keeper: { current: () => current },
+    keeper: { fresh: async () => current },
     services: [service],
     fleet,
     claims: createRecordClaims({
--- a/packages/checks/src/bookings/instance.ts
+++ b/packages/checks/src/bookings/instance.ts
@@ -71,7 +71,7 @@
     },
   };
   const call = createServiceCaller({
-    keeper: { current: () => NOTE },
+    keeper: { fresh: async () => NOTE },
     services,
     fleet: createServiceFleet({ services, client, random: () => 0 }),
     claims: createRecordClaims({
