--- a/packages/bench/src/answers/entry.ts
+++ b/packages/bench/src/answers/entry.ts
@@ -38,15 +38,22 @@
   const fleet = createEngineFleet({ engines, client: real });
   const limits = {
     ...settingsSchema.shape.limits.parse(undefined),
-    answersPerPipeline: ANSWERS_PER_ENGINE,
+    answersPerEngine: ANSWERS_PER_ENGINE,
   };
+  const objectives = settingsSchema.shape.objectives.parse(undefined);
   const note = { number: 1, model: MODEL, versions: [VERSION], layers };
   const failureDomain = engines[0]?.failureDomain ?? "";
   while (!fleet.engines().every(({ usable }) => usable)) await sleep(20);
   return {
     answers: {
       keeper: createFixedNote(serveVersions(note)),
-      router: createRouter({ fleet, failureDomain, limits }),
+      router: createRouter({
+        fleet,
+        failureDomain,
+        limits,
+        objectives,
+        seed: 1,
+      }),
       fleet,
       engines: wrap(real),
       recoveries: createRecoveryLimiter(),
@@ -63,6 +70,7 @@
   return {
     requestId,
     organisation: "kano",
+    weight: 1,
     model: MODEL,
     adapter: undefined,
     promptTokens: Array.from(
--- a/packages/bench/src/bench_command.ts
+++ b/packages/bench/src/bench_command.ts
@@ -11,6 +11,10 @@
 export const benchCommands: Readonly<
   Record<string, () => Promise<BenchCommand>>
 > = {
+  capacity: async () =>
+    (await import("./capacity/capacity_bench.ts")).capacityBench,
+  throughput: async () =>
+    (await import("./throughput/throughput_bench.ts")).throughputBench,
   recovery: async () =>
     (await import("./answers/recovery_command.ts")).recoveryCommand,
   streams: async () =>
--- a/packages/calls/src/answer.ts
+++ b/packages/calls/src/answer.ts
@@ -35,6 +35,8 @@
 /** How long an answer that began waits for engines to come back. */
 const ENGINES_BACK_MS = 8_000;
 const ENGINES_BACK_CHECK_MS = 100;
+/** How long a recovery looks only at engines that did not fail it. */
+const AVOID_MS = 300;
 const NO_NOTE_RETRY_SECONDS = 2;
 const SHORTEST_RETRY_SECONDS = 1;
 
@@ -42,7 +44,7 @@
 
 export interface AnswerDependencies {
   readonly keeper: Pick<NoteKeeper, "current" | "onChange">;
-  readonly router: Router;
+  readonly router: Pick<Router, "acquire">;
   readonly fleet: EngineFleet;
   readonly engines: EngineClient;
   readonly recoveries: RecoveryLimiter;
@@ -121,14 +123,16 @@
 > {
   const { progress, recoveries, signal, metrics } = options;
   const isRecovery = progress.started;
+  const granted = await acquire(request, progress, options);
+  if (granted.kind === "refused") return granted;
+  const { grant } = granted;
+  // The turn comes after the grant: an answer whose layers nobody holds must
+  // not take turns away from answers that could go on.
   const endTurn = isRecovery
     ? await recoveries.takeTurn(request.priority, signal)
     : null;
   try {
     if (signal.aborted) return { kind: "retry", reason: "the caller left" };
-    const granted = await acquire(request, progress, options);
-    if (granted.kind === "refused") return granted;
-    const { grant } = granted;
     const liveness = options.liveness ?? defaultLiveness;
     const onProgress = () => {
       endTurn?.();
@@ -138,6 +142,7 @@
     return yield* runAttempt(request, attempt);
   } finally {
     endTurn?.();
+    grant.release();
   }
 }
 
@@ -189,7 +194,7 @@
 
 /**
  * An answer that began waits for engines to come back; one of which nothing
- * ran is refused at once, since its caller can go elsewhere.
+ * ran is refused by the router's own rules.
  */
 async function acquire(
   request: AnswerRequest,
@@ -197,31 +202,46 @@
   options: RunOptions,
 ): Promise<GrantEnd> {
   const { router, signal } = options;
-  const { version, avoid } = progress;
+  const { version, avoid, started: isRecovery } = progress;
   if (!version) throw new Error("a version is chosen before a pipeline");
-  const giveUpAt = Math.min(Date.now() + ENGINES_BACK_MS, request.deadlineAt);
   const prefer = new Set(progress.kept.keys());
-  while (true) {
-    const need = { request, version, avoid, prefer, signal };
+  const need = { request, version, avoid, prefer, isRecovery, signal };
+  if (!isRecovery) {
     const result = await router.acquire(need);
     if (result.kind === "granted") return result;
     const { code, retryAfterSeconds } = result;
-    if (!progress.started) {
-      const message = "no engines are free for this request; ask again later";
-      const failure = notRun(code, { message, retryAfterSeconds });
-      return { kind: "refused", failure };
-    }
-    if (signal.aborted || Date.now() >= giveUpAt) {
-      const message = "the answer lost its engines and found no others";
-      const failure = failedRun(code, { message, retryAfterSeconds });
-      return { kind: "refused", failure };
+    const message = "no engines are free for this request; ask again later";
+    const failure = notRun(code, { message, retryAfterSeconds });
+    return { kind: "refused", failure };
+  }
+  const latest = Math.min(Date.now() + ENGINES_BACK_MS, request.deadlineAt);
+  const recovery = { ...need, request: { ...request, deadlineAt: latest } };
+  // An engine that failed this answer may have been restarted since, and be
+  // the only one with its layers; the router looks at the set each time.
+  const timer = setInterval(() => avoid.clear(), AVOID_MS);
+  try {
+    while (true) {
+      const result = await router.acquire(recovery);
+      if (result.kind === "granted") return result;
+      if (signal.aborted || Date.now() >= latest) {
+        return { kind: "refused", failure: noEngines(result) };
+      }
+      await sleep(ENGINES_BACK_CHECK_MS);
     }
-    // An engine that failed this answer may have been restarted since.
-    avoid.clear();
-    await sleep(ENGINES_BACK_CHECK_MS);
+  } finally {
+    clearInterval(timer);
   }
 }
 
+function noEngines(refusal: {
+  readonly code: string;
+  readonly retryAfterSeconds: number;
+}): CallFailure {
+  const { code, retryAfterSeconds } = refusal;
+  const message = "the answer lost its engines and found no others";
+  return failedRun(code, { message, retryAfterSeconds });
+}
+
 /** Says when a new try may fare better: after the time one attempt takes. */
 function gaveUp(code: string, progress: Progress): CallFailure {
   const message = `no attempt of ${progress.attempt} could finish; ask again`;
--- a/packages/calls/src/answer_attempt.ts
+++ b/packages/calls/src/answer_attempt.ts
@@ -60,8 +60,8 @@
   request: AnswerRequest,
   options: AttemptOptions,
 ): AsyncGenerator<AnswerEvent, AttemptEnd> {
-  const { progress, grant, keeper, fleet } = options;
-  const { stages } = grant;
+  const { progress, keeper, fleet } = options;
+  const { stages } = options.grant;
   progress.attempt += 1;
   progress.fruitless += 1;
   const incarnations = readIncarnations(fleet);
@@ -82,7 +82,6 @@
   } finally {
     stopFollowing();
     stop.abort();
-    grant.release();
     const gaveToken = progress.delivered.length > before;
     rememberCaches(progress, { attempt, gaveToken, incarnations });
     noteLost(lost, options);
@@ -190,6 +189,7 @@
       case "stage_lost": {
         const stage = attempt.stages[event.stage];
         if (stage) lost.set(stage.engine, event.cause);
+        if (stage && event.cause === "no_cache") await refresh(stage, options);
         return { kind: "retry", reason: event.reason };
       }
       case "cancelled":
@@ -204,6 +204,7 @@
   const { progress, metrics, onProgress, attempt } = options;
   progress.delivered.push(token.text);
   progress.digest = token.digest;
+  options.grant.observeToken();
   if (progress.fruitless === 0) return;
   progress.fruitless = 0;
   onProgress();
@@ -213,6 +214,16 @@
   progress.lostAt = null;
 }
 
+/** Learns the new incarnation of an engine that was restarted. */
+async function refresh(
+  { address }: Stage,
+  { engines, fleet, liveness }: RunningAttempt,
+): Promise<void> {
+  const timeoutMs = liveness.probeMs;
+  const state = await engines.readState(address, { timeoutMs });
+  if (state) fleet.observe(state);
+}
+
 /** Ends the attempt if a stage is lost, or if a message must be. */
 async function lookIntoSilence(
   silentMs: number,
--- a/packages/calls/src/answer_resume_test.ts
+++ b/packages/calls/src/answer_resume_test.ts
@@ -66,10 +66,17 @@
   const fleet = createEngineFleet({ engines: group.engines, client: engines });
   fleets.push(fleet);
   const limits = settingsSchema.shape.limits.parse(undefined);
+  const objectives = settingsSchema.shape.objectives.parse(undefined);
   await until(() => fleet.engines().every(({ usable }) => usable));
   return {
     keeper,
-    router: createRouter({ fleet, failureDomain: "domain-1", limits }),
+    router: createRouter({
+      fleet,
+      failureDomain: "domain-1",
+      limits,
+      objectives,
+      seed: 1,
+    }),
     fleet,
     engines,
     parked: engines,
@@ -85,6 +92,7 @@
   return {
     requestId: "answer-1",
     organisation: "kano",
+    weight: 1,
     model: "assist",
     adapter: undefined,
     promptTokens: ["stock", "in", "mtwara"],
@@ -119,7 +127,7 @@
   const { organisation = "kano" } = options;
   const { deadlineAt } = request();
   const result = await resumeAnswer(
-    { last, organisation, deadlineAt },
+    { last, organisation, weight: 1, deadlineAt },
     { ...instance, signal: never },
   );
   if (result.kind === "failed") return result.failure.code;
--- a/packages/checks/src/answer_faults.ts
+++ b/packages/checks/src/answer_faults.ts
@@ -8,6 +8,9 @@
 const REPEATED_MESSAGE = 0.03;
 const LATE_MESSAGE = 0.03;
 const SLOW_LINK = 0.003;
+/** Late enough to come after the next attempt began. */
+const VERY_LATE_COPY = 0.01;
+const VERY_LATE_MS = { low: 200, high: 2_000 };
 const LATE_MS = 30;
 const SLOW_MS = 400;
 const LOST_EVENT = 0.002;
@@ -19,7 +22,11 @@
 
 /** Loses, repeats and delays messages between engines. */
 export function createLinkFault(random: SeededRandom): LinkFault {
-  return async (messages) => {
+  return async (messages, repeat) => {
+    if (random.chance(VERY_LATE_COPY)) {
+      const { low, high } = VERY_LATE_MS;
+      void sleep(random.between(low, high)).then(() => repeat(messages));
+    }
     if (random.chance(LOST_MESSAGE)) return [];
     if (random.chance(LATE_MESSAGE)) await sleep(random.between(1, LATE_MS));
     if (random.chance(SLOW_LINK)) await sleep(SLOW_MS);
--- a/packages/checks/src/answer_run.ts
+++ b/packages/checks/src/answer_run.ts
@@ -124,6 +124,7 @@
       const fleet = createEngineFleet({ engines: group.engines, client: real });
       fleets.push(fleet);
       const limits = settingsSchema.shape.limits.parse(undefined);
+      const objectives = settingsSchema.shape.objectives.parse(undefined);
       return {
         keeper: createFixedNote(
           serveVersions({
@@ -133,7 +134,13 @@
             layers: LAYERS,
           }),
         ),
-        router: createRouter({ fleet, failureDomain: "domain-1", limits }),
+        router: createRouter({
+          fleet,
+          failureDomain: "domain-1",
+          limits,
+          objectives,
+          seed: 1,
+        }),
         fleet,
         engines: createFaultyClient(real, random),
         parked: real,
@@ -155,6 +162,7 @@
   return {
     requestId: `answer-${number}`,
     organisation: "kano",
+    weight: 1,
     model: MODEL,
     adapter: undefined,
     promptTokens: Array.from(
@@ -213,7 +221,7 @@
     const parsed = parseEventId(id);
     if (!parsed) throw new Error(`${id} cannot be read back`);
     const { organisation, deadlineAt } = request;
-    const resume = { last: parsed, organisation, deadlineAt };
+    const resume = { last: parsed, organisation, weight: 1, deadlineAt };
     const result = await resumeAnswer(resume, { ...instance, signal });
     return result.kind === "resumed" ? result.events : null;
   }
--- a/packages/stand_ins/src/engine/engine.ts
+++ b/packages/stand_ins/src/engine/engine.ts
@@ -33,7 +33,7 @@
   takeOutputs,
 } from "./sequence.ts";
 import { createSequenceTable, type SequenceEnd } from "./sequence_table.ts";
-import { batchDurationMs } from "./speed.ts";
+import { batchDurationMs, createBatchClock } from "./speed.ts";
 import type { EngineMessage, ReturnMessage, StepMessage } from "./step.ts";
 
 /** What tests reach into an engine with. */
@@ -75,6 +75,7 @@
   };
   let leaving = false;
   let isBatching = false;
+  const clock = createBatchClock();
 
   async function handle(exchange: JsonExchange): Promise<void> {
     await hooks.whenRunning?.();
@@ -177,6 +178,8 @@
   function refuse(attempt: AttemptRequest): AttemptRefusal | null {
     const { requestId } = attempt;
     if (leaving) return { error: "leaving", takenOver: false };
+    if (isForEarlier(attempt, 0))
+      return { error: "restarted", takenOver: false };
     if (!holds(attempt)) return { error: "not held", takenOver: false };
     if (table.latestAttempt(requestId) >= attempt.attempt) {
       return { error: "a later attempt ran", takenOver: true };
@@ -229,6 +232,16 @@
     return true;
   }
 
+  /**
+   * Whether an attempt was planned before this engine was restarted. Its
+   * memory of attempts that are over went with the restart: a message of
+   * one, held back in a frozen engine, would run layers again.
+   */
+  function isForEarlier(attempt: AttemptRequest, stage: number): boolean {
+    const planned = attempt.stages[stage]?.incarnation;
+    return planned !== undefined && planned !== incarnation;
+  }
+
   /**
    * Opens a later stage's sequence. A late message of an older attempt must
    * not open it again: it would run layers a second time and take the KV
@@ -237,6 +250,10 @@
   function openFor(open: AttemptRequest, stage: number): void {
     const { requestId } = open;
     if (table.latestAttempt(requestId) >= open.attempt) return;
+    if (isForEarlier(open, stage)) {
+      const reason = "restarted since the attempt was planned";
+      return sendLost(open, { stage, cause: "no_cache", reason });
+    }
     if (!holds(open)) {
       const reason = "version not held";
       return sendLost(open, { stage, cause: "unreachable", reason });
@@ -293,9 +310,11 @@
   async function batch(): Promise<void> {
     if (isBatching) return;
     isBatching = true;
+    let waitingSince = performance.now();
     while (inbox.length > 0) {
       const steps = inbox.splice(0, settings.speed.batchSize);
-      await sleep(durationOf(steps));
+      await clock.run(durationOf(steps), waitingSince);
+      waitingSince = inbox.length > 0 ? 0 : performance.now();
       await hooks.whenRunning?.();
       if (hooks.killed?.aborted) return;
       dispatch(steps.flatMap(runStep));
@@ -439,7 +458,3 @@
   const message: ReturnMessage = { type: "return", requestId, attempt, result };
   return [{ to: first.address, message }];
 }
-
-function sleep(durationMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, durationMs));
-}
--- a/packages/stand_ins/src/engine/engine_group.ts
+++ b/packages/stand_ins/src/engine/engine_group.ts
@@ -91,9 +91,10 @@
         journal: { append: (entries) => journal.push(...entries) },
         killed: killed.signal,
         whenRunning: () => whenRunning(member, killed.signal),
-        linkFault: async (messages) => {
+        linkFault: async (messages, repeat) => {
           await whenRunning(member, killed.signal);
-          return (await options.linkFault?.(messages)) ?? messages;
+          const fault = options.linkFault?.(messages, repeat);
+          return (await fault) ?? messages;
         },
       },
     );
