--- a/packages/calls/src/answer_test.ts
+++ b/packages/calls/src/answer_test.ts
@@ -277,14 +277,12 @@
     whole,
   ]);
   expect(preferred[1]).toEqual(["engine-21"]);
-  const stages = attempts[1]?.stages.map(({ engine, keptPositions }) => ({
-    engine,
-    keptPositions,
-  }));
-  expect(stages).toEqual([
-    { engine: "engine-12", keptPositions: undefined },
-    { engine: "engine-21", keptPositions: 3 },
+  const stages = attempts[1]?.stages;
+  expect(stages).toMatchObject([
+    { engine: "engine-12", incarnation: 1 },
+    { engine: "engine-21", incarnation: 1, keptPositions: 3 },
   ]);
+  expect(stages?.[0]?.keptPositions).toBeUndefined();
 });
 
 /**
--- a/packages/stand_ins/src/engine/engine_group.ts
+++ b/packages/stand_ins/src/engine/engine_group.ts
@@ -12,6 +12,9 @@
 import type { LinkFault } from "./engine_link.ts";
 import type { RunEntry } from "./run_journal.ts";
 
+const LISTEN_TRIES = 100;
+const LISTEN_AGAIN_MS = 50;
+
 /** Engines that hold the same layers. */
 export interface EngineGroupStage {
   readonly layers: LayerRange;
@@ -82,23 +85,39 @@
   for (const member of members.values()) await start(member);
 
   async function start(member: Member): Promise<void> {
-    const { settings, speed } = member;
     const killed = new AbortController();
     member.killed = killed;
-    member.server = await startEngine(
+    member.server = await listen(member, killed.signal);
+    await orderToHold(member);
+  }
+
+  /** Another process may hold the port of a killed engine for a moment. */
+  async function listen(member: Member, killed: AbortSignal): Promise<Server> {
+    for (let tries = 1; ; tries++) {
+      try {
+        return await startMember(member, killed);
+      } catch (error) {
+        if (tries === LISTEN_TRIES) throw error;
+        await new Promise((resolve) => setTimeout(resolve, LISTEN_AGAIN_MS));
+      }
+    }
+  }
+
+  function startMember(member: Member, killed: AbortSignal): Promise<Server> {
+    const { settings, speed } = member;
+    return startEngine(
       { kind: "engine", ...settings, speed },
       {
         journal: { append: (entries) => journal.push(...entries) },
-        killed: killed.signal,
-        whenRunning: () => whenRunning(member, killed.signal),
+        killed,
+        whenRunning: () => whenRunning(member, killed),
         linkFault: async (messages, repeat) => {
-          await whenRunning(member, killed.signal);
+          await whenRunning(member, killed);
           const fault = options.linkFault?.(messages, repeat);
           return (await fault) ?? messages;
         },
       },
     );
-    await orderToHold(member);
   }
 
   async function orderToHold({ settings, killed }: Member): Promise<void> {
--- a/packages/stand_ins/src/engine/engine_test.ts
+++ b/packages/stand_ins/src/engine/engine_test.ts
@@ -120,6 +120,7 @@
     incarnation: 1,
   }));
   await sendToLast({ ...late, open: { ...late.open, stages } });
+  await sendToFirst("/attempts", { ...late.open, stages });
   expect(await settle()).toEqual([]);
 });
 
