--- a/packages/bench/src/answers/entry.ts
+++ b/packages/bench/src/answers/entry.ts
@@ -40,7 +40,6 @@
     ...settingsSchema.shape.limits.parse(undefined),
     answersPerEngine: ANSWERS_PER_ENGINE,
   };
-  const objectives = settingsSchema.shape.objectives.parse(undefined);
   const note = { number: 1, model: MODEL, versions: [VERSION], layers };
   const failureDomain = engines[0]?.failureDomain ?? "";
   while (!fleet.engines().every(({ usable }) => usable)) await sleep(20);
@@ -51,7 +50,7 @@
         fleet,
         failureDomain,
         limits,
-        objectives,
+        objectives: { firstTokenMs: DEADLINE_MS, betweenTokensMs: DEADLINE_MS },
         seed: 1,
       }),
       fleet,
--- a/packages/bench/src/bench_command.ts
+++ b/packages/bench/src/bench_command.ts
@@ -11,10 +11,15 @@
 export const benchCommands: Readonly<
   Record<string, () => Promise<BenchCommand>>
 > = {
+  bookings: async () => (await import("./bookings/bookings_bench.ts")).command,
   capacity: async () =>
     (await import("./capacity/capacity_bench.ts")).capacityBench,
   throughput: async () =>
     (await import("./throughput/throughput_bench.ts")).throughputBench,
+  confirmations: async () =>
+    (await import("./recall/confirmations_command.ts")).confirmationsCommand,
+  recall: async () =>
+    (await import("./recall/recall_command.ts")).recallCommand,
   recovery: async () =>
     (await import("./answers/recovery_command.ts")).recoveryCommand,
   streams: async () =>
--- a/packages/calls/src/answer.ts
+++ b/packages/calls/src/answer.ts
@@ -43,8 +43,8 @@
 const log = createLogger("answer");
 
 export interface AnswerDependencies {
-  readonly keeper: Pick<NoteKeeper, "current" | "onChange">;
-  readonly router: Pick<Router, "acquire">;
+  readonly keeper: Pick<NoteKeeper, "current" | "fresh" | "onChange">;
+  readonly router: Router;
   readonly fleet: EngineFleet;
   readonly engines: EngineClient;
   readonly recoveries: RecoveryLimiter;
@@ -84,7 +84,8 @@
   const { progress } = options;
   const pace = createTokenPace(options.liveness ?? defaultLiveness);
   while (!options.signal.aborted) {
-    const failure = chooseVersion(request, progress, options.keeper.current());
+    const record = await options.keeper.fresh();
+    const failure = chooseVersion(request, { ...options, record });
     if (failure) return yield { type: "failed", failure };
     if (progress.fruitless >= FRUITLESS_AT_MOST) {
       const final = gaveUp("attempts_used_up", progress);
@@ -152,9 +153,13 @@
  */
 function chooseVersion(
   request: AnswerRequest,
-  progress: Progress,
-  record: NoteRecord | null,
+  options: {
+    readonly progress: Progress;
+    readonly record: NoteRecord | null;
+    readonly router: Router;
+  },
 ): CallFailure | null {
+  const { progress, record, router } = options;
   if (!record) {
     const code = "no_release_note";
     if (progress.started) return gaveUp(code, progress);
@@ -174,7 +179,10 @@
       });
     }
   }
-  const permission = permitAnswer(record, request);
+  const { model, adapter } = request;
+  const permission = permitAnswer(record, request, {
+    isLoaded: (version) => router.covers({ model, version, adapter }),
+  });
   if (permission.kind === "allowed") {
     progress.version = permission.version;
     progress.noteNumber = record.number;
--- a/packages/calls/src/answer_attempt.ts
+++ b/packages/calls/src/answer_attempt.ts
@@ -37,7 +37,7 @@
   | { readonly kind: "taken_over" };
 
 export interface AttemptOptions {
-  readonly keeper: Pick<NoteKeeper, "current" | "onChange">;
+  readonly keeper: Pick<NoteKeeper, "current" | "fresh" | "onChange">;
   readonly fleet: EngineFleet;
   readonly engines: EngineClient;
   readonly metrics?: Metrics;
@@ -75,6 +75,9 @@
   const running = { ...options, attempt, incarnations, signal };
   const lost = new Map<string, LostCause>();
   try {
+    if (!(await mayGoOn(attempt, keeper))) {
+      return { kind: "retry", reason: "withdrawn while it waited" };
+    }
     const start = await startInTime(running);
     if (start.kind !== "started") return noteNoStart(start, { running, lost });
     progress.started = true;
@@ -145,7 +148,7 @@
   events: AsyncIterable<EngineEvent>,
   options: RunningAttempt & { readonly lost: Map<string, LostCause> },
 ): AsyncGenerator<AnswerEvent, AttemptEnd> {
-  const { progress, attempt, signal, pace, lost } = options;
+  const { progress, attempt, signal, pace, lost, grant } = options;
   const reader = createEventReader(events);
   const order = createTokenOrder(progress.delivered.length);
   const first = attempt.stages[0]?.engine ?? "";
@@ -153,7 +156,9 @@
   let waitingSince = performance.now();
   while (true) {
     const next = await reader.next(pace.silenceMs());
-    if (signal.aborted) return { kind: "retry", reason: "cancelled" };
+    if (signal.aborted || !(await mayGoOn(attempt, options.keeper))) {
+      return { kind: "retry", reason: "cancelled" };
+    }
     if (next.kind === "silent") {
       silentMs = performance.now() - waitingSince;
       const end = await lookIntoSilence(silentMs, { ...options, reader });
@@ -178,6 +183,7 @@
         }
         for (const token of result.tokens) {
           pace.observe(performance.now() - waitingSince);
+          grant.observeToken();
           take(token, options);
           const { index, text } = token;
           yield { type: "token", index, text, engine: first };
@@ -200,6 +206,19 @@
   }
 }
 
+/**
+ * A note may come while an answer waits for a pipeline, and a process that
+ * was frozen finds tokens of a withdrawn version in its sockets before it
+ * hears of the note: both are looked for at the point of use.
+ */
+async function mayGoOn(
+  attempt: AttemptRequest,
+  keeper: Pick<NoteKeeper, "fresh">,
+): Promise<boolean> {
+  const record = await keeper.fresh();
+  return record !== null && mayContinue(record, attempt);
+}
+
 function take(token: TokenEvent, options: RunningAttempt): void {
   const { progress, metrics, onProgress, attempt } = options;
   progress.delivered.push(token.text);
--- a/packages/calls/src/answer_resume_test.ts
+++ b/packages/calls/src/answer_resume_test.ts
@@ -66,7 +66,6 @@
   const fleet = createEngineFleet({ engines: group.engines, client: engines });
   fleets.push(fleet);
   const limits = settingsSchema.shape.limits.parse(undefined);
-  const objectives = settingsSchema.shape.objectives.parse(undefined);
   await until(() => fleet.engines().every(({ usable }) => usable));
   return {
     keeper,
@@ -74,7 +73,7 @@
       fleet,
       failureDomain: "domain-1",
       limits,
-      objectives,
+      objectives: settingsSchema.shape.objectives.parse(undefined),
       seed: 1,
     }),
     fleet,
--- a/packages/calls/src/answer_test.ts
+++ b/packages/calls/src/answer_test.ts
@@ -98,11 +98,11 @@
         const code = "no_capacity";
         return { kind: "refused", code, retryAfterSeconds: 2 };
       }
-      return {
-        kind: "granted",
-        grant: { stages: whole, observeToken() {}, release() {} },
-      };
+      const grant = { stages: whole, observeToken() {}, release() {} };
+      return { kind: "granted", grant };
     },
+    covers: () => true,
+    stop() {},
   };
 }
 
@@ -164,7 +164,11 @@
 }
 
 const refused = (): AttemptStart => ({ kind: "refused", reason: "leaving" });
-const notSent = (): AttemptStart => ({ kind: "not_sent", detail: "refused" });
+const notSent = (): AttemptStart => ({
+  kind: "not_sent",
+  detail: "refused",
+  refused: true,
+});
 const broken = (): AttemptStart => ({ kind: "broken", detail: "reset" });
 const whole: AttemptScript = ({ attempt, deliveredTokens }) =>
   giveEvents(
@@ -397,11 +401,11 @@
  */
 test("a fault of our own after the start is no not_run", async () => {
   const keeper = createFixedNote(note(1, ["v1"]));
-  const broke = { ...keeper, current: () => keeper.current() };
+  const broke = { ...keeper, fresh: () => keeper.fresh() };
   const { end } = await run(
     [
       () => {
-        broke.current = () => {
+        broke.fresh = () => {
           throw new Error("a fault of our own");
         };
         return giveEvents([token(1, 0)]);
--- a/packages/checks/src/answer_run.ts
+++ b/packages/checks/src/answer_run.ts
@@ -124,7 +124,6 @@
       const fleet = createEngineFleet({ engines: group.engines, client: real });
       fleets.push(fleet);
       const limits = settingsSchema.shape.limits.parse(undefined);
-      const objectives = settingsSchema.shape.objectives.parse(undefined);
       return {
         keeper: createFixedNote(
           serveVersions({
@@ -138,7 +137,7 @@
           fleet,
           failureDomain: "domain-1",
           limits,
-          objectives,
+          objectives: settingsSchema.shape.objectives.parse(undefined),
           seed: 1,
         }),
         fleet,
--- a/packages/daemon/src/answer_resume_test.ts
+++ b/packages/daemon/src/answer_resume_test.ts
@@ -58,6 +58,8 @@
     ),
     router: {
       acquire: () => Promise.reject(new Error("no pipeline is needed")),
+      covers: () => true,
+      stop() {},
     },
     fleet: {
       engines: () => [
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,13 +1,15 @@
 /** Wires the packages into one daemon. */
-import type { Server } from "node:http";
 import {
   createEngineClient,
   createEngineFleet,
   createServiceClient,
+  createServiceFleet,
   type EngineFleet,
 } from "@rosemarypin/backends";
 import {
-  createClaimStore,
+  createClaimRegistry,
+  createClaimSweeper,
+  createRecordClaims,
   createRecoveryLimiter,
   createServiceCaller,
 } from "@rosemarypin/calls";
@@ -18,35 +20,46 @@
   startPeerServer,
 } from "@rosemarypin/membership";
 import {
+  type CandidateMember,
+  type ControlLease,
   createControlLease,
   createEngineController,
+  type EngineController,
+  isLeaseCandidate,
 } from "@rosemarypin/placement";
-import { createHttpObjectStore } from "@rosemarypin/platform";
+import { createHttpObjectStore, readInstanceList } from "@rosemarypin/platform";
 import {
-  collectStatus,
+  createConfirmer,
   createNoteKeeper,
   createPublisher,
-  mayContinue,
+  createRegistration,
+  createStatusCollector,
+  rankInDomain,
+  readRegistry,
 } from "@rosemarypin/release";
 import {
   createRouter,
   type Router,
   type RouterOptions,
 } from "@rosemarypin/routing";
-import type {
-  BackendView,
-  InstanceView,
-  NoteConfirmation,
-  Settings,
-  Status,
+import {
+  type BackendView,
+  type InstanceView,
+  noteRequestSchema,
+  type Settings,
+  type Status,
 } from "@rosemarypin/schemas";
 import { createLogger, createMetrics } from "@rosemarypin/telemetry";
 import { startAdminServer } from "./admin_server.ts";
 import { startCallerServer } from "./caller_server.ts";
+import { claimOwnerMethods, createPeerClaimOwners } from "./claim_owners.ts";
+import { closeGracefully, closeNow } from "./graceful_close.ts";
 import { createWorkInProgress } from "./work_in_progress.ts";
 
-/** How long an instance is unready before it stops, for balancers that lag. */
-const BALANCER_LAG_MS = 1_000;
+const INSTANCE_LIST_EVERY_MS = 1_000;
+
+/** After this long, engines that stay silent are taken to be away. */
+const ENGINES_HEARD_WITHIN_MS = 3_000;
 
 const log = createLogger("daemon");
 
@@ -85,11 +98,26 @@
     seeds: settings.peers,
     metrics,
   });
+  const { refusedConnectionShowsEnd } = settings.release;
+  const allowanceMs = settings.release.serveWithoutContactSeconds * 1_000;
+  const registration = createRegistration({
+    deployment,
+    self: { id, failureDomain, incarnation, peer: addresses.peers },
+    allowanceMs,
+    store,
+    peers,
+    isPruner: () => rankInDomain(membership) === 0,
+    refusedConnectionShowsEnd,
+    onListed: () => void keeper.refresh(),
+  });
   const keeper = createNoteKeeper({
     deployment,
     store,
     membership,
     peers,
+    allowanceMs,
+    listedSince: registration.listedSince,
+    hintedNumber: () => highestNoteOf(fleet),
     metrics,
   });
   const engines = createEngineClient();
@@ -97,22 +125,37 @@
     engines: settings.engines,
     client: engines,
   });
-  const lease = createControlLease({
-    deployment,
-    failureDomain,
-    holder: id,
-    incarnation,
-    store,
-  });
-  const controller = createEngineController({
-    engines: settings.engines.filter(
-      (engine) => engine.failureDomain === failureDomain,
-    ),
-    client: engines,
-    fleet,
-    keeper,
-    lease,
-  });
+  const domains = [
+    ...new Set(settings.engines.map((engine) => engine.failureDomain)),
+  ];
+  const controllers = domains.map((domain) => controlDomain(domain));
+
+  function controlDomain(domain: string) {
+    const lease = createControlLease({
+      deployment,
+      failureDomain: domain,
+      holder: id,
+      incarnation,
+      store,
+      isCandidate: () =>
+        isLeaseCandidate(listCandidates(membership), {
+          id,
+          failureDomain: domain,
+        }),
+      onHeld: () => void keeper.refresh().then(() => controller.wake()),
+    });
+    const controller = createEngineController({
+      engines: settings.engines.filter(
+        (engine) => engine.failureDomain === domain,
+      ),
+      client: engines,
+      fleet,
+      keeper,
+      lease,
+    });
+    return { lease, controller };
+  }
+
   const router = (parts.createRouter ?? createRouter)({
     fleet,
     failureDomain,
@@ -127,54 +170,67 @@
     store,
     keeper,
   });
+  const services = createServiceFleet({
+    services: settings.services,
+    client: createServiceClient(),
+  });
+  const registry = createClaimRegistry({ incarnation });
   const callService = createServiceCaller({
     keeper,
     services: settings.services,
-    client: createServiceClient(),
-    claims: createClaimStore({ deployment, owner: id, incarnation, store }),
+    fleet: services,
+    claims: createRecordClaims({ deployment, owner: id, incarnation, store }),
+    registry,
+    owners: createPeerClaimOwners({ id, membership, peers, registry }),
     failureDomain,
+    runInBackground(task) {
+      const end = work.begin();
+      void task.finally(end);
+    },
   });
-  let draining = false;
+  const sweeper = createClaimSweeper({
+    deployment,
+    services: settings.services.map(({ name }) => name),
+    store,
+    instances: () => membership.peers().length + 1,
+  });
+  const listTimer = setInterval(() => void readList(), INSTANCE_LIST_EVERY_MS);
 
-  function confirm(): NoteConfirmation {
-    return {
-      instance: id,
-      failureDomain,
-      incarnation,
-      applied: keeper.current()?.number ?? 0,
-      withdrawnRunning: countWithdrawn(fleet),
-      knows: membership.peers().map(({ record }) => ({
-        id: record.id,
-        incarnation: record.incarnation,
-        left: record.left,
-      })),
-      engines: [...controller.confirmations()],
-    };
+  async function readList(): Promise<void> {
+    const { instanceList } = settings.platform;
+    if (instanceList) services.takeList(await readInstanceList(instanceList));
   }
 
-  function countWithdrawn(known: EngineFleet): number {
-    const record = keeper.current();
-    if (!record) return 0;
-    return known
-      .engines()
-      .flatMap(({ state }) => state?.running ?? [])
-      .filter(
-        (running) => !mayContinue(record, { ...running, adapter: undefined }),
-      )
-      .reduce((sum, { count }) => sum + count, 0);
-  }
+  let draining = false;
 
-  function noteStatus(number: number) {
-    return collectStatus(number, {
-      membership,
-      peers,
-      own: confirm,
-      engines: () => settings.engines,
-    });
+  /**
+   * A balancer that trusts a new instance too early sends it requests that it
+   * must refuse: it has the note, and has not heard the engines yet.
+   */
+  function knowsEngines(): boolean {
+    const isLate = Date.now() - incarnation > ENGINES_HEARD_WITHIN_MS;
+    return isLate || hasHeardEachRole(fleet);
   }
 
+  const confirmer = createConfirmer({
+    membership,
+    keeper,
+    engines: () =>
+      controllers.flatMap(({ controller }) => controller.confirmations()),
+  });
+  const { status: noteStatus } = createStatusCollector({
+    membership,
+    peers,
+    keeper,
+    confirmer,
+    engines: () => settings.engines,
+    readRegistry: () => readRegistry({ deployment, store }),
+    allowanceMs,
+    refusedConnectionShowsEnd,
+  });
+
   async function status(): Promise<Status> {
-    const note = keeper.current()?.number ?? 0;
+    const note = keeper.applied()?.number ?? 0;
     const phase = note === 0 ? "none" : (await noteStatus(note)).phase;
     return {
       deployment,
@@ -188,8 +244,10 @@
   }
 
   const peerServer = await startPeerServer(addresses.peers, {
-    "note.current": () => keeper.current(),
-    "note.confirm": () => confirm(),
+    "note.current": (params) => keeper.answer(noteRequestSchema.parse(params)),
+    "note.confirm": (params) => confirmer.confirm(params),
+    "note.ping": () => true,
+    ...claimOwnerMethods(registry),
   });
   const adminServer = await startAdminServer({
     settings,
@@ -197,7 +255,7 @@
     publisher,
     status,
     noteStatus,
-    isReady: () => !draining && keeper.current() !== null,
+    isReady: () => !draining && keeper.current() !== null && knowsEngines(),
     drain: () => {
       draining = true;
       membership.share({ draining });
@@ -218,26 +276,35 @@
     metrics,
     work,
   });
+  callerServer.prependListener("request", (_request, response) => {
+    if (draining) response.setHeader("connection", "close");
+  });
   log.info("started", { instance: id, domain: failureDomain });
 
   return {
     async stop() {
       draining = true;
       membership.share({ draining });
-      await new Promise((resolve) => setTimeout(resolve, BALANCER_LAG_MS));
-      const stopAccepting = closeServer(callerServer);
+      await new Promise((resolve) =>
+        setTimeout(resolve, settings.balancerLagMs),
+      );
+      const stopAccepting = closeGracefully(callerServer);
       const ended = await work.waitForEnd(settings.shutdownGraceMs);
-      controller.stop();
-      lease.stop();
+      // The goodbye is evidence that this instance answers nothing any more,
+      // so it comes after the last connection.
+      callerServer.closeAllConnections();
+      await stopAccepting;
+      await Promise.all(controllers.map(endControl));
       router.stop();
       keeper.stop();
       fleet.stop();
+      await registration.leave();
+      services.stop();
+      sweeper.stop();
+      clearInterval(listTimer);
       await membership.leave();
-      callerServer.closeAllConnections();
-      await stopAccepting;
       for (const server of [peerServer, adminServer]) {
-        server.closeAllConnections();
-        await closeServer(server);
+        await closeNow(server);
       }
       log.info("stopped", { instance: id, all_work_ended: ended });
       return ended;
@@ -245,11 +312,37 @@
   };
 }
 
-function closeServer(server: Server): Promise<void> {
-  return new Promise((resolve) => {
-    server.close(() => resolve());
-    server.closeIdleConnections();
-  });
+/** The lease goes back last: the next holder orders as soon as it is free. */
+async function endControl(control: {
+  readonly controller: EngineController;
+  readonly lease: ControlLease;
+}): Promise<void> {
+  await control.controller.stop();
+  await control.lease.release();
+}
+
+/** Whether some engine of each role has answered. */
+function hasHeardEachRole(fleet: EngineFleet): boolean {
+  const known = fleet.engines();
+  const roleOf = ({ settings }: (typeof known)[number]) =>
+    JSON.stringify(settings.roles);
+  const heard = new Set(known.filter(({ usable }) => usable).map(roleOf));
+  return known.every((engine) => heard.has(roleOf(engine)));
+}
+
+function highestNoteOf(fleet: EngineFleet): number {
+  const numbers = fleet.engines().map(({ state }) => state?.noteNumber ?? 0);
+  return Math.max(0, ...numbers);
+}
+
+function listCandidates(membership: Membership): readonly CandidateMember[] {
+  const { id, failureDomain } = membership.self();
+  const others = membership.peers().map(({ record, state }) => ({
+    id: record.id,
+    failureDomain: record.failureDomain,
+    isAlive: state === "alive" && !record.shared.draining,
+  }));
+  return [{ id, failureDomain, isAlive: true }, ...others];
 }
 
 function viewInstances(membership: Membership): InstanceView[] {
--- a/packages/fakes/src/fixed_note.ts
+++ b/packages/fakes/src/fixed_note.ts
@@ -4,6 +4,8 @@
 /** Keeps the record that was set last. */
 export interface FixedNote {
   current(): NoteRecord | null;
+  /** The same: a note set by hand is never stale. */
+  fresh(): Promise<NoteRecord | null>;
   onChange(listener: (record: NoteRecord) => void): () => void;
   set(record: NoteRecord): void;
 }
@@ -14,6 +16,7 @@
   let current = first;
   return {
     current: () => current,
+    fresh: async () => current,
     onChange(listener) {
       listeners.add(listener);
       return () => listeners.delete(listener);
--- a/packages/fakes/src/scripted_engines.ts
+++ b/packages/fakes/src/scripted_engines.ts
@@ -37,12 +37,14 @@
     async start(_address, attempt, { signal }) {
       attempts.push(attempt);
       const script = scripts[attempts.length - 1];
-      if (!script) return { kind: "not_sent", detail: "no script" };
+      if (!script) {
+        return { kind: "not_sent", detail: "no script", refused: true };
+      }
       return script(attempt, signal);
     },
     async cancel() {},
     async order() {
-      return { kind: "not_sent", detail: "no orders here" };
+      return { kind: "not_sent", detail: "no orders here", refused: true };
     },
     async readState({ port }) {
       if (silent.has(port)) return null;
--- a/packages/routing/src/model_queue.ts
+++ b/packages/routing/src/model_queue.ts
@@ -65,7 +65,7 @@
         return { kind: "granted", grant };
       }
     }
-    if (need.isRecovery) return waitAsRecovery(need);
+    if (need.isRecovery) return recover(need);
     if (length() >= options.largestLength) {
       return refuse("queue_full", rate.predictMs(queue.workAhead(facts)));
     }
@@ -102,7 +102,18 @@
     });
   }
 
-  /** An answer that lost a stage goes first: its caller is reading it. */
+  /**
+   * An answer that lost a stage goes first: its caller is reading it. If the
+   * engines that it may still use do not cover the layers, it is told at once,
+   * since only the answer itself can decide to try one it avoids again.
+   */
+  async function recover(need: GrantRequest): Promise<GrantResult> {
+    const grant = options.tryGrant(need);
+    if (grant === "uncovered") return refuse("no_capacity", 0);
+    if (grant === "busy") return waitAsRecovery(need);
+    return { kind: "granted", grant };
+  }
+
   function waitAsRecovery(need: GrantRequest): Promise<GrantResult> {
     return new Promise((resolve) => {
       const leave = watchEnd(need, need.request.deadlineAt, () => {
@@ -133,9 +144,12 @@
     for (const waiting of [...recoveries]) {
       const grant = options.tryGrant(waiting.need);
       if (grant === "busy") return;
-      if (grant === "uncovered") continue;
       recoveries.splice(recoveries.indexOf(waiting), 1);
-      waiting.settle({ kind: "granted", grant });
+      waiting.settle(
+        grant === "uncovered"
+          ? refuse("no_capacity", 0)
+          : { kind: "granted", grant },
+      );
     }
     const skipped = new Set<QueueTicket<Waiting>>();
     let ticket = queue.peek();
@@ -190,7 +204,7 @@
 function factsOf({ request }: GrantRequest): QueueFacts {
   return {
     organisation: request.organisation,
-    weight: request.weight,
+    weight: request.weight ?? 1,
     priority: request.priority,
     cost: request.maxTokens + request.promptTokens.length * PROMPT_COST,
   };
--- a/packages/routing/src/pipeline_choice.ts
+++ b/packages/routing/src/pipeline_choice.ts
@@ -4,8 +4,6 @@
 
 /** Extra cost of an engine in another failure domain, whose links are long. */
 const FAR_COST = 0.05;
-/** Cost of an engine that has the answer's KV cache already. */
-const KEPT_CACHE_COST = 0;
 /** Range of the random part of a cost; it only decides between equals. */
 const TIE_COST = 0.01;
 
@@ -69,8 +67,9 @@
   if (!state || !holdsAdapter(state.adapters, need)) return [];
   const window = Math.max(1, need.windowOf(settings.id));
   const far = settings.failureDomain === need.failureDomain ? 0 : FAR_COST;
-  const usual = (inFlight + 1) / window + far + need.random() * TIE_COST;
-  const cost = need.prefer?.has(settings.id) ? KEPT_CACHE_COST : usual;
+  const load = (inFlight + 1) / window;
+  const hasCache = need.prefer?.has(settings.id) ?? false;
+  const cost = hasCache ? 0 : load + far + need.random() * TIE_COST;
   const isFree = inFlight < window;
   return state.held
     .filter(
--- a/packages/routing/src/router.ts
+++ b/packages/routing/src/router.ts
@@ -48,10 +48,10 @@
   readonly request: AnswerRequest;
   readonly version: ModelVersion;
   readonly avoid: ReadonlySet<string>;
-  /** Engines that still have the answer's KV cache. */
-  readonly prefer?: ReadonlySet<string>;
   /** Whether an earlier attempt of the answer lost its engines. */
   readonly isRecovery: boolean;
+  /** Engines that still have the answer's KV cache. */
+  readonly prefer?: ReadonlySet<string>;
   readonly signal: AbortSignal;
 }
 
@@ -97,7 +97,14 @@
 
   function tryGrant(need: GrantRequest): Grant | Shortage {
     const { model, adapter } = need.request;
-    const choice = choose({ ...need, model, adapter });
+    const { version, avoid, prefer } = need;
+    const choice = choose({
+      model,
+      adapter,
+      version,
+      avoid,
+      ...(prefer ? { prefer } : {}),
+    });
     if (choice.kind !== "chosen") return choice.kind;
     return createGrant(choice.stages, queueOf(model));
   }
--- a/packages/schemas/src/peer.ts
+++ b/packages/schemas/src/peer.ts
@@ -1,6 +1,7 @@
 /** Messages between instances, carried as JSON-RPC 2.0. */
 import { z } from "zod";
 import { addressSchema, nameSchema, noteNumberSchema } from "./names.ts";
+import { claimStateSchema } from "./stored.ts";
 
 /** The small state that each instance shares with its peers. */
 export const sharedStateSchema = z.object({
@@ -33,22 +34,23 @@
 });
 export type Heartbeat = z.infer<typeof heartbeatSchema>;
 
-/** What one instance confirms about a note. */
-export const noteConfirmationSchema = z.object({
-  instance: nameSchema,
-  failureDomain: nameSchema,
+/** Asks the owner of a claim what became of the call. */
+export const claimQuestionSchema = z.object({
+  /** Start of the owner's process that made the claim. */
   incarnation: z.number(),
-  /** Number of the note the instance applies now. */
-  applied: noteNumberSchema,
-  /** Answers of versions that note withdraws and that still run. */
-  withdrawnRunning: z.number().int().nonnegative(),
-  /** Instances this one knows, so that the asker can find missing names. */
-  knows: z.array(
-    z.object({ id: nameSchema, incarnation: z.number(), left: z.boolean() }),
-  ),
-  /** Engines this instance orders, with the note each has confirmed. */
-  engines: z.array(
-    z.object({ engine: nameSchema, confirmed: noteNumberSchema }),
-  ),
+  requestId: z.string(),
+  /** How long to wait for the end of a call that still runs. */
+  waitMs: z.number().nonnegative(),
 });
-export type NoteConfirmation = z.infer<typeof noteConfirmationSchema>;
+export type ClaimQuestion = z.infer<typeof claimQuestionSchema>;
+
+/** What the owner of a claim knows of the call. */
+export const claimWordSchema = z.discriminatedUnion("kind", [
+  z.object({ kind: z.literal("running") }),
+  /** The call was not sent, and never will be under this claim. */
+  z.object({ kind: z.literal("never_sent") }),
+  z.object({ kind: z.literal("settled"), state: claimStateSchema }),
+  /** Another process made the claim, or it was too long ago. */
+  z.object({ kind: z.literal("forgotten") }),
+]);
+export type ClaimWord = z.infer<typeof claimWordSchema>;
--- a/packages/stand_ins/src/object_api.ts
+++ b/packages/stand_ins/src/object_api.ts
@@ -4,6 +4,11 @@
 
 const WATCH_HOLD_MS = 25_000;
 
+const OPERATIONS: Readonly<Record<string, string>> = {
+  PUT: "write",
+  DELETE: "remove",
+};
+
 interface StoredEntry {
   readonly key: string;
   readonly value: unknown;
@@ -18,6 +23,8 @@
   delayMs: number;
   /** So many of the next writes take effect and lose their reply. */
   loseReplies: number;
+  /** So many of the next changes are not told to watchers. */
+  skipChanges: number;
 }
 
 interface Watcher {
@@ -34,7 +41,12 @@
 }): Promise<Server> {
   const objects = new Map<string, StoredEntry>();
   const watchers = new Set<Watcher>();
-  const faults: ObjectApiFaults = { down: false, delayMs: 0, loseReplies: 0 };
+  const faults: ObjectApiFaults = {
+    down: false,
+    delayMs: 0,
+    loseReplies: 0,
+    skipChanges: 0,
+  };
   const counts: Record<string, number> = {};
   let revision = 0;
 
@@ -48,8 +60,9 @@
     if (url.pathname === "/objects") return list(exchange);
     const key = keyOf(url);
     if (key === null) return reply(response, 404, { error: "no such path" });
-    count(method === "PUT" ? "write" : "read");
+    count(OPERATIONS[method] ?? "read");
     if (method === "PUT") return write(key, exchange);
+    if (method === "DELETE") return remove(key, exchange);
     const found = objects.get(key);
     return found
       ? reply(response, 200, found)
@@ -95,6 +108,14 @@
     );
   }
 
+  function remove(key: string, { request, response }: JsonExchange): void {
+    const actual = objects.get(key) ?? null;
+    const wanted = Number(request.headers["if-match"] ?? Number.NaN);
+    if (actual?.version !== wanted) return reply(response, 412, { actual });
+    objects.delete(key);
+    reply(response, 200, {});
+  }
+
   function write(key: string, exchange: JsonExchange): void {
     const { request, response, body } = exchange;
     const actual = objects.get(key) ?? null;
@@ -104,9 +125,8 @@
     if (!matches) return reply(response, 412, { actual });
     revision += 1;
     objects.set(key, { key, value: body, version: revision });
-    for (const watcher of watchers) {
-      if (key.startsWith(watcher.prefix)) end(watcher, 200);
-    }
+    if (faults.skipChanges > 0) faults.skipChanges -= 1;
+    else tellWatchers(key);
     if (faults.loseReplies > 0) {
       faults.loseReplies -= 1;
       response.destroy();
@@ -115,6 +135,12 @@
     reply(response, 200, { version: revision });
   }
 
+  function tellWatchers(key: string): void {
+    for (const watcher of watchers) {
+      if (key.startsWith(watcher.prefix)) end(watcher, 200);
+    }
+  }
+
   function count(operation: string): void {
     counts[operation] = (counts[operation] ?? 0) + 1;
   }
