Split the choice of version and engines out of the answer; resume needs a note

An instance that may not serve for want of contact resumed answers all the same, as an absent note passed the check of the version; it refuses now. The test for it failed before.

--- a/packages/calls/src/answer.ts
+++ b/packages/calls/src/answer.ts
@@ -1,15 +1,13 @@
 /** Runs one answer over as many attempts as it needs. */
 import type { EngineClient, EngineFleet } from "@rosemarypin/backends";
-import {
-  mayContinue,
-  type NoteKeeper,
-  permitAnswer,
-} from "@rosemarypin/release";
-import type { Grant, Router } from "@rosemarypin/routing";
-import type { AnswerRequest, NoteRecord } from "@rosemarypin/schemas";
+import type { NoteKeeper } from "@rosemarypin/release";
+import type { Router } from "@rosemarypin/routing";
+import type { AnswerRequest } from "@rosemarypin/schemas";
 import { createLogger, type Metrics } from "@rosemarypin/telemetry";
 import { type AttemptEnd, runAttempt } from "./answer_attempt.ts";
 import type { AnswerEvent } from "./answer_event.ts";
+import { gaveUp, takenOver } from "./answer_failure.ts";
+import { acquireEngines } from "./answer_grant.ts";
 import {
   createTokenPace,
   defaultLiveness,
@@ -22,23 +20,11 @@
   provenanceOf,
 } from "./answer_progress.ts";
 import type { RecoveryLimiter } from "./answer_recovery.ts";
-import {
-  badCall,
-  type CallFailure,
-  failedRun,
-  notRun,
-  withdrawnBy,
-} from "./call_failure.ts";
+import { chooseVersion } from "./answer_version.ts";
+import type { CallFailure } from "./call_failure.ts";
 
 /** Attempts in a row without a new token before an answer is given up. */
 const FRUITLESS_AT_MOST = 8;
-/** How long an answer that began waits for engines to come back. */
-const ENGINES_BACK_MS = 8_000;
-const ENGINES_BACK_CHECK_MS = 100;
-/** How long a recovery looks only at engines that did not fail it. */
-const AVOID_MS = 300;
-const NO_NOTE_RETRY_SECONDS = 2;
-const SHORTEST_RETRY_SECONDS = 1;
 
 const log = createLogger("answer");
 
@@ -58,10 +44,6 @@
   readonly progress?: Progress;
 }
 
-type GrantEnd =
-  | { readonly kind: "granted"; readonly grant: Grant }
-  | { readonly kind: "refused"; readonly failure: CallFailure };
-
 /** Runs an answer; the last event is `done` or `failed`. */
 export async function* runAnswer(
   request: AnswerRequest,
@@ -124,7 +106,7 @@
 > {
   const { progress, recoveries, signal, metrics } = options;
   const isRecovery = progress.started;
-  const granted = await acquire(request, progress, options);
+  const granted = await acquireEngines(request, progress, options);
   if (granted.kind === "refused") return granted;
   const { grant } = granted;
   // The turn comes after the grant: an answer whose layers nobody holds must
@@ -146,129 +128,3 @@
     grant.release();
   }
 }
-
-/**
- * Keeps to the version of the first attempt, so that no answer mixes
- * versions; a withdrawn one is left only while nothing was delivered.
- */
-function chooseVersion(
-  request: AnswerRequest,
-  options: {
-    readonly progress: Progress;
-    readonly record: NoteRecord | null;
-    readonly router: Router;
-  },
-): CallFailure | null {
-  const { progress, record, router } = options;
-  if (!record) {
-    const code = "no_release_note";
-    if (progress.started) return gaveUp(code, progress);
-    return notRun(code, {
-      message: "this instance has no release note yet; try again",
-      retryAfterSeconds: NO_NOTE_RETRY_SECONDS,
-    });
-  }
-  const { version } = progress;
-  if (version) {
-    const answer = { ...request, version: version.version };
-    if (mayContinue(record, answer)) return null;
-    if (progress.delivered.length > 0) {
-      return withdrawnBy(record.number, {
-        what: `version '${version.version}' of model '${request.model}'`,
-        reason: record.note.reason,
-      });
-    }
-  }
-  const { model, adapter } = request;
-  const permission = permitAnswer(record, request, {
-    isLoaded: (version) => router.covers({ model, version, adapter }),
-  });
-  if (permission.kind === "allowed") {
-    progress.version = permission.version;
-    progress.noteNumber = record.number;
-    return null;
-  }
-  if (permission.kind === "withdrawn") {
-    return withdrawnBy(permission.number, {
-      what: `model '${request.model}'`,
-      reason: permission.reason,
-    });
-  }
-  return badCall("unknown_model", {
-    message: `${permission.what} is not in release note ${record.number}`,
-    status: 404,
-  });
-}
-
-/**
- * An answer that began waits for engines to come back; one of which nothing
- * ran is refused by the router's own rules.
- */
-async function acquire(
-  request: AnswerRequest,
-  progress: Progress,
-  options: RunOptions,
-): Promise<GrantEnd> {
-  const { router, signal } = options;
-  const { version, avoid, started: isRecovery } = progress;
-  if (!version) throw new Error("a version is chosen before a pipeline");
-  const prefer = new Set(progress.kept.keys());
-  const need = { request, version, avoid, prefer, isRecovery, signal };
-  if (!isRecovery) {
-    const result = await router.acquire(need);
-    if (result.kind === "granted") return result;
-    const { code, retryAfterSeconds } = result;
-    const message = "no engines are free for this request; ask again later";
-    const failure = notRun(code, { message, retryAfterSeconds });
-    return { kind: "refused", failure };
-  }
-  const latest = Math.min(Date.now() + ENGINES_BACK_MS, request.deadlineAt);
-  const recovery = { ...need, request: { ...request, deadlineAt: latest } };
-  // An engine that failed this answer may have been restarted since, and be
-  // the only one with its layers; the router looks at the set each time.
-  const timer = setInterval(() => avoid.clear(), AVOID_MS);
-  try {
-    while (true) {
-      const result = await router.acquire(recovery);
-      if (result.kind === "granted") return result;
-      if (signal.aborted || Date.now() >= latest) {
-        return { kind: "refused", failure: noEngines(result) };
-      }
-      await sleep(ENGINES_BACK_CHECK_MS);
-    }
-  } finally {
-    clearInterval(timer);
-  }
-}
-
-function noEngines(refusal: {
-  readonly code: string;
-  readonly retryAfterSeconds: number;
-}): CallFailure {
-  const { code, retryAfterSeconds } = refusal;
-  const message = "the answer lost its engines and found no others";
-  return failedRun(code, { message, retryAfterSeconds });
-}
-
-/** Says when a new try may fare better: after the time one attempt takes. */
-function gaveUp(code: string, progress: Progress): CallFailure {
-  const message = `no attempt of ${progress.attempt} could finish; ask again`;
-  const lostForMs =
-    progress.lostAt === null ? 0 : performance.now() - progress.lostAt;
-  const retryAfterSeconds = Math.max(
-    SHORTEST_RETRY_SECONDS,
-    Math.ceil(lostForMs / 1_000),
-  );
-  const options = { message, retryAfterSeconds };
-  return progress.started ? failedRun(code, options) : notRun(code, options);
-}
-
-function takenOver(): CallFailure {
-  return failedRun("taken_over", {
-    message: "another connection of yours goes on with this answer",
-  });
-}
-
-function sleep(durationMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, durationMs));
-}
--- a/packages/calls/src/answer_resume.ts
+++ b/packages/calls/src/answer_resume.ts
@@ -79,7 +79,7 @@
   const found = await options.parked.readAnswer(address, requestId);
   if (found.kind !== "found") return { kind: "failed", failure: lostAnswer() };
   const { answer } = found;
-  const failure = refuse(answer, { resume, ...options });
+  const failure = await refuse(answer, { resume, ...options });
   if (failure) return { kind: "failed", failure };
   const { model } = answer.request;
   const events = runRest(answer, { ...options, resume });
@@ -108,10 +108,10 @@
   yield* runAnswer(restoreRequest(answer, resume), { ...options, progress });
 }
 
-function refuse(
+async function refuse(
   { request, tokens }: ParkedAnswer,
   options: AnswerDependencies & { readonly resume: ResumeRequest },
-): CallFailure | null {
+): Promise<CallFailure | null> {
   const { resume, keeper } = options;
   // Another organisation learns nothing, not even that the answer exists.
   if (request.organisation !== resume.organisation) return lostAnswer();
@@ -119,8 +119,10 @@
     const message = "last-event-id is ahead of the answer";
     return badCall("bad_event_id", { message, status: 400 });
   }
-  const record = keeper.current();
-  if (!record || mayContinue(record, request)) return null;
+  const record = await keeper.fresh();
+  // Without a note nobody here can tell whether the version was recalled.
+  if (!record) return noNote();
+  if (mayContinue(record, request)) return null;
   return withdrawnBy(record.number, {
     what: `version '${request.version}' of model '${request.model}'`,
     reason: record.note.reason,
@@ -171,6 +173,13 @@
   return progress;
 }
 
+function noNote(): CallFailure {
+  return failedRun("no_release_note", {
+    message: "this instance has no release note; resume on another one",
+    retryAfterSeconds: LOST_RETRY_SECONDS,
+  });
+}
+
 function lostAnswer(): CallFailure {
   return failedRun("answer_lost", {
     message: "no engine has this answer any more; send the request again",
--- a/packages/calls/src/answer_resume_test.ts
+++ b/packages/calls/src/answer_resume_test.ts
@@ -200,6 +200,16 @@
   expect(await resumeAt(3)).toBe("withdrawn");
 });
 
+/**
+ * The instance has had no contact for too long and may not serve. It cannot
+ * know whether the answer's version was recalled.
+ */
+test("an instance without a note resumes nothing", async () => {
+  await cutAfter(4, await startInstance());
+  keeper = createFixedNote(null);
+  expect(await resumeAt(3)).toBe("no_release_note");
+});
+
 /** The first engine was restarted, and the answer is gone with its memory. */
 test("an answer that is gone gets a clear end at once", async () => {
   await cutAfter(4, await startInstance());
