--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -53,7 +53,7 @@
 import { startAdminServer } from "./admin_server.ts";
 import { startCallerServer } from "./caller_server.ts";
 import { claimOwnerMethods, createPeerClaimOwners } from "./claim_owners.ts";
-import { closeGracefully, closeNow } from "./graceful_close.ts";
+import { closeGracefully, closeNow, closeRest } from "./graceful_close.ts";
 import { createWorkInProgress } from "./work_in_progress.ts";
 
 const INSTANCE_LIST_EVERY_MS = 1_000;
@@ -183,9 +183,12 @@
     registry,
     owners: createPeerClaimOwners({ id, membership, peers, registry }),
     failureDomain,
+    metrics,
     runInBackground(task) {
       const end = work.begin();
-      void task.finally(end);
+      const report = (error: unknown) =>
+        log.warn("background_failed", { reason: String(error) });
+      void task.catch(report).finally(end);
     },
   });
   const sweeper = createClaimSweeper({
@@ -292,8 +295,7 @@
       const ended = await work.waitForEnd(settings.shutdownGraceMs);
       // The goodbye is evidence that this instance answers nothing any more,
       // so it comes after the last connection.
-      callerServer.closeAllConnections();
-      await stopAccepting;
+      await closeRest(callerServer, stopAccepting);
       await Promise.all(controllers.map(endControl));
       router.stop();
       keeper.stop();
