--- a/packages/calls/src/answer_resume.ts
+++ b/packages/calls/src/answer_resume.ts
@@ -15,6 +15,7 @@
 
 /** A caller may send the request again at once: its answer is gone. */
 const LOST_RETRY_SECONDS = 1;
+const NO_NOTE_RETRY_SECONDS = 2;
 const EVENT_ID = /^([0-9a-zA-Z-]{1,64})@([0-9a-zA-Z._-]{1,63}):(\d{1,6})$/;
 
 /** Where an answer can be found again, and what its caller has of it. */
@@ -119,8 +120,8 @@
     const message = "last-event-id is ahead of the answer";
     return badCall("bad_event_id", { message, status: 400 });
   }
+  // Without a note that holds, the tokens may be those of a withdrawn batch.
   const record = await keeper.fresh();
-  // Without a note nobody here can tell whether the version was recalled.
   if (!record) return noNote();
   if (mayContinue(record, request)) return null;
   return withdrawnBy(record.number, {
@@ -129,6 +130,13 @@
   });
 }
 
+function noNote(): CallFailure {
+  return failedRun("no_release_note", {
+    message: "this instance has no release note to answer from; ask again",
+    retryAfterSeconds: NO_NOTE_RETRY_SECONDS,
+  });
+}
+
 function restoreRequest(
   { request }: ParkedAnswer,
   resume: ResumeRequest,
@@ -173,13 +181,6 @@
   return progress;
 }
 
-function noNote(): CallFailure {
-  return failedRun("no_release_note", {
-    message: "this instance has no release note; resume on another one",
-    retryAfterSeconds: LOST_RETRY_SECONDS,
-  });
-}
-
 function lostAnswer(): CallFailure {
   return failedRun("answer_lost", {
     message: "no engine has this answer any more; send the request again",
--- a/packages/calls/src/answer_resume_test.ts
+++ b/packages/calls/src/answer_resume_test.ts
@@ -201,13 +201,13 @@
 });
 
 /**
- * The instance has had no contact for too long and may not serve. It cannot
- * know whether the answer's version was recalled.
+ * The instance has lost store and peers for longer than it may serve. The
+ * engine still has the answer, whose version may be withdrawn by now.
  */
-test("an instance without a note resumes nothing", async () => {
+test("nothing is given by an instance whose note does not hold", async () => {
   await cutAfter(4, await startInstance());
-  keeper = createFixedNote(null);
-  expect(await resumeAt(3)).toBe("no_release_note");
+  keeper.fresh = async () => null;
+  expect(await resumeAt(2)).toBe("no_release_note");
 });
 
 /** The first engine was restarted, and the answer is gone with its memory. */
