--- a/packages/bench/src/answers/entry.ts
+++ b/packages/bench/src/answers/entry.ts
@@ -69,6 +69,7 @@
   return {
     requestId,
     organisation: "kano",
+    weight: 1,
     model: MODEL,
     adapter: undefined,
     promptTokens: Array.from(
--- a/packages/calls/src/answer_resume.ts
+++ b/packages/calls/src/answer_resume.ts
@@ -47,6 +47,8 @@
 export interface ResumeRequest {
   readonly last: EventId;
   readonly organisation: string;
+  /** The organisation's share, as its other requests have it. */
+  readonly weight: number;
   readonly deadlineAt: number;
 }
 
@@ -141,10 +143,11 @@
 ): AnswerRequest {
   const { requestId, organisation, model, adapter } = request;
   const { promptTokens, maxTokens, priority } = request;
-  const { deadlineAt } = resume;
+  const { deadlineAt, weight } = resume;
   return {
     requestId,
     organisation,
+    weight,
     model,
     adapter,
     promptTokens,
--- a/packages/daemon/src/answer_resume.ts
+++ b/packages/daemon/src/answer_resume.ts
@@ -47,7 +47,12 @@
   response.once("close", () => left.abort());
   const deadlineAt = Date.now() + RESUMED_DEADLINE_MS;
   const resumed = await resumeAnswer(
-    { last, organisation: organisation.name, deadlineAt },
+    {
+      last,
+      organisation: organisation.name,
+      weight: organisation.weight,
+      deadlineAt,
+    },
     { ...options, signal: left.signal },
   );
   if (resumed.kind === "failed") {
