--- a/packages/calls/src/answer_resume_test.ts
+++ b/packages/calls/src/answer_resume_test.ts
@@ -91,6 +91,7 @@
   return {
     requestId: "answer-1",
     organisation: "kano",
+    weight: 1,
     model: "assist",
     adapter: undefined,
     promptTokens: ["stock", "in", "mtwara"],
@@ -125,7 +126,7 @@
   const { organisation = "kano" } = options;
   const { deadlineAt } = request();
   const result = await resumeAnswer(
-    { last, organisation, deadlineAt },
+    { last, organisation, weight: 1, deadlineAt },
     { ...instance, signal: never },
   );
   if (result.kind === "failed") return result.failure.code;
--- a/packages/calls/src/answer_test.ts
+++ b/packages/calls/src/answer_test.ts
@@ -9,7 +9,6 @@
   scriptedState,
   serveVersions,
 } from "@rosemarypin/fakes";
-import type { Router } from "@rosemarypin/routing";
 import type {
   AnswerRequest,
   EngineEvent,
@@ -42,6 +41,7 @@
   return {
     requestId: "answer-1",
     organisation: "kano",
+    weight: 1,
     model: "assist",
     adapter: undefined,
     promptTokens: ["the", "belt", "slips"],
@@ -71,10 +71,19 @@
 }
 
 /** Grants the first engine of each stage that is not avoided. */
-function createPickingRouter(preferred: string[][]): Router {
+function createPickingRouter(
+  preferred: string[][],
+): AnswerDependencies["router"] {
   return {
-    async acquire({ avoid, prefer }) {
+    async acquire(need) {
+      const { avoid, prefer, isRecovery } = need;
       preferred.push([...(prefer ?? [])]);
+      // Like the real router, it waits for a recovery's engines.
+      while (
+        isRecovery &&
+        [11, 12].every((port) => avoid.has(`engine-${port}`))
+      )
+        await new Promise((resolve) => setTimeout(resolve, 5));
       const stages = STAGE_PORTS.map((ports, index): Stage | undefined => {
         const free = ports.filter((port) => !avoid.has(`engine-${port}`));
         const port =
@@ -272,14 +281,12 @@
     whole,
   ]);
   expect(preferred[1]).toEqual(["engine-21"]);
-  const stages = attempts[1]?.stages.map(({ engine, keptPositions }) => ({
-    engine,
-    keptPositions,
-  }));
-  expect(stages).toEqual([
-    { engine: "engine-12", keptPositions: undefined },
-    { engine: "engine-21", keptPositions: 3 },
+  const stages = attempts[1]?.stages;
+  expect(stages).toMatchObject([
+    { engine: "engine-12", incarnation: 1 },
+    { engine: "engine-21", incarnation: 1, keptPositions: 3 },
   ]);
+  expect(stages?.[0]?.keptPositions).toBeUndefined();
 });
 
 /**
@@ -318,6 +325,17 @@
   expect(attempts[1]?.stages[1]?.engine).toBe("engine-22");
 });
 
+/**
+ * Both engines of the first stage fail an answer, and one is restarted. The
+ * router waits for engines that did not fail it, and there are none: the
+ * mechanic would wait until the deadline beside an idle engine.
+ */
+test("an engine that failed an answer may serve it again later", async () => {
+  const { end, attempts } = await run([broken, broken, whole]);
+  expect(end).toBe("done");
+  expect(attempts[2]?.stages[0]?.engine).toBe("engine-11");
+});
+
 /**
  * An engine answers, but has dropped the cache that an attempt counts on.
  * It is healthy: given up, it would be one engine less in a bad moment.
--- a/packages/stand_ins/src/engine/engine.ts
+++ b/packages/stand_ins/src/engine/engine.ts
@@ -178,6 +178,8 @@
   function refuse(attempt: AttemptRequest): AttemptRefusal | null {
     const { requestId } = attempt;
     if (leaving) return { error: "leaving", takenOver: false };
+    if (isForEarlier(attempt, 0))
+      return { error: "restarted", takenOver: false };
     if (!holds(attempt)) return { error: "not held", takenOver: false };
     if (table.latestAttempt(requestId) >= attempt.attempt) {
       return { error: "a later attempt ran", takenOver: true };
@@ -230,6 +232,16 @@
     return true;
   }
 
+  /**
+   * Whether an attempt was planned before this engine was restarted. Its
+   * memory of attempts that are over went with the restart: a message of
+   * one, held back in a frozen engine, would run layers again.
+   */
+  function isForEarlier(attempt: AttemptRequest, stage: number): boolean {
+    const planned = attempt.stages[stage]?.incarnation;
+    return planned !== undefined && planned !== incarnation;
+  }
+
   /**
    * Opens a later stage's sequence. A late message of an older attempt must
    * not open it again: it would run layers a second time and take the KV
@@ -238,6 +250,10 @@
   function openFor(open: AttemptRequest, stage: number): void {
     const { requestId } = open;
     if (table.latestAttempt(requestId) >= open.attempt) return;
+    if (isForEarlier(open, stage)) {
+      const reason = "restarted since the attempt was planned";
+      return sendLost(open, { stage, cause: "no_cache", reason });
+    }
     if (!holds(open)) {
       const reason = "version not held";
       return sendLost(open, { stage, cause: "unreachable", reason });
--- a/packages/stand_ins/src/engine/engine_link.ts
+++ b/packages/stand_ins/src/engine/engine_link.ts
@@ -8,6 +8,8 @@
 /** Decides what becomes of messages; tests lose, repeat and delay them. */
 export type LinkFault = (
   messages: readonly EngineMessage[],
+  /** Sends messages to the same engine, as they are, at any later time. */
+  repeat: (messages: readonly EngineMessage[]) => void,
 ) => Promise<readonly EngineMessage[]>;
 
 /** A message and the engine that gets it. */
@@ -35,6 +37,15 @@
   const agent = new Agent({ connect: { timeout: SEND_TIMEOUT_MS } });
   const own = formatAddress(options.own);
 
+  function post(address: string, messages: readonly EngineMessage[]) {
+    return request(`http://${address}/steps`, {
+      dispatcher: agent,
+      method: "POST",
+      body: JSON.stringify(messages),
+      signal: AbortSignal.timeout(SEND_TIMEOUT_MS),
+    });
+  }
+
   async function send(
     address: string,
     messages: readonly EngineMessage[],
@@ -44,15 +55,15 @@
       return;
     }
     await sleep(options.linkMs);
-    const arriving = (await options.fault?.(messages)) ?? messages;
+    const repeat = (late: readonly EngineMessage[]) =>
+      void post(address, late).then(
+        ({ body }) => body.dump(),
+        () => {},
+      );
+    const arriving = (await options.fault?.(messages, repeat)) ?? messages;
     if (arriving.length === 0) return;
     try {
-      const response = await request(`http://${address}/steps`, {
-        dispatcher: agent,
-        method: "POST",
-        body: JSON.stringify(arriving),
-        signal: AbortSignal.timeout(SEND_TIMEOUT_MS),
-      });
+      const response = await post(address, arriving);
       const { unknown } = (await response.body.json()) as StepsReply;
       const lost = messages.filter(({ requestId }) =>
         unknown.includes(requestId),
