Say of each store call what is certain, and keep calls back in an outage

Cause: a PUT answered 503 was called without effect, though a store may write and then fail; an answer that was not JSON, or a 4xx, passed for a result; a value over a megabyte was sent and retried; nothing held an instance's calls back while the store was away.

Now: only what is certain is `unavailable` (not sent, refused, 429, another answer below 500, reads); every other broken write is `reply_lost`. A breaker (cockatiel) lets nothing but one read at a time out after three failures, with full jitter over a span that grows with the fleet. `followObjects` resumes a watch and copes with skipped, repeated and out-of-order versions.

Ruled out: a write as the probe (its outcome would be unknown); calls that wait for a probe of others (a booking has to be refused at once).

--- a/packages/platform/src/http_object_store.ts
+++ b/packages/platform/src/http_object_store.ts
@@ -1,50 +1,80 @@
 /** Client of the object API over HTTP. */
 import type { Metrics } from "@rosemarypin/telemetry";
-import { Agent, errors, request } from "undici";
-import type {
-  ObjectStore,
-  StoreCallOptions,
-  StoredObject,
-  StoreFailure,
-  StoreResult,
-  WatchBatch,
-} from "./object_store.ts";
+import { Agent } from "undici";
+import { z } from "zod";
+import { createCallBudget } from "./call_budget.ts";
+import type { ObjectStore, StoreResult } from "./object_store.ts";
+import { createStoreBreaker } from "./store_breaker.ts";
+import {
+  CALL_TIMEOUT_MS,
+  noAnswer,
+  type StoreAnswer,
+  type StoreMethod,
+  type StoreRequest,
+  sendRequest,
+} from "./store_request.ts";
 
-/** How long a read or write may take before its reply counts as lost. */
-const CALL_TIMEOUT_MS = 2_000;
 /** How long the store holds a watch open; the client waits a little longer. */
 const WATCH_TIMEOUT_MS = 30_000;
+/** The largest value that the object API takes. */
+const LARGEST_VALUE_BYTES = 1_048_576;
+/** Read to find out whether the store is back; need not exist. */
+const PROBE_PATH = "/objects/rosemarypin/probe";
+
+const objectSchema = z.object({
+  key: z.string(),
+  value: z.unknown(),
+  version: z.number(),
+});
+const listSchema = z.object({ objects: z.array(objectSchema) });
+const conflictSchema = z.object({ actual: objectSchema.nullable() });
+const writtenSchema = z.object({ version: z.number() });
+const batchSchema = z.object({
+  objects: z.array(objectSchema),
+  revision: z.number(),
+});
 
 export interface HttpObjectStoreOptions {
   readonly url: string;
   /** Calls a second, on average; a second's worth may go at once. */
   readonly callsPerSecond: number;
+  /** Size of the fleet, over which returns to the store are spread. */
+  readonly instances?: () => number;
   readonly metrics?: Metrics;
 }
 
-interface RawResponse {
-  readonly status: number;
-  readonly body: unknown;
-}
-
 /** Creates a client of the object API at `url`. */
 export function createHttpObjectStore(
   options: HttpObjectStoreOptions,
 ): ObjectStore {
   const agent = new Agent({ connect: { timeout: 1_000 }, connections: 32 });
   const budget = createCallBudget(options.callsPerSecond);
+  const breaker = createStoreBreaker({
+    instances: options.instances ?? (() => 1),
+    probe: async () => {
+      const url = new URL(PROBE_PATH, options.url);
+      const outcome = await sendRequest(agent, url, { method: "GET" });
+      count("probe", outcome.result.kind);
+      return outcome;
+    },
+  });
 
   async function call(
     operation: string,
     path: string,
-    init: CallInit,
-  ): Promise<StoreResult<RawResponse>> {
+    init: StoreRequest,
+  ): Promise<StoreResult<StoreAnswer>> {
+    if (!(await breaker.admits())) {
+      count(operation, "not_sent");
+      return { kind: "unavailable", detail: "the store is away; not sent" };
+    }
     const waitMs = budget.take();
     if (waitMs > 0) {
       count(operation, "over_budget");
       return { kind: "over_budget", retryAfterMs: waitMs };
     }
-    const result = await send(agent, new URL(path, options.url), init);
+    const url = new URL(path, options.url);
+    const { result } = await breaker.run(() => sendRequest(agent, url, init));
     count(operation, result.kind);
     return result;
   }
@@ -55,137 +85,81 @@
 
   return {
     async read(key, callOptions = {}) {
-      const result = await call("read", objectPath(key), {
-        method: "GET",
-        ...callOptions,
-      });
-      if (result.kind !== "ok") return result;
-      if (result.value.status === 404) return { kind: "ok", value: null };
-      return { kind: "ok", value: result.value.body as StoredObject };
+      const request = { method: "GET", ...callOptions } as const;
+      const result = await call("read", objectPath(key), request);
+      if (result.kind === "ok" && result.value.status === 404) {
+        return { kind: "ok", value: null };
+      }
+      return parseWith(objectSchema, result);
     },
     async list(prefix, callOptions = {}) {
       const query = new URLSearchParams({ prefix });
-      const result = await call("list", `/objects?${query}`, {
-        method: "GET",
-        ...callOptions,
-      });
-      if (result.kind !== "ok") return result;
-      const body = result.value.body as { objects: StoredObject[] };
-      return { kind: "ok", value: body.objects };
+      const request = { method: "GET", ...callOptions } as const;
+      const result = await call("list", `/objects?${query}`, request);
+      const parsed = parseWith(listSchema, result);
+      if (parsed.kind !== "ok") return parsed;
+      return { kind: "ok", value: parsed.value.objects };
     },
     async write(key, value, { expectedVersion, ...callOptions }) {
-      const condition: Record<string, string> =
-        expectedVersion === null
-          ? { "if-none-match": "*" }
-          : { "if-match": String(expectedVersion) };
-      const result = await call("write", objectPath(key), {
-        method: "PUT",
-        headers: condition,
-        body: JSON.stringify(value),
-        ...callOptions,
-      });
-      if (result.kind !== "ok") return result;
-      if (result.value.status === 412) {
-        const body = result.value.body as { actual: StoredObject | null };
-        return { kind: "conflict", actual: body.actual };
+      const body = JSON.stringify(value);
+      const bytes = Buffer.byteLength(body);
+      // Sent all the same, a value too large would cost its transfer on each
+      // retry, and a store that cuts it short would look like a lost reply.
+      if (bytes > LARGEST_VALUE_BYTES) return { kind: "too_large", bytes };
+      const headers = conditionFor(expectedVersion);
+      const request = { method: "PUT", headers, body, ...callOptions } as const;
+      const result = await call("write", objectPath(key), request);
+      if (result.kind === "ok" && result.value.status === 412) {
+        return conflictFrom(result.value.body);
       }
-      const written = result.value.body as { version: number };
-      return { kind: "ok", value: written.version };
+      const written = parseWith(writtenSchema, result, "PUT");
+      if (written.kind !== "ok") return written;
+      return { kind: "ok", value: written.value.version };
     },
     async remove(key, { expectedVersion, ...callOptions }) {
-      const result = await call("remove", objectPath(key), {
-        method: "DELETE",
-        headers: { "if-match": String(expectedVersion) },
-        ...callOptions,
-      });
-      if (result.kind !== "ok") return result;
-      if (result.value.status === 412) {
-        const body = result.value.body as { actual: StoredObject | null };
-        return { kind: "conflict", actual: body.actual };
+      const headers = conditionFor(expectedVersion);
+      const request = { method: "DELETE", headers, ...callOptions } as const;
+      const result = await call("remove", objectPath(key), request);
+      if (result.kind === "ok" && result.value.status === 412) {
+        return conflictFrom(result.value.body);
       }
-      return { kind: "ok", value: null };
+      const removed = parseWith(z.unknown(), result, "DELETE");
+      return removed.kind === "ok" ? { kind: "ok", value: null } : removed;
     },
     async watch(prefix, { since, ...callOptions }) {
       const query = new URLSearchParams({ prefix, since: String(since) });
-      const result = await call("watch", `/watch?${query}`, {
-        method: "GET",
-        timeoutMs: WATCH_TIMEOUT_MS + CALL_TIMEOUT_MS,
-        ...callOptions,
-      });
-      if (result.kind !== "ok") return result;
-      return { kind: "ok", value: result.value.body as WatchBatch };
+      const timeoutMs = WATCH_TIMEOUT_MS + CALL_TIMEOUT_MS;
+      const request = { method: "GET", timeoutMs, ...callOptions } as const;
+      const result = await call("watch", `/watch?${query}`, request);
+      return parseWith(batchSchema, result);
     },
   };
 }
 
-interface CallInit extends StoreCallOptions {
-  readonly method: "GET" | "PUT" | "DELETE";
-  readonly headers?: Record<string, string>;
-  readonly body?: string;
-  readonly timeoutMs?: number;
+function conditionFor(expectedVersion: number | null): Record<string, string> {
+  if (expectedVersion === null) return { "if-none-match": "*" };
+  return { "if-match": String(expectedVersion) };
 }
 
-async function send(
-  agent: Agent,
-  url: URL,
-  init: CallInit,
-): Promise<StoreResult<RawResponse>> {
-  const timeout = AbortSignal.timeout(init.timeoutMs ?? CALL_TIMEOUT_MS);
-  const signal = init.signal
-    ? AbortSignal.any([init.signal, timeout])
-    : timeout;
-  try {
-    const response = await request(url, {
-      dispatcher: agent,
-      method: init.method,
-      headers: { "content-type": "application/json", ...init.headers },
-      body: init.body ?? null,
-      signal,
-    });
-    const body = await response.body.json();
-    if (response.statusCode >= 500 || response.statusCode === 429) {
-      return {
-        kind: "unavailable",
-        detail: `the store answered ${response.statusCode}`,
-      };
-    }
-    return { kind: "ok", value: { status: response.statusCode, body } };
-  } catch (error) {
-    return classify(error, init.method);
-  }
+/** Nothing was written, whether or not the answer says what stands there. */
+function conflictFrom(body: unknown): StoreResult<never> {
+  const parsed = conflictSchema.safeParse(body);
+  if (parsed.success) return { kind: "conflict", actual: parsed.data.actual };
+  return { kind: "unavailable", detail: "a conflict without its object" };
 }
 
-/**
- * A call that never got a connection had no effect. Any other broken write
- * may have taken effect: the store can lose its answer after writing.
- */
-function classify(error: unknown, method: CallInit["method"]): StoreFailure {
-  const detail = error instanceof Error ? error.message : String(error);
-  const code = (error as { code?: string }).code;
-  const neverSent =
-    error instanceof errors.ConnectTimeoutError || code === "ECONNREFUSED";
-  if (method === "GET" || neverSent) return { kind: "unavailable", detail };
-  return { kind: "reply_lost", detail };
+function parseWith<T>(
+  schema: z.ZodType<T>,
+  result: StoreResult<StoreAnswer>,
+  method: StoreMethod = "GET",
+): StoreResult<T> {
+  if (result.kind !== "ok") return result;
+  const { status, body } = result.value;
+  const parsed = status < 400 ? schema.safeParse(body) : undefined;
+  if (parsed?.success) return { kind: "ok", value: parsed.data };
+  return noAnswer(method, `an answer (${status}) that makes no sense`);
 }
 
 function objectPath(key: string): string {
   return `/objects/${key.split("/").map(encodeURIComponent).join("/")}`;
 }
-
-/** Counts calls against a rate; a second's worth may be saved up. */
-function createCallBudget(callsPerSecond: number) {
-  let left = callsPerSecond;
-  let filledAt = performance.now();
-  return {
-    /** Takes one call, or gives the wait in milliseconds until one is free. */
-    take(): number {
-      const now = performance.now();
-      const filled = left + ((now - filledAt) / 1_000) * callsPerSecond;
-      left = Math.min(callsPerSecond, filled);
-      filledAt = now;
-      if (left < 1) return Math.ceil(((1 - left) / callsPerSecond) * 1_000);
-      left -= 1;
-      return 0;
-    },
-  };
-}
--- a/packages/platform/src/instance_list.ts
+++ b/packages/platform/src/instance_list.ts
@@ -1,5 +1,10 @@
 /** The platform's list of live and leaving instances: a hint that lags. */
-import { type InstanceList, instanceListSchema } from "@rosemarypin/schemas";
+import {
+  type Address,
+  addressSchema,
+  type InstanceList,
+  instanceListSchema,
+} from "@rosemarypin/schemas";
 import { request } from "undici";
 
 const TIMEOUT_MS = 2_000;
@@ -18,3 +23,20 @@
     return null;
   }
 }
+
+/**
+ * Peers' addresses of live entry instances in the list. The list lags, so an
+ * entry is an address to try and never a reason to hold anyone for alive,
+ * dead or leaving.
+ */
+export async function readPeerHints(
+  url: string | undefined,
+): Promise<readonly Address[]> {
+  const list = url ? await readInstanceList(url) : null;
+  return (list?.instances ?? [])
+    .filter(({ kind, state }) => kind === "entry" && state === "live")
+    .flatMap(({ host, port }) => {
+      const parsed = addressSchema.safeParse({ host, port });
+      return parsed.success ? [parsed.data] : [];
+    });
+}
--- a/packages/platform/src/mod.ts
+++ b/packages/platform/src/mod.ts
@@ -1,4 +1,6 @@
 /** Clients of what the platform gives. */
+export * from "./follow_objects.ts";
+export * from "./full_jitter.ts";
 export * from "./http_object_store.ts";
 export * from "./instance_list.ts";
 export * from "./object_store.ts";
--- a/packages/platform/src/object_store.ts
+++ b/packages/platform/src/object_store.ts
@@ -12,10 +12,18 @@
 export type StoreFailure =
   /** The object is not at the expected version; nothing was written. */
   | { readonly kind: "conflict"; readonly actual: StoredObject | null }
-  /** The call did not reach the store, or the store refused it: no effect. */
+  /**
+   * Certainly without effect: not sent, never connected, refused by a rate
+   * limit or another answer below 500, or a call that only reads.
+   */
   | { readonly kind: "unavailable"; readonly detail: string }
-  /** The call may have had its effect, but no answer came. */
+  /**
+   * The write may have taken effect: it was sent, and no usable answer came,
+   * or one from 500 upwards, which a store may give after it has written.
+   */
   | { readonly kind: "reply_lost"; readonly detail: string }
+  /** The value is larger than the store takes; a retry cannot help. */
+  | { readonly kind: "too_large"; readonly bytes: number }
   /** This instance has used up its calls for now; nothing was sent. */
   | { readonly kind: "over_budget"; readonly retryAfterMs: number };
 
--- /dev/null
+++ b/packages/platform/src/store_breaker_test.ts
@@ -0,0 +1,100 @@
+import { createSeededRandom } from "@rosemarypin/checks";
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import { createStoreBreaker } from "./store_breaker.ts";
+import type { StoreOutcome } from "./store_request.ts";
+
+const SEED = 3;
+const FINE = 1_000_000;
+const FLEET = 340;
+const RETRY_MS = 100;
+const OUTAGE_SECONDS = 120;
+/** Long enough for waits to have grown to their largest. */
+const GROWN_AFTER_SECONDS = 60;
+
+const FAILED: StoreOutcome = {
+  healthy: false,
+  result: { kind: "unavailable", detail: "away" },
+};
+
+beforeEach(() => {
+  vi.useFakeTimers();
+  const seeded = createSeededRandom(SEED);
+  vi.spyOn(Math, "random").mockImplementation(
+    () => seeded.between(0, FINE - 1) / FINE,
+  );
+});
+
+afterEach(() => {
+  vi.useRealTimers();
+  vi.restoreAllMocks();
+});
+
+/** Probes of a whole fleet in each second of an outage. */
+async function probesPerSecond(fleetSize: number): Promise<number[]> {
+  const probes = Array.from({ length: OUTAGE_SECONDS }, () => 0);
+  const startedAt = Date.now();
+  const breakers = Array.from({ length: FLEET }, () =>
+    createStoreBreaker({
+      instances: () => fleetSize,
+      probe: async () => {
+        const second = Math.floor((Date.now() - startedAt) / 1_000);
+        probes[second] = (probes[second] ?? 0) + 1;
+        return FAILED;
+      },
+    }),
+  );
+  for (const breaker of breakers) {
+    for (let at = 0; at < 3; at++) await breaker.run(async () => FAILED);
+  }
+  for (let at = 0; at < OUTAGE_SECONDS * 1_000; at += RETRY_MS) {
+    for (const breaker of breakers) void breaker.admits();
+    await vi.advanceTimersByTimeAsync(RETRY_MS);
+  }
+  return probes;
+}
+
+function mean(values: readonly number[]): number {
+  return values.reduce((sum, value) => sum + value, 0) / values.length;
+}
+
+describe("store breaker", () => {
+  // The store fails for all 340 instances at the same moment and stays away
+  // for two minutes. Were they to knock in step, the store would meet the
+  // whole fleet in the second it returns and go down again.
+  it("spreads a fleet's probes, wider for a larger fleet", async () => {
+    const probes = await probesPerSecond(FLEET);
+    const grown = probes.slice(GROWN_AFTER_SECONDS, OUTAGE_SECONDS);
+    expect(mean(grown)).toBeLessThan(FLEET / 4);
+    expect(Math.max(...grown)).toBeLessThan(FLEET / 2);
+    const unaware = await probesPerSecond(1);
+    const unawareGrown = unaware.slice(GROWN_AFTER_SECONDS, OUTAGE_SECONDS);
+    expect(mean(grown)).toBeLessThan(0.7 * mean(unawareGrown));
+  });
+
+  // The store hangs and a probe waits two seconds for it. The other callers
+  // must get their refusal at once, and no second probe may go out.
+  it("sends one probe and refuses the others at once", async () => {
+    let probes = 0;
+    const breaker = createStoreBreaker({
+      instances: () => 1,
+      probe: async () => {
+        probes += 1;
+        await new Promise((resolve) => setTimeout(resolve, 2_000));
+        return FAILED;
+      },
+    });
+    for (let at = 0; at < 3; at++) await breaker.run(async () => FAILED);
+    while (probes === 0) {
+      void breaker.admits();
+      await vi.advanceTimersByTimeAsync(RETRY_MS);
+    }
+    let refused = 0;
+    for (let at = 0; at < 10; at++) {
+      void breaker.admits().then((admitted) => {
+        if (!admitted) refused += 1;
+      });
+    }
+    await vi.advanceTimersByTimeAsync(RETRY_MS);
+    expect({ probes, refused }).toEqual({ probes: 1, refused: 10 });
+  });
+});
--- a/packages/stand_ins/src/object_api.ts
+++ b/packages/stand_ins/src/object_api.ts
@@ -1,8 +1,17 @@
 /** Stand-in of the platform's object API, in memory. */
 import type { Server, ServerResponse } from "node:http";
 import { type JsonExchange, reply, startJsonServer } from "./http_json.ts";
+import {
+  createFaults,
+  createRateLimit,
+  replyOrSpoil,
+  takeFault,
+} from "./object_api_faults.ts";
+
+export type { ObjectApiFaults } from "./object_api_faults.ts";
 
 const WATCH_HOLD_MS = 25_000;
+const LARGEST_VALUE_BYTES = 1_048_576;
 
 const OPERATIONS: Readonly<Record<string, string>> = {
   PUT: "write",
@@ -15,18 +24,6 @@
   readonly version: number;
 }
 
-/** Faults that a test can switch on with `POST /faults`. */
-export interface ObjectApiFaults {
-  /** Every call is answered 503. */
-  down: boolean;
-  /** Wait before each answer, in milliseconds. */
-  delayMs: number;
-  /** So many of the next writes take effect and lose their reply. */
-  loseReplies: number;
-  /** So many of the next changes are not told to watchers. */
-  skipChanges: number;
-}
-
 interface Watcher {
   readonly prefix: string;
   readonly since: number;
@@ -41,12 +38,8 @@
 }): Promise<Server> {
   const objects = new Map<string, StoredEntry>();
   const watchers = new Set<Watcher>();
-  const faults: ObjectApiFaults = {
-    down: false,
-    delayMs: 0,
-    loseReplies: 0,
-    skipChanges: 0,
-  };
+  const faults = createFaults();
+  const rateLimit = createRateLimit(faults);
   const counts: Record<string, number> = {};
   let revision = 0;
 
@@ -54,19 +47,25 @@
     const { method, url, response } = exchange;
     if (url.pathname === "/faults") return setFaults(exchange);
     if (url.pathname === "/counts") return reply(response, 200, counts);
+    count("calls");
     if (faults.delayMs > 0) await sleep(faults.delayMs);
     if (faults.down) return reply(response, 503, { error: "down" });
+    if (!rateLimit.admits()) return reply(response, 429, { error: "rate" });
     if (url.pathname === "/watch") return watch(exchange);
     if (url.pathname === "/objects") return list(exchange);
     const key = keyOf(url);
-    if (key === null) return reply(response, 404, { error: "no such path" });
+    if (key === null) return answer(response, 404, { error: "no such path" });
     count(OPERATIONS[method] ?? "read");
     if (method === "PUT") return write(key, exchange);
     if (method === "DELETE") return remove(key, exchange);
     const found = objects.get(key);
     return found
-      ? reply(response, 200, found)
-      : reply(response, 404, { error: "no such object" });
+      ? answer(response, 200, found)
+      : answer(response, 404, { error: "no such object" });
+  }
+
+  function answer(response: ServerResponse, status: number, body: unknown) {
+    replyOrSpoil(faults, response, { status, body });
   }
 
   function setFaults({ body, response }: JsonExchange): void {
@@ -78,7 +77,7 @@
   function list({ url, response }: JsonExchange): void {
     count("list");
     const prefix = url.searchParams.get("prefix") ?? "";
-    reply(response, 200, { objects: below(prefix, 0) });
+    answer(response, 200, { objects: below(prefix, 0) });
   }
 
   function watch({ url, response }: JsonExchange): void {
@@ -98,8 +97,11 @@
   function end(watcher: Watcher, status: number): void {
     clearTimeout(watcher.timer);
     watchers.delete(watcher);
-    const found = below(watcher.prefix, watcher.since);
-    reply(watcher.response, status, { objects: found, revision });
+    const { prefix, since, response } = watcher;
+    const found = faults.repeatChanges
+      ? below(prefix, 0).sort((a, b) => b.version - a.version)
+      : below(prefix, since);
+    answer(response, status, { objects: found, revision });
   }
 
   function below(prefix: string, since: number): StoredEntry[] {
@@ -111,33 +113,42 @@
   function remove(key: string, { request, response }: JsonExchange): void {
     const actual = objects.get(key) ?? null;
     const wanted = Number(request.headers["if-match"] ?? Number.NaN);
-    if (actual?.version !== wanted) return reply(response, 412, { actual });
+    if (actual?.version !== wanted) return answer(response, 412, { actual });
     objects.delete(key);
-    reply(response, 200, {});
+    answer(response, 200, {});
   }
 
   function write(key: string, exchange: JsonExchange): void {
-    const { request, response, body } = exchange;
+    const { request, response, body, text } = exchange;
+    if (Buffer.byteLength(text) > LARGEST_VALUE_BYTES) {
+      return answer(response, 413, { error: "value too large" });
+    }
     const actual = objects.get(key) ?? null;
     const wantsNone = request.headers["if-none-match"] === "*";
     const wanted = Number(request.headers["if-match"] ?? Number.NaN);
     const matches = wantsNone ? actual === null : actual?.version === wanted;
-    if (!matches) return reply(response, 412, { actual });
+    if (!matches) return answer(response, 412, { actual });
     revision += 1;
     objects.set(key, { key, value: body, version: revision });
-    if (faults.skipChanges > 0) faults.skipChanges -= 1;
-    else tellWatchers(key);
-    if (faults.loseReplies > 0) {
-      faults.loseReplies -= 1;
+    tellWatchers(key);
+    if (takeFault(faults, "loseReplies")) {
       response.destroy();
       return;
     }
-    reply(response, 200, { version: revision });
+    if (takeFault(faults, "failAfterEffect")) {
+      return reply(response, 503, { error: "failed after writing" });
+    }
+    answer(response, 200, { version: revision });
   }
 
+  /** A jumped change moves the watchers on without telling them of it. */
   function tellWatchers(key: string): void {
+    if (takeFault(faults, "skipChanges")) return;
+    const jumped = takeFault(faults, "jumpChanges");
     for (const watcher of watchers) {
-      if (key.startsWith(watcher.prefix)) end(watcher, 200);
+      if (!key.startsWith(watcher.prefix)) continue;
+      end(jumped ? { ...watcher, since: revision } : watcher, 200);
+      watchers.delete(watcher);
     }
   }
 
