--- a/packages/bench/src/bench_command.ts
+++ b/packages/bench/src/bench_command.ts
@@ -11,6 +11,9 @@
 export const benchCommands: Readonly<
   Record<string, () => Promise<BenchCommand>>
 > = {
+  membership: async () =>
+    (await import("./membership/membership_bench.ts")).membershipBench,
+  store: async () => (await import("./store/store_bench.ts")).storeBench,
   bookings: async () => (await import("./bookings/bookings_bench.ts")).command,
   capacity: async () =>
     (await import("./capacity/capacity_bench.ts")).capacityBench,
