--- a/packages/schemas/src/engine.ts
+++ b/packages/schemas/src/engine.ts
@@ -13,6 +13,11 @@
   engine: nameSchema,
   address: addressSchema,
   layers: layerRangeSchema,
+  /**
+   * The engine's incarnation when the attempt was planned. One that was
+   * restarted since does not know which attempts are over, so it refuses.
+   */
+  incarnation: z.number().int().optional(),
   /**
    * Positions whose KV cache the engine still has from an earlier attempt
    * of the same request; left out when it has none.
--- a/packages/stand_ins/src/engine/engine_test.ts
+++ b/packages/stand_ins/src/engine/engine_test.ts
@@ -107,6 +107,23 @@
   expect(await settle()).toEqual(["attempt 2"]);
 });
 
+/**
+ * A frozen engine goes on after the answer has ended elsewhere, and sends
+ * what it held to an engine that was restarted meanwhile. The restarted one
+ * knows nothing of the attempt's end; the incarnation tells it.
+ */
+test("a restarted engine runs nothing that was planned before", async () => {
+  const late = step(1, true);
+  if (late.type !== "step" || !late.open) throw new Error("a step opens");
+  const stages = late.open.stages.map((stage) => ({
+    ...stage,
+    incarnation: 1,
+  }));
+  await sendToLast({ ...late, open: { ...late.open, stages } });
+  await sendToFirst("/attempts", { ...late.open, stages });
+  expect(await settle()).toEqual([]);
+});
+
 /** A message comes twice: each layer still runs once for the position. */
 test("a repeated message runs nothing", async () => {
   await sendToLast(step(1, true));
