--- a/packages/checks/src/workspace_test.ts
+++ b/packages/checks/src/workspace_test.ts
@@ -78,6 +78,7 @@
     `${scope}fakes`,
     `${scope}stand_ins`,
     `${scope}launcher`,
+    `${scope}checks`,
   ];
 
   it.each(names)("of %s are in its package.json", (name) => {
