--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -57,7 +57,11 @@
 import { startAdminServer } from "./admin_server.ts";
 import { startCallerServer } from "./caller_server.ts";
 import { claimOwnerMethods, createPeerClaimOwners } from "./claim_owners.ts";
+
 import { closeGracefully, closeNow, closeRest } from "./graceful_close.ts";
+import { countNotes, createInstanceLevels } from "./instance_levels.ts";
+import { createNoteInspector } from "./note_inspector.ts";
+
 import { createWorkInProgress } from "./work_in_progress.ts";
 
 const INSTANCE_LIST_EVERY_MS = 1_000;
@@ -198,6 +202,8 @@
       void task.catch(report).finally(end);
     },
   });
+  const levels = createInstanceLevels(settings);
+  countNotes(keeper, { levels, objectives: settings.objectives });
   const sweeper = createClaimSweeper({
     deployment,
     services: settings.services.map(({ name }) => name),
@@ -263,6 +269,8 @@
     settings,
     metrics,
     publisher,
+    inspector: createNoteInspector({ keeper, publisher }),
+    serviceLevels: levels.read,
     status,
     noteStatus,
     isReady: () => !draining && keeper.current() !== null && knowsEngines(),
@@ -284,6 +292,7 @@
     },
     callService,
     metrics,
+    levels,
     work,
   });
   callerServer.prependListener("request", (_request, response) => {
