--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -27,7 +27,11 @@
   type EngineController,
   isLeaseCandidate,
 } from "@rosemarypin/placement";
-import { createHttpObjectStore, readInstanceList } from "@rosemarypin/platform";
+import {
+  createHttpObjectStore,
+  readInstanceList,
+  readPeerHints,
+} from "@rosemarypin/platform";
 import {
   createConfirmer,
   createNoteKeeper,
@@ -53,13 +57,18 @@
 import { startAdminServer } from "./admin_server.ts";
 import { startCallerServer } from "./caller_server.ts";
 import { claimOwnerMethods, createPeerClaimOwners } from "./claim_owners.ts";
+
 import {
   createEngineNotices,
   createSubsetChoice,
   ENGINES_CHANGED,
   readEngineNotice,
 } from "./engine_notices.ts";
+
 import { closeGracefully, closeNow, closeRest } from "./graceful_close.ts";
+import { countNotes, createInstanceLevels } from "./instance_levels.ts";
+import { createNoteInspector } from "./note_inspector.ts";
+
 import { createWorkInProgress } from "./work_in_progress.ts";
 
 const INSTANCE_LIST_EVERY_MS = 1_000;
@@ -90,11 +99,6 @@
   const incarnation = Date.now();
   const metrics = createMetrics();
   const work = createWorkInProgress();
-  const store = createHttpObjectStore({
-    url: settings.platform.objectApi,
-    callsPerSecond: settings.platform.callsPerSecond,
-    metrics,
-  });
   const peers = createPeerCaller();
   const membership = await createMembership({
     id,
@@ -103,6 +107,14 @@
     incarnation,
     seeds: settings.peers,
     metrics,
+    hints: () => readPeerHints(settings.platform.instanceList),
+    forgetSilentAfterMs: 2_000 * settings.release.serveWithoutContactSeconds,
+  });
+  const store = createHttpObjectStore({
+    url: settings.platform.objectApi,
+    callsPerSecond: settings.platform.callsPerSecond,
+    instances: () => membership.peers().length + 1,
+    metrics,
   });
   const { refusedConnectionShowsEnd } = settings.release;
   const allowanceMs = settings.release.serveWithoutContactSeconds * 1_000;
@@ -207,6 +219,8 @@
       void task.catch(report).finally(end);
     },
   });
+  const levels = createInstanceLevels(settings);
+  countNotes(keeper, { levels, objectives: settings.objectives });
   const sweeper = createClaimSweeper({
     deployment,
     services: settings.services.map(({ name }) => name),
@@ -277,6 +291,8 @@
     settings,
     metrics,
     publisher,
+    inspector: createNoteInspector({ keeper, publisher }),
+    serviceLevels: levels.read,
     status,
     noteStatus,
     isReady: () => !draining && keeper.current() !== null && knowsEngines(),
@@ -298,6 +314,7 @@
     },
     callService,
     metrics,
+    levels,
     work,
   });
   callerServer.prependListener("request", (_request, response) => {
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -1,4 +1,8 @@
-/** Metrics of the daemon; names and units stand in docs/OPERATIONS.md. */
+/**
+ * Metrics of the daemon; names and units stand in docs/OPERATIONS.md. No
+ * label names an organisation: 6,400 of them with 16 models would make
+ * millions of series. The service levels count those, within a bound.
+ */
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 
 const SECONDS_BUCKETS = [
@@ -15,20 +19,20 @@
     requests: new Counter({
       name: "rosemarypin_requests_total",
       help: "Calls that got their final answer, by kind and outcome",
-      labelNames: ["kind", "name", "organisation", "outcome"] as const,
+      labelNames: ["kind", "name", "outcome"] as const,
       registers,
     }),
     firstToken: new Histogram({
       name: "rosemarypin_first_token_seconds",
       help: "Time from the whole request to the first token",
-      labelNames: ["model", "organisation"] as const,
+      labelNames: ["model"] as const,
       buckets: SECONDS_BUCKETS,
       registers,
     }),
     betweenTokens: new Histogram({
       name: "rosemarypin_between_tokens_seconds",
       help: "Time between two tokens of one answer",
-      labelNames: ["model", "organisation"] as const,
+      labelNames: ["model"] as const,
       buckets: SECONDS_BUCKETS,
       registers,
     }),
@@ -75,10 +79,22 @@
     }),
     peerBytes: new Counter({
       name: "rosemarypin_peer_bytes_total",
-      help: "Bytes of heartbeats, by direction",
+      help: "Bytes of datagrams between instances with headers, by direction",
       labelNames: ["direction"] as const,
       registers,
     }),
+    peerDatagramsDropped: new Counter({
+      name: "rosemarypin_peer_datagrams_dropped_total",
+      help: "Datagrams that were not taken in, by reason",
+      labelNames: ["reason"] as const,
+      registers,
+    }),
+    peers: new Gauge({
+      name: "rosemarypin_peers",
+      help: "Known instances other than this one, by state",
+      labelNames: ["state"] as const,
+      registers,
+    }),
     inFlight: new Gauge({
       name: "rosemarypin_in_flight",
       help: "Answers and calls in progress",
