Measure what control costs by size

bench -- capacity prints bytes and time of an engine read, fleets, subsets, metrics, the router's part of requests and tokens, and idle daemons with 2 and 6,400 organisations. A read has 605 bytes of HTTP.

--- a/packages/backends/src/engine_fleet.ts
+++ b/packages/backends/src/engine_fleet.ts
@@ -7,10 +7,10 @@
 
 /** After this long without an answer, nothing new goes to an engine. */
 const STALE_AFTER_MS = 2_000;
-/** Half of what control may use on a node goes to watched engines. */
-const WATCH_BYTES_PER_SECOND = 1_500;
+/** A third of what control may use on a node goes to watched engines. */
+const WATCH_BYTES_PER_SECOND = 1_000;
 /** Reads of other used engines only make up for a lost notice. */
-const FALLBACK_BYTES_PER_SECOND = 500;
+const FALLBACK_BYTES_PER_SECOND = 250;
 /** Longest time between reads of an engine that is lost. */
 const LONGEST_RETRY_MS = 8_000;
 /** A notice reaches all instances at once; their reads are spread. */
--- a/packages/backends/src/read_interval.ts
+++ b/packages/backends/src/read_interval.ts
@@ -1,6 +1,6 @@
 /** How often engines are read, so that the reads stay within a budget. */
 
-/** Bytes of one read both ways; `npm run bench -- capacity` measures them. */
+/** Bytes of one read both ways: 605 of HTTP, measured, and the packets. */
 export const BYTES_PER_READ = 1_000;
 /** Reads are never closer than this. */
 export const SHORTEST_INTERVAL_MS = 500;
--- a/packages/bench/src/capacity/slopes.ts
+++ b/packages/bench/src/capacity/slopes.ts
@@ -5,6 +5,14 @@
   type QueueFacts,
 } from "@rosemarypin/routing";
 import { noteRecordSchema } from "@rosemarypin/schemas";
+import {
+  fleetBytes,
+  metricsBytes,
+  metricsPageBytes,
+  requestMicros,
+  subsetMicros,
+  tokenMicros,
+} from "./control_slopes.ts";
 import {
   sampleEngine,
   sampleMember,
@@ -12,7 +20,13 @@
   sampleOrganisation,
   sampleVersion,
 } from "./sample_objects.ts";
-import { fitSlope, heapBytes, microsPerCall, type Slope } from "./slope.ts";
+import {
+  fitSlope,
+  heapBytes,
+  microsPerCall,
+  type Point,
+  type Slope,
+} from "./slope.ts";
 
 /** A measured slope with its units. */
 export interface NamedSlope {
@@ -20,7 +34,7 @@
   /** What the size counts. */
   readonly per: string;
   readonly unit: string;
-  readonly measure: () => Slope;
+  readonly measure: () => Slope | Promise<Slope>;
 }
 
 /** All slopes that `npm run bench -- capacity` prints. */
@@ -77,8 +91,53 @@
     unit: "µs a note",
     measure: () => overSizes([0, 400, 1_600], noteMicros),
   },
+  {
+    name: "engines in a fleet",
+    per: "engine of the settings",
+    unit: "bytes",
+    measure: () => overSizes([100, 400, 1_600], fleetBytes),
+  },
+  {
+    name: "choice of a subset of 650 engines",
+    per: "instance",
+    unit: "µs a change of members",
+    measure: () => overSizes([85, 170, 340], subsetMicros),
+  },
+  {
+    name: "latency metrics",
+    per: "model (an organisation and model, had they that label)",
+    unit: "bytes",
+    measure: () => overSizes([400, 1_600, 6_400], metricsBytes),
+  },
+  {
+    name: "page of metrics",
+    per: "model (an organisation and model, had they that label)",
+    unit: "bytes",
+    measure: () => overSizesInTurn([16, 160, 1_600], metricsPageBytes),
+  },
+  {
+    name: "router, one request without its tokens",
+    per: "engine used",
+    unit: "µs a request",
+    measure: () => overSizesInTurn([20, 40, 80, 160], requestMicros),
+  },
+  {
+    name: "router, one token",
+    per: "engine used",
+    unit: "µs a token",
+    measure: () => overSizesInTurn([20, 40, 80, 160], tokenMicros),
+  },
 ];
 
+async function overSizesInTurn(
+  sizes: readonly number[],
+  cost: (size: number) => Promise<number>,
+): Promise<Slope> {
+  const points: Point[] = [];
+  for (const size of sizes) points.push({ size, cost: await cost(size) });
+  return fitSlope(points);
+}
+
 function overSizes(
   sizes: readonly number[],
   cost: (size: number) => number,
--- a/packages/launcher/src/process_group.ts
+++ b/packages/launcher/src/process_group.ts
@@ -14,6 +14,8 @@
   ): void;
   /** Sends a signal to a process that this group started. */
   signal(name: string, signal: NodeJS.Signals): void;
+  /** Process id, to read what a process uses. */
+  pid(name: string): number;
   /** Resolves to the exit code, or `null` after a signal. */
   waitForExit(name: string): Promise<number | null>;
   stopAll(): Promise<void>;
@@ -64,6 +66,11 @@
     signal(name, signal) {
       find(name).kill(signal);
     },
+    pid(name) {
+      const { pid } = find(name);
+      if (pid === undefined) throw new Error(`'${name}' did not start`);
+      return pid;
+    },
     async waitForExit(name) {
       const child = find(name);
       if (!hasEnded(child)) await once(child, "exit");
