--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -4,7 +4,6 @@
   createEngineFleet,
   createServiceClient,
   createServiceFleet,
-  type EngineFleet,
 } from "@rosemarypin/backends";
 import {
   createClaimRegistry,
@@ -16,11 +15,9 @@
 import {
   createMembership,
   createPeerCaller,
-  type Membership,
   startPeerServer,
 } from "@rosemarypin/membership";
 import {
-  type CandidateMember,
   type ControlLease,
   createControlLease,
   createEngineController,
@@ -47,8 +44,6 @@
   type RouterOptions,
 } from "@rosemarypin/routing";
 import {
-  type BackendView,
-  type InstanceView,
   noteRequestSchema,
   type Settings,
   type Status,
@@ -60,8 +55,14 @@
 
 import { closeGracefully, closeNow, closeRest } from "./graceful_close.ts";
 import { countNotes, createInstanceLevels } from "./instance_levels.ts";
+import {
+  hasHeardEachRole,
+  highestNoteOf,
+  listCandidates,
+} from "./known_state.ts";
 import { createNoteInspector } from "./note_inspector.ts";
 
+import { viewBackends, viewInstances } from "./status_view.ts";
 import { createWorkInProgress } from "./work_in_progress.ts";
 
 const INSTANCE_LIST_EVERY_MS = 1_000;
@@ -338,62 +339,3 @@
   await control.controller.stop();
   await control.lease.release();
 }
-
-/** Whether some engine of each role has answered. */
-function hasHeardEachRole(fleet: EngineFleet): boolean {
-  const known = fleet.engines();
-  const roleOf = ({ settings }: (typeof known)[number]) =>
-    JSON.stringify(settings.roles);
-  const heard = new Set(known.filter(({ usable }) => usable).map(roleOf));
-  return known.every((engine) => heard.has(roleOf(engine)));
-}
-
-function highestNoteOf(fleet: EngineFleet): number {
-  const numbers = fleet.engines().map(({ state }) => state?.noteNumber ?? 0);
-  return Math.max(0, ...numbers);
-}
-
-function listCandidates(membership: Membership): readonly CandidateMember[] {
-  const { id, failureDomain } = membership.self();
-  const others = membership.peers().map(({ record, state }) => ({
-    id: record.id,
-    failureDomain: record.failureDomain,
-    isAlive: state === "alive" && !record.shared.draining,
-  }));
-  return [{ id, failureDomain, isAlive: true }, ...others];
-}
-
-function viewInstances(membership: Membership): InstanceView[] {
-  const self = membership.self();
-  const own: InstanceView = {
-    id: self.id,
-    failureDomain: self.failureDomain,
-    state: "alive",
-    ...self.shared,
-    heardAgoMs: 0,
-  };
-  const others = membership.peers().map(({ record, state, heardAt }) => ({
-    id: record.id,
-    failureDomain: record.failureDomain,
-    state,
-    ...record.shared,
-    heardAgoMs: Math.round(performance.now() - heardAt),
-  }));
-  return [own, ...others];
-}
-
-function viewBackends(fleet: EngineFleet): BackendView[] {
-  return fleet.engines().map(({ settings, state, usable, inFlight }) => ({
-    id: settings.id,
-    kind: "engine",
-    name: settings.roles.map(({ model }) => model).join(","),
-    failureDomain: settings.failureDomain,
-    state: state?.leaving ? "leaving" : usable ? "ready" : "unreachable",
-    holds: (state?.held ?? []).map(
-      ({ model, version, layers }) =>
-        `${model}/${version}:${layers.from}-${layers.to}`,
-    ),
-    inFlight,
-    load: state?.load ?? 0,
-  }));
-}
