--- a/packages/reports/src/burn_page.ts
+++ b/packages/reports/src/burn_page.ts
@@ -39,7 +39,7 @@
 </head>
 <body>
 <h1>Service-level burn</h1>
-<p>Counts of <%= it.report.instances.length %> instances over the last hour, or since they started. The fast window is five minutes, the slow window an hour. A burn rate of 1 uses up the error budget exactly.</p>
+<p>Counts of <%= it.report.instances.length %> instances over the last hour, or since they started. The fast window is five minutes, the slow window an hour. A burn rate of 1 uses up the error budget exactly. In the plots the red line is the share that missed, the dashed line the share that the objective allows.</p>
 <% if (it.report.missing.length > 0) { %>
 <div class="missing"><strong>Not in these sums:</strong><ul>
 <% for (const gap of it.report.missing) { %><li><%= gap.instance %>: <%= gap.reason %></li><% } %>
