Split the engine stand-in into modules with one job each

Cause: engine.ts had grown to 460 lines and held routes, orders, batching, messages and attempts in one closure.

--- /dev/null
+++ b/packages/stand_ins/src/engine/batch_loop.ts
@@ -0,0 +1,57 @@
+/** Batches continuously: each batch takes what has come in the meantime. */
+import type { LayerRange } from "@rosemarypin/schemas";
+import type { EngineSpeed } from "../stand_in_settings.ts";
+import { batchDurationMs, createBatchClock } from "./speed.ts";
+import type { StepMessage } from "./step.ts";
+
+export interface BatchLoopOptions {
+  readonly speed: EngineSpeed;
+  /** Layers that each position of a step passes through. */
+  readonly layers: LayerRange;
+  /** Aborts when the engine is killed: nothing runs from then on. */
+  readonly killed: AbortSignal | undefined;
+  /** Resolves while the engine is not frozen. */
+  readonly whenRunning: (() => Promise<void>) | undefined;
+  /** Runs the steps of a batch, when its time has passed. */
+  runSteps(steps: readonly StepMessage[]): void;
+}
+
+/** Creates a loop; returns how to give it a step. */
+export function createBatchLoop(
+  options: BatchLoopOptions,
+): (step: StepMessage) => void {
+  const { speed, killed, whenRunning, runSteps } = options;
+  const layers = options.layers.to - options.layers.from;
+  const inbox: StepMessage[] = [];
+  const clock = createBatchClock();
+  let isBatching = false;
+
+  async function batch(): Promise<void> {
+    if (isBatching) return;
+    isBatching = true;
+    let waitingSince = performance.now();
+    while (inbox.length > 0) {
+      const steps = inbox.splice(0, speed.batchSize);
+      await clock.run(durationOf(steps), waitingSince);
+      waitingSince = inbox.length > 0 ? 0 : performance.now();
+      await whenRunning?.();
+      if (killed?.aborted) return;
+      runSteps(steps);
+    }
+    isBatching = false;
+  }
+
+  function durationOf(steps: readonly StepMessage[]): number {
+    const tokens = steps.reduce((sum, { inputs }) => sum + inputs.length, 0);
+    return batchDurationMs(speed, {
+      layers,
+      decodeTokens: steps.length,
+      promptTokens: tokens - steps.length,
+    });
+  }
+
+  return (step) => {
+    inbox.push(step);
+    void batch();
+  };
+}
--- a/packages/stand_ins/src/engine/engine_link.ts
+++ b/packages/stand_ins/src/engine/engine_link.ts
@@ -1,6 +1,7 @@
 /** Carries messages from one engine to the others. */
 import { type Address, formatAddress } from "@rosemarypin/schemas";
 import { Agent, request } from "undici";
+import type { Outgoing } from "./outgoing.ts";
 import type { EngineMessage, StepsReply } from "./step.ts";
 
 const SEND_TIMEOUT_MS = 1_000;
@@ -12,12 +13,6 @@
   repeat: (messages: readonly EngineMessage[]) => void,
 ) => Promise<readonly EngineMessage[]>;
 
-/** A message and the engine that gets it. */
-export interface Outgoing {
-  readonly to: Address;
-  readonly message: EngineMessage;
-}
-
 export interface EngineLinkOptions {
   readonly own: Address;
   readonly linkMs: number;
--- /dev/null
+++ b/packages/stand_ins/src/engine/engine_state.ts
@@ -0,0 +1,44 @@
+/** What an engine reports about itself. */
+import type { EngineState } from "@rosemarypin/schemas";
+import type { EngineStandInSettings } from "../stand_in_settings.ts";
+import type { OrderState } from "./order_state.ts";
+import type { SequenceTable } from "./sequence_table.ts";
+
+/** Describes the engine as it is now. */
+export function describeEngineState(
+  settings: EngineStandInSettings,
+  options: {
+    readonly incarnation: number;
+    readonly order: OrderState;
+    readonly table: SequenceTable;
+  },
+): EngineState {
+  const { incarnation, order, table } = options;
+  const { fencingNumber, noteNumber, hold, adapters } = order.current();
+  const running = countRunning(table);
+  return {
+    engine: settings.id,
+    incarnation,
+    accelerator: settings.accelerator,
+    failureDomain: settings.failureDomain,
+    roles: settings.roles,
+    fencingNumber,
+    noteNumber,
+    held: hold,
+    adapters,
+    running,
+    leaving: order.isLeaving(),
+    load: running.reduce((sum, { count }) => sum + count, 0),
+  };
+}
+
+function countRunning(table: SequenceTable): EngineState["running"] {
+  const counts = new Map<string, EngineState["running"][number]>();
+  for (const { request } of table.allRunning()) {
+    const { model, version } = request;
+    const key = `${model}/${version}`;
+    const count = (counts.get(key)?.count ?? 0) + 1;
+    counts.set(key, { model, version, count });
+  }
+  return [...counts.values()];
+}
--- /dev/null
+++ b/packages/stand_ins/src/engine/order_state.ts
@@ -0,0 +1,43 @@
+/** What an engine was last ordered to hold, and whether it is leaving. */
+import type { AttemptRequest, EngineOrder } from "@rosemarypin/schemas";
+
+/** The engine's current order. */
+export interface OrderState {
+  current(): EngineOrder;
+  /** Returns false when the order is refused for an old fencing number. */
+  take(next: EngineOrder): boolean;
+  holds(answer: AttemptRequest): boolean;
+  leave(): void;
+  isLeaving(): boolean;
+}
+
+/** Creates the state of an engine that holds nothing yet. */
+export function createOrderState(options: {
+  /** Whether the engine refuses an old fencing number or ignores it. */
+  readonly checksFencing: boolean;
+}): OrderState {
+  let order: EngineOrder = {
+    fencingNumber: 0,
+    noteNumber: 0,
+    hold: [],
+    adapters: [],
+  };
+  let leaving = false;
+  return {
+    current: () => order,
+    take(next) {
+      const isOld = next.fencingNumber < order.fencingNumber;
+      if (options.checksFencing && isOld) return false;
+      order = next;
+      return true;
+    },
+    holds: ({ model, version }) =>
+      order.hold.some(
+        (held) => held.model === model && held.version === version,
+      ),
+    leave() {
+      leaving = true;
+    },
+    isLeaving: () => leaving,
+  };
+}
