--- /dev/null
+++ b/packages/calls/src/answer_attempt_events.ts
@@ -0,0 +1,98 @@
+/** Follows the events of one attempt and delivers its tokens. */
+import type { EngineEvent, Stage } from "@rosemarypin/schemas";
+import {
+  type AttemptEnd,
+  mayGoOn,
+  type RunningAttempt,
+} from "./answer_attempt_state.ts";
+import type { AnswerEvent } from "./answer_event.ts";
+import { createEventReader } from "./answer_liveness.ts";
+import { createTokenOrder, type TokenEvent } from "./answer_order.ts";
+import { lookIntoSilence } from "./answer_silence.ts";
+
+/** Reads an attempt's events until it ends. */
+export async function* readAttempt(
+  events: AsyncIterable<EngineEvent>,
+  options: RunningAttempt,
+): AsyncGenerator<AnswerEvent, AttemptEnd> {
+  const { progress, attempt, signal, pace, lost, grant } = options;
+  const reader = createEventReader(events);
+  const order = createTokenOrder(progress.delivered.length);
+  const first = attempt.stages[0]?.engine ?? "";
+  let silentMs = 0;
+  let waitingSince = performance.now();
+  while (true) {
+    const next = await reader.next(pace.silenceMs());
+    if (signal.aborted || !(await mayGoOn(attempt, options.keeper))) {
+      return { kind: "retry", reason: "cancelled" };
+    }
+    if (next.kind === "silent") {
+      silentMs = performance.now() - waitingSince;
+      const end = await lookIntoSilence(silentMs, { ...options, reader });
+      if (end) return end;
+      continue;
+    }
+    if (next.kind === "ended") {
+      lost.set(first, "unreachable");
+      return { kind: "retry", reason: "the stream broke" };
+    }
+    const { event } = next;
+    // Late events of an attempt that was given up are no part of the answer.
+    if (event.attempt !== attempt.attempt) continue;
+    switch (event.type) {
+      case "started":
+      case "done":
+        break;
+      case "token": {
+        const result = order.offer(event);
+        if (result.kind === "overflow") {
+          return { kind: "retry", reason: "a token is missing" };
+        }
+        for (const token of result.tokens) {
+          pace.observe(performance.now() - waitingSince);
+          grant.observeToken();
+          take(token, options);
+          const { index, text } = token;
+          yield { type: "token", index, text, engine: first };
+          waitingSince = performance.now();
+          if (token.ends) return { kind: "done", reason: token.ends };
+        }
+        break;
+      }
+      case "stage_lost": {
+        const stage = attempt.stages[event.stage];
+        if (stage) lost.set(stage.engine, event.cause);
+        if (stage && event.cause === "no_cache") await refresh(stage, options);
+        return { kind: "retry", reason: event.reason };
+      }
+      case "cancelled":
+        return event.takenOver
+          ? { kind: "taken_over" }
+          : { kind: "retry", reason: event.reason };
+    }
+  }
+}
+
+function take(token: TokenEvent, options: RunningAttempt): void {
+  const { progress, metrics, onProgress, attempt } = options;
+  progress.delivered.push(token.text);
+  progress.digest = token.digest;
+  options.grant.observeToken();
+  if (progress.fruitless === 0) return;
+  progress.fruitless = 0;
+  onProgress();
+  if (progress.lostAt === null) return;
+  const seconds = (performance.now() - progress.lostAt) / 1_000;
+  metrics?.recoverySeconds.observe({ model: attempt.model }, seconds);
+  progress.lostAt = null;
+}
+
+/** Learns the new incarnation of an engine that was restarted. */
+async function refresh(
+  { address }: Stage,
+  { engines, fleet, liveness }: RunningAttempt,
+): Promise<void> {
+  const timeoutMs = liveness.probeMs;
+  const state = await engines.readState(address, { timeoutMs });
+  if (state) fleet.observe(state);
+}
