Keep the holder of a lease within 3 KB a second, by its sum

Watchers tell of changed engines, so reads back only make up for lost notices; 250 bytes a second for them bring the worked-out sum from 3,182 to 2,980.

--- a/packages/placement/src/engine_controller.ts
+++ b/packages/placement/src/engine_controller.ts
@@ -22,7 +22,7 @@
 const READ_BACK_MS = 500;
 /** With more engines than this, the reads back slow down within a budget. */
 const READ_BACK_ALL_UP_TO = 16;
-const READ_BACK_BYTES_PER_SECOND = 500;
+const READ_BACK_BYTES_PER_SECOND = 250;
 /** How soon an engine that does not is ordered again; doubled up to above. */
 const FIRST_RETRY_MS = 25;
 
