--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -55,7 +55,6 @@
 
 import {
   createEngineNotices,
-  createSubsetChoice,
   ENGINES_CHANGED,
   readEngineNotice,
 } from "./engine_notices.ts";
@@ -70,6 +69,7 @@
 import { createNoteInspector } from "./note_inspector.ts";
 
 import { viewBackends, viewInstances } from "./status_view.ts";
+import { createSubsetChoice } from "./subset_choice.ts";
 import { createWorkInProgress } from "./work_in_progress.ts";
 
 const INSTANCE_LIST_EVERY_MS = 1_000;
--- a/packages/daemon/src/engine_notices.ts
+++ b/packages/daemon/src/engine_notices.ts
@@ -1,7 +1,6 @@
 /** Tells other instances that an engine is to be read again. */
-import { chooseEngines, type EngineSubset } from "@rosemarypin/backends";
 import type { Membership, PeerCaller } from "@rosemarypin/membership";
-import { type EngineSettings, nameSchema } from "@rosemarypin/schemas";
+import { nameSchema } from "@rosemarypin/schemas";
 import { z } from "zod";
 
 /** Changes that come together, as after a note, go out together. */
@@ -40,24 +39,3 @@
     changed.add(engine);
   };
 }
-
-/** Creates the choice of engines, made anew when instances come or go. */
-export function createSubsetChoice(options: {
-  readonly engines: readonly EngineSettings[];
-  readonly membership: Membership;
-}): () => EngineSubset {
-  const { engines, membership } = options;
-  let madeFor: string | null = null;
-  let subset: EngineSubset | null = null;
-
-  return () => {
-    const self = membership.self();
-    const peers = membership.peers().filter(({ state }) => state === "alive");
-    const members = [self, ...peers.map(({ record }) => record)];
-    const key = members.map(({ id }) => id).join(" ");
-    if (subset && key === madeFor) return subset;
-    madeFor = key;
-    subset = chooseEngines(engines, { self, members });
-    return subset;
-  };
-}
--- a/packages/daemon/src/engine_notices_test.ts
+++ b/packages/daemon/src/engine_notices_test.ts
@@ -1,7 +1,8 @@
 import type { Member, Membership, PeerCaller } from "@rosemarypin/membership";
 import type { EngineSettings } from "@rosemarypin/schemas";
 import { afterEach, beforeEach, expect, it, vi } from "vitest";
-import { createEngineNotices, createSubsetChoice } from "./engine_notices.ts";
+import { createEngineNotices } from "./engine_notices.ts";
+import { createSubsetChoice } from "./subset_choice.ts";
 
 beforeEach(() => void vi.useFakeTimers());
 afterEach(() => void vi.useRealTimers());
