Read a watched engine every 4 s at least

Cause: with 4 instances and 72 engines each instance watches 24, and by the budget alone read each every 24 s. The promise of a few seconds goes before the budget. Without the bound the new test fails.

--- a/packages/backends/src/engine_fleet.ts
+++ b/packages/backends/src/engine_fleet.ts
@@ -9,6 +9,12 @@
 const STALE_AFTER_MS = 2_000;
 /** A third of what control may use on a node goes to watched engines. */
 const WATCH_BYTES_PER_SECOND = 1_000;
+/**
+ * Watched engines are read no later than this, whatever the budget says: with
+ * few instances, each watches many engines, and one that leaves would get new
+ * work until its turn came.
+ */
+const LONGEST_WATCH_MS = 4_000;
 /** Reads of other used engines only make up for a lost notice. */
 const FALLBACK_BYTES_PER_SECOND = 250;
 /** Longest time between reads of an engine that is lost. */
@@ -106,9 +112,11 @@
     subset = next;
     if (next.isWhole) return;
     const others = next.used.size - next.watched.size;
-    watchMs = readIntervalMs(next.watched.size, {
-      bytesPerSecond: WATCH_BYTES_PER_SECOND,
-    });
+    const watchBudget = { bytesPerSecond: WATCH_BYTES_PER_SECOND };
+    watchMs = Math.min(
+      LONGEST_WATCH_MS,
+      readIntervalMs(next.watched.size, watchBudget),
+    );
     fallbackMs = readIntervalMs(others, {
       bytesPerSecond: FALLBACK_BYTES_PER_SECOND,
     });
--- a/packages/backends/src/engine_fleet_test.ts
+++ b/packages/backends/src/engine_fleet_test.ts
@@ -65,8 +65,8 @@
   });
 });
 
-/** One of many instances: it watches one engine and uses a hundred. */
-async function createSharedFleet() {
+/** One of many instances: it uses a hundred engines and watches few. */
+async function createSharedFleet(watchedIds = ["engine-1"]) {
   const ids = Array.from({ length: 100 }, (_, index) => `engine-${index + 1}`);
   const engines = ids.map((id, index) => ({
     ...engine,
@@ -86,7 +86,7 @@
   } as unknown as EngineClient;
   const subset = {
     used: new Set(ids),
-    watched: new Set(["engine-1"]),
+    watched: new Set(watchedIds),
     isWhole: false,
   };
   const changed: string[] = [];
@@ -127,6 +127,20 @@
     expect(changed).toEqual(["engine-1", "engine-1", "engine-1"]);
   });
 
+  it("is told of within seconds when few instances watch many", async () => {
+    // Four instances serve 72 engines and watch 24 each. By the budget alone
+    // each is read every 24 s, and a leaving one was known after up to 9.6 s.
+    const many = Array.from(
+      { length: 24 },
+      (_, index) => `engine-${index + 1}`,
+    );
+    const { states, changed } = await createSharedFleet(many);
+    await vi.advanceTimersByTimeAsync(6_000);
+    states.set("engine-24", { ...state, engine: "engine-24", leaving: true });
+    await vi.advanceTimersByTimeAsync(4_500);
+    expect(changed).toEqual(["engine-24"]);
+  });
+
   it("is not told of when only its load changes", async () => {
     const { states, changed } = await createSharedFleet();
     states.set("engine-1", { ...state, load: 7 });
