--- a/packages/calls/src/answer_liveness_test.ts
+++ b/packages/calls/src/answer_liveness_test.ts
@@ -74,3 +74,21 @@
   expect(await reader.next(1_000)).toEqual({ kind: "event", event });
   expect(reader.hasEvent()).toBe(false);
 });
+
+/**
+ * A caller reads slowly. Events that are read ahead of it would pile up in
+ * the entry instance; unread, they stay with the engine, which then waits.
+ */
+test("no event is read ahead of the caller", async () => {
+  let given = 0;
+  async function* stream(): AsyncGenerator<EngineEvent> {
+    while (true) {
+      given += 1;
+      yield { type: "started", attempt: given };
+    }
+  }
+  const reader = createEventReader(stream());
+  await reader.next(1_000);
+  await new Promise((resolve) => setTimeout(resolve, 1));
+  expect(given).toBe(1);
+});
