--- /dev/null
+++ b/packages/checks/src/answer_parts.ts
@@ -0,0 +1,97 @@
+/** The real parts that seeded answers run on. */
+import {
+  createEngineClient,
+  createEngineFleet,
+  type EngineFleet,
+} from "@rosemarypin/backends";
+import {
+  createRecoveryLimiter,
+  type LivenessLimits,
+  type ResumeDependencies,
+} from "@rosemarypin/calls";
+import { createFixedNote, serveVersions } from "@rosemarypin/fakes";
+import { findFreePorts } from "@rosemarypin/launcher";
+import { createRouter } from "@rosemarypin/routing";
+import { settingsSchema } from "@rosemarypin/schemas";
+import { startEngineGroup } from "@rosemarypin/stand_ins";
+import { createFaultyClient, createLinkFault } from "./answer_faults.ts";
+import type { SeededRandom } from "./seeded_random.ts";
+
+export const MODEL = "assist";
+export const VERSION = "v1";
+export const LAYERS = 12;
+const INSTANCES = 2;
+const ENGINES_PER_STAGE = 3;
+const SPEED = {
+  batchMs: 1,
+  layerMicros: 20,
+  promptFactor: 0.1,
+  linkMs: 0.2,
+  batchSize: 32,
+};
+const LIVENESS: LivenessLimits = {
+  startMs: 400,
+  firstTokenMs: 300,
+  shortestSilenceMs: 80,
+  longestSilenceMs: 400,
+  probeMs: 200,
+  lostMessageMs: 600,
+};
+
+/** Starts three stages of engines and two instances that share them. */
+export async function startParts(random: SeededRandom) {
+  const ports = await findFreePorts(3 * ENGINES_PER_STAGE);
+  const group = await startEngineGroup({
+    model: MODEL,
+    versions: [VERSION],
+    stages: [
+      { layers: { from: 0, to: 5 }, count: ENGINES_PER_STAGE, speed: SPEED },
+      { layers: { from: 5, to: 9 }, count: ENGINES_PER_STAGE, speed: SPEED },
+      { layers: { from: 9, to: 12 }, count: ENGINES_PER_STAGE, speed: SPEED },
+    ],
+    nextAddress: () => ({ host: "127.0.0.1", port: ports.shift() ?? 0 }),
+    linkFault: createLinkFault(random),
+  });
+  const fleets: EngineFleet[] = [];
+  const instances = Array.from(
+    { length: INSTANCES },
+    (): ResumeDependencies => {
+      const real = createEngineClient();
+      const fleet = createEngineFleet({ engines: group.engines, client: real });
+      fleets.push(fleet);
+      const limits = settingsSchema.shape.limits.parse(undefined);
+      return {
+        keeper: createFixedNote(
+          serveVersions({
+            number: 1,
+            model: MODEL,
+            versions: [VERSION],
+            layers: LAYERS,
+          }),
+        ),
+        router: createRouter({
+          fleet,
+          failureDomain: "domain-1",
+          limits,
+          objectives: settingsSchema.shape.objectives.parse(undefined),
+          seed: 1,
+        }),
+        fleet,
+        engines: createFaultyClient(real, random),
+        parked: real,
+        recoveries: createRecoveryLimiter(),
+        liveness: LIVENESS,
+      };
+    },
+  );
+  await sleep(200);
+  const stop = () => {
+    for (const fleet of fleets) fleet.stop();
+    group.stop();
+  };
+  return { group, instances, stop };
+}
+
+function sleep(durationMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, durationMs));
+}
