Measure what callers that do not read hold and cost the others

bench -- streams gets a row: 40 callers that never read, beside 20 that do. The engine process and the heap reading move to modules of their own. Streams now go from answer to answer, and only one whose socket waits for drain counts as stalled.

--- a/packages/bench/src/answers/streams_command.ts
+++ b/packages/bench/src/answers/streams_command.ts
@@ -1,19 +1,17 @@
 /** `npm run bench -- streams`: what each token and each stream costs. */
-import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { mkdtempSync, rmSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
-import { fileURLToPath } from "node:url";
-import { setFlagsFromString } from "node:v8";
-import { runInNewContext } from "node:vm";
 import type { EngineClient } from "@rosemarypin/backends";
 import { runAnswer } from "@rosemarypin/calls";
-import { createProcessGroup, findFreePorts } from "@rosemarypin/launcher";
+import { createProcessGroup } from "@rosemarypin/launcher";
 import type { EngineEvent, EngineSettings } from "@rosemarypin/schemas";
-import { formatAddress } from "@rosemarypin/schemas";
 import { build } from "hdr-histogram-js";
-import { request } from "undici";
 import type { BenchCommand } from "../bench_command.ts";
-import { describeRequest, MODEL, sleep, startEntry, VERSION } from "./entry.ts";
+import { startEngineProcess } from "./engine_process.ts";
+import { describeRequest, sleep, startEntry } from "./entry.ts";
+import { heapMegabytes } from "./heap.ts";
+import { measureSlowCallers } from "./slow_callers.ts";
 
 const STREAM_COUNTS = [50, 100, 200, 400];
 const TOKENS = 4_096;
@@ -24,10 +22,6 @@
 /** One token for each stream in this time. */
 const BATCH_MS = 40;
 
-const standInScript = fileURLToPath(
-  import.meta.resolve("@rosemarypin/stand_ins").replace("mod.js", "main.js"),
-);
-
 interface Sample {
   readonly streams: number;
   readonly tokensPerSecond: number;
@@ -41,13 +35,19 @@
     const folder = mkdtempSync(join(tmpdir(), "streams-"));
     const processes = createProcessGroup(folder);
     try {
-      const engine = await startEngineProcess(folder, processes);
+      const engine = await startEngineProcess("engine-1", {
+        folder,
+        processes,
+        layers: LAYERS,
+        batchMs: BATCH_MS,
+      });
       const samples: Sample[] = [];
       const added = build();
       for (const streams of STREAM_COUNTS) {
         samples.push(await measure(streams, { engine, added }));
       }
       tell(samples, added);
+      await measureSlowCallers({ folder, processes });
     } finally {
       await processes.stopAll();
       rmSync(folder, { recursive: true });
@@ -56,42 +56,6 @@
   },
 };
 
-async function startEngineProcess(
-  folder: string,
-  processes: ReturnType<typeof createProcessGroup>,
-): Promise<EngineSettings> {
-  const [port = 0] = await findFreePorts(1);
-  const layers = { from: 0, to: LAYERS };
-  const engine: EngineSettings = {
-    id: "engine-1",
-    failureDomain: "domain-1",
-    address: { host: "127.0.0.1", port },
-    accelerator: "stand-in",
-    checksFencing: true,
-    roles: [{ model: MODEL, layers }],
-  };
-  const speed = { batchMs: BATCH_MS, layerMicros: 0, batchSize: 10_000 };
-  const file = join(folder, "engine.yaml");
-  writeFileSync(file, JSON.stringify({ kind: "engine", ...engine, speed }));
-  processes.start(engine.id, {
-    script: standInScript,
-    args: ["--settings", file],
-  });
-  const hold = [{ model: MODEL, version: VERSION, layers }];
-  const order = { fencingNumber: 1, noteNumber: 1, hold, adapters: [] };
-  const url = `http://${formatAddress(engine.address)}/order`;
-  while (true) {
-    try {
-      const body = JSON.stringify(order);
-      const response = await request(url, { method: "POST", body });
-      await response.body.dump();
-      return engine;
-    } catch {
-      await sleep(50);
-    }
-  }
-}
-
 type Histogram = ReturnType<typeof build>;
 
 async function measure(
@@ -159,14 +123,6 @@
   };
 }
 
-function heapMegabytes(): number {
-  setFlagsFromString("--expose-gc");
-  const collect = runInNewContext("gc") as () => void;
-  collect();
-  const { heapUsed, external } = process.memoryUsage();
-  return (heapUsed + external) / 1_048_576;
-}
-
 /** Least-squares slope of `y` over `x`. */
 function slope(points: readonly { readonly x: number; readonly y: number }[]) {
   const mean = (pick: (point: { x: number; y: number }) => number) =>
