--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -53,6 +53,12 @@
 import { startCallerServer } from "./caller_server.ts";
 import { claimOwnerMethods, createPeerClaimOwners } from "./claim_owners.ts";
 
+import {
+  createEngineNotices,
+  ENGINES_CHANGED,
+  readEngineNotice,
+} from "./engine_notices.ts";
+
 import { closeGracefully, closeNow, closeRest } from "./graceful_close.ts";
 import { countNotes, createInstanceLevels } from "./instance_levels.ts";
 import {
@@ -63,6 +69,7 @@
 import { createNoteInspector } from "./note_inspector.ts";
 
 import { viewBackends, viewInstances } from "./status_view.ts";
+import { createSubsetChoice } from "./subset_choice.ts";
 import { createWorkInProgress } from "./work_in_progress.ts";
 
 const INSTANCE_LIST_EVERY_MS = 1_000;
@@ -133,15 +140,25 @@
     metrics,
   });
   const engines = createEngineClient();
+  const noticeEngine = createEngineNotices({ membership, peers });
   const fleet = createEngineFleet({
     engines: settings.engines,
     client: engines,
+    subset: createSubsetChoice({ engines: settings.engines, membership }),
+    onChanged(engine) {
+      recheckOrders([engine]);
+      noticeEngine(engine);
+    },
   });
   const domains = [
     ...new Set(settings.engines.map((engine) => engine.failureDomain)),
   ];
   const controllers = domains.map((domain) => controlDomain(domain));
 
+  function recheckOrders(engines: readonly string[]): void {
+    for (const { controller } of controllers) controller.recheck(engines);
+  }
+
   function controlDomain(domain: string) {
     const lease = createControlLease({
       deployment,
@@ -264,6 +281,11 @@
     "note.current": (params) => keeper.answer(noteRequestSchema.parse(params)),
     "note.confirm": (params) => confirmer.confirm(params),
     "note.ping": () => true,
+    [ENGINES_CHANGED](params) {
+      const changed = readEngineNotice(params);
+      fleet.recheck(changed);
+      recheckOrders(changed);
+    },
     ...claimOwnerMethods(registry),
   });
   const adminServer = await startAdminServer({
--- a/packages/telemetry/src/metrics_test.ts
+++ b/packages/telemetry/src/metrics_test.ts
@@ -21,3 +21,13 @@
     for (const [, name = ""] of listed) expect(names).toContain(name);
   });
 });
+
+it("no metric has a label that grows with the organisations", () => {
+  // A label of an organisation makes a series for each of 6,400, in each
+  // histogram and for each model: the page grows to megabytes, and scraping
+  // it holds up answers.
+  for (const metric of createMetrics().registry.getMetricsAsArray()) {
+    const { labelNames } = metric as unknown as { labelNames: string[] };
+    expect(labelNames).not.toContain("organisation");
+  }
+});
