Never give out again the name of a version that lost a layer set

Cause: a recalled layer set takes versions with it, but only the layer set's name was kept as withdrawn. The same version name with other layer sets could be added again, and engines and cut-off instances know versions by name only. Before: the new test adds it. After: refused as withdrawn for good.

--- a/packages/release/src/fold.ts
+++ b/packages/release/src/fold.ts
@@ -45,8 +45,10 @@
   });
   note.withdrawn.forEach((line, index) => {
     const complain = complainAt(`withdrawn[${index}]`);
-    withdrawLine(catalogue, line, { complain });
-    catalogue.withdrawn.push({ line, number, reason: note.reason });
+    const lines = withdrawLine(catalogue, line, { complain });
+    for (const gone of lines) {
+      catalogue.withdrawn.push({ line: gone, number, reason: note.reason });
+    }
   });
   note.changed.forEach((line, index) => {
     changeLine(catalogue, line, complainAt(`changed[${index}]`));
@@ -125,24 +127,29 @@
   model.serve = [...line.serve];
 }
 
+/**
+ * Takes a batch out; returns all that is withdrawn with it. A layer set takes
+ * versions with it, whose names must not come back either: a cut-off instance
+ * and the engines know a version by its name only.
+ */
 function withdrawLine(
   catalogue: Catalogue,
   line: WithdrawnLine,
   options: { readonly complain: Complain },
-): void {
+): readonly WithdrawnLine[] {
   const { complain } = options;
   if (line.kind === "service") {
     removeFrom(catalogue.services, line.service, complain);
-    return;
+    return [line];
   }
   const model = catalogue.models[line.model];
   if (!model) {
     complain(`no model '${line.model}' to withdraw from`);
-    return;
+    return [line];
   }
   if (line.kind === "adapter") {
     removeFrom(model.adapters, line.adapter, complain);
-    return;
+    return [line];
   }
   const gone = Object.values(model.versions).filter((version) =>
     line.kind === "version"
@@ -151,6 +158,16 @@
   );
   if (gone.length === 0) complain("nothing that answers now has that name");
   for (const { version } of gone) removeVersion(model, version);
+  if (line.kind === "version") return [line];
+  const versions = gone.map(
+    ({ version }): WithdrawnLine => ({
+      kind: "version",
+      model: line.model,
+      version,
+    }),
+  );
+  // The operator's own line comes last: explanations name the last one.
+  return [...versions, line];
 }
 
 function removeVersion(model: Model, version: string): void {
--- a/packages/release/src/fold_test.ts
+++ b/packages/release/src/fold_test.ts
@@ -90,6 +90,21 @@
     expect(JSON.stringify(folded)).toContain(message);
   });
 
+  it("never gives the name of a version out again that lost a layer set", () => {
+    // A layer set is recalled, and with it version v1. Later v1 is added again
+    // with other layer sets. An instance that was cut off meanwhile holds a
+    // note with the old v1, and engines know versions by name only.
+    const withdrawn = [{ kind: "layerSet", model: "assist", layerSet: "low" }];
+    const recalled = foldNote(firstCatalogue(), nextNote({ withdrawn }), {
+      number: 2,
+    });
+    if (recalled.kind !== "ok") throw new Error("the recall was refused");
+    const layerSets = [{ name: "other", from: 0, to: 4 }];
+    const again = nextNote({ added: [{ ...base.added[0], layerSets }] });
+    const folded = foldNote(recalled.catalogue, again, { number: 3 });
+    expect(JSON.stringify(folded)).toContain("withdrawn for good by note 2");
+  });
+
   it("never gives a withdrawn name out again", () => {
     // An operator recalls v1 and later adds a version called v1 again. An
     // instance that was cut off meanwhile could not tell the two apart.
