--- a/packages/bench/src/answers/engine_process.ts
+++ b/packages/bench/src/answers/engine_process.ts
@@ -1,11 +1,13 @@
 /** One engine stand-in in a process of its own, for measurements. */
+
 import { writeFileSync } from "node:fs";
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
 import { type createProcessGroup, findFreePorts } from "@rosemarypin/launcher";
 import { type EngineSettings, formatAddress } from "@rosemarypin/schemas";
+import { pause } from "@rosemarypin/timing";
 import { request } from "undici";
-import { MODEL, sleep, VERSION } from "./entry.ts";
+import { MODEL, VERSION } from "./entry.ts";
 
 const BATCH_SIZE = 10_000;
 const ASK_AGAIN_MS = 50;
@@ -53,7 +55,7 @@
       await response.body.dump();
       return engine;
     } catch {
-      await sleep(ASK_AGAIN_MS);
+      await pause(ASK_AGAIN_MS);
     }
   }
 }
--- a/packages/bench/src/answers/entry.ts
+++ b/packages/bench/src/answers/entry.ts
@@ -1,4 +1,5 @@
 /** One entry instance's answers, without its HTTP interface. */
+
 import {
   createEngineClient,
   createEngineFleet,
@@ -15,6 +16,7 @@
   type EngineSettings,
   settingsSchema,
 } from "@rosemarypin/schemas";
+import { pause } from "@rosemarypin/timing";
 
 const DEADLINE_MS = 80_000;
 const ANSWERS_PER_ENGINE = 10_000;
@@ -42,7 +44,7 @@
   };
   const note = { number: 1, model: MODEL, versions: [VERSION], layers };
   const failureDomain = engines[0]?.failureDomain ?? "";
-  while (!fleet.engines().every(({ usable }) => usable)) await sleep(20);
+  while (!fleet.engines().every(({ usable }) => usable)) await pause(20);
   return {
     answers: {
       keeper: createFixedNote(serveVersions(note)),
@@ -81,7 +83,3 @@
     deadlineAt: Date.now() + DEADLINE_MS,
   };
 }
-
-export function sleep(durationMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, durationMs));
-}
--- a/packages/bench/src/answers/recovery_command.ts
+++ b/packages/bench/src/answers/recovery_command.ts
@@ -1,4 +1,5 @@
 /** `npm run bench -- recovery`: from a stage's end to the next token. */
+
 import type { EngineClient } from "@rosemarypin/backends";
 import { runAnswer } from "@rosemarypin/calls";
 import { findFreePorts } from "@rosemarypin/launcher";
@@ -8,13 +9,13 @@
   type RunEntry,
   startEngineGroup,
 } from "@rosemarypin/stand_ins";
+import { pause } from "@rosemarypin/timing";
 import { build } from "hdr-histogram-js";
 import type { BenchCommand } from "../bench_command.ts";
 import {
   describeRequest,
   type Entry,
   MODEL,
-  sleep,
   startEntry,
   VERSION,
 } from "./entry.ts";
@@ -97,7 +98,7 @@
     }
     left.abort();
     const leftAt = performance.timeOrigin + performance.now();
-    await sleep(AFTER_LEAVING_MS);
+    await pause(AFTER_LEAVING_MS);
     const last = group.journal.findLast((run) => run.requestId === requestId);
     const workedMs = Math.max(0, (last?.at ?? leftAt) - leftAt);
     histogram.recordValue(Math.round(workedMs * MICROS));
@@ -134,7 +135,7 @@
   const { victim, brokenAt, nextTokenAt } = seen;
   if (fault === "freeze" && victim) group.thaw(victim);
   if (fault === "kill" && victim) await group.restart(victim);
-  await sleep(SETTLE_MS);
+  await pause(SETTLE_MS);
   entry.stop();
   const restartedAt = starts[1];
   if (restartedAt === undefined || nextTokenAt === null) return null;
--- a/packages/bench/src/answers/slow_callers.ts
+++ b/packages/bench/src/answers/slow_callers.ts
@@ -1,21 +1,17 @@
 /** What callers that do not read cost, and what they cost the others. */
+
 import { once } from "node:events";
 import { createServer, type Server, type ServerResponse } from "node:http";
 import { type AddressInfo, connect, type Socket } from "node:net";
 import { type AnswerEvent, runAnswer } from "@rosemarypin/calls";
 import { sendStream } from "@rosemarypin/daemon";
+import { pause } from "@rosemarypin/timing";
 import { request } from "undici";
 import {
   type EngineProcessOptions,
   startEngineProcess,
 } from "./engine_process.ts";
-import {
-  describeRequest,
-  type Entry,
-  MODEL,
-  sleep,
-  startEntry,
-} from "./entry.ts";
+import { describeRequest, type Entry, MODEL, startEntry } from "./entry.ts";
 import { heapMegabytes } from "./heap.ts";
 
 const HOST = "127.0.0.1";
@@ -54,7 +50,7 @@
       count,
     }),
   );
-  await sleep(MEASURE_MS);
+  await pause(MEASURE_MS);
   const alone = await measureRate(count);
   const before = heapMegabytes();
   const sockets = Array.from({ length: SLOW_CALLERS }, (_, index) =>
@@ -154,7 +150,7 @@
 async function measureRate(count: { bytes: number }): Promise<number> {
   const startedAt = performance.now();
   const { bytes } = count;
-  await sleep(MEASURE_MS);
+  await pause(MEASURE_MS);
   const seconds = (performance.now() - startedAt) / 1_000;
   return (count.bytes - bytes) / 1_024 / seconds;
 }
@@ -164,7 +160,7 @@
   let stalled = 0;
   for (let check = 0; check < STALL_CHECKS; check++) {
     const before = slow.map(({ taken }) => taken);
-    await sleep(STALL_CHECK_MS);
+    await pause(STALL_CHECK_MS);
     stalled = slow.filter(
       ({ taken, response }, index) =>
         response.writableNeedDrain && taken === before[index],
--- a/packages/bench/src/answers/streams_command.ts
+++ b/packages/bench/src/answers/streams_command.ts
@@ -1,4 +1,5 @@
 /** `npm run bench -- streams`: what each token and each stream costs. */
+
 import { mkdtempSync, rmSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
@@ -6,10 +7,11 @@
 import { runAnswer } from "@rosemarypin/calls";
 import { createProcessGroup } from "@rosemarypin/launcher";
 import type { EngineEvent, EngineSettings } from "@rosemarypin/schemas";
+import { pause } from "@rosemarypin/timing";
 import { build } from "hdr-histogram-js";
 import type { BenchCommand } from "../bench_command.ts";
 import { startEngineProcess } from "./engine_process.ts";
-import { describeRequest, sleep, startEntry } from "./entry.ts";
+import { describeRequest, startEntry } from "./entry.ts";
 import { heapMegabytes } from "./heap.ts";
 import { measureSlowCallers } from "./slow_callers.ts";
 
@@ -103,12 +105,12 @@
       arrivedAt.delete(id);
     }
   });
-  await sleep(WARM_MS);
+  await pause(WARM_MS);
   const heap = heapMegabytes() - before;
   const cpu = process.cpuUsage();
   const startedAt = performance.now();
   isMeasuring = true;
-  await sleep(MEASURE_MS);
+  await pause(MEASURE_MS);
   isMeasuring = false;
   const seconds = (performance.now() - startedAt) / 1_000;
   const { user, system } = process.cpuUsage(cpu);
--- a/packages/bench/src/bookings/bookings_bench.ts
+++ b/packages/bench/src/bookings/bookings_bench.ts
@@ -1,4 +1,5 @@
 /** Store calls, bytes and added latency of a booking, for each way. */
+
 import {
   type Claim,
   type ClaimRequest,
@@ -6,6 +7,7 @@
 } from "@rosemarypin/calls";
 import { createHttpObjectStore, type ObjectStore } from "@rosemarypin/platform";
 import { startObjectApi } from "@rosemarypin/stand_ins";
+import { pause } from "@rosemarypin/timing";
 import { build, type Histogram } from "hdr-histogram-js";
 import type { BenchCommand } from "../bench_command.ts";
 import { measureConnections } from "./connections.ts";
@@ -121,7 +123,7 @@
   while (performance.now() - startedAt < RUN_MS) {
     const due = ((performance.now() - startedAt) / 1_000) * rate;
     while (bookings < due) running.push(book(bookings++));
-    await sleep(1);
+    await pause(1);
   }
   await Promise.all(running);
   return { bookings, refused };
@@ -181,7 +183,7 @@
     ): Promise<T> {
       const at =
         shardOf(request.idempotencyKey, options.shards) % owners.length;
-      if (at !== index) await sleep(PEER_HOP_MS);
+      if (at !== index) await pause(PEER_HOP_MS);
       const owner = owners[at];
       if (!owner) throw new Error(`no instance owns shard ${at}`);
       return work(owner);
@@ -193,7 +195,3 @@
     };
   });
 }
-
-function sleep(durationMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, durationMs));
-}
--- a/packages/bench/src/capacity/idle_daemon.ts
+++ b/packages/bench/src/capacity/idle_daemon.ts
@@ -1,4 +1,5 @@
 /** Memory and processor time of daemons with nothing to do. */
+
 import { readFileSync } from "node:fs";
 import {
   type DeploymentShape,
@@ -6,6 +7,7 @@
   planDeployment,
   startDeployment,
 } from "@rosemarypin/launcher";
+import { pause } from "@rosemarypin/timing";
 
 const SETTLE_MS = 4_000;
 const MEASURE_MS = 10_000;
@@ -39,9 +41,9 @@
     const pids = deployment.plan.daemons.map(({ instance }) =>
       deployment.processes.pid(instance.id),
     );
-    await sleep(SETTLE_MS);
+    await pause(SETTLE_MS);
     const before = pids.map(readCpuSeconds);
-    await sleep(MEASURE_MS);
+    await pause(MEASURE_MS);
     const used = pids.map((pid, index) => {
       const seconds = readCpuSeconds(pid) - (before[index] ?? 0);
       return (seconds / (MEASURE_MS / 1_000)) * 100;
@@ -71,7 +73,3 @@
   const sorted = [...values].sort((a, b) => a - b);
   return sorted[Math.floor(sorted.length / 2)] ?? Number.NaN;
 }
-
-function sleep(durationMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, durationMs));
-}
--- a/packages/bench/src/membership/measure.ts
+++ b/packages/bench/src/membership/measure.ts
@@ -1,4 +1,5 @@
 /** Measures one fleet: traffic, processor time, spread, detection. */
+import { pause } from "@rosemarypin/timing";
 import { type Fleet, type FleetMember, startFleet } from "./fleet.ts";
 
 const SETTLE_LIMIT_MS = 20_000;
@@ -39,7 +40,7 @@
 }): Promise<FleetFigures> {
   const fleet = await startFleet(options);
   const settledMs = await settle(fleet);
-  await sleep(Math.max(0, NEW_FOR_MS - settledMs));
+  await pause(Math.max(0, NEW_FOR_MS - settledMs));
   const rest = await measureTraffic(fleet, REST_MS);
   fleet.members[0]?.membership.share({ note: 1 });
   const noteChange = await measureTraffic(fleet, REST_MS);
@@ -64,7 +65,7 @@
   const startedAt = performance.now();
   while (!members.every((member) => knowsAll(member, members.length))) {
     if (performance.now() - startedAt > SETTLE_LIMIT_MS) return Infinity;
-    await sleep(SETTLE_POLL_MS);
+    await pause(SETTLE_POLL_MS);
   }
   return performance.now() - startedAt;
 }
@@ -78,7 +79,7 @@
   const before = fleet.members.map((member) => member.traffic());
   const cpuBefore = process.cpuUsage();
   const startedAt = performance.now();
-  await sleep(durationMs);
+  await pause(durationMs);
   const seconds = (performance.now() - startedAt) / 1_000;
   const cpu = process.cpuUsage(cpuBefore);
   const after = fleet.members.map((member) => member.traffic());
@@ -111,7 +112,7 @@
     for (const { heardNotes } of others) {
       times.push((heardNotes.get(note) ?? Infinity) - sharedAt);
     }
-    await sleep(500);
+    await pause(500);
   }
   return summary(times);
 }
@@ -161,7 +162,7 @@
   const startedAt = performance.now();
   while (!condition()) {
     if (performance.now() - startedAt > limitMs) return Infinity;
-    await sleep(POLL_MS);
+    await pause(POLL_MS);
   }
   return performance.now() - startedAt;
 }
@@ -171,7 +172,3 @@
   const p50 = sorted[Math.floor(sorted.length / 2)] ?? Number.NaN;
   return { p50, max: sorted.at(-1) ?? Number.NaN };
 }
-
-function sleep(durationMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, durationMs));
-}
--- a/packages/bench/src/store/clients.ts
+++ b/packages/bench/src/store/clients.ts
@@ -1,9 +1,11 @@
 /** Users of the object API as an instance has them, many in one process. */
+
 import {
   createHttpObjectStore,
   followObjects,
   type ObjectStore,
 } from "@rosemarypin/platform";
+import { pause } from "@rosemarypin/timing";
 import { request } from "undici";
 
 const HEAD_KEY = "bench/notes/head";
@@ -51,7 +53,7 @@
 ): Promise<void> {
   while (!signal.aborted) {
     const status = await get(`/watch?prefix=${HEAD_KEY}&since=1`);
-    if (status !== 200) await sleep(PLAIN_RETRY_MS);
+    if (status !== 200) await pause(PLAIN_RETRY_MS);
   }
 }
 
@@ -94,7 +96,3 @@
     timer = setTimeout(run, everyMs);
   }
 }
-
-function sleep(durationMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, durationMs));
-}
--- a/packages/bench/src/store/store_bench.ts
+++ b/packages/bench/src/store/store_bench.ts
@@ -1,4 +1,5 @@
 /** `npm run bench -- store`: what the fleet costs the object API. */
+
 import { setMaxListeners } from "node:events";
 import type { AddressInfo } from "node:net";
 import {
@@ -7,6 +8,7 @@
   startDeployment,
 } from "@rosemarypin/launcher";
 import { startObjectApi } from "@rosemarypin/stand_ins";
+import { pause } from "@rosemarypin/timing";
 import { request } from "undici";
 import type { BenchCommand } from "../bench_command.ts";
 import {
@@ -47,9 +49,9 @@
   const url = plan.daemons[0]?.platform.objectApi ?? "";
   const deployment = await startDeployment(plan);
   try {
-    await sleep(SETTLE_MS);
+    await pause(SETTLE_MS);
     const before = await readCalls(url);
-    await sleep(REST_MS);
+    await pause(REST_MS);
     const calls = (await readCalls(url)) - before;
     return calls / (REST_MS / 1_000) / plan.daemons.length;
   } finally {
@@ -69,7 +71,7 @@
   const { signal } = stopping;
   setMaxListeners(0, signal);
   for (let at = 0; at < FLEET; at++) startClient({ url, fleet: FLEET, signal });
-  await sleep(SETTLE_MS);
+  await pause(SETTLE_MS);
   const before = await sample(url, SETTLE_MS);
   await setDown(url, true);
   const outage = await sample(url, OUTAGE_MS);
@@ -95,7 +97,7 @@
   const watchesBefore = last.watch ?? 0;
   let lastAt = startedAt;
   while (performance.now() - startedAt < durationMs) {
-    await sleep(SAMPLE_MS);
+    await pause(SAMPLE_MS);
     const counts = await readCounts(url);
     const now = performance.now();
     const calls = (counts.calls ?? 0) - (last.calls ?? 0);
@@ -136,7 +138,3 @@
   const response = await request(url, options);
   await response.body.dump();
 }
-
-function sleep(durationMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, durationMs));
-}
--- a/packages/bench/src/throughput/first_note.ts
+++ b/packages/bench/src/throughput/first_note.ts
@@ -1,6 +1,8 @@
 /** Publishes the first note of a measured deployment and waits for it. */
+
 import type { Deployment } from "@rosemarypin/launcher";
 import { formatAddress, noteStatusSchema } from "@rosemarypin/schemas";
+import { pause } from "@rosemarypin/timing";
 import { request } from "undici";
 import { BENCH_LAYERS, benchShape } from "./bench_shape.ts";
 
@@ -39,13 +41,9 @@
   await published.body.dump();
   let phase = "";
   while (phase !== "in_force") {
-    await sleep(POLL_MS);
+    await pause(POLL_MS);
     const response = await request(`${base}/1/status`, { headers });
     ({ phase } = noteStatusSchema.parse(await response.body.json()));
   }
-  await sleep(SETTLE_MS);
-}
-
-function sleep(durationMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, durationMs));
+  await pause(SETTLE_MS);
 }
--- a/packages/bench/src/throughput/open_loop.ts
+++ b/packages/bench/src/throughput/open_loop.ts
@@ -1,4 +1,5 @@
 /** Open-loop load: requests come at their times, whatever the answers do. */
+import { pause } from "@rosemarypin/timing";
 import { createParser } from "eventsource-parser";
 import { uniformInt } from "pure-rand/distribution/uniformInt";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
@@ -45,7 +46,7 @@
   let count = 0;
   while (nextAt < options.durationMs) {
     const waitMs = startedAt + nextAt - performance.now();
-    if (waitMs > 0) await sleep(waitMs);
+    if (waitMs > 0) await pause(waitMs);
     const organisation = pickOrganisation(random);
     const url = options.urls[count % options.urls.length] ?? "";
     running.push(sendOne(organisation, { ...options, url, agent, count }));
@@ -139,7 +140,3 @@
   const generator = xoroshiro128plus(seed);
   return () => uniformInt(generator, 0, RANDOM_RANGE - 1) / RANDOM_RANGE;
 }
-
-function sleep(durationMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, durationMs));
-}
--- a/packages/calls/src/answer_grant.ts
+++ b/packages/calls/src/answer_grant.ts
@@ -1,6 +1,8 @@
 /** Gets engines for one attempt of an answer. */
+
 import type { Grant, Router } from "@rosemarypin/routing";
 import type { AnswerRequest } from "@rosemarypin/schemas";
+import { pause } from "@rosemarypin/timing";
 import type { Progress } from "./answer_progress.ts";
 import { type CallFailure, failedRun, notRun } from "./call_failure.ts";
 
@@ -52,7 +54,7 @@
       if (signal.aborted || Date.now() >= latest) {
         return { kind: "refused", failure: noEngines(result) };
       }
-      await sleep(ENGINES_BACK_CHECK_MS);
+      await pause(ENGINES_BACK_CHECK_MS);
     }
   } finally {
     clearInterval(timer);
@@ -67,7 +69,3 @@
   const message = "the answer lost its engines and found no others";
   return failedRun(code, { message, retryAfterSeconds });
 }
-
-function sleep(durationMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, durationMs));
-}
--- a/packages/fakes/src/memory_store.ts
+++ b/packages/fakes/src/memory_store.ts
@@ -1,4 +1,5 @@
 /** An object store in memory, whose clients can each have faults. */
+
 import type {
   ObjectStore,
   StoredObject,
@@ -6,6 +7,7 @@
   StoreResult,
   WatchBatch,
 } from "@rosemarypin/platform";
+import { pause } from "@rosemarypin/timing";
 
 /** Faults of one client's calls; a test changes them as it goes. */
 export interface StoreFaults {
@@ -71,7 +73,7 @@
 
     async function enter(operation: string): Promise<boolean> {
       counts[operation] = (counts[operation] ?? 0) + 1;
-      if (faults.delayMs > 0) await sleep(faults.delayMs);
+      if (faults.delayMs > 0) await pause(faults.delayMs);
       return !faults.down;
     }
 
@@ -133,7 +135,3 @@
 
   return { client, objects: () => [...objects.values()], counts: () => counts };
 }
-
-function sleep(durationMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, durationMs));
-}
--- a/packages/launcher/src/demo_steps.ts
+++ b/packages/launcher/src/demo_steps.ts
@@ -1,10 +1,12 @@
 /** The steps of the demo; each says what was seen and whether it held. */
+
 import { execFile } from "node:child_process";
 import { writeFileSync } from "node:fs";
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
 import { formatAddress, type NoteStatus } from "@rosemarypin/schemas";
 import { expectedAnswer } from "@rosemarypin/stand_ins";
+import { pause } from "@rosemarypin/timing";
 import { request } from "undici";
 import { stringify } from "yaml";
 import { type StreamedAnswer, streamAnswer } from "./caller.ts";
@@ -171,7 +173,7 @@
       (isAfter ? startedAfter : answers).push(answer);
     }
   });
-  await sleep(TRAFFIC_BEFORE_MS);
+  await pause(TRAFFIC_BEFORE_MS);
   const recalled = await runCli(deployment, [
     "note",
     "recall",
@@ -184,7 +186,7 @@
   const { number } = JSON.parse(recalled.output) as { number: number };
   const waited = await waitInForce(deployment, number);
   inForce = true;
-  await sleep(TRAFFIC_AFTER_MS);
+  await pause(TRAFFIC_AFTER_MS);
   stop.now = true;
   await Promise.all(workers);
   const wrong = startedAfter.filter(
@@ -256,7 +258,7 @@
     const response = await request(url);
     const { held } = (await response.body.json()) as { held: unknown[] };
     if (held.length > 0) return true;
-    await sleep(POLL_MS);
+    await pause(POLL_MS);
   }
   return false;
 }
@@ -346,7 +348,3 @@
     );
   });
 }
-
-function sleep(durationMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, durationMs));
-}
--- a/packages/membership/src/address_book.ts
+++ b/packages/membership/src/address_book.ts
@@ -1,7 +1,7 @@
 /** Addresses at which an instance may or may not be. */
 import type { Address } from "@rosemarypin/schemas";
+import { pause } from "@rosemarypin/timing";
 import type { MemberTable } from "./member_table.ts";
-import { pause } from "./pause.ts";
 
 const HINTS_EVERY_MS = 30_000;
 const MOST_HINTS = 1_024;
--- a/packages/membership/src/prober.ts
+++ b/packages/membership/src/prober.ts
@@ -1,9 +1,9 @@
 /** Probes other instances and judges which of them have gone silent. */
 import type { Address, MemberNews } from "@rosemarypin/schemas";
 import { createLogger } from "@rosemarypin/telemetry";
+import { pause } from "@rosemarypin/timing";
 import type { Acknowledgements } from "./acknowledgements.ts";
 import { hasEnded, type MemberTable, type Reach } from "./member_table.ts";
-import { pause } from "./pause.ts";
 import { createProbeOrder, type Random, sample } from "./probe_order.ts";
 import type { DatagramBody } from "./wire.ts";
 
--- a/packages/platform/src/follow_objects.ts
+++ b/packages/platform/src/follow_objects.ts
@@ -1,4 +1,5 @@
 /** Follows the objects below a prefix, over breaks of the watch. */
+import { pause } from "@rosemarypin/timing";
 import { fullJitterMs } from "./full_jitter.ts";
 import type {
   ObjectStore,
@@ -64,15 +65,3 @@
   if (failure.kind === "over_budget") return failure.retryAfterMs;
   return fullJitterMs(failures, JITTER);
 }
-
-function pause(durationMs: number, signal: AbortSignal): Promise<void> {
-  return new Promise((resolve) => {
-    const timer = setTimeout(done, durationMs);
-    signal.addEventListener("abort", done, { once: true });
-    function done(): void {
-      clearTimeout(timer);
-      signal.removeEventListener("abort", done);
-      resolve();
-    }
-  });
-}
--- a/packages/release/src/backoff.ts
+++ b/packages/release/src/backoff.ts
@@ -16,17 +16,3 @@
 export function jittered(durationMs: number): number {
   return durationMs * (0.75 + Math.random() / 2);
 }
-
-/** Waits; ends early when the signal is aborted. */
-export function pause(durationMs: number, signal: AbortSignal): Promise<void> {
-  return new Promise((resolve) => {
-    if (signal.aborted) return resolve();
-    const timer = setTimeout(done, durationMs);
-    signal.addEventListener("abort", done, { once: true });
-    function done(): void {
-      clearTimeout(timer);
-      signal.removeEventListener("abort", done);
-      resolve();
-    }
-  });
-}
--- a/packages/release/src/head_follower.ts
+++ b/packages/release/src/head_follower.ts
@@ -2,7 +2,8 @@
 import type { ObjectStore, Revision } from "@rosemarypin/platform";
 import { headObjectSchema, type NoteRecord } from "@rosemarypin/schemas";
 import { createLogger } from "@rosemarypin/telemetry";
-import { backoffMs, pause } from "./backoff.ts";
+import { pause } from "@rosemarypin/timing";
+import { backoffMs } from "./backoff.ts";
 import { elapsedMs, type Moment, readMoment } from "./moment.ts";
 
 /** A watch that ends sooner, with nothing new, did not wait. */
--- a/packages/release/src/note_sources.ts
+++ b/packages/release/src/note_sources.ts
@@ -7,7 +7,8 @@
   type NoteRequest,
   noteReplySchema,
 } from "@rosemarypin/schemas";
-import { jittered, pause } from "./backoff.ts";
+import { pause } from "@rosemarypin/timing";
+import { jittered } from "./backoff.ts";
 import { UNLISTED_ALLOWANCE_MS } from "./contact.ts";
 import { followHead, type HeadNews, readHead } from "./head_follower.ts";
 import { type Moment, readMoment } from "./moment.ts";
--- a/packages/release/src/registration.ts
+++ b/packages/release/src/registration.ts
@@ -18,7 +18,8 @@
   storedKeys,
 } from "@rosemarypin/schemas";
 import { createLogger } from "@rosemarypin/telemetry";
-import { backoffMs, jittered, pause } from "./backoff.ts";
+import { pause } from "@rosemarypin/timing";
+import { backoffMs, jittered } from "./backoff.ts";
 import { type Moment, readMoment } from "./moment.ts";
 
 /** How often one instance of a domain looks for entries of ended ones. */
--- a/packages/stand_ins/src/engine/engine_link.ts
+++ b/packages/stand_ins/src/engine/engine_link.ts
@@ -1,5 +1,7 @@
 /** Carries messages from one engine to the others. */
+
 import { type Address, formatAddress } from "@rosemarypin/schemas";
+import { pause } from "@rosemarypin/timing";
 import { Agent, request } from "undici";
 import type { Outgoing } from "./outgoing.ts";
 import type { EngineMessage, StepsReply } from "./step.ts";
@@ -49,7 +51,7 @@
       for (const message of messages) options.receive(message);
       return;
     }
-    await sleep(options.linkMs);
+    await pause(options.linkMs);
     const repeat = (late: readonly EngineMessage[]) =>
       void post(address, late).then(
         ({ body }) => body.dump(),
@@ -82,7 +84,3 @@
     for (const [address, messages] of byAddress) void send(address, messages);
   };
 }
-
-function sleep(durationMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, durationMs));
-}
--- a/packages/stand_ins/src/object_api.ts
+++ b/packages/stand_ins/src/object_api.ts
@@ -1,5 +1,7 @@
 /** Stand-in of the platform's object API, in memory. */
+
 import type { Server, ServerResponse } from "node:http";
+import { pause } from "@rosemarypin/timing";
 import { type JsonExchange, reply, startJsonServer } from "./http_json.ts";
 import {
   createFaults,
@@ -48,7 +50,7 @@
     if (url.pathname === "/faults") return setFaults(exchange);
     if (url.pathname === "/counts") return reply(response, 200, counts);
     count("calls");
-    if (faults.delayMs > 0) await sleep(faults.delayMs);
+    if (faults.delayMs > 0) await pause(faults.delayMs);
     if (faults.down) return reply(response, 503, { error: "down" });
     if (!rateLimit.admits()) return reply(response, 429, { error: "rate" });
     if (url.pathname === "/watch") return watch(exchange);
@@ -168,7 +170,3 @@
     .map(decodeURIComponent)
     .join("/");
 }
-
-function sleep(durationMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, durationMs));
-}
--- a/packages/stand_ins/src/plain_service.ts
+++ b/packages/stand_ins/src/plain_service.ts
@@ -1,6 +1,8 @@
 /** Stand-in of a booking service, which keeps a journal of what it ran. */
+
 import { appendFileSync } from "node:fs";
 import type { Server } from "node:http";
+import { pause } from "@rosemarypin/timing";
 import { type JsonExchange, reply, startJsonServer } from "./http_json.ts";
 
 /** One run of a call that may not be repeated. */
@@ -59,7 +61,7 @@
       response.setHeader("x-not-started", "busy");
       return reply(response, 503, { error: "busy" });
     }
-    if (faults.delayMs > 0) await sleep(faults.delayMs);
+    if (faults.delayMs > 0) await pause(faults.delayMs);
     if (method === "GET") {
       return reply(response, 200, { path: url.pathname, server: options.id });
     }
@@ -100,7 +102,3 @@
 
   return startJsonServer({ ...options, handle });
 }
-
-function sleep(durationMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, durationMs));
-}
--- /dev/null
+++ b/packages/timing/src/mod.ts
@@ -0,0 +1,2 @@
+/** Pauses by the runtime's clock. */
+export * from "./pause.ts";
--- /dev/null
+++ b/packages/timing/src/pause.ts
@@ -0,0 +1,15 @@
+/** Waiting for a while, by the timers that tests pause and advance. */
+
+/** Resolves after `durationMs`, or as soon as the signal is aborted. */
+export function pause(durationMs: number, signal?: AbortSignal): Promise<void> {
+  return new Promise((resolve) => {
+    if (signal?.aborted) return resolve();
+    const timer = setTimeout(done, durationMs);
+    signal?.addEventListener("abort", done, { once: true });
+    function done(): void {
+      clearTimeout(timer);
+      signal?.removeEventListener("abort", done);
+      resolve();
+    }
+  });
+}
