--- a/packages/launcher/src/deployment.ts
+++ b/packages/launcher/src/deployment.ts
@@ -10,7 +10,7 @@
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
 import { formatAddress } from "@rosemarypin/schemas";
-import type { JournalEntry } from "@rosemarypin/stand_ins";
+import type { JournalEntry, RunEntry } from "@rosemarypin/stand_ins";
 import { request } from "undici";
 import { stringify } from "yaml";
 import type { DeploymentPlan } from "./deployment_plan.ts";
@@ -33,6 +33,8 @@
   startStandIn(name: string): void;
   /** What the service's servers ran, those that were killed included. */
   readJournals(): readonly JournalEntry[];
+  /** What engines ran; empty unless `engineJournals` was asked for. */
+  readEngineRuns(): readonly RunEntry[];
   /** Ends all processes; `keepFolder` leaves settings and logs. */
   stop(options?: { readonly keepFolder?: boolean }): Promise<void>;
 }
@@ -41,6 +43,8 @@
 export interface DeploymentOptions {
   readonly daemonScript?: string;
   readonly daemonArgs?: readonly string[];
+  /** Keeps what each engine runs in files, which costs it some time. */
+  readonly engineJournals?: boolean;
 }
 
 /** Starts every process of the plan and waits until each listens. */
@@ -61,20 +65,36 @@
     return join(folder, `${name}.journal`);
   }
 
-  function readJournals(): readonly JournalEntry[] {
-    return plan.services.servers
-      .map(({ id }) => journalFileOf(id))
+  /** Lines of the journals of all that are named. */
+  function readLines(names: readonly string[]): unknown[] {
+    return names
+      .map(journalFileOf)
       .filter((file) => existsSync(file))
       .flatMap((file) => readFileSync(file, "utf8").split("\n"))
       .filter((line) => line !== "")
-      .map((line) => JSON.parse(line) as JournalEntry);
+      .map((line) => JSON.parse(line) as unknown);
+  }
+
+  function readJournals(): readonly JournalEntry[] {
+    const names = plan.services.servers.map(({ id }) => id);
+    return readLines(names) as JournalEntry[];
+  }
+
+  function readEngineRuns(): readonly RunEntry[] {
+    return readLines(plan.engines.map(({ id }) => id)) as RunEntry[];
+  }
+
+  function journalSettingsOf(name: string, kind: string): object {
+    const file = journalFileOf(name);
+    if (kind === "service") return { journalFile: file };
+    const isWanted = kind === "engine" && options.engineJournals;
+    return isWanted ? { journal: file } : {};
   }
 
   function startStandIn(name: string): void {
     const standIn = plan.standIns.find((entry) => entry.name === name);
     if (!standIn) throw new Error(`the plan has no stand-in '${name}'`);
-    const isService = standIn.settings.kind === "service";
-    const journal = isService ? { journalFile: journalFileOf(name) } : {};
+    const journal = journalSettingsOf(name, standIn.settings.kind);
     const settings = writeSettings(name, { ...standIn.settings, ...journal });
     const args = ["--settings", settings];
     processes.start(name, { script: standInScript, args });
@@ -110,6 +130,7 @@
     startInstance,
     startStandIn,
     readJournals,
+    readEngineRuns,
     async stop({ keepFolder = false } = {}) {
       await processes.stopAll();
       if (!keepFolder) rmSync(folder, { recursive: true, force: true });
--- a/packages/scenarios/src/main.ts
+++ b/packages/scenarios/src/main.ts
@@ -3,6 +3,7 @@
 import { readFileSync } from "node:fs";
 import { formatProblem, parseYamlFile } from "@rosemarypin/schemas";
 import meow from "meow";
+import type { Verdict } from "./promises.ts";
 import { hasHeld, runScenario, type ScenarioResult } from "./run_scenario.ts";
 import { type Scenario, scenarioSchema } from "./scenario_schema.ts";
 
@@ -22,9 +23,17 @@
   process.exit(EXIT_BAD_FILE);
 }
 
+/** A promise about which a run saw nothing is not shown by it. */
+function stateOf(
+  verdict: Pick<Verdict, "broken" | "judged">,
+): "held" | "BROKEN" | "NOT SHOWN" {
+  if (verdict.broken !== null) return "BROKEN";
+  return verdict.judged > 0 ? "held" : "NOT SHOWN";
+}
+
 function report(name: string, result: ScenarioResult): void {
   for (const { promise, broken, judged } of result.verdicts) {
-    const state = broken === null ? "held" : "BROKEN";
+    const state = stateOf({ broken, judged });
     console.log(
       `${state}  ${name}  ${promise}  judged ${judged}${broken ? `: ${broken}` : ""}`,
     );
--- a/packages/scenarios/src/observations.ts
+++ b/packages/scenarios/src/observations.ts
@@ -9,6 +9,7 @@
   readonly instance: string;
   readonly startedAt: number;
   readonly lastTokenAt: number;
+  readonly endedAt: number;
   readonly answer: StreamedAnswer;
 }
 
@@ -33,6 +34,26 @@
   readonly withdrawnVersions: readonly string[];
 }
 
+/** A server that said it was leaving. */
+export interface ObservedLeaving {
+  readonly server: string;
+  readonly at: number;
+}
+
+/** An instance that was killed, until it was started again. */
+export interface ObservedKill {
+  readonly instance: string;
+  readonly at: number;
+  startedAgainAt: number;
+}
+
+/** The first work that a backend server did for one request. */
+export interface ObservedWork {
+  readonly server: string;
+  readonly requestId: string;
+  readonly at: number;
+}
+
 /** One line of the timeline. */
 export interface TimelineEntry {
   readonly at: number;
@@ -50,4 +71,8 @@
   readonly timeline: TimelineEntry[];
   /** Keys that the services' journals hold, once for each run. */
   readonly journal: string[];
+  readonly leavings: ObservedLeaving[];
+  readonly kills: ObservedKill[];
+  /** Of engines and services alike, in the order in which it began. */
+  readonly work: ObservedWork[];
 }
--- a/packages/scenarios/src/promises.ts
+++ b/packages/scenarios/src/promises.ts
@@ -11,6 +11,11 @@
   readonly judged: number;
 }
 
+/** How long instances may take to hear that a server leaves. */
+const LEAVING_HEARD_MS = 3_000;
+/** A killed instance that is started again listens within this time. */
+const START_MS = 15_000;
+
 type Judge = (seen: Observations) => Omit<Verdict, "promise">;
 
 const judges: Readonly<Record<PromiseName, Judge>> = {
@@ -43,6 +48,9 @@
           : null,
     );
   },
+  leaving_gets_nothing: judgeLeaving,
+  cut_only_by_kills: (seen) =>
+    judgeEach(seen.answers, (observed) => judgeCut(observed, seen)),
   answered_calls_ran: (seen) => {
     const runs = countRuns(seen);
     return judgeEach(
@@ -138,6 +146,41 @@
   });
 }
 
+/** Only a server that had work before shows anything by having none after. */
+function judgeLeaving(seen: Observations): Omit<Verdict, "promise"> {
+  const worked = seen.leavings.filter(({ server, at }) =>
+    seen.work.some((work) => work.server === server && work.at < at),
+  );
+  return judgeEach(worked, ({ server, at }) => {
+    const late = seen.work.find(
+      (work) => work.server === server && work.at > at + LEAVING_HEARD_MS,
+    );
+    if (!late) return null;
+    const lateMs = Math.round(late.at - at);
+    return `${server} got '${late.requestId}' ${lateMs} ms after it said it leaves`;
+  });
+}
+
+/** Refusals and recalls are final answers; only a kill excuses silence. */
+function judgeCut(
+  { answer, instance, startedAt, endedAt }: ObservedAnswer,
+  seen: Observations,
+): string | null {
+  if (answer.kind === "whole") return null;
+  if (answer.kind === "failed") {
+    const isFair =
+      answer.outcome === "not_run" || answer.outcome === "withdrawn";
+    return isFair ? null : `${instance} gave up: ${JSON.stringify(answer)}`;
+  }
+  const isKilled = seen.kills.some(
+    (kill) =>
+      kill.instance === instance &&
+      kill.at <= endedAt &&
+      startedAt <= kill.startedAgainAt + START_MS,
+  );
+  return isKilled ? null : `${instance} broke: ${answer.reason}`;
+}
+
 function countRuns(seen: Observations): Map<string, number> {
   const runs = new Map<string, number>();
   for (const key of seen.journal) runs.set(key, (runs.get(key) ?? 0) + 1);
--- a/packages/scenarios/src/run_scenario.ts
+++ b/packages/scenarios/src/run_scenario.ts
@@ -7,7 +7,7 @@
   startDeployment,
 } from "@rosemarypin/launcher";
 import { createAdminCalls } from "./admin_calls.ts";
-import type { Observations } from "./observations.ts";
+import type { Observations, ObservedWork } from "./observations.ts";
 import { judge, type Verdict } from "./promises.ts";
 import { runStep, type StepContext } from "./run_step.ts";
 import type { Scenario } from "./scenario_schema.ts";
@@ -27,7 +27,8 @@
 /** Whether all went as promised, and something was judged for each promise. */
 export function hasHeld({ verdicts, stuck }: ScenarioResult): boolean {
   const isShown = verdicts.every(({ broken }) => broken === null);
-  return stuck === null && isShown;
+  const isJudged = verdicts.every(({ judged }) => judged > 0);
+  return stuck === null && isShown && isJudged;
 }
 
 /** Starts the cast, runs the steps, judges the promises. */
@@ -46,6 +47,7 @@
     clock: () => performance.now() - startedAt,
     seed: options.seed,
     numbers: new Map(),
+    publishIds: new Map(),
     traffic: new Map(),
   };
   const stopWatching = watchNotes(context);
@@ -54,6 +56,8 @@
   stopWatching();
   const journal = deployment.readJournals();
   seen.journal.push(...journal.map((entry) => entry.idempotencyKey));
+  const startedAtEpoch = performance.timeOrigin + startedAt;
+  seen.work.push(...readWork(deployment, startedAtEpoch));
   const verdicts = judge(scenario.promises, seen);
   const result = { verdicts, stuck, seen, folder: deployment.folder };
   await deployment.stop({ keepFolder: !hasHeld(result) });
@@ -69,7 +73,9 @@
       perDomain: cast.enginesPerStage,
     })),
   };
-  return planDeployment(shape).then((plan) => startDeployment(plan));
+  return planDeployment(shape).then((plan) =>
+    startDeployment(plan, { engineJournals: true }),
+  );
 }
 
 async function runSteps(context: StepContext): Promise<string | null> {
@@ -94,9 +100,32 @@
     inForce: [],
     timeline: [],
     journal: [],
+    leavings: [],
+    kills: [],
+    work: [],
   };
 }
 
+/** First work of each server for each request, by the run's clock. */
+function readWork(
+  deployment: Deployment,
+  startedAtEpoch: number,
+): readonly ObservedWork[] {
+  const runs = [
+    ...deployment
+      .readEngineRuns()
+      .map(({ engine, requestId, at }) => ({ server: engine, requestId, at })),
+    ...deployment.readJournals(),
+  ];
+  const first = new Map<string, ObservedWork>();
+  for (const { server, requestId, at } of runs) {
+    const key = `${server}/${requestId}`;
+    if (first.has(key)) continue;
+    first.set(key, { server, requestId, at: at - startedAtEpoch });
+  }
+  return [...first.values()];
+}
+
 /** Asks each instance again and again which note it applies. */
 function watchNotes({ deployment, admin, seen }: StepContext): () => void {
   const timers = deployment.plan.daemons.map(({ instance }) =>
--- a/packages/scenarios/src/run_step.ts
+++ b/packages/scenarios/src/run_step.ts
@@ -21,6 +21,8 @@
   readonly seed: number;
   /** Numbers of published notes by their names. */
   readonly numbers: Map<string, number>;
+  /** Publish ids by note: a note that is published again is the same one. */
+  readonly publishIds: Map<string, string>;
   readonly traffic: Map<string, Traffic>;
 }
 
@@ -61,11 +63,16 @@
     return;
   }
   if ("wait" in step) return sleep(step.wait * 1_000);
-  if ("kill" in step) return processes.signal(step.kill, "SIGKILL");
+  if ("kill" in step) return kill(step.kill, context);
   if ("freeze" in step) return processes.signal(step.freeze, "SIGSTOP");
   if ("thaw" in step) return processes.signal(step.thaw, "SIGCONT");
   if ("stop" in step) return stopGracefully(step.stop, context);
-  if ("start" in step) return start(step.start, deployment);
+  if ("start" in step) return start(step.start, context);
+  if ("leave" in step) return leave(step.leave, context);
+  if ("linkMs" in step) {
+    const { linkMs, of } = step;
+    return setFaults(deployment, { standIn: of, faults: { linkMs } });
+  }
   if ("storeDown" in step)
     return setStoreFaults(deployment, { down: step.storeDown });
   if ("storeDelayMs" in step) {
@@ -87,13 +94,19 @@
   const result = await context.admin.publish({
     ...note,
     supersedes,
-    publishId: randomUUID(),
+    publishId: publishIdOf(name, context),
   });
   const what = "number" in result ? `is note ${result.number}` : result.code;
   context.seen.timeline.push({ at: context.clock(), what: `${name}: ${what}` });
   if ("number" in result) context.numbers.set(name, result.number);
 }
 
+function publishIdOf(name: string, { publishIds }: StepContext): string {
+  const publishId = publishIds.get(name) ?? randomUUID();
+  publishIds.set(name, publishId);
+  return publishId;
+}
+
 function findNote(name: string, scenario: Scenario) {
   return scenario.notes[name] ?? standardNotes[name];
 }
@@ -135,7 +148,30 @@
   if (code !== 0) throw new Error(`${name} exited with ${code}, not 0`);
 }
 
-function start(name: string, deployment: Deployment): void {
+function kill(name: string, { deployment, seen, clock }: StepContext): void {
+  deployment.processes.signal(name, "SIGKILL");
+  const at = clock();
+  seen.kills.push({ instance: name, at, startedAgainAt: Infinity });
+}
+
+/** Engines leave by a call of their own, servers by their health path. */
+async function leave(name: string, context: StepContext): Promise<void> {
+  const { deployment, seen, clock } = context;
+  const engine = deployment.plan.engines.find(({ id }) => id === name);
+  if (engine) {
+    const url = `http://${formatAddress(engine.address)}/leave`;
+    const response = await request(url, { method: "POST" });
+    await response.body.dump();
+  } else {
+    const faults = { leaving: true };
+    await setFaults(deployment, { standIn: name, faults });
+  }
+  seen.leavings.push({ server: name, at: clock() });
+}
+
+function start(name: string, { deployment, seen, clock }: StepContext): void {
+  const kill = seen.kills.findLast(({ instance }) => instance === name);
+  if (kill) kill.startedAgainAt = clock();
   const isInstance = deployment.plan.daemons.some(
     ({ instance }) => instance.id === name,
   );
--- a/packages/scenarios/src/scenario_schema.ts
+++ b/packages/scenarios/src/scenario_schema.ts
@@ -28,6 +28,10 @@
   "not_run_is_true",
   /** Every call that was answered ran. */
   "answered_calls_ran",
+  /** A server that leaves gets no new work after a few seconds. */
+  "leaving_gets_nothing",
+  /** Only callers of a killed instance lost their connection. */
+  "cut_only_by_kills",
 ]);
 export type PromiseName = z.infer<typeof promiseNameSchema>;
 
@@ -65,6 +69,12 @@
   z.strictObject({ thaw: nameSchema }),
   z.strictObject({ stop: nameSchema }),
   z.strictObject({ start: nameSchema }),
+  /** An engine or a service's server says that it leaves. */
+  z.strictObject({ leave: nameSchema }),
+  z.strictObject({
+    linkMs: z.number().min(0).max(5_000),
+    of: nameSchema,
+  }),
   z.strictObject({ storeDown: z.boolean() }),
   z.strictObject({ storeDelayMs: z.number().int().min(0).max(10_000) }),
   z.strictObject({ loseStoreReplies: z.number().int().min(0).max(100) }),
--- a/packages/scenarios/src/traffic.ts
+++ b/packages/scenarios/src/traffic.ts
@@ -106,6 +106,7 @@
     instance,
     startedAt,
     lastTokenAt,
+    endedAt: clock(),
     answer,
   });
   return answer.kind === "whole";
--- a/packages/stand_ins/src/engine/engine.ts
+++ b/packages/stand_ins/src/engine/engine.ts
@@ -14,7 +14,10 @@
   type ParkedAnswer,
 } from "@rosemarypin/schemas";
 import { type JsonExchange, reply, startJsonServer } from "../http_json.ts";
-import type { EngineStandInSettings } from "../stand_in_settings.ts";
+import {
+  type EngineStandInSettings,
+  engineFaultsSchema,
+} from "../stand_in_settings.ts";
 import {
   createEngineLink,
   type LinkFault,
@@ -57,9 +60,10 @@
     (settings.journal ? createFileJournal(settings.journal) : null);
   const table = createSequenceTable();
   const inbox: StepMessage[] = [];
+  let { linkMs } = settings.speed;
   const dispatch = createEngineLink({
     own: settings.address,
-    linkMs: settings.speed.linkMs,
+    linkMs: () => linkMs,
     fault: hooks.linkFault,
     receive: (message) => void receive(message),
     onUnsent: (messages, reason) =>
@@ -92,6 +96,11 @@
       return reply(response, 200, { unknown });
     }
     if (call === "POST /order") return takeOrder(exchange);
+    if (call === "POST /faults") {
+      const faults = engineFaultsSchema.parse(body);
+      linkMs = faults.linkMs;
+      return reply(response, 200, faults);
+    }
     if (call === "POST /leave") {
       leaving = true;
       return reply(response, 200, state());
--- a/packages/stand_ins/src/engine/engine_link.ts
+++ b/packages/stand_ins/src/engine/engine_link.ts
@@ -18,7 +18,8 @@
 
 export interface EngineLinkOptions {
   readonly own: Address;
-  readonly linkMs: number;
+  /** Read for each message: a link may degrade while it is in use. */
+  readonly linkMs: () => number;
   readonly fault: LinkFault | undefined;
   /** Takes the messages of the engine to itself. */
   receive(message: EngineMessage): void;
@@ -43,7 +44,7 @@
       for (const message of messages) options.receive(message);
       return;
     }
-    await sleep(options.linkMs);
+    await sleep(options.linkMs());
     const arriving = (await options.fault?.(messages)) ?? messages;
     if (arriving.length === 0) return;
     try {
--- a/packages/stand_ins/src/plain_service.ts
+++ b/packages/stand_ins/src/plain_service.ts
@@ -5,6 +5,8 @@
 
 /** One run of a call that may not be repeated. */
 export interface JournalEntry {
+  /** Server that ran the call. */
+  readonly server: string;
   readonly idempotencyKey: string;
   readonly organisation: string;
   readonly requestId: string;
@@ -80,6 +82,7 @@
 
   function run({ request, url, response }: JsonExchange): void {
     const entry: JournalEntry = {
+      server: options.id,
       idempotencyKey: String(request.headers["idempotency-key"] ?? ""),
       organisation: String(request.headers["x-organisation"] ?? ""),
       requestId: String(request.headers["x-request-id"] ?? ""),
--- a/packages/stand_ins/src/stand_in_settings.ts
+++ b/packages/stand_ins/src/stand_in_settings.ts
@@ -22,6 +22,12 @@
 });
 export type EngineSpeed = z.infer<typeof engineSpeedSchema>;
 
+/** Faults of an engine that a test sets with `POST /faults`. */
+export const engineFaultsSchema = z.strictObject({
+  /** Time that a message to another engine takes, in milliseconds. */
+  linkMs: z.number().nonnegative(),
+});
+
 export const engineStandInSchema = z.strictObject({
   kind: z.literal("engine"),
   id: nameSchema,
