Send the goodbye before the socket closes

Cause: leave() handed the goodbye to the datagram socket and closed it in the same turn. The socket looks the address up first, even a numeric one, finds itself closed and drops the datagram. Found by the scenario instance-joins: an instance that ended by a planned stop stayed 'unheard' (its address answered with something that is not ours), for up to the contact allowance of an hour. The test fails without the change and passes with it. Others took no notice, since a refused connection mostly shows the end as well.

--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -65,19 +65,30 @@
 
   function beat(): void {
     self = { ...self, revision: self.revision + 1 };
-    sendHeartbeat();
+    void sendHeartbeat();
   }
 
-  function sendHeartbeat(): void {
+  function sendHeartbeat(): Promise<unknown> {
     const known = table.all().filter((member) => member.state !== "left");
     const message = encodeHeartbeat([
       self,
       ...known.map((member) => member.record),
     ]);
-    for (const target of targets()) {
+    const sent = targets().map((target) => {
       options.metrics?.peerBytes.inc({ direction: "sent" }, message.length);
-      socket.send(message, target.port, target.host);
-    }
+      return send(message, target);
+    });
+    return Promise.all(sent);
+  }
+
+  /** Resolves once the datagram is on its way, or cannot be sent. */
+  function send(message: Buffer, { host, port }: Address): Promise<void> {
+    return new Promise((resolve) => {
+      socket.send(message, port, host, (error) => {
+        if (error) log.warn("send_failed", { reason: error.message });
+        resolve();
+      });
+    });
   }
 
   function targets(): Address[] {
@@ -124,7 +135,7 @@
         revision: self.revision + 1,
         shared: { ...self.shared, ...change },
       };
-      sendHeartbeat();
+      void sendHeartbeat();
     },
     onNews(listener) {
       listeners.add(listener);
@@ -133,7 +144,10 @@
     async leave() {
       clearInterval(timer);
       self = { ...self, revision: self.revision + 1, left: true };
-      sendHeartbeat();
+      // Sending looks the address up first, even a numeric one, and a socket
+      // that was closed meanwhile drops the datagram: the goodbye was never
+      // sent, and peers could only guess that the instance had ended.
+      await sendHeartbeat();
       socket.close();
       await once(socket, "close");
     },
