--- a/packages/scenarios/src/admin_calls.ts
+++ b/packages/scenarios/src/admin_calls.ts
@@ -20,6 +20,8 @@
     note: unknown,
   ): Promise<{ readonly number: number } | { readonly code: string }>;
   noteStatus(number: number): Promise<NoteStatus | null>;
+  /** Whether a balancer would send callers to the instance. */
+  isReady(instance: string): Promise<boolean>;
   /** Status of one instance, or `null` if it does not answer. */
   statusOf(instance: string): Promise<Status | null>;
 }
@@ -73,6 +75,11 @@
       }
       return null;
     },
+    async isReady(instance) {
+      const base = bases.find(({ id }) => id === instance);
+      const answer = base && (await call(`${base.url}/readyz`));
+      return answer?.status === 200;
+    },
     async statusOf(instance) {
       const base = bases.find(({ id }) => id === instance);
       const answer = base && (await call(`${base.url}/v1/status`));
--- a/packages/scenarios/src/promises.ts
+++ b/packages/scenarios/src/promises.ts
@@ -51,6 +51,10 @@
   leaving_gets_nothing: judgeLeaving,
   cut_only_by_kills: (seen) =>
     judgeEach(seen.answers, (observed) => judgeCut(observed, seen)),
+  orders_answered: (seen) =>
+    judgeEach(seen.orders, ({ idempotencyKey, told }) =>
+      told === "answered" ? null : `'${idempotencyKey}' ended as ${told}`,
+    ),
   answered_calls_ran: (seen) => {
     const runs = countRuns(seen);
     return judgeEach(
--- a/packages/scenarios/src/promises_test.ts
+++ b/packages/scenarios/src/promises_test.ts
@@ -183,6 +183,18 @@
     { orders: [{ ...order, told: "answered" }] },
     false,
   ),
+  row(
+    "orders_answered",
+    "an order answered",
+    { orders: [{ ...order, told: "answered" }] },
+    true,
+  ),
+  row(
+    "orders_answered",
+    "an order refused",
+    { orders: [{ ...order, told: "not_run" }] },
+    false,
+  ),
   row(
     "leaving_gets_nothing",
     "new work only before and just after",
--- a/packages/scenarios/src/run_step.ts
+++ b/packages/scenarios/src/run_step.ts
@@ -5,11 +5,18 @@
 import { request } from "undici";
 import type { AdminCalls } from "./admin_calls.ts";
 import type { Observations } from "./observations.ts";
-import type { Scenario, SimpleStep, Step } from "./scenario_schema.ts";
+import type {
+  Scenario,
+  SimpleStep,
+  Step,
+  TrafficSettings,
+} from "./scenario_schema.ts";
 import { standardNotes } from "./standard_notes.ts";
 import { startTraffic, type Traffic } from "./traffic.ts";
 
 const POLL_MS = 100;
+/** Longest wait for the instances that traffic goes to. */
+const READY_SECONDS = 15;
 
 /** What the steps of one run share. */
 export interface StepContext {
@@ -54,6 +61,7 @@
   }
   if ("startTraffic" in step) {
     const { startTraffic: settings } = step;
+    await waitForReady(settings, context);
     traffic.set(settings.name, startTraffic(settings, context));
     return;
   }
@@ -87,6 +95,21 @@
   });
 }
 
+/** As behind a balancer, callers come to an instance once it is ready. */
+async function waitForReady(
+  { instances }: TrafficSettings,
+  { deployment, admin, clock }: StepContext,
+): Promise<void> {
+  const all = deployment.plan.daemons.map(({ instance }) => instance.id);
+  const end = clock() + READY_SECONDS * 1_000;
+  for (const instance of instances ?? all) {
+    while (!(await admin.isReady(instance))) {
+      if (clock() > end) throw new Error(`${instance} is not ready`);
+      await sleep(POLL_MS);
+    }
+  }
+}
+
 async function publish(name: string, context: StepContext): Promise<void> {
   const note = findNote(name, context.scenario);
   if (!note) throw new Error(`the scenario has no note '${name}'`);
--- a/packages/scenarios/src/scenario_schema.ts
+++ b/packages/scenarios/src/scenario_schema.ts
@@ -32,6 +32,8 @@
   "leaving_gets_nothing",
   /** Only callers of a killed instance lost their connection. */
   "cut_only_by_kills",
+  /** Every call that may not be repeated was answered. */
+  "orders_answered",
 ]);
 export type PromiseName = z.infer<typeof promiseNameSchema>;
 
@@ -55,40 +57,46 @@
 export type TrafficSettings = z.infer<typeof trafficSchema>;
 
 /** Steps that do one thing. */
-const simpleStepSchema = z.union([
-  z.strictObject({ publish: nameSchema }),
-  z.strictObject({
-    waitInForce: nameSchema,
-    withinSeconds: secondsSchema.default(15),
-  }),
-  z.strictObject({ startTraffic: trafficSchema }),
-  z.strictObject({ stopTraffic: nameSchema }),
-  z.strictObject({ wait: secondsSchema }),
-  z.strictObject({ kill: nameSchema }),
-  z.strictObject({ freeze: nameSchema }),
-  z.strictObject({ thaw: nameSchema }),
-  z.strictObject({ stop: nameSchema }),
-  z.strictObject({ start: nameSchema }),
-  /** An engine or a service's server says that it leaves. */
-  z.strictObject({ leave: nameSchema }),
-  z.strictObject({
-    linkMs: z.number().min(0).max(5_000),
-    of: nameSchema,
-  }),
-  z.strictObject({ storeDown: z.boolean() }),
-  z.strictObject({ storeDelayMs: z.number().int().min(0).max(10_000) }),
-  z.strictObject({ loseStoreReplies: z.number().int().min(0).max(100) }),
-  z.strictObject({
-    loseServiceAnswers: z.number().int().min(0).max(100),
-    of: nameSchema,
-  }),
-]);
+const simpleStepSchema = z.union(
+  [
+    z.strictObject({ publish: nameSchema }),
+    z.strictObject({
+      waitInForce: nameSchema,
+      withinSeconds: secondsSchema.default(15),
+    }),
+    z.strictObject({ startTraffic: trafficSchema }),
+    z.strictObject({ stopTraffic: nameSchema }),
+    z.strictObject({ wait: secondsSchema }),
+    z.strictObject({ kill: nameSchema }),
+    z.strictObject({ freeze: nameSchema }),
+    z.strictObject({ thaw: nameSchema }),
+    z.strictObject({ stop: nameSchema }),
+    z.strictObject({ start: nameSchema }),
+    /** An engine or a service's server says that it leaves. */
+    z.strictObject({ leave: nameSchema }),
+    z.strictObject({
+      linkMs: z.number().min(0).max(5_000),
+      of: nameSchema,
+    }),
+    z.strictObject({ storeDown: z.boolean() }),
+    z.strictObject({ storeDelayMs: z.number().int().min(0).max(10_000) }),
+    z.strictObject({ loseStoreReplies: z.number().int().min(0).max(100) }),
+    z.strictObject({
+      loseServiceAnswers: z.number().int().min(0).max(100),
+      of: nameSchema,
+    }),
+  ],
+  { error: ({ input }) => `no step of the language: ${JSON.stringify(input)}` },
+);
 
 /** One step; `race` runs its steps at the same time. */
-export const stepSchema = z.union([
-  simpleStepSchema,
-  z.strictObject({ race: z.array(simpleStepSchema).min(2) }),
-]);
+export const stepSchema = z.union(
+  [
+    simpleStepSchema,
+    z.strictObject({ race: z.array(simpleStepSchema).min(2) }),
+  ],
+  { error: ({ input }) => `no step of the language: ${JSON.stringify(input)}` },
+);
 export type SimpleStep = z.infer<typeof simpleStepSchema>;
 export type Step = z.infer<typeof stepSchema>;
 
