--- a/packages/calls/src/answer_progress.ts
+++ b/packages/calls/src/answer_progress.ts
@@ -66,11 +66,13 @@
     version: progress.version?.version ?? "",
     adapter: request.adapter,
     noteNumber: progress.noteNumber,
-    stages: stages.map((stage) =>
-      hasCache(stage, { progress, incarnations })
-        ? { ...stage, keptPositions: positions }
-        : stage,
-    ),
+    stages: stages.map((stage) => ({
+      ...stage,
+      incarnation: incarnations.get(stage.engine),
+      ...(hasCache(stage, { progress, incarnations })
+        ? { keptPositions: positions }
+        : {}),
+    })),
     promptTokens: [...request.promptTokens],
     deliveredTokens: [...progress.delivered],
     maxTokens: request.maxTokens,
--- a/packages/checks/src/answer_run.ts
+++ b/packages/checks/src/answer_run.ts
@@ -161,6 +161,7 @@
   return {
     requestId: `answer-${number}`,
     organisation: "kano",
+    weight: 1,
     model: MODEL,
     adapter: undefined,
     promptTokens: Array.from(
@@ -219,7 +220,7 @@
     const parsed = parseEventId(id);
     if (!parsed) throw new Error(`${id} cannot be read back`);
     const { organisation, deadlineAt } = request;
-    const resume = { last: parsed, organisation, deadlineAt };
+    const resume = { last: parsed, organisation, weight: 1, deadlineAt };
     const result = await resumeAnswer(resume, { ...instance, signal });
     return result.kind === "resumed" ? result.events : null;
   }
