--- a/packages/checks/src/guards_main.ts
+++ b/packages/checks/src/guards_main.ts
@@ -10,7 +10,7 @@
 const command = meow(
   `
   Usage
-    $ npm run check:guards -- [--only PART_OF_A_NAME]
+    $ npm run check:guards -- [--only PART_OF_FILE_OR_NAME]
 
   Exit codes
     0  each test passes with its guard and fails without it
@@ -38,7 +38,7 @@
 }
 
 const guards = readGuards(`${root}packages/checks/guards.yaml`).filter(
-  ({ name }) => name.includes(command.flags.only),
+  ({ name, file }) => `${file} ${name}`.includes(command.flags.only),
 );
 const copy = createScratchCopy(root);
 process.once("SIGINT", () => process.exit(1));
