--- a/packages/checks/src/soak/soak_plan.ts
+++ b/packages/checks/src/soak/soak_plan.ts
@@ -23,6 +23,7 @@
       kind: "orders",
       callers: 3,
       maxTokens: 1,
+      pauseMs: 100,
     },
   },
 ];
@@ -60,7 +61,7 @@
   name: string,
   load: { readonly callers: number; readonly maxTokens: number },
 ) {
-  return { name, kind: "answers" as const, ...load };
+  return { name, kind: "answers" as const, pauseMs: 0, ...load };
 }
 
 function notesOf(number: number): object {
--- a/packages/scenarios/src/scenario_schema.ts
+++ b/packages/scenarios/src/scenario_schema.ts
@@ -53,6 +53,8 @@
   /** Requests at once. */
   callers: z.number().int().min(1).max(64).default(4),
   maxTokens: z.number().int().min(1).max(512).default(24),
+  /** Pause of each caller after an answer, in milliseconds. */
+  pauseMs: z.number().int().min(0).max(10_000).default(0),
 });
 export type TrafficSettings = z.infer<typeof trafficSchema>;
 
