--- a/packages/daemon/src/answer_resume.ts
+++ b/packages/daemon/src/answer_resume.ts
@@ -21,6 +21,8 @@
   readonly response: ServerResponse;
   readonly requestId: string;
   readonly organisation: Organisation;
+  /** How long the caller may leave bytes unread, in milliseconds. */
+  readonly readerStallMs: number;
 }
 
 /** The id of the answer that a request asks to resume, if it does. */
@@ -35,7 +37,8 @@
   exchange: ResumeExchange,
   options: ResumeDependencies,
 ): Promise<void> {
-  const { request, response, requestId, organisation } = exchange;
+  const { request, response, requestId, organisation, readerStallMs } =
+    exchange;
   const last = parseEventId(String(request.headers["last-event-id"] ?? ""));
   if (last?.requestId !== requestId) {
     const message =
@@ -61,7 +64,13 @@
   const query = new URL(request.url ?? "/", "http://caller").searchParams;
   const style = query.get("style") === "chat" ? "chat" : "text";
   const { model, events } = resumed;
-  const output = { response, requestId, model, style } as const;
+  const output = {
+    response,
+    requestId,
+    model,
+    style,
+    readerStallMs,
+  } as const;
   const end = await sendStream(events, output);
   log.info("answer_resumed", {
     request: requestId,
--- a/packages/schemas/src/mod.ts
+++ b/packages/schemas/src/mod.ts
@@ -9,6 +9,8 @@
 export * from "./peer.ts";
 export * from "./peer_datagram.ts";
 export * from "./release_note.ts";
+export * from "./service_levels.ts";
 export * from "./settings.ts";
+export * from "./settings_checks.ts";
 export * from "./settings_file.ts";
 export * from "./stored.ts";
