Let callers of a scenario follow a balancer in planned stops

The instance waited its 30 s for the ends of orders to be recorded and exited with 3, as its page says; meanwhile it did not listen, and callers that no balancer would have sent were reset. Ruled out: a cut answer; no answer of entry-2 was running when it exited.

--- a/packages/checks/src/soak/soak_faults.ts
+++ b/packages/checks/src/soak/soak_faults.ts
@@ -43,7 +43,17 @@
 export function drawFaults(random: SeededRandom): readonly SoakFault[] {
   const first = random.pick(draws)(random);
   const second = random.pick(draws)(random);
-  return second.target === first.target ? [first] : [first, second];
+  return mayMeet(first, second) ? [first, second] : [first];
+}
+
+/**
+ * A planned stop waits until the ends of its orders are recorded, so a store
+ * that is away for as long makes it exit with 3, as its page says.
+ */
+function mayMeet(first: SoakFault, second: SoakFault): boolean {
+  const isStop = [first, second].some(({ begin }) => "stop" in begin);
+  const isStore = [first, second].some(({ target }) => target === "store");
+  return first.target !== second.target && !(isStop && isStore);
 }
 
 function killed(target: SoakFault["target"], name: string): SoakFault {
--- a/packages/scenarios/src/run_scenario.ts
+++ b/packages/scenarios/src/run_scenario.ts
@@ -49,6 +49,7 @@
     numbers: new Map(),
     publishIds: new Map(),
     traffic: new Map(),
+    away: new Set(),
   };
   const stopWatching = watchNotes(context);
   const stuck = await runSteps(context);
--- a/packages/scenarios/src/run_step.ts
+++ b/packages/scenarios/src/run_step.ts
@@ -17,6 +17,8 @@
 const POLL_MS = 100;
 /** Longest wait for the instances that traffic goes to. */
 const READY_SECONDS = 15;
+/** How late a balancer hears that an instance is not ready any more. */
+const BALANCER_LAG_MS = 300;
 
 /** What the steps of one run share. */
 export interface StepContext {
@@ -31,6 +33,8 @@
   /** Publish ids by note: a note that is published again is the same one. */
   readonly publishIds: Map<string, string>;
   readonly traffic: Map<string, Traffic>;
+  /** Instances in a planned stop: a balancer sends them nothing new. */
+  readonly away: Set<string>;
 }
 
 /** Runs a step; throws when it cannot be carried out. */
@@ -163,9 +167,10 @@
 
 async function stopGracefully(
   name: string,
-  { deployment, seen, clock }: StepContext,
+  { deployment, seen, clock, away }: StepContext,
 ): Promise<void> {
   deployment.processes.signal(name, "SIGTERM");
+  setTimeout(() => away.add(name), BALANCER_LAG_MS);
   const code = await deployment.processes.waitForExit(name);
   seen.timeline.push({ at: clock(), what: `${name} exited with ${code}` });
   if (code !== 0) throw new Error(`${name} exited with ${code}, not 0`);
@@ -192,16 +197,29 @@
   seen.leavings.push({ server: name, at: clock() });
 }
 
-function start(name: string, { deployment, seen, clock }: StepContext): void {
+function start(name: string, context: StepContext): void {
+  const { deployment, seen, clock } = context;
   const kill = seen.kills.findLast(({ instance }) => instance === name);
   if (kill) kill.startedAgainAt = clock();
   const isInstance = deployment.plan.daemons.some(
     ({ instance }) => instance.id === name,
   );
-  if (isInstance) deployment.startInstance(name);
+  if (isInstance) startInstance(name, context);
   else deployment.startStandIn(name);
 }
 
+function startInstance(name: string, context: StepContext): void {
+  const { deployment, admin, away } = context;
+  deployment.startInstance(name);
+  if (!away.has(name)) return;
+  const timer = setInterval(async () => {
+    if (!(await admin.isReady(name))) return;
+    away.delete(name);
+    clearInterval(timer);
+  }, POLL_MS);
+  timer.unref();
+}
+
 function setStoreFaults(
   deployment: Deployment,
   faults: unknown,
--- a/packages/scenarios/src/traffic.ts
+++ b/packages/scenarios/src/traffic.ts
@@ -22,6 +22,8 @@
   /** Milliseconds since the run began. */
   readonly clock: () => number;
   readonly seed: number;
+  /** Instances that a balancer would not choose now. */
+  readonly away: ReadonlySet<string>;
 }
 
 /** Starts the callers of one kind of traffic. */
@@ -66,14 +68,18 @@
 
 function pickTarget(
   settings: TrafficSettings,
-  options: { readonly deployment: Deployment; readonly turn: number },
+  options: Pick<TrafficOptions, "deployment" | "away"> & {
+    readonly turn: number;
+  },
 ): Target {
-  const { deployment, turn } = options;
+  const { deployment, turn, away } = options;
   const wanted = settings.instances;
   const daemons = deployment.plan.daemons.filter(
     ({ instance }) => !wanted || wanted.includes(instance.id),
   );
-  const daemon = daemons[turn % daemons.length];
+  const present = daemons.filter(({ instance }) => !away.has(instance.id));
+  const chosen = present.length > 0 ? present : daemons;
+  const daemon = chosen[turn % chosen.length];
   if (!daemon) throw new Error("the traffic names no instance of the cast");
   const { id, addresses } = daemon.instance;
   const baseUrl = `http://${formatAddress(addresses.callers)}`;
