--- a/packages/stand_ins/src/stand_in_settings.ts
+++ b/packages/stand_ins/src/stand_in_settings.ts
@@ -28,6 +28,8 @@
   linkMs: z.number().nonnegative(),
 });
 
+export type EngineFaults = z.infer<typeof engineFaultsSchema>;
+
 export const engineStandInSchema = z.strictObject({
   kind: z.literal("engine"),
   id: nameSchema,
