--- a/packages/stand_ins/src/engine/engine_contract_test.ts
+++ b/packages/backends/src/engine_contract_test.ts
@@ -1,15 +1,17 @@
 import { once } from "node:events";
 import { createServer, type Server, type ServerResponse } from "node:http";
-import { createEngineClient } from "@rosemarypin/backends";
 import type {
   Address,
   AttemptRequest,
   EngineEvent,
   EngineOrder,
 } from "@rosemarypin/schemas";
+import {
+  type EngineStandInSettings,
+  startEngine,
+} from "@rosemarypin/stand_ins";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
-import type { EngineStandInSettings } from "../stand_in_settings.ts";
-import { startEngine } from "./engine.ts";
+import { createEngineClient } from "./engine_client.ts";
 
 const HOST = "127.0.0.1";
 const LAYERS = { from: 0, to: 4 };
--- a/packages/stand_ins/src/platform_contract_test.ts
+++ b/packages/platform/src/instance_list_test.ts
@@ -1,10 +1,9 @@
 import { once } from "node:events";
 import { createServer, type Server, type ServerResponse } from "node:http";
-import { readInstanceList } from "@rosemarypin/platform";
 import type { InstanceList } from "@rosemarypin/schemas";
+import { startInstanceList, startWeightStore } from "@rosemarypin/stand_ins";
 import { afterEach, describe, expect, it, vi } from "vitest";
-import { startInstanceList } from "./instance_list.ts";
-import { startWeightStore } from "./weight_store.ts";
+import { readInstanceList } from "./instance_list.ts";
 
 const HOST = "127.0.0.1";
 const servers: Server[] = [];
--- a/packages/scenarios/src/promises.ts
+++ b/packages/scenarios/src/promises.ts
@@ -182,7 +182,8 @@
       kill.at <= endedAt &&
       startedAt <= kill.startedAgainAt + START_MS,
   );
-  return isKilled ? null : `${instance} broke: ${answer.reason}`;
+  const span = `${Math.round(startedAt)} to ${Math.round(endedAt)} ms`;
+  return isKilled ? null : `${instance} broke (${span}): ${answer.reason}`;
 }
 
 function countRuns(seen: Observations): Map<string, number> {
