--- a/packages/membership/src/datagram_transport.ts
+++ b/packages/membership/src/datagram_transport.ts
@@ -26,16 +26,32 @@
   socket.on("error", (error) =>
     log.warn("socket_error", { reason: error.message }),
   );
-  return {
-    send(datagram, target) {
+  const underWay = new Set<Promise<void>>();
+
+  /** Resolves once the datagram is on its way, or cannot be sent. */
+  function sendOne(datagram: Uint8Array, target: Address): Promise<void> {
+    return new Promise((resolve) => {
       socket.send(datagram, target.port, target.host, (error) => {
         if (error) log.detail("send_failed", { reason: error.message });
+        resolve();
       });
+    });
+  }
+
+  return {
+    send(datagram, target) {
+      const sending = sendOne(datagram, target);
+      underWay.add(sending);
+      void sending.then(() => underWay.delete(sending));
     },
     onDatagram(receiver) {
       socket.on("message", receiver);
     },
+    // Sending looks the address up first, even a numeric one, and a socket
+    // that was closed meanwhile drops the datagram: the goodbye was never
+    // sent, and peers could only guess that the instance had ended.
     async close() {
+      await Promise.all(underWay);
       socket.close();
       await once(socket, "close");
     },
--- a/packages/stand_ins/src/engine/engine.ts
+++ b/packages/stand_ins/src/engine/engine.ts
@@ -38,9 +38,10 @@
     (settings.journal ? createFileJournal(settings.journal) : null);
   const table = createSequenceTable();
   const order = createOrderState(settings);
+  let { linkMs } = speed;
   const dispatch = createEngineLink({
     own: address,
-    linkMs: speed.linkMs,
+    linkMs: () => linkMs,
     fault: hooks.linkFault,
     receive: (message) => void messages.receive(message),
     onUnsent: (unsent, reason) =>
@@ -67,6 +68,9 @@
     messages,
     order,
     table,
+    setFaults(faults) {
+      linkMs = faults.linkMs;
+    },
     describeState: () =>
       describeEngineState(settings, { incarnation, order, table }),
   });
--- a/packages/stand_ins/src/engine/engine_link.ts
+++ b/packages/stand_ins/src/engine/engine_link.ts
@@ -17,7 +17,8 @@
 
 export interface EngineLinkOptions {
   readonly own: Address;
-  readonly linkMs: number;
+  /** Read for each message: a link may degrade while it is in use. */
+  readonly linkMs: () => number;
   readonly fault: LinkFault | undefined;
   /** Takes the messages of the engine to itself. */
   receive(message: EngineMessage): void;
@@ -51,7 +52,7 @@
       for (const message of messages) options.receive(message);
       return;
     }
-    await pause(options.linkMs);
+    await pause(options.linkMs());
     const repeat = (late: readonly EngineMessage[]) =>
       void post(address, late).then(
         ({ body }) => body.dump(),
--- a/packages/stand_ins/src/engine/engine_routes.ts
+++ b/packages/stand_ins/src/engine/engine_routes.ts
@@ -5,6 +5,7 @@
   engineOrderSchema,
 } from "@rosemarypin/schemas";
 import { type JsonExchange, type JsonHandler, reply } from "../http_json.ts";
+import { type EngineFaults, engineFaultsSchema } from "../stand_in_settings.ts";
 import type { Attempts } from "./attempts.ts";
 import type { EngineMessages } from "./engine_messages.ts";
 import type { OrderState } from "./order_state.ts";
@@ -17,6 +18,8 @@
   readonly order: OrderState;
   readonly table: SequenceTable;
   readonly describeState: () => EngineState;
+  /** Takes faults that a test sets. */
+  readonly setFaults: (faults: EngineFaults) => void;
 }
 
 /** Creates the handler of all requests to an engine. */
@@ -45,6 +48,12 @@
     reply(response, 200, describeState());
   }
 
+  function takeFaults({ response, body }: JsonExchange): void {
+    const faults = engineFaultsSchema.parse(body);
+    options.setFaults(faults);
+    reply(response, 200, faults);
+  }
+
   function startAttempt({ response, body }: JsonExchange): void {
     const attempt = attemptRequestSchema.parse(body);
     const refusal = attempts.start(attempt, response);
@@ -76,6 +85,8 @@
         return takeSteps(exchange);
       case "POST /order":
         return takeOrder(exchange);
+      case "POST /faults":
+        return takeFaults(exchange);
       case "POST /leave":
         order.leave();
         return reply(response, 200, describeState());
