Keep connections longer than balancers do, and calls for recalls

Cause 1: Node closes idle connections after 5 s. They are kept 75 s now, longer than balancers keep theirs. The stop now waits until no request came for 300 ms, 5 s at most.

--- a/packages/calls/src/record_claims.ts
+++ b/packages/calls/src/record_claims.ts
@@ -76,6 +76,7 @@
       const written = await store.write(key, object, {
         expectedVersion,
         signal,
+        mayWait: true,
       });
       if (written.kind === "ok") {
         gate.succeeded();
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -59,7 +59,12 @@
   readEngineNotice,
 } from "./engine_notices.ts";
 
-import { closeGracefully, closeNow, closeRest } from "./graceful_close.ts";
+import {
+  closeGracefully,
+  closeNow,
+  closeRest,
+  waitForQuiet,
+} from "./graceful_close.ts";
 import { countNotes, createInstanceLevels } from "./instance_levels.ts";
 import {
   hasHeardEachRole,
@@ -73,6 +78,9 @@
 import { createWorkInProgress } from "./work_in_progress.ts";
 
 const INSTANCE_LIST_EVERY_MS = 1_000;
+/** A balancer that sends nothing for so long has seen the drain. */
+const QUIET_MS = 300;
+const QUIET_WITHIN_MS = 5_000;
 
 /** After this long, engines that stay silent are taken to be away. */
 const ENGINES_HEARD_WITHIN_MS = 3_000;
@@ -330,6 +338,10 @@
       await new Promise((resolve) =>
         setTimeout(resolve, settings.balancerLagMs),
       );
+      await waitForQuiet(callerServer, {
+        quietMs: QUIET_MS,
+        withinMs: QUIET_WITHIN_MS,
+      });
       const stopAccepting = closeGracefully(callerServer);
       const ended = await work.waitForEnd(settings.shutdownGraceMs);
       // The goodbye is evidence that this instance answers nothing any more,
--- a/packages/daemon/src/graceful_close.ts
+++ b/packages/daemon/src/graceful_close.ts
@@ -4,6 +4,34 @@
 const SWEEP_EVERY_MS = 100;
 const LAST_BYTES_MS = 2_000;
 
+/**
+ * Waits until no request has come for a while, within a limit.
+ *
+ * A balancer that is late goes on sending after its lag. Its next request may
+ * already be on its way on a connection that looks idle here; closed now, the
+ * caller would see a reset and not know whether it ran.
+ */
+export function waitForQuiet(
+  server: Pick<Server, "on" | "off">,
+  options: { readonly quietMs: number; readonly withinMs: number },
+): Promise<void> {
+  return new Promise((resolve) => {
+    const limit = setTimeout(end, options.withinMs);
+    let quiet = setTimeout(end, options.quietMs);
+    server.on("request", restart);
+    function restart(): void {
+      clearTimeout(quiet);
+      quiet = setTimeout(end, options.quietMs);
+    }
+    function end(): void {
+      clearTimeout(limit);
+      clearTimeout(quiet);
+      server.off("request", restart);
+      resolve();
+    }
+  });
+}
+
 /**
  * Takes no new connection, lets requests end, and closes what falls idle.
  *
--- a/packages/daemon/src/http_server.ts
+++ b/packages/daemon/src/http_server.ts
@@ -13,6 +13,13 @@
 import { failureBody, sendFailure } from "./http_basics.ts";
 
 const CHECK_CONNECTIONS_MS = 1_000;
+/**
+ * Longer than balancers keep idle connections (usually 60 s). With Node's own
+ * 5 s, this side closes a connection just as the other sends on it, which the
+ * caller sees as a reset; after a freeze of 5 s that is sure to happen, since
+ * timers run before what waits in the sockets is read.
+ */
+const KEEP_ALIVE_MS = 75_000;
 
 const log = createLogger("http");
 
@@ -34,6 +41,7 @@
     headersTimeout: limits.headersTimeoutMs,
     requestTimeout: limits.requestTimeoutMs,
     connectionsCheckingInterval: CHECK_CONNECTIONS_MS,
+    keepAliveTimeout: KEEP_ALIVE_MS,
   });
   server.maxConnections = limits.connections;
 
--- a/packages/platform/src/http_object_store.ts
+++ b/packages/platform/src/http_object_store.ts
@@ -68,7 +68,7 @@
       count(operation, "not_sent");
       return { kind: "unavailable", detail: "the store is away; not sent" };
     }
-    const waitMs = budget.take();
+    const waitMs = budget.take({ mayWait: init.mayWait ?? false });
     if (waitMs > 0) {
       count(operation, "over_budget");
       return { kind: "over_budget", retryAfterMs: waitMs };
--- a/packages/platform/src/object_store.ts
+++ b/packages/platform/src/object_store.ts
@@ -44,6 +44,11 @@
 /** Options of a call that may be given up. */
 export interface StoreCallOptions {
   readonly signal?: AbortSignal;
+  /**
+   * Set on calls that begin callers' work, which can be refused: they leave
+   * a reserve of the calls to release notes, leases and the ends of work.
+   */
+  readonly mayWait?: boolean;
 }
 
 /** Versions, conditional updates and watches. */
