Do not occupy engines for a request that is given up on

Cause, found by reading the change: to name what a late or departed request lacked, the queue tried to get engines for it, and a try that succeeded was never given back. Each time room had come between two looks at the queue, one answer's place on each engine was lost until the instance ended.

--- a/packages/routing/src/model_queue.ts
+++ b/packages/routing/src/model_queue.ts
@@ -26,6 +26,8 @@
 
 export interface ModelQueueOptions {
   readonly tryGrant: TryGrant;
+  /** Whether usable engines hold the layers; occupies none. */
+  readonly isCovered: (need: GrantRequest) => boolean;
   readonly firstTokenObjectiveMs: number;
   readonly largestLength: number;
   /** Called whenever the number of waiting requests changes. */
@@ -131,9 +133,12 @@
     });
   }
 
-  /** What a request that waited in vain lacked. */
+  /**
+   * What a request that waited in vain lacked. Only asked, not tried: engines
+   * granted to a request that is given up on would stay busy for good.
+   */
   function lateCode(need: GrantRequest): RefusalCode {
-    return options.tryGrant(need) === "uncovered" ? "no_capacity" : "too_late";
+    return options.isCovered(need) ? "too_late" : "no_capacity";
   }
 
   /**
--- a/packages/routing/src/router.ts
+++ b/packages/routing/src/router.ts
@@ -109,6 +109,12 @@
     return createGrant(choice.stages, queueOf(model));
   }
 
+  function isCovered(need: GrantRequest): boolean {
+    const { model, adapter } = need.request;
+    const { version, avoid } = need;
+    return choose({ model, adapter, version, avoid }).kind !== "uncovered";
+  }
+
   function choose(need: CoverRequest & Pick<GrantRequest, "avoid" | "prefer">) {
     const engines = fleet.engines();
     windows.follow(engines);
@@ -145,6 +151,7 @@
     if (known) return known;
     const created = createModelQueue({
       tryGrant,
+      isCovered,
       firstTokenObjectiveMs: objectives.firstTokenMs,
       largestLength: limits.queueLength,
       onLength: changeWaiting,
--- a/packages/routing/src/router_test.ts
+++ b/packages/routing/src/router_test.ts
@@ -35,8 +35,13 @@
     load: 0,
   };
   let inFlight = 0;
-  const health = { usable: true };
-  const engine = (): KnownEngine => ({ settings, state, inFlight, ...health });
+  const health = { usable: true, elsewhere: 0 };
+  const engine = (): KnownEngine => ({
+    settings,
+    state,
+    usable: health.usable,
+    inFlight: inFlight + health.elsewhere,
+  });
   const fleet: EngineFleet = {
     engines: () => [engine()],
     observe: () => {},
@@ -214,6 +219,23 @@
     expect(await kinds([gone, next])).toEqual(["refused", "granted"]);
   });
 
+  it("gives no engines to a caller that left while it waited", async () => {
+    // A caller leaves in the moment in which room has come and before the
+    // queue is looked at. Engines that were granted to it then would count as
+    // busy for good, one answer each time, until none is left.
+    const { router, health } = createTestRouter();
+    const held = await fill(router);
+    const left = new AbortController();
+    const gone = ask(router, { signal: left.signal });
+    health.elsewhere = -1;
+    left.abort();
+    expect(await kinds([gone])).toEqual(["refused"]);
+    health.elsewhere = 0;
+    for (const result of held) release(result);
+    const again = Array.from({ length: 4 }, () => ask(router));
+    expect(await kinds(again)).toEqual(Array(4).fill("granted"));
+  });
+
   it("refuses when nobody holds the layers in time", async () => {
     const { router, health } = createTestRouter();
     health.usable = false;
