Drop what nothing calls in routing, and a look at engines that decides nothing

The queue's tickets() and the window's paceMs() had no caller; with one version allowed, each request asked whether engines hold it and took it either way.

--- a/packages/release/src/allowed.ts
+++ b/packages/release/src/allowed.ts
@@ -32,7 +32,9 @@
     (name) => model?.versions[name] ?? [],
   );
   const { isLoaded = () => true } = options;
-  const version = versions.find(isLoaded) ?? versions[0];
+  // With one version there is nothing to choose, and no need to look.
+  const loaded = versions.length > 1 ? versions.find(isLoaded) : undefined;
+  const version = loaded ?? versions[0];
   if (version) return { kind: "allowed", version };
   return refuseModel(catalogue, request.model);
 }
--- a/packages/routing/src/engine_window.ts
+++ b/packages/routing/src/engine_window.ts
@@ -29,8 +29,6 @@
 export interface EngineWindow {
   /** Answers that may run at once. */
   size(): number;
-  /** Time between tokens by which the engine is judged, in milliseconds. */
-  paceMs(): number;
   /** Takes in the time between two tokens of an answer on the engine. */
   observe(gapMs: number, options: { readonly inFlight: number }): void;
   /** Starts over, slowly, because the engine was lost and came back. */
@@ -78,7 +76,6 @@
 
   return {
     size: () => Math.floor(size),
-    paceMs: () => pace,
     observe(gapMs, { inFlight }) {
       track(gapMs);
       const isUsed = inFlight >= Math.floor(size) - 1;
--- a/packages/routing/src/engine_windows.ts
+++ b/packages/routing/src/engine_windows.ts
@@ -10,7 +10,7 @@
   follow(engines: readonly KnownEngine[]): void;
 }
 
-/** Creates windows; engines that leave the settings are forgotten. */
+/** Creates windows; each begins when its engine is first asked for. */
 export function createEngineWindows(options: {
   readonly betweenTokensMs: number;
   readonly largest: number;
--- a/packages/routing/src/fair_queue.ts
+++ b/packages/routing/src/fair_queue.ts
@@ -10,7 +10,7 @@
  * Shares of the classes while all wait. They are not strict, so that batch
  * work goes on, slowly, however much urgent work there is.
  */
-export const classWeights: Readonly<Record<Priority, number>> = {
+const classWeights: Readonly<Record<Priority, number>> = {
   interactive: 16,
   standard: 4,
   batch: 1,
@@ -47,7 +47,6 @@
   remove(ticket: QueueTicket<T>): void;
   /** Work that would be served before a request with these facts. */
   workAhead(facts: QueueFacts): number;
-  tickets(): readonly QueueTicket<T>[];
   length(): number;
 }
 
@@ -176,7 +175,6 @@
         });
       return others.reduce((sum, work) => sum + work, ahead);
     },
-    tickets: () => [...classes.values()].flatMap(({ tickets }) => tickets),
     length: () =>
       [...classes.values()].reduce(
         (sum, { tickets }) => sum + tickets.length,
