Let claims wait for their turn, and hand ends over at a planned stop

Two callers without a pause place about 60 orders a second on a quiet machine; while one of four instances is replaced the others get its share, and a burst found the budget of 50 calls a second empty. Ruled out: the outage gate and the breaker (the refusals name the budget by their retry-after of 1 s, and no store_away was logged); a budget of the fleet divided by who lives (two sides of a partition would each take the whole). Now a claim waits up to 500 ms if it can expect its turn, and is refused at once otherwise; ends go before claims; recalls and leases wait for neither. Cause 2: an end that met an empty budget slept 5 s; it waits its turn now. Cause 3: in an outage a planned stop waited 30 s for ends that could not be recorded, exited with 3 and lost them. They go to an instance that stays. The claims' timeout of 700 ms runs from sending, and as before does not count as the store being away; a test holds that now. Tests changed: call_budget_test passes an urgency in place of mayWait, with the same assertions; three tests build an end recorder in place of a list of background promises.

--- a/packages/calls/src/mod.ts
+++ b/packages/calls/src/mod.ts
@@ -10,6 +10,7 @@
 export * from "./claim_registry.ts";
 export * from "./claim_store.ts";
 export * from "./claim_sweeper.ts";
+export * from "./end_recorder.ts";
 export * from "./record_claims.ts";
 export * from "./service_call.ts";
 export * from "./service_context.ts";
--- a/packages/calls/src/outcome_table_test.ts
+++ b/packages/calls/src/outcome_table_test.ts
@@ -5,6 +5,7 @@
 import { emptyCatalogue, type ServiceSettings } from "@rosemarypin/schemas";
 import { afterEach, describe, expect, it } from "vitest";
 import { createClaimRegistry } from "./claim_registry.ts";
+import { createEndRecorder } from "./end_recorder.ts";
 import { createRecordClaims } from "./record_claims.ts";
 import { createServiceCaller } from "./service_call.ts";
 import type { ServiceCallResult } from "./service_context.ts";
@@ -190,20 +191,21 @@
   const services = [serviceAt(port, timeoutMs)];
   const { store } = createMemoryStore().client();
   const registry = createClaimRegistry({ incarnation: 1 });
+  const claims = createRecordClaims({
+    deployment: "test",
+    owner: "one",
+    incarnation: 1,
+    store,
+  });
   const caller = createServiceCaller({
     keeper: { fresh: async () => note },
     services,
     fleet: createServiceFleet({ services, client: createServiceClient() }),
-    claims: createRecordClaims({
-      deployment: "test",
-      owner: "one",
-      incarnation: 1,
-      store,
-    }),
+    claims,
     registry,
     owners: { ask: async () => ({ kind: "silent" }) },
     failureDomain: "a",
-    runInBackground: (work) => void work,
+    ends: createEndRecorder({ claims }),
   });
   let count = 0;
   return (method: "POST" | "PUT", body = "part 7") => {
--- a/packages/calls/src/record_claims.ts
+++ b/packages/calls/src/record_claims.ts
@@ -23,6 +23,10 @@
 const WRITE_TRIES = 3;
 /** A write without a reply is given up, and written again, after this. */
 const WRITE_TIMEOUT_MS = 700;
+/** A call that would wait longer for its claim's turn is refused at once. */
+const CLAIM_WAIT_MS = 500;
+/** Nobody waits for the record of an end. */
+const END_WAIT_MS = 5_000;
 
 export interface RecordClaimsOptions {
   readonly deployment: string;
@@ -72,11 +76,11 @@
     let expectedVersion = firstExpected;
     let detail = "";
     for (let tries = 0; tries < WRITE_TRIES; tries++) {
-      const signal = AbortSignal.timeout(WRITE_TIMEOUT_MS);
       const written = await store.write(key, object, {
         expectedVersion,
-        signal,
-        mayWait: true,
+        timeoutMs: WRITE_TIMEOUT_MS,
+        urgency: "begin",
+        longestWaitMs: CLAIM_WAIT_MS,
       });
       if (written.kind === "ok") {
         gate.succeeded();
@@ -117,6 +121,8 @@
     for (let tries = 0; tries < WRITE_TRIES; tries++) {
       const written = await store.write(claim.key, object, {
         expectedVersion: claim.version,
+        urgency: "finish",
+        longestWaitMs: END_WAIT_MS,
       });
       if (written.kind === "ok" || written.kind === "conflict") return true;
       if (written.kind !== "reply_lost") return false;
--- a/packages/calls/src/second_call.ts
+++ b/packages/calls/src/second_call.ts
@@ -100,14 +100,12 @@
   if (kept) return answered(kept, { repeated: true });
   const found = await findByLookup(call, context);
   if (!found) return failed(mayHaveRun());
-  context.runInBackground(
-    context.claims.settle(claim, {
-      kind: "answered",
-      status: found.status,
-      contentType: found.contentType,
-      body: found.body.toString("base64"),
-    }),
-  );
+  context.ends.record(claim, {
+    kind: "answered",
+    status: found.status,
+    contentType: found.contentType,
+    body: found.body.toString("base64"),
+  });
   return answered(found, { repeated: true });
 }
 
--- a/packages/calls/src/service_context.ts
+++ b/packages/calls/src/service_context.ts
@@ -11,6 +11,7 @@
 import type { ClaimOwners } from "./claim_owners.ts";
 import type { ClaimRegistry } from "./claim_registry.ts";
 import type { ClaimStore } from "./claim_store.ts";
+import type { EndRecorder } from "./end_recorder.ts";
 import type { RetryBudget } from "./retry_budget.ts";
 
 /** A call as the callers' interface hands it over. */
@@ -44,8 +45,8 @@
   readonly owners: ClaimOwners;
   readonly failureDomain: string;
   readonly metrics?: Metrics;
-  /** Takes work that goes on after the answer; a shutdown waits for it. */
-  readonly runInBackground: (work: Promise<unknown>) => void;
+  /** Goes on after the answer; a planned stop waits for it. */
+  readonly ends: Pick<EndRecorder, "record">;
 }
 
 /** What the parts of one call share. */
--- a/packages/calls/src/single_call.ts
+++ b/packages/calls/src/single_call.ts
@@ -12,11 +12,7 @@
   type ServiceCallContext,
   type ServiceCallResult,
 } from "./service_context.ts";
-import {
-  logClaimFailure,
-  logServerFailure,
-  logSettleFailure,
-} from "./service_log.ts";
+import { logClaimFailure, logServerFailure } from "./service_log.ts";
 import { fingerprintOf, refuseByNote } from "./service_rules.ts";
 import { findByLookup, keyExpired, mayHaveRun } from "./unknown_call.ts";
 
@@ -25,8 +21,6 @@
 const LARGEST_TURNS = 4;
 /** Larger answers are not kept: the store's objects end at a megabyte. */
 const LARGEST_KEPT_ANSWER = 512 * 1024;
-const SETTLE_TRIES = 120;
-const SETTLE_RETRY_MS = 5_000;
 
 /** Claims the key, then sends the call to one server. */
 export async function runOnce(
@@ -187,9 +181,7 @@
 ): void {
   const { call, context } = options;
   context.registry.endUnsent(call.requestId);
-  context.runInBackground(
-    settleAtLast(claim, { context, state: { kind: "released" } }),
-  );
+  context.ends.record(claim, { kind: "released" });
 }
 
 /**
@@ -206,21 +198,7 @@
 ): void {
   const { call, context, state } = options;
   context.registry.endSent(call.requestId, state);
-  context.runInBackground(settleAtLast(claim, { context, state }));
-}
-
-async function settleAtLast(
-  claim: Claim,
-  options: {
-    readonly context: ServiceCallContext;
-    readonly state: ClaimState;
-  },
-): Promise<void> {
-  for (let tries = 1; tries <= SETTLE_TRIES; tries++) {
-    if (await options.context.claims.settle(claim, options.state)) return;
-    logSettleFailure(claim.object.requestId, tries);
-    await new Promise((resolve) => setTimeout(resolve, SETTLE_RETRY_MS));
-  }
+  context.ends.record(claim, state);
 }
 
 function storedAnswer(answer: ServiceAnswer): ClaimState {
--- a/packages/calls/src/single_call_test.ts
+++ b/packages/calls/src/single_call_test.ts
@@ -11,6 +11,7 @@
 } from "@rosemarypin/schemas";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 import { createClaimRegistry } from "./claim_registry.ts";
+import { createEndRecorder } from "./end_recorder.ts";
 import { createRecordClaims } from "./record_claims.ts";
 import { createServiceCaller } from "./service_call.ts";
 import type { ServiceCallResult } from "./service_context.ts";
@@ -71,7 +72,13 @@
 ) {
   const { store, faults } = options.memory.client();
   const registry = createClaimRegistry({ incarnation: 1 });
-  const background: Promise<unknown>[] = [];
+  const claims = createRecordClaims({
+    deployment: "test",
+    owner: id,
+    incarnation: 1,
+    store,
+  });
+  const ends = createEndRecorder({ claims });
   const fleet: ServiceFleet = {
     choose: (servers) => servers,
     send: (_server, request) => options.send(request),
@@ -85,12 +92,7 @@
     keeper: { fresh: async () => current },
     services: [service],
     fleet,
-    claims: createRecordClaims({
-      deployment: "test",
-      owner: id,
-      incarnation: 1,
-      store,
-    }),
+    claims,
     registry,
     owners: {
       async ask({ owner, requestId, incarnation }, { waitMs }) {
@@ -101,7 +103,7 @@
       },
     },
     failureDomain: "a",
-    runInBackground: (work) => void background.push(work),
+    ends,
   });
   const instance = {
     id,
@@ -110,7 +112,8 @@
     withdraw() {
       current = { ...note, number: 2, catalogue: emptyCatalogue };
     },
-    settled: () => Promise.all(background),
+    ends,
+    settled: () => ends.finish(600_000),
     order(requestId: string, order: Partial<typeof anOrder> = {}) {
       const { key, body, organisation } = { ...anOrder, ...order };
       return call({
--- a/packages/checks/src/bookings/instance.ts
+++ b/packages/checks/src/bookings/instance.ts
@@ -4,6 +4,7 @@
   type ClaimOwners,
   type ClaimRegistry,
   createClaimRegistry,
+  createEndRecorder,
   createRecordClaims,
   createServiceCaller,
 } from "@rosemarypin/calls";
@@ -70,20 +71,21 @@
       return result;
     },
   };
+  const claims = createRecordClaims({
+    deployment: "check",
+    owner: id,
+    incarnation,
+    store,
+  });
   const call = createServiceCaller({
     keeper: { fresh: async () => NOTE },
     services,
     fleet: createServiceFleet({ services, client, random: () => 0 }),
-    claims: createRecordClaims({
-      deployment: "check",
-      owner: id,
-      incarnation,
-      store,
-    }),
+    claims,
     registry,
     owners,
     failureDomain: DOMAIN,
-    runInBackground: (work) => void work,
+    ends: createEndRecorder({ claims }),
   });
   return { id, process, registry, call };
 }
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -8,6 +8,7 @@
 import {
   createClaimRegistry,
   createClaimSweeper,
+  createEndRecorder,
   createRecordClaims,
   createRecoveryLimiter,
   createServiceCaller,
@@ -52,13 +53,12 @@
 import { startAdminServer } from "./admin_server.ts";
 import { startCallerServer } from "./caller_server.ts";
 import { claimOwnerMethods, createPeerClaimOwners } from "./claim_owners.ts";
-
+import { endHandOverMethods, finishEnds } from "./end_hand_over.ts";
 import {
   createEngineNotices,
   ENGINES_CHANGED,
   readEngineNotice,
 } from "./engine_notices.ts";
-
 import {
   closeGracefully,
   closeNow,
@@ -72,7 +72,6 @@
   listCandidates,
 } from "./known_state.ts";
 import { createNoteInspector } from "./note_inspector.ts";
-
 import { viewBackends, viewInstances } from "./status_view.ts";
 import { createSubsetChoice } from "./subset_choice.ts";
 import { createWorkInProgress } from "./work_in_progress.ts";
@@ -212,21 +211,23 @@
     client: createServiceClient(),
   });
   const registry = createClaimRegistry({ incarnation });
+  const claims = createRecordClaims({
+    deployment,
+    owner: id,
+    incarnation,
+    store,
+  });
+  const ends = createEndRecorder({ claims });
   const callService = createServiceCaller({
     keeper,
     services: settings.services,
     fleet: services,
-    claims: createRecordClaims({ deployment, owner: id, incarnation, store }),
+    claims,
     registry,
     owners: createPeerClaimOwners({ id, membership, peers, registry }),
     failureDomain,
     metrics,
-    runInBackground(task) {
-      const end = work.begin();
-      const report = (error: unknown) =>
-        log.warn("background_failed", { reason: String(error) });
-      void task.catch(report).finally(end);
-    },
+    ends,
   });
   const levels = createInstanceLevels(settings);
   countNotes(keeper, { levels, objectives: settings.objectives });
@@ -295,6 +296,7 @@
       recheckOrders(changed);
     },
     ...claimOwnerMethods(registry),
+    ...endHandOverMethods(ends),
   });
   const adminServer = await startAdminServer({
     settings,
@@ -343,7 +345,15 @@
         withinMs: QUIET_WITHIN_MS,
       });
       const stopAccepting = closeGracefully(callerServer);
-      const ended = await work.waitForEnd(settings.shutdownGraceMs);
+      const cutAt = performance.now() + settings.shutdownGraceMs;
+      const answered = await work.waitForEnd(settings.shutdownGraceMs);
+      const recorded = await finishEnds({
+        ends,
+        membership,
+        peers,
+        withinMs: cutAt - performance.now(),
+      });
+      const ended = answered && recorded;
       // The goodbye is evidence that this instance answers nothing any more,
       // so it comes after the last connection.
       await closeRest(callerServer, stopAccepting);
--- a/packages/launcher/src/stops_test.ts
+++ b/packages/launcher/src/stops_test.ts
@@ -83,6 +83,31 @@
   });
 });
 
+describe("a planned stop in an outage of the store", () => {
+  it("leaves the ends of its orders to an instance that stays", async () => {
+    // The store goes away after an order was claimed, and before its end is
+    // recorded; then the instance is replaced. It must not wait for the store
+    // and then stop as if it had cut work, nor take with it what became of
+    // the order: another instance records that once the store is back.
+    const key = "order-that-ends-in-an-outage";
+    const { objectApi } = deployment.plan;
+    await setServices({ delayMs: 800, leaving: false });
+    const order = placeOrder(1, key);
+    await waitFor(async () => (await readLastClaim()) === "claimed");
+    await postJson(`${objectApi}/faults`, { down: true });
+    expect(await order).toMatchObject({ number: expect.any(Number) });
+    deployment.processes.signal("entry-2", "SIGTERM");
+    expect(await deployment.processes.waitForExit("entry-2")).toBe(0);
+    await postJson(`${objectApi}/faults`, { down: false });
+    await waitFor(async () => (await readLastClaim()) === "answered");
+    await setServices({ delayMs: 0 });
+    deployment.startInstance("entry-2");
+    const [, second] = deployment.plan.daemons;
+    if (!second) throw new Error("there is no second instance");
+    await waitUntilReady(`${urlOf(second.instance.addresses.admin)}/readyz`);
+  });
+});
+
 describe("an unplanned stop of the instance that has an order", () => {
   it("frozen between claim and sending, runs the order once", async () => {
     // The instance is frozen while its claim is written, and the caller's
@@ -135,6 +160,17 @@
   return response.body.json();
 }
 
+/** What the store knows of the newest order. */
+async function readLastClaim(): Promise<string | undefined> {
+  const { objectApi, shape } = deployment.plan;
+  const query = new URLSearchParams({ prefix: `${shape.deployment}/claims/` });
+  const { objects } = await readJson<{
+    objects: { value: { claimedAt: number; state: { kind: string } } }[];
+  }>(`${objectApi}/objects?${query}`);
+  objects.sort((one, other) => other.value.claimedAt - one.value.claimedAt);
+  return objects[0]?.value.state.kind;
+}
+
 async function countRuns(key: string): Promise<number> {
   const journal = await readJournals();
   return journal.filter((entry) => entry.idempotencyKey === key).length;
--- a/packages/platform/src/call_budget.ts
+++ b/packages/platform/src/call_budget.ts
@@ -1,20 +1,32 @@
 /** Counts calls against a rate. */
 
+/**
+ * What a call is for, the most urgent first: notes and leases; the end of
+ * callers' work that ran; callers' work that has not begun and can be refused.
+ */
+export type CallUrgency = "control" | "finish" | "begin";
+
 /** The calls that one instance may make. */
 export interface CallBudget {
+  /** Calls that are added each second. */
+  readonly callsPerSecond: number;
   /**
    * Takes one call, or gives the wait in milliseconds until one is free.
-   * Calls that `mayWait` leave a reserve for the others.
+   * Less urgent calls leave a reserve for the more urgent ones.
    */
-  take(options: { readonly mayWait: boolean }): number;
+  take(options: { readonly urgency: CallUrgency }): number;
 }
 
 /**
- * Share of a full budget that calls of callers' work leave alone. Without it
- * a flood of orders used up every call, and a recall was refused as if the
- * store were away.
+ * Shares of a full budget that calls leave alone. Without that of callers'
+ * work a flood of orders used up every call, and a recall was refused as if
+ * the store were away.
  */
-const RESERVED_SHARE = 0.25;
+const RESERVED_SHARES: Readonly<Record<CallUrgency, number>> = {
+  control: 0,
+  finish: 0.125,
+  begin: 0.25,
+};
 
 /** Creates a budget that fills at a rate; a second's worth may be saved. */
 export function createCallBudget(callsPerSecond: number): CallBudget {
@@ -22,8 +34,9 @@
   let left = most;
   let filledAt = performance.now();
   return {
-    take({ mayWait }) {
-      const least = mayWait ? 1 + most * RESERVED_SHARE : 1;
+    callsPerSecond,
+    take({ urgency }) {
+      const least = 1 + most * RESERVED_SHARES[urgency];
       const now = performance.now();
       const filled = left + ((now - filledAt) / 1_000) * callsPerSecond;
       left = Math.min(most, filled);
--- a/packages/platform/src/call_budget_test.ts
+++ b/packages/platform/src/call_budget_test.ts
@@ -14,24 +14,24 @@
     // operator recalls a batch in that moment; with nothing left, the recall
     // was refused as if the store were away (first soak, seed 1).
     const budget = createCallBudget(40);
-    while (budget.take({ mayWait: true }) === 0);
-    expect(budget.take({ mayWait: true })).toBeGreaterThan(0);
-    expect(budget.take({ mayWait: false })).toBe(0);
+    while (budget.take({ urgency: "begin" }) === 0);
+    expect(budget.take({ urgency: "begin" })).toBeGreaterThan(0);
+    expect(budget.take({ urgency: "control" })).toBe(0);
   });
 
   it("says how long until a call is free, and then gives it", () => {
     const budget = createCallBudget(10);
-    while (budget.take({ mayWait: false }) === 0);
-    const waitMs = budget.take({ mayWait: false });
+    while (budget.take({ urgency: "control" }) === 0);
+    const waitMs = budget.take({ urgency: "control" });
     expect(waitMs).toBeGreaterThan(0);
     vi.advanceTimersByTime(waitMs);
-    expect(budget.take({ mayWait: false })).toBe(0);
+    expect(budget.take({ urgency: "control" })).toBe(0);
   });
 
   it("lets callers' work go on at its own rate once it has filled", () => {
     const budget = createCallBudget(40);
-    while (budget.take({ mayWait: false }) === 0);
+    while (budget.take({ urgency: "control" }) === 0);
     vi.advanceTimersByTime(1_000);
-    expect(budget.take({ mayWait: true })).toBe(0);
+    expect(budget.take({ urgency: "begin" })).toBe(0);
   });
 });
--- a/packages/platform/src/http_object_store.ts
+++ b/packages/platform/src/http_object_store.ts
@@ -3,6 +3,7 @@
 import { Agent } from "undici";
 import { z } from "zod";
 import { createCallBudget } from "./call_budget.ts";
+import { createCallTurns } from "./call_turns.ts";
 import type { ObjectStore, StoreResult } from "./object_store.ts";
 import { createStoreBreaker } from "./store_breaker.ts";
 import {
@@ -48,7 +49,7 @@
   options: HttpObjectStoreOptions,
 ): ObjectStore {
   const agent = new Agent({ connect: { timeout: 1_000 }, connections: 32 });
-  const budget = createCallBudget(options.callsPerSecond);
+  const turns = createCallTurns(createCallBudget(options.callsPerSecond));
   const breaker = createStoreBreaker({
     instances: options.instances ?? (() => 1),
     probe: async () => {
@@ -64,21 +65,29 @@
     path: string,
     init: StoreRequest,
   ): Promise<StoreResult<StoreAnswer>> {
-    if (!(await breaker.admits())) {
-      count(operation, "not_sent");
-      return { kind: "unavailable", detail: "the store is away; not sent" };
-    }
-    const waitMs = budget.take({ mayWait: init.mayWait ?? false });
+    if (!(await breaker.admits())) return notSent(operation);
+    const waitMs = await turns.take({
+      urgency: init.urgency ?? "control",
+      longestWaitMs: init.longestWaitMs ?? 0,
+    });
     if (waitMs > 0) {
       count(operation, "over_budget");
       return { kind: "over_budget", retryAfterMs: waitMs };
     }
+    // The store may have gone away during a long wait for the turn; a write
+    // must not be what finds out whether it is back.
+    if (!(await breaker.admits())) return notSent(operation);
     const url = new URL(path, options.url);
     const { result } = await breaker.run(() => sendRequest(agent, url, init));
     count(operation, result.kind);
     return result;
   }
 
+  function notSent(operation: string): StoreResult<never> {
+    count(operation, "not_sent");
+    return { kind: "unavailable", detail: "the store is away; not sent" };
+  }
+
   function count(operation: string, result: string): void {
     options.metrics?.storeCalls.inc({ operation, result });
   }
--- a/packages/platform/src/http_object_store_test.ts
+++ b/packages/platform/src/http_object_store_test.ts
@@ -202,6 +202,35 @@
     expect(sent).toBeLessThanOrEqual(1);
   });
 
+  // The store takes longer than a claim waits for it, and less than a recall
+  // would. Claims time out one after the other; were the store taken to be
+  // away for that, the recall would not even be sent.
+  it("is not told that the store is away by those in a hurry", async () => {
+    const { store, setFaults } = await startStore();
+    await setFaults({ delayMs: 300 });
+    for (let at = 0; at < 4; at++) {
+      const hurried = { expectedVersion: null, timeoutMs: 50 };
+      const claim = await store.write(`${KEY}/${at}`, 1, hurried);
+      expect(claim.kind).toBe("reply_lost");
+    }
+    const recall = await store.write(KEY, 2, { expectedVersion: null });
+    expect(recall.kind).toBe("ok");
+  });
+
+  it("lets a call that may wait take its turn", async () => {
+    const { url } = await startStore();
+    const store = createHttpObjectStore({ url, callsPerSecond: 20 });
+    const claims = Array.from({ length: 24 }, (_, at) =>
+      store.write(`${KEY}/${at}`, 1, {
+        expectedVersion: null,
+        urgency: "begin",
+        longestWaitMs: 10_000,
+      }),
+    );
+    const kinds = (await Promise.all(claims)).map(({ kind }) => kind);
+    expect(new Set(kinds)).toEqual(new Set(["ok"]));
+  });
+
   // The store half works after an outage: it writes and then fails. Were the
   // first call after a wait a write, its outcome would be unknown; so only a
   // read finds out whether the store is back.
--- a/packages/platform/src/mod.ts
+++ b/packages/platform/src/mod.ts
@@ -1,4 +1,5 @@
 /** Clients of what the platform gives. */
+export type { CallUrgency } from "./call_budget.ts";
 export * from "./follow_objects.ts";
 export * from "./full_jitter.ts";
 export * from "./http_object_store.ts";
--- a/packages/platform/src/object_store.ts
+++ b/packages/platform/src/object_store.ts
@@ -1,4 +1,5 @@
 /** The platform's object API as the rest of rosemarypin sees it. */
+import type { CallUrgency } from "./call_budget.ts";
 
 /** An object with the version that its last write gave it. */
 export interface StoredObject {
@@ -44,11 +45,12 @@
 /** Options of a call that may be given up. */
 export interface StoreCallOptions {
   readonly signal?: AbortSignal;
-  /**
-   * Set on calls that begin callers' work, which can be refused: they leave
-   * a reserve of the calls to release notes, leases and the ends of work.
-   */
-  readonly mayWait?: boolean;
+  /** From sending to the answer, in milliseconds; the wait for a turn apart. */
+  readonly timeoutMs?: number;
+  /** Who goes first when calls are short; `control` when left out. */
+  readonly urgency?: CallUrgency;
+  /** How long the call may wait for its turn, in milliseconds; 0 if left out. */
+  readonly longestWaitMs?: number;
 }
 
 /** Versions, conditional updates and watches. */
--- a/packages/platform/src/store_request.ts
+++ b/packages/platform/src/store_request.ts
@@ -15,7 +15,6 @@
   readonly method: StoreMethod;
   readonly headers?: Record<string, string>;
   readonly body?: string;
-  readonly timeoutMs?: number;
 }
 
 /** An answer that the store gave on purpose. */
@@ -42,7 +41,8 @@
   url: URL,
   init: StoreRequest,
 ): Promise<StoreOutcome> {
-  const timeout = AbortSignal.timeout(init.timeoutMs ?? CALL_TIMEOUT_MS);
+  const timeoutMs = init.timeoutMs ?? CALL_TIMEOUT_MS;
+  const timeout = AbortSignal.timeout(timeoutMs);
   const signal = init.signal
     ? AbortSignal.any([init.signal, timeout])
     : timeout;
@@ -57,8 +57,11 @@
     const text = await response.body.text();
     return judgeAnswer(response.statusCode, text, init);
   } catch (error) {
-    // A caller that gives up says nothing about the store.
-    const healthy = init.signal?.aborted === true;
+    // A caller that gives up, or waits less than a store may take, says
+    // nothing about the store: claims are tried again after 700 ms, and a
+    // store that takes 1.5 s would else count as away for recalls too.
+    const gaveUp = init.signal?.aborted === true;
+    const healthy = gaveUp || (timeout.aborted && timeoutMs < CALL_TIMEOUT_MS);
     return { healthy, result: judgeBreak(error, init.method) };
   }
 }
--- a/packages/schemas/src/peer.ts
+++ b/packages/schemas/src/peer.ts
@@ -1,7 +1,7 @@
 /** What instances tell one another; carried as JSON-RPC 2.0. */
 import { z } from "zod";
 import { addressSchema, nameSchema, noteNumberSchema } from "./names.ts";
-import { claimStateSchema } from "./stored.ts";
+import { claimObjectSchema, claimStateSchema } from "./stored.ts";
 
 /** The small state that each instance shares with its peers. */
 export const sharedStateSchema = z.object({
@@ -48,3 +48,17 @@
   z.object({ kind: z.literal("forgotten") }),
 ]);
 export type ClaimWord = z.infer<typeof claimWordSchema>;
+
+/**
+ * What became of a call, for another instance to record: the one that owns
+ * the claim stops before the store takes it.
+ */
+export const claimEndSchema = z.object({
+  /** Key of the claim in the object API. */
+  key: z.string(),
+  object: claimObjectSchema,
+  /** Version of the claim that the end replaces. */
+  version: z.number(),
+  state: claimStateSchema,
+});
+export type ClaimEnd = z.infer<typeof claimEndSchema>;
