Remember the latest requests, and explain one by its id

Cause: `rosemarypin explain REQUEST_ID` could only point to the logs, which no operator can search on instances that are replaced at any time. Ruled out: a record in the object API (a write for each request), and the id telling the instance (ids are random so that nobody can guess one).

--- a/packages/daemon/src/admin_server.ts
+++ b/packages/daemon/src/admin_server.ts
@@ -1,7 +1,7 @@
 /** The administration API, metrics and health. */
 import { randomUUID } from "node:crypto";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
-import { badCall, type CallFailure, notRun } from "@rosemarypin/calls";
+import type { CallFailure } from "@rosemarypin/calls";
 import type { Publisher } from "@rosemarypin/release";
 import {
   type NoteStatus,
@@ -14,6 +14,15 @@
 } from "@rosemarypin/schemas";
 import { createLogger, type Metrics } from "@rosemarypin/telemetry";
 import { z } from "zod";
+import {
+  badQuery,
+  internalError,
+  unknownNote,
+  unknownPath,
+  unknownRequest,
+  wrongKey,
+  wrongMethod,
+} from "./admin_failures.ts";
 import {
   badNote,
   publishReply,
@@ -26,10 +35,10 @@
 import { startServer } from "./http_server.ts";
 import type { NoteInspector } from "./note_inspector.ts";
 import { createBodyMemory, readBody } from "./request_body.ts";
+import type { FindRequest } from "./request_finder.ts";
 
 /** Administrators share one part of the memory for bodies. */
 const SENDER = "administrators";
-const INTERNAL_RETRY_SECONDS = 2;
 const LARGEST_EXPLANATION = 2_000;
 
 const log = createLogger("admin");
@@ -42,6 +51,7 @@
   readonly status: () => Promise<Status>;
   readonly noteStatus: (number: number) => Promise<NoteStatus>;
   readonly serviceLevels: () => ServiceLevels;
+  readonly findRequest: FindRequest;
   readonly isReady: () => boolean;
   readonly drain: () => void;
 }
@@ -56,8 +66,8 @@
 interface Route {
   readonly method: "GET" | "POST";
   readonly path: RegExp;
-  /** `number` is the first group of `path`. */
-  run(exchange: Exchange, number: number): Promise<Reply>;
+  /** `word` is the first group of `path`. */
+  run(exchange: Exchange, word: string): Promise<Reply>;
 }
 
 const explainQuerySchema = z.union([
@@ -90,11 +100,16 @@
     {
       method: "GET",
       path: /^\/v1\/notes\/(\d{1,9})\/status$/,
-      run: async (_, number) => ok(await options.noteStatus(number)),
+      run: async (_, number) => ok(await options.noteStatus(Number(number))),
     },
     { method: "GET", path: /^\/v1\/notes\/(\d{1,9})\/diff$/, run: diff },
     { method: "GET", path: /^\/v1\/notes\/(\d{1,9})$/, run: showNote },
     { method: "GET", path: /^\/v1\/explain$/, run: explain },
+    {
+      method: "GET",
+      path: /^\/v1\/requests\/([0-9a-f-]{36})$/,
+      run: showRequest,
+    },
     {
       method: "POST",
       path: /^\/v1\/drain$/,
@@ -153,8 +168,7 @@
       response.setHeader("allow", allowed);
       return { failure: wrongMethod(allowed) };
     }
-    const number = Number(chosen.path.exec(url.pathname)?.[1] ?? 0);
-    return chosen.run(exchange, number);
+    return chosen.run(exchange, chosen.path.exec(url.pathname)?.[1] ?? "");
   }
 
   async function history(): Promise<Reply> {
@@ -162,7 +176,8 @@
     return notes ? ok({ notes }) : { failure: storeAway("the history") };
   }
 
-  async function showNote(_: Exchange, number: number): Promise<Reply> {
+  async function showNote(_: Exchange, word: string): Promise<Reply> {
+    const number = Number(word);
     const record = await publisher.find(number);
     if (record === undefined) return { failure: storeAway("the history") };
     return record ? ok(record) : { failure: unknownNote(number) };
@@ -181,10 +196,10 @@
     return ok(inspector.check(note.note));
   }
 
-  async function diff({ url }: Exchange, from: number): Promise<Reply> {
+  async function diff({ url }: Exchange, from: string): Promise<Reply> {
     const query = diffQuerySchema.safeParse(queryOf(url));
     if (!query.success) return { failure: badQuery("?to=NUMBER") };
-    const result = await inspector.diff(from, query.data.to);
+    const result = await inspector.diff(Number(from), query.data.to);
     switch (result.kind) {
       case "diff":
         return ok(result.diff);
@@ -207,6 +222,12 @@
     return ok(await inspector.explain(subject));
   }
 
+  async function showRequest(_: Exchange, requestId: string): Promise<Reply> {
+    const trace = await options.findRequest(requestId);
+    if (trace.records.length > 0) return ok(trace);
+    return { failure: unknownRequest(trace.silent) };
+  }
+
   async function readNote(
     exchange: Exchange,
   ): Promise<
@@ -261,42 +282,3 @@
     return "the body is not JSON";
   }
 }
-
-function wrongKey(): CallFailure {
-  return badCall("wrong_key", {
-    message: "send the administrators' key as 'authorization: Bearer KEY'",
-    status: 401,
-  });
-}
-
-function unknownPath(): CallFailure {
-  return badCall("unknown_path", {
-    message: "there is nothing at this path; see docs/openapi/admin.yaml",
-    status: 404,
-  });
-}
-
-function unknownNote(number: number): CallFailure {
-  return badCall("unknown_note", {
-    message: `there is no note ${number}; see 'rosemarypin note history'`,
-    status: 404,
-  });
-}
-
-function wrongMethod(allowed: string): CallFailure {
-  return badCall("wrong_method", {
-    message: `this path takes ${allowed} only`,
-    status: 405,
-  });
-}
-
-function badQuery(expected: string): CallFailure {
-  return badCall("bad_query", { message: `expected ${expected}`, status: 400 });
-}
-
-function internalError(): CallFailure {
-  return notRun("internal_error", {
-    message: "something broke in this instance; ask another one",
-    retryAfterSeconds: INTERNAL_RETRY_SECONDS,
-  });
-}
--- a/packages/daemon/src/answer_endpoint.ts
+++ b/packages/daemon/src/answer_endpoint.ts
@@ -30,6 +30,11 @@
 } from "./exchange.ts";
 import { sendFailure } from "./http_basics.ts";
 import type { BodyMemory } from "./request_body.ts";
+import {
+  factsOfFailure,
+  type RememberedRequest,
+  type RequestMemory,
+} from "./request_memory.ts";
 
 const log = createLogger("callers");
 
@@ -39,6 +44,7 @@
   readonly metrics: Metrics;
   readonly levels: ServiceLevelCounter;
   readonly memory: BodyMemory;
+  readonly requests: RequestMemory;
 }
 
 /** Creates the endpoint of both kinds of completion. */
@@ -84,26 +90,47 @@
     const left = new AbortController();
     response.once("close", () => left.abort());
     exchange.handedOn = true;
+    const remembered = remember(exchange, answerRequest);
     const events = runAnswer(answerRequest, {
       ...options.answers,
       signal: left.signal,
     });
-    const timed = timeTokens(events, answerRequest);
+    const timed = timeTokens(events, { answerRequest, remembered });
     const { model } = answerRequest;
     const { readerStallMs } = settings.limits;
     const output = { response, requestId, model, style, readerStallMs };
     const end = stream
       ? await sendStream(timed, output)
       : await sendWhole(timed, output);
-    finish(exchange, { answerRequest, end });
+    finish(exchange, { answerRequest, remembered, end });
+  }
+
+  function remember(
+    { request }: Exchange,
+    { requestId, model, organisation, priority }: AnswerRequest,
+  ): RememberedRequest {
+    return options.requests.begin({
+      kind: "answer",
+      requestId,
+      callerRequestId: callerRequestId(request),
+      name: model,
+      organisation,
+      priority,
+    });
   }
 
   async function* timeTokens(
     events: ReturnType<typeof runAnswer>,
-    { model, organisation }: AnswerRequest,
+    followed: {
+      readonly answerRequest: AnswerRequest;
+      readonly remembered: RememberedRequest;
+    },
   ) {
+    const { remembered, answerRequest } = followed;
+    const { model, organisation } = answerRequest;
     let last = performance.now();
     let first = true;
+    let tokens = 0;
     for await (const event of events) {
       const now = performance.now();
       if (event.type === "token") {
@@ -113,10 +140,13 @@
         const limitMs = first ? firstTokenMs : betweenTokensMs;
         const key = { objective, organisation, name: model } as const;
         levels.count(key, now - last <= limitMs);
+        if (first) remembered.note({ firstTokenMs: Math.round(now - last) });
+        tokens += 1;
         first = false;
         last = now;
       }
       if (event.type === "failed" && first) countRefusal(event.failure);
+      if (event.type !== "token") remembered.note({ tokens });
       yield event;
     }
 
@@ -134,9 +164,14 @@
 
   function finish(
     { request }: Exchange,
-    ended: { readonly answerRequest: AnswerRequest; readonly end: AnswerEnd },
+    ended: {
+      readonly answerRequest: AnswerRequest;
+      readonly remembered: RememberedRequest;
+      readonly end: AnswerEnd;
+    },
   ): void {
-    const { answerRequest, end } = ended;
+    const { answerRequest, remembered, end } = ended;
+    remembered.end(factsOfEnd(end));
     const { requestId, organisation, model } = answerRequest;
     const outcome = end.kind === "failed" ? end.failure.outcome : end.kind;
     metrics.requests.inc({
@@ -158,3 +193,17 @@
 
   return answer;
 }
+
+/** What of an answer's end is worth remembering. */
+export function factsOfEnd(end: AnswerEnd) {
+  switch (end.kind) {
+    case "failed":
+      return factsOfFailure(end.failure);
+    case "caller_left":
+      return { outcome: end.kind };
+    case "done": {
+      const { version, noteNumber, attempts } = end.provenance;
+      return { outcome: end.kind, version, noteNumber, attempts };
+    }
+  }
+}
--- a/packages/daemon/src/answer_resume.ts
+++ b/packages/daemon/src/answer_resume.ts
@@ -8,8 +8,10 @@
 } from "@rosemarypin/calls";
 import type { Organisation } from "@rosemarypin/schemas";
 import { createLogger } from "@rosemarypin/telemetry";
+import { factsOfEnd } from "./answer_endpoint.ts";
 import { sendStream } from "./answer_stream.ts";
 import { sendFailure } from "./http_basics.ts";
+import { factsOfFailure, type RequestMemory } from "./request_memory.ts";
 
 const RESUMED_DEADLINE_MS = 60_000;
 const ANSWER_PATH = /^\/v1\/answers\/([0-9a-zA-Z-]{1,64})$/;
@@ -35,7 +37,7 @@
 /** Streams the tokens after the one that `last-event-id` names. */
 export async function resume(
   exchange: ResumeExchange,
-  options: ResumeDependencies,
+  options: ResumeDependencies & { readonly requests: RequestMemory },
 ): Promise<void> {
   const { request, response, requestId, organisation, readerStallMs } =
     exchange;
@@ -58,7 +60,14 @@
     },
     { ...options, signal: left.signal },
   );
+  const remembered = options.requests.begin({
+    kind: "resumed_answer",
+    requestId,
+    name: resumed.kind === "failed" ? "unknown" : resumed.model,
+    organisation: organisation.name,
+  });
   if (resumed.kind === "failed") {
+    remembered.end(factsOfFailure(resumed.failure));
     return sendFailure(response, resumed.failure, { requestId });
   }
   const query = new URL(request.url ?? "/", "http://caller").searchParams;
@@ -72,6 +81,7 @@
     readerStallMs,
   } as const;
   const end = await sendStream(events, output);
+  remembered.end(factsOfEnd(end));
   log.info("answer_resumed", {
     request: requestId,
     organisation: organisation.name,
--- a/packages/daemon/src/caller_server.ts
+++ b/packages/daemon/src/caller_server.ts
@@ -25,6 +25,7 @@
 import { sendFailure, sendJson } from "./http_basics.ts";
 import { startServer } from "./http_server.ts";
 import { createBodyMemory } from "./request_body.ts";
+import type { RequestMemory } from "./request_memory.ts";
 import { createServiceEndpoint } from "./service_endpoint.ts";
 import type { WorkInProgress } from "./work_in_progress.ts";
 
@@ -37,6 +38,7 @@
   readonly metrics: Metrics;
   readonly levels: ServiceLevelCounter;
   readonly work: WorkInProgress;
+  readonly requests: RequestMemory;
 }
 
 interface Endpoint {
@@ -94,7 +96,8 @@
     if (resumed) {
       const { readerStallMs } = settings.limits;
       const own = { ...exchange, requestId: resumed, readerStallMs };
-      return resume(own, options.answers);
+      const { answers, requests } = options;
+      return resume(own, { ...answers, requests });
     }
     if (path.startsWith("/services/")) return callService(exchange);
     const endpoint = endpoints.get(path);
--- a/packages/daemon/src/caller_server_test.ts
+++ b/packages/daemon/src/caller_server_test.ts
@@ -11,6 +11,7 @@
   startCallerServer,
 } from "./caller_server.ts";
 import { createInstanceLevels } from "./instance_levels.ts";
+import { createRequestMemory } from "./request_memory.ts";
 import { createWorkInProgress } from "./work_in_progress.ts";
 
 const KEY = "kano-test-key";
@@ -54,6 +55,7 @@
     metrics: createMetrics(),
     levels: createInstanceLevels(settings),
     work,
+    requests: createRequestMemory({ instance: "entry-1" }),
   });
   const address = server.address();
   const port = typeof address === "object" && address ? address.port : 0;
--- a/packages/daemon/src/contract/fake_parts.ts
+++ b/packages/daemon/src/contract/fake_parts.ts
@@ -19,6 +19,7 @@
 import { hashKey } from "../authentication.ts";
 import { createInstanceLevels } from "../instance_levels.ts";
 import { createNoteInspector } from "../note_inspector.ts";
+import { createRequestMemory } from "../request_memory.ts";
 import { createWorkInProgress } from "../work_in_progress.ts";
 
 const HOST = "127.0.0.1";
@@ -147,6 +148,7 @@
     metrics,
     levels: createInstanceLevels(settings),
     work: createWorkInProgress(),
+    requests: createRequestMemory({ instance: settings.instance.id }),
     answers: {
       keeper,
       router: fakeRouter,
@@ -203,6 +205,7 @@
       engines: [],
     }),
     serviceLevels: createInstanceLevels(settings).read,
+    findRequest: async (requestId) => ({ requestId, records: [], silent: [] }),
     isReady: () => false,
     drain() {},
   };
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -72,6 +72,8 @@
   listCandidates,
 } from "./known_state.ts";
 import { createNoteInspector } from "./note_inspector.ts";
+import { createRequestFinder, requestFinderMethods } from "./request_finder.ts";
+import { createRequestMemory } from "./request_memory.ts";
 import { viewBackends, viewInstances } from "./status_view.ts";
 import { createSubsetChoice } from "./subset_choice.ts";
 import { createWorkInProgress } from "./work_in_progress.ts";
@@ -229,6 +231,7 @@
     metrics,
     ends,
   });
+  const requests = createRequestMemory({ instance: id });
   const levels = createInstanceLevels(settings);
   countNotes(keeper, { levels, objectives: settings.objectives });
   const sweeper = createClaimSweeper({
@@ -297,6 +300,7 @@
     },
     ...claimOwnerMethods(registry),
     ...endHandOverMethods(ends),
+    ...requestFinderMethods(requests),
   });
   const adminServer = await startAdminServer({
     settings,
@@ -304,6 +308,7 @@
     publisher,
     inspector: createNoteInspector({ keeper, publisher }),
     serviceLevels: levels.read,
+    findRequest: createRequestFinder({ memory: requests, membership, peers }),
     status,
     noteStatus,
     isReady: () => !draining && keeper.current() !== null && knowsEngines(),
@@ -327,6 +332,7 @@
     metrics,
     levels,
     work,
+    requests,
   });
   callerServer.prependListener("request", (_request, response) => {
     if (draining) response.setHeader("connection", "close");
--- a/packages/daemon/src/openapi/admin_document.ts
+++ b/packages/daemon/src/openapi/admin_document.ts
@@ -10,6 +10,7 @@
   noteStatusSchema,
   publishAnswerSchema,
   releaseNoteSchema,
+  requestTraceSchema,
   serviceLevelsSchema,
   statusSchema,
 } from "@rosemarypin/schemas";
@@ -38,6 +39,7 @@
   NoteStatus: { schema: noteStatusSchema, io: "output" },
   NoteDiff: { schema: noteDiffSchema, io: "output" },
   NoteCheck: { schema: noteCheckSchema, io: "output" },
+  RequestTrace: { schema: requestTraceSchema, io: "output" },
   Explain: { schema: explainSchema, io: "output" },
   Status: { schema: statusSchema, io: "output" },
   ServiceLevels: { schema: serviceLevelsSchema, io: "output" },
@@ -147,6 +149,13 @@
         }),
       },
     },
+    "/v1/requests/{requestId}": {
+      parameters: [parameter("requestId", { in: "path", schema: z.uuid() })],
+      get: call("What the instances remember of one request", {
+        "200": jsonAnswer("Its records", "RequestTrace"),
+        "404": failure("No instance that answered remembers it"),
+      }),
+    },
     "/v1/drain": {
       post: call("Make this instance unready, ahead of its stop", {
         "202": jsonAnswer("It is unready", "Draining"),
--- a/packages/daemon/src/service_endpoint.ts
+++ b/packages/daemon/src/service_endpoint.ts
@@ -16,6 +16,7 @@
 } from "./exchange.ts";
 import { sendFailure } from "./http_basics.ts";
 import type { BodyMemory } from "./request_body.ts";
+import { factsOfFailure, type RequestMemory } from "./request_memory.ts";
 import { isIdempotencyKey, parseServicePath } from "./service_request.ts";
 
 const log = createLogger("callers");
@@ -26,6 +27,7 @@
   readonly metrics: Metrics;
   readonly levels: ServiceLevelCounter;
   readonly memory: BodyMemory;
+  readonly requests: RequestMemory;
 }
 
 /** What the caller sent, in the form that the calls take. */
@@ -65,9 +67,17 @@
     const parsed = await parse(exchange);
     if (!parsed) return;
     exchange.handedOn = true;
+    const remembered = options.requests.begin({
+      kind: "service_call",
+      requestId: exchange.requestId,
+      callerRequestId: callerRequestId(exchange.request),
+      name: parsed.service,
+      organisation: exchange.organisation.name,
+    });
     const result = await options.callService(
       describeCall(exchange, { ...parsed, settings }),
     );
+    remembered.end(factsOf(result));
     count(exchange, { ...options, parsed, result });
     sendResult(exchange, result);
   };
@@ -126,6 +136,12 @@
   });
 }
 
+function factsOf(result: ServiceCallResult) {
+  if (result.kind === "failed") return factsOfFailure(result.failure);
+  const { answer, repeated } = result;
+  return { outcome: "done", status: answer.status, repeated };
+}
+
 function sendResult(
   { response, requestId }: Exchange,
   result: ServiceCallResult,
--- a/packages/schemas/src/mod.ts
+++ b/packages/schemas/src/mod.ts
@@ -9,6 +9,7 @@
 export * from "./peer.ts";
 export * from "./peer_datagram.ts";
 export * from "./release_note.ts";
+export * from "./request_record.ts";
 export * from "./service_levels.ts";
 export * from "./settings.ts";
 export * from "./settings_checks.ts";
