Parse large settings in a thread that ends, and cap the list of problems

Cause: a daemon with 6,400 organisations had 46.6 MB more resident than one with two, 20 times the heap of their state. A script that only parses such a file had 71.5 MB before and 135.8 MB 5 s after; in a thread that ends, 87.7 MB: the positions of all lines are what stays, since the heap that grew for them is not given back. Ruled out: the organisations themselves (383 bytes each). Found on the way: a file with 6,400 equal mistakes printed 6,400 lines.

--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -1,19 +1,17 @@
 #!/usr/bin/env node
 /** Entry of `rosemarypind`. */
 import { readFileSync } from "node:fs";
-import {
-  formatProblem,
-  parseYamlFile,
-  type Settings,
-  settingsSchema,
-} from "@rosemarypin/schemas";
+import { formatProblem, type Settings } from "@rosemarypin/schemas";
 import { createLogger, enableDefaultLogs } from "@rosemarypin/telemetry";
 import meow from "meow";
 import { startDaemon } from "./daemon.ts";
+import { parseSettings } from "./settings_reader.ts";
 
 const EXIT_NOT_STARTED = 1;
 const EXIT_BAD_SETTINGS = 2;
 const EXIT_WORK_CUT = 3;
+/** One wrong habit in a file of 6,400 organisations fills no terminal. */
+const LARGEST_PROBLEM_COUNT = 50;
 
 const log = createLogger("daemon");
 
@@ -42,12 +40,14 @@
   },
 );
 
-function readSettings(file: string): Settings {
-  const result = parseYamlFile(settingsSchema, { text: readText(file), file });
+async function readSettings(file: string): Promise<Settings> {
+  const result = await parseSettings({ text: readText(file), file });
   if (result.kind === "valid") return result.value;
-  for (const problem of result.problems) {
+  for (const problem of result.problems.slice(0, LARGEST_PROBLEM_COUNT)) {
     console.error(formatProblem(problem));
   }
+  const more = result.problems.length - LARGEST_PROBLEM_COUNT;
+  if (more > 0) console.error(`${file}: ${more} more problems`);
   process.exit(EXIT_BAD_SETTINGS);
 }
 
@@ -61,7 +61,7 @@
   }
 }
 
-const settings = readSettings(command.flags.settings);
+const settings = await readSettings(command.flags.settings);
 if (command.flags.check) {
   console.log(`${command.flags.settings}: valid`);
   process.exit(0);
