Hold organisations to limits that all instances share

Cause: many teams share a deployment, and nothing kept one of them from asking for all that the fair queue leaves over, or from looping on orders. Each instance sees a small part of an organisation's requests, so none can count. Built: a home for each organisation, by hashing, that sums reports and answers with the share that may go on; reports go behind the answers, within a budget, the heaviest first. Refusals are not_run, 429, at once, with retry-after; the contract test shows that nothing was sent.

--- a/packages/bench/src/bench_command.ts
+++ b/packages/bench/src/bench_command.ts
@@ -17,6 +17,7 @@
   bookings: async () => (await import("./bookings/bookings_bench.ts")).command,
   capacity: async () =>
     (await import("./capacity/capacity_bench.ts")).capacityBench,
+  limits: async () => (await import("./limits/limits_bench.ts")).limitsBench,
   throughput: async () =>
     (await import("./throughput/throughput_bench.ts")).throughputBench,
   confirmations: async () =>
--- /dev/null
+++ b/packages/bench/src/limits/limits_bench.ts
@@ -0,0 +1,166 @@
+/** How well shared limits hold, and what they cost, in one process. */
+import {
+  chooseHome,
+  createLimitHome,
+  createLimitsOf,
+  createSharedLimits,
+  type LimitReport,
+} from "@rosemarypin/limits";
+import { pause } from "@rosemarypin/timing";
+import meow from "meow";
+import { uniformInt } from "pure-rand/distribution/uniformInt";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import type { BenchCommand } from "../bench_command.ts";
+
+/** Headers of a request, of its answer, and of the packets of both. */
+const HEADER_BYTES = 560;
+const STEP_MS = 20;
+const LIMIT = 20;
+
+interface Row {
+  readonly instances: number;
+  /** Organisations with a limit that ask for little. */
+  readonly quiet: number;
+}
+
+const rows: readonly Row[] = [
+  { instances: 4, quiet: 10 },
+  { instances: 64, quiet: 1_200 },
+  { instances: 340, quiet: 6_400 },
+];
+/** Of all quiet organisations together, for each instance. */
+const QUIET_PER_INSTANCE = 2.9;
+
+interface Figures {
+  readonly admitted: number;
+  readonly quietRefused: number;
+  readonly bytesPerSecond: { readonly middle: number; readonly most: number };
+  readonly stateBytes: number;
+}
+
+async function measure(row: Row, seconds: number): Promise<Figures> {
+  const quietNames = Array.from(
+    { length: row.quiet },
+    (_, at) => `quiet-${at}`,
+  );
+  const limited = ["loud", ...quietNames].map((name) => ({
+    name,
+    limits: { requestsPerSecond: LIMIT },
+  }));
+  const limitsOf = createLimitsOf(limited);
+  const ids = Array.from({ length: row.instances }, (_, at) => `entry-${at}`);
+  const homes = new Map(ids.map((id) => [id, createLimitHome({ limitsOf })]));
+  const random = xoroshiro128plus(1);
+  /** Sent and received by each instance. */
+  const bytes = new Map<string, number>();
+
+  function createInstance(id: string) {
+    return createSharedLimits({
+      limitsOf,
+      homes: {
+        homeOf: (organisation) => chooseHome(organisation, ids),
+        isSelf: (home) => home === id,
+        async report(home, report: LimitReport) {
+          const answer = homes.get(home)?.report(report) ?? null;
+          const bodies = JSON.stringify(report) + JSON.stringify(answer);
+          const cost = home === id ? 0 : HEADER_BYTES + bodies.length;
+          for (const each of [id, home]) {
+            bytes.set(each, (bytes.get(each) ?? 0) + cost);
+          }
+          return answer;
+        },
+      },
+    });
+  }
+
+  const before = process.memoryUsage().heapUsed;
+  const instances = ids.map(createInstance);
+  let admitted = 0;
+  let quietRefused = 0;
+  const due = { loud: 0, quiet: 0 };
+
+  function offer(name: string): boolean {
+    const instance = instances[uniformInt(random, 0, ids.length - 1)];
+    return instance?.admit(name, { tokens: 1 }).kind === "admitted";
+  }
+
+  async function run(forMs: number): Promise<void> {
+    const end = performance.now() + forMs;
+    let last = performance.now();
+    while (performance.now() < end) {
+      await pause(STEP_MS);
+      const now = performance.now();
+      due.loud += ((now - last) / 1_000) * 4 * LIMIT;
+      due.quiet += ((now - last) / 1_000) * QUIET_PER_INSTANCE * ids.length;
+      last = now;
+      for (; due.loud >= 1; due.loud--) if (offer("loud")) admitted += 1;
+      for (; due.quiet >= 1; due.quiet--) {
+        const name = `quiet-${uniformInt(random, 0, row.quiet - 1)}`;
+        if (!offer(name)) quietRefused += 1;
+      }
+    }
+  }
+
+  await run((seconds * 1_000) / 2);
+  [admitted, quietRefused] = [0, 0];
+  bytes.clear();
+  const began = performance.now();
+  await run((seconds * 1_000) / 2);
+  const elapsed = (performance.now() - began) / 1_000;
+  const grown = process.memoryUsage().heapUsed - before;
+  for (const instance of instances) instance.stop();
+  const sorted = ids.map((id) => bytes.get(id) ?? 0).sort((a, b) => a - b);
+  const rateAt = (at: number) => (sorted[Math.floor(at)] ?? 0) / elapsed;
+  return {
+    admitted: admitted / elapsed / LIMIT,
+    quietRefused,
+    bytesPerSecond: {
+      middle: rateAt(ids.length / 2),
+      most: rateAt(ids.length - 1),
+    },
+    stateBytes: grown / ids.length,
+  };
+}
+
+/** `npm run bench -- limits`. */
+export const limitsBench: BenchCommand = {
+  summary: "limits of organisations over 4, 64 and 340 instances",
+  async run(words) {
+    const usage =
+      "Usage: npm run bench -- limits [--seconds N] [--instances 4|64|340]";
+    const { flags } = meow(usage, {
+      importMeta: import.meta,
+      argv: [...words],
+      flags: {
+        seconds: { type: "number", default: 200 },
+        instances: { type: "number" },
+      },
+    });
+    const { instances = 0 } = flags;
+    const wanted = rows.filter(
+      (row) => instances === 0 || row.instances === instances,
+    );
+    console.log(
+      `one organisation asks for 4 times its limit of ${LIMIT}/s; ` +
+        `all others together for ${QUIET_PER_INSTANCE}/s an instance; ` +
+        `${flags.seconds} s each, the second half counts`,
+    );
+    console.log(
+      "instances  admitted/limit  quiet refused  B/s middle  B/s most  heap bytes",
+    );
+    for (const row of wanted) {
+      const figures = await measure(row, flags.seconds);
+      console.log(
+        [
+          String(row.instances).padEnd(9),
+          figures.admitted.toFixed(2).padEnd(14),
+          String(figures.quietRefused).padEnd(13),
+          figures.bytesPerSecond.middle.toFixed(0).padEnd(10),
+          figures.bytesPerSecond.most.toFixed(0).padEnd(8),
+          figures.stateBytes.toFixed(0),
+        ].join("  "),
+      );
+    }
+    return 0;
+  },
+};
--- a/packages/daemon/src/answer_endpoint.ts
+++ b/packages/daemon/src/answer_endpoint.ts
@@ -4,6 +4,7 @@
   type ResumeDependencies,
   runAnswer,
 } from "@rosemarypin/calls";
+import type { SharedLimits } from "@rosemarypin/limits";
 import type { AnswerRequest, Settings } from "@rosemarypin/schemas";
 import {
   createLogger,
@@ -26,6 +27,7 @@
   callerRequestId,
   type Exchange,
   modelLabel,
+  refuseByLimit,
   takeBody,
 } from "./exchange.ts";
 import { sendFailure } from "./http_basics.ts";
@@ -45,6 +47,7 @@
   readonly levels: ServiceLevelCounter;
   readonly memory: BodyMemory;
   readonly requests: RequestMemory;
+  readonly limits: SharedLimits;
 }
 
 /** Creates the endpoint of both kinds of completion. */
@@ -87,6 +90,8 @@
     if (!parsed) return;
     const { answerRequest, stream } = parsed;
     const { response, requestId } = exchange;
+    const tokens = answerRequest.maxTokens;
+    if (refuseByLimit(exchange, { ...options, tokens })) return;
     const left = new AbortController();
     response.once("close", () => left.abort());
     exchange.handedOn = true;
--- a/packages/daemon/src/caller_failures.ts
+++ b/packages/daemon/src/caller_failures.ts
@@ -24,6 +24,19 @@
   });
 }
 
+/** The organisation asks for more than its settings allow it. */
+export function limitReached(retryAfterSeconds: number): CallFailure {
+  return {
+    ...notRun("limit_reached", {
+      message:
+        "your organisation asks for more than its limit; " +
+        "slow down, or ask the operators for a higher one",
+      retryAfterSeconds,
+    }),
+    status: 429,
+  };
+}
+
 /** Nothing is served at the path. */
 export function unknownPath(): CallFailure {
   return badCall("unknown_path", {
--- a/packages/daemon/src/caller_server.ts
+++ b/packages/daemon/src/caller_server.ts
@@ -6,6 +6,7 @@
   ServiceCall,
   ServiceCallResult,
 } from "@rosemarypin/calls";
+import type { SharedLimits } from "@rosemarypin/limits";
 import type { Settings } from "@rosemarypin/schemas";
 import {
   createLogger,
@@ -39,6 +40,7 @@
   readonly levels: ServiceLevelCounter;
   readonly work: WorkInProgress;
   readonly requests: RequestMemory;
+  readonly limits: SharedLimits;
 }
 
 interface Endpoint {
--- a/packages/daemon/src/caller_server_test.ts
+++ b/packages/daemon/src/caller_server_test.ts
@@ -10,6 +10,7 @@
   type CallerServerOptions,
   startCallerServer,
 } from "./caller_server.ts";
+import { createOwnLimits } from "./contract/fake_parts.ts";
 import { createInstanceLevels } from "./instance_levels.ts";
 import { createRequestMemory } from "./request_memory.ts";
 import { createWorkInProgress } from "./work_in_progress.ts";
@@ -56,6 +57,7 @@
     levels: createInstanceLevels(settings),
     work,
     requests: createRequestMemory({ instance: "entry-1" }),
+    limits: createOwnLimits(settings),
   });
   const address = server.address();
   const port = typeof address === "object" && address ? address.port : 0;
--- a/packages/daemon/src/contract/fake_parts.ts
+++ b/packages/daemon/src/contract/fake_parts.ts
@@ -5,6 +5,12 @@
   ParkedAnswers,
 } from "@rosemarypin/backends";
 import { createRecoveryLimiter } from "@rosemarypin/calls";
+import {
+  createLimitHome,
+  createLimitsOf,
+  createSharedLimits,
+  type SharedLimits,
+} from "@rosemarypin/limits";
 import type { NoteKeeper, Publisher } from "@rosemarypin/release";
 import type { Router } from "@rosemarypin/routing";
 import {
@@ -32,6 +38,7 @@
 
 export const goodKey = "good-caller-key";
 export const badCallerKey = "bad-caller-key";
+export const limitedKey = "limited-caller-key";
 export const adminKey = "administrators-key";
 
 /** Limits that a test can run into within a second or two. */
@@ -69,6 +76,11 @@
     organisations: [
       { name: "good", keySha256: hashKey(goodKey) },
       { name: "bad", keySha256: hashKey(badCallerKey), priority: "batch" },
+      {
+        name: "limited",
+        keySha256: hashKey(limitedKey),
+        limits: { requestsPerSecond: 1 },
+      },
     ],
     work: [{ name: "draft", priority: "interactive", organisations: ["good"] }],
     services: [
@@ -149,6 +161,7 @@
     levels: createInstanceLevels(settings),
     work: createWorkInProgress(),
     requests: createRequestMemory({ instance: settings.instance.id }),
+    limits: createOwnLimits(settings),
     answers: {
       keeper,
       router: fakeRouter,
@@ -172,6 +185,20 @@
   };
 }
 
+/** Limits of a deployment of one instance. */
+export function createOwnLimits(settings: Settings): SharedLimits {
+  const limitsOf = createLimitsOf(settings.organisations);
+  const home = createLimitHome({ limitsOf });
+  return createSharedLimits({
+    limitsOf,
+    homes: {
+      homeOf: () => "",
+      isSelf: () => true,
+      report: async (_home, report) => home.report(report),
+    },
+  });
+}
+
 /** Everything that an administration server needs, with note 1 recorded. */
 export function fakeAdminParts(settings: Settings): AdminServerOptions {
   const publisher: Publisher = {
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -13,6 +13,11 @@
   createRecoveryLimiter,
   createServiceCaller,
 } from "@rosemarypin/calls";
+import {
+  createLimitHome,
+  createLimitsOf,
+  createSharedLimits,
+} from "@rosemarypin/limits";
 import {
   createMembership,
   createPeerCaller,
@@ -71,6 +76,7 @@
   highestNoteOf,
   listCandidates,
 } from "./known_state.ts";
+import { createLimitHomes, limitHomeMethods } from "./limit_homes.ts";
 import { createNoteInspector } from "./note_inspector.ts";
 import { createRequestFinder, requestFinderMethods } from "./request_finder.ts";
 import { createRequestMemory } from "./request_memory.ts";
@@ -232,6 +238,12 @@
     ends,
   });
   const requests = createRequestMemory({ instance: id });
+  const limitsOf = createLimitsOf(settings.organisations);
+  const limitHome = createLimitHome({ limitsOf });
+  const limits = createSharedLimits({
+    limitsOf,
+    homes: createLimitHomes({ id, membership, peers, home: limitHome }),
+  });
   const levels = createInstanceLevels(settings);
   countNotes(keeper, { levels, objectives: settings.objectives });
   const sweeper = createClaimSweeper({
@@ -301,6 +313,7 @@
     ...claimOwnerMethods(registry),
     ...endHandOverMethods(ends),
     ...requestFinderMethods(requests),
+    ...limitHomeMethods(limitHome),
   });
   const adminServer = await startAdminServer({
     settings,
@@ -333,6 +346,7 @@
     levels,
     work,
     requests,
+    limits,
   });
   callerServer.prependListener("request", (_request, response) => {
     if (draining) response.setHeader("connection", "close");
@@ -369,6 +383,7 @@
       fleet.stop();
       await registration.leave();
       services.stop();
+      limits.stop();
       sweeper.stop();
       clearInterval(listTimer);
       await membership.leave();
--- a/packages/daemon/src/exchange.ts
+++ b/packages/daemon/src/exchange.ts
@@ -1,10 +1,15 @@
 /** One request of a caller, with what every endpoint needs of it. */
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { SharedLimits } from "@rosemarypin/limits";
 import type { NoteKeeper } from "@rosemarypin/release";
 import type { Organisation, Settings } from "@rosemarypin/schemas";
+import { createLogger, type Metrics } from "@rosemarypin/telemetry";
+import { limitReached } from "./caller_failures.ts";
 import { sendFailure } from "./http_basics.ts";
 import { type BodyMemory, readBody } from "./request_body.ts";
 
+const log = createLogger("callers");
+
 const CALLER_ID = /^[\x21-\x7e]{1,128}$/;
 /** Label of what no settings and no note name. */
 const UNKNOWN_NAME = "unknown";
@@ -40,6 +45,25 @@
   return null;
 }
 
+/** Whether the organisation is beyond its limits; the refusal is sent then. */
+export function refuseByLimit(
+  { response, requestId, organisation }: Exchange,
+  options: {
+    readonly limits: SharedLimits;
+    readonly tokens: number;
+    readonly metrics: Metrics;
+  },
+): boolean {
+  const { limits, tokens, metrics } = options;
+  const admission = limits.admit(organisation.name, { tokens });
+  if (admission.kind === "admitted") return false;
+  metrics.limited.inc();
+  log.info("limited", { request: requestId, organisation: organisation.name });
+  const failure = limitReached(admission.retryAfterSeconds);
+  sendFailure(response, failure, { requestId });
+  return true;
+}
+
 /**
  * A label for each name that callers think of would fill the memory with
  * metrics, one wrong name at a time.
--- a/packages/daemon/src/openapi/callers_document.ts
+++ b/packages/daemon/src/openapi/callers_document.ts
@@ -95,10 +95,16 @@
   Models: { schema: modelsSchema, io: "output" },
 };
 
+const overLimit = failure(
+  "The organisation is beyond its limit, and this did not run; come back " +
+    "after `retry-after`",
+);
+
 const answerFailures: JsonObject = {
   ...commonFailures,
   "404": failure("The model or adapter is not in the release note"),
   "410": failure("Withdrawn by a release note; `noteNumber` names it"),
+  "429": overLimit,
   "502": failure("The answer ran and is lost for good"),
   "503": failure("Certain not to have run; come back after `retry-after`"),
 };
@@ -234,6 +240,7 @@
       "404": failure("No such service or call"),
       "410": failure("Withdrawn by a release note"),
       "422": failure("The key was used for another call"),
+      "429": overLimit,
       "503": failure("Certain not to have run; come back after `retry-after`"),
       "504": failure("May have run, and is not repeated; ask the service"),
     },
--- a/packages/daemon/src/service_endpoint.ts
+++ b/packages/daemon/src/service_endpoint.ts
@@ -1,5 +1,6 @@
 /** Calls of plain services: from the request to the whole answer. */
 import type { ServiceCall, ServiceCallResult } from "@rosemarypin/calls";
+import type { SharedLimits } from "@rosemarypin/limits";
 import type { Settings } from "@rosemarypin/schemas";
 import {
   createLogger,
@@ -11,6 +12,7 @@
 import {
   callerRequestId,
   type Exchange,
+  refuseByLimit,
   serviceLabel,
   takeBody,
 } from "./exchange.ts";
@@ -28,6 +30,7 @@
   readonly levels: ServiceLevelCounter;
   readonly memory: BodyMemory;
   readonly requests: RequestMemory;
+  readonly limits: SharedLimits;
 }
 
 /** What the caller sent, in the form that the calls take. */
@@ -66,6 +69,7 @@
   return async (exchange: Exchange): Promise<void> => {
     const parsed = await parse(exchange);
     if (!parsed) return;
+    if (refuseByLimit(exchange, { ...options, tokens: 0 })) return;
     exchange.handedOn = true;
     const remembered = options.requests.begin({
       kind: "service_call",
--- a/packages/schemas/src/settings.ts
+++ b/packages/schemas/src/settings.ts
@@ -10,6 +10,21 @@
   admin: addressSchema,
 });
 
+/** Limits of one organisation over all instances, averaged over 20 s. */
+const organisationLimitsSchema = z
+  .strictObject({
+    /** Answers and service calls together. */
+    requestsPerSecond: z.number().positive().optional(),
+    /** Tokens that answers ask for at most (`max_tokens`). */
+    tokensPerSecond: z.number().positive().optional(),
+  })
+  .refine(
+    ({ requestsPerSecond, tokensPerSecond }) =>
+      requestsPerSecond !== undefined || tokensPerSecond !== undefined,
+    "expected requestsPerSecond, tokensPerSecond or both",
+  );
+export type OrganisationLimits = z.infer<typeof organisationLimitsSchema>;
+
 const organisationSchema = z.strictObject({
   name: nameSchema,
   /** SHA-256 of the organisation's key, in hexadecimal. */
@@ -17,6 +32,8 @@
   /** Share of the capacity relative to other organisations. */
   weight: z.number().positive().default(1),
   priority: prioritySchema.default("standard"),
+  /** No limits when left out. */
+  limits: organisationLimitsSchema.optional(),
 });
 export type Organisation = z.infer<typeof organisationSchema>;
 
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -76,6 +76,11 @@
       labelNames: ["service", "result"] as const,
       registers,
     }),
+    limited: new Counter({
+      name: "rosemarypin_limited_total",
+      help: "Requests refused since their organisation is beyond its limits",
+      registers,
+    }),
     storeCalls: new Counter({
       name: "rosemarypin_store_calls_total",
       help: "Calls to the platform's object API, by operation and result",
