Let an instance advertise another address than it binds

Calls to peers came from any address, so nothing on the way could tell who calls.

Now `instance.addresses.advertisedPeers` may name another address; records, the store's list and seeds use it. Calls to peers come from the host of `addresses.peers`, as datagrams did already. Without the new setting nothing changes.

Ruled out: a setting for the sender's address of each client; only peers' calls need one, since the platform and backend servers are named in settings.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -108,11 +108,13 @@
   const incarnation = Date.now();
   const metrics = createMetrics();
   const work = createWorkInProgress();
-  const peers = createPeerCaller();
+  const peers = createPeerCaller(addresses.peers.host);
+  const peer = addresses.advertisedPeers ?? addresses.peers;
   const membership = await createMembership({
     id,
     failureDomain,
-    peer: addresses.peers,
+    peer,
+    listen: addresses.peers,
     incarnation,
     seeds: settings.peers,
     metrics,
@@ -129,7 +131,7 @@
   const allowanceMs = settings.release.serveWithoutContactSeconds * 1_000;
   const registration = createRegistration({
     deployment,
-    self: { id, failureDomain, incarnation, peer: addresses.peers },
+    self: { id, failureDomain, incarnation, peer },
     allowanceMs,
     store,
     peers,
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -55,12 +55,15 @@
 export interface MembershipOptions {
   readonly id: string;
   readonly failureDomain: string;
+  /** Where peers reach this instance; they learn it from its record. */
   readonly peer: Address;
+  /** Where it listens; at `peer` by default. */
+  readonly listen?: Address | undefined;
   readonly incarnation: number;
   /** Where to look for the first peers. */
   readonly seeds: readonly PeerSettings[];
   readonly metrics?: Metrics;
-  /** How datagrams travel; UDP at `peer` by default. */
+  /** How datagrams travel; UDP at `listen` by default. */
   readonly transport?: DatagramTransport;
   /** Addresses to try, from the platform's list, which may be wrong. */
   readonly hints?: ReadHints;
@@ -88,7 +91,8 @@
 ): Promise<Membership> {
   const { id, metrics, random = Math.random } = options;
   const transport =
-    options.transport ?? (await createUdpTransport(options.peer));
+    options.transport ??
+    (await createUdpTransport(options.listen ?? options.peer));
   const own = createOwnRecord(options);
   const table = createMemberTable({
     forgetSilentAfterMs: options.forgetSilentAfterMs ?? FORGET_SILENT_AFTER_MS,
--- a/packages/membership/src/peer_rpc.ts
+++ b/packages/membership/src/peer_rpc.ts
@@ -12,6 +12,8 @@
 const CALL_TIMEOUT_MS = 1_000;
 const LARGEST_BODY_BYTES = 4 * 1024 * 1024;
 const PARSE_ERROR = -32_700;
+/** Hosts that stand for every address of the machine. */
+const WILDCARDS = new Set(["0.0.0.0", "::"]);
 
 /** Why a call to a peer gave no answer. */
 export type PeerFailure =
@@ -81,9 +83,16 @@
   ): Promise<PeerResult>;
 }
 
-/** Creates a caller that keeps one connection pool for all peers. */
-export function createPeerCaller(): PeerCaller {
-  const agent = new Agent({ connect: { timeout: CALL_TIMEOUT_MS } });
+/**
+ * Creates a caller that keeps one connection pool for all peers. Its calls
+ * come from `host`, as the datagrams of this instance do, so that a filter on
+ * the way sees one instance at one address.
+ */
+export function createPeerCaller(host: string): PeerCaller {
+  const agent = new Agent({
+    connect: { timeout: CALL_TIMEOUT_MS },
+    ...(WILDCARDS.has(host) ? {} : { localAddress: host }),
+  });
 
   return {
     async call(address, method, options = {}) {
--- a/packages/schemas/src/settings.ts
+++ b/packages/schemas/src/settings.ts
@@ -6,7 +6,13 @@
 
 const addressesSchema = z.strictObject({
   callers: addressSchema,
+  /** Where the instance listens for peers, and speaks to them from. */
   peers: addressSchema,
+  /**
+   * Where peers reach the instance, if that is not where it listens: behind
+   * address translation, nobody else can use the address that it binds.
+   */
+  advertisedPeers: addressSchema.optional(),
   admin: addressSchema,
 });
 
--- a/packages/schemas/src/settings_checks.ts
+++ b/packages/schemas/src/settings_checks.ts
@@ -108,12 +108,18 @@
 }
 
 function checkPeers({ instance, peers }: Settings): SettingsProblem[] {
-  const { callers, peers: own, admin } = instance.addresses;
+  const { callers, peers: own, admin, advertisedPeers } = instance.addresses;
   const ownAddresses = [
     { path: ["instance", "addresses", "callers"], value: addressKey(callers) },
     { path: ["instance", "addresses", "peers"], value: addressKey(own) },
     { path: ["instance", "addresses", "admin"], value: addressKey(admin) },
   ];
+  if (advertisedPeers && addressKey(advertisedPeers) !== addressKey(own)) {
+    ownAddresses.push({
+      path: ["instance", "addresses", "advertisedPeers"],
+      value: addressKey(advertisedPeers),
+    });
+  }
   const peerAddresses = peers.map(({ address }, index) => ({
     path: ["peers", index, "address"],
     value: addressKey(address),
--- a/packages/schemas/src/settings_checks_test.ts
+++ b/packages/schemas/src/settings_checks_test.ts
@@ -75,6 +75,15 @@
       "a peer at this instance's address",
       [["host: 10.20.2.10, port: 8081", "host: 10.20.1.10, port: 8081"]],
     ],
+    [
+      "a peer at the address that this instance advertises",
+      [
+        [
+          "port: 8081 } # TCP and UDP",
+          "port: 8081 }\n    advertisedPeers: { host: 10.20.2.10, port: 8081 }",
+        ],
+      ],
+    ],
     [
       "work of an unknown organisation",
       [
