Put relays between processes that can be cut

Cause: scenarios had no means to cut one process from another, so cuts were proved in one process only.

Relays run in the launcher's process, without privileges. Each instance gets a loopback host of its own; peers reach it at its planned address, where its relay tells senders apart by host, and it finds the platform and the backend servers behind relays of its own. A cut drops datagrams and holds streams, as TCP would. The relay of an ended process refuses, since a refused connection is evidence of an end, except across a cut.

Callers can now take a broken answer up again by its last event.

Ruled out: network namespaces and filters (privileges); a relay for each ordered pair of instances, since peers tell one address to all. What engines send each other passes by the relays of the answer's instance, so a cut between two domains whose engines serve a third one is not seen by them.

--- a/packages/launcher/src/caller.ts
+++ b/packages/launcher/src/caller.ts
@@ -6,7 +6,7 @@
   type Outcome,
 } from "@rosemarypin/schemas";
 import { EventSourceParserStream } from "eventsource-parser/stream";
-import { request } from "undici";
+import { type Dispatcher, request } from "undici";
 
 /** An answer as a caller saw it. */
 export type StreamedAnswer =
@@ -28,52 +28,99 @@
       readonly kind: "broken";
       readonly tokens: readonly string[];
       readonly reason: string;
+      /** How to take the answer up again; `null` before its first event. */
+      readonly resumeFrom: ResumePoint | null;
     };
 
+/** What names the rest of an answer to any instance. */
+export interface ResumePoint {
+  readonly requestId: string;
+  readonly lastEventId: string;
+}
+
 export interface StreamRequest {
   readonly baseUrl: string;
   readonly key: string;
   readonly model: string;
   readonly prompt: string;
   readonly maxTokens: number;
-  readonly onToken?: (index: number, text: string) => void;
+  readonly onToken?: ((index: number, text: string) => void) | undefined;
+}
+
+/** What has come of an answer so far. */
+interface Progress {
+  readonly tokens: string[];
+  requestId: string;
+  lastEventId: string;
 }
 
+type OnToken = StreamRequest["onToken"];
+
 /** Asks for a completion as a stream and reads it to its end. */
-export async function streamAnswer(
-  options: StreamRequest,
+export function streamAnswer(options: StreamRequest): Promise<StreamedAnswer> {
+  const progress = { tokens: [], requestId: "", lastEventId: "" };
+  const answer = request(`${options.baseUrl}/v1/completions`, {
+    method: "POST",
+    headers: {
+      authorization: `Bearer ${options.key}`,
+      "content-type": "application/json",
+    },
+    body: JSON.stringify({
+      model: options.model,
+      prompt: options.prompt,
+      max_tokens: options.maxTokens,
+      stream: true,
+    }),
+  });
+  return readAnswer(answer, { progress, onToken: options.onToken });
+}
+
+/** Takes a broken answer up again, on any instance, and reads the rest. */
+export function resumeStream(
+  { requestId, lastEventId }: ResumePoint,
+  options: Pick<StreamRequest, "baseUrl" | "key" | "onToken"> & {
+    /** Tokens that came before. */
+    readonly tokens: readonly string[];
+  },
 ): Promise<StreamedAnswer> {
-  const tokens: string[] = [];
+  const progress = { tokens: [...options.tokens], requestId, lastEventId };
+  const answer = request(`${options.baseUrl}/v1/answers/${requestId}`, {
+    headers: {
+      authorization: `Bearer ${options.key}`,
+      "last-event-id": lastEventId,
+    },
+  });
+  return readAnswer(answer, { progress, onToken: options.onToken });
+}
+
+async function readAnswer(
+  answer: Promise<Dispatcher.ResponseData>,
+  options: { readonly progress: Progress; readonly onToken: OnToken },
+): Promise<StreamedAnswer> {
+  const { progress } = options;
+  const { tokens } = progress;
   try {
-    const response = await request(`${options.baseUrl}/v1/completions`, {
-      method: "POST",
-      headers: {
-        authorization: `Bearer ${options.key}`,
-        "content-type": "application/json",
-      },
-      body: JSON.stringify({
-        model: options.model,
-        prompt: options.prompt,
-        max_tokens: options.maxTokens,
-        stream: true,
-      }),
-    });
-    if (response.statusCode !== 200) {
-      const body = await response.body.json();
-      return failure(body, { tokens, status: response.statusCode });
-    }
-    return await readStream(response.body, { ...options, tokens });
+    const { statusCode: status, headers, body } = await answer;
+    if (status !== 200) return failure(await body.json(), { tokens, status });
+    progress.requestId = String(headers["x-request-id"] ?? "");
+    return await readStream(body, options);
   } catch (error) {
-    const reason = error instanceof Error ? error.message : String(error);
-    return { kind: "broken", tokens, reason };
+    return broken(progress, error instanceof Error ? error.message : "");
   }
 }
 
+function broken(progress: Progress, reason: string): StreamedAnswer {
+  const { tokens, requestId, lastEventId } = progress;
+  const resumeFrom = lastEventId === "" ? null : { requestId, lastEventId };
+  return { kind: "broken", tokens, reason, resumeFrom };
+}
+
 async function readStream(
   body: AsyncIterable<Buffer>,
-  options: StreamRequest & { readonly tokens: string[] },
+  options: { readonly progress: Progress; readonly onToken: OnToken },
 ): Promise<StreamedAnswer> {
-  const { tokens } = options;
+  const { progress, onToken } = options;
+  const { tokens } = progress;
   let provenance: AnswerProvenance | null = null;
   const events = ReadableStream.from(body)
     .pipeThrough(new TextDecoderStream())
@@ -92,12 +139,13 @@
       continue;
     }
     const text = (data.choices[0]?.text ?? "").trim();
-    options.onToken?.(tokens.length, text);
+    onToken?.(tokens.length, text);
     tokens.push(text);
+    progress.lastEventId = event.id ?? progress.lastEventId;
   }
   return provenance
     ? { kind: "whole", tokens, provenance }
-    : { kind: "broken", tokens, reason: "the stream ended early" };
+    : broken(progress, "the stream ended early");
 }
 
 function failure(
--- a/packages/launcher/src/deployment.ts
+++ b/packages/launcher/src/deployment.ts
@@ -14,6 +14,9 @@
 import { request } from "undici";
 import { stringify } from "yaml";
 import type { DeploymentPlan } from "./deployment_plan.ts";
+import { createLinks, type Links } from "./links/links.ts";
+import { relayPlan } from "./links/relayed_plan.ts";
+import { startRelays } from "./links/relays.ts";
 import { createProcessGroup, type ProcessGroup } from "./process_group.ts";
 
 const READY_WITHIN_MS = 15_000;
@@ -26,6 +29,8 @@
 export interface Deployment {
   readonly plan: DeploymentPlan;
   readonly processes: ProcessGroup;
+  /** Links that can be cut; `null` unless relays were asked for. */
+  readonly links: Links | null;
   /** Folder with settings and logs of each process. */
   readonly folder: string;
   /** Starts an instance again, after it was ended. */
@@ -45,15 +50,23 @@
   readonly daemonArgs?: readonly string[];
   /** Keeps what each engine runs in files, which costs it some time. */
   readonly engineJournals?: boolean;
+  /** Puts relays before all that instances reach, so that links can be cut. */
+  readonly relays?: boolean;
 }
 
 /** Starts every process of the plan and waits until each listens. */
 export async function startDeployment(
-  plan: DeploymentPlan,
+  direct: DeploymentPlan,
   options: DeploymentOptions = {},
 ): Promise<Deployment> {
   const folder = mkdtempSync(join(tmpdir(), "rosemarypin-"));
-  const processes = createProcessGroup(folder);
+  const links = options.relays ? createLinks() : null;
+  const relayed = relayPlan(direct);
+  const relays = links && (await startRelays(relayed, links));
+  const plan = relays ? relayed.plan : direct;
+  const processes = createProcessGroup(folder, {
+    onRunning: (name, isRunning) => relays?.setRunning(name, isRunning),
+  });
 
   function writeSettings(name: string, settings: unknown): string {
     const file = join(folder, `${name}.yaml`);
@@ -126,6 +139,7 @@
   return {
     plan,
     processes,
+    links,
     folder,
     startInstance,
     startStandIn,
@@ -133,6 +147,7 @@
     readEngineRuns,
     async stop({ keepFolder = false } = {}) {
       await processes.stopAll();
+      relays?.close();
       if (!keepFolder) rmSync(folder, { recursive: true, force: true });
     },
   };
--- a/packages/launcher/src/process_group.ts
+++ b/packages/launcher/src/process_group.ts
@@ -22,7 +22,13 @@
 }
 
 /** Creates a group whose logs go to `logFolder`. */
-export function createProcessGroup(logFolder: string): ProcessGroup {
+export function createProcessGroup(
+  logFolder: string,
+  options: {
+    /** Hears of each process that starts or has ended. */
+    readonly onRunning?: (name: string, isRunning: boolean) => void;
+  } = {},
+): ProcessGroup {
   const running = new Map<string, ChildProcess>();
 
   // A launcher that breaks would leave its processes behind, and they would
@@ -62,6 +68,10 @@
       child.stdout.pipe(log, { end: false });
       child.stderr.pipe(log, { end: false });
       running.set(name, child);
+      options.onRunning?.(name, true);
+      child.once("exit", () => {
+        if (running.get(name) === child) options.onRunning?.(name, false);
+      });
     },
     signal(name, signal) {
       find(name).kill(signal);
