Give the scenario language cuts, resumption and long outages

Steps `cut` and `heal` name instances, failure domains, the platform or all others, in both directions or one. New promises: an instance that is cut off serves; a recall ends answers at once where it can be heard of, elsewhere under the allowance; answers end without contact and go on after; resumed answers are whole. A server that left and was started again may get work.

--- a/packages/checks/src/soak/soak_plan.ts
+++ b/packages/checks/src/soak/soak_plan.ts
@@ -24,6 +24,7 @@
       callers: 3,
       maxTokens: 1,
       pauseMs: 100,
+      resumes: false,
     },
   },
 ];
@@ -61,7 +62,13 @@
   name: string,
   load: { readonly callers: number; readonly maxTokens: number },
 ) {
-  return { name, kind: "answers" as const, pauseMs: 0, ...load };
+  return {
+    name,
+    kind: "answers" as const,
+    pauseMs: 0,
+    resumes: false,
+    ...load,
+  };
 }
 
 function notesOf(number: number): object {
--- a/packages/scenarios/src/observations.ts
+++ b/packages/scenarios/src/observations.ts
@@ -7,6 +7,8 @@
   readonly prompt: string;
   readonly maxTokens: number;
   readonly instance: string;
+  /** Where the caller took the broken answer up again. */
+  readonly resumedOn?: string;
   readonly startedAt: number;
   readonly lastTokenAt: number;
   readonly endedAt: number;
@@ -34,10 +36,32 @@
   readonly withdrawnVersions: readonly string[];
 }
 
-/** A server that said it was leaving. */
+/** A note that withdraws versions, as its publisher was told. */
+export interface RecordedRecall {
+  readonly name: string;
+  readonly at: number;
+  readonly withdrawnVersions: readonly string[];
+}
+
+/** An instance that was cut off, until it was healed. */
+export interface ObservedCut {
+  readonly instance: string;
+  readonly from: readonly string[];
+  readonly at: number;
+  healedAt: number;
+}
+
+/** A time in which the platform's store was down. */
+export interface ObservedOutage {
+  readonly at: number;
+  endedAt: number;
+}
+
+/** A server that said it was leaving, until it was started anew. */
 export interface ObservedLeaving {
   readonly server: string;
   readonly at: number;
+  startedAgainAt: number;
 }
 
 /** An instance that was killed, until it was started again. */
@@ -72,6 +96,11 @@
   /** Keys that the services' journals hold, once for each run. */
   readonly journal: string[];
   readonly leavings: ObservedLeaving[];
+  readonly recalls: RecordedRecall[];
+  readonly cuts: ObservedCut[];
+  readonly outages: ObservedOutage[];
+  /** How long instances serve without contact, in milliseconds. */
+  readonly allowanceMs: number;
   readonly kills: ObservedKill[];
   /** Of engines and services alike, in the order in which it began. */
   readonly work: ObservedWork[];
--- a/packages/scenarios/src/scenario_schema.ts
+++ b/packages/scenarios/src/scenario_schema.ts
@@ -10,6 +10,11 @@
 } from "@rosemarypin/schemas";
 import { z } from "zod";
 
+const namesSchema = z.union([
+  nameSchema.transform((name) => [name]),
+  z.array(nameSchema).min(1),
+]);
+
 const secondsSchema = z.number().min(0).max(120);
 
 /** The promises that a scenario may check at its end. */
@@ -34,6 +39,20 @@
   "cut_only_by_kills",
   /** Every call that may not be repeated was answered. */
   "orders_answered",
+  /** An instance that is cut off answers its callers meanwhile. */
+  "cut_off_serves",
+  /**
+   * A recalled version ends at once where the recall can be heard of, and
+   * elsewhere no later than an instance may serve without contact.
+   */
+  "recall_ends_answers",
+  /**
+   * In an outage of the store, answers end when no instance may serve without
+   * contact any more, and they go on after it.
+   */
+  "silent_without_contact",
+  /** An answer that its caller took up again elsewhere came whole. */
+  "resumed_answers_whole",
 ]);
 export type PromiseName = z.infer<typeof promiseNameSchema>;
 
@@ -55,6 +74,8 @@
   maxTokens: z.number().int().min(1).max(512).default(24),
   /** Pause of each caller after an answer, in milliseconds. */
   pauseMs: z.number().int().min(0).max(10_000).default(0),
+  /** Whether callers take broken answers up again on another instance. */
+  resumes: z.boolean().default(false),
 });
 export type TrafficSettings = z.infer<typeof trafficSchema>;
 
@@ -80,6 +101,15 @@
       linkMs: z.number().min(0).max(5_000),
       of: nameSchema,
     }),
+    /** Cuts processes or failure domains off, until they are healed. */
+    z.strictObject({
+      cut: namesSchema,
+      /** Names; `platform` for its services, `others` for all else. */
+      from: namesSchema,
+      direction: z.enum(["both", "outgoing", "incoming"]).default("both"),
+    }),
+    /** Ends all cuts of just these names. */
+    z.strictObject({ heal: namesSchema }),
     z.strictObject({ storeDown: z.boolean() }),
     z.strictObject({ storeDelayMs: z.number().int().min(0).max(10_000) }),
     z.strictObject({ loseStoreReplies: z.number().int().min(0).max(100) }),
@@ -110,6 +140,9 @@
   cast: z.strictObject({
     instances: z.number().int().min(1).max(8).default(4),
     enginesPerStage: z.number().int().min(1).max(4).default(1),
+    failureDomains: z.number().int().min(1).max(4).default(3),
+    /** How long instances serve without contact; the default if left out. */
+    serveWithoutContactSeconds: z.number().positive().optional(),
   }),
   /** Notes beside those of `standard_notes.ts`. */
   notes: z.record(nameSchema, scenarioNoteSchema).default({}),
