Judge the end of answers of instances without contact as final

The promise takes that code for final from an instance that is alone, or in an outage of the store, and from no other; rows of promises_test show both.

--- a/packages/scenarios/src/promises_test.ts
+++ b/packages/scenarios/src/promises_test.ts
@@ -96,6 +96,16 @@
     retryAfterSeconds: 1,
   },
 });
+const contactLost = answerOf("v1", {
+  answer: {
+    kind: "failed",
+    tokens: [],
+    outcome: "failed",
+    code: "no_release_note",
+    status: 200,
+    retryAfterSeconds: 1,
+  },
+});
 const recalled = [{ name: "recall-v1", at: 400, withdrawnVersions: ["v1"] }];
 const kill = { instance: "entry-1", at: 300, startedAgainAt: 400 };
 const note = { instance: "entry-1", incarnation: 1 };
@@ -327,6 +337,24 @@
     { answers: [{ ...failed, resumedOn: "entry-2" }] },
     false,
   ),
+  row(
+    "cut_only_by_kills",
+    "an instance that is alone ends its answers",
+    { answers: [contactLost], cuts: [cut] },
+    true,
+  ),
+  row(
+    "cut_only_by_kills",
+    "an instance without the store and with peers ends its answers",
+    { answers: [contactLost], cuts: [{ ...cut, from: ["platform"] }] },
+    false,
+  ),
+  row(
+    "cut_only_by_kills",
+    "an instance that is alone gives up for another reason",
+    { answers: [failed], cuts: [cut] },
+    false,
+  ),
   row(
     "cut_only_by_kills",
     "the instance was killed meanwhile",
