Cut domains off in the soak, and judge servers that leave

Domains are cut off from the platform, from all others or from both, in both directions or one. A server that leaves does so for at least 4 s before it is replaced, so that the promise about it has something to judge. A planned stop does not meet a cut, which may take the store away, as it does not meet an outage of the store.

--- a/packages/checks/src/soak/soak_faults.ts
+++ b/packages/checks/src/soak/soak_faults.ts
@@ -10,11 +10,20 @@
 const SLOW_STORE_MS = 800;
 const LOST_REPLIES = { low: 3, high: 15 };
 const LOST_ANSWERS = { low: 1, high: 5 };
+/** Servers hear within 3 s that one leaves; then there is time to judge. */
+const LEAVING_SECONDS = 4;
+const DOMAINS = ["ng-south-a", "ng-south-b", "ng-south-c"] as const;
+const CUT_FROM: readonly [string[], ...string[][]] = [
+  ["platform"],
+  ["others"],
+  ["platform", "others"],
+];
+const DIRECTIONS = ["both", "both", "outgoing", "incoming"] as const;
 
 /** One fault. */
 export interface SoakFault {
   /** What it strikes; two faults at once never strike the same. */
-  readonly target: "instance" | "engine" | "server" | "store";
+  readonly target: "instance" | "engine" | "server" | "store" | "network";
   readonly begin: SimpleStep;
   /** Steps one after the other; none where a fault ends by itself. */
   readonly end: readonly SimpleStep[];
@@ -37,6 +46,9 @@
   () => storeDown(),
   () => slowStore(),
   (random) => lostReplies(random),
+  (random) => cutOff(random),
+  (random) => cutOff(random),
+  (random) => cutOff(random),
 ];
 
 /** One fault, or two that strike different things. */
@@ -48,11 +60,14 @@
 
 /**
  * A planned stop waits until the ends of its orders are recorded, so a store
- * that is away for as long makes it exit with 3, as its page says.
+ * that is away for as long makes it exit with 3, as its page says. A cut can
+ * take the store away as well.
  */
 function mayMeet(first: SoakFault, second: SoakFault): boolean {
   const isStop = [first, second].some(({ begin }) => "stop" in begin);
-  const isStore = [first, second].some(({ target }) => target === "store");
+  const isStore = [first, second].some(
+    ({ target }) => target === "store" || target === "network",
+  );
   return first.target !== second.target && !(isStop && isStore);
 }
 
@@ -70,7 +85,12 @@
 
 /** What left is replaced, as the platform would. */
 function left(target: "engine" | "server", name: string): SoakFault {
-  const end: SimpleStep[] = [{ kill: name }, { wait: 1 }, { start: name }];
+  const end: SimpleStep[] = [
+    { wait: LEAVING_SECONDS },
+    { kill: name },
+    { wait: 1 },
+    { start: name },
+  ];
   return { target, begin: { leave: name }, end };
 }
 
@@ -88,6 +108,17 @@
   return { target: "server", begin: { loseServiceAnswers, of }, end: [] };
 }
 
+function cutOff(random: SeededRandom): SoakFault {
+  const cut = [random.pick(DOMAINS)];
+  const from = random.pick(CUT_FROM);
+  const direction = random.pick(DIRECTIONS);
+  return {
+    target: "network",
+    begin: { cut, from, direction },
+    end: [{ heal: cut }],
+  };
+}
+
 function storeDown(): SoakFault {
   return {
     target: "store",
--- a/packages/checks/src/soak/soak_plan.ts
+++ b/packages/checks/src/soak/soak_plan.ts
@@ -54,6 +54,7 @@
       "at_most_once",
       "not_run_is_true",
       "answered_calls_ran",
+      "leaving_gets_nothing",
     ],
   });
 }
