Count accepted notes for withdrawn_is_silent as well

Cause: while a domain is cut off, its engines cannot be read, so a note is not in force before the domain is back, whatever is taken for evidence about instances. The promise waited for in force and would have missed an accepted that comes too early, which is what an instance that cannot be asked is about. Each report of accepted or in force counts now; stricter.

--- a/packages/scenarios/src/note_steps.ts
+++ b/packages/scenarios/src/note_steps.ts
@@ -1,6 +1,7 @@
 /** Steps that publish notes and wait for them. */
 import { randomUUID } from "node:crypto";
 import { setTimeout as pause } from "node:timers/promises";
+import type { NotePhase } from "@rosemarypin/schemas";
 import type { StepContext } from "./run_step.ts";
 import type { Scenario } from "./scenario_schema.ts";
 import { standardNotes } from "./standard_notes.ts";
@@ -49,30 +50,33 @@
   const end = context.clock() + context.withinSeconds * 1_000;
   while (context.clock() < end) {
     const status = await context.admin.noteStatus(number);
-    if (status?.phase === "in_force") return reportInForce(name, context);
+    if (status?.phase === "in_force") {
+      return report(name, { ...context, phase: "in_force" });
+    }
     await pause(POLL_MS);
   }
   const status = await context.admin.noteStatus(number);
   throw new Error(`'${name}' is not in force: ${JSON.stringify(status)}`);
 }
 
-function reportInForce(name: string, context: StepContext): void {
-  const { seen, clock, inForce } = context;
-  if (inForce.has(name)) return;
-  inForce.add(name);
+type ClaimContext = StepContext & { readonly phase: NotePhase };
+
+/** Each claim counts from its first report. */
+function report(name: string, context: ClaimContext): void {
+  const { seen, clock, claims, phase } = context;
+  const claim = `'${name}' is ${phase}`;
+  if (claims.has(claim)) return;
+  claims.add(claim);
   const at = clock();
-  seen.inForce.push({
-    name,
-    at,
-    withdrawnVersions: withdrawnBy(name, context),
-  });
-  seen.timeline.push({ at, what: `'${name}' is in force` });
+  const withdrawnVersions = withdrawnBy(name, context);
+  seen.claims.push({ name, phase, at, withdrawnVersions });
+  seen.timeline.push({ at, what: claim });
 }
 
-/** Reports all notes up to `number`: what is in force holds them too. */
-export function reportUpTo(number: number, context: StepContext): void {
+/** Reports all notes up to `number`: what is claimed of it holds for them. */
+export function reportUpTo(number: number, context: ClaimContext): void {
   for (const [name, recorded] of context.numbers) {
-    if (recorded <= number) reportInForce(name, context);
+    if (recorded <= number) report(name, context);
   }
 }
 
--- a/packages/scenarios/src/observations.ts
+++ b/packages/scenarios/src/observations.ts
@@ -1,6 +1,6 @@
 /** What a run saw: the only thing that promises are judged by. */
 import type { StreamedAnswer } from "@rosemarypin/launcher";
-import type { Outcome } from "@rosemarypin/schemas";
+import type { NotePhase, Outcome } from "@rosemarypin/schemas";
 
 /** An answer with the times of its tokens, in milliseconds of the run. */
 export interface ObservedAnswer {
@@ -28,9 +28,13 @@
   readonly note: number;
 }
 
-/** A note that was reported in force. */
-export interface InForceReport {
+/**
+ * A note that was reported accepted or in force: from then on nothing that it
+ * withdrew may answer.
+ */
+export interface ObservedClaim {
   readonly name: string;
+  readonly phase: NotePhase;
   readonly at: number;
   /** Versions that the note withdrew. */
   readonly withdrawnVersions: readonly string[];
@@ -91,7 +95,7 @@
   readonly answers: ObservedAnswer[];
   readonly orders: ObservedOrder[];
   readonly notes: ObservedNote[];
-  readonly inForce: InForceReport[];
+  readonly claims: ObservedClaim[];
   readonly timeline: TimelineEntry[];
   /** Keys that the services' journals hold, once for each run. */
   readonly journal: string[];
--- a/packages/scenarios/src/promises.ts
+++ b/packages/scenarios/src/promises.ts
@@ -99,14 +99,14 @@
   observed: ObservedAnswer,
   seen: Observations,
 ): string | null {
-  for (const { name, at, withdrawnVersions } of seen.inForce) {
+  for (const { name, phase, at, withdrawnVersions } of seen.claims) {
     if (observed.lastTokenAt <= at) continue;
     const version = withdrawnVersions.find((withdrawn) =>
       isFrom(observed, withdrawn, seen),
     );
     if (version === undefined) continue;
     const lateMs = Math.round(observed.lastTokenAt - at);
-    return `${observed.instance} sent a token of ${version} ${lateMs} ms after '${name}' was in force`;
+    return `${observed.instance} sent a token of ${version} ${lateMs} ms after '${name}' was ${phase}`;
   }
   return null;
 }
--- a/packages/scenarios/src/promises_test.ts
+++ b/packages/scenarios/src/promises_test.ts
@@ -16,7 +16,7 @@
     answers: [],
     orders: [],
     notes: [],
-    inForce: [],
+    claims: [],
     timeline: [],
     journal: [],
     leavings: [],
@@ -106,7 +106,14 @@
     retryAfterSeconds: 1,
   },
 });
-const recalled = [{ name: "recall-v1", at: 400, withdrawnVersions: ["v1"] }];
+const recalled = [
+  {
+    name: "recall-v1",
+    phase: "accepted" as const,
+    at: 400,
+    withdrawnVersions: ["v1"],
+  },
+];
 const kill = { instance: "entry-1", at: 300, startedAgainAt: 400 };
 const note = { instance: "entry-1", incarnation: 1 };
 const order = { idempotencyKey: "order-1" };
@@ -141,26 +148,26 @@
     "the last token came before",
     {
       answers: [{ ...whole, lastTokenAt: 399 }],
-      inForce: recalled,
+      claims: recalled,
     },
     true,
   ),
   row(
     "withdrawn_is_silent",
     "a whole answer came after",
-    { answers: [whole], inForce: recalled },
+    { answers: [whole], claims: recalled },
     false,
   ),
   row(
     "withdrawn_is_silent",
     "a token of a cut answer came after",
-    { answers: [broken], inForce: recalled },
+    { answers: [broken], claims: recalled },
     false,
   ),
   row(
     "withdrawn_is_silent",
     "another version answers",
-    { answers: [answerOf("v2")], inForce: recalled },
+    { answers: [answerOf("v2")], claims: recalled },
     true,
   ),
   row(
--- a/packages/scenarios/src/run_scenario.ts
+++ b/packages/scenarios/src/run_scenario.ts
@@ -55,7 +55,7 @@
     traffic: new Map(),
     away: new Set(),
     cuts: createCuts(deployment),
-    inForce: new Set(),
+    claims: new Set(),
   };
   const stopWatching = watchNotes(context);
   const stuck = await runSteps(context);
@@ -116,7 +116,7 @@
     answers: [],
     orders: [],
     notes: [],
-    inForce: [],
+    claims: [],
     timeline: [],
     journal: [],
     leavings: [],
@@ -153,16 +153,17 @@
 function watchNotes(context: StepContext): () => void {
   const { deployment, admin, seen } = context;
   const timers = deployment.plan.daemons.map(({ instance: { id } }) => {
-    let inForce = 0;
+    let claimed = "";
     return setInterval(async () => {
       const status = await admin.statusOf(id);
       if (!status) return;
       const { startedAt: incarnation, note, phase } = status;
       seen.notes.push({ instance: id, incarnation, note });
-      if (phase !== "in_force") return;
+      if (phase === "none" || phase === "recorded") return;
       // Tokens that were sent before the first report may still be unread.
-      if (inForce === note) reportUpTo(note, context);
-      inForce = note;
+      const claim = `${phase} ${note}`;
+      if (claimed === claim) reportUpTo(note, { ...context, phase });
+      claimed = claim;
     }, WATCH_NOTES_EVERY_MS);
   });
   return () => {
--- a/packages/scenarios/src/run_step.ts
+++ b/packages/scenarios/src/run_step.ts
@@ -37,8 +37,8 @@
   /** Instances in a planned stop: a balancer sends them nothing new. */
   readonly away: Set<string>;
   readonly cuts: Cuts;
-  /** Notes that were reported in force. */
-  readonly inForce: Set<string>;
+  /** What was claimed of notes so far. */
+  readonly claims: Set<string>;
 }
 
 /** Runs a step; throws when it cannot be carried out. */
--- a/packages/scenarios/src/scenario_schema.ts
+++ b/packages/scenarios/src/scenario_schema.ts
@@ -23,7 +23,7 @@
   "answers_true",
   /** No caller's connection broke and no answer failed. */
   "nothing_cut",
-  /** Nothing of a withdrawn version came after its note was in force. */
+  /** Nothing of a withdrawn version came once its note was accepted. */
   "withdrawn_is_silent",
   /** No instance ever applied a lower note than before. */
   "notes_never_revert",
