Let only the first start end a fault of a scenario

It had been killed and started again 11.0 s after; a later kill and start of the same server moved the recorded start on to 45.5 s, and what the restarted server did counted as late. In the same way a later start would have widened what a kill excuses.

--- a/packages/scenarios/src/run_step.ts
+++ b/packages/scenarios/src/run_step.ts
@@ -184,10 +184,12 @@
 
 function start(name: string, context: StepContext): void {
   const { deployment, seen, clock } = context;
-  const kill = seen.kills.findLast(({ instance }) => instance === name);
-  if (kill) kill.startedAgainAt = clock();
-  const left = seen.leavings.findLast(({ server }) => server === name);
-  if (left) left.startedAgainAt = clock();
+  // Only the first start ends it: a later one belongs to another fault.
+  const ended = [
+    ...seen.kills.filter(({ instance }) => instance === name),
+    ...seen.leavings.filter(({ server }) => server === name),
+  ].filter(({ startedAgainAt }) => startedAgainAt === Infinity);
+  for (const each of ended) each.startedAgainAt = clock();
   const isInstance = deployment.plan.daemons.some(
     ({ instance }) => instance.id === name,
   );
