--- a/packages/scenarios/src/observations.ts
+++ b/packages/scenarios/src/observations.ts
@@ -109,3 +109,24 @@
   /** Of engines and services alike, in the order in which it began. */
   readonly work: ObservedWork[];
 }
+
+/** Observations of a run that has seen nothing yet. */
+export function createObservations(
+  run: Pick<Observations, "model" | "layers" | "allowanceMs">,
+): Observations {
+  return {
+    ...run,
+    answers: [],
+    orders: [],
+    notes: [],
+    claims: [],
+    timeline: [],
+    journal: [],
+    leavings: [],
+    kills: [],
+    recalls: [],
+    cuts: [],
+    outages: [],
+    work: [],
+  };
+}
--- a/packages/scenarios/src/promises_test.ts
+++ b/packages/scenarios/src/promises_test.ts
@@ -1,58 +1,16 @@
-import { expectedAnswer } from "@rosemarypin/stand_ins";
 import { describe, expect, it } from "vitest";
-import type { Observations, ObservedAnswer } from "./observations.ts";
+import {
+  answerOf,
+  failed,
+  observe,
+  type PromiseExample,
+  recalled,
+  row,
+} from "./example_answer.ts";
+import { cutExamples } from "./example_cuts.ts";
 import { judge } from "./promises.ts";
 import { hasHeld } from "./run_scenario.ts";
-import { type PromiseName, promiseNameSchema } from "./scenario_schema.ts";
-
-const MODEL = "assist";
-const LAYERS = 4;
-const PROMPT = "why does it stop";
-
-function observe(change: Partial<Observations>): Observations {
-  return {
-    model: MODEL,
-    layers: LAYERS,
-    answers: [],
-    orders: [],
-    notes: [],
-    claims: [],
-    timeline: [],
-    journal: [],
-    leavings: [],
-    kills: [],
-    recalls: [],
-    cuts: [],
-    outages: [],
-    allowanceMs: 10_000,
-    work: [],
-    ...change,
-  };
-}
-
-function answerOf(
-  version: string,
-  change: Partial<ObservedAnswer> = {},
-): ObservedAnswer {
-  const maxTokens = 4;
-  const { tokens, digest } = expectedAnswer({
-    weights: { model: MODEL, version },
-    layers: LAYERS,
-    promptTokens: PROMPT.split(" "),
-    maxTokens,
-  });
-  const provenance = { version, noteNumber: 1, digest, attempts: 1 };
-  return {
-    prompt: PROMPT,
-    maxTokens,
-    instance: "entry-1",
-    startedAt: 0,
-    lastTokenAt: 500,
-    endedAt: 500,
-    answer: { kind: "whole", tokens, provenance },
-    ...change,
-  };
-}
+import { promiseNameSchema } from "./scenario_schema.ts";
 
 const whole = answerOf("v1");
 const { tokens, provenance } =
@@ -86,57 +44,14 @@
     resumeFrom: null,
   },
 });
-const failed = answerOf("v1", {
-  answer: {
-    kind: "failed",
-    tokens: [],
-    outcome: "failed",
-    code: "attempts_used_up",
-    status: 503,
-    retryAfterSeconds: 1,
-  },
-});
-const contactLost = answerOf("v1", {
-  answer: {
-    kind: "failed",
-    tokens: [],
-    outcome: "failed",
-    code: "no_release_note",
-    status: 200,
-    retryAfterSeconds: 1,
-  },
-});
-const recalled = [
-  {
-    name: "recall-v1",
-    phase: "accepted" as const,
-    at: 400,
-    withdrawnVersions: ["v1"],
-  },
-];
 const kill = { instance: "entry-1", at: 300, startedAgainAt: 400 };
 const note = { instance: "entry-1", incarnation: 1 };
 const order = { idempotencyKey: "order-1" };
 const leaving = { server: "engine-1", at: 1_000, startedAgainAt: 20_000 };
-const cut = {
-  instance: "entry-1",
-  from: ["platform", "others"],
-  at: 100,
-  healedAt: 60_000,
-};
-const fromPeers = { ...cut, from: ["others"] };
-const outage = { at: 100, endedAt: 60_000 };
-const afterwards = answerOf("v1", { startedAt: 61_000, lastTokenAt: 62_000 });
 const before = { server: "engine-1", requestId: "a", at: 900 };
 
-interface Row {
-  readonly promise: PromiseName;
-  readonly story: string;
-  readonly seen: Partial<Observations>;
-  readonly isHeld: boolean;
-}
-
-const rows: readonly Row[] = [
+const rows: readonly PromiseExample[] = [
+  ...cutExamples,
   row("answers_true", "a true answer", { answers: [whole] }, true),
   row("answers_true", "a token doubled", { answers: [doubled] }, false),
   row("answers_true", "a layer run twice", { answers: [layerTwice] }, false),
@@ -257,81 +172,6 @@
     },
     true,
   ),
-  row(
-    "cut_off_serves",
-    "an answer during the cut",
-    { answers: [answerOf("v1", { startedAt: 200 })], cuts: [cut] },
-    true,
-  ),
-  row(
-    "cut_off_serves",
-    "an answer from before the cut only",
-    { answers: [whole], cuts: [cut] },
-    false,
-  ),
-  row(
-    "recall_ends_answers",
-    "a token just after the recall",
-    { answers: [whole], recalls: recalled },
-    true,
-  ),
-  row(
-    "recall_ends_answers",
-    "a token long after, where the recall can be heard of",
-    { answers: [{ ...whole, lastTokenAt: 5_000 }], recalls: recalled },
-    false,
-  ),
-  row(
-    "recall_ends_answers",
-    "a token within the allowance of an instance that is alone",
-    {
-      answers: [{ ...whole, lastTokenAt: 5_000 }],
-      recalls: recalled,
-      cuts: [cut],
-    },
-    true,
-  ),
-  row(
-    "recall_ends_answers",
-    "a token past the allowance of an instance that is alone",
-    {
-      answers: [{ ...whole, lastTokenAt: 15_000 }],
-      recalls: recalled,
-      cuts: [cut],
-    },
-    false,
-  ),
-  row(
-    "recall_ends_answers",
-    "a token long after, where only peers are away",
-    {
-      answers: [{ ...whole, lastTokenAt: 5_000 }],
-      recalls: recalled,
-      cuts: [fromPeers],
-    },
-    false,
-  ),
-  row(
-    "silent_without_contact",
-    "answers under the allowance, and when the store is back",
-    { answers: [whole, afterwards], outages: [outage] },
-    true,
-  ),
-  row(
-    "silent_without_contact",
-    "a token past the allowance",
-    {
-      answers: [{ ...whole, lastTokenAt: 30_000 }, afterwards],
-      outages: [outage],
-    },
-    false,
-  ),
-  row(
-    "silent_without_contact",
-    "no answer when the store is back",
-    { answers: [whole], outages: [outage] },
-    false,
-  ),
   row(
     "resumed_answers_whole",
     "the rest came from another instance",
@@ -344,24 +184,6 @@
     { answers: [{ ...failed, resumedOn: "entry-2" }] },
     false,
   ),
-  row(
-    "cut_only_by_kills",
-    "an instance that is alone ends its answers",
-    { answers: [contactLost], cuts: [cut] },
-    true,
-  ),
-  row(
-    "cut_only_by_kills",
-    "an instance without the store and with peers ends its answers",
-    { answers: [contactLost], cuts: [{ ...cut, from: ["platform"] }] },
-    false,
-  ),
-  row(
-    "cut_only_by_kills",
-    "an instance that is alone gives up for another reason",
-    { answers: [failed], cuts: [cut] },
-    false,
-  ),
   row(
     "cut_only_by_kills",
     "the instance was killed meanwhile",
@@ -388,15 +210,6 @@
   ),
 ];
 
-function row(
-  promise: PromiseName,
-  story: string,
-  seen: Partial<Observations>,
-  isHeld: boolean,
-): Row {
-  return { promise, story, seen, isHeld };
-}
-
 /**
  * A judge that cannot fail proves nothing: a doubled booking or a token of a
  * withdrawn version would pass, and every scenario would read "held".
--- a/packages/scenarios/src/run_scenario.ts
+++ b/packages/scenarios/src/run_scenario.ts
@@ -9,7 +9,11 @@
 import { createAdminCalls } from "./admin_calls.ts";
 import { createCuts, hasCuts } from "./cuts.ts";
 import { reportUpTo } from "./note_steps.ts";
-import type { Observations, ObservedWork } from "./observations.ts";
+import {
+  createObservations,
+  type Observations,
+  type ObservedWork,
+} from "./observations.ts";
 import { judge, type Verdict } from "./promises.ts";
 import { runStep, type StepContext } from "./run_step.ts";
 import type { Scenario } from "./scenario_schema.ts";
@@ -42,7 +46,11 @@
 ): Promise<ScenarioResult> {
   const deployment = await startCast(scenario);
   const startedAt = performance.now();
-  const seen = emptyObservations(scenario);
+  const seen = createObservations({
+    model: kanemShape.model,
+    layers: KANEM_LAYERS,
+    allowanceMs: allowanceOf(scenario) * 1_000,
+  });
   const context: StepContext = {
     scenario,
     deployment,
@@ -109,26 +117,6 @@
   return cast.serveWithoutContactSeconds ?? DEFAULT_ALLOWANCE_SECONDS;
 }
 
-function emptyObservations(scenario: Scenario): Observations {
-  return {
-    model: kanemShape.model,
-    layers: KANEM_LAYERS,
-    answers: [],
-    orders: [],
-    notes: [],
-    claims: [],
-    timeline: [],
-    journal: [],
-    leavings: [],
-    kills: [],
-    work: [],
-    recalls: [],
-    cuts: [],
-    outages: [],
-    allowanceMs: allowanceOf(scenario) * 1_000,
-  };
-}
-
 /** First work of each server for each request, by the run's clock. */
 function readWork(
   deployment: Deployment,
