--- a/packages/checks/src/soak/soak_plan.ts
+++ b/packages/checks/src/soak/soak_plan.ts
@@ -24,6 +24,7 @@
       callers: 3,
       maxTokens: 1,
       pauseMs: 100,
+      resumes: false,
     },
   },
 ];
@@ -53,6 +54,7 @@
       "at_most_once",
       "not_run_is_true",
       "answered_calls_ran",
+      "leaving_gets_nothing",
     ],
   });
 }
@@ -61,7 +63,13 @@
   name: string,
   load: { readonly callers: number; readonly maxTokens: number },
 ) {
-  return { name, kind: "answers" as const, pauseMs: 0, ...load };
+  return {
+    name,
+    kind: "answers" as const,
+    pauseMs: 0,
+    resumes: false,
+    ...load,
+  };
 }
 
 function notesOf(number: number): object {
