--- a/packages/calls/src/answer.ts
+++ b/packages/calls/src/answer.ts
@@ -1,7 +1,7 @@
 /** Runs one answer over as many attempts as it needs. */
 import type { EngineClient, EngineFleet } from "@rosemarypin/backends";
 import type { NoteKeeper } from "@rosemarypin/release";
-import type { Router } from "@rosemarypin/routing";
+import type { Grant, Router } from "@rosemarypin/routing";
 import type { AnswerRequest } from "@rosemarypin/schemas";
 import { createLogger, type Metrics } from "@rosemarypin/telemetry";
 import { runAttempt } from "./answer_attempt.ts";
@@ -9,12 +9,19 @@
 import type { AnswerEvent } from "./answer_event.ts";
 import { gaveUp, takenOver } from "./answer_failure.ts";
 import { acquireEngines } from "./answer_grant.ts";
+import { createLinkSpeeds, type LinkSpeeds } from "./answer_link_speeds.ts";
 import {
   createTokenPace,
   defaultLiveness,
   type LivenessLimits,
   type TokenPace,
 } from "./answer_liveness.ts";
+import {
+  defaultMoveLimits,
+  giveBack,
+  type Move,
+  type MoveLimits,
+} from "./answer_move.ts";
 import {
   emptyProgress,
   type Progress,
@@ -37,6 +44,9 @@
   readonly recoveries: RecoveryLimiter;
   readonly metrics?: Metrics;
   readonly liveness?: LivenessLimits;
+  /** Shared by the answers of an instance; without it nothing is measured. */
+  readonly links?: LinkSpeeds;
+  readonly moves?: MoveLimits;
 }
 
 interface RunOptions extends AnswerDependencies {
@@ -66,66 +76,118 @@
 ): AsyncGenerator<AnswerEvent> {
   const { progress } = options;
   const pace = createTokenPace(options.liveness ?? defaultLiveness);
-  while (!options.signal.aborted) {
-    const record = await options.keeper.fresh();
-    const failure = chooseVersion(request, { ...options, record });
-    if (failure) return yield { type: "failed", failure };
-    if (progress.fruitless >= FRUITLESS_AT_MOST) {
-      const final = gaveUp("attempts_used_up", progress);
-      return yield { type: "failed", failure: final };
+  const links = options.links ?? createLinkSpeeds();
+  let move: Move | null = null;
+  try {
+    while (!options.signal.aborted) {
+      const record = await options.keeper.fresh();
+      const failure = chooseVersion(request, { ...options, record });
+      if (failure) return yield { type: "failed", failure };
+      if (progress.fruitless >= FRUITLESS_AT_MOST) {
+        const final = gaveUp("attempts_used_up", progress);
+        return yield { type: "failed", failure: final };
+      }
+      const turn: TurnOptions = { ...options, progress, pace, links, move };
+      move = null;
+      const end: TurnEnd = yield* runTurn(request, turn);
+      const last = lastEvent(end, progress);
+      if (last) return yield last;
+      if (end.kind === "moved") move = end.move;
+      log.info("attempt_ended", {
+        request: request.requestId,
+        attempt: progress.attempt,
+        delivered: progress.delivered.length,
+        reason: reasonOf(end),
+      });
     }
-    const end = yield* runTurn(request, { ...options, progress, pace });
-    if (end.kind === "done") {
+  } finally {
+    if (move) giveBack(move);
+  }
+}
+
+/** What the caller is told when no attempt follows. */
+function lastEvent(end: TurnEnd, progress: Progress): AnswerEvent | null {
+  switch (end.kind) {
+    case "done": {
       const provenance = provenanceOf(progress);
-      return yield { type: "done", reason: end.reason, provenance };
-    }
-    if (end.kind === "refused") {
-      return yield { type: "failed", failure: end.failure };
-    }
-    if (end.kind === "taken_over") {
-      return yield { type: "failed", failure: takenOver() };
+      return { type: "done", reason: end.reason, provenance };
     }
-    log.info("attempt_ended", {
-      request: request.requestId,
-      attempt: progress.attempt,
-      delivered: progress.delivered.length,
-      reason: end.reason,
-    });
+    case "refused":
+      return { type: "failed", failure: end.failure };
+    case "taken_over":
+      return { type: "failed", failure: takenOver() };
+    default:
+      return null;
   }
 }
 
+function reasonOf(end: TurnEnd): string {
+  if (end.kind === "moved") return `moved off ${end.move.from.join(",")}`;
+  return end.kind === "retry" ? end.reason : end.kind;
+}
+
+interface TurnOptions extends RunOptions {
+  readonly progress: Progress;
+  readonly pace: TokenPace;
+  readonly links: LinkSpeeds;
+  /** Engines that are held already. */
+  readonly move: Move | null;
+}
+
+interface Refused {
+  readonly kind: "refused";
+  readonly failure: CallFailure;
+}
+
+type TurnEnd = AttemptEnd | Refused;
+
+interface Turn {
+  readonly kind: "turn";
+  readonly grant: Grant;
+  readonly endTurn: (() => void) | null;
+}
+
 /** One attempt, in its turn when it is a recovery. */
 async function* runTurn(
   request: AnswerRequest,
-  options: RunOptions & {
-    readonly progress: Progress;
-    readonly pace: TokenPace;
-  },
-): AsyncGenerator<
-  AnswerEvent,
-  AttemptEnd | { readonly kind: "refused"; readonly failure: CallFailure }
-> {
-  const { progress, recoveries, signal, metrics } = options;
-  const isRecovery = progress.started;
-  const granted = await acquireEngines(request, progress, options);
-  if (granted.kind === "refused") return granted;
-  const { grant } = granted;
-  // The turn comes after the grant: an answer whose layers nobody holds must
-  // not take turns away from answers that could go on.
-  const endTurn = isRecovery
-    ? await recoveries.takeTurn(request.priority, signal)
-    : null;
+  options: TurnOptions,
+): AsyncGenerator<AnswerEvent, TurnEnd> {
+  const { progress, signal, metrics, move } = options;
+  const isLoss = progress.started && !move;
+  const turn: Turn | Refused = move
+    ? { kind: "turn", ...move }
+    : await takeTurn(request, options);
+  if (turn.kind === "refused") return turn;
+  const { grant, endTurn } = turn;
   try {
     if (signal.aborted) return { kind: "retry", reason: "the caller left" };
     const liveness = options.liveness ?? defaultLiveness;
+    const moves = options.moves ?? defaultMoveLimits;
     const onProgress = () => {
       endTurn?.();
-      if (isRecovery) metrics?.recoveries.inc({ model: request.model });
+      if (isLoss) metrics?.recoveries.inc({ model: request.model });
     };
-    const attempt = { ...options, grant, liveness, onProgress };
+    const attempt = { ...options, grant, liveness, moves, onProgress };
     return yield* runAttempt(request, attempt);
   } finally {
     endTurn?.();
     grant.release();
   }
 }
+
+async function takeTurn(
+  request: AnswerRequest,
+  options: TurnOptions,
+): Promise<Turn | Refused> {
+  const { progress, recoveries, signal } = options;
+  const isRecovery = progress.started;
+  const granted = await acquireEngines(request, progress, options);
+  if (granted.kind === "refused") return granted;
+  const { grant } = granted;
+  // The turn comes after the grant: an answer whose layers nobody holds must
+  // not take turns away from answers that could go on.
+  const endTurn = isRecovery
+    ? await recoveries.takeTurn(request.priority, signal)
+    : null;
+  return { kind: "turn", grant, endTurn };
+}
--- a/packages/calls/src/answer_attempt.ts
+++ b/packages/calls/src/answer_attempt.ts
@@ -10,7 +10,9 @@
   type RunningAttempt,
 } from "./answer_attempt_state.ts";
 import type { AnswerEvent } from "./answer_event.ts";
+import { addImports } from "./answer_import.ts";
 import { readIncarnations } from "./answer_liveness.ts";
+import { createMover } from "./answer_move.ts";
 import { describeAttempt, rememberCaches } from "./answer_progress.ts";
 
 /** Runs an attempt; stages that are lost on the way are noted. */
@@ -23,7 +25,8 @@
   progress.attempt += 1;
   progress.fruitless += 1;
   const incarnations = readIncarnations(fleet);
-  const attempt = describeAttempt(request, { progress, stages, incarnations });
+  const planned = describeAttempt(request, { progress, stages, incarnations });
+  const attempt = addImports(planned, options);
   const before = progress.delivered.length;
   const stop = new AbortController();
   const signal = AbortSignal.any([options.signal, stop.signal]);
@@ -31,7 +34,10 @@
     if (!mayContinue(record, attempt)) stop.abort();
   });
   const lost = new Map<string, LostCause>();
-  const running = { ...options, attempt, incarnations, signal, lost };
+  const mover = createMover({ ...options, request, attempt });
+  const startedAt = performance.now();
+  const state = { attempt, incarnations, signal, lost, mover, startedAt };
+  const running = { ...options, ...state };
   try {
     if (!(await mayGoOn(attempt, keeper))) {
       return { kind: "retry", reason: "withdrawn while it waited" };
@@ -43,6 +49,7 @@
   } finally {
     stopFollowing();
     stop.abort();
+    mover.stop();
     const gaveToken = progress.delivered.length > before;
     rememberCaches(progress, { attempt, gaveToken, incarnations });
     noteLost(running);
--- a/packages/calls/src/answer_attempt_events.ts
+++ b/packages/calls/src/answer_attempt_events.ts
@@ -6,6 +6,7 @@
   type RunningAttempt,
 } from "./answer_attempt_state.ts";
 import type { AnswerEvent } from "./answer_event.ts";
+import { noteImported, noteNoCache } from "./answer_import.ts";
 import { createEventReader } from "./answer_liveness.ts";
 import { createTokenOrder, type TokenEvent } from "./answer_order.ts";
 import { lookIntoSilence } from "./answer_silence.ts";
@@ -56,12 +57,21 @@
           waitingSince = performance.now();
           if (token.ends) return { kind: "done", reason: token.ends };
         }
+        const move = options.mover.ready();
+        if (move) return { kind: "moved", move };
         break;
       }
+      case "imported":
+        noteImported(event, options);
+        break;
       case "stage_lost": {
         const stage = attempt.stages[event.stage];
         if (stage) lost.set(stage.engine, event.cause);
-        if (stage && event.cause === "no_cache") await refresh(stage, options);
+        if (stage && event.cause === "no_cache") {
+          const elapsedMs = performance.now() - options.startedAt;
+          noteNoCache(stage, { ...options, elapsedMs });
+          await refresh(stage, options);
+        }
         return { kind: "retry", reason: event.reason };
       }
       case "cancelled":
--- a/packages/calls/src/answer_attempt_state.ts
+++ b/packages/calls/src/answer_attempt_state.ts
@@ -1,16 +1,21 @@
 /** What the parts of one attempt at an answer share. */
 import type { EngineClient, EngineFleet } from "@rosemarypin/backends";
 import { mayContinue, type NoteKeeper } from "@rosemarypin/release";
-import type { Grant } from "@rosemarypin/routing";
+import type { Grant, Router } from "@rosemarypin/routing";
 import type { AttemptRequest, LostCause } from "@rosemarypin/schemas";
 import type { Metrics } from "@rosemarypin/telemetry";
+import type { LinkSpeeds } from "./answer_link_speeds.ts";
 import type { LivenessLimits, TokenPace } from "./answer_liveness.ts";
+import type { Move, MoveLimits, Mover } from "./answer_move.ts";
 import type { Progress } from "./answer_progress.ts";
+import type { RecoveryLimiter } from "./answer_recovery.ts";
 
 /** How one attempt ended. */
 export type AttemptEnd =
   | { readonly kind: "done"; readonly reason: "stop" | "length" }
   | { readonly kind: "retry"; readonly reason: string }
+  /** Other engines are held, and go on with the answer. */
+  | { readonly kind: "moved"; readonly move: Move }
   /** Another instance goes on with the answer. */
   | { readonly kind: "taken_over" };
 
@@ -18,6 +23,10 @@
   readonly keeper: Pick<NoteKeeper, "current" | "fresh" | "onChange">;
   readonly fleet: EngineFleet;
   readonly engines: EngineClient;
+  readonly router: Pick<Router, "acquire">;
+  readonly recoveries: RecoveryLimiter;
+  readonly links: LinkSpeeds;
+  readonly moves: MoveLimits;
   readonly metrics?: Metrics;
   readonly liveness: LivenessLimits;
   readonly pace: TokenPace;
@@ -34,6 +43,8 @@
   /** Stages that are found lost, by engine. */
   readonly lost: Map<string, LostCause>;
   readonly incarnations: ReadonlyMap<string, number>;
+  readonly mover: Mover;
+  readonly startedAt: number;
 }
 
 /**
--- a/packages/calls/src/answer_liveness.ts
+++ b/packages/calls/src/answer_liveness.ts
@@ -36,6 +36,8 @@
 /** The pace of one answer's tokens, over all its attempts. */
 export interface TokenPace {
   observe(gapMs: number): void;
+  /** The usual gap between tokens; `null` before the first token. */
+  gapMs(): number | null;
   /** Silence after which the stages are probed. */
   silenceMs(): number;
 }
@@ -48,6 +50,7 @@
       usualMs =
         usualMs === null ? gapMs : usualMs + PACE_WEIGHT * (gapMs - usualMs);
     },
+    gapMs: () => usualMs,
     silenceMs() {
       if (usualMs === null) return limits.firstTokenMs;
       const silence = usualMs * SUSPICIOUS_GAPS;
--- /dev/null
+++ b/packages/calls/src/answer_move.ts
@@ -0,0 +1,145 @@
+/** Moves a running answer off engines that are leaving. */
+import type { EngineFleet } from "@rosemarypin/backends";
+import type { Grant, Router } from "@rosemarypin/routing";
+import type { AnswerRequest, AttemptRequest } from "@rosemarypin/schemas";
+import type { TokenPace } from "./answer_liveness.ts";
+import type { Progress } from "./answer_progress.ts";
+import type { RecoveryLimiter } from "./answer_recovery.ts";
+
+/** When an answer is moved. */
+export interface MoveLimits {
+  /** An answer that is expected to end sooner than this stays. */
+  readonly restMs: number;
+  /** How often its engines are looked at. */
+  readonly lookMs: number;
+}
+
+export const defaultMoveLimits: MoveLimits = { restMs: 1_000, lookMs: 200 };
+
+/** How long a move waits for engines before the answer is looked at again. */
+const ACQUIRE_MS = 500;
+
+/** Other engines, held for the next attempt. */
+export interface Move {
+  readonly grant: Grant;
+  /** Ends the turn among recoveries. */
+  readonly endTurn: () => void;
+  /** The engines that are leaving. */
+  readonly from: readonly string[];
+}
+
+/** Looks after one attempt. */
+export interface Mover {
+  /** Called now and then; returns the move once other engines are held. */
+  ready(): Move | null;
+  /** Gives back what was got and not taken. */
+  stop(): void;
+}
+
+export interface MoverOptions {
+  readonly request: AnswerRequest;
+  readonly attempt: AttemptRequest;
+  readonly progress: Progress;
+  readonly fleet: Pick<EngineFleet, "engines">;
+  readonly router: Pick<Router, "acquire">;
+  readonly recoveries: RecoveryLimiter;
+  readonly pace: TokenPace;
+  readonly moves: MoveLimits;
+}
+
+/**
+ * Creates the mover of an attempt. An engine that leaves takes no new answer
+ * but would have to stay until its last long one has ended, or cut it at the
+ * end of its grace. So other engines are got first, while the answer goes on
+ * where it is: given up before, an answer that finds none would be cut too.
+ */
+export function createMover(options: MoverOptions): Mover {
+  const { request, attempt, progress, fleet, router, pace, moves } = options;
+  const stopped = new AbortController();
+  const { signal } = stopped;
+  let lookedAt = performance.now();
+  let preparing = false;
+  let move: Move | null = null;
+
+  function ready(): Move | null {
+    if (move) {
+      const taken = move;
+      move = null;
+      return taken;
+    }
+    const now = performance.now();
+    if (preparing || now - lookedAt < moves.lookMs) return null;
+    lookedAt = now;
+    const from = findLeaving();
+    if (from.length > 0 && restMs() >= moves.restMs) void prepare(from);
+    return null;
+  }
+
+  function findLeaving(): string[] {
+    const leaving = new Set(
+      fleet
+        .engines()
+        .flatMap(({ settings, state }) => (state?.leaving ? settings.id : [])),
+    );
+    return attempt.stages
+      .map(({ engine }) => engine)
+      .filter((engine) => leaving.has(engine));
+  }
+
+  function restMs(): number {
+    const tokens = request.maxTokens - progress.delivered.length;
+    return tokens * (pace.gapMs() ?? 0);
+  }
+
+  async function prepare(from: readonly string[]): Promise<void> {
+    preparing = true;
+    try {
+      const grant = await acquire(from);
+      if (!grant) return;
+      // Moved all at once, the answers of one engine would hold up those of
+      // the engines that take them.
+      const endTurn = await options.recoveries.takeTurn(
+        request.priority,
+        signal,
+      );
+      if (endTurn && !signal.aborted) move = { grant, endTurn, from };
+      else giveBack({ grant, endTurn });
+    } finally {
+      preparing = false;
+    }
+  }
+
+  async function acquire(from: readonly string[]): Promise<Grant | null> {
+    const { version, avoid } = progress;
+    if (!version) return null;
+    const latest = Math.min(Date.now() + ACQUIRE_MS, request.deadlineAt);
+    const stay = attempt.stages.map(({ engine }) => engine);
+    const result = await router.acquire({
+      request: { ...request, deadlineAt: latest },
+      version,
+      avoid: new Set([...avoid, ...from]),
+      prefer: new Set(stay.filter((engine) => !from.includes(engine))),
+      isRecovery: true,
+      signal,
+    });
+    return result.kind === "granted" ? result.grant : null;
+  }
+
+  return {
+    ready,
+    stop() {
+      stopped.abort();
+      if (move) giveBack(move);
+      move = null;
+    },
+  };
+}
+
+/** Gives a move's engines and turn back. */
+export function giveBack(move: {
+  readonly grant: Grant;
+  readonly endTurn: (() => void) | null;
+}): void {
+  move.endTurn?.();
+  move.grant.release();
+}
--- a/packages/calls/src/answer_progress.ts
+++ b/packages/calls/src/answer_progress.ts
@@ -100,7 +100,8 @@
 /**
  * Notes which engines have the KV cache of all delivered tokens. A token
  * shows that all stages had it. Without one, only stages that the attempt
- * did not make run earlier positions again are sure to have it still.
+ * did not make run earlier positions again are sure to have it still; an
+ * import may not have come to its end.
  */
 export function rememberCaches(
   progress: Progress,
@@ -112,10 +113,11 @@
 ): void {
   const { attempt, gaveToken, incarnations } = options;
   const { stages } = attempt;
-  stages.forEach(({ engine, layers, keptPositions }, index) => {
+  stages.forEach(({ engine, layers, keptPositions, importFrom }, index) => {
     const later = stages.slice(index);
     const untouched =
       keptPositions !== undefined &&
+      !importFrom &&
       later.every((stage) => stage.keptPositions !== undefined);
     if (!gaveToken && !untouched) {
       progress.kept.delete(engine);
--- a/packages/checks/src/answer_caller.ts
+++ b/packages/checks/src/answer_caller.ts
@@ -12,6 +12,8 @@
 import type { ReceivedAnswer } from "./answer_rule.ts";
 import type { SeededRandom } from "./seeded_random.ts";
 
+/** Outlasts the notice of a planned stop, so that it has to be moved. */
+const LONG_ANSWER = 0.15;
 const CONNECTION_LOST = 0.15;
 const DEADLINE_MS = 60_000;
 
@@ -37,7 +39,9 @@
       { length: words },
       () => `word${random.between(0, 999)}`,
     ),
-    maxTokens: random.between(4, 32),
+    maxTokens: random.chance(LONG_ANSWER)
+      ? random.between(32, 150)
+      : random.between(4, 32),
     priority: random.pick(["interactive", "standard", "batch"]),
     deadlineAt: Date.now() + DEADLINE_MS,
   };
--- a/packages/checks/src/answer_faults.ts
+++ b/packages/checks/src/answer_faults.ts
@@ -1,7 +1,11 @@
 /** Faults of the check of answers, all drawn from one seed. */
 import type { EngineClient } from "@rosemarypin/backends";
 import type { EngineEvent } from "@rosemarypin/schemas";
-import type { EngineGroup, LinkFault } from "@rosemarypin/stand_ins";
+import type {
+  EngineGroup,
+  ExportFault,
+  LinkFault,
+} from "@rosemarypin/stand_ins";
 import type { SeededRandom } from "./seeded_random.ts";
 
 const LOST_MESSAGE = 0.002;
@@ -16,9 +20,17 @@
 const LOST_EVENT = 0.002;
 const REPEATED_EVENT = 0.05;
 const SWAPPED_EVENTS = 0.05;
-const BETWEEN_FAULTS_MS = { low: 80, high: 350 };
+const BETWEEN_FAULTS_MS = { low: 50, high: 230 };
 const DOWN_MS = { low: 20, high: 500 };
 const FROZEN_MS = { low: 100, high: 1_500 };
+/** Shares of the faults; the rest are planned stops. */
+const KILLED = 0.4;
+const FROZEN = 0.25;
+/** Grace of a planned stop; what runs on after it is cut. */
+const GRACE_MS = { low: 300, high: 1_500 };
+const FAILED_EXPORT = 0.15;
+const LATE_EXPORT = 0.1;
+const LATE_EXPORT_MS = 300;
 
 /** Loses, repeats and delays messages between engines. */
 export function createLinkFault(random: SeededRandom): LinkFault {
@@ -35,6 +47,14 @@
   };
 }
 
+/** Fails and delays KV caches on their way between engines. */
+export function createExportFault(random: SeededRandom): ExportFault {
+  return async () => {
+    if (random.chance(LATE_EXPORT)) await sleep(LATE_EXPORT_MS);
+    if (random.chance(FAILED_EXPORT)) throw new Error("the export broke");
+  };
+}
+
 /** Loses, repeats and swaps the events of each stream. */
 export function createFaultyClient<T extends EngineClient>(
   client: T,
@@ -69,7 +89,7 @@
   if (held) yield held;
 }
 
-/** Kills, restarts, freezes and thaws engines until it is told to stop. */
+/** Kills, freezes and stops engines by plan until it is told to stop. */
 export async function breakEngines(
   group: EngineGroup,
   options: {
@@ -82,18 +102,39 @@
   const names = group.engines.map(({ id }) => id);
   const [first = "", ...rest] = names;
   const pending: Promise<void>[] = [];
+  const down = new Set<string>();
   while (!signal.aborted) {
     await sleep(random.between(BETWEEN_FAULTS_MS.low, BETWEEN_FAULTS_MS.high));
     const engine = random.pick([first, ...rest]);
-    pending.push(random.chance(0.6) ? killFor(engine) : freezeFor(engine));
+    const kind = random.between(1, 100) / 100;
+    if (kind <= KILLED) pending.push(killFor(engine));
+    else if (kind <= KILLED + FROZEN) pending.push(freezeFor(engine));
+    else pending.push(stopByPlan(engine));
   }
   await Promise.all(pending);
 
   async function killFor(engine: string): Promise<void> {
     onFault(`kill ${engine}`);
+    await takeDown(engine, random.between(DOWN_MS.low, DOWN_MS.high));
+  }
+
+  /** One that is down already comes back by itself. */
+  async function takeDown(engine: string, downMs: number): Promise<void> {
+    if (down.has(engine)) return;
+    down.add(engine);
     group.kill(engine);
-    await sleep(random.between(DOWN_MS.low, DOWN_MS.high));
+    await sleep(downMs);
     await group.restart(engine);
+    down.delete(engine);
+  }
+
+  async function stopByPlan(engine: string): Promise<void> {
+    onFault(`leave ${engine}`);
+    // It may be down or frozen already; then it hears nothing of it.
+    const told = group.leave(engine).catch(() => {});
+    await Promise.race([told, sleep(GRACE_MS.low)]);
+    await sleep(random.between(GRACE_MS.low, GRACE_MS.high));
+    await takeDown(engine, 0);
   }
 
   async function freezeFor(engine: string): Promise<void> {
--- a/packages/checks/src/answer_parts.ts
+++ b/packages/checks/src/answer_parts.ts
@@ -5,6 +5,7 @@
   type EngineFleet,
 } from "@rosemarypin/backends";
 import {
+  createLinkSpeeds,
   createRecoveryLimiter,
   type LivenessLimits,
   type ResumeDependencies,
@@ -14,7 +15,11 @@
 import { createRouter } from "@rosemarypin/routing";
 import { settingsSchema } from "@rosemarypin/schemas";
 import { startEngineGroup } from "@rosemarypin/stand_ins";
-import { createFaultyClient, createLinkFault } from "./answer_faults.ts";
+import {
+  createExportFault,
+  createFaultyClient,
+  createLinkFault,
+} from "./answer_faults.ts";
 import type { SeededRandom } from "./seeded_random.ts";
 
 export const MODEL = "assist";
@@ -25,7 +30,9 @@
 const SPEED = {
   batchMs: 1,
   layerMicros: 20,
-  promptFactor: 0.1,
+  // Prompts cost enough for imports to be chosen beside recompute.
+  promptFactor: 1,
+  cacheBytes: 512,
   linkMs: 0.2,
   batchSize: 32,
 };
@@ -37,6 +44,9 @@
   probeMs: 200,
   lostMessageMs: 600,
 };
+/** Answers here are short, so all that can be moved are. */
+const FORGET_LINKS_MS = 500;
+const MOVES = { restMs: 0, lookMs: 5 };
 
 /** Starts three stages of engines and two instances that share them. */
 export async function startParts(random: SeededRandom) {
@@ -51,6 +61,7 @@
     ],
     nextAddress: () => ({ host: "127.0.0.1", port: ports.shift() ?? 0 }),
     linkFault: createLinkFault(random),
+    exportFault: createExportFault(random),
   });
   const fleets: EngineFleet[] = [];
   const instances = Array.from(
@@ -80,6 +91,8 @@
         engines: createFaultyClient(real, random),
         parked: real,
         recoveries: createRecoveryLimiter(),
+        links: createLinkSpeeds({ forgetMs: FORGET_LINKS_MS }),
+        moves: MOVES,
         liveness: LIVENESS,
       };
     },
--- a/packages/checks/src/answer_report.ts
+++ b/packages/checks/src/answer_report.ts
@@ -13,6 +13,8 @@
   /** Answers whose first engine died with their connection. */
   readonly lost: number;
   readonly faults: number;
+  /** KV caches that were imported and run on. */
+  readonly imports: number;
 }
 
 export interface BrokenAnswer {
@@ -49,6 +51,7 @@
     notRun: served.filter(isNotRun).length,
     lost: served.filter(({ lost }) => lost).length,
     faults: options.faults,
+    imports: journal.filter(({ imported }) => imported).length,
   };
 }
 
@@ -81,9 +84,10 @@
   const runs = group.journal
     .filter((run) => run.requestId === requestId)
     .map(
-      ({ engine, incarnation, attempt, from, to, position, count }) =>
+      ({ engine, incarnation, attempt, from, to, position, count, imported }) =>
         `${engine}#${incarnation % 100_000} attempt ${attempt} layers ` +
-        `${from}-${to} position ${position} count ${count}`,
+        `${from}-${to} position ${position} count ${count}` +
+        (imported ? ` imported from ${imported.engine}` : ""),
     );
   const last = answer.events.at(-1);
   return [
--- a/packages/checks/src/answer_rule.ts
+++ b/packages/checks/src/answer_rule.ts
@@ -71,19 +71,46 @@
   return saysNotRun && runs.length > 0 ? ["not_run, but layers ran"] : [];
 }
 
-/** On one engine each run must follow what its KV cache holds. */
+/**
+ * On one engine each run must follow what its KV cache holds; an imported
+ * one holds what the exporter ran, of the same layers.
+ */
 function findCacheGaps(runs: readonly RunEntry[]): string[] {
   const lengths = new Map<string, number>();
   return runs.flatMap((run) => {
-    const key = `${run.engine}/${run.incarnation}`;
+    const { engine, incarnation, imported, position, count } = run;
+    const key = cacheKey(run);
+    const breaks: string[] = [];
+    if (imported) {
+      const { positions } = imported;
+      const given = lengths.get(cacheKey({ ...run, ...imported })) ?? 0;
+      if (positions > given) {
+        breaks.push(
+          `${engine} imported ${positions} positions, but ` +
+            `${imported.engine} had run ${given}`,
+        );
+      }
+      lengths.set(key, positions);
+    }
     const length = lengths.get(key) ?? 0;
-    lengths.set(key, run.position + run.count);
-    return run.position > length
-      ? [`${run.engine} ran position ${run.position} after ${length}`]
-      : [];
+    lengths.set(key, position + count);
+    if (position > length) {
+      const name = `${engine}#${incarnation}`;
+      breaks.push(`${name} ran position ${position} after ${length}`);
+    }
+    return breaks;
   });
 }
 
+function cacheKey(run: {
+  readonly engine: string;
+  readonly incarnation: number | undefined;
+  readonly from: number;
+  readonly to: number;
+}): string {
+  return `${run.engine}/${run.incarnation}/${run.from}-${run.to}`;
+}
+
 /** In one attempt, no layer may run twice for a position. */
 function findRepeats(runs: readonly RunEntry[]): string[] {
   const seen = new Set<string>();
--- a/packages/checks/src/answers_main.ts
+++ b/packages/checks/src/answers_main.ts
@@ -21,9 +21,9 @@
   console.log(`shortest broken answer: ${shortest.breaks.join("; ")}`);
   for (const line of shortest.history) console.log(`  ${line}`);
 }
-const { broken, recoveries, resumed, notRun, lost, faults } = report;
+const { broken, recoveries, resumed, notRun, lost, faults, imports } = report;
 console.log(
-  `faults: ${faults}, resumed: ${resumed}, ` +
+  `faults: ${faults}, imports: ${imports}, resumed: ${resumed}, ` +
     `lost with engine and connection: ${lost}, refused as not run: ${notRun}`,
 );
 console.log(`broken answers: ${broken.length}, recoveries: ${recoveries}`);
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -8,6 +8,7 @@
 import {
   createClaimRegistry,
   createClaimSweeper,
+  createLinkSpeeds,
   createRecordClaims,
   createRecoveryLimiter,
   createServiceCaller,
@@ -319,6 +320,7 @@
       engines,
       parked: engines,
       recoveries: createRecoveryLimiter({ metrics }),
+      links: createLinkSpeeds(),
       metrics,
     },
     callService,
--- a/packages/schemas/src/engine.ts
+++ b/packages/schemas/src/engine.ts
@@ -8,6 +8,20 @@
   noteNumberSchema,
 } from "./names.ts";
 
+/** Where a stage finds the KV cache that it has to import. */
+export const cacheSourceSchema = z.object({
+  engine: nameSchema,
+  address: addressSchema,
+  /** Incarnation of that engine when the cache was there. */
+  incarnation: z.number().int().optional(),
+  /**
+   * Longest time of the transfer in milliseconds. A link that is slower than
+   * it was measured to be then costs the answer no more than this.
+   */
+  withinMs: z.number().int().positive(),
+});
+export type CacheSource = z.infer<typeof cacheSourceSchema>;
+
 /** One engine's place in a pipeline. */
 export const stageSchema = z.object({
   engine: nameSchema,
@@ -23,6 +37,11 @@
    * of the same request; left out when it has none.
    */
   keptPositions: z.number().int().nonnegative().optional(),
+  /**
+   * Set when the kept positions lie on another engine. One whose transfer
+   * fails says `no_cache`.
+   */
+  importFrom: cacheSourceSchema.optional(),
 });
 export type Stage = z.infer<typeof stageSchema>;
 
@@ -87,6 +106,15 @@
     attempt: z.number().int(),
     reason: z.enum(["stop", "length"]),
   }),
+  /** A stage has imported its KV cache. */
+  z.object({
+    type: z.literal("imported"),
+    attempt: z.number().int(),
+    stage: z.number().int(),
+    bytes: z.number().nonnegative(),
+    /** From the request to the last byte, in milliseconds. */
+    durationMs: z.number().nonnegative(),
+  }),
   /** A stage cannot go on with the attempt. */
   z.object({
     type: z.literal("stage_lost"),
@@ -120,6 +148,35 @@
 });
 export type ParkedAnswer = z.infer<typeof parkedAnswerSchema>;
 
+/** Asks the engine that has a KV cache for it. */
+export const cacheRequestSchema = z.object({
+  requestId: z.string(),
+  /** The attempt that wants the cache; it ends earlier ones at the exporter. */
+  attempt: z.number().int().positive(),
+  model: nameSchema,
+  version: nameSchema,
+  adapter: nameSchema.optional(),
+  layers: layerRangeSchema,
+  /** Positions that are wanted, from the first one on. */
+  positions: z.number().int().positive(),
+  /** Incarnation of the exporter that has the cache. */
+  incarnation: z.number().int().optional(),
+});
+export type CacheRequest = z.infer<typeof cacheRequestSchema>;
+
+/** A KV cache on its way between two engines. */
+export const exportedCacheSchema = z.object({
+  /** One running value for each layer, for each position. */
+  cache: z.array(z.array(z.number())),
+  /** Digest after each token; only the last stage has them. */
+  digests: z.array(z.string()),
+  /** Digest after the last emitted token; only the first stage has it. */
+  lastDigest: z.string(),
+  /** What the transfer took on the link. */
+  bytes: z.number().nonnegative(),
+});
+export type ExportedCache = z.infer<typeof exportedCacheSchema>;
+
 /** A range of layers of one version that an engine holds. */
 export const heldLayersSchema = z.object({
   model: nameSchema,
@@ -161,5 +218,12 @@
   leaving: z.boolean(),
   /** Sequences in the batch or waiting for it. */
   load: z.number().int().nonnegative(),
+  /** KV cache of one layer for one position, in bytes. */
+  cacheBytes: z.number().positive().optional(),
+  /**
+   * Time of one layer for one prompt position in microseconds, as the
+   * engine's latest batches had it; left out until it ran a prompt.
+   */
+  promptMicros: z.number().nonnegative().optional(),
 });
 export type EngineState = z.infer<typeof engineStateSchema>;
--- a/packages/stand_ins/src/engine/attempts.ts
+++ b/packages/stand_ins/src/engine/attempts.ts
@@ -6,6 +6,7 @@
   LostCause,
   ParkedAnswer,
 } from "@rosemarypin/schemas";
+import type { CacheImport } from "./cache_import.ts";
 import { createEmit } from "./event_stream.ts";
 import { embed } from "./layer_math.ts";
 import type { OrderState } from "./order_state.ts";
@@ -24,6 +25,7 @@
   readonly incarnation: number;
   readonly table: SequenceTable;
   readonly order: OrderState;
+  readonly importCache: CacheImport;
   dispatch(outgoing: readonly Outgoing[]): void;
   enqueue(step: StepMessage): void;
 }
@@ -64,7 +66,7 @@
 
 /** Creates the attempts of an engine. */
 export function createAttempts(options: AttemptsOptions): Attempts {
-  const { incarnation, table, order, dispatch } = options;
+  const { incarnation, table, order, dispatch, importCache } = options;
 
   function start(
     attempt: AttemptRequest,
@@ -90,11 +92,30 @@
       stop(sequence, { reason: "the reader left" });
     });
     void emit({ type: "started", attempt: attempt.attempt });
-    const position = startPosition(attempt, 0);
-    enqueue(sequence, { position, inputs: firstInputs(attempt) });
+    void begin(sequence);
     return null;
   }
 
+  /** Queues the first step, after the import of the KV cache if need be. */
+  async function begin(sequence: Sequence): Promise<void> {
+    const { request, emit, importFrom } = sequence;
+    if (importFrom) {
+      const end = await importCache(sequence, importFrom);
+      if (end.kind === "stopped") return;
+      const { attempt } = request;
+      if (end.kind === "failed") {
+        const { reason } = end;
+        const lost = { stage: 0, cause: "no_cache", reason } as const;
+        void emit?.({ type: "stage_lost", attempt, ...lost });
+        return stop(sequence, { reason });
+      }
+      const { bytes, durationMs } = end;
+      void emit?.({ type: "imported", attempt, stage: 0, bytes, durationMs });
+    }
+    const position = startPosition(request, 0);
+    enqueue(sequence, { position, inputs: firstInputs(request) });
+  }
+
   function refuse(attempt: AttemptRequest): AttemptRefusal | null {
     const { requestId } = attempt;
     if (order.isLeaving()) return { error: "leaving", takenOver: false };
@@ -114,6 +135,11 @@
     const { attempt } = answer;
     const { result } = message;
     if (!emit) return;
+    if (result.kind === "imported") {
+      const { stage, bytes, durationMs } = result;
+      void emit({ type: "imported", attempt, stage, bytes, durationMs });
+      return;
+    }
     if (result.kind === "lost") {
       const { stage, cause, reason } = result;
       void emit({ type: "stage_lost", attempt, stage, cause, reason });
@@ -175,7 +201,11 @@
     const parked = table.parked(requestId);
     const sequence = table.running(requestId) ?? parked?.sequence;
     if (!sequence?.emit) return null;
-    const { request, tokens, lastDigest: digest } = sequence;
+    const { tokens, lastDigest: digest } = sequence;
+    // A moved answer goes on elsewhere under a number that was seen here: who
+    // takes it over must use a higher one, or both would run.
+    const attempt = table.latestAttempt(requestId);
+    const request = { ...sequence.request, attempt };
     return { request, tokens, digest, ended: parked?.ended ?? null };
   }
 
--- a/packages/stand_ins/src/engine/batch_loop.ts
+++ b/packages/stand_ins/src/engine/batch_loop.ts
@@ -1,6 +1,7 @@
 /** Batches continuously: each batch takes what has come in the meantime. */
 import type { LayerRange } from "@rosemarypin/schemas";
 import type { EngineSpeed } from "../stand_in_settings.ts";
+import type { PromptMeter } from "./prompt_meter.ts";
 import { batchDurationMs, createBatchClock } from "./speed.ts";
 import type { StepMessage } from "./step.ts";
 
@@ -12,6 +13,7 @@
   readonly killed: AbortSignal | undefined;
   /** Resolves while the engine is not frozen. */
   readonly whenRunning: (() => Promise<void>) | undefined;
+  readonly meter: PromptMeter;
   /** Runs the steps of a batch, when its time has passed. */
   runSteps(steps: readonly StepMessage[]): void;
 }
@@ -20,7 +22,7 @@
 export function createBatchLoop(
   options: BatchLoopOptions,
 ): (step: StepMessage) => void {
-  const { speed, killed, whenRunning, runSteps } = options;
+  const { speed, killed, whenRunning, runSteps, meter } = options;
   const layers = options.layers.to - options.layers.from;
   const inbox: StepMessage[] = [];
   const clock = createBatchClock();
@@ -32,7 +34,9 @@
     let waitingSince = performance.now();
     while (inbox.length > 0) {
       const steps = inbox.splice(0, speed.batchSize);
-      await clock.run(durationOf(steps), waitingSince);
+      const durationMs = durationOf(steps);
+      await clock.run(durationMs, waitingSince);
+      meter.observe(durationMs, promptTokensOf(steps) * layers);
       waitingSince = inbox.length > 0 ? 0 : performance.now();
       await whenRunning?.();
       if (killed?.aborted) return;
@@ -42,11 +46,10 @@
   }
 
   function durationOf(steps: readonly StepMessage[]): number {
-    const tokens = steps.reduce((sum, { inputs }) => sum + inputs.length, 0);
     return batchDurationMs(speed, {
       layers,
       decodeTokens: steps.length,
-      promptTokens: tokens - steps.length,
+      promptTokens: promptTokensOf(steps),
     });
   }
 
@@ -55,3 +58,8 @@
     void batch();
   };
 }
+
+function promptTokensOf(steps: readonly StepMessage[]): number {
+  const tokens = steps.reduce((sum, { inputs }) => sum + inputs.length, 0);
+  return tokens - steps.length;
+}
--- a/packages/stand_ins/src/engine/engine.ts
+++ b/packages/stand_ins/src/engine/engine.ts
@@ -7,11 +7,14 @@
 import type { EngineStandInSettings } from "../stand_in_settings.ts";
 import { createAttempts } from "./attempts.ts";
 import { createBatchLoop } from "./batch_loop.ts";
+import { createCacheExports, type ExportFault } from "./cache_export.ts";
+import { createCacheImport } from "./cache_import.ts";
 import { createEngineLink, type LinkFault } from "./engine_link.ts";
 import { createEngineMessages } from "./engine_messages.ts";
 import { createEngineRoutes } from "./engine_routes.ts";
 import { describeEngineState } from "./engine_state.ts";
 import { createOrderState } from "./order_state.ts";
+import { createPromptMeter } from "./prompt_meter.ts";
 import { createFileJournal, type RunJournal } from "./run_journal.ts";
 import { createSequenceTable } from "./sequence_table.ts";
 import { createStepRunner } from "./step_runner.ts";
@@ -20,6 +23,7 @@
 export interface EngineHooks {
   readonly journal?: RunJournal;
   readonly linkFault?: LinkFault;
+  readonly exportFault?: ExportFault;
   /** Aborts when the engine is killed: it does nothing from then on. */
   readonly killed?: AbortSignal;
   /** Resolves while the engine is not frozen. */
@@ -37,6 +41,7 @@
     hooks.journal ??
     (settings.journal ? createFileJournal(settings.journal) : null);
   const table = createSequenceTable();
+  const meter = createPromptMeter();
   const order = createOrderState(settings);
   let { linkMs } = speed;
   const dispatch = createEngineLink({
@@ -55,24 +60,45 @@
   const runStep = createStepRunner({ engine: id, incarnation, table, journal });
   const enqueue = createBatchLoop({
     speed,
+    meter,
     layers: settings.roles[0]?.layers ?? { from: 0, to: 0 },
     killed: hooks.killed,
     whenRunning: hooks.whenRunning,
     runSteps: (steps) => dispatch(steps.flatMap(runStep)),
   });
-  const shared = { incarnation, table, order, dispatch, enqueue };
+  const importCache = createCacheImport({ table, order });
+  const shared = {
+    incarnation,
+    table,
+    order,
+    dispatch,
+    enqueue,
+    importCache,
+  };
   const attempts = createAttempts(shared);
   const messages = createEngineMessages({ ...shared, attempts });
+  const cacheExports = createCacheExports({
+    incarnation,
+    table,
+    order,
+    speed,
+    fault: hooks.exportFault,
+    stop: (sequence) =>
+      attempts.stop(sequence, { reason: "moved", takenOver: true }),
+  });
   const route = createEngineRoutes({
     attempts,
+    cacheExports,
     messages,
     order,
     table,
     setFaults(faults) {
       linkMs = faults.linkMs;
+      const { exportBytesPerSecond } = faults;
+      if (exportBytesPerSecond) cacheExports.setSpeed(exportBytesPerSecond);
     },
     describeState: () =>
-      describeEngineState(settings, { incarnation, order, table }),
+      describeEngineState(settings, { incarnation, order, table, meter }),
   });
   const { host, port } = address;
   return startJsonServer({
--- a/packages/stand_ins/src/engine/engine_group.ts
+++ b/packages/stand_ins/src/engine/engine_group.ts
@@ -8,6 +8,7 @@
 } from "@rosemarypin/schemas";
 import { request } from "undici";
 import type { EngineSpeed } from "../stand_in_settings.ts";
+import type { ExportFault } from "./cache_export.ts";
 import { startEngine } from "./engine.ts";
 import type { LinkFault } from "./engine_link.ts";
 import type { RunEntry } from "./run_journal.ts";
@@ -29,6 +30,8 @@
   readonly nextAddress: () => Address;
   /** Applies to each message between two engines. */
   readonly linkFault?: LinkFault;
+  /** Applies to each KV cache that an engine exports. */
+  readonly exportFault?: ExportFault;
 }
 
 /** The engines, and what can happen to them. */
@@ -39,6 +42,10 @@
   kill(engine: string): void;
   /** Starts a killed engine at its address, with empty memory. */
   restart(engine: string): Promise<void>;
+  /** Tells an engine that it is to leave; it takes no new attempt. */
+  leave(engine: string): Promise<void>;
+  /** Sets the speed at which an engine exports KV cache, in bytes a second. */
+  slowExports(engine: string, bytesPerSecond: number): Promise<void>;
   freeze(engine: string): void;
   thaw(engine: string): void;
   stop(): void;
@@ -116,6 +123,10 @@
           const fault = options.linkFault?.(messages, repeat);
           return (await fault) ?? messages;
         },
+        exportFault: async () => {
+          await whenRunning(member, killed);
+          await options.exportFault?.();
+        },
       },
     );
   }
@@ -168,6 +179,17 @@
     member.frozen = null;
   }
 
+  async function tell(
+    engine: string,
+    message: { readonly path: string; readonly body: unknown },
+  ): Promise<void> {
+    const { address } = find(engine).settings;
+    const url = `http://${formatAddress(address)}${message.path}`;
+    const body = JSON.stringify(message.body);
+    const response = await request(url, { method: "POST", body, reset: true });
+    await response.body.dump();
+  }
+
   return {
     engines: [...members.values()].map(({ settings }) => settings),
     journal,
@@ -180,6 +202,12 @@
       find(engine).frozen ??= createResolver();
     },
     thaw: (engine) => thaw(find(engine)),
+    leave: (engine) => tell(engine, { path: "/leave", body: {} }),
+    slowExports(engine, exportBytesPerSecond) {
+      const { linkMs } = find(engine).speed;
+      const body = { linkMs, exportBytesPerSecond };
+      return tell(engine, { path: "/faults", body });
+    },
     stop() {
       for (const member of members.values()) kill(member);
     },
--- a/packages/stand_ins/src/engine/engine_messages.ts
+++ b/packages/stand_ins/src/engine/engine_messages.ts
@@ -6,8 +6,8 @@
   isForEarlier,
 } from "./attempts.ts";
 import { returnTo } from "./outgoing.ts";
-import { openSequence } from "./sequence.ts";
-import type { EngineMessage } from "./step.ts";
+import { openSequence, type Sequence } from "./sequence.ts";
+import type { EngineMessage, StepMessage } from "./step.ts";
 
 export interface EngineMessagesOptions extends AttemptsOptions {
   readonly attempts: Attempts;
@@ -31,6 +31,10 @@
   options: EngineMessagesOptions,
 ): EngineMessages {
   const { incarnation, table, order, dispatch, enqueue, attempts } = options;
+  const { importCache } = options;
+
+  /** Sequences whose import has begun: a repeated step begins no other. */
+  const imports = new WeakSet<Sequence>();
 
   /**
    * Opens a later stage's sequence. A late message of an older attempt must
@@ -55,6 +59,26 @@
     sendLost(open, { stage, cause: "no_cache", reason: "no KV cache" });
   }
 
+  /** Queues a step, once the KV cache that it follows has been imported. */
+  async function enqueueWithCache(step: StepMessage): Promise<void> {
+    const sequence = table.running(step.requestId);
+    const isOwn = sequence?.request.attempt === step.attempt;
+    if (!step.open || !isOwn || !sequence.importFrom) return enqueue(step);
+    const { request, importFrom, stage } = sequence;
+    if (imports.has(sequence)) return;
+    imports.add(sequence);
+    const end = await importCache(sequence, importFrom);
+    if (end.kind === "stopped") return;
+    if (end.kind === "failed") {
+      const { reason } = end;
+      return sendLost(request, { stage, cause: "no_cache", reason });
+    }
+    const { bytes, durationMs } = end;
+    const result = { kind: "imported", stage, bytes, durationMs } as const;
+    dispatch(returnTo(request, result));
+    enqueue(step);
+  }
+
   /** Tells the first stage that a stage cannot go on. */
   function sendLost(
     answer: AttemptRequest,
@@ -69,7 +93,7 @@
       if (message.type === "step") {
         if (message.open) openFor(message.open, message.stage);
         const isKnown = table.latestAttempt(requestId) >= attempt;
-        if (isKnown) enqueue(message);
+        if (isKnown) void enqueueWithCache(message);
         return isKnown || message.open !== undefined;
       }
       const sequence = table.running(requestId);
--- a/packages/stand_ins/src/engine/engine_routes.ts
+++ b/packages/stand_ins/src/engine/engine_routes.ts
@@ -1,12 +1,14 @@
 /** The HTTP routes of an engine. */
 import {
   attemptRequestSchema,
+  cacheRequestSchema,
   type EngineState,
   engineOrderSchema,
 } from "@rosemarypin/schemas";
 import { type JsonExchange, type JsonHandler, reply } from "../http_json.ts";
 import { type EngineFaults, engineFaultsSchema } from "../stand_in_settings.ts";
 import type { Attempts } from "./attempts.ts";
+import type { CacheExports } from "./cache_export.ts";
 import type { EngineMessages } from "./engine_messages.ts";
 import type { OrderState } from "./order_state.ts";
 import type { SequenceTable } from "./sequence_table.ts";
@@ -14,6 +16,7 @@
 
 export interface EngineRoutesOptions {
   readonly attempts: Attempts;
+  readonly cacheExports: CacheExports;
   readonly messages: EngineMessages;
   readonly order: OrderState;
   readonly table: SequenceTable;
@@ -60,6 +63,13 @@
     if (refusal) reply(response, 409, refusal);
   }
 
+  async function giveCache({ response, body }: JsonExchange): Promise<void> {
+    const wanted = cacheRequestSchema.parse(body);
+    const end = await options.cacheExports.give(wanted);
+    if (end.kind === "exported") return reply(response, 200, end.exported);
+    reply(response, 409, { error: end.reason });
+  }
+
   function takeAnswerCall(call: string, { response }: JsonExchange): void {
     const cancel = /^POST \/attempts\/([^/]+)\/cancel$/.exec(call);
     if (cancel?.[1]) {
@@ -81,6 +91,8 @@
         return reply(response, 200, describeState());
       case "POST /attempts":
         return startAttempt(exchange);
+      case "POST /cache/export":
+        return giveCache(exchange);
       case "POST /steps":
         return takeSteps(exchange);
       case "POST /order":
--- a/packages/stand_ins/src/engine/engine_state.ts
+++ b/packages/stand_ins/src/engine/engine_state.ts
@@ -1,7 +1,9 @@
 /** What an engine reports about itself. */
 import type { EngineState } from "@rosemarypin/schemas";
 import type { EngineStandInSettings } from "../stand_in_settings.ts";
+import { cacheBytesOf } from "./cache_export.ts";
 import type { OrderState } from "./order_state.ts";
+import type { PromptMeter } from "./prompt_meter.ts";
 import type { SequenceTable } from "./sequence_table.ts";
 
 /** Describes the engine as it is now. */
@@ -11,9 +13,10 @@
     readonly incarnation: number;
     readonly order: OrderState;
     readonly table: SequenceTable;
+    readonly meter: PromptMeter;
   },
 ): EngineState {
-  const { incarnation, order, table } = options;
+  const { incarnation, order, table, meter } = options;
   const { fencingNumber, noteNumber, hold, adapters } = order.current();
   const running = countRunning(table);
   return {
@@ -29,6 +32,8 @@
     running,
     leaving: order.isLeaving(),
     load: running.reduce((sum, { count }) => sum + count, 0),
+    cacheBytes: cacheBytesOf(settings.speed),
+    promptMicros: meter.micros(),
   };
 }
 
--- a/packages/stand_ins/src/engine/order_state.ts
+++ b/packages/stand_ins/src/engine/order_state.ts
@@ -6,7 +6,7 @@
   current(): EngineOrder;
   /** Returns false when the order is refused for an old fencing number. */
   take(next: EngineOrder): boolean;
-  holds(answer: AttemptRequest): boolean;
+  holds(answer: Pick<AttemptRequest, "model" | "version">): boolean;
   leave(): void;
   isLeaving(): boolean;
 }
--- a/packages/stand_ins/src/engine/run_journal.ts
+++ b/packages/stand_ins/src/engine/run_journal.ts
@@ -1,6 +1,8 @@
 /** What ran where: the only thing that checks of answers believe. */
 import { appendFileSync } from "node:fs";
 
+import type { ImportedCache } from "./sequence.ts";
+
 /** A range of layers that ran on following positions of one request. */
 export interface RunEntry {
   readonly engine: string;
@@ -13,6 +15,8 @@
   readonly count: number;
   /** When the batch ended, in milliseconds since the epoch. */
   readonly at: number;
+  /** Set on the first run that follows an imported KV cache. */
+  readonly imported?: ImportedCache;
 }
 
 /** Takes entries in the order in which they ran. */
--- a/packages/stand_ins/src/engine/sequence.ts
+++ b/packages/stand_ins/src/engine/sequence.ts
@@ -1,9 +1,15 @@
 /** One answer's place on one engine. */
-import type { AttemptRequest, EngineEvent } from "@rosemarypin/schemas";
+import type {
+  AttemptRequest,
+  CacheSource,
+  EngineEvent,
+  LayerRange,
+} from "@rosemarypin/schemas";
 import {
   embed,
   extendDigest,
   type LayerCache,
+  type LayerWeights,
   runLayers,
   sample,
 } from "./layer_math.ts";
@@ -25,6 +31,17 @@
   /** Digest after the last of them; kept on the first stage. */
   lastDigest: string;
   readonly emit: Emit | null;
+  /** Where the KV cache has to come from before anything can run. */
+  readonly importFrom: CacheSource | null;
+  /** Where it came from, until the first run after that is journaled. */
+  imported: ImportedCache | null;
+}
+
+/** Origin of an imported KV cache. */
+export interface ImportedCache {
+  readonly engine: string;
+  readonly incarnation: number | undefined;
+  readonly positions: number;
 }
 
 /** The position from which a stage must get inputs. */
@@ -43,7 +60,9 @@
 /**
  * Opens a sequence. It takes over the KV cache of an earlier attempt of the
  * same request up to the position where this attempt starts; `null` when the
- * cache that the attempt counts on is not there.
+ * cache that the attempt counts on is not there. One that has to be imported
+ * opens empty: no step fits it until the import is done, and a later attempt
+ * that counts on it finds too little.
  */
 export function openSequence(
   request: AttemptRequest,
@@ -55,18 +74,25 @@
 ): Sequence | null {
   const { stage, emit, earlier } = options;
   const start = startPosition(request, stage);
+  const layers = request.stages[stage]?.layers;
   const usable =
-    earlier && hasSameLayers(earlier, { request, stage }) ? earlier : null;
-  if (start > (usable?.cache.length ?? 0)) return null;
+    earlier && layers && hasSameLayers(earlier, { ...request, layers })
+      ? earlier
+      : null;
+  const hasCache = start <= (usable?.cache.length ?? 0);
+  const importFrom = request.stages[stage]?.importFrom ?? null;
+  if (!hasCache && !importFrom) return null;
   const tokenCount = Math.max(0, start - request.promptTokens.length + 1);
   return {
     request,
     stage,
     emit,
-    cache: usable?.cache.slice(0, start) ?? [],
-    digests: usable?.digests.slice(0, tokenCount) ?? [],
+    cache: (hasCache && usable?.cache.slice(0, start)) || [],
+    digests: (hasCache && usable?.digests.slice(0, tokenCount)) || [],
     tokens: [...request.deliveredTokens],
     lastDigest: usable?.lastDigest ?? "",
+    importFrom: hasCache ? null : importFrom,
+    imported: (hasCache && usable?.imported) || null,
   };
 }
 
@@ -74,20 +100,18 @@
  * A KV cache belongs to one version, adapter and layer range: nothing of a
  * withdrawn batch may go into an answer of another.
  */
-function hasSameLayers(
+export function hasSameLayers(
   earlier: Sequence,
-  next: { readonly request: AttemptRequest; readonly stage: number },
+  wanted: LayerWeights & { readonly layers: LayerRange },
 ): boolean {
-  const { request } = next;
   const old = earlier.request;
   const oldLayers = old.stages[earlier.stage]?.layers;
-  const layers = request.stages[next.stage]?.layers;
   return (
-    old.model === request.model &&
-    old.version === request.version &&
-    old.adapter === request.adapter &&
-    oldLayers?.from === layers?.from &&
-    oldLayers?.to === layers?.to
+    old.model === wanted.model &&
+    old.version === wanted.version &&
+    old.adapter === wanted.adapter &&
+    oldLayers?.from === wanted.layers.from &&
+    oldLayers?.to === wanted.layers.to
   );
 }
 
--- a/packages/stand_ins/src/engine/sequence_table.ts
+++ b/packages/stand_ins/src/engine/sequence_table.ts
@@ -24,6 +24,8 @@
   /** Highest attempt that was seen here, or 0. */
   latestAttempt(requestId: string): number;
   run(sequence: Sequence): void;
+  /** Notes an attempt that goes on elsewhere: none up to it runs here. */
+  noteAttempt(requestId: string, attempt: number): void;
   /** Stops a sequence and keeps its KV cache for a while. */
   park(sequence: Sequence, ended: SequenceEnd): void;
   /** Forgets the KV cache at once. */
@@ -53,6 +55,12 @@
     }
   }
 
+  function noteAttempt(requestId: string, attempt: number): void {
+    attempts.delete(requestId);
+    attempts.set(requestId, attempt);
+    dropOldest(attempts, ENDED_AT_MOST);
+  }
+
   return {
     running: (requestId) => running.get(requestId),
     allRunning: () => running.values(),
@@ -65,10 +73,9 @@
       const { requestId, attempt } = sequence.request;
       parked.delete(requestId);
       running.set(requestId, sequence);
-      attempts.delete(requestId);
-      attempts.set(requestId, attempt);
-      dropOldest(attempts, ENDED_AT_MOST);
+      noteAttempt(requestId, attempt);
     },
+    noteAttempt,
     park(sequence, ended) {
       const { requestId } = sequence.request;
       running.delete(requestId);
--- a/packages/stand_ins/src/engine/step.ts
+++ b/packages/stand_ins/src/engine/step.ts
@@ -27,6 +27,12 @@
         readonly digest: string;
         readonly isStop: boolean;
       }
+    | {
+        readonly kind: "imported";
+        readonly stage: number;
+        readonly bytes: number;
+        readonly durationMs: number;
+      }
     | {
         readonly kind: "lost";
         readonly stage: number;
--- a/packages/stand_ins/src/engine/step_runner.ts
+++ b/packages/stand_ins/src/engine/step_runner.ts
@@ -23,7 +23,9 @@
 ): (step: StepMessage) => Outgoing[] {
   const { engine, incarnation, table, journal } = options;
 
-  function record({ request, stage }: Sequence, step: StepMessage): void {
+  function record(sequence: Sequence, step: StepMessage): void {
+    const { request, stage, imported } = sequence;
+    sequence.imported = null;
     const layers = request.stages[stage]?.layers ?? { from: 0, to: 0 };
     journal?.append([
       {
@@ -35,6 +37,7 @@
         position: step.position,
         count: step.inputs.length,
         at: performance.timeOrigin + performance.now(),
+        ...(imported ? { imported } : {}),
       },
     ]);
   }
--- a/packages/stand_ins/src/mod.ts
+++ b/packages/stand_ins/src/mod.ts
@@ -1,5 +1,6 @@
 /** Stand-ins of what surrounds rosemarypin, for tests, demo and bench. */
 export * from "./balancer.ts";
+export * from "./engine/cache_export.ts";
 export * from "./engine/engine.ts";
 export * from "./engine/engine_group.ts";
 export * from "./engine/engine_link.ts";
--- a/packages/stand_ins/src/stand_in_settings.ts
+++ b/packages/stand_ins/src/stand_in_settings.ts
@@ -19,6 +19,10 @@
   linkMs: z.number().nonnegative().default(0.5),
   /** Sequences in one batch. */
   batchSize: z.number().int().positive().default(32),
+  /** Bytes a second at which the engine exports KV cache. */
+  exportBytesPerSecond: z.number().positive().optional(),
+  /** KV cache of one layer for one position, in bytes. */
+  cacheBytes: z.number().positive().optional(),
 });
 export type EngineSpeed = z.infer<typeof engineSpeedSchema>;
 
@@ -26,6 +30,8 @@
 export const engineFaultsSchema = z.strictObject({
   /** Time that a message to another engine takes, in milliseconds. */
   linkMs: z.number().nonnegative(),
+  /** Bytes a second at which the engine exports KV cache. */
+  exportBytesPerSecond: z.number().positive().optional(),
 });
 
 export type EngineFaults = z.infer<typeof engineFaultsSchema>;
