Measure answers that move off a leaving engine

`npm run bench -- recovery` has rows for an engine that leaves: answers that stay, that move over a fast and a slow link, and that may not import. The pipeline they share with the rows of deaths is a module of its own.

The guess for an unmeasured link goes from 1 to 10 Gbit/s: with the lower one no import was ever tried in the bench, so nothing was measured that could have put it right.

--- a/packages/bench/src/answers/recovery_command.ts
+++ b/packages/bench/src/answers/recovery_command.ts
@@ -3,14 +3,8 @@
 import type { EngineClient } from "@rosemarypin/backends";
 import { runAnswer } from "@rosemarypin/calls";
 import { findFreePorts } from "@rosemarypin/launcher";
-import {
-  batchDurationMs,
-  type EngineGroup,
-  type RunEntry,
-  startEngineGroup,
-} from "@rosemarypin/stand_ins";
+import { type EngineGroup, startEngineGroup } from "@rosemarypin/stand_ins";
 import { pause } from "@rosemarypin/timing";
-import { build } from "hdr-histogram-js";
 import type { BenchCommand } from "../bench_command.ts";
 import {
   describeRequest,
@@ -19,31 +13,23 @@
   startEntry,
   VERSION,
 } from "./entry.ts";
+import { measureLeaving } from "./leave_rounds.ts";
+import {
+  countRebuild,
+  describeSpread,
+  findVictim,
+  LAYERS,
+  STAGES,
+  WORDS,
+} from "./recovery_pipeline.ts";
 
 const ROUNDS = 24;
-const WORDS = 200;
 const TOKENS = 30;
 const BREAK_AT = [5, 9, 14, 18];
 const SETTLE_MS = 700;
 const CANCELS = 12;
 const LEAVE_AT = 6;
 const AFTER_LEAVING_MS = 1_000;
-const MICROS = 1_000;
-
-const FAST = {
-  batchMs: 2,
-  layerMicros: 60,
-  promptFactor: 0.05,
-  linkMs: 0.5,
-  batchSize: 32,
-};
-const SLOW = { ...FAST, batchMs: 3, layerMicros: 120, linkMs: 2 };
-const STAGES = [
-  { layers: { from: 0, to: 10 }, count: 3, speed: FAST },
-  { layers: { from: 10, to: 19 }, count: 3, speed: FAST },
-  { layers: { from: 19, to: 24 }, count: 3, speed: SLOW },
-];
-const LAYERS = 24;
 
 type Fault = "kill" | "freeze";
 
@@ -58,7 +44,7 @@
 }
 
 export const recoveryCommand: BenchCommand = {
-  summary: "time from a stage's end to the next token",
+  summary: "time from a stage's end, or leave, to the next token",
   async run() {
     const ports = await findFreePorts(9);
     const group = await startEngineGroup({
@@ -75,6 +61,7 @@
       }
       tell(fault, rounds);
     }
+    await measureLeaving(group);
     await measureCancel(group);
     group.stop();
     return 0;
@@ -84,7 +71,7 @@
 /** From a caller's departure to the last work of any stage for it. */
 async function measureCancel(group: EngineGroup): Promise<void> {
   const entry = await startEntry({ engines: group.engines, layers: LAYERS });
-  const histogram = build();
+  const worked: number[] = [];
   for (let number = 0; number < CANCELS; number++) {
     const requestId = `cancel-${number}`;
     const left = new AbortController();
@@ -100,15 +87,12 @@
     const leftAt = performance.timeOrigin + performance.now();
     await pause(AFTER_LEAVING_MS);
     const last = group.journal.findLast((run) => run.requestId === requestId);
-    const workedMs = Math.max(0, (last?.at ?? leftAt) - leftAt);
-    histogram.recordValue(Math.round(workedMs * MICROS));
+    worked.push(Math.max(0, (last?.at ?? leftAt) - leftAt));
   }
   entry.stop();
-  const at = (percentile: number) =>
-    (histogram.getValueAtPercentile(percentile) / MICROS).toFixed(1);
   console.log(
-    `cancel rounds=${CANCELS} work_after_leaving_ms=[p50 ${at(50)} ` +
-      `p99 ${at(99)}] watched_ms=${AFTER_LEAVING_MS}`,
+    `cancel rounds=${CANCELS} work_after_leaving_ms=[` +
+      `${describeSpread(worked)}] watched_ms=${AFTER_LEAVING_MS}`,
   );
 }
 
@@ -173,50 +157,9 @@
   }
 }
 
-function findVictim(
-  group: EngineGroup,
-  options: { readonly requestId: string; readonly stage: number },
-): string {
-  const from = STAGES[options.stage]?.layers.from;
-  const run = group.journal.findLast(
-    (one) => one.requestId === options.requestId && one.from === from,
-  );
-  return run?.engine ?? "";
-}
-
-/** What the second attempt ran before its first token, and its least time. */
-function countRebuild(runs: readonly RunEntry[]) {
-  const second = runs.filter(({ attempt }) => attempt === 2);
-  const first = second.findIndex(({ to }) => to === LAYERS);
-  const rebuild = second.slice(0, first + 1);
-  const last = rebuild.at(-1);
-  const positions = last ? last.position + last.count : 0;
-  const floorMs = rebuild.reduce((sum, { from, to, count }) => {
-    const speed = to === LAYERS ? SLOW : FAST;
-    const work = {
-      layers: to - from,
-      decodeTokens: 1,
-      promptTokens: count - 1,
-    };
-    return sum + batchDurationMs(speed, work) + speed.linkMs;
-  }, 0);
-  const recomputed = rebuild.reduce(
-    (sum, { from, to, count }) => sum + (count - 1) * (to - from),
-    0,
-  );
-  return { floorMs, recomputed, whole: (positions - 1) * LAYERS };
-}
-
 function tell(fault: Fault, rounds: readonly Round[]): void {
-  const of = (pick: (round: Round) => number) => {
-    const histogram = build();
-    for (const round of rounds) {
-      histogram.recordValue(Math.round(pick(round) * MICROS));
-    }
-    const at = (percentile: number) =>
-      (histogram.getValueAtPercentile(percentile) / MICROS).toFixed(1);
-    return `p50 ${at(50)} p99 ${at(99)}`;
-  };
+  const of = (pick: (round: Round) => number) =>
+    describeSpread(rounds.map(pick));
   const sum = (pick: (round: Round) => number) =>
     rounds.reduce((total, round) => total + pick(round), 0);
   const share = sum((round) => round.recomputed) / sum((round) => round.whole);
--- a/packages/calls/src/answer_link_speeds.ts
+++ b/packages/calls/src/answer_link_speeds.ts
@@ -1,7 +1,11 @@
 /** How fast KV cache went from one engine to another, as measured here. */
 
-/** Speed of a link of which nothing was measured: 1 Gbit/s. */
-const UNMEASURED_BYTES_PER_SECOND = 125_000_000;
+/**
+ * Speed of a link of which nothing was measured: 10 Gbit/s. It is a hopeful
+ * guess, since one that keeps imports from being tried would never be put
+ * right, and the limit of a transfer bounds what a wrong one costs.
+ */
+const UNMEASURED_BYTES_PER_SECOND = 1_250_000_000;
 /** What an older transfer counts beside the one after it. */
 const DECAY = 0.7;
 const ENGINE_PAIRS_AT_MOST = 512;
