--- /dev/null
+++ b/packages/calls/src/answer_import_choice_test.ts
@@ -0,0 +1,106 @@
+import type { KnownEngine } from "@rosemarypin/backends";
+import type { LayerRange, Stage } from "@rosemarypin/schemas";
+import { expect, test } from "vitest";
+import { chooseImports } from "./answer_import_choice.ts";
+
+const RANGES = [
+  { from: 0, to: 10 },
+  { from: 10, to: 19 },
+  { from: 19, to: 24 },
+];
+const POSITIONS = 200;
+
+function engine(id: string): KnownEngine {
+  const address = { host: "127.0.0.1", port: 1 };
+  return {
+    settings: {
+      id,
+      failureDomain: "dar",
+      address,
+      accelerator: "fast",
+      checksFencing: true,
+      roles: [],
+    },
+    state: {
+      engine: id,
+      incarnation: 1,
+      accelerator: "fast",
+      failureDomain: "dar",
+      roles: [],
+      fencingNumber: 1,
+      noteNumber: 1,
+      held: [],
+      adapters: [],
+      running: [],
+      leaving: false,
+      load: 0,
+      cacheBytes: 1_000,
+      promptMicros: 10,
+    },
+    usable: true,
+    inFlight: 0,
+  };
+}
+
+/** Stages `new-0` to `new-2`; those in `missing` lack their cache. */
+function choose(options: {
+  readonly missing: readonly number[];
+  readonly bytesPerSecond: number;
+  readonly holders?: readonly LayerRange[];
+}) {
+  const { missing, bytesPerSecond, holders = RANGES } = options;
+  const engines = RANGES.map((_, index) => engine(`new-${index}`));
+  const stages: Stage[] = RANGES.map((layers, index) => ({
+    engine: `new-${index}`,
+    address: { host: "127.0.0.1", port: 1 },
+    layers,
+  }));
+  const kept = stages.filter((_, index) => !missing.includes(index));
+  const sources = chooseImports(stages, {
+    kept: new Set(kept.map((stage) => stage.engine)),
+    holders: holders.map((layers, index) => ({
+      engine: engine(`old-${index}`),
+      layers,
+    })),
+    engines: new Map(engines.map((known) => [known.settings.id, known])),
+    positions: POSITIONS,
+    links: {
+      observe() {},
+      observeGivenUp() {},
+      bytesPerSecond: () => bytesPerSecond,
+    },
+  });
+  return [...sources].map(([to, { engine: from, withinMs }]) => {
+    return `${to} from ${from} in ${withinMs}`;
+  });
+}
+
+/**
+ * Recompute of the last stage costs 200 x 24 x 10 us = 48 ms, since all stages
+ * before it must run again; its cache has 1 MB. The first stage alone costs 20
+ * ms, and has 2 MB.
+ */
+test.each([
+  ["last stage, fast link", [2], 1e8, ["new-2 from old-2 in 50"]],
+  ["last stage, 20 ms on the link", [2], 5e7, ["new-2 from old-2 in 50"]],
+  ["last stage, 50 ms on the link", [2], 2e7, []],
+  ["first stage, fast link", [0], 2e8, ["new-0 from old-0 in 50"]],
+  ["first stage, 40 ms on the link", [0], 5e7, []],
+  [
+    "first and last, the first recomputes",
+    [0, 2],
+    5e7,
+    ["new-2 from old-2 in 50"],
+  ],
+  ["no stage is missing", [], 1e9, []],
+])("%s", (_name, missing, bytesPerSecond, expected) => {
+  expect(choose({ missing, bytesPerSecond })).toEqual(expected);
+});
+
+/** Layers that nobody holds are recomputed, with all before them. */
+test("a stage before one that must recompute imports nothing", () => {
+  const [first = { from: 0, to: 1 }] = RANGES;
+  const link = { bytesPerSecond: 1e9, holders: [first] };
+  expect(choose({ missing: [0, 2], ...link })).toEqual([]);
+  expect(choose({ missing: [0], ...link })).toHaveLength(1);
+});
--- /dev/null
+++ b/packages/calls/src/answer_move_test.ts
@@ -0,0 +1,215 @@
+import {
+  createEngineClient,
+  createEngineFleet,
+  type EngineFleet,
+} from "@rosemarypin/backends";
+import { createFixedNote, serveVersions } from "@rosemarypin/fakes";
+import { findFreePorts } from "@rosemarypin/launcher";
+import { createRouter } from "@rosemarypin/routing";
+import { type AnswerRequest, settingsSchema } from "@rosemarypin/schemas";
+import {
+  type EngineGroup,
+  expectedAnswer,
+  startEngineGroup,
+} from "@rosemarypin/stand_ins";
+import { afterEach, beforeEach, expect, test } from "vitest";
+import { runAnswer } from "./answer.ts";
+import type { AnswerEvent } from "./answer_event.ts";
+import { createLinkSpeeds } from "./answer_link_speeds.ts";
+import { createRecoveryLimiter } from "./answer_recovery.ts";
+
+const SPEED = {
+  batchMs: 2,
+  layerMicros: 10,
+  // A prompt is dear here, so that an import is always the cheaper way.
+  promptFactor: 200,
+  linkMs: 0.1,
+  batchSize: 8,
+};
+const LAYERS = 8;
+const LEAVE_AT = 3;
+
+let group: EngineGroup;
+let fleet: EngineFleet;
+let exportBreaks: boolean;
+
+async function startEngines(copies: number): Promise<void> {
+  const ports = await findFreePorts(2 * copies);
+  group = await startEngineGroup({
+    model: "assist",
+    versions: ["v1"],
+    stages: [
+      { layers: { from: 0, to: 4 }, count: copies, speed: SPEED },
+      { layers: { from: 4, to: 8 }, count: copies, speed: SPEED },
+    ],
+    nextAddress: () => ({ host: "127.0.0.1", port: ports.shift() ?? 0 }),
+    exportFault: async () => {
+      if (exportBreaks) throw new Error("the export broke");
+    },
+  });
+}
+
+beforeEach(() => {
+  exportBreaks = false;
+});
+
+afterEach(() => {
+  fleet.stop();
+  group.stop();
+});
+
+function request(): AnswerRequest {
+  return {
+    requestId: "answer-1",
+    organisation: "kano",
+    weight: 1,
+    model: "assist",
+    adapter: undefined,
+    promptTokens: ["plan", "for", "tanga"],
+    maxTokens: 40,
+    priority: "standard",
+    deadlineAt: Date.now() + 60_000,
+  };
+}
+
+/** Runs an answer; the engine of `stage` leaves in the middle of it. */
+async function runWhileLeaving(
+  stage: number,
+  options: { readonly restMs?: number } = {},
+) {
+  const engines = createEngineClient();
+  fleet = createEngineFleet({ engines: group.engines, client: engines });
+  while (!fleet.engines().every(({ usable }) => usable)) await sleep(5);
+  const events: AnswerEvent[] = [];
+  let leaving = "";
+  const answer = runAnswer(request(), {
+    keeper: createFixedNote(
+      serveVersions({
+        number: 1,
+        model: "assist",
+        versions: ["v1"],
+        layers: LAYERS,
+      }),
+    ),
+    router: createRouter({
+      fleet,
+      failureDomain: "domain-1",
+      limits: settingsSchema.shape.limits.parse(undefined),
+      objectives: settingsSchema.shape.objectives.parse(undefined),
+      seed: 1,
+    }),
+    fleet,
+    engines,
+    recoveries: createRecoveryLimiter(),
+    links: createLinkSpeeds(),
+    moves: { restMs: options.restMs ?? 0, lookMs: 1 },
+    signal: new AbortController().signal,
+  });
+  for await (const event of answer) {
+    events.push(event);
+    if (event.type === "token" && event.index === LEAVE_AT) await leave();
+  }
+  return { ...describe(events), leaving };
+
+  async function leave(): Promise<void> {
+    const from = stage * 4;
+    const run = group.journal.findLast((one) => one.from === from);
+    leaving = run?.engine ?? "";
+    await group.leave(leaving);
+    const known = group.engines.find(({ id }) => id === leaving);
+    const state = known && (await engines.readState(known.address));
+    if (state) fleet.observe(state);
+  }
+}
+
+function describe(events: readonly AnswerEvent[]) {
+  const last = events.at(-1);
+  const tokens = events.flatMap((event) =>
+    event.type === "token" ? [event.text] : [],
+  );
+  const digest = last?.type === "done" ? last.provenance.digest : last;
+  return { tokens, digest };
+}
+
+function expected() {
+  const { promptTokens, maxTokens } = request();
+  const { tokens, digest } = expectedAnswer({
+    weights: { model: "assist", version: "v1" },
+    layers: LAYERS,
+    promptTokens,
+    maxTokens,
+  });
+  return { tokens, digest };
+}
+
+/** Positions that each attempt ran on layers of `from`, in order. */
+function positionsOf(attempt: number, from: number): number[] {
+  return group.journal
+    .filter((run) => run.attempt === attempt && run.from === from)
+    .flatMap(({ position, count }) =>
+      Array.from({ length: count }, (_, offset) => position + offset),
+    );
+}
+
+function sleep(durationMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, durationMs));
+}
+
+/**
+ * A planner's long draft runs on an engine that is to be replaced. Left there,
+ * it holds the engine up until its grace ends and is cut then. So it moves on,
+ * with its KV cache: no position runs again, and the planner sees one answer.
+ */
+test.each([0, 1])("moves off a leaving engine of stage %i", async (stage) => {
+  await startEngines(2);
+  const { leaving, ...answer } = await runWhileLeaving(stage);
+  expect(answer).toEqual(expected());
+  const onLeaving = group.journal.filter(({ engine }) => engine === leaving);
+  expect(new Set(onLeaving.map(({ attempt }) => attempt))).toEqual(
+    new Set([1]),
+  );
+  const moved = group.journal.filter(({ imported }) => imported);
+  expect(moved).toMatchObject([{ attempt: 2, imported: { engine: leaving } }]);
+  const start = moved[0]?.position ?? 0;
+  expect(start).toBeGreaterThan(LEAVE_AT);
+  for (const from of [0, 4]) {
+    const positions = positionsOf(2, from);
+    expect(positions).toEqual(positions.map((_, index) => start + index));
+  }
+});
+
+/**
+ * The transfer breaks. The answer must neither be cut nor try the same again:
+ * the next attempt recomputes.
+ */
+test("recomputes when the transfer breaks", async () => {
+  await startEngines(2);
+  exportBreaks = true;
+  const { leaving, ...answer } = await runWhileLeaving(1);
+  expect(answer).toEqual(expected());
+  expect(group.journal.filter(({ imported }) => imported)).toEqual([]);
+  expect(positionsOf(3, 0)[0]).toBe(0);
+  expect(group.journal.some(({ attempt }) => attempt > 3)).toBe(false);
+  expect(leaving).not.toBe("");
+});
+
+/**
+ * The only engine with its layers leaves. Given up before others are held, the
+ * answer would be cut, though the engine would have served it to its end.
+ */
+test("stays when no other engine has the layers", async () => {
+  await startEngines(1);
+  const { leaving, ...answer } = await runWhileLeaving(1);
+  expect(answer).toEqual(expected());
+  expect(new Set(group.journal.map(({ attempt }) => attempt))).toEqual(
+    new Set([1]),
+  );
+  expect(leaving).not.toBe("");
+});
+
+test("stays when the answer is about to end", async () => {
+  await startEngines(2);
+  const { digest } = await runWhileLeaving(1, { restMs: 60_000 });
+  expect(digest).toBe(expected().digest);
+  expect(group.journal.every(({ attempt }) => attempt === 1)).toBe(true);
+});
