Move answers off engines whose links are degraded

Cause: an engine with a degraded link answers each probe, so it counts as live, and holds up every token of its answers. Engines now report the least time of their latest sends, which one busy receiver does not raise. An answer leaves an engine that is slow beside the others of its layers, when the tokens that it may still have make the gain worth a move; a leaving engine goes before.

Ruled out: the mean time of sends, which a frozen receiver raises at a healthy sender; a look at all engines for each answer, which costs too much at size: the answer's own stages are looked at first, as often as the fleet reads states.

--- a/packages/calls/src/answer_move.ts
+++ b/packages/calls/src/answer_move.ts
@@ -1,20 +1,27 @@
-/** Moves a running answer off engines that are leaving. */
+/** Moves a running answer off engines that are leaving or slow. */
 import type { EngineFleet } from "@rosemarypin/backends";
 import type { Grant, Router } from "@rosemarypin/routing";
 import type { AnswerRequest, AttemptRequest } from "@rosemarypin/schemas";
 import type { TokenPace } from "./answer_liveness.ts";
 import type { Progress } from "./answer_progress.ts";
 import type { RecoveryLimiter } from "./answer_recovery.ts";
+import { findWorse, type WorseEngines } from "./answer_worse.ts";
 
 /** When an answer is moved. */
 export interface MoveLimits {
-  /** An answer that is expected to end sooner than this stays. */
+  /** An answer that is expected to end, or to gain, less than this stays. */
   readonly restMs: number;
-  /** How often its engines are looked at. */
+  /** What a message must take longer than usual for its link to be slow. */
+  readonly slowMs: number;
+  /** How often its engines are looked at; the fleet reads no more often. */
   readonly lookMs: number;
 }
 
-export const defaultMoveLimits: MoveLimits = { restMs: 1_000, lookMs: 200 };
+export const defaultMoveLimits: MoveLimits = {
+  restMs: 1_000,
+  slowMs: 10,
+  lookMs: 500,
+};
 
 /** How long a move waits for engines before the answer is looked at again. */
 const ACQUIRE_MS = 500;
@@ -24,7 +31,7 @@
   readonly grant: Grant;
   /** Ends the turn among recoveries. */
   readonly endTurn: () => void;
-  /** The engines that are leaving. */
+  /** The engines that the answer leaves. */
   readonly from: readonly string[];
 }
 
@@ -50,8 +57,9 @@
 /**
  * Creates the mover of an attempt. An engine that leaves takes no new answer
  * but would have to stay until its last long one has ended, or cut it at the
- * end of its grace. So other engines are got first, while the answer goes on
- * where it is: given up before, an answer that finds none would be cut too.
+ * end of its grace; one with a degraded link holds up each token. So others
+ * are got first, while the answer goes on where it is: given up before, an
+ * answer that finds none would be cut too.
  */
 export function createMover(options: MoverOptions): Mover {
   const { request, attempt, progress, fleet, router, pace, moves } = options;
@@ -70,31 +78,23 @@
     const now = performance.now();
     if (preparing || now - lookedAt < moves.lookMs) return null;
     lookedAt = now;
-    const from = findLeaving();
-    if (from.length > 0 && restMs() >= moves.restMs) void prepare(from);
+    const worse = findWorse(fleet.engines(), { ...attempt, ...rest() });
+    if (worse.from.length > 0) void prepare(worse);
     return null;
   }
 
-  function findLeaving(): string[] {
-    const leaving = new Set(
-      fleet
-        .engines()
-        .flatMap(({ settings, state }) => (state?.leaving ? settings.id : [])),
-    );
-    return attempt.stages
-      .map(({ engine }) => engine)
-      .filter((engine) => leaving.has(engine));
+  function rest() {
+    const restTokens = request.maxTokens - progress.delivered.length;
+    const restMs = restTokens * (pace.gapMs() ?? 0);
+    const { restMs: leastMs, slowMs } = moves;
+    return { restTokens, restMs, leastMs, slowMs };
   }
 
-  function restMs(): number {
-    const tokens = request.maxTokens - progress.delivered.length;
-    return tokens * (pace.gapMs() ?? 0);
-  }
-
-  async function prepare(from: readonly string[]): Promise<void> {
+  async function prepare(worse: WorseEngines): Promise<void> {
+    const { from } = worse;
     preparing = true;
     try {
-      const grant = await acquire(from);
+      const grant = await acquire(worse);
       if (!grant) return;
       // Moved all at once, the answers of one engine would hold up those of
       // the engines that take them.
@@ -109,7 +109,7 @@
     }
   }
 
-  async function acquire(from: readonly string[]): Promise<Grant | null> {
+  async function acquire(worse: WorseEngines): Promise<Grant | null> {
     const { version, avoid } = progress;
     if (!version) return null;
     const latest = Math.min(Date.now() + ACQUIRE_MS, request.deadlineAt);
@@ -117,8 +117,8 @@
     const result = await router.acquire({
       request: { ...request, deadlineAt: latest },
       version,
-      avoid: new Set([...avoid, ...from]),
-      prefer: new Set(stay.filter((engine) => !from.includes(engine))),
+      avoid: new Set([...avoid, ...worse.avoid]),
+      prefer: new Set(stay.filter((engine) => !worse.avoid.has(engine))),
       isRecovery: true,
       signal,
     });
--- a/packages/schemas/src/engine.ts
+++ b/packages/schemas/src/engine.ts
@@ -225,5 +225,10 @@
    * engine's latest batches had it; left out until it ran a prompt.
    */
   promptMicros: z.number().nonnegative().optional(),
+  /**
+   * Time of a message to another engine in milliseconds: the least of the
+   * latest ones, so that a busy receiver does not make a link look slow.
+   */
+  sendMs: z.number().nonnegative().optional(),
 });
 export type EngineState = z.infer<typeof engineStateSchema>;
--- a/packages/stand_ins/src/engine/cache_export.ts
+++ b/packages/stand_ins/src/engine/cache_export.ts
@@ -1,5 +1,6 @@
 /** Gives the KV cache of an answer to the engine that goes on with it. */
 import type { CacheRequest, ExportedCache } from "@rosemarypin/schemas";
+import { pause } from "@rosemarypin/timing";
 import type { EngineSpeed } from "../stand_in_settings.ts";
 import type { OrderState } from "./order_state.ts";
 import { hasSameLayers, type Sequence } from "./sequence.ts";
@@ -23,6 +24,7 @@
   readonly table: SequenceTable;
   readonly order: OrderState;
   readonly speed: EngineSpeed;
+  readonly linkMs: () => number;
   readonly fault: ExportFault | undefined;
   /** Ends a sequence that still runs here for an earlier attempt. */
   stop(sequence: Sequence): void;
@@ -75,6 +77,7 @@
       const bytes = positions * layers * cacheBytesOf(speed);
       const durationMs = (bytes / bytesPerSecond) * MILLIS;
       await link.run(durationMs, performance.now());
+      await pause(options.linkMs());
       await options.fault?.();
       // It may have been recalled while its cache was on the link.
       if (!order.holds(request)) return refuse("not held");
--- a/packages/stand_ins/src/engine/cache_export_test.ts
+++ b/packages/stand_ins/src/engine/cache_export_test.ts
@@ -63,6 +63,7 @@
       linkMs: 0,
       batchSize: 1,
     },
+    linkMs: () => 0,
     fault,
     stop: (stopped) => table.park(stopped, null),
   });
--- a/packages/stand_ins/src/engine/engine.ts
+++ b/packages/stand_ins/src/engine/engine.ts
@@ -16,6 +16,7 @@
 import { createOrderState } from "./order_state.ts";
 import { createPromptMeter } from "./prompt_meter.ts";
 import { createFileJournal, type RunJournal } from "./run_journal.ts";
+import { createSendMeter } from "./send_meter.ts";
 import { createSequenceTable } from "./sequence_table.ts";
 import { createStepRunner } from "./step_runner.ts";
 
@@ -41,13 +42,15 @@
     hooks.journal ??
     (settings.journal ? createFileJournal(settings.journal) : null);
   const table = createSequenceTable();
-  const meter = createPromptMeter();
+  const prompts = createPromptMeter();
+  const sends = createSendMeter();
   const order = createOrderState(settings);
   let { linkMs } = speed;
   const dispatch = createEngineLink({
     own: address,
     linkMs: () => linkMs,
     fault: hooks.linkFault,
+    meter: sends,
     receive: (message) => void messages.receive(message),
     onUnsent: (unsent, reason) =>
       messages.reportLost(unsent, { cause: "unreachable", reason }),
@@ -60,7 +63,7 @@
   const runStep = createStepRunner({ engine: id, incarnation, table, journal });
   const enqueue = createBatchLoop({
     speed,
-    meter,
+    meter: prompts,
     layers: settings.roles[0]?.layers ?? { from: 0, to: 0 },
     killed: hooks.killed,
     whenRunning: hooks.whenRunning,
@@ -82,6 +85,7 @@
     table,
     order,
     speed,
+    linkMs: () => linkMs,
     fault: hooks.exportFault,
     stop: (sequence) =>
       attempts.stop(sequence, { reason: "moved", takenOver: true }),
@@ -98,7 +102,13 @@
       if (exportBytesPerSecond) cacheExports.setSpeed(exportBytesPerSecond);
     },
     describeState: () =>
-      describeEngineState(settings, { incarnation, order, table, meter }),
+      describeEngineState(settings, {
+        incarnation,
+        order,
+        table,
+        prompts,
+        sends,
+      }),
   });
   const { host, port } = address;
   return startJsonServer({
--- a/packages/stand_ins/src/engine/engine_group.ts
+++ b/packages/stand_ins/src/engine/engine_group.ts
@@ -46,6 +46,8 @@
   leave(engine: string): Promise<void>;
   /** Sets the speed at which an engine exports KV cache, in bytes a second. */
   slowExports(engine: string, bytesPerSecond: number): Promise<void>;
+  /** Sets the time that the engine's messages take, in milliseconds. */
+  slowLink(engine: string, linkMs: number): Promise<void>;
   freeze(engine: string): void;
   thaw(engine: string): void;
   stop(): void;
@@ -203,6 +205,8 @@
     },
     thaw: (engine) => thaw(find(engine)),
     leave: (engine) => tell(engine, { path: "/leave", body: {} }),
+    slowLink: (engine, linkMs) =>
+      tell(engine, { path: "/faults", body: { linkMs } }),
     slowExports(engine, exportBytesPerSecond) {
       const { linkMs } = find(engine).speed;
       const body = { linkMs, exportBytesPerSecond };
--- a/packages/stand_ins/src/engine/engine_link.ts
+++ b/packages/stand_ins/src/engine/engine_link.ts
@@ -4,6 +4,7 @@
 import { pause } from "@rosemarypin/timing";
 import { Agent, request } from "undici";
 import type { Outgoing } from "./outgoing.ts";
+import type { SendMeter } from "./send_meter.ts";
 import type { EngineMessage, StepsReply } from "./step.ts";
 
 const SEND_TIMEOUT_MS = 1_000;
@@ -20,6 +21,7 @@
   /** Read for each message: a link may degrade while it is in use. */
   readonly linkMs: () => number;
   readonly fault: LinkFault | undefined;
+  readonly meter: SendMeter;
   /** Takes the messages of the engine to itself. */
   receive(message: EngineMessage): void;
   /** Hears of messages that did not arrive. */
@@ -52,6 +54,7 @@
       for (const message of messages) options.receive(message);
       return;
     }
+    const began = performance.now();
     await pause(options.linkMs());
     const repeat = (late: readonly EngineMessage[]) =>
       void post(address, late).then(
@@ -63,6 +66,7 @@
     try {
       const response = await post(address, arriving);
       const { unknown } = (await response.body.json()) as StepsReply;
+      options.meter.observe(performance.now() - began);
       const lost = messages.filter(({ requestId }) =>
         unknown.includes(requestId),
       );
--- a/packages/stand_ins/src/engine/engine_state.ts
+++ b/packages/stand_ins/src/engine/engine_state.ts
@@ -4,6 +4,7 @@
 import { cacheBytesOf } from "./cache_export.ts";
 import type { OrderState } from "./order_state.ts";
 import type { PromptMeter } from "./prompt_meter.ts";
+import type { SendMeter } from "./send_meter.ts";
 import type { SequenceTable } from "./sequence_table.ts";
 
 /** Describes the engine as it is now. */
@@ -13,10 +14,11 @@
     readonly incarnation: number;
     readonly order: OrderState;
     readonly table: SequenceTable;
-    readonly meter: PromptMeter;
+    readonly prompts: PromptMeter;
+    readonly sends: SendMeter;
   },
 ): EngineState {
-  const { incarnation, order, table, meter } = options;
+  const { incarnation, order, table, prompts, sends } = options;
   const { fencingNumber, noteNumber, hold, adapters } = order.current();
   const running = countRunning(table);
   return {
@@ -33,7 +35,8 @@
     leaving: order.isLeaving(),
     load: running.reduce((sum, { count }) => sum + count, 0),
     cacheBytes: cacheBytesOf(settings.speed),
-    promptMicros: meter.micros(),
+    promptMicros: prompts.micros(),
+    sendMs: sends.leastMs(),
   };
 }
 
--- a/packages/stand_ins/src/engine/engine_test.ts
+++ b/packages/stand_ins/src/engine/engine_test.ts
@@ -160,3 +160,21 @@
 test("an engine says that it knows nothing of a request", async () => {
   expect(await sendToLast(step(1, false))).toEqual({ unknown: ["answer-1"] });
 });
+
+/**
+ * An answer moves on as attempt 2; then its entry instance dies, and its caller
+ * comes back with the id of an event from the old engine. Told of attempt 1,
+ * the next instance would begin attempt 2 as well, and both would run.
+ */
+test("a moved answer is read with the number it goes on under", async () => {
+  await sendToFirst("/attempts", attempt(1));
+  await settle();
+  const { model, version, requestId } = attempt(1);
+  const layers = { from: 0, to: 2 };
+  const wanted = { requestId, attempt: 2, model, version, layers };
+  await sendToFirst("/cache/export", { ...wanted, positions: 2 });
+  const { address } = group.engines[0] ?? { address: { port: 0 } };
+  const url = `http://127.0.0.1:${address.port}/attempts/answer-1`;
+  const response = await request(url);
+  expect(await response.body.json()).toMatchObject({ request: { attempt: 2 } });
+});
