--- a/packages/calls/src/answer_move.ts
+++ b/packages/calls/src/answer_move.ts
@@ -2,6 +2,7 @@
 import type { EngineFleet } from "@rosemarypin/backends";
 import type { Grant, Router } from "@rosemarypin/routing";
 import type { AnswerRequest, AttemptRequest } from "@rosemarypin/schemas";
+import { createLogger } from "@rosemarypin/telemetry";
 import type { TokenPace } from "./answer_liveness.ts";
 import type { Progress } from "./answer_progress.ts";
 import type { RecoveryLimiter } from "./answer_recovery.ts";
@@ -23,6 +24,8 @@
   lookMs: 500,
 };
 
+const log = createLogger("answer");
+
 /** How long a move waits for engines before the answer is looked at again. */
 const ACQUIRE_MS = 500;
 
@@ -104,6 +107,10 @@
       );
       if (endTurn && !signal.aborted) move = { grant, endTurn, from };
       else giveBack({ grant, endTurn });
+    } catch (error) {
+      // The answer goes on where it is; only the move is lost.
+      const reason = error instanceof Error ? error.message : String(error);
+      log.warn("move_broke", { request: request.requestId, reason });
     } finally {
       preparing = false;
     }
