Give a move back that a caller who does not read keeps waiting

Cause: a ready move holds engines and one of eight turns until the next token. A caller that does not read stops its tokens, so eight of them would have left no turn for recoveries.

--- a/packages/calls/src/answer_move.ts
+++ b/packages/calls/src/answer_move.ts
@@ -28,6 +28,8 @@
 
 /** How long a move waits for engines before the answer is looked at again. */
 const ACQUIRE_MS = 500;
+/** How long they are held for an answer that gives no token. */
+const HELD_MS = 1_000;
 
 /** Other engines, held for the next attempt. */
 export interface Move {
@@ -105,7 +107,7 @@
         request.priority,
         signal,
       );
-      if (endTurn && !signal.aborted) move = { grant, endTurn, from };
+      if (endTurn && !signal.aborted) hold({ grant, endTurn, from });
       else giveBack({ grant, endTurn });
     } catch (error) {
       // The answer goes on where it is; only the move is lost.
@@ -116,6 +118,20 @@
     }
   }
 
+  /**
+   * A caller that does not read stops its answer, and the move is not taken.
+   * Held all the same, eight such callers would leave no turn for answers that
+   * have lost a stage.
+   */
+  function hold(held: Move): void {
+    move = held;
+    setTimeout(() => {
+      if (move !== held) return;
+      move = null;
+      giveBack(held);
+    }, HELD_MS).unref();
+  }
+
   async function acquire(worse: WorseEngines): Promise<Grant | null> {
     const { version, avoid } = progress;
     if (!version) return null;
--- a/packages/calls/src/answer_move_test.ts
+++ b/packages/calls/src/answer_move_test.ts
@@ -12,10 +12,13 @@
   expectedAnswer,
   startEngineGroup,
 } from "@rosemarypin/stand_ins";
-import { afterEach, beforeEach, expect, test } from "vitest";
+import { afterEach, beforeEach, expect, test, vi } from "vitest";
 import { runAnswer } from "./answer.ts";
 import type { AnswerEvent } from "./answer_event.ts";
 import { createLinkSpeeds } from "./answer_link_speeds.ts";
+import { createTokenPace, defaultLiveness } from "./answer_liveness.ts";
+import { createMover } from "./answer_move.ts";
+import { emptyProgress } from "./answer_progress.ts";
 import { createRecoveryLimiter } from "./answer_recovery.ts";
 
 const SPEED = {
@@ -55,8 +58,9 @@
 });
 
 afterEach(() => {
-  fleet.stop();
-  group.stop();
+  vi.useRealTimers();
+  fleet?.stop();
+  group?.stop();
 });
 
 function request(): AnswerRequest {
@@ -229,3 +233,62 @@
   const last = group.journal.findLast(({ from }) => from === 4);
   expect(last?.engine).not.toBe(leaving);
 });
+
+/**
+ * Callers stop to read while their answers move off an engine. Each held move
+ * has one of eight turns: kept, they would hold up every answer that has lost a
+ * stage, for as long as those callers like.
+ */
+test("a move that is not taken is given back", async () => {
+  await startEngines(1);
+  const [first] = group.engines;
+  if (!first) throw new Error("there is an engine");
+  const engines = createEngineClient();
+  fleet = createEngineFleet({ engines: group.engines, client: engines });
+  const state = await engines.readState(first.address);
+  if (!state) throw new Error("the engine answers");
+  vi.useFakeTimers();
+  const leaving = { ...state, leaving: true };
+  const known = { settings: first, usable: false, inFlight: 0, state: leaving };
+  const layers = { from: 0, to: 8 };
+  const stage = { engine: first.id, address: first.address, layers };
+  const released = vi.fn();
+  const limiter = createRecoveryLimiter({ atOnce: 1 });
+  const progress = emptyProgress();
+  progress.version =
+    serveVersions({
+      number: 1,
+      model: "assist",
+      versions: ["v1"],
+      layers: LAYERS,
+    }).catalogue.models.assist?.versions.v1 ?? null;
+  const mover = createMover({
+    request: request(),
+    attempt: {
+      ...request(),
+      promptTokens: [],
+      attempt: 1,
+      version: "v1",
+      noteNumber: 1,
+      stages: [stage],
+      deliveredTokens: [],
+    },
+    progress,
+    fleet: { engines: () => [known] },
+    router: {
+      async acquire() {
+        const grant = { stages: [stage], observeToken() {}, release: released };
+        return { kind: "granted", grant };
+      },
+    },
+    recoveries: limiter,
+    pace: createTokenPace(defaultLiveness),
+    moves: { restMs: 0, slowMs: SLOW_MS, lookMs: 0 },
+  });
+  expect(mover.ready()).toBeNull();
+  await vi.advanceTimersByTimeAsync(0);
+  const next = limiter.takeTurn("interactive", new AbortController().signal);
+  await vi.advanceTimersByTimeAsync(1_000);
+  expect(released).toHaveBeenCalledOnce();
+  expect(await next).not.toBeNull();
+});
