--- a/packages/bench/src/limits/limits_bench.ts
+++ b/packages/bench/src/limits/limits_bench.ts
@@ -20,30 +20,30 @@
 interface Row {
   readonly instances: number;
   /** Organisations with a limit that ask for little. */
-  readonly quiet: number;
+  readonly light: number;
 }
 
 const rows: readonly Row[] = [
-  { instances: 4, quiet: 10 },
-  { instances: 64, quiet: 1_200 },
-  { instances: 340, quiet: 6_400 },
+  { instances: 4, light: 10 },
+  { instances: 64, light: 1_200 },
+  { instances: 340, light: 6_400 },
 ];
-/** Of all quiet organisations together, for each instance. */
-const QUIET_PER_INSTANCE = 2.9;
+/** Of all light organisations together, for each instance. */
+const LIGHT_PER_INSTANCE = 2.9;
 
 interface Figures {
   readonly admitted: number;
-  readonly quietRefused: number;
+  readonly lightRefused: number;
   readonly bytesPerSecond: { readonly middle: number; readonly most: number };
   readonly stateBytes: number;
 }
 
 async function measure(row: Row, seconds: number): Promise<Figures> {
-  const quietNames = Array.from(
-    { length: row.quiet },
-    (_, at) => `quiet-${at}`,
+  const lightNames = Array.from(
+    { length: row.light },
+    (_, at) => `light-${at}`,
   );
-  const limited = ["loud", ...quietNames].map((name) => ({
+  const limited = ["heavy", ...lightNames].map((name) => ({
     name,
     limits: { requestsPerSecond: LIMIT },
   }));
@@ -76,8 +76,8 @@
   const before = process.memoryUsage().heapUsed;
   const instances = ids.map(createInstance);
   let admitted = 0;
-  let quietRefused = 0;
-  const due = { loud: 0, quiet: 0 };
+  let lightRefused = 0;
+  const due = { heavy: 0, light: 0 };
 
   function offer(name: string): boolean {
     const instance = instances[uniformInt(random, 0, ids.length - 1)];
@@ -90,19 +90,19 @@
     while (performance.now() < end) {
       await pause(STEP_MS);
       const now = performance.now();
-      due.loud += ((now - last) / 1_000) * 4 * LIMIT;
-      due.quiet += ((now - last) / 1_000) * QUIET_PER_INSTANCE * ids.length;
+      due.heavy += ((now - last) / 1_000) * 4 * LIMIT;
+      due.light += ((now - last) / 1_000) * LIGHT_PER_INSTANCE * ids.length;
       last = now;
-      for (; due.loud >= 1; due.loud--) if (offer("loud")) admitted += 1;
-      for (; due.quiet >= 1; due.quiet--) {
-        const name = `quiet-${uniformInt(random, 0, row.quiet - 1)}`;
-        if (!offer(name)) quietRefused += 1;
+      for (; due.heavy >= 1; due.heavy--) if (offer("heavy")) admitted += 1;
+      for (; due.light >= 1; due.light--) {
+        const name = `light-${uniformInt(random, 0, row.light - 1)}`;
+        if (!offer(name)) lightRefused += 1;
       }
     }
   }
 
   await run((seconds * 1_000) / 2);
-  [admitted, quietRefused] = [0, 0];
+  [admitted, lightRefused] = [0, 0];
   bytes.clear();
   const began = performance.now();
   await run((seconds * 1_000) / 2);
@@ -113,7 +113,7 @@
   const rateAt = (at: number) => (sorted[Math.floor(at)] ?? 0) / elapsed;
   return {
     admitted: admitted / elapsed / LIMIT,
-    quietRefused,
+    lightRefused,
     bytesPerSecond: {
       middle: rateAt(ids.length / 2),
       most: rateAt(ids.length - 1),
@@ -142,11 +142,11 @@
     );
     console.log(
       `one organisation asks for 4 times its limit of ${LIMIT}/s; ` +
-        `all others together for ${QUIET_PER_INSTANCE}/s an instance; ` +
+        `all others together for ${LIGHT_PER_INSTANCE}/s an instance; ` +
         `${flags.seconds} s each, the second half counts`,
     );
     console.log(
-      "instances  admitted/limit  quiet refused  B/s middle  B/s most  heap bytes",
+      "instances  admitted/limit  light refused  B/s middle  B/s most  heap bytes",
     );
     for (const row of wanted) {
       const figures = await measure(row, flags.seconds);
@@ -154,7 +154,7 @@
         [
           String(row.instances).padEnd(9),
           figures.admitted.toFixed(2).padEnd(14),
-          String(figures.quietRefused).padEnd(13),
+          String(figures.lightRefused).padEnd(13),
           figures.bytesPerSecond.middle.toFixed(0).padEnd(10),
           figures.bytesPerSecond.most.toFixed(0).padEnd(8),
           figures.stateBytes.toFixed(0),
--- a/packages/limits/src/shared_limits_test.ts
+++ b/packages/limits/src/shared_limits_test.ts
@@ -189,7 +189,7 @@
     expect(told.length).toBeLessThanOrEqual(12);
   });
 
-  it("do not all report to the home of one loud organisation", async () => {
+  it("do not all report to the home of one heavy organisation", async () => {
     // Each of 64 instances has something to report of it every second, and
     // all of it goes to one home, whose budget is about a report a second.
     const fleet = createFleet(64, { kano: { requestsPerSecond: 20 } });
