Measure recalls at 4 and 64 instances, in the size that a busy machine starts

`npm run bench -- recall` measured one size, and 64 instances did not start.

Cause: an instance takes about 1.5 s of a core to load its code (0.94 s of it in a profile of `--check`: undici 165 ms, yaml 111, zod 75, meow 52, the rest spread over some hundred modules), and 64 of them began at once. 64 x 1.5 s on 12 cores, of which others used most (load 22 to 60), is more than the 15 s that each had. With groups of 8 and 15 s a group still missed it once: single starts took up to 19 s at load 59.

Mend: the launcher can start instances in groups and take a bound for each group; the bench starts 4 at a time with 60 s each. The product is not changed: the time is the loading of its libraries, and one instance on a machine of its own is up in a second and a half.

`npm run bench -- recall` now measures 4 and 64 instances, each with and without the store's watch, 200 recalls each, and the last line is over all of them. Before it was the last scenario's alone, so that an answer after in force in an earlier one was to be seen only in the exit code.

--- a/packages/bench/src/recall/recall_command.ts
+++ b/packages/bench/src/recall/recall_command.ts
@@ -10,24 +10,37 @@
   startDeployment,
 } from "@rosemarypin/launcher";
 import { formatAddress } from "@rosemarypin/schemas";
-import { build, type Histogram } from "hdr-histogram-js";
 import meow from "meow";
 import { request } from "undici";
 import type { BenchCommand } from "../bench_command.ts";
-import { publishFirst, type RecallRound, recallOnce } from "./recall_rounds.ts";
 import {
-  createVersionFinder,
-  type SeenAnswer,
-  startTraffic,
-} from "./recall_traffic.ts";
+  describeFigures,
+  evaluateRecalls,
+  type RecallFigures,
+  summarize,
+} from "./recall_figures.ts";
+import { publishFirst, type RecallRound, recallOnce } from "./recall_rounds.ts";
+import { startTraffic } from "./recall_traffic.ts";
 
 const USAGE = `Usage: npm run bench -- recall [options]
 
   --recalls N        recalls in each scenario (200)
-  --instances N      instances of the deployment (4)
-  --callers N        callers of each instance (2)
-  --no-watch-broken  leave out the scenario with a broken watch
+  --instances N      instances of the deployment; may be given more than once
+                     (4 and 64)
+  --callers N        callers of each instance (2 up to 16 instances, else 1)
+  --no-watch-broken  leave out the scenarios with a broken watch
 `;
+const SIZES = [4, 64];
+/** Up to this size each instance has two callers; the engines are nine. */
+const SMALL_FLEET = 16;
+/**
+ * Instances that start at one time, fewer than the cores of the machine: each
+ * loads its code for a second and a half of a core, and those that run already
+ * take their share.
+ */
+const START_AT_ONCE = 4;
+/** On a machine with four times the load of its cores a start took 19 s. */
+const READY_WITHIN_MS = 60_000;
 /** Traffic between two recalls, so that streams of the version run. */
 const TRAFFIC_MS = 400;
 /** More changes than a scenario makes: the watch tells of none. */
@@ -45,19 +58,6 @@
   readonly watch: boolean;
 }
 
-/** What a scenario showed. */
-interface RecallFigures {
-  /** Calls to the store of all instances in a second at rest. */
-  readonly storeCallsPerSecond: number;
-  readonly lastToken: Histogram;
-  readonly accepted: Histogram;
-  readonly inForce: Histogram;
-  readonly afterInForce: number;
-  /** Answers whose tokens fit no version: none may be. */
-  readonly wrong: number;
-  readonly answers: number;
-}
-
 /** The measurement of recalls. */
 export const recallCommand: BenchCommand = {
   summary: "time from a recall to the last token of what it withdraws",
@@ -67,33 +67,46 @@
       argv: [...words],
       flags: {
         recalls: { type: "number", default: 200 },
-        instances: { type: "number", default: 4 },
-        callers: { type: "number", default: 2 },
+        instances: { type: "number", isMultiple: true, default: SIZES },
+        callers: { type: "number" },
         watchBroken: { type: "boolean", default: true },
       },
     });
-    const shape = { ...kanemShape, instances: flags.instances };
-    const { recalls, callers } = flags;
-    const title = `${flags.instances} instances`;
-    const sound = { title, shape, recalls, callers, watch: true };
-    const broken = { ...sound, title: `${title}, watch broken`, watch: false };
-    const scenarios = flags.watchBroken ? [broken, sound] : [sound];
-    let failed = false;
-    let last = "";
-    for (const scenario of scenarios) {
+    const all: RecallFigures[] = [];
+    for (const scenario of listScenarios(flags)) {
       const figures = await measure(scenario);
-      printDetails(scenario, figures);
-      failed ||= figures.afterInForce > 0 || figures.wrong > 0;
-      last = summary(figures);
+      const { title, shape } = scenario;
+      console.log(describeFigures(figures, { title, ...shape }));
+      all.push(figures);
     }
-    console.log(last);
-    return failed ? 1 : 0;
+    console.log(summarize(all));
+    const isBroken = ({ afterInForce, wrong }: RecallFigures) =>
+      afterInForce > 0 || wrong > 0;
+    return all.some(isBroken) ? 1 : 0;
   },
 };
 
+function listScenarios(flags: {
+  readonly recalls: number;
+  readonly instances: readonly number[];
+  readonly callers: number | undefined;
+  readonly watchBroken: boolean;
+}): readonly RecallScenario[] {
+  const { recalls } = flags;
+  return flags.instances.flatMap((instances) => {
+    const shape = { ...kanemShape, instances };
+    const callers = flags.callers ?? (instances <= SMALL_FLEET ? 2 : 1);
+    const title = `${instances} instances`;
+    const sound = { title, shape, recalls, callers, watch: true };
+    const broken = { ...sound, title: `${title}, watch broken`, watch: false };
+    return flags.watchBroken ? [broken, sound] : [sound];
+  });
+}
+
 async function measure(scenario: RecallScenario): Promise<RecallFigures> {
   const deployment = await startDeployment(
     await planDeployment(scenario.shape),
+    { startAtOnce: START_AT_ONCE, readyWithinMs: READY_WITHIN_MS },
   );
   try {
     await publishFirst(deployment);
@@ -118,7 +131,7 @@
     }
     const seen = await traffic.stop();
     const { model } = scenario.shape;
-    return { storeCallsPerSecond, ...evaluate(rounds, { seen, model }) };
+    return { storeCallsPerSecond, ...evaluateRecalls(rounds, { seen, model }) };
   } finally {
     await deployment.stop();
   }
@@ -136,76 +149,3 @@
   const counts = (await response.body.json()) as Record<string, number>;
   return Object.values(counts).reduce((sum, count) => sum + count, 0);
 }
-
-function evaluate(
-  rounds: readonly RecallRound[],
-  options: { readonly seen: readonly SeenAnswer[]; readonly model: string },
-): Omit<RecallFigures, "storeCallsPerSecond"> {
-  const versions = rounds.map(({ version }) => version);
-  const findVersions = createVersionFinder(options.model, [
-    ...versions,
-    `v${versions.length + 1}`,
-  ]);
-  const lastSeen = new Map<string, number>();
-  const inForceAt = new Map(
-    rounds.map((round) => [round.version, round.inForceAt]),
-  );
-  let afterInForce = 0;
-  let wrong = 0;
-  const answered = options.seen.filter(({ tokenTimes }) => tokenTimes.length);
-  for (const { answer, tokenTimes } of answered) {
-    const lastAt = tokenTimes.at(-1) ?? 0;
-    const fitting = findVersions(answer.tokens);
-    if (fitting.length === 0) wrong += 1;
-    // Few tokens may fit two versions; the one that was current is meant.
-    const version = fitting.at(-1) ?? "";
-    lastSeen.set(version, Math.max(lastAt, lastSeen.get(version) ?? 0));
-    if (lastAt > (inForceAt.get(version) ?? Infinity)) afterInForce += 1;
-  }
-  const lastToken = createHistogram();
-  const accepted = createHistogram();
-  const inForce = createHistogram();
-  for (const round of rounds) {
-    const lastAt = lastSeen.get(round.version);
-    if (lastAt !== undefined) record(lastToken, lastAt - round.sentAt);
-    record(accepted, round.acceptedAt - round.recordedAt);
-    record(inForce, round.inForceAt - round.recordedAt);
-  }
-  const answers = answered.length;
-  return { lastToken, accepted, inForce, afterInForce, wrong, answers };
-}
-
-function createHistogram(): Histogram {
-  return build({ lowestDiscernibleValue: 1, highestTrackableValue: 60_000 });
-}
-
-function record(histogram: Histogram, durationMs: number): void {
-  histogram.recordValue(Math.max(0, Math.round(durationMs)));
-}
-
-function printDetails(scenario: RecallScenario, figures: RecallFigures): void {
-  const { lastToken, accepted, inForce, afterInForce } = figures;
-  console.log(`${scenario.title}: ${figures.answers} answers`);
-  const calls = figures.storeCallsPerSecond;
-  const { instances } = scenario.shape;
-  console.log(`  store calls at rest ${calls}/s of ${instances} instances`);
-  console.log(`  last token of a recalled version ${describe(lastToken)}`);
-  console.log(`  recorded to accepted ${describe(accepted)}`);
-  console.log(`  recorded to in force ${describe(inForce)}`);
-  console.log(`  answers with a token after in force ${afterInForce}`);
-  console.log(`  answers of no version ${figures.wrong}`);
-}
-
-function describe(histogram: Histogram): string {
-  const p50 = histogram.getValueAtPercentile(50);
-  const p99 = histogram.getValueAtPercentile(99);
-  const { totalCount, maxValue } = histogram;
-  return `p50 ${p50} ms p99 ${p99} ms max ${maxValue} ms (${totalCount} recalls)`;
-}
-
-function summary({ lastToken, afterInForce }: RecallFigures): string {
-  const p50 = lastToken.getValueAtPercentile(50);
-  const p99 = lastToken.getValueAtPercentile(99);
-  const { maxValue } = lastToken;
-  return `recall p50 ${p50} ms p99 ${p99} ms max ${maxValue} ms after-in-force ${afterInForce}`;
-}
--- a/packages/launcher/src/deployment.ts
+++ b/packages/launcher/src/deployment.ts
@@ -45,6 +45,14 @@
   readonly daemonArgs?: readonly string[];
   /** Keeps what each engine runs in files, which costs it some time. */
   readonly engineJournals?: boolean;
+  /**
+   * Instances that start at one time; all by default. Each takes a second and
+   * a half of a core to load its code, so that 64 at once on a busy machine
+   * are all late together.
+   */
+  readonly startAtOnce?: number;
+  /** Time for those to answer, in milliseconds. */
+  readonly readyWithinMs?: number;
 }
 
 /** Starts every process of the plan and waits until each listens. */
@@ -109,14 +117,19 @@
   }
 
   for (const { name } of plan.standIns) startStandIn(name);
-  for (const { instance } of plan.daemons) startInstance(instance.id);
-  await Promise.all(
-    plan.daemons.map(({ instance }) =>
-      waitForAnswer(
-        `http://${formatAddress(instance.addresses.admin)}/healthz`,
+  const atOnce = options.startAtOnce ?? plan.daemons.length;
+  for (let first = 0; first < plan.daemons.length; first += atOnce) {
+    const group = plan.daemons.slice(first, first + atOnce);
+    for (const { instance } of group) startInstance(instance.id);
+    await Promise.all(
+      group.map(({ instance }) =>
+        waitForAnswer(
+          `http://${formatAddress(instance.addresses.admin)}/healthz`,
+          options,
+        ),
       ),
-    ),
-  );
+    );
+  }
   await Promise.all(
     plan.standIns.map(({ settings }) =>
       waitForAnswer(`http://${formatAddress(settings.address)}/`),
@@ -139,8 +152,11 @@
 }
 
 /** Waits until something answers at `url`, whatever the status. */
-export async function waitForAnswer(url: string): Promise<void> {
-  const end = Date.now() + READY_WITHIN_MS;
+export async function waitForAnswer(
+  url: string,
+  { readyWithinMs = READY_WITHIN_MS }: { readonly readyWithinMs?: number } = {},
+): Promise<void> {
+  const end = Date.now() + readyWithinMs;
   while (true) {
     try {
       const response = await request(url);
