Show that registration, history, lease renewal and dead stages hold by guards

- registration: a conflict taken for an entry; a lost reply taken for one; any silence taken for an end.
The test of the rack lost replies only after the write, so that "lost means written" would have passed; it now loses writes on their way as well, and that guard fails it.
- registration: a read of the head that began before the entry.
No test failed without it, so it had none.
The new one lists an instance late, whose early read of the head must not let it answer once the note is accepted.
- history: the head kept before it is overwritten; the head read before the history when notes are listed, and when one is looked for.
The last had no test: without it a note that won is taken for lost.
- stage death with a recall: an engine that refuses connections counts as holding nothing.
New test: without it the note is not in force for good.

Ruled out as a proof: writing the new note, not the old head, to the history. The memory store orders both writes alike, so nothing would show it.

--- a/packages/placement/src/engine_controller_test.ts
+++ b/packages/placement/src/engine_controller_test.ts
@@ -190,6 +190,27 @@
     expect(engine.versions()).toEqual(["v2"]);
   });
 
+  it("take an engine that has died for one that holds nothing", async () => {
+    // A stage dies in the moment of a recall. Nothing listens at its address,
+    // so it answers nothing; waited for, it would keep the note from being in
+    // force until somebody starts it again.
+    const engine = createEngine({ checks: true });
+    const rack = startController(engine);
+    rack.hold(1);
+    await vi.advanceTimersByTimeAsync(1_000);
+    vi.spyOn(engine.client, "readState").mockResolvedValue(null);
+    vi.spyOn(engine.client, "order").mockResolvedValue({
+      kind: "not_sent",
+      refused: true,
+      detail: "connection refused",
+    });
+    rack.apply(record(2, []));
+    await vi.advanceTimersByTimeAsync(1_000);
+    expect(rack.controller.confirmations()).toEqual([
+      { engine: "engine-1", confirmed: 2, stopped: true },
+    ]);
+  });
+
   it("stop with the controller, once none is in flight", async () => {
     const engine = createEngine({ checks: true });
     const { hold, apply, controller } = startController(engine);
--- a/packages/release/src/publisher_test.ts
+++ b/packages/release/src/publisher_test.ts
@@ -114,6 +114,9 @@
 
 describe("the history", () => {
   it("holds every recorded note and none that lost its race", async () => {
+    // Two operators race twice. The head that is overwritten is the only copy
+    // of the note before; if it were not kept first, the list of what was
+    // published would have a gap, and a lost reply could not be settled.
     const { one, two } = createPair();
     await Promise.all([
       one.publisher.publish(note(0, "publish-one")),
@@ -161,6 +164,29 @@
     expect((await history.list())?.map(({ number }) => number)).toEqual([1]);
   });
 
+  it("finds a note that leaves the head while it is looked for", async () => {
+    // An operator's reply was lost; the second try looks for the note that
+    // won. Just then another note moves it from the head to the history. Read
+    // in the wrong order, it is in neither, and a note that won is called lost.
+    const memory = createMemoryStore();
+    const network = createPeerNetwork();
+    const two = createInstance("two", { memory, network });
+    await two.publisher.publish(note(0, "publish-one"));
+    const { store } = memory.client();
+    let calls = 0;
+    const watched: typeof store = {
+      ...store,
+      async read(key) {
+        const result = await store.read(key);
+        calls += 1;
+        if (calls === 1) await two.publisher.publish(note(1, "publish-two"));
+        return result;
+      },
+    };
+    const history = createNoteHistory({ deployment: "test", store: watched });
+    expect((await history.find(1))?.note.publishId).toBe("publish-one");
+  });
+
   it("is not begun again over a head that cannot be read", async () => {
     // A newer release wrote the head in another form. Taken for no head, a
     // note on top of 0 would replace it and forget everything withdrawn.
--- a/packages/release/src/recall_test.ts
+++ b/packages/release/src/recall_test.ts
@@ -1,9 +1,11 @@
 import { createMemoryStore, createPeerNetwork } from "@rosemarypin/fakes";
+import type { ObjectStore } from "@rosemarypin/platform";
 import {
   type NoteRecord,
   noteRequestSchema,
   type ReleaseNote,
   releaseNoteSchema,
+  storedKeys,
 } from "@rosemarypin/schemas";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 import { createConfirmer } from "./confirmations.ts";
@@ -42,8 +44,9 @@
   const network = createPeerNetwork();
 
   function start(id: string, domain: string, options = { storeDown: false }) {
-    const { store, faults } = memory.client();
+    const { store: whole, faults } = memory.client();
     faults.down = options.storeDown;
+    const { store, head } = withHeadFault(whole);
     const node = network.join({ id, domain });
     const { membership, caller: peers } = node;
     const { incarnation, peer } = membership.self();
@@ -92,12 +95,31 @@
       store,
       keeper,
     });
-    return { id, node, faults, keeper, publisher, collector };
+    return { id, node, faults, head, keeper, publisher, collector };
   }
 
   return { start, network, memory };
 }
 
+/** A store of which a test can take the head object away. */
+function withHeadFault(whole: ObjectStore) {
+  const headKey = storedKeys.head(deployment);
+  const head = { isAway: false };
+  const away = { kind: "unavailable", detail: "head away" } as const;
+  const store: ObjectStore = {
+    ...whole,
+    async read(key) {
+      const result = await whole.read(key);
+      return key === headKey && head.isAway ? away : result;
+    },
+    async watch(prefix, options) {
+      const result = await whole.watch(prefix, options);
+      return head.isAway ? away : result;
+    },
+  };
+  return { store, head };
+}
+
 type Instance = ReturnType<ReturnType<typeof createFleet>["start"]>;
 
 async function publish(instance: Instance, note: ReleaseNote) {
@@ -141,6 +163,31 @@
     });
   });
 
+  it("is no lie about an instance that was listed late", async () => {
+    // A new instance reads note 1 while its entry is on its way and gets lost.
+    // Note 1 is recalled and accepted: no list and no peer names it. Its entry
+    // arrives, and the head cannot be read just then. Its early read of the
+    // head must not let it answer from v1 now.
+    const fleet = createFleet();
+    const one = fleet.start("one", "a");
+    await vi.advanceTimersByTimeAsync(2_000);
+    await publish(one, addV1);
+    fleet.network.hide("late");
+    const late = fleet.start("late", "b");
+    cutOff(fleet, ["late", "one"]);
+    late.faults.loseRequests = Number.POSITIVE_INFINITY;
+    await vi.advanceTimersByTimeAsync(1);
+    expect(late.keeper.applied()?.number).toBe(1);
+    late.head.isAway = true;
+    await publish(one, recallV1);
+    expect((await statusOf(one, 2)).phase).toBe("accepted");
+    late.faults.loseRequests = 0;
+    await vi.advanceTimersByTimeAsync(10_000);
+    const keys = fleet.memory.objects().map(({ key }) => key);
+    expect(keys).toContain(storedKeys.instances(deployment, "b"));
+    expect(late.keeper.current()).toBeNull();
+  });
+
   it("waits for an instance that only a peer has told the note", async () => {
     // In an outage of the store a new instance learns note 1 from a peer; no
     // list can name it. The store returns for the others, note 1 is recalled
--- a/packages/release/src/registration_test.ts
+++ b/packages/release/src/registration_test.ts
@@ -40,13 +40,15 @@
 afterEach(() => void vi.useRealTimers());
 
 it("lists every instance of a rack that starts at once", async () => {
-  // Forty instances write the same object at the same time, and some replies
-  // are lost. An instance that took a conflict or a lost reply for done would
-  // answer without being in the list.
+  // Forty instances write the same object at the same time. Some replies are
+  // lost after the write, and some writes are lost on their way. An instance
+  // that took a conflict or a lost reply for done would answer without being
+  // in the list.
   const rack = createRack();
   const started = Array.from({ length: 40 }, (_, index) => {
     const instance = rack.start(`entry-${index}`, { isPruner: false });
     if (index % 5 === 0) instance.faults.loseReplies = 1;
+    if (index % 5 === 1) instance.faults.loseRequests = 1;
     return instance;
   });
   await vi.advanceTimersByTimeAsync(30_000);
