Keep each withdrawal once in the history, not in every later record

Ways: whole records (as it was); records of what changed only, which need a walk back to the last whole one to be read; compressed text, which an operator cannot read in the store; deleting old records, after which nobody can say which note withdrew a name; each record with its own withdrawals only. The last is built: the withdrawals of earlier notes stand in those notes' records, and one read still gives note, models and services.

What reads the history was looked through: diffs use models and services, the explanation the lines of notes, a repeated publish the publish id. The last also applied the record that it found; it applies the head instead, since the history's record has not all that is withdrawn. Records of an older release stay as they are and are read as before.

Both guards were taken out in a scratch copy and their tests failed.

--- a/packages/release/src/note_history.ts
+++ b/packages/release/src/note_history.ts
@@ -57,7 +57,9 @@
     find,
     async keep(head) {
       const key = storedKeys.history(deployment, head.number);
-      const written = await store.write(key, head, { expectedVersion: null });
+      const written = await store.write(key, keptForm(head), {
+        expectedVersion: null,
+      });
       if (written.kind === "ok" || written.kind === "conflict") return true;
       if (written.kind !== "reply_lost") return false;
       const read = await store.read(key);
@@ -79,6 +81,18 @@
   };
 }
 
+/**
+ * A note as the history keeps it: with the withdrawals of its own, and without
+ * those of earlier notes, whose records have them. Whole, each record would
+ * repeat up to 256 withdrawals, nine tenths of its size. It is not to be
+ * applied: its instance would not know any more what it calls withdrawn.
+ */
+export function keptForm(head: NoteRecord): NoteRecord {
+  const { catalogue, number } = head;
+  const withdrawn = catalogue.withdrawn.filter((one) => one.number === number);
+  return { ...head, catalogue: { ...catalogue, withdrawn } };
+}
+
 /** Reads a stored object as a note. */
 export function parseStoredNote(object: StoredObject | null): StoredNote {
   if (object === null) return { kind: "none" };
--- a/packages/release/src/publisher.ts
+++ b/packages/release/src/publisher.ts
@@ -148,21 +148,28 @@
     if (winner === undefined) {
       return unknown("the history cannot be read to see which note won");
     }
-    if (winner?.note.publishId === note.publishId) {
-      return recorded(winner, true);
+    if (winner?.note.publishId !== note.publishId) {
+      return { kind: "conflict", head };
     }
-    return { kind: "conflict", head };
+    // The head is applied, not the winner: what the history keeps of a note
+    // lacks what was withdrawn before it.
+    if (head) keeper.offer(head);
+    return reportRecorded(winner, true);
   }
 
   function recorded(record: NoteRecord, repeated: boolean): PublishResult {
-    log.info("note_recorded", { note: record.number, repeated });
     keeper.offer(record);
-    return { kind: "recorded", record, repeated };
+    return reportRecorded(record, repeated);
   }
 
   return { publish, find: history.find, history: history.list };
 }
 
+function reportRecorded(record: NoteRecord, repeated: boolean): PublishResult {
+  log.info("note_recorded", { note: record.number, repeated });
+  return { kind: "recorded", record, repeated };
+}
+
 function unknown(detail: string): PublishResult {
   return { kind: "unknown", detail };
 }
--- a/packages/release/src/publisher_test.ts
+++ b/packages/release/src/publisher_test.ts
@@ -20,6 +20,20 @@
   return { supersedes, publishId, reason, added, changed: [], withdrawn: [] };
 }
 
+/** Adds adapter `number`, and withdraws the one that the note before added. */
+function withAdapters(number: number) {
+  const adapter = (name: number) => ({
+    kind: "adapter" as const,
+    model: "assist",
+    adapter: `a${name}`,
+  });
+  return {
+    ...note(number, `publish-adapter-${number}`),
+    added: [adapter(number)],
+    withdrawn: number > 1 ? [adapter(number - 1)] : [],
+  };
+}
+
 function createInstance(
   name: string,
   shared: {
@@ -187,6 +201,56 @@
     expect((await history.find(1))?.note.publishId).toBe("publish-one");
   });
 
+  it("keeps each withdrawal once, and loses none", async () => {
+    // Each note adds an adapter and withdraws the one before. Repeated in all
+    // later records, withdrawals would fill the store with gigabytes; left out
+    // of all, nobody could say any more which note withdrew what.
+    const { one } = createPair();
+    await one.publisher.publish(note(0, "publish-one"));
+    for (let number = 1; number <= 12; number += 1) {
+      await one.publisher.publish(withAdapters(number));
+    }
+    const [head, ...older] = (await one.publisher.history(20)) ?? [];
+    const kept = older.map(({ number, catalogue }) =>
+      catalogue.withdrawn.map((one) => one.number === number),
+    );
+    expect(kept.filter((own) => own.length > 1 || own.includes(false))).toEqual(
+      [],
+    );
+    const together = [head, ...older.toReversed()].flatMap(
+      (record) => record?.catalogue.withdrawn ?? [],
+    );
+    const names = new Set(together.map(({ line }) => JSON.stringify(line)));
+    expect(names.size).toBe(11);
+    expect(head?.catalogue.withdrawn).toHaveLength(11);
+  });
+
+  it("is not what an instance applies", async () => {
+    // An operator's reply was lost and later notes came. Asked again through
+    // another instance, the note is found in the history, where the older
+    // withdrawals are left out. Applied from there, callers of what was
+    // withdrawn would hear that it never was.
+    const memory = createMemoryStore();
+    const network = createPeerNetwork();
+    const one = createInstance("one", { memory, network });
+    await one.publisher.publish(note(0, "publish-one"));
+    for (const number of [1, 2, 3]) {
+      await one.publisher.publish(withAdapters(number));
+    }
+    const { store, faults } = memory.client();
+    faults.down = true;
+    const alone = createPeerNetwork().join({ id: "two", domain: "two" });
+    const { membership, caller: peers } = alone;
+    const common = { deployment: "test", instance: "two" };
+    const keeper = createNoteKeeper({ ...common, store, membership, peers });
+    const reached = memory.client().store;
+    const publisher = createPublisher({ ...common, store: reached, keeper });
+    const again = await publisher.publish(withAdapters(2));
+    expect(again).toMatchObject({ kind: "recorded", record: { number: 3 } });
+    expect(keeper.applied()).toEqual(one.keeper.applied());
+    keeper.stop();
+  });
+
   it("is not begun again over a head that cannot be read", async () => {
     // A newer release wrote the head in another form. Taken for no head, a
     // note on top of 0 would replace it and forget everything withdrawn.
--- a/packages/schemas/src/catalogue.ts
+++ b/packages/schemas/src/catalogue.ts
@@ -39,7 +39,10 @@
 export const catalogueSchema = z.object({
   models: z.record(nameSchema, modelSchema),
   services: z.array(nameSchema),
-  /** The newest withdrawals, the oldest of them first. */
+  /**
+   * The newest withdrawals, the oldest of them first; in the history, those of
+   * the note itself.
+   */
   withdrawn: z.array(withdrawalSchema),
 });
 export type Catalogue = z.infer<typeof catalogueSchema>;
