Name what keeps a note back when the bench of recalls gives up

A run at 64 instances with a broken watch ended with 'note 3 did not get accepted in time' at load 50 to 60, and its logs were gone. The message now names each instance and engine that had not confirmed.

--- a/packages/bench/src/recall/recall_rounds.ts
+++ b/packages/bench/src/recall/recall_rounds.ts
@@ -119,14 +119,25 @@
   },
 ): Promise<number> {
   const end = performance.now() + IN_FORCE_WITHIN_MS;
+  let heldBackBy = "";
   while (performance.now() < end) {
-    const { phase } = await readStatus(deployment, wanted.number, wanted);
-    if (phase === wanted.phase || phase === "in_force") {
+    const status = await readStatus(deployment, wanted.number, wanted);
+    if (status.phase === wanted.phase || status.phase === "in_force") {
       return performance.now();
     }
+    heldBackBy = nameUnconfirmed(status);
     await new Promise((resolve) => setTimeout(resolve, POLL_MS));
   }
-  throw new Error(`note ${wanted.number} did not get ${wanted.phase} in time`);
+  throw new Error(
+    `note ${wanted.number} did not get ${wanted.phase} in time: ${heldBackBy}`,
+  );
+}
+
+function nameUnconfirmed({ instances, engines }: NoteStatus): string {
+  return [...instances, ...engines]
+    .filter(({ state }) => state !== "confirmed" && state !== "stopped")
+    .map(({ id, state, detail }) => `${id} ${state} (${detail})`)
+    .join(", ");
 }
 
 async function callAdmin(
