--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -8,10 +8,17 @@
 import {
   createClaimRegistry,
   createClaimSweeper,
+  createEndRecorder,
+  createLinkSpeeds,
   createRecordClaims,
   createRecoveryLimiter,
   createServiceCaller,
 } from "@rosemarypin/calls";
+import {
+  createLimitHome,
+  createLimitsOf,
+  createSharedLimits,
+} from "@rosemarypin/limits";
 import {
   createMembership,
   createPeerCaller,
@@ -52,13 +59,12 @@
 import { startAdminServer } from "./admin_server.ts";
 import { startCallerServer } from "./caller_server.ts";
 import { claimOwnerMethods, createPeerClaimOwners } from "./claim_owners.ts";
-
+import { endHandOverMethods, finishEnds } from "./end_hand_over.ts";
 import {
   createEngineNotices,
   ENGINES_CHANGED,
   readEngineNotice,
 } from "./engine_notices.ts";
-
 import {
   closeGracefully,
   closeNow,
@@ -71,8 +77,10 @@
   highestNoteOf,
   listCandidates,
 } from "./known_state.ts";
+import { createLimitHomes, limitHomeMethods } from "./limit_homes.ts";
 import { createNoteInspector } from "./note_inspector.ts";
-
+import { createRequestFinder, requestFinderMethods } from "./request_finder.ts";
+import { createRequestMemory } from "./request_memory.ts";
 import { viewBackends, viewInstances } from "./status_view.ts";
 import { createSubsetChoice } from "./subset_choice.ts";
 import { createWorkInProgress } from "./work_in_progress.ts";
@@ -108,11 +116,13 @@
   const incarnation = Date.now();
   const metrics = createMetrics();
   const work = createWorkInProgress();
-  const peers = createPeerCaller();
+  const peers = createPeerCaller(addresses.peers.host);
+  const peer = addresses.advertisedPeers ?? addresses.peers;
   const membership = await createMembership({
     id,
     failureDomain,
-    peer: addresses.peers,
+    peer,
+    listen: addresses.peers,
     incarnation,
     seeds: settings.peers,
     metrics,
@@ -129,7 +139,7 @@
   const allowanceMs = settings.release.serveWithoutContactSeconds * 1_000;
   const registration = createRegistration({
     deployment,
-    self: { id, failureDomain, incarnation, peer: addresses.peers },
+    self: { id, failureDomain, incarnation, peer },
     allowanceMs,
     store,
     peers,
@@ -212,21 +222,30 @@
     client: createServiceClient(),
   });
   const registry = createClaimRegistry({ incarnation });
+  const claims = createRecordClaims({
+    deployment,
+    owner: id,
+    incarnation,
+    store,
+  });
+  const ends = createEndRecorder({ claims });
   const callService = createServiceCaller({
     keeper,
     services: settings.services,
     fleet: services,
-    claims: createRecordClaims({ deployment, owner: id, incarnation, store }),
+    claims,
     registry,
     owners: createPeerClaimOwners({ id, membership, peers, registry }),
     failureDomain,
     metrics,
-    runInBackground(task) {
-      const end = work.begin();
-      const report = (error: unknown) =>
-        log.warn("background_failed", { reason: String(error) });
-      void task.catch(report).finally(end);
-    },
+    ends,
+  });
+  const requests = createRequestMemory({ instance: id });
+  const limitsOf = createLimitsOf(settings.organisations);
+  const limitHome = createLimitHome({ limitsOf });
+  const limits = createSharedLimits({
+    limitsOf,
+    homes: createLimitHomes({ id, membership, peers, home: limitHome }),
   });
   const levels = createInstanceLevels(settings);
   countNotes(keeper, { levels, objectives: settings.objectives });
@@ -295,6 +314,9 @@
       recheckOrders(changed);
     },
     ...claimOwnerMethods(registry),
+    ...endHandOverMethods(ends),
+    ...requestFinderMethods(requests),
+    ...limitHomeMethods(limitHome),
   });
   const adminServer = await startAdminServer({
     settings,
@@ -302,6 +324,7 @@
     publisher,
     inspector: createNoteInspector({ keeper, publisher }),
     serviceLevels: levels.read,
+    findRequest: createRequestFinder({ memory: requests, membership, peers }),
     status,
     noteStatus,
     isReady: () => !draining && keeper.current() !== null && knowsEngines(),
@@ -319,12 +342,15 @@
       engines,
       parked: engines,
       recoveries: createRecoveryLimiter({ metrics }),
+      links: createLinkSpeeds(),
       metrics,
     },
     callService,
     metrics,
     levels,
     work,
+    requests,
+    limits,
   });
   callerServer.prependListener("request", (_request, response) => {
     if (draining) response.setHeader("connection", "close");
@@ -343,7 +369,15 @@
         withinMs: QUIET_WITHIN_MS,
       });
       const stopAccepting = closeGracefully(callerServer);
-      const ended = await work.waitForEnd(settings.shutdownGraceMs);
+      const cutAt = performance.now() + settings.shutdownGraceMs;
+      const answered = await work.waitForEnd(settings.shutdownGraceMs);
+      const recorded = await finishEnds({
+        ends,
+        membership,
+        peers,
+        withinMs: cutAt - performance.now(),
+      });
+      const ended = answered && recorded;
       // The goodbye is evidence that this instance answers nothing any more,
       // so it comes after the last connection.
       await closeRest(callerServer, stopAccepting);
@@ -353,6 +387,7 @@
       fleet.stop();
       await registration.leave();
       services.stop();
+      limits.stop();
       sweeper.stop();
       clearInterval(listTimer);
       await membership.leave();
--- a/packages/daemon/src/service_endpoint.ts
+++ b/packages/daemon/src/service_endpoint.ts
@@ -1,5 +1,6 @@
 /** Calls of plain services: from the request to the whole answer. */
 import type { ServiceCall, ServiceCallResult } from "@rosemarypin/calls";
+import type { SharedLimits } from "@rosemarypin/limits";
 import type { Settings } from "@rosemarypin/schemas";
 import {
   createLogger,
@@ -11,11 +12,13 @@
 import {
   callerRequestId,
   type Exchange,
+  refuseByLimit,
   serviceLabel,
   takeBody,
 } from "./exchange.ts";
 import { sendFailure } from "./http_basics.ts";
 import type { BodyMemory } from "./request_body.ts";
+import { factsOfFailure, type RequestMemory } from "./request_memory.ts";
 import { isIdempotencyKey, parseServicePath } from "./service_request.ts";
 
 const log = createLogger("callers");
@@ -26,6 +29,8 @@
   readonly metrics: Metrics;
   readonly levels: ServiceLevelCounter;
   readonly memory: BodyMemory;
+  readonly requests: RequestMemory;
+  readonly limits: SharedLimits;
 }
 
 /** What the caller sent, in the form that the calls take. */
@@ -64,10 +69,19 @@
   return async (exchange: Exchange): Promise<void> => {
     const parsed = await parse(exchange);
     if (!parsed) return;
+    if (refuseByLimit(exchange, { ...options, tokens: 0 })) return;
     exchange.handedOn = true;
+    const remembered = options.requests.begin({
+      kind: "service_call",
+      requestId: exchange.requestId,
+      callerRequestId: callerRequestId(exchange.request),
+      name: parsed.service,
+      organisation: exchange.organisation.name,
+    });
     const result = await options.callService(
       describeCall(exchange, { ...parsed, settings }),
     );
+    remembered.end(factsOf(result));
     count(exchange, { ...options, parsed, result });
     sendResult(exchange, result);
   };
@@ -126,6 +140,12 @@
   });
 }
 
+function factsOf(result: ServiceCallResult) {
+  if (result.kind === "failed") return factsOfFailure(result.failure);
+  const { answer, repeated } = result;
+  return { outcome: "done", status: answer.status, repeated };
+}
+
 function sendResult(
   { response, requestId }: Exchange,
   result: ServiceCallResult,
