--- a/packages/calls/src/answer_attempt.ts
+++ b/packages/calls/src/answer_attempt.ts
@@ -2,7 +2,7 @@
 import type { AttemptStart } from "@rosemarypin/backends";
 import { mayContinue } from "@rosemarypin/release";
 import type { AnswerRequest, LostCause } from "@rosemarypin/schemas";
-import { readAttempt } from "./answer_attempt_events.ts";
+import { readAttempt, refresh } from "./answer_attempt_events.ts";
 import {
   type AttemptEnd,
   type AttemptOptions,
@@ -78,12 +78,17 @@
 
 function noteNoStart(
   start: Exclude<AttemptStart, { kind: "started" }>,
-  { progress, attempt, signal, lost }: RunningAttempt,
+  running: RunningAttempt,
 ): AttemptEnd {
-  const engine = attempt.stages[0]?.engine ?? "";
+  const { progress, attempt, signal, lost } = running;
+  const [first] = attempt.stages;
+  const engine = first?.engine ?? "";
   if (start.kind === "refused") {
     if (start.takenOver) return { kind: "taken_over" };
     progress.avoid.add(engine);
+    // It knows what the fleet does not yet: until the fleet has read its state,
+    // each answer would spend one attempt after another on it.
+    if (first) void refresh(first, running);
     return { kind: "retry", reason: start.reason };
   }
   if (start.kind === "broken") progress.started = true;
--- a/packages/calls/src/answer_attempt_events.ts
+++ b/packages/calls/src/answer_attempt_events.ts
@@ -96,11 +96,12 @@
   progress.lostAt = null;
 }
 
-/** Learns the new incarnation of an engine that was restarted. */
-async function refresh(
+/** Learns that an engine was restarted, or is leaving. */
+export async function refresh(
   { address }: Stage,
-  { engines, fleet, liveness }: RunningAttempt,
+  options: Pick<RunningAttempt, "engines" | "fleet" | "liveness">,
 ): Promise<void> {
+  const { engines, fleet, liveness } = options;
   const timeoutMs = liveness.probeMs;
   const state = await engines.readState(address, { timeoutMs });
   if (state) fleet.observe(state);
