Judge withdrawn versions in linear time

Now the first claim of each version counts, since later ones add nothing, and the first token is compared before the others.

--- a/packages/scenarios/src/answer_truth.ts
+++ b/packages/scenarios/src/answer_truth.ts
@@ -26,16 +26,33 @@
   version: string,
   seen: Observations,
 ): boolean {
-  const { answer, prompt, maxTokens } = observed;
+  const { answer } = observed;
   if (answer.kind === "whole") return answer.provenance.version === version;
-  if (answer.tokens.length === 0) return false;
-  const expected = expectedAnswer({
+  const { tokens } = answer;
+  // Versions rarely agree in the first token, and all tokens take much longer.
+  return [1, tokens.length].every(
+    (count) =>
+      tokens.length > 0 && startsAs(observed, { version, count, seen }),
+  );
+}
+
+function startsAs(
+  { answer, prompt }: ObservedAnswer,
+  options: {
+    readonly version: string;
+    /** How many tokens are compared. */
+    readonly count: number;
+    readonly seen: Observations;
+  },
+): boolean {
+  const { version, count, seen } = options;
+  const { tokens } = expectedAnswer({
     weights: { model: seen.model, version },
     layers: seen.layers,
     promptTokens: prompt.split(" "),
-    maxTokens,
+    maxTokens: count,
   });
-  return answer.tokens.every(
-    (token, index) => token === expected.tokens[index],
-  );
+  return answer.tokens
+    .slice(0, count)
+    .every((token, index) => token === tokens[index]);
 }
--- a/packages/scenarios/src/promises.ts
+++ b/packages/scenarios/src/promises.ts
@@ -7,7 +7,11 @@
   judgeRecalls,
 } from "./cut_promises.ts";
 import { type Judgement, judgeEach } from "./judgement.ts";
-import type { Observations, ObservedAnswer } from "./observations.ts";
+import type {
+  Observations,
+  ObservedAnswer,
+  ObservedClaim,
+} from "./observations.ts";
 import type { PromiseName } from "./scenario_schema.ts";
 
 /** How a promise fared. */
@@ -38,8 +42,12 @@
         ? null
         : `an answer of ${instance} ended as ${JSON.stringify(answer)}`,
     ),
-  withdrawn_is_silent: (seen) =>
-    judgeEach(seen.answers, (observed) => judgeSilence(observed, seen)),
+  withdrawn_is_silent: (seen) => {
+    const claims = firstClaims(seen);
+    return judgeEach(seen.answers, (observed) =>
+      judgeSilence(observed, { claims, seen }),
+    );
+  },
   notes_never_revert: judgeNotes,
   at_most_once: (seen) =>
     judgeEach([...countRuns(seen)], ([key, runs]) =>
@@ -97,20 +105,32 @@
 
 function judgeSilence(
   observed: ObservedAnswer,
-  seen: Observations,
+  options: {
+    readonly claims: ReadonlyMap<string, ObservedClaim>;
+    readonly seen: Observations;
+  },
 ): string | null {
-  for (const { name, phase, at, withdrawnVersions } of seen.claims) {
+  const { claims, seen } = options;
+  for (const [version, { name, phase, at }] of claims) {
     if (observed.lastTokenAt <= at) continue;
-    const version = withdrawnVersions.find((withdrawn) =>
-      isFrom(observed, withdrawn, seen),
-    );
-    if (version === undefined) continue;
+    if (!isFrom(observed, version, seen)) continue;
     const lateMs = Math.round(observed.lastTokenAt - at);
     return `${observed.instance} sent a token of ${version} ${lateMs} ms after '${name}' was ${phase}`;
   }
   return null;
 }
 
+/** The first claim that withdrew each version; later ones add nothing. */
+function firstClaims(seen: Observations): ReadonlyMap<string, ObservedClaim> {
+  const first = new Map<string, ObservedClaim>();
+  for (const claim of [...seen.claims].sort((a, b) => a.at - b.at)) {
+    for (const version of claim.withdrawnVersions) {
+      if (!first.has(version)) first.set(version, claim);
+    }
+  }
+  return first;
+}
+
 function judgeNotes(seen: Observations): Judgement {
   const highest = new Map<string, number>();
   return judgeEach(seen.notes, ({ instance, incarnation, note }) => {
