Keep what engines hold, and plan in slices of 8 ms

Cause: a plan made anew for each change moves weights on engines that have nothing to do with it, and a search of 81 engines held the process up.

Kept now: whole pipelines as they are, found as the most disjoint chains that engines hold; broken ones are repaired with the least transfer; a model that lacks a spare gets the engines of one pipeline of a model with three. A plan from scratch wins only with more models answered or spared, or 10% more rate.

--- a/packages/placement/src/engine_kinds.ts
+++ b/packages/placement/src/engine_kinds.ts
@@ -50,11 +50,13 @@
   };
 }
 
-/**
- * Slowest stage of a group, in milliseconds, by model and kinds; the kinds
- * are in ascending order.
- */
-export type GroupTimes = (model: PlanModel, kinds: readonly number[]) => number;
+/** Facts about groups, by model and kinds in ascending order. */
+export interface GroupTimes {
+  /** Time of the slowest stage, in milliseconds. */
+  slowestMs(model: PlanModel, kinds: readonly number[]): number;
+  /** Share of the layers for which there is memory, from 0 to 1. */
+  memoryShare(model: PlanModel, kinds: readonly number[]): number;
+}
 
 /** What is known of the groups that begin with some kinds. */
 interface TimeNode {
@@ -81,18 +83,28 @@
     return slowestStageMs(engines, model.layers);
   }
 
-  return (model, group) => {
-    let node = roots.get(model) ?? newNode();
-    roots.set(model, node);
-    // A search asks for some groups a million times; joined into a text as
-    // the key of a map, the kinds took most of its time.
-    for (const kind of group) {
-      const next = node.next[kind] ?? newNode();
-      node.next[kind] = next;
-      node = next;
-    }
-    node.timeMs ??= timeOf(model, group);
-    return node.timeMs;
+  return {
+    slowestMs(model, group) {
+      let node = roots.get(model) ?? newNode();
+      roots.set(model, node);
+      // A search asks for some groups a million times; joined into a text as
+      // the key of a map, the kinds took most of its time.
+      for (const kind of group) {
+        const next = node.next[kind] ?? newNode();
+        node.next[kind] = next;
+        node = next;
+      }
+      node.timeMs ??= timeOf(model, group);
+      return node.timeMs;
+    },
+    memoryShare(model, group) {
+      const all = splitOf(model);
+      const room = group.reduce(
+        (sum, kind) => sum + (all[kind]?.largestLayers ?? 0),
+        0,
+      );
+      return Math.min(1, room / model.layers);
+    },
   };
 }
 
--- a/packages/placement/src/group_moves.ts
+++ b/packages/placement/src/group_moves.ts
@@ -7,6 +7,7 @@
   scoreRates,
 } from "./plan_score.ts";
 import type { PlanModel } from "./plan_types.ts";
+import type { TimeSlice } from "./time_slice.ts";
 
 /** A group of engines, by their kinds in ascending order. */
 export interface KindGroup {
@@ -15,12 +16,12 @@
 }
 
 export interface ImproveOptions {
-  readonly models: readonly PlanModel[];
   readonly times: GroupTimes;
   /** Pipelines that stay as they are, by model. */
   readonly existing: ReadonlyMap<string, ModelRate>;
   /** Rounds over all pairs of groups, at most. */
   readonly passes: number;
+  readonly slice: TimeSlice;
 }
 
 /** Two groups as they would be after a change. */
@@ -37,16 +38,16 @@
 }
 
 /** Returns groups of which no single move or swap gains any more. */
-export function improveGroups(
+export async function improveGroups(
   start: readonly KindGroup[],
   options: ImproveOptions,
-): readonly KindGroup[] {
-  const { times, existing } = options;
+): Promise<readonly KindGroup[]> {
+  const { times, existing, slice } = options;
   const groups = start.map(
     ({ model, kinds }): TimedGroup => ({
       model,
       kinds,
-      timeMs: times(model, kinds),
+      timeMs: times.slowestMs(model, kinds),
     }),
   );
   const rates = new Map<string, ModelRate>(existing);
@@ -84,17 +85,19 @@
   ): boolean {
     const before = [one.timeMs, other.timeMs] as const;
     const after = [
-      times(one.model, first),
-      times(other.model, second),
+      times.slowestMs(one.model, first),
+      times.slowestMs(other.model, second),
     ] as const;
-    if (one.model === other.model && isNoGain(before, after)) return false;
+    const isWhole = before[0] < Infinity && before[1] < Infinity;
+    const isSame = one.model === other.model;
+    if (isWhole && isSame && isNoGain(before, after)) return false;
     // The other models' parts of the score stay as they are.
-    const models =
-      one.model === other.model ? [one.model] : [one.model, other.model];
+    const models = isSame ? [one.model] : [one.model, other.model];
     const scoreBefore = scoreRates(models, rateOf);
     replaceTimes([one, other], after);
-    const scoreAfter = scoreRates(models, rateOf);
-    if (compareScores(scoreAfter, scoreBefore) > 0) {
+    const gain = compareScores(scoreRates(models, rateOf), scoreBefore);
+    const change = { first, second };
+    if (gain > 0 || (gain === 0 && !isWhole && completes(one, other, change))) {
       one.kinds = first;
       other.kinds = second;
       return true;
@@ -103,9 +106,27 @@
     return false;
   }
 
+  /**
+   * A group that lacks memory gains nothing by one engine more. Those that
+   * are of no use elsewhere go to it all the same, until it is whole.
+   */
+  function completes(
+    one: TimedGroup,
+    other: TimedGroup,
+    { first, second }: Change,
+  ): boolean {
+    const { memoryShare } = times;
+    const before =
+      memoryShare(one.model, one.kinds) + memoryShare(other.model, other.kinds);
+    const after =
+      memoryShare(one.model, first) + memoryShare(other.model, second);
+    return after > before + ROUNDING;
+  }
+
   for (let pass = 0; pass < options.passes; pass++) {
     let gained = false;
     for (let a = 0; a < groups.length; a++) {
+      if (slice.isSpent()) await slice.giveWay();
       for (let b = 0; b < groups.length; b++) {
         const one = groups[a];
         const other = groups[b];
@@ -123,6 +144,8 @@
   return groups;
 }
 
+const ROUNDING = 1e-9;
+
 /** One engine moved, two swapped, or all of two models' groups exchanged. */
 function* changes(
   first: KindGroup,
--- a/packages/placement/src/group_search.ts
+++ b/packages/placement/src/group_search.ts
@@ -3,11 +3,9 @@
  * interchangeable, so a group is a list of kinds: a domain of 81 engines has
  * few of them, and equal groups are timed once.
  */
-import {
-  createGroupTimes,
-  type EngineKind,
-  listKinds,
-} from "./engine_kinds.ts";
+
+import { chooseEngines, type EngineGroup } from "./engine_choice.ts";
+import { createGroupTimes, listKinds } from "./engine_kinds.ts";
 import { dealKinds } from "./group_deal.ts";
 import { improveGroups, type KindGroup } from "./group_moves.ts";
 import {
@@ -19,12 +17,7 @@
   sumRates,
 } from "./plan_score.ts";
 import type { PlanEngine, PlanModel } from "./plan_types.ts";
-
-/** Engines that are to form one pipeline. */
-export interface EngineGroup {
-  readonly model: PlanModel;
-  readonly engines: readonly PlanEngine[];
-}
+import { createTimeSlice } from "./time_slice.ts";
 
 export interface GroupSearchOptions {
   readonly models: readonly PlanModel[];
@@ -49,20 +42,21 @@
 }
 
 /** Finds the groups that score best; engines of no use are left out. */
-export function searchGroups(
+export async function searchGroups(
   engines: readonly PlanEngine[],
   options: GroupSearchOptions,
-): readonly EngineGroup[] {
+): Promise<readonly EngineGroup[]> {
   const { models, existing = new Map<string, ModelRate>() } = options;
   const kinds = listKinds(engines);
   const times = createGroupTimes(kinds);
+  const slice = createTimeSlice();
   const firstPasses = engines.length <= THOROUGH_UP_TO ? PASSES : 1;
 
   function rates(groups: readonly KindGroup[]) {
     const own = sumRates(
       groups.map(({ model, kinds: members }) => ({
         model: model.model,
-        slowestMs: times(model, members),
+        slowestMs: times.slowestMs(model, members),
       })),
     );
     return (model: string): ModelRate => {
@@ -75,28 +69,23 @@
     };
   }
 
-  function search(wanted: readonly PlanModel[], passes: number): Candidate {
+  function search(
+    wanted: readonly PlanModel[],
+    passes: number,
+  ): Promise<Candidate> {
     return improve(dealKinds(kinds, wanted), passes);
   }
 
-  function improve(start: readonly KindGroup[], passes: number): Candidate {
-    const groups = improveGroups(start, { models, times, existing, passes });
+  async function improve(
+    start: readonly KindGroup[],
+    passes: number,
+  ): Promise<Candidate> {
+    const options = { times, existing, passes, slice };
+    const groups = await improveGroups(start, options);
     const wanted = groups.map(({ model }) => model);
     return { wanted, groups, score: scoreRates(models, rates(groups)) };
   }
 
-  /** Deals all engines anew, or finds some for one more pipeline. */
-  function tryMore(
-    current: Candidate,
-    added: readonly PlanModel[],
-  ): readonly Candidate[] {
-    const empty = added.map((model) => ({ model, kinds: [] }));
-    return [
-      search([...current.wanted, ...added], firstPasses),
-      improve([...current.groups, ...empty], firstPasses),
-    ];
-  }
-
   /** The models to try one more pipeline for. */
   function neediest(candidate: Candidate): readonly PlanModel[] {
     const rateOf = rates(candidate.groups);
@@ -112,74 +101,61 @@
     return ordered.slice(0, TRIED_MODELS);
   }
 
+  /** The best with one more pipeline, or two, of some model. */
+  async function addPipeline(current: Candidate): Promise<Candidate> {
+    let best = current;
+    // Two at once as well: where engines differ much, one more pipeline can
+    // lose and the next one gain.
+    const more = neediest(current).flatMap((model) => [
+      [model],
+      [model, model],
+    ]);
+    for (const added of more) {
+      const empty = added.map((model) => ({ model, kinds: [] }));
+      const dealt = await search([...current.wanted, ...added], firstPasses);
+      const grown = await improve([...current.groups, ...empty], firstPasses);
+      best = better(best, better(dealt, grown));
+    }
+    return best;
+  }
+
   /** Adds pipelines while that gains; every step is a candidate. */
-  function grow(start: Candidate): readonly Candidate[] {
+  async function grow(start: Candidate): Promise<readonly Candidate[]> {
     const seen = [start];
     let current = start;
     while (current.wanted.length < engines.length) {
-      const before = current;
-      // Two at once as well: where engines differ much, one more pipeline
-      // can lose and the next one gain.
-      const tries = neediest(before)
-        .flatMap((model) => [[model], [model, model]])
-        .flatMap((added) => tryMore(before, added));
-      const best = tries.reduce(better);
-      if (compareScores(best.score, before.score) <= 0) break;
-      seen.push(best);
-      current = best;
+      const next = await addPipeline(current);
+      if (next === current) break;
+      seen.push(next);
+      current = next;
     }
     return seen;
   }
 
   // Begun from nothing alone, the first model served could take the engines
   // that another one cannot do without.
-  const starts = [[], models, [...models, ...models]].map((wanted) =>
-    search(wanted, firstPasses),
-  );
+  const starts: Candidate[] = [];
+  for (const wanted of [[], models, [...models, ...models]]) {
+    starts.push(await search(wanted, firstPasses));
+  }
   const isSmall = engines.length <= THOROUGH_UP_TO;
-  const seen = (isSmall ? starts : [starts.reduce(better)]).flatMap(grow);
+  const seen: Candidate[] = [];
+  for (const start of isSmall ? starts : [starts.reduce(better)]) {
+    seen.push(...(await grow(start)));
+  }
   const finalists = seen.sort((a, b) => compareScores(b.score, a.score));
-  const best = finalists
-    .slice(0, FINALISTS)
-    .flatMap(({ wanted, groups }) => [
-      search(wanted, PASSES),
-      improve(groups, PASSES),
-    ])
-    .reduce(better);
-  return takeEngines(best.groups, { kinds, times });
+  const ended: Candidate[] = [];
+  for (const { wanted, groups } of finalists.slice(0, FINALISTS)) {
+    ended.push(await search(wanted, PASSES), await improve(groups, PASSES));
+  }
+  const best = ended.reduce(better);
+  const whole = best.groups.filter(
+    ({ model, kinds: members }) => times.slowestMs(model, members) < Infinity,
+  );
+  return chooseEngines(whole, kinds);
 }
 
+/** The first of two that are as good. */
 function better(a: Candidate, b: Candidate): Candidate {
   return compareScores(b.score, a.score) > 0 ? b : a;
 }
-
-/** Puts engines in the place of kinds; those that suffice for nothing stay. */
-function takeEngines(
-  groups: readonly KindGroup[],
-  options: {
-    readonly kinds: readonly EngineKind[];
-    readonly times: ReturnType<typeof createGroupTimes>;
-  },
-): readonly EngineGroup[] {
-  const left = options.kinds.map(({ engines }) => [...engines]);
-  return groups
-    .filter((group) => options.times(group.model, group.kinds) < Infinity)
-    .map(({ model, kinds }) => ({
-      model,
-      engines: kinds.flatMap((kind) => {
-        const engine = takeNearest(left[kind] ?? [], model);
-        return engine ? [engine] : [];
-      }),
-    }));
-}
-
-/** One that holds layers of the model already, if there is one. */
-function takeNearest(
-  engines: PlanEngine[],
-  { model }: PlanModel,
-): PlanEngine | undefined {
-  const index = engines.findIndex(({ holds }) =>
-    holds.some((held) => held.model === model),
-  );
-  return engines.splice(Math.max(0, index), 1)[0];
-}
--- a/packages/placement/src/group_search_test.ts
+++ b/packages/placement/src/group_search_test.ts
@@ -107,12 +107,12 @@
 }
 
 /** Checks answered and spared models, and rates within 2%. */
-function expectNearBest(
+async function expectNearBest(
   engines: readonly PlanEngine[],
   models: readonly PlanModel[],
-): void {
+): Promise<void> {
   const best = exhaustive(engines, models);
-  const found = score(searchGroups(engines, { models }), models);
+  const found = score(await searchGroups(engines, { models }), models);
   expect(found).toMatchObject({
     answered: best.answered,
     spared: best.spared,
@@ -123,27 +123,27 @@
 }
 
 describe("searching groups of engines", () => {
-  it("is within 2% of exhaustive search with one model", () => {
-    fc.assert(
-      fc.property(engineList(7), (engines) => {
-        expectNearBest(engines, [large]);
+  it("is within 2% of exhaustive search with one model", async () => {
+    await fc.assert(
+      fc.asyncProperty(engineList(7), async (engines) => {
+        await expectNearBest(engines, [large]);
       }),
       { seed: SEED, numRuns: 150 },
     );
   });
 
-  it("is within 2% of exhaustive search with two models", () => {
-    fc.assert(
-      fc.property(engineList(6), (engines) => {
-        expectNearBest(engines, [large, small]);
+  it("is within 2% of exhaustive search with two models", async () => {
+    await fc.assert(
+      fc.asyncProperty(engineList(6), async (engines) => {
+        await expectNearBest(engines, [large, small]);
       }),
       { seed: SEED, numRuns: 100 },
     );
   });
 
-  it("gives no pipeline when the layers do not fit", () => {
+  it("gives no pipeline when the layers do not fit", async () => {
     const engine = { id: "only", layerMs: 1, fixedMs: 1, memoryMegabytes: 3 };
     const engines = [{ ...engine, holds: [] }];
-    expect(searchGroups(engines, { models: [large] })).toEqual([]);
+    expect(await searchGroups(engines, { models: [large] })).toEqual([]);
   });
 });
--- a/packages/placement/src/held_chains.ts
+++ b/packages/placement/src/held_chains.ts
@@ -1,4 +1,6 @@
 /** Pipelines, and parts of them, that engines hold already. */
+import type { LayerRange } from "@rosemarypin/schemas";
+import { stepsOfMostChains } from "./disjoint_chains.ts";
 import {
   largestLayers,
   type PlanEngine,
@@ -11,6 +13,7 @@
 /** A range that an engine holds and has the room to run. */
 interface HeldStage {
   readonly engine: PlanEngine;
+  readonly layers: LayerRange;
   readonly stage: SplitStage;
   readonly timeMs: number;
 }
@@ -21,13 +24,13 @@
   model: PlanModel,
 ): readonly PlannedPipeline[] {
   const found: PlannedPipeline[] = [];
-  let left = engines;
+  let left = stepsOfMostChains(listStages(engines, model), model.layers);
   while (true) {
-    const pipeline = fastestChain(listStages(left, model), model);
+    const pipeline = fastestChain(left, model);
     if (!pipeline) return found;
     found.push(pipeline);
     const used = new Set(pipeline.stages.map(({ engine }) => engine));
-    left = left.filter(({ id }) => !used.has(id));
+    left = left.filter(({ engine }) => !used.has(engine.id));
   }
 }
 
@@ -81,6 +84,7 @@
       })
       .map((layers) => ({
         engine,
+        layers,
         stage: { engine: engine.id, ...layers },
         timeMs: stageMs(engine, { model, layers: layers.to - layers.from }),
       })),
--- a/packages/placement/src/placer.ts
+++ b/packages/placement/src/placer.ts
@@ -73,6 +73,8 @@
   let plan: RoomPlan | null = null;
   let plannedFor = "";
   let tenure: number | null = null;
+  let isPlanning = false;
+  let stopped = false;
   let view: { state: PlacedState; record: NoteRecord } | null = null;
   const timer = engines.length > 0 ? setInterval(tick, TICK_MS) : undefined;
 
@@ -102,30 +104,34 @@
       return isUsable !== null && isUsable !== presence.answers(engine);
     });
     if (doubtful.length > 0) tell(doubtful);
-    replan(record);
+    void replan(record);
     if (view?.record === record) return;
     followLoads(record);
     tellChanged(record);
   }
 
-  function replan(record: NoteRecord): void {
+  /** Makes a new plan if its inputs have changed, while orders go on. */
+  async function replan(record: NoteRecord): Promise<void> {
+    if (isPlanning || (!plan && !presence.isSettled())) return;
     const live = new Set(presence.live());
-    if (!plan && !presence.isSettled()) return;
     const models = listPlacedModels(record, settings);
     const key = JSON.stringify([[...live], models]);
     if (key === plannedFor) return;
+    const plannedIn = tenure;
     const startedAt = performance.now();
     const usable = engines.filter(({ id }) => live.has(id));
-    plan = planWithRoom(
-      listPlanEngines(usable, {
-        accelerators: settings.accelerators,
-        heldBy,
-      }),
+    const { accelerators } = settings;
+    isPlanning = true;
+    const made = await planWithRoom(
+      listPlanEngines(usable, { accelerators, heldBy }),
       models,
     );
+    isPlanning = false;
+    if (stopped || tenure !== plannedIn) return;
+    plan = made;
     plannedFor = key;
     view = null;
-    describe(plan, performance.now() - startedAt);
+    describe(made, performance.now() - startedAt);
   }
 
   /**
@@ -222,6 +228,7 @@
     },
     plan: () => plan,
     stop() {
+      stopped = true;
       clearInterval(timer);
       loads.stop();
     },
--- a/packages/placement/src/plan.ts
+++ b/packages/placement/src/plan.ts
@@ -1,10 +1,6 @@
 /** Decides which engine of a failure domain holds which layers. */
-import { toSplitEngine } from "./engine_kinds.ts";
-import { type EngineGroup, searchGroups } from "./group_search.ts";
-import { findHeldPipelines } from "./held_chains.ts";
-import { splitPipeline } from "./layer_split.ts";
+import { keepPipelines } from "./kept_pipelines.ts";
 import { movedMegabytes } from "./moved_weights.ts";
-import { repairPipeline } from "./pipeline_repair.ts";
 import {
   compareScores,
   NO_RATE,
@@ -19,6 +15,7 @@
   PlannedPipeline,
   Shortage,
 } from "./plan_types.ts";
+import { planFromScratch } from "./scratch_plan.ts";
 
 /**
  * Share by which rates must grow on the middle model before weights are
@@ -37,86 +34,18 @@
  * Keeps what engines hold and completes it, unless a plan from scratch
  * answers more models, spares more of them, or is faster by the threshold.
  */
-export function planDomain(input: PlanInput): Plan {
+export async function planDomain(input: PlanInput): Promise<Plan> {
   const { gainThreshold = GAIN_THRESHOLD } = input;
   const engines = [...input.engines].sort((a, b) => (a.id < b.id ? -1 : 1));
   const models = [...input.models].sort((a, b) => (a.model < b.model ? -1 : 1));
-  const kept = keepPipelines(engines, { models, gainThreshold });
-  const fresh = planFromScratch({ engines, models });
+  const kept = await keepPipelines(engines, { models, gainThreshold });
+  const fresh = await planFromScratch(engines, { models });
   const pipelines = isWorthMoving(fresh, { kept, models, gainThreshold })
     ? fresh
     : kept;
   return describePlan(pipelines, { engines, models });
 }
 
-/** The best pipelines as if no engine held anything. */
-export function planFromScratch(
-  input: Pick<PlanInput, "engines" | "models">,
-): readonly PlannedPipeline[] {
-  return searchGroups(input.engines, input).map(splitGroup);
-}
-
-function keepPipelines(
-  engines: readonly PlanEngine[],
-  options: {
-    readonly models: readonly PlanModel[];
-    readonly gainThreshold: number;
-  },
-): readonly PlannedPipeline[] {
-  const { models, gainThreshold } = options;
-  const pipelines: PlannedPipeline[] = [];
-  let idle = engines;
-  const take = (pipeline: PlannedPipeline) => {
-    pipelines.push(pipeline);
-    const used = new Set(pipeline.stages.map(({ engine }) => engine));
-    idle = idle.filter(({ id }) => !used.has(id));
-  };
-  for (const model of models) {
-    for (const found of findHeldPipelines(idle, model)) take(found);
-  }
-  for (const model of neediestFirst(models, pipelines)) {
-    let repaired = repairPipeline(idle, { model, gainThreshold });
-    while (repaired) {
-      take(repaired);
-      repaired = repairPipeline(idle, { model, gainThreshold });
-    }
-  }
-  const existing = sumRates(pipelines);
-  const added = searchGroups(idle, { models, existing });
-  return [...pipelines, ...added.map(splitGroup)];
-}
-
-/** Models with few whole pipelines are repaired before the others. */
-function neediestFirst(
-  models: readonly PlanModel[],
-  pipelines: readonly PlannedPipeline[],
-): readonly PlanModel[] {
-  const rates = sumRates(pipelines);
-  const count = ({ model }: PlanModel) => rates.get(model)?.pipelines ?? 0;
-  return [...models].sort((a, b) => count(a) - count(b) || b.weight - a.weight);
-}
-
-/** Orders the stages as their engines hold layers now, and divides these. */
-function splitGroup({ model, engines }: EngineGroup): PlannedPipeline {
-  const heldFrom = ({ holds }: PlanEngine) =>
-    Math.min(
-      ...holds
-        .filter((held) => held.model === model.model)
-        .map(({ layers }) => layers.from),
-    );
-  const ordered = [...engines].sort((a, b) => {
-    const x = heldFrom(a);
-    const y = heldFrom(b);
-    if (x !== y) return x < y ? -1 : 1;
-    return a.id < b.id ? -1 : 1;
-  });
-  const split = splitPipeline(
-    ordered.map((engine) => toSplitEngine(engine, model)),
-    model.layers,
-  );
-  return { model: model.model, ...split };
-}
-
 function isWorthMoving(
   fresh: readonly PlannedPipeline[],
   options: {
--- a/packages/placement/src/plan_room.ts
+++ b/packages/placement/src/plan_room.ts
@@ -20,11 +20,11 @@
  * A model that gets no pipeline with room for several versions is planned
  * with room for one: an answer now goes before a smooth change later.
  */
-export function planWithRoom(
+export async function planWithRoom(
   engines: readonly PlanEngine[],
   models: readonly RoomModel[],
-): RoomPlan {
-  const plan = planDomain({ engines, models: models.map(withRoom) });
+): Promise<RoomPlan> {
+  const plan = await planDomain({ engines, models: models.map(withRoom) });
   const lacking = new Set(
     plan.shortages
       .filter(({ kind }) => kind === "no_pipeline")
@@ -39,7 +39,7 @@
   );
   const final = isSame
     ? plan
-    : planDomain({ engines, models: lessRoom.map(withRoom) });
+    : await planDomain({ engines, models: lessRoom.map(withRoom) });
   const versionsAtOnce = new Map(
     lessRoom.map((model) => [model.model, model.versionsAtOnce]),
   );
