--- a/packages/backends/src/engine_subset.ts
+++ b/packages/backends/src/engine_subset.ts
@@ -10,6 +10,8 @@
 const WHOLE_UP_TO = 64;
 /** Engines of each role that an instance uses, its own domain's first. */
 const ENGINES_PER_ROLE = 4;
+/** Domains whose engines without roles an instance uses, its own first. */
+const PLACED_DOMAINS = 2;
 /** Instances that watch an engine, so that the loss of one leaves another. */
 const WATCHERS = 2;
 
@@ -52,16 +54,39 @@
   const watched = engines
     .filter((engine) => isWatcher(self, { engine, members }))
     .map(({ id }) => id);
-  const chosen = [...groupByRole(engines).values()].flatMap((group) =>
+  const fixed = engines.filter(({ roles }) => roles.length > 0);
+  const chosen = [...groupByRole(fixed).values()].flatMap((group) =>
     nearest(group, self).map(({ id }) => id),
   );
+  const placed = chooseDomains(engines, self).map(({ id }) => id);
   return {
-    used: new Set([...chosen, ...watched]),
+    used: new Set([...chosen, ...placed, ...watched]),
     watched: new Set(watched),
     isWhole: false,
   };
 }
 
+/**
+ * Engines without roles hold what placement gives them, and their pipelines
+ * stay within a domain: a few of each domain would cover no model. So the
+ * instance uses its own domain whole, and another in case that is lost.
+ */
+function chooseDomains(
+  engines: readonly EngineSettings[],
+  self: SubsetMember,
+): readonly EngineSettings[] {
+  const placed = engines.filter(({ roles }) => roles.length === 0);
+  const names = [...new Set(placed.map((engine) => engine.failureDomain))];
+  const isOwn = (domain: string) => (domain === self.failureDomain ? 0 : 1);
+  const chosen = names
+    .sort(
+      (a, b) =>
+        isOwn(a) - isOwn(b) || (rank(self.id, a) > rank(self.id, b) ? -1 : 1),
+    )
+    .slice(0, PLACED_DOMAINS);
+  return placed.filter((engine) => chosen.includes(engine.failureDomain));
+}
+
 /** Instances of the engine's own domain watch it; if there are none, all. */
 function isWatcher(
   self: SubsetMember,
--- a/packages/backends/src/engine_subset_test.ts
+++ b/packages/backends/src/engine_subset_test.ts
@@ -57,6 +57,30 @@
     }
   });
 
+  it("without roles are those of whole domains, the own one first", () => {
+    // Placement keeps pipelines within a domain. Four engines of 650 that
+    // all have no role would cover no model, and every answer be refused.
+    const placed = engines.map((engine) => ({ ...engine, roles: [] }));
+    for (const self of members.slice(0, 16)) {
+      const { used, watched } = chooseEngines(placed, { self, members });
+      const domains = ["own", "other"].map((which) =>
+        placed.filter(({ id, failureDomain }) => {
+          const isOwn = failureDomain === self.failureDomain;
+          return isOwn === (which === "own") && used.has(id);
+        }),
+      );
+      expect(domains[0]).toHaveLength(
+        placed.filter((one) => one.failureDomain === self.failureDomain).length,
+      );
+      const others = new Set(
+        domains[1]
+          ?.filter(({ id }) => !watched.has(id))
+          .map(({ failureDomain }) => failureDomain),
+      );
+      expect(others.size).toBe(1);
+    }
+  });
+
   it("leave no engine without two watchers and a user", () => {
     const watchers = new Map<string, number>();
     for (const { used, watched } of chooseAll(members)) {
--- a/packages/fakes/src/mod.ts
+++ b/packages/fakes/src/mod.ts
@@ -2,5 +2,6 @@
 export * from "./datagram_links.ts";
 export * from "./fixed_note.ts";
 export * from "./memory_store.ts";
+export * from "./ordered_engines.ts";
 export * from "./peer_network.ts";
 export * from "./scripted_engines.ts";
--- a/packages/placement/src/placer.ts
+++ b/packages/placement/src/placer.ts
@@ -75,6 +75,8 @@
   let tenure: number | null = null;
   let isPlanning = false;
   let stopped = false;
+  /** The view that loads and tasks were last brought in step with. */
+  let followed: PlacedState | null = null;
   let view: { state: PlacedState; record: NoteRecord } | null = null;
   const timer = engines.length > 0 ? setInterval(tick, TICK_MS) : undefined;
 
@@ -105,9 +107,11 @@
     });
     if (doubtful.length > 0) tell(doubtful);
     void replan(record);
-    if (view?.record === record) return;
-    followLoads(record);
-    tellChanged(record);
+    const state = stateFor(record);
+    if (state === followed) return;
+    followed = state;
+    followLoads(state);
+    tellChanged(state);
   }
 
   /** Makes a new plan if its inputs have changed, while orders go on. */
@@ -164,8 +168,7 @@
     }
   }
 
-  function followLoads(record: NoteRecord): void {
-    const { missing } = stateFor(record);
+  function followLoads({ missing }: PlacedState): void {
     for (const engine of ids) {
       loads.follow(engine, presence.answers(engine) ? missing(engine) : []);
     }
@@ -186,8 +189,7 @@
   }
 
   /** Wakes the tasks of engines that are now to hold something else. */
-  function tellChanged(record: NoteRecord): void {
-    const state = stateFor(record);
+  function tellChanged(state: PlacedState): void {
     const changed = ids.filter((engine) => {
       const wanted = JSON.stringify(state.wanted(engine));
       const isNews = told.get(engine) !== wanted;
@@ -211,6 +213,7 @@
     },
     observe(engine, state) {
       if (!placed.has(engine)) return;
+      if (presence.answers(engine) !== (state !== null)) view = null;
       if (!state) return presence.silent(engine);
       presence.heard(engine, { leaving: state.leaving });
       const before = states.get(engine);
--- /dev/null
+++ b/packages/platform/src/weight_store_test.ts
@@ -0,0 +1,71 @@
+import { once } from "node:events";
+import { createServer, type Server, type ServerResponse } from "node:http";
+import { startWeightStore, type WeightLoad } from "@rosemarypin/stand_ins";
+import { afterEach, describe, expect, it } from "vitest";
+import { createHttpWeightStore } from "./weight_store.ts";
+
+const HOST = "127.0.0.1";
+const wanted = {
+  engine: "engine-1",
+  model: "assist",
+  version: "v1",
+  layers: { from: 0, to: 4 },
+  megabytes: 1,
+};
+const servers: Server[] = [];
+afterEach(() => {
+  for (const server of servers.splice(0)) {
+    server.closeAllConnections();
+    server.close();
+  }
+});
+
+function urlOf(server: Server): string {
+  const address = server.address();
+  const port = typeof address === "object" && address ? address.port : 0;
+  return `http://${HOST}:${port}`;
+}
+
+function load(url: string) {
+  const store = createHttpWeightStore({ url, megabytesPerSecond: 1_000 });
+  return store.load(wanted, new AbortController().signal);
+}
+
+describe("the client of the weight store", () => {
+  it("has the stand-in serve weights, and hears when it is down", async () => {
+    const options = { host: HOST, port: 0, megabytesPerSecond: 1_000 };
+    const server = await startWeightStore(options);
+    servers.push(server);
+    const url = urlOf(server);
+    expect(await load(url)).toEqual({ kind: "loaded" });
+    const body = JSON.stringify({ down: true });
+    await fetch(`${url}/faults`, { method: "POST", body });
+    expect((await load(url)).kind).toBe("unavailable");
+    const journal = await fetch(`${url}/journal`);
+    const loads = (await journal.json()) as WeightLoad[];
+    expect(loads).toMatchObject([
+      { engine: "engine-1", served: true },
+      { engine: "engine-1", served: false },
+    ]);
+  });
+
+  /** Only an answer of the store about these weights is their own fault. */
+  const rows: [string, (response: ServerResponse) => void, string][] = [
+    ["404", (response) => response.writeHead(404).end(), "refused"],
+    ["400", (response) => response.writeHead(400).end(), "refused"],
+    ["429", (response) => response.writeHead(429).end(), "unavailable"],
+    ["500", (response) => response.writeHead(500).end(), "unavailable"],
+    ["reset", (response) => response.destroy(), "unavailable"],
+  ];
+  it.each(rows)("tells what %s means", async (_what, answer, kind) => {
+    const server = createServer((_request, response) => answer(response));
+    servers.push(server);
+    server.listen(0, HOST);
+    await once(server, "listening");
+    expect((await load(urlOf(server))).kind).toBe(kind);
+  });
+
+  it("takes a refused connection for an outage", async () => {
+    expect((await load(`http://${HOST}:1`)).kind).toBe("unavailable");
+  });
+});
