--- a/packages/bench/src/bench_command.ts
+++ b/packages/bench/src/bench_command.ts
@@ -21,6 +21,8 @@
     (await import("./throughput/throughput_bench.ts")).throughputBench,
   confirmations: async () =>
     (await import("./recall/confirmations_command.ts")).confirmationsCommand,
+  placement: async () =>
+    (await import("./placement/placement_bench.ts")).placementBench,
   recall: async () =>
     (await import("./recall/recall_command.ts")).recallCommand,
   recovery: async () =>
--- a/packages/bench/src/capacity/slope.ts
+++ b/packages/bench/src/capacity/slope.ts
@@ -47,7 +47,8 @@
 }
 
 setFlagsFromString("--expose_gc");
-const collectGarbage = runInNewContext("gc") as () => void;
+/** Frees what nothing refers to, so that the heap can be compared. */
+export const collectGarbage = runInNewContext("gc") as () => void;
 
 /** Bytes of heap that what `build` returns keeps alive. */
 export function heapBytes(build: () => unknown): number {
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -71,8 +71,8 @@
 import {
   hasHeardEachRole,
   highestNoteOf,
-  isUsable,
   listCandidates,
+  listUsable,
 } from "./known_state.ts";
 import { createNoteInspector } from "./note_inspector.ts";
 import { viewBackends, viewInstances } from "./status_view.ts";
@@ -195,7 +195,8 @@
       keeper,
       lease,
       loader,
-      isUsable: (engine) => isUsable(fleet, engine),
+      usable: () => listUsable(fleet),
+      metrics,
     });
     const controller = createEngineController({
       engines: ownEngines,
--- a/packages/daemon/src/known_state.ts
+++ b/packages/daemon/src/known_state.ts
@@ -15,10 +15,11 @@
   return known.every((engine) => heard.has(roleOf(engine)));
 }
 
-/** Whether calls to an engine succeed; `null` if this instance uses it not. */
-export function isUsable(fleet: EngineFleet, engine: string): boolean | null {
-  const known = fleet.engines().find(({ settings }) => settings.id === engine);
-  return known?.usable ?? null;
+/** Whether calls succeed to each engine that this instance uses. */
+export function listUsable(fleet: EngineFleet): ReadonlyMap<string, boolean> {
+  return new Map(
+    fleet.engines().map(({ settings, usable }) => [settings.id, usable]),
+  );
 }
 
 /** The highest note that an engine says it was ordered under. */
--- a/packages/placement/src/engine_controller.ts
+++ b/packages/placement/src/engine_controller.ts
@@ -117,8 +117,9 @@
         confirmed.delete(engine.id);
       }
     }
-    // What a placed engine is to hold depends on what it holds already.
-    if (!wantedOf(engine, record)) await readState(engine);
+    // What a placed engine is to hold depends on what it holds already, and
+    // one that was silent may have been restarted.
+    if (placer?.isUnread(engine.id)) await readState(engine);
     const wanted = wantedOf(engine, record);
     return wanted ? order(engine, { wanted, record }) : "retry";
   }
@@ -180,7 +181,7 @@
       fencingNumber,
     });
     if (result.kind === "ok") {
-      placer?.observe(engine.id, result.state);
+      placer?.observe(engine.id, result.state, { isOrdered: true });
       return takeState(result.state, { engine, wanted });
     }
     if (result.kind !== "fenced") placer?.observe(engine.id, null);
--- a/packages/placement/src/mod.ts
+++ b/packages/placement/src/mod.ts
@@ -2,6 +2,7 @@
 export * from "./candidates.ts";
 export * from "./control_lease.ts";
 export * from "./engine_controller.ts";
+export * from "./engine_kinds.ts";
 export * from "./fencing_number.ts";
 export * from "./layer_split.ts";
 export * from "./placer.ts";
--- a/packages/placement/src/placer.ts
+++ b/packages/placement/src/placer.ts
@@ -8,20 +8,19 @@
   NoteRecord,
   PlacementSettings,
 } from "@rosemarypin/schemas";
-import { createLogger } from "@rosemarypin/telemetry";
+import type { Metrics } from "@rosemarypin/telemetry";
 import type { ControlLease } from "./control_lease.ts";
 import { createEngineLoads } from "./engine_loads.ts";
 import { createEnginePresence } from "./engine_presence.ts";
 import { listPlacedModels, listPlanEngines } from "./placed_models.ts";
 import { createPlacedState, type PlacedState } from "./placed_state.ts";
+import { forgetPlan, reportPlan } from "./plan_report.ts";
 import { planWithRoom, type RoomPlan } from "./plan_room.ts";
 import type { WantedState } from "./wanted_layers.ts";
 
 /** How often the plan is compared with what has changed. */
 const TICK_MS = 250;
 
-const log = createLogger("placement");
-
 export interface PlacerOptions {
   readonly failureDomain: string;
   /** The domain's engines; those with roles are left alone. */
@@ -30,18 +29,25 @@
   readonly keeper: Pick<NoteKeeper, "applied" | "onChange">;
   readonly lease: Pick<ControlLease, "held">;
   readonly loader: Pick<WeightLoader, "load">;
-  /** Whether calls to an engine succeed, as this instance knows. */
-  readonly isUsable?: (engine: string) => boolean | null;
+  /** Whether calls succeed to the engines that this instance uses. */
+  readonly usable?: () => ReadonlyMap<string, boolean>;
+  readonly metrics?: Metrics;
 }
 
 /** Says what engines without roles are to hold. */
 export interface Placer {
   /** Whether the engine's layers are decided here. */
   places(engine: string): boolean;
+  /** Whether what the engine holds has to be read before it is ordered. */
+  isUnread(engine: string): boolean;
   /** What to order now; `null` until the engine was read or is lost. */
   wanted(engine: string, record: NoteRecord): WantedState | null;
   /** Takes the engine's state, or `null` when it does not answer. */
-  observe(engine: string, state: EngineState | null): void;
+  observe(
+    engine: string,
+    state: EngineState | null,
+    options?: { readonly isOrdered: boolean },
+  ): void;
   /** Called with engines to be looked at; returns how to stop. */
   onChange(listener: (engines: readonly string[]) => void): () => void;
   /** The plan in use, for tests and status; `null` while there is none. */
@@ -51,7 +57,8 @@
 
 /** Starts to plan whenever the lease is held. */
 export function createPlacer(options: PlacerOptions): Placer {
-  const { settings, keeper, lease } = options;
+  const { settings, keeper, lease, metrics } = options;
+  const domain = options.failureDomain;
   const engines = options.engines.filter(({ roles }) => roles.length === 0);
   const ids = engines.map(({ id }) => id);
   const placed = new Set(ids);
@@ -88,6 +95,7 @@
   function follow(fencingNumber: number | null): void {
     if (fencingNumber === tenure) return;
     tenure = fencingNumber;
+    forgetPlan({ domain, models: settings.models, metrics });
     states.clear();
     told.clear();
     loads.stop();
@@ -101,9 +109,12 @@
     follow(lease.held()?.fencingNumber ?? null);
     const record = keeper.applied();
     if (tenure === null || !record) return;
+    const usable = options.usable?.();
     const doubtful = ids.filter((engine) => {
-      const isUsable = options.isUsable?.(engine) ?? null;
-      return isUsable !== null && isUsable !== presence.answers(engine);
+      const isUsable = usable?.get(engine);
+      // One that is leaving answers, and is not to be used.
+      if (states.get(engine)?.leaving) return false;
+      return isUsable !== undefined && isUsable !== presence.answers(engine);
     });
     if (doubtful.length > 0) tell(doubtful);
     void replan(record);
@@ -135,7 +146,8 @@
     plan = made;
     plannedFor = key;
     view = null;
-    describe(made, performance.now() - startedAt);
+    const tookMs = performance.now() - startedAt;
+    reportPlan(made, { domain, models: settings.models, tookMs, metrics });
   }
 
   /**
@@ -155,19 +167,6 @@
     return planned.length > 0 ? planned : (states.get(engine)?.held ?? []);
   }
 
-  function describe(made: RoomPlan, tookMs: number): void {
-    log.info("placement_planned", {
-      domain: options.failureDomain,
-      pipelines: made.pipelines.length,
-      moved_megabytes: Math.round(made.movedMegabytes),
-      took_ms: Math.round(tookMs),
-    });
-    for (const { model, kind } of made.shortages) {
-      const domain = options.failureDomain;
-      log.warn("placement_short", { domain, model, kind });
-    }
-  }
-
   function followLoads({ missing }: PlacedState): void {
     for (const engine of ids) {
       loads.follow(engine, presence.answers(engine) ? missing(engine) : []);
@@ -211,18 +210,23 @@
       const isLost = presence.isSettled() && !presence.live().includes(engine);
       return isLost ? stateFor(record).wanted(engine) : null;
     },
-    observe(engine, state) {
+    isUnread: (engine) =>
+      placed.has(engine) && !(states.has(engine) && presence.answers(engine)),
+    observe(engine, state, { isOrdered } = { isOrdered: false }) {
       if (!placed.has(engine)) return;
       if (presence.answers(engine) !== (state !== null)) view = null;
       if (!state) return presence.silent(engine);
       presence.heard(engine, { leaving: state.leaving });
       const before = states.get(engine);
-      states.set(engine, state);
-      if (before && before.incarnation !== state.incarnation) {
-        loads.forget(engine);
-      }
-      loads.settle(engine, state.held);
-      if (JSON.stringify(before?.held) === JSON.stringify(state.held)) return;
+      const isRestarted = before && before.incarnation !== state.incarnation;
+      if (isRestarted) loads.forget(engine);
+      // The order named layers that the engine had before it was restarted.
+      // Its memory is empty: whatever it says, it has no weights for them.
+      const isEmptied = isRestarted && isOrdered;
+      const held = isEmptied ? [] : state.held;
+      states.set(engine, { ...state, held });
+      loads.settle(engine, held);
+      if (JSON.stringify(before?.held) === JSON.stringify(held)) return;
       view = null;
     },
     onChange(listener) {
--- a/packages/placement/src/placer_test.ts
+++ b/packages/placement/src/placer_test.ts
@@ -23,7 +23,10 @@
     { name: "fast", memoryMegabytes: 9, batchMs: 2, layerMs: 1 },
     { name: "small", memoryMegabytes: 6, batchMs: 2, layerMs: 1 },
   ],
-  models: [{ model: MODEL, layerMegabytes: 1, kvMegabytes: 1 }],
+  models: [
+    { model: MODEL, layerMegabytes: 1, kvMegabytes: 1 },
+    { model: "drafts", layerMegabytes: 1, kvMegabytes: 1 },
+  ],
 });
 
 function createEngines(count: number, accelerator = "fast"): EngineSettings[] {
@@ -42,20 +45,37 @@
   return serveVersions({ number, model: MODEL, versions, layers: LAYERS });
 }
 
+/** The same note with a version of a second model. */
+function withDrafts(record: NoteRecord): NoteRecord {
+  const { number } = record;
+  const options = { number, model: "drafts", versions: ["d1"], layers: LAYERS };
+  const { models } = serveVersions(options).catalogue;
+  const { catalogue } = record;
+  return {
+    ...record,
+    catalogue: { ...catalogue, models: { ...catalogue.models, ...models } },
+  };
+}
+
 /** A weight store that serves at once, or when it is told to. */
-function createStore() {
+function createStore(onAsked: (engine: string) => void = () => {}) {
   const waiting: (() => void)[] = [];
   const asked: string[] = [];
   let isDown = false;
   return {
     asked,
     stop: () => (isDown = true),
+    /** Serves the first of those that wait. */
+    serve(count: number) {
+      for (const serve of waiting.splice(0, count)) serve();
+    },
     start() {
       isDown = false;
       for (const serve of waiting.splice(0)) serve();
     },
     load({ engine, version }: { engine: string; version: string }) {
       asked.push(`${engine} ${version}`);
+      onAsked(engine);
       if (!isDown) return Promise.resolve(true);
       return new Promise<boolean>((resolve) =>
         waiting.push(() => resolve(true)),
@@ -125,12 +145,16 @@
 async function startDomain(count: number, accelerator?: string) {
   const engines = createEngines(count, accelerator);
   const client = createOrderedEngines(engines);
-  const store = createStore();
+  /** What an engine held whenever it was to load something. */
+  const heldWhenAsked: string[] = [];
+  const store = createStore((engine) => {
+    heldWhenAsked.push(client.held(engine).join(" "));
+  });
   const record = note(1, "v1");
   const instance = startInstance(engines, { client, record, store });
   instance.hold(1);
   await pass(3 * SECOND);
-  return { engines, client, store, ...instance };
+  return { engines, client, store, heldWhenAsked, ...instance };
 }
 
 const pass = (durationMs: number) => vi.advanceTimersByTimeAsync(durationMs);
@@ -183,6 +207,8 @@
     apply(note(2, "v2", "v1"));
     await pass(3 * SECOND);
     expect(store.asked.filter((line) => line.endsWith("v2"))).toHaveLength(4);
+    store.serve(3);
+    await pass(3 * SECOND);
     expect(heldBy(client, engines).join(" ")).not.toContain("v2");
     expect(heldBy(client, engines)[0]).toBe("assist/v1:0-2");
     store.start();
@@ -196,7 +222,7 @@
   it("never lose the last whole version to make room", async () => {
     // v2 and v3 are added in a row, and there is room for two versions. With
     // both preferred ones on their way, v1 is all that answers.
-    const { engines, client, store, apply } = await startDomain(4);
+    const { engines, client, store, apply } = await startDomain(4, "small");
     store.stop();
     apply(note(2, "v2", "v1"));
     await pass(SECOND);
@@ -211,6 +237,57 @@
   });
 });
 
+describe("a change that takes its time", () => {
+  it("leaves the note in force while weights are loaded", async () => {
+    // A note is in force when engines have only what it allows. If each load
+    // took the confirmation back, the status would go to and fro for minutes.
+    const { store, apply, controller } = await startDomain(4);
+    store.stop();
+    apply(note(2, "v2", "v1"));
+    await pass(SECOND);
+    store.start();
+    for (let step = 0; step < 100; step++) {
+      const confirmed = controller.confirmations();
+      expect(confirmed.map((one) => one.confirmed)).toEqual([2, 2, 2, 2]);
+      await pass(20);
+    }
+  });
+
+  it("keeps layers that are planned no more until the plan is held", async () => {
+    // A second model is added, and the third pipeline of the first is given
+    // up for it. Dropped before the new weights have come, its engines would
+    // stand idle for as long as the store takes.
+    const { engines, client, store, apply } = await startDomain(8);
+    store.stop();
+    apply(withDrafts(note(2, "v1")));
+    await pass(3 * SECOND);
+    expect(store.asked.filter((line) => line.endsWith("d1"))).not.toEqual([]);
+    const meanwhile = heldBy(client, engines);
+    expect(meanwhile.every((held) => held.startsWith("assist/v1"))).toBe(true);
+    store.start();
+    await pass(3 * SECOND);
+    const models = heldBy(client, engines).map((held) => held.split("/")[0]);
+    expect(models.filter((model) => model === "drafts")).toHaveLength(4);
+  });
+
+  it("has an engine drop layers before it loads in their place", async () => {
+    // v3 is added where two versions fit. Loaded while v1 is still there, it
+    // would take the memory of the KV caches, and answers would fail.
+    const domain = await startDomain(4, "small");
+    domain.apply(note(2, "v2", "v1"));
+    await pass(3 * SECOND);
+    const before = domain.heldWhenAsked.length;
+    domain.apply(note(3, "v3", "v2", "v1"));
+    await pass(3 * SECOND);
+    const held = domain.heldWhenAsked.slice(before);
+    expect(held).toHaveLength(4);
+    for (const versions of held) expect(versions).not.toContain("v1");
+    for (const versions of heldBy(domain.client, domain.engines)) {
+      expect(versions).toContain("v3");
+    }
+  });
+});
+
 describe("an engine that goes away", () => {
   it("keeps its place for a while, and loses it then", async () => {
     // An engine is silent. Given to others at once, its layers would be moved
@@ -255,6 +332,18 @@
     expect(store.asked.slice(loads)).toEqual(["engine-1 v1"]);
   });
 
+  it("is given its weights again when it restarted unseen", async () => {
+    // An engine restarts, and before anybody has read it a note is ordered.
+    // The order states layers that the engine had: its memory is empty.
+    const { client, store, apply } = await startDomain(4);
+    const loads = store.asked.length;
+    client.bringBack("engine-1", { isRestarted: true });
+    apply(note(2, "v1"));
+    await pass(3 * SECOND);
+    expect(store.asked.slice(loads)).toEqual(["engine-1 v1"]);
+    expect(client.held("engine-1")).toEqual(["assist/v1:0-2"]);
+  });
+
   it("does not move anything by a load that is reported wrongly", async () => {
     const { engines, client } = await startDomain(4);
     const before = heldBy(client, engines);
@@ -312,4 +401,28 @@
     expect(heldBy(client, engines)).toEqual(before);
     expect(store.asked).toEqual([]);
   });
+
+  it("is not undone by a holder whose lease comes back", async () => {
+    // A holder loses its lease for a while. Meanwhile the next one gives the
+    // layers of a machine that restarts slowly to an idle one. The plan that
+    // the first holder still has would move them back.
+    const domain = await startDomain(5);
+    const { engines, client, store } = domain;
+    domain.lose();
+    await pass(SECOND);
+    client.silence("engine-1");
+    const next = startInstance(engines, { client, record: note(1, "v1") });
+    next.hold(2);
+    await pass(15 * SECOND);
+    client.bringBack("engine-1", { isRestarted: true });
+    await pass(40 * SECOND);
+    next.lose();
+    const before = heldBy(client, engines);
+    expect(before).toContain("");
+    const loads = store.asked.length;
+    domain.hold(3);
+    await pass(5 * SECOND);
+    expect(heldBy(client, engines)).toEqual(before);
+    expect(store.asked).toHaveLength(loads);
+  });
 });
--- a/packages/stand_ins/src/engine/engine_routes.ts
+++ b/packages/stand_ins/src/engine/engine_routes.ts
@@ -9,6 +9,7 @@
 import type { Attempts } from "./attempts.ts";
 import type { EngineMessages } from "./engine_messages.ts";
 import type { OrderState } from "./order_state.ts";
+import type { Sequence } from "./sequence.ts";
 import type { SequenceTable } from "./sequence_table.ts";
 import type { EngineMessage } from "./step.ts";
 
@@ -42,12 +43,24 @@
     }
     for (const sequence of [...table.allRunning()]) {
       if (order.holds(sequence.request, sequence.stage)) continue;
+      tellFirstStage(sequence);
       attempts.stop(sequence, { reason: "no longer held" });
     }
     table.dropParked(({ request, stage }) => order.holds(request, stage));
     reply(response, 200, describeState());
   }
 
+  /** Without a word the first stage would wait for tokens in vain. */
+  function tellFirstStage({ request, stage, emit }: Sequence): void {
+    if (emit) return;
+    const { requestId, attempt } = request;
+    const step = { requestId, attempt, stage, position: 0, inputs: [] };
+    messages.reportLost([{ type: "step", ...step }], {
+      cause: "unreachable",
+      reason: "no longer held",
+    });
+  }
+
   function takeFaults({ response, body }: JsonExchange): void {
     const faults = engineFaultsSchema.parse(body);
     options.setFaults(faults);
--- a/packages/stand_ins/src/engine/engine_test.ts
+++ b/packages/stand_ins/src/engine/engine_test.ts
@@ -160,3 +160,27 @@
 test("an engine says that it knows nothing of a request", async () => {
   expect(await sendToLast(step(1, false))).toEqual({ unknown: ["answer-1"] });
 });
+
+/**
+ * Placement takes a later stage's layers away while an answer runs. Left to
+ * itself, the first stage would wait for tokens until the answer is given up
+ * on as silent; told, the answer goes on elsewhere at once.
+ */
+test("an engine that loses its layers tells the first stage", async () => {
+  const [first, last] = group.engines;
+  if (!first || !last) throw new Error("the group has two engines");
+  const body = JSON.stringify({ ...attempt(1), maxTokens: 100_000 });
+  const url = `http://127.0.0.1:${first.address.port}/attempts`;
+  const running = await request(url, { method: "POST", body });
+  const order = { fencingNumber: 9, noteNumber: 1, hold: [], adapters: [] };
+  await settle();
+  const ordered = `http://127.0.0.1:${last.address.port}/order`;
+  await request(ordered, { method: "POST", body: JSON.stringify(order) });
+  const lines = (await running.body.text()).trim().split("\n");
+  const lost = lines.find((line) => line.includes("stage_lost"));
+  expect(JSON.parse(lost ?? "{}")).toMatchObject({
+    stage: 1,
+    cause: "unreachable",
+    reason: "no longer held",
+  });
+});
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -105,6 +105,12 @@
       help: "Answers and calls in progress",
       registers,
     }),
+    plannedPipelines: new Gauge({
+      name: "rosemarypin_planned_pipelines",
+      help: "Pipelines that the holder of a domain's lease plans, by model",
+      labelNames: ["domain", "model"] as const,
+      registers,
+    }),
     queued: new Gauge({
       name: "rosemarypin_queued",
       help: "Requests that wait for a pipeline",
