--- a/packages/schemas/src/settings.ts
+++ b/packages/schemas/src/settings.ts
@@ -7,10 +7,31 @@
 
 const addressesSchema = z.strictObject({
   callers: addressSchema,
+  /** Where the instance listens for peers, and speaks to them from. */
   peers: addressSchema,
+  /**
+   * Where peers reach the instance, if that is not where it listens: behind
+   * address translation, nobody else can use the address that it binds.
+   */
+  advertisedPeers: addressSchema.optional(),
   admin: addressSchema,
 });
 
+/** Limits of one organisation over all instances, averaged over 20 s. */
+const organisationLimitsSchema = z
+  .strictObject({
+    /** Answers and service calls together. */
+    requestsPerSecond: z.number().positive().optional(),
+    /** Tokens that answers ask for at most (`max_tokens`). */
+    tokensPerSecond: z.number().positive().optional(),
+  })
+  .refine(
+    ({ requestsPerSecond, tokensPerSecond }) =>
+      requestsPerSecond !== undefined || tokensPerSecond !== undefined,
+    "expected requestsPerSecond, tokensPerSecond or both",
+  );
+export type OrganisationLimits = z.infer<typeof organisationLimitsSchema>;
+
 const organisationSchema = z.strictObject({
   name: nameSchema,
   /** SHA-256 of the organisation's key, in hexadecimal. */
@@ -18,6 +39,8 @@
   /** Share of the capacity relative to other organisations. */
   weight: z.number().positive().default(1),
   priority: prioritySchema.default("standard"),
+  /** No limits when left out. */
+  limits: organisationLimitsSchema.optional(),
 });
 export type Organisation = z.infer<typeof organisationSchema>;
 
--- a/packages/stand_ins/src/engine/batch_loop.ts
+++ b/packages/stand_ins/src/engine/batch_loop.ts
@@ -1,6 +1,7 @@
 /** Batches continuously: each batch takes what has come in the meantime. */
 import type { LayerRange } from "@rosemarypin/schemas";
 import type { EngineSpeed } from "../stand_in_settings.ts";
+import type { PromptMeter } from "./prompt_meter.ts";
 import { batchDurationMs, createBatchClock } from "./speed.ts";
 import type { StepMessage } from "./step.ts";
 
@@ -12,6 +13,7 @@
   readonly killed: AbortSignal | undefined;
   /** Resolves while the engine is not frozen. */
   readonly whenRunning: (() => Promise<void>) | undefined;
+  readonly meter: PromptMeter;
   /** Runs the steps of a batch, when its time has passed. */
   runSteps(steps: readonly StepMessage[]): void;
 }
@@ -20,7 +22,7 @@
 export function createBatchLoop(
   options: BatchLoopOptions,
 ): (step: StepMessage) => void {
-  const { speed, killed, whenRunning, runSteps } = options;
+  const { speed, killed, whenRunning, runSteps, meter } = options;
   const inbox: StepMessage[] = [];
   const clock = createBatchClock();
   let isBatching = false;
@@ -31,7 +33,9 @@
     let waitingSince = performance.now();
     while (inbox.length > 0) {
       const steps = inbox.splice(0, speed.batchSize);
-      await clock.run(durationOf(steps), waitingSince);
+      const durationMs = durationOf(steps);
+      await clock.run(durationMs, waitingSince);
+      meter.observe(durationMs, promptTokensOf(steps) * countLayers());
       waitingSince = inbox.length > 0 ? 0 : performance.now();
       await whenRunning?.();
       if (killed?.aborted) return;
@@ -40,13 +44,16 @@
     isBatching = false;
   }
 
-  function durationOf(steps: readonly StepMessage[]): number {
+  function countLayers(): number {
     const { from, to } = options.layers();
-    const tokens = steps.reduce((sum, { inputs }) => sum + inputs.length, 0);
+    return to - from;
+  }
+
+  function durationOf(steps: readonly StepMessage[]): number {
     return batchDurationMs(speed, {
-      layers: to - from,
+      layers: countLayers(),
       decodeTokens: steps.length,
-      promptTokens: tokens - steps.length,
+      promptTokens: promptTokensOf(steps),
     });
   }
 
@@ -55,3 +62,8 @@
     void batch();
   };
 }
+
+function promptTokensOf(steps: readonly StepMessage[]): number {
+  const tokens = steps.reduce((sum, { inputs }) => sum + inputs.length, 0);
+  return tokens - steps.length;
+}
--- a/packages/stand_ins/src/engine/engine_state.ts
+++ b/packages/stand_ins/src/engine/engine_state.ts
@@ -1,7 +1,10 @@
 /** What an engine reports about itself. */
 import type { EngineState } from "@rosemarypin/schemas";
 import type { EngineStandInSettings } from "../stand_in_settings.ts";
+import { cacheBytesOf } from "./cache_export.ts";
 import type { OrderState } from "./order_state.ts";
+import type { PromptMeter } from "./prompt_meter.ts";
+import type { SendMeter } from "./send_meter.ts";
 import type { SequenceTable } from "./sequence_table.ts";
 
 /** Describes the engine as it is now. */
@@ -11,9 +14,11 @@
     readonly incarnation: number;
     readonly order: OrderState;
     readonly table: SequenceTable;
+    readonly prompts: PromptMeter;
+    readonly sends: SendMeter;
   },
 ): EngineState {
-  const { incarnation, order, table } = options;
+  const { incarnation, order, table, prompts, sends } = options;
   const { fencingNumber, noteNumber, hold, adapters } = order.current();
   const running = countRunning(table);
   return {
@@ -29,6 +34,9 @@
     running,
     leaving: order.isLeaving(),
     load: running.reduce((sum, { count }) => sum + count, 0),
+    cacheBytes: cacheBytesOf(settings.speed),
+    promptMicros: prompts.micros(),
+    sendMs: sends.leastMs(),
   };
 }
 
--- a/packages/stand_ins/src/engine/order_state.ts
+++ b/packages/stand_ins/src/engine/order_state.ts
@@ -6,8 +6,9 @@
   current(): EngineOrder;
   /** Returns false when the order is refused for an old fencing number. */
   take(next: EngineOrder): boolean;
+  holds(answer: Pick<AttemptRequest, "model" | "version">): boolean;
   /** Whether the layers of a stage of the answer are held. */
-  holds(answer: AttemptRequest, stage: number): boolean;
+  holdsStage(answer: AttemptRequest, stage: number): boolean;
   leave(): void;
   isLeaving(): boolean;
 }
@@ -32,7 +33,11 @@
       order = next;
       return true;
     },
-    holds({ model, version, stages }, stage) {
+    holds: ({ model, version }) =>
+      order.hold.some(
+        (held) => held.model === model && held.version === version,
+      ),
+    holdsStage({ model, version, stages }, stage) {
       const wanted = stages[stage]?.layers;
       return order.hold.some(
         ({ layers, ...held }) =>
--- a/packages/stand_ins/src/engine/order_state_test.ts
+++ b/packages/stand_ins/src/engine/order_state_test.ts
@@ -33,8 +33,8 @@
   it("is enough for a stage only with all its layers", () => {
     // Placement moves layers 6 to 8 away after an instance has read the
     // engine. The stage it planned must be refused: nobody would run them.
-    expect(holding(4, 8).holds(attempt, 1)).toBe(true);
-    expect(holding(0, 12).holds(attempt, 1)).toBe(true);
-    expect(holding(4, 6).holds(attempt, 1)).toBe(false);
+    expect(holding(4, 8).holdsStage(attempt, 1)).toBe(true);
+    expect(holding(0, 12).holdsStage(attempt, 1)).toBe(true);
+    expect(holding(4, 6).holdsStage(attempt, 1)).toBe(false);
   });
 });
