--- a/packages/placement/src/group_deal.ts
+++ b/packages/placement/src/group_deal.ts
@@ -7,18 +7,26 @@
 /** Halvings of a range of times; far finer than one layer. */
 const HALVINGS = 40;
 
+export interface DealOptions {
+  /** The model of each group. */
+  readonly wanted: readonly PlanModel[];
+  /** What an engine counts by: layers run in a time, or held in memory. */
+  readonly by: "time" | "memory";
+}
+
 /**
  * Gives each engine, the fastest first, to the group that has the least part
  * of its layers so far.
  */
 export function dealKinds(
   kinds: readonly EngineKind[],
-  wanted: readonly PlanModel[],
+  { wanted, by }: DealOptions,
 ): KindGroup[] {
   const groups = wanted.map((model) => ({ model, kinds: [] as number[] }));
   if (groups.length === 0) return groups;
   const share = createShares(kinds);
-  const limitMs = commonLimitMs(kinds, { wanted, share });
+  const limitMs =
+    by === "time" ? commonLimitMs(kinds, { wanted, share }) : LONGEST_MS;
   const parts = groups.map(() => 0);
   kinds.forEach((kind, index) => {
     for (const _engine of kind.engines) {
--- a/packages/placement/src/group_search.ts
+++ b/packages/placement/src/group_search.ts
@@ -69,11 +69,22 @@
     };
   }
 
-  function search(
+  /**
+   * Where memory is nearly all needed, groups dealt by speed can lack some
+   * that single moves do not bring together: a spare would be missed.
+   */
+  async function search(
     wanted: readonly PlanModel[],
     passes: number,
   ): Promise<Candidate> {
-    return improve(dealKinds(kinds, wanted), passes);
+    const byTime = dealKinds(kinds, { wanted, by: "time" });
+    const found = await improve(byTime, passes);
+    const isWhole = found.groups.every(
+      ({ model, kinds: members }) => times.slowestMs(model, members) < Infinity,
+    );
+    if (isWhole) return found;
+    const byMemory = dealKinds(kinds, { wanted, by: "memory" });
+    return better(found, await improve(byMemory, passes));
   }
 
   async function improve(
