--- a/packages/stand_ins/src/engine/batch_loop.ts
+++ b/packages/stand_ins/src/engine/batch_loop.ts
@@ -8,7 +8,7 @@
 export interface BatchLoopOptions {
   readonly speed: EngineSpeed;
   /** Layers that each position of a step passes through. */
-  readonly layers: LayerRange;
+  readonly layers: () => LayerRange;
   /** Aborts when the engine is killed: nothing runs from then on. */
   readonly killed: AbortSignal | undefined;
   /** Resolves while the engine is not frozen. */
@@ -23,7 +23,6 @@
   options: BatchLoopOptions,
 ): (step: StepMessage) => void {
   const { speed, killed, whenRunning, runSteps, meter } = options;
-  const layers = options.layers.to - options.layers.from;
   const inbox: StepMessage[] = [];
   const clock = createBatchClock();
   let isBatching = false;
@@ -36,7 +35,7 @@
       const steps = inbox.splice(0, speed.batchSize);
       const durationMs = durationOf(steps);
       await clock.run(durationMs, waitingSince);
-      meter.observe(durationMs, promptTokensOf(steps) * layers);
+      meter.observe(durationMs, promptTokensOf(steps) * countLayers());
       waitingSince = inbox.length > 0 ? 0 : performance.now();
       await whenRunning?.();
       if (killed?.aborted) return;
@@ -45,9 +44,14 @@
     isBatching = false;
   }
 
+  function countLayers(): number {
+    const { from, to } = options.layers();
+    return to - from;
+  }
+
   function durationOf(steps: readonly StepMessage[]): number {
     return batchDurationMs(speed, {
-      layers,
+      layers: countLayers(),
       decodeTokens: steps.length,
       promptTokens: promptTokensOf(steps),
     });
