Count an engine's steps from when they were due, not from when a busy machine brought them

Ruled out: oscillating windows (fixed windows of 14 gave the same spread), prefill (1 ms a prompt).

Now the time of a batch is counted from when its step was due, and a link's time from when the batch was due to end. Returns to the first stage still carry the socket's lateness.

--- a/packages/stand_ins/src/engine/batch_loop.ts
+++ b/packages/stand_ins/src/engine/batch_loop.ts
@@ -1,6 +1,7 @@
 /** Batches continuously: each batch takes what has come in the meantime. */
 import type { LayerRange } from "@rosemarypin/schemas";
 import type { EngineSpeed } from "../stand_in_settings.ts";
+import { arrivalOf } from "./due_time.ts";
 import { batchDurationMs, createBatchClock } from "./speed.ts";
 import type { StepMessage } from "./step.ts";
 
@@ -12,8 +13,9 @@
   readonly killed: AbortSignal | undefined;
   /** Resolves while the engine is not frozen. */
   readonly whenRunning: (() => Promise<void>) | undefined;
-  /** Runs the steps of a batch, when its time has passed. */
-  runSteps(steps: readonly StepMessage[]): void;
+  /** Runs the steps of a batch, when its time has passed; `endedAt` is when
+   * it was to end, as a `performance.now()` time. */
+  runSteps(steps: readonly StepMessage[], endedAt: number): void;
 }
 
 /** Creates a loop; returns how to give it a step. */
@@ -29,14 +31,14 @@
   async function batch(): Promise<void> {
     if (isBatching) return;
     isBatching = true;
-    let waitingSince = performance.now();
+    let waitingSince = inbox[0] ? arrivalOf(inbox[0]) : performance.now();
     while (inbox.length > 0) {
       const steps = inbox.splice(0, speed.batchSize);
-      await clock.run(durationOf(steps), waitingSince);
+      const endedAt = await clock.run(durationOf(steps), waitingSince);
       waitingSince = inbox.length > 0 ? 0 : performance.now();
       await whenRunning?.();
       if (killed?.aborted) return;
-      runSteps(steps);
+      runSteps(steps, endedAt);
     }
     isBatching = false;
   }
--- a/packages/stand_ins/src/engine/engine.ts
+++ b/packages/stand_ins/src/engine/engine.ts
@@ -58,7 +58,7 @@
     layers: settings.roles[0]?.layers ?? { from: 0, to: 0 },
     killed: hooks.killed,
     whenRunning: hooks.whenRunning,
-    runSteps: (steps) => dispatch(steps.flatMap(runStep)),
+    runSteps: (steps, endedAt) => dispatch(steps.flatMap(runStep), endedAt),
   });
   const shared = { incarnation, table, order, dispatch, enqueue };
   const attempts = createAttempts(shared);
--- a/packages/stand_ins/src/engine/engine_link.ts
+++ b/packages/stand_ins/src/engine/engine_link.ts
@@ -3,6 +3,7 @@
 import { type Address, formatAddress } from "@rosemarypin/schemas";
 import { pause } from "@rosemarypin/timing";
 import { Agent, request } from "undici";
+import { withDueTime } from "./due_time.ts";
 import type { Outgoing } from "./outgoing.ts";
 import type { EngineMessage, StepsReply } from "./step.ts";
 
@@ -31,7 +32,7 @@
 /** Creates the sending half; returns how to send. */
 export function createEngineLink(
   options: EngineLinkOptions,
-): (outgoing: readonly Outgoing[]) => void {
+): (outgoing: readonly Outgoing[], leftAt?: number) => void {
   const agent = new Agent({ connect: { timeout: SEND_TIMEOUT_MS } });
   const own = formatAddress(options.own);
 
@@ -47,18 +48,21 @@
   async function send(
     address: string,
     messages: readonly EngineMessage[],
+    leftAt: number,
   ): Promise<void> {
     if (address === own) {
       for (const message of messages) options.receive(message);
       return;
     }
-    await pause(options.linkMs());
+    const dueAt = leftAt + options.linkMs();
+    await pause(Math.max(0, dueAt - performance.now()));
     const repeat = (late: readonly EngineMessage[]) =>
       void post(address, late).then(
         ({ body }) => body.dump(),
         () => {},
       );
-    const arriving = (await options.fault?.(messages, repeat)) ?? messages;
+    const sent = messages.map((message) => withDueTime(message, dueAt));
+    const arriving = (await options.fault?.(sent, repeat)) ?? sent;
     if (arriving.length === 0) return;
     try {
       const response = await post(address, arriving);
@@ -74,7 +78,7 @@
   }
 
   /** Sends all messages for one engine in one call. */
-  return (outgoing) => {
+  return (outgoing, leftAt = performance.now()) => {
     const byAddress = new Map<string, EngineMessage[]>();
     for (const { to, message } of outgoing) {
       const address = formatAddress(to);
@@ -82,6 +86,7 @@
       messages.push(message);
       byAddress.set(address, messages);
     }
-    for (const [address, messages] of byAddress) void send(address, messages);
+    for (const [address, messages] of byAddress)
+      void send(address, messages, leftAt);
   };
 }
--- a/packages/stand_ins/src/engine/speed.ts
+++ b/packages/stand_ins/src/engine/speed.ts
@@ -22,11 +22,14 @@
 export function createBatchClock() {
   let plannedEnd = 0;
   return {
-    /** Resolves when a batch that waited since `waitingSince` is done. */
-    async run(durationMs: number, waitingSince: number): Promise<void> {
+    /** Resolves, with its planned end, when a batch that waited since
+     * `waitingSince` is done. */
+    async run(durationMs: number, waitingSince: number): Promise<number> {
       plannedEnd = Math.max(plannedEnd, waitingSince) + durationMs;
       const waitMs = plannedEnd - performance.now();
+      const end = plannedEnd;
       if (waitMs > 0) await new Promise((done) => setTimeout(done, waitMs));
+      return end;
     },
   };
 }
--- a/packages/stand_ins/src/engine/step.ts
+++ b/packages/stand_ins/src/engine/step.ts
@@ -10,6 +10,8 @@
   /** Position of the first input. */
   readonly position: number;
   readonly inputs: readonly number[];
+  /** When the step was to arrive, in milliseconds since the epoch. */
+  readonly dueAt?: number;
   /** Sent with the first step, which opens the sequence. */
   readonly open?: AttemptRequest;
 }
