--- /dev/null
+++ b/packages/routing/src/engine_partners_test.ts
@@ -0,0 +1,58 @@
+import type { KnownEngine } from "@rosemarypin/backends";
+import { describe, expect, it } from "vitest";
+import { arePartners, withPlaces } from "./engine_partners.ts";
+
+function holder(id: string, failureDomain: string, from: number) {
+  const layers = { from, to: from + 4 };
+  const engine: KnownEngine = {
+    settings: {
+      id,
+      failureDomain,
+      address: { host: "127.0.0.1", port: 1 },
+      accelerator: "fast",
+      checksFencing: true,
+      roles: [],
+    },
+    state: null,
+    usable: true,
+    inFlight: 0,
+  };
+  return { engine, layers };
+}
+
+/** Pairs of partners between the layers from 0 and those from 4. */
+function partnersOf(holders: readonly ReturnType<typeof holder>[]): string[] {
+  const placed = withPlaces(holders);
+  const firsts = placed.filter(({ layers }) => layers.from === 0);
+  const seconds = placed.filter(({ layers }) => layers.from === 4);
+  return firsts.flatMap((first) =>
+    seconds
+      .filter((second) => arePartners(first, second))
+      .map(
+        (second) => `${first.engine.settings.id} ${second.engine.settings.id}`,
+      ),
+  );
+}
+
+describe("partners among engines", () => {
+  const engines = [
+    holder("a1", "dar", 0),
+    holder("a2", "tanga", 0),
+    holder("b1", "dar", 4),
+    holder("b2", "tanga", 4),
+  ];
+
+  it("are the same for all instances, and of one failure domain", () => {
+    const expected = ["a1 b1", "a2 b2"];
+    expect(partnersOf(engines)).toEqual(expected);
+    expect(partnersOf([...engines].reverse())).toEqual(expected);
+  });
+
+  it("leave no engine without one when counts differ", () => {
+    // One engine of three is lost. Were the last one left without a partner,
+    // every answer through it would cross, and its work would pile up where
+    // the others have theirs.
+    const three = [...engines, holder("a3", "unguja", 0)];
+    expect(partnersOf(three)).toEqual(["a1 b1", "a2 b1", "a2 b2", "a3 b2"]);
+  });
+});
--- a/packages/routing/src/pipeline_choice_test.ts
+++ b/packages/routing/src/pipeline_choice_test.ts
@@ -139,4 +139,18 @@
     expect(choose(engines, { adapter: "harvest" })).toBe("a b");
     expect(choose(engines, { adapter: "other" })).toBe("uncovered");
   });
+
+  it("keeps to partners, unless they are much fuller than others", () => {
+    // Answers that change between pipelines wait in another queue for each
+    // token, and callers see them come unevenly. An engine that is much
+    // fuller than its like must be left out all the same.
+    const engines = (inFlight: number) => [
+      engine("a1", [0, 4], { inFlight: 1 }),
+      engine("a2", [0, 4], { inFlight: 2 }),
+      engine("b1", [4, 8], { inFlight }),
+      engine("b2", [4, 8]),
+    ];
+    expect(choose(engines(1))).toBe("a1 b1");
+    expect(choose(engines(3))).toBe("a2 b2");
+  });
 });
