--- a/packages/daemon/src/caller_server.ts
+++ b/packages/daemon/src/caller_server.ts
@@ -6,6 +6,7 @@
   ServiceCall,
   ServiceCallResult,
 } from "@rosemarypin/calls";
+import type { SharedLimits } from "@rosemarypin/limits";
 import type { Settings } from "@rosemarypin/schemas";
 import {
   createLogger,
@@ -25,6 +26,7 @@
 import { sendFailure, sendJson } from "./http_basics.ts";
 import { startServer } from "./http_server.ts";
 import { createBodyMemory } from "./request_body.ts";
+import type { RequestMemory } from "./request_memory.ts";
 import { createServiceEndpoint } from "./service_endpoint.ts";
 import type { WorkInProgress } from "./work_in_progress.ts";
 
@@ -37,6 +39,8 @@
   readonly metrics: Metrics;
   readonly levels: ServiceLevelCounter;
   readonly work: WorkInProgress;
+  readonly requests: RequestMemory;
+  readonly limits: SharedLimits;
 }
 
 interface Endpoint {
@@ -94,7 +98,8 @@
     if (resumed) {
       const { readerStallMs } = settings.limits;
       const own = { ...exchange, requestId: resumed, readerStallMs };
-      return resume(own, options.answers);
+      const { answers, requests } = options;
+      return resume(own, { ...answers, requests });
     }
     if (path.startsWith("/services/")) return callService(exchange);
     const endpoint = endpoints.get(path);
--- a/packages/scenarios/src/promises_test.ts
+++ b/packages/scenarios/src/promises_test.ts
@@ -1,54 +1,16 @@
-import { expectedAnswer } from "@rosemarypin/stand_ins";
 import { describe, expect, it } from "vitest";
-import type { Observations, ObservedAnswer } from "./observations.ts";
+import {
+  answerOf,
+  failed,
+  observe,
+  type PromiseExample,
+  recalled,
+  row,
+} from "./example_answer.ts";
+import { cutExamples } from "./example_cuts.ts";
 import { judge } from "./promises.ts";
 import { hasHeld } from "./run_scenario.ts";
-import { type PromiseName, promiseNameSchema } from "./scenario_schema.ts";
-
-const MODEL = "assist";
-const LAYERS = 4;
-const PROMPT = "why does it stop";
-
-function observe(change: Partial<Observations>): Observations {
-  return {
-    model: MODEL,
-    layers: LAYERS,
-    answers: [],
-    orders: [],
-    notes: [],
-    inForce: [],
-    timeline: [],
-    journal: [],
-    leavings: [],
-    kills: [],
-    work: [],
-    ...change,
-  };
-}
-
-function answerOf(
-  version: string,
-  change: Partial<ObservedAnswer> = {},
-): ObservedAnswer {
-  const maxTokens = 4;
-  const { tokens, digest } = expectedAnswer({
-    weights: { model: MODEL, version },
-    layers: LAYERS,
-    promptTokens: PROMPT.split(" "),
-    maxTokens,
-  });
-  const provenance = { version, noteNumber: 1, digest, attempts: 1 };
-  return {
-    prompt: PROMPT,
-    maxTokens,
-    instance: "entry-1",
-    startedAt: 0,
-    lastTokenAt: 500,
-    endedAt: 500,
-    answer: { kind: "whole", tokens, provenance },
-    ...change,
-  };
-}
+import { promiseNameSchema } from "./scenario_schema.ts";
 
 const whole = answerOf("v1");
 const { tokens, provenance } =
@@ -75,33 +37,21 @@
   },
 });
 const broken = answerOf("v1", {
-  answer: { kind: "broken", tokens: tokens.slice(0, 2), reason: "reset" },
-});
-const failed = answerOf("v1", {
   answer: {
-    kind: "failed",
-    tokens: [],
-    outcome: "failed",
-    code: "attempts_used_up",
-    status: 503,
-    retryAfterSeconds: 1,
+    kind: "broken",
+    tokens: tokens.slice(0, 2),
+    reason: "reset",
+    resumeFrom: null,
   },
 });
-const recalled = [{ name: "recall-v1", at: 400, withdrawnVersions: ["v1"] }];
 const kill = { instance: "entry-1", at: 300, startedAgainAt: 400 };
 const note = { instance: "entry-1", incarnation: 1 };
 const order = { idempotencyKey: "order-1" };
-const leaving = { server: "engine-1", at: 1_000 };
+const leaving = { server: "engine-1", at: 1_000, startedAgainAt: 20_000 };
 const before = { server: "engine-1", requestId: "a", at: 900 };
 
-interface Row {
-  readonly promise: PromiseName;
-  readonly story: string;
-  readonly seen: Partial<Observations>;
-  readonly isHeld: boolean;
-}
-
-const rows: readonly Row[] = [
+const rows: readonly PromiseExample[] = [
+  ...cutExamples,
   row("answers_true", "a true answer", { answers: [whole] }, true),
   row("answers_true", "a token doubled", { answers: [doubled] }, false),
   row("answers_true", "a layer run twice", { answers: [layerTwice] }, false),
@@ -113,26 +63,26 @@
     "the last token came before",
     {
       answers: [{ ...whole, lastTokenAt: 399 }],
-      inForce: recalled,
+      claims: recalled,
     },
     true,
   ),
   row(
     "withdrawn_is_silent",
     "a whole answer came after",
-    { answers: [whole], inForce: recalled },
+    { answers: [whole], claims: recalled },
     false,
   ),
   row(
     "withdrawn_is_silent",
     "a token of a cut answer came after",
-    { answers: [broken], inForce: recalled },
+    { answers: [broken], claims: recalled },
     false,
   ),
   row(
     "withdrawn_is_silent",
     "another version answers",
-    { answers: [answerOf("v2")], inForce: recalled },
+    { answers: [answerOf("v2")], claims: recalled },
     true,
   ),
   row(
@@ -213,6 +163,27 @@
     },
     false,
   ),
+  row(
+    "leaving_gets_nothing",
+    "new work once it was started again",
+    {
+      leavings: [leaving],
+      work: [before, { ...before, requestId: "b", at: 21_000 }],
+    },
+    true,
+  ),
+  row(
+    "resumed_answers_whole",
+    "the rest came from another instance",
+    { answers: [{ ...whole, resumedOn: "entry-2" }] },
+    true,
+  ),
+  row(
+    "resumed_answers_whole",
+    "another instance gave up",
+    { answers: [{ ...failed, resumedOn: "entry-2" }] },
+    false,
+  ),
   row(
     "cut_only_by_kills",
     "the instance was killed meanwhile",
@@ -239,15 +210,6 @@
   ),
 ];
 
-function row(
-  promise: PromiseName,
-  story: string,
-  seen: Partial<Observations>,
-  isHeld: boolean,
-): Row {
-  return { promise, story, seen, isHeld };
-}
-
 /**
  * A judge that cannot fail proves nothing: a doubled booking or a token of a
  * withdrawn version would pass, and every scenario would read "held".
