--- a/packages/bench/src/throughput/open_loop.ts
+++ b/packages/bench/src/throughput/open_loop.ts
@@ -11,6 +11,9 @@
 } from "./bench_shape.ts";
 
 const RANDOM_RANGE = 1 << 24;
+/** How long answers may go on after the last request; then they are cut, so
+ * that a policy that let everything in does not hold up the whole bench. */
+const LONGEST_DRAIN_MS = 8_000;
 /** Share of the requests that come from the two large organisations. */
 const LARGE_SHARE = 0.7;
 
@@ -42,6 +45,7 @@
   const agent = new Agent({ connections: null, pipelining: 1 });
   const running: Promise<Sample>[] = [];
   const startedAt = performance.now();
+  const signal = AbortSignal.timeout(options.durationMs + LONGEST_DRAIN_MS);
   let nextAt = 0;
   let count = 0;
   while (nextAt < options.durationMs) {
@@ -49,13 +53,15 @@
     if (waitMs > 0) await pause(waitMs);
     const organisation = pickOrganisation(random);
     const url = options.urls[count % options.urls.length] ?? "";
-    running.push(sendOne(organisation, { ...options, url, agent, count }));
+    running.push(
+      sendOne(organisation, { ...options, url, agent, count, signal }),
+    );
     count += 1;
     const rate = options.rateAt(nextAt);
     nextAt += (-Math.log(1 - random()) * 1_000) / rate;
   }
   const samples = await Promise.all(running);
-  await agent.close();
+  await agent.destroy();
   return samples;
 }
 
@@ -65,6 +71,7 @@
     readonly url: string;
     readonly agent: Agent;
     readonly count: number;
+    readonly signal: AbortSignal;
   },
 ): Promise<Sample> {
   const sentAt = performance.now();
@@ -79,6 +86,7 @@
   try {
     const response = await request(`${options.url}/v1/completions`, {
       dispatcher: options.agent,
+      signal: options.signal,
       method: "POST",
       headers: {
         authorization: `Bearer ${organisation.key}`,
