--- a/packages/stand_ins/src/engine/batch_loop.ts
+++ b/packages/stand_ins/src/engine/batch_loop.ts
@@ -2,6 +2,7 @@
 import type { LayerRange } from "@rosemarypin/schemas";
 import type { EngineSpeed } from "../stand_in_settings.ts";
 import { arrivalOf } from "./due_time.ts";
+import type { PromptMeter } from "./prompt_meter.ts";
 import { batchDurationMs, createBatchClock } from "./speed.ts";
 import type { StepMessage } from "./step.ts";
 
@@ -13,6 +14,7 @@
   readonly killed: AbortSignal | undefined;
   /** Resolves while the engine is not frozen. */
   readonly whenRunning: (() => Promise<void>) | undefined;
+  readonly meter: PromptMeter;
   /** Runs the steps of a batch, when its time has passed; `endedAt` is when
    * it was to end, as a `performance.now()` time. */
   runSteps(steps: readonly StepMessage[], endedAt: number): void;
@@ -22,7 +24,7 @@
 export function createBatchLoop(
   options: BatchLoopOptions,
 ): (step: StepMessage) => void {
-  const { speed, killed, whenRunning, runSteps } = options;
+  const { speed, killed, whenRunning, runSteps, meter } = options;
   const layers = options.layers.to - options.layers.from;
   const inbox: StepMessage[] = [];
   const clock = createBatchClock();
@@ -34,7 +36,9 @@
     let waitingSince = inbox[0] ? arrivalOf(inbox[0]) : performance.now();
     while (inbox.length > 0) {
       const steps = inbox.splice(0, speed.batchSize);
-      const endedAt = await clock.run(durationOf(steps), waitingSince);
+      const durationMs = durationOf(steps);
+      const endedAt = await clock.run(durationMs, waitingSince);
+      meter.observe(durationMs, promptTokensOf(steps) * layers);
       waitingSince = inbox.length > 0 ? 0 : performance.now();
       await whenRunning?.();
       if (killed?.aborted) return;
@@ -44,11 +48,10 @@
   }
 
   function durationOf(steps: readonly StepMessage[]): number {
-    const tokens = steps.reduce((sum, { inputs }) => sum + inputs.length, 0);
     return batchDurationMs(speed, {
       layers,
       decodeTokens: steps.length,
-      promptTokens: tokens - steps.length,
+      promptTokens: promptTokensOf(steps),
     });
   }
 
@@ -57,3 +60,8 @@
     void batch();
   };
 }
+
+function promptTokensOf(steps: readonly StepMessage[]): number {
+  const tokens = steps.reduce((sum, { inputs }) => sum + inputs.length, 0);
+  return tokens - steps.length;
+}
--- a/packages/stand_ins/src/engine/engine_link.ts
+++ b/packages/stand_ins/src/engine/engine_link.ts
@@ -5,6 +5,7 @@
 import { Agent, request } from "undici";
 import { withDueTime } from "./due_time.ts";
 import type { Outgoing } from "./outgoing.ts";
+import type { SendMeter } from "./send_meter.ts";
 import type { EngineMessage, StepsReply } from "./step.ts";
 
 const SEND_TIMEOUT_MS = 1_000;
@@ -21,6 +22,7 @@
   /** Read for each message: a link may degrade while it is in use. */
   readonly linkMs: () => number;
   readonly fault: LinkFault | undefined;
+  readonly meter: SendMeter;
   /** Takes the messages of the engine to itself. */
   receive(message: EngineMessage): void;
   /** Hears of messages that did not arrive. */
@@ -67,6 +69,7 @@
     try {
       const response = await post(address, arriving);
       const { unknown } = (await response.body.json()) as StepsReply;
+      options.meter.observe(performance.now() - leftAt);
       const lost = messages.filter(({ requestId }) =>
         unknown.includes(requestId),
       );
