--- a/packages/stand_ins/src/engine/batch_loop.ts
+++ b/packages/stand_ins/src/engine/batch_loop.ts
@@ -1,6 +1,7 @@
 /** Batches continuously: each batch takes what has come in the meantime. */
 import type { LayerRange } from "@rosemarypin/schemas";
 import type { EngineSpeed } from "../stand_in_settings.ts";
+import { arrivalOf } from "./due_time.ts";
 import type { PromptMeter } from "./prompt_meter.ts";
 import { batchDurationMs, createBatchClock } from "./speed.ts";
 import type { StepMessage } from "./step.ts";
@@ -14,8 +15,11 @@
   /** Resolves while the engine is not frozen. */
   readonly whenRunning: (() => Promise<void>) | undefined;
   readonly meter: PromptMeter;
-  /** Runs the steps of a batch, when its time has passed. */
-  runSteps(steps: readonly StepMessage[]): void;
+  /**
+   * Runs the steps of a batch, when its time has passed; `endedAt` is when it
+   * was to end, as a `performance.now()` time.
+   */
+  runSteps(steps: readonly StepMessage[], endedAt: number): void;
 }
 
 /** Creates a loop; returns how to give it a step. */
@@ -30,16 +34,16 @@
   async function batch(): Promise<void> {
     if (isBatching) return;
     isBatching = true;
-    let waitingSince = performance.now();
+    let waitingSince = inbox[0] ? arrivalOf(inbox[0]) : performance.now();
     while (inbox.length > 0) {
       const steps = inbox.splice(0, speed.batchSize);
       const durationMs = durationOf(steps);
-      await clock.run(durationMs, waitingSince);
+      const endedAt = await clock.run(durationMs, waitingSince);
       meter.observe(durationMs, promptTokensOf(steps) * countLayers());
       waitingSince = inbox.length > 0 ? 0 : performance.now();
       await whenRunning?.();
       if (killed?.aborted) return;
-      runSteps(steps);
+      runSteps(steps, endedAt);
     }
     isBatching = false;
   }
--- a/packages/stand_ins/src/engine/engine.ts
+++ b/packages/stand_ins/src/engine/engine.ts
@@ -70,7 +70,7 @@
       order.current().hold[0]?.layers ?? { from: 0, to: 0 },
     killed: hooks.killed,
     whenRunning: hooks.whenRunning,
-    runSteps: (steps) => dispatch(steps.flatMap(runStep)),
+    runSteps: (steps, endedAt) => dispatch(steps.flatMap(runStep), endedAt),
   });
   const importCache = createCacheImport({ table, order });
   const shared = {
--- a/packages/stand_ins/src/engine/engine_link.ts
+++ b/packages/stand_ins/src/engine/engine_link.ts
@@ -3,6 +3,7 @@
 import { type Address, formatAddress } from "@rosemarypin/schemas";
 import { pause } from "@rosemarypin/timing";
 import { Agent, request } from "undici";
+import { withDueTime } from "./due_time.ts";
 import type { Outgoing } from "./outgoing.ts";
 import type { SendMeter } from "./send_meter.ts";
 import type { EngineMessage, StepsReply } from "./step.ts";
@@ -33,7 +34,7 @@
 /** Creates the sending half; returns how to send. */
 export function createEngineLink(
   options: EngineLinkOptions,
-): (outgoing: readonly Outgoing[]) => void {
+): (outgoing: readonly Outgoing[], leftAt?: number) => void {
   const agent = new Agent({ connect: { timeout: SEND_TIMEOUT_MS } });
   const own = formatAddress(options.own);
 
@@ -49,24 +50,26 @@
   async function send(
     address: string,
     messages: readonly EngineMessage[],
+    leftAt: number,
   ): Promise<void> {
     if (address === own) {
       for (const message of messages) options.receive(message);
       return;
     }
-    const began = performance.now();
-    await pause(options.linkMs());
+    const dueAt = leftAt + options.linkMs();
+    await pause(Math.max(0, dueAt - performance.now()));
     const repeat = (late: readonly EngineMessage[]) =>
       void post(address, late).then(
         ({ body }) => body.dump(),
         () => {},
       );
-    const arriving = (await options.fault?.(messages, repeat)) ?? messages;
+    const sent = messages.map((message) => withDueTime(message, dueAt));
+    const arriving = (await options.fault?.(sent, repeat)) ?? sent;
     if (arriving.length === 0) return;
     try {
       const response = await post(address, arriving);
       const { unknown } = (await response.body.json()) as StepsReply;
-      options.meter.observe(performance.now() - began);
+      options.meter.observe(performance.now() - leftAt);
       const lost = messages.filter(({ requestId }) =>
         unknown.includes(requestId),
       );
@@ -78,7 +81,7 @@
   }
 
   /** Sends all messages for one engine in one call. */
-  return (outgoing) => {
+  return (outgoing, leftAt = performance.now()) => {
     const byAddress = new Map<string, EngineMessage[]>();
     for (const { to, message } of outgoing) {
       const address = formatAddress(to);
@@ -86,6 +89,7 @@
       messages.push(message);
       byAddress.set(address, messages);
     }
-    for (const [address, messages] of byAddress) void send(address, messages);
+    for (const [address, messages] of byAddress)
+      void send(address, messages, leftAt);
   };
 }
