--- a/packages/stand_ins/src/engine/engine_routes.ts
+++ b/packages/stand_ins/src/engine/engine_routes.ts
@@ -11,6 +11,7 @@
 import type { CacheExports } from "./cache_export.ts";
 import type { EngineMessages } from "./engine_messages.ts";
 import type { OrderState } from "./order_state.ts";
+import type { Sequence } from "./sequence.ts";
 import type { SequenceTable } from "./sequence_table.ts";
 import type { EngineMessage } from "./step.ts";
 
@@ -44,13 +45,25 @@
       return reply(response, 409, { fencingNumber });
     }
     for (const sequence of [...table.allRunning()]) {
-      if (order.holds(sequence.request)) continue;
+      if (order.holdsStage(sequence.request, sequence.stage)) continue;
+      tellFirstStage(sequence);
       attempts.stop(sequence, { reason: "no longer held" });
     }
-    table.dropParked(({ request }) => order.holds(request));
+    table.dropParked(({ request, stage }) => order.holdsStage(request, stage));
     reply(response, 200, describeState());
   }
 
+  /** Without a word the first stage would wait for tokens in vain. */
+  function tellFirstStage({ request, stage, emit }: Sequence): void {
+    if (emit) return;
+    const { requestId, attempt } = request;
+    const step = { requestId, attempt, stage, position: 0, inputs: [] };
+    messages.reportLost([{ type: "step", ...step }], {
+      cause: "unreachable",
+      reason: "no longer held",
+    });
+  }
+
   function takeFaults({ response, body }: JsonExchange): void {
     const faults = engineFaultsSchema.parse(body);
     options.setFaults(faults);
--- a/packages/stand_ins/src/engine/order_state.ts
+++ b/packages/stand_ins/src/engine/order_state.ts
@@ -7,6 +7,8 @@
   /** Returns false when the order is refused for an old fencing number. */
   take(next: EngineOrder): boolean;
   holds(answer: Pick<AttemptRequest, "model" | "version">): boolean;
+  /** Whether the layers of a stage of the answer are held. */
+  holdsStage(answer: AttemptRequest, stage: number): boolean;
   leave(): void;
   isLeaving(): boolean;
 }
@@ -35,6 +37,17 @@
       order.hold.some(
         (held) => held.model === model && held.version === version,
       ),
+    holdsStage({ model, version, stages }, stage) {
+      const wanted = stages[stage]?.layers;
+      return order.hold.some(
+        ({ layers, ...held }) =>
+          held.model === model &&
+          held.version === version &&
+          // Planned on what the engine held before, a stage would run layers
+          // whose weights have gone.
+          (!wanted || (layers.from <= wanted.from && wanted.to <= layers.to)),
+      );
+    },
     leave() {
       leaving = true;
     },
