Revert "Bound what passes an instance both ways, and probe in one ring"

Kept for a next try: probes in one ring, apart from the bound. The mend of the goodbye comes again by itself.

--- a/packages/membership/src/datagram_answers.ts
+++ b/packages/membership/src/datagram_answers.ts
@@ -7,7 +7,6 @@
 } from "@rosemarypin/schemas";
 import type { Acknowledgements } from "./acknowledgements.ts";
 import type { MemberTable } from "./member_table.ts";
-import type { Random } from "./probe_order.ts";
 import { createRelays } from "./relays.ts";
 import type { TableSync } from "./table_sync.ts";
 import type { DatagramBody } from "./wire.ts";
@@ -15,17 +14,12 @@
 const SYNC_EVERY_MS = 5_000;
 /** A new instance syncs faster until its table had time to fill. */
 const NEW_SYNC_EVERY_MS = 500;
-/** Share of those that ask an instance which alone differs. */
-const ASK_THE_ODD_ONE = 0.25;
-/** A request pays off only if some records fit into the answer. */
-const SMALLEST_ROOM_BYTES = 800;
 
 export interface DatagramAnswersOptions {
   readonly table: MemberTable;
   readonly sync: TableSync;
   readonly acknowledgements: Acknowledgements;
   readonly isNew: () => boolean;
-  readonly random: Random;
   readonly send: (
     body: DatagramBody,
     target: Address,
@@ -41,8 +35,6 @@
   const { table, sync, acknowledgements, send } = options;
   const relays = createRelays();
   let syncedAt = -Infinity;
-  /** Whether the last one heard has the same table as this instance. */
-  let agreedBefore = false;
 
   /** Who is doubted is told so with the answer, and can refute it. */
   function doubtsAbout(peerId: string): MemberNews[] {
@@ -83,24 +75,12 @@
     send({ method: "ack", sequence, about: id }, asker, news ? [news] : []);
   }
 
-  /**
-   * One instance that misses a record differs from all it talks to. If each of
-   * them asked it, the requests alone would use up its traffic and it could
-   * not ask for the record. It may as well be the only one that knows a
-   * record, so some do ask.
-   */
-  function isWorthAsking(): boolean {
-    return !agreedBefore || options.random() < ASK_THE_ODD_ONE;
-  }
-
   function syncWith(peer: Address): void {
     const now = performance.now();
     const everyMs = options.isNew() ? NEW_SYNC_EVERY_MS : SYNC_EVERY_MS;
     if (now - syncedAt < everyMs) return;
-    const room = sync.room();
-    if (room < SMALLEST_ROOM_BYTES) return;
     syncedAt = now;
-    send({ method: "sync", digests: sync.digests(), room }, peer);
+    send({ method: "sync", digests: sync.digests() }, peer);
   }
 
   function answerKind({ method, params }: PeerDatagram): void {
@@ -118,7 +98,7 @@
       case "ack":
         return acknowledge(params.sequence, { record, about: params.about });
       case "sync":
-        for (const portion of sync.answers(params.digests, params)) {
+        for (const portion of sync.answers(params.digests)) {
           options.sendPortion(portion, peer);
         }
         return;
@@ -133,9 +113,7 @@
       answerKind(datagram);
       if (datagram.method === "sync") return;
       const { hash, from } = datagram.params;
-      const agrees = hash === sync.hash();
-      if (!agrees && isWorthAsking()) syncWith(from.record.peer);
-      agreedBefore = agrees;
+      if (hash !== sync.hash()) syncWith(from.record.peer);
     },
   };
 }
--- a/packages/membership/src/dissemination.ts
+++ b/packages/membership/src/dissemination.ts
@@ -20,10 +20,8 @@
 export function createDissemination(options: {
   readonly table: MemberTable;
   readonly budgets: Readonly<Record<Urgency, ByteBudget>>;
-  /** All that passes this instance; shared state waits while it is used up. */
-  readonly traffic: ByteBudget;
 }): Dissemination {
-  const { table, budgets, traffic } = options;
+  const { table, budgets } = options;
   /** One entry for each record at most. */
   const queue = new Map<string, { left: number; urgency: Urgency }>();
 
@@ -46,7 +44,6 @@
     take() {
       const chosen: MemberNews[] = [];
       let room = BYTES_ALONG;
-      let spare = traffic.left();
       for (const [id, entry] of mostLeftFirst()) {
         const sized = table.sized(id);
         if (!sized) {
@@ -54,10 +51,8 @@
           continue;
         }
         if (sized.bytes > room) break;
-        if (entry.urgency === "shared_state" && sized.bytes > spare) break;
         if (!budgets[entry.urgency].take(sized.bytes)) break;
         room -= sized.bytes;
-        spare -= sized.bytes;
         chosen.push(sized.news);
         entry.left -= 1;
         if (entry.left === 0) queue.delete(id);
--- a/packages/membership/src/member_table.ts
+++ b/packages/membership/src/member_table.ts
@@ -216,12 +216,7 @@
   return h32(`${record.id} ${record.incarnation} ${record.revision}`);
 }
 
-/** Hash of a name, the same in every instance. */
-export function hashOfId(id: string): number {
-  return h32(id);
-}
-
 /** The bucket in which every table keeps the record of `id`. */
 export function bucketOf(id: string): number {
-  return hashOfId(id) % BUCKETS;
+  return h32(id) % BUCKETS;
 }
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -19,16 +19,14 @@
 import { createMemberTable, hasEnded, type Member } from "./member_table.ts";
 import { createOwnRecord } from "./own_record.ts";
 import { type Random, sample } from "./probe_order.ts";
-import { probeDatagramsPerSecond, startProber } from "./prober.ts";
+import { startProber } from "./prober.ts";
 import { createTableSync } from "./table_sync.ts";
 import { createUrgentNews } from "./urgent_news.ts";
 import {
   type DatagramBody,
   decodeDatagram,
-  ENVELOPE_BYTES,
   encodeDatagram,
   HEADER_BYTES,
-  newsBytes,
 } from "./wire.ts";
 
 /** A new instance syncs faster until its table had time to fill. */
@@ -45,17 +43,6 @@
   burstBytes: 2_500,
   initial: { bytes: 100_000, forMs: NEW_FOR_MS },
 };
-/**
- * All that passes the instance, both ways, with headers: what probes cost and
- * this much more. Probes and what is urgent always go; syncs and shared state
- * wait while it is used up, be it that many happen to probe this instance in
- * the same second or that others send it their records.
- */
-const BESIDE_PROBES_BYTES_PER_SECOND = 650;
-const TRAFFIC_BUDGET = {
-  burstBytes: 2_000,
-  initial: { bytes: 250_000, forMs: NEW_FOR_MS },
-};
 /** Addresses that are tried before the first step. */
 const FIRST_PINGS = 6;
 /** Instances that hear a goodbye from the one that leaves. */
@@ -114,16 +101,11 @@
     liveness: createByteBudget(LIVENESS_BUDGET),
     shared_state: createByteBudget(SYNC_BUDGET),
   };
-  const traffic = createByteBudget({
-    ...TRAFFIC_BUDGET,
-    bytesPerSecond: trafficRate,
-  });
-  const dissemination = createDissemination({ table, budgets, traffic });
+  const dissemination = createDissemination({ table, budgets });
   const sync = createTableSync({
     table,
     self: own.current,
     budget: budgets.shared_state,
-    traffic,
     random,
   });
   const acknowledgements = createAcknowledgements();
@@ -150,7 +132,6 @@
     sync,
     acknowledgements,
     isNew,
-    random,
     send,
     sendPortion,
     drop: (reason) => drop(reason, 0),
@@ -171,14 +152,6 @@
     signal,
   });
 
-  /** Names may be long, so the cost of probes is not a constant. */
-  function trafficRate(): number {
-    const record = newsBytes({ record: own.current(), status: "alive" });
-    const probeBytes = ENVELOPE_BYTES + record + HEADER_BYTES;
-    const perSecond = probeDatagramsPerSecond(table.size() + 1);
-    return perSecond * probeBytes + BESIDE_PROBES_BYTES_PER_SECOND;
-  }
-
   function send(
     body: DatagramBody,
     target: Address,
@@ -196,7 +169,6 @@
   function sendEncoded(datagram: Uint8Array, target: Address): void {
     if (signal.aborted) return;
     const bytes = datagram.length + HEADER_BYTES;
-    traffic.spend(bytes);
     metrics?.peerBytes.inc({ direction: "sent" }, bytes);
     transport.send(datagram, target);
   }
@@ -204,7 +176,6 @@
   function receive(bytes: Uint8Array): void {
     if (signal.aborted) return;
     const size = bytes.length + HEADER_BYTES;
-    traffic.spend(size);
     metrics?.peerBytes.inc({ direction: "received" }, size);
     const datagram = decodeDatagram(bytes);
     if (!datagram) return drop("malformed", bytes.length);
@@ -226,18 +197,6 @@
     return performance.now() - startedAt < NEW_FOR_MS;
   }
 
-  /**
-   * One that stops right after its start may know nobody yet, while those that
-   * it pinged know it and would take it for silent. They are among the seeds.
-   */
-  function goodbyeTargets(): readonly Address[] {
-    const known = table.allNews().filter(({ status }) => !hasEnded(status));
-    const peers = sample(known, GOODBYES, { random });
-    const strangers = sample(book.strangers(), GOODBYES, { random });
-    const all = [...peers.map(({ record }) => record.peer), ...strangers];
-    return all.slice(0, GOODBYES);
-  }
-
   function sendPortion(news: readonly MemberNews[], target: Address): void {
     const from = { record: own.current(), status: "alive" } as const;
     const head = { from, hash: sync.hash(), news };
@@ -312,7 +271,10 @@
     async leave() {
       if (signal.aborted) return;
       own.leave();
-      for (const address of goodbyeTargets()) send({ method: "news" }, address);
+      const known = table.allNews().filter(({ status }) => !hasEnded(status));
+      for (const { record } of sample(known, GOODBYES, { random })) {
+        send({ method: "news" }, record.peer);
+      }
       stopping.abort();
       acknowledgements.cancel();
       await transport.close();
--- a/packages/membership/src/membership_test.ts
+++ b/packages/membership/src/membership_test.ts
@@ -10,9 +10,6 @@
 const HOST = "127.0.0.1";
 const FINE = 1_000_000;
 const MINUTE_MS = 60_000;
-const WINDOW_MS = 4_000;
-/** Probes, what is allowed beside them, and a burst spread over a window. */
-const LARGEST_BYTES_PER_SECOND = 2_400;
 
 interface Node {
   readonly id: string;
@@ -189,23 +186,6 @@
 
   // An instance dies and starts again at its address at once. Its peers must
   // not mistake it for the old process: the old one's note is not its own.
-  // An instance is stopped in the moment of its start: a peer has its first
-  // ping, and its answer is on the way. Without a goodbye the peer would take
-  // the new one for silent, and a recall would wait for it.
-  it("says goodbye to those that know it before it knows them", async () => {
-    const [stays] = await startFleet(1, ["a"]);
-    if (!stays) throw new Error("one node was started");
-    links.faults.delayMs = 100;
-    const leaves = await start({ domain: "a", port: 2 });
-    while (stays.membership.peers().length === 0) {
-      await vi.advanceTimersByTimeAsync(1);
-    }
-    expect(leaves.membership.peers()).toHaveLength(0);
-    await leaves.membership.leave();
-    await vi.advanceTimersByTimeAsync(1_000);
-    expect(stateOf(stays, leaves)).toBe("left");
-  });
-
   it("tells a restart at the same address from the old process", async () => {
     const nodes = await startFleet(6);
     const old = first(nodes, 3);
@@ -427,27 +407,6 @@
   });
 });
 
-// Each instance bounds what it sends, and yet some are sent several times their
-// share: many of those that differ from one answer it in the same seconds. On
-// a node with 3 KB/s for control, other work of control then waits.
-it("bounds what passes one instance in any few seconds", async () => {
-  const nodes = await startFleet(64, ["a", "b", "c", "d"]);
-  await vi.advanceTimersByTimeAsync(15_000);
-  for (const { membership } of nodes) membership.share({ note: 3 });
-  // The news of the note itself is urgent and goes out at once.
-  await vi.advanceTimersByTimeAsync(WINDOW_MS);
-  let most = 0;
-  for (let window = 0; window < 10; window += 1) {
-    const before = nodes.map(({ port }) => bytesOf(port));
-    await vi.advanceTimersByTimeAsync(WINDOW_MS);
-    for (const [at, { port }] of nodes.entries()) {
-      const bytes = bytesOf(port) - (before[at] ?? 0);
-      most = Math.max(most, (bytes * 1_000) / WINDOW_MS);
-    }
-  }
-  expect(most).toBeLessThan(LARGEST_BYTES_PER_SECOND);
-});
-
 function noteSeenBy(viewer: Node, node: Node): number | undefined {
   const { membership } = viewer;
   const member = membership.peers().find(({ record }) => record.id === node.id);
--- a/packages/membership/src/prober.ts
+++ b/packages/membership/src/prober.ts
@@ -3,18 +3,8 @@
 import { createLogger } from "@rosemarypin/telemetry";
 import { pause } from "@rosemarypin/timing";
 import type { Acknowledgements } from "./acknowledgements.ts";
-import {
-  hasEnded,
-  hashOfId,
-  type MemberTable,
-  type Reach,
-} from "./member_table.ts";
-import {
-  createStepCounter,
-  probeTarget,
-  type Random,
-  sample,
-} from "./probe_order.ts";
+import { hasEnded, type MemberTable, type Reach } from "./member_table.ts";
+import { createProbeOrder, type Random, sample } from "./probe_order.ts";
 import type { DatagramBody } from "./wire.ts";
 
 /** Time for an answer before others are asked to try. */
@@ -41,20 +31,6 @@
 
 const log = createLogger("membership");
 
-/** Time between two steps of a fleet of `size` instances, the own included. */
-function stepMs(size: number): number {
-  return size <= SMALL_FLEET ? SMALL_FLEET_STEP_MS : STEP_MS;
-}
-
-/**
- * Datagrams of probes a second, both ways, of an instance that sees its
- * share: pings and answers, its own and those of others.
- */
-export function probeDatagramsPerSecond(size: number): number {
-  const probesPerStep = 1 + 1 / FAR_EVERY;
-  return (4 * probesPerStep * 1_000) / stepMs(size);
-}
-
 export interface ProberOptions {
   readonly self: { readonly id: string; readonly failureDomain: string };
   readonly table: MemberTable;
@@ -71,14 +47,15 @@
 /** Starts to probe, until the signal ends it. */
 export function startProber(options: ProberOptions): void {
   const { self, table, acknowledgements, random, send, signal } = options;
-  const steps = createStepCounter();
+  const near = createProbeOrder({ candidates: () => living(true), random });
+  const far = createProbeOrder({ candidates: () => living(false), random });
   void run();
 
   async function run(): Promise<void> {
     for (let step = 0; !signal.aborted; step++) {
       if (step < FIRST_STEPS) greetStrangers(FIRST_STRANGERS);
       else if (step % STRANGER_EVERY === 0) greetStrangers(1);
-      probeNext();
+      probeNext(step);
       declareDead();
       table.forget();
       await sleepOneStep();
@@ -86,35 +63,27 @@
   }
 
   function sleepOneStep(): Promise<void> {
-    return pause(stepMs(table.size() + 1), signal);
+    const small = table.size() < SMALL_FLEET;
+    return pause(small ? SMALL_FLEET_STEP_MS : STEP_MS, signal);
   }
 
-  function probeNext(): void {
-    const step = steps.next(stepMs(table.size() + 1));
-    const living = table
+  function living(inOwnDomain: boolean): string[] {
+    return table
       .allNews()
       .filter(({ status }) => !hasEnded(status))
-      .map(({ record }) => record);
-    const others = living.map(({ id }) => id);
-    const near = new Set(
-      living
-        .filter(({ failureDomain }) => failureDomain === self.failureDomain)
-        .map(({ id }) => id),
-    );
-    const nearId = probeTarget(step, {
-      self: self.id,
-      others: [...near],
-      isWanted: () => true,
-    });
+      .map(({ record }) => record)
+      .filter(
+        ({ failureDomain }) =>
+          (failureDomain === self.failureDomain) === inOwnDomain,
+      )
+      .map(({ id }) => id);
+  }
+
+  function probeNext(step: number): void {
+    const nearId = near.next();
     if (nearId) void probe(nearId);
-    // Half of the instances probe other domains in each step, all by the same
-    // count of such probes.
-    if (nearId && (step + hashOfId(self.id)) % FAR_EVERY !== 0) return;
-    const farId = probeTarget(nearId ? Math.floor(step / FAR_EVERY) : step, {
-      self: self.id,
-      others,
-      isWanted: (id) => !near.has(id),
-    });
+    if (nearId && step % FAR_EVERY !== 0) return;
+    const farId = far.next();
     if (farId) void probe(farId);
   }
 
--- a/packages/membership/src/wire.ts
+++ b/packages/membership/src/wire.ts
@@ -8,8 +8,6 @@
 
 /** A datagram of this size crosses usual links without being fragmented. */
 export const LARGEST_DATAGRAM_BYTES = 1_200;
-/** Envelope and head of a datagram, besides the sender's record. */
-export const ENVELOPE_BYTES = 110;
 /** IPv4 and UDP headers; counted as traffic, since links carry them too. */
 export const HEADER_BYTES = 28;
 
@@ -27,11 +25,7 @@
       readonly target: { readonly host: string; readonly port: number };
     }
   | { readonly method: "news" }
-  | {
-      readonly method: "sync";
-      readonly digests: string;
-      readonly room: number;
-    };
+  | { readonly method: "sync"; readonly digests: string };
 
 /** The common part of every datagram. */
 export interface DatagramHead {
--- a/packages/membership/src/wire_test.ts
+++ b/packages/membership/src/wire_test.ts
@@ -26,7 +26,7 @@
     target: { host: "10.1.2.4", port: 7_001 },
   },
   { method: "news" },
-  { method: "sync", digests: "AAAA", room: 900 },
+  { method: "sync", digests: "AAAA" },
 ] as const)("keeps the form of $method", (body) => {
   const head = { from: NEWS, hash: 99, news: [NEWS] };
   const datagram = encodeDatagram(body, head);
--- a/packages/schemas/src/peer_datagram.ts
+++ b/packages/schemas/src/peer_datagram.ts
@@ -73,14 +73,8 @@
   }),
   /** Only the common part: something that has to spread at once. */
   notification("news", {}),
-  /**
-   * Asks for the records of each bucket whose hash differs, and for no more
-   * bytes than there is `room` for; an older release does not say.
-   */
-  notification("sync", {
-    digests: z.string().max(512),
-    room: z.number().int().nonnegative().optional(),
-  }),
+  /** Asks for the records of each bucket whose hash differs. */
+  notification("sync", { digests: z.string().max(512) }),
 ]);
 export type PeerDatagram = z.infer<typeof peerDatagramSchema>;
 
