Wire engines' control and plain services apart from the daemon

Behaviour is the same: 364 tests of daemon, checks, launcher and the recall in processes pass before and after. The bench's load no longer warns of its many listeners.

--- a/packages/bench/src/throughput/open_loop.ts
+++ b/packages/bench/src/throughput/open_loop.ts
@@ -1,4 +1,5 @@
 /** Open-loop load: requests come at their times, whatever the answers do. */
+import { setMaxListeners } from "node:events";
 import { pause } from "@rosemarypin/timing";
 import { createParser } from "eventsource-parser";
 import { uniformInt } from "pure-rand/distribution/uniformInt";
@@ -46,6 +47,8 @@
   const running: Promise<Sample>[] = [];
   const startedAt = performance.now();
   const signal = AbortSignal.timeout(options.durationMs + LONGEST_DRAIN_MS);
+  // All requests of the load listen to it.
+  setMaxListeners(0, signal);
   let nextAt = 0;
   let count = 0;
   while (nextAt < options.durationMs) {
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,19 +1,6 @@
 /** Wires the packages into one daemon. */
-import {
-  createEngineClient,
-  createEngineFleet,
-  createServiceClient,
-  createServiceFleet,
-} from "@rosemarypin/backends";
-import {
-  createClaimRegistry,
-  createClaimSweeper,
-  createEndRecorder,
-  createLinkSpeeds,
-  createRecordClaims,
-  createRecoveryLimiter,
-  createServiceCaller,
-} from "@rosemarypin/calls";
+import { createEngineClient, createEngineFleet } from "@rosemarypin/backends";
+import { createLinkSpeeds, createRecoveryLimiter } from "@rosemarypin/calls";
 import {
   createLimitHome,
   createLimitsOf,
@@ -24,20 +11,7 @@
   createPeerCaller,
   startPeerServer,
 } from "@rosemarypin/membership";
-import {
-  type ControlLease,
-  createControlLease,
-  createEngineController,
-  createPlacer,
-  type EngineController,
-  isLeaseCandidate,
-  type Placer,
-} from "@rosemarypin/placement";
-import {
-  createHttpObjectStore,
-  readInstanceList,
-  readPeerHints,
-} from "@rosemarypin/platform";
+import { createHttpObjectStore, readPeerHints } from "@rosemarypin/platform";
 import {
   createConfirmer,
   createNoteKeeper,
@@ -60,8 +34,7 @@
 import { createLogger, createMetrics } from "@rosemarypin/telemetry";
 import { startAdminServer } from "./admin_server.ts";
 import { startCallerServer } from "./caller_server.ts";
-import { claimOwnerMethods, createPeerClaimOwners } from "./claim_owners.ts";
-import { endHandOverMethods, finishEnds } from "./end_hand_over.ts";
+import { createEngineControl } from "./engine_control.ts";
 import {
   createEngineNotices,
   ENGINES_CHANGED,
@@ -74,22 +47,16 @@
   waitForQuiet,
 } from "./graceful_close.ts";
 import { countNotes, createInstanceLevels } from "./instance_levels.ts";
-import {
-  hasHeardEachRole,
-  highestNoteOf,
-  listCandidates,
-  listUsable,
-} from "./known_state.ts";
+import { hasHeardEachRole, highestNoteOf } from "./known_state.ts";
 import { createLimitHomes, limitHomeMethods } from "./limit_homes.ts";
 import { createNoteInspector } from "./note_inspector.ts";
+import { createPlainServices } from "./plain_services.ts";
 import { createRequestFinder, requestFinderMethods } from "./request_finder.ts";
 import { createRequestMemory } from "./request_memory.ts";
 import { viewBackends, viewInstances } from "./status_view.ts";
 import { createSubsetChoice } from "./subset_choice.ts";
-import { createLoader } from "./weight_loads.ts";
 import { createWorkInProgress } from "./work_in_progress.ts";
 
-const INSTANCE_LIST_EVERY_MS = 1_000;
 /** A balancer that sends nothing for so long has seen the drain. */
 const QUIET_MS = 300;
 const QUIET_WITHIN_MS = 5_000;
@@ -168,58 +135,20 @@
     client: engines,
     subset: createSubsetChoice({ engines: settings.engines, membership }),
     onChanged(engine) {
-      recheckOrders([engine]);
+      control.recheck([engine]);
       noticeEngine(engine);
     },
   });
-  const domains = [
-    ...new Set(settings.engines.map((engine) => engine.failureDomain)),
-  ];
-  const loader = createLoader(settings);
-  const controllers = domains.map((domain) => controlDomain(domain));
-
-  function recheckOrders(engines: readonly string[]): void {
-    for (const { controller } of controllers) controller.recheck(engines);
-  }
-
-  function controlDomain(domain: string) {
-    const lease = createControlLease({
-      deployment,
-      failureDomain: domain,
-      holder: id,
-      incarnation,
-      store,
-      isCandidate: () =>
-        isLeaseCandidate(listCandidates(membership), {
-          id,
-          failureDomain: domain,
-        }),
-      onHeld: () => void keeper.refresh().then(() => controller.wake()),
-    });
-    const ownEngines = settings.engines.filter(
-      (engine) => engine.failureDomain === domain,
-    );
-    const placer = createPlacer({
-      failureDomain: domain,
-      engines: ownEngines,
-      settings: settings.placement,
-      keeper,
-      lease,
-      loader,
-      usable: () => listUsable(fleet),
-      metrics,
-    });
-    const controller = createEngineController({
-      engines: ownEngines,
-      client: engines,
-      fleet,
-      keeper,
-      lease,
-      placer,
-    });
-    return { lease, controller, placer };
-  }
-
+  const control = createEngineControl({
+    settings,
+    incarnation,
+    store,
+    keeper,
+    membership,
+    fleet,
+    client: engines,
+    metrics,
+  });
   const router = (parts.createRouter ?? createRouter)({
     fleet,
     failureDomain,
@@ -234,28 +163,14 @@
     store,
     keeper,
   });
-  const services = createServiceFleet({
-    services: settings.services,
-    client: createServiceClient(),
-  });
-  const registry = createClaimRegistry({ incarnation });
-  const claims = createRecordClaims({
-    deployment,
-    owner: id,
+  const services = createPlainServices({
+    settings,
     incarnation,
     store,
-  });
-  const ends = createEndRecorder({ claims });
-  const callService = createServiceCaller({
     keeper,
-    services: settings.services,
-    fleet: services,
-    claims,
-    registry,
-    owners: createPeerClaimOwners({ id, membership, peers, registry }),
-    failureDomain,
+    membership,
+    peers,
     metrics,
-    ends,
   });
   const requests = createRequestMemory({ instance: id });
   const limitsOf = createLimitsOf(settings.organisations);
@@ -266,19 +181,6 @@
   });
   const levels = createInstanceLevels(settings);
   countNotes(keeper, { levels, objectives: settings.objectives });
-  const sweeper = createClaimSweeper({
-    deployment,
-    services: settings.services.map(({ name }) => name),
-    store,
-    instances: () => membership.peers().length + 1,
-  });
-  const listTimer = setInterval(() => void readList(), INSTANCE_LIST_EVERY_MS);
-
-  async function readList(): Promise<void> {
-    const { instanceList } = settings.platform;
-    if (instanceList) services.takeList(await readInstanceList(instanceList));
-  }
-
   let draining = false;
 
   /**
@@ -293,8 +195,7 @@
   const confirmer = createConfirmer({
     membership,
     keeper,
-    engines: () =>
-      controllers.flatMap(({ controller }) => controller.confirmations()),
+    engines: control.confirmations,
   });
   const { status: noteStatus } = createStatusCollector({
     membership,
@@ -328,10 +229,9 @@
     [ENGINES_CHANGED](params) {
       const changed = readEngineNotice(params);
       fleet.recheck(changed);
-      recheckOrders(changed);
+      control.recheck(changed);
     },
-    ...claimOwnerMethods(registry),
-    ...endHandOverMethods(ends),
+    ...services.peerMethods,
     ...requestFinderMethods(requests),
     ...limitHomeMethods(limitHome),
   });
@@ -362,7 +262,7 @@
       links: createLinkSpeeds(),
       metrics,
     },
-    callService,
+    callService: services.call,
     metrics,
     levels,
     work,
@@ -388,25 +288,18 @@
       const stopAccepting = closeGracefully(callerServer);
       const cutAt = performance.now() + settings.shutdownGraceMs;
       const answered = await work.waitForEnd(settings.shutdownGraceMs);
-      const recorded = await finishEnds({
-        ends,
-        membership,
-        peers,
-        withinMs: cutAt - performance.now(),
-      });
+      const recorded = await services.finishEnds(cutAt - performance.now());
       const ended = answered && recorded;
       // The goodbye is evidence that this instance answers nothing any more,
       // so it comes after the last connection.
       await closeRest(callerServer, stopAccepting);
-      await Promise.all(controllers.map(endControl));
+      await control.stop();
       router.stop();
       keeper.stop();
       fleet.stop();
       await registration.leave();
       services.stop();
       limits.stop();
-      sweeper.stop();
-      clearInterval(listTimer);
       await membership.leave();
       for (const server of [peerServer, adminServer]) {
         await closeNow(server);
@@ -416,14 +309,3 @@
     },
   };
 }
-
-/** The lease goes back last: the next holder orders as soon as it is free. */
-async function endControl(control: {
-  readonly controller: EngineController;
-  readonly lease: ControlLease;
-  readonly placer: Placer;
-}): Promise<void> {
-  control.placer.stop();
-  await control.controller.stop();
-  await control.lease.release();
-}
