--- a/packages/bench/src/throughput/virtual/virtual_clock.ts
+++ b/packages/bench/src/throughput/virtual/virtual_clock.ts
@@ -19,3 +19,13 @@
   }
   return promise;
 }
+
+/** What a test has to fake: all but what lets promises settle. */
+export const VIRTUAL_TIMERS = [
+  "setTimeout",
+  "clearTimeout",
+  "setInterval",
+  "clearInterval",
+  "Date",
+  "performance",
+] as const;
--- a/packages/bench/src/throughput/virtual/virtual_domain_test.ts
+++ b/packages/bench/src/throughput/virtual/virtual_domain_test.ts
@@ -3,7 +3,7 @@
 import { createBaselineRouter } from "../baseline_router.ts";
 import { benchShape, hardwareBound, MEAN_TOKENS } from "../bench_shape.ts";
 import { figuresOf } from "../figures.ts";
-import { untilSettled } from "./virtual_clock.ts";
+import { untilSettled, VIRTUAL_TIMERS } from "./virtual_clock.ts";
 import { createVirtualDeployment } from "./virtual_deployment.ts";
 import { runVirtualLoad } from "./virtual_load.ts";
 
@@ -70,16 +70,7 @@
  */
 describe("a failure domain that is lost and returns", () => {
   beforeEach(() => {
-    vi.useFakeTimers({
-      toFake: [
-        "setTimeout",
-        "clearTimeout",
-        "setInterval",
-        "clearInterval",
-        "Date",
-        "performance",
-      ],
-    });
+    vi.useFakeTimers({ toFake: [...VIRTUAL_TIMERS] });
   });
   afterEach(() => {
     vi.useRealTimers();
--- a/packages/bench/src/throughput/virtual/virtual_overload_test.ts
+++ b/packages/bench/src/throughput/virtual/virtual_overload_test.ts
@@ -3,7 +3,7 @@
 import { createBaselineRouter } from "../baseline_router.ts";
 import { benchShape, hardwareBound, MEAN_TOKENS } from "../bench_shape.ts";
 import { type CallerEnd, runCallers } from "./virtual_callers.ts";
-import { untilSettled } from "./virtual_clock.ts";
+import { untilSettled, VIRTUAL_TIMERS } from "./virtual_clock.ts";
 import { createVirtualDeployment } from "./virtual_deployment.ts";
 
 /** One failure domain and two instances: enough, and quick to run. */
@@ -56,16 +56,7 @@
  */
 describe("an overload whose cause has gone", () => {
   beforeEach(() => {
-    vi.useFakeTimers({
-      toFake: [
-        "setTimeout",
-        "clearTimeout",
-        "setInterval",
-        "clearInterval",
-        "Date",
-        "performance",
-      ],
-    });
+    vi.useFakeTimers({ toFake: [...VIRTUAL_TIMERS] });
   });
   afterEach(() => {
     vi.useRealTimers();
--- a/packages/daemon/src/contract/fake_parts.ts
+++ b/packages/daemon/src/contract/fake_parts.ts
@@ -11,6 +11,7 @@
   createSharedLimits,
   type SharedLimits,
 } from "@rosemarypin/limits";
+import type { Member } from "@rosemarypin/membership";
 import type { NoteKeeper, Publisher } from "@rosemarypin/release";
 import type { Router } from "@rosemarypin/routing";
 import {
@@ -185,6 +186,23 @@
   };
 }
 
+/** A living instance that peers reach at `port`. */
+export function fakeMember(port: number, draining = false): Member {
+  return {
+    record: {
+      id: `entry-${port}`,
+      failureDomain: "a",
+      peer: { host: HOST, port },
+      incarnation: 1,
+      revision: 0,
+      left: false,
+      shared: { note: 1, draining, load: 0 },
+    },
+    state: "alive",
+    heardAt: 0,
+  };
+}
+
 /** Limits of a deployment of one instance. */
 export function createOwnLimits(settings: Settings): SharedLimits {
   const limitsOf = createLimitsOf(settings.organisations);
--- a/packages/daemon/src/end_hand_over_test.ts
+++ b/packages/daemon/src/end_hand_over_test.ts
@@ -2,6 +2,7 @@
 import type { Member, PeerResult } from "@rosemarypin/membership";
 import type { ClaimObject } from "@rosemarypin/schemas";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import { fakeMember } from "./contract/fake_parts.ts";
 import { endHandOverMethods, finishEnds } from "./end_hand_over.ts";
 
 const CLAIM: ClaimObject = {
@@ -13,22 +14,6 @@
   state: { kind: "claimed" },
 };
 
-function memberAt(port: number, draining = false): Member {
-  return {
-    record: {
-      id: `entry-${port}`,
-      failureDomain: "a",
-      peer: { host: "127.0.0.1", port },
-      incarnation: 1,
-      revision: 0,
-      left: false,
-      shared: { note: 1, draining, load: 0 },
-    },
-    state: "alive",
-    heardAt: 0,
-  };
-}
-
 /** An instance that holds one end while the store is away. */
 function createStopping(members: readonly Member[]) {
   const kept: string[] = [];
@@ -91,8 +76,8 @@
     // The end of an order is known and cannot be written. The instance waited
     // its whole grace time, stopped with 3, and the end was lost with it.
     const { kept, asked, options } = createStopping([
-      memberAt(1, true),
-      memberAt(2),
+      fakeMember(1, true),
+      fakeMember(2),
     ]);
     expect(await stop(options)).toBe(true);
     expect([kept, asked]).toEqual([["claims/r1"], [2]]);
@@ -100,8 +85,8 @@
 
   it("asks the next instance when one is silent", async () => {
     const { kept, asked, options, silenceFirst } = createStopping([
-      memberAt(1),
-      memberAt(2),
+      fakeMember(1),
+      fakeMember(2),
     ]);
     silenceFirst();
     expect(await stop(options)).toBe(true);
@@ -109,7 +94,7 @@
   });
 
   it("says so when nobody takes it within the grace time", async () => {
-    const { ends, options } = createStopping([memberAt(1, true)]);
+    const { ends, options } = createStopping([fakeMember(1, true)]);
     expect(await stop(options)).toBe(false);
     expect(ends.count()).toBe(1);
   });
--- a/packages/daemon/src/request_finder_test.ts
+++ b/packages/daemon/src/request_finder_test.ts
@@ -1,5 +1,6 @@
-import type { Member, PeerResult } from "@rosemarypin/membership";
+import type { PeerResult } from "@rosemarypin/membership";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import { fakeMember } from "./contract/fake_parts.ts";
 import { createRequestFinder, requestFinderMethods } from "./request_finder.ts";
 import { createRequestMemory, type RequestMemory } from "./request_memory.ts";
 
@@ -19,21 +20,7 @@
     createRequestMemory({ instance: `entry-${number}` }),
   );
   const silent = new Set<number>();
-  const members = memories.map(
-    (_, port): Member => ({
-      record: {
-        id: `entry-${port}`,
-        failureDomain: "a",
-        peer: { host: "127.0.0.1", port },
-        incarnation: 1,
-        revision: 0,
-        left: false,
-        shared: { note: 1, draining: false, load: 0 },
-      },
-      state: "alive",
-      heardAt: 0,
-    }),
-  );
+  const members = memories.map((_, port) => fakeMember(port));
   const [own] = memories;
   if (!own) throw new Error("the fleet is empty");
   const find = createRequestFinder({
