Name the store clients' package for what it is

packages/platform holds the client of an object store, its budget, breaker and turns. The users' platform gets a folder of its own named platform/, so this package is called store. No behaviour changes.

--- a/packages/bench/src/bookings/bookings_bench.ts
+++ b/packages/bench/src/bookings/bookings_bench.ts
@@ -5,8 +5,8 @@
   type ClaimRequest,
   createRecordClaims,
 } from "@rosemarypin/calls";
-import { createHttpObjectStore, type ObjectStore } from "@rosemarypin/platform";
 import { startObjectApi } from "@rosemarypin/stand_ins";
+import { createHttpObjectStore, type ObjectStore } from "@rosemarypin/store";
 import { pause } from "@rosemarypin/timing";
 import { build, type Histogram } from "hdr-histogram-js";
 import type { BenchCommand } from "../bench_command.ts";
--- a/packages/bench/src/bookings/counted_store.ts
+++ b/packages/bench/src/bookings/counted_store.ts
@@ -1,5 +1,5 @@
 /** Counts an object store's calls and bytes. */
-import type { ObjectStore } from "@rosemarypin/platform";
+import type { ObjectStore } from "@rosemarypin/store";
 
 export interface StoreCost {
   calls: number;
--- a/packages/bench/src/bookings/shard_claims.ts
+++ b/packages/bench/src/bookings/shard_claims.ts
@@ -4,7 +4,7 @@
  * any number of writers; an owner for each shard only makes conflicts rare.
  */
 import type { ClaimRequest } from "@rosemarypin/calls";
-import type { ObjectStore, StoredObject } from "@rosemarypin/platform";
+import type { ObjectStore, StoredObject } from "@rosemarypin/store";
 
 const LARGEST_TRIES = 50;
 
--- a/packages/bench/src/store/clients.ts
+++ b/packages/bench/src/store/clients.ts
@@ -4,7 +4,7 @@
   createHttpObjectStore,
   followObjects,
   type ObjectStore,
-} from "@rosemarypin/platform";
+} from "@rosemarypin/store";
 import { pause } from "@rosemarypin/timing";
 import { request } from "undici";
 
--- a/packages/calls/src/claim_sweeper.ts
+++ b/packages/calls/src/claim_sweeper.ts
@@ -1,6 +1,7 @@
 /** Removes claims of keys that have expired. */
-import type { ObjectStore } from "@rosemarypin/platform";
+
 import { storedKeys } from "@rosemarypin/schemas";
+import type { ObjectStore } from "@rosemarypin/store";
 import { createLogger } from "@rosemarypin/telemetry";
 import { expiredBuckets } from "./claim_key.ts";
 
--- a/packages/calls/src/record_claims.ts
+++ b/packages/calls/src/record_claims.ts
@@ -1,15 +1,16 @@
 /** Claims kept as one object of the platform's object API for each key. */
-import type {
-  ObjectStore,
-  StoredObject,
-  StoreFailure,
-} from "@rosemarypin/platform";
+
 import {
   type ClaimObject,
   type ClaimState,
   claimObjectSchema,
   storedKeys,
 } from "@rosemarypin/schemas";
+import type {
+  ObjectStore,
+  StoredObject,
+  StoreFailure,
+} from "@rosemarypin/store";
 import { claimName } from "./claim_key.ts";
 import type {
   Claim,
--- a/packages/checks/src/bookings/faulty_store.ts
+++ b/packages/checks/src/bookings/faulty_store.ts
@@ -1,6 +1,6 @@
 /** The platform's store as an instance sees it over a bad network. */
 import type { MemoryStore } from "@rosemarypin/fakes";
-import type { ObjectStore, StoreFailure } from "@rosemarypin/platform";
+import type { ObjectStore, StoreFailure } from "@rosemarypin/store";
 import type { Faults } from "./faults.ts";
 import type { Interleaving } from "./interleaving.ts";
 
--- a/packages/checks/src/bookings/instance.ts
+++ b/packages/checks/src/bookings/instance.ts
@@ -8,12 +8,12 @@
   createRecordClaims,
   createServiceCaller,
 } from "@rosemarypin/calls";
-import type { ObjectStore } from "@rosemarypin/platform";
 import {
   emptyCatalogue,
   type NoteRecord,
   type ServiceSettings,
 } from "@rosemarypin/schemas";
+import type { ObjectStore } from "@rosemarypin/store";
 import type { Faults } from "./faults.ts";
 import type { Interleaving, SimulatedProcess } from "./interleaving.ts";
 
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -11,7 +11,6 @@
   createPeerCaller,
   startPeerServer,
 } from "@rosemarypin/membership";
-import { createHttpObjectStore, readPeerHints } from "@rosemarypin/platform";
 import {
   createConfirmer,
   createNoteKeeper,
@@ -31,6 +30,7 @@
   type Settings,
   type Status,
 } from "@rosemarypin/schemas";
+import { createHttpObjectStore, readPeerHints } from "@rosemarypin/store";
 import { createLogger, createMetrics } from "@rosemarypin/telemetry";
 import { startAdminServer } from "./admin_server.ts";
 import { startCallerServer } from "./caller_server.ts";
--- a/packages/daemon/src/engine_control.ts
+++ b/packages/daemon/src/engine_control.ts
@@ -7,9 +7,9 @@
   createPlacer,
   isLeaseCandidate,
 } from "@rosemarypin/placement";
-import type { ObjectStore } from "@rosemarypin/platform";
 import type { NoteKeeper } from "@rosemarypin/release";
 import type { Settings } from "@rosemarypin/schemas";
+import type { ObjectStore } from "@rosemarypin/store";
 import type { Metrics } from "@rosemarypin/telemetry";
 import { listCandidates, listUsable } from "./known_state.ts";
 import { createLoader } from "./weight_loads.ts";
--- a/packages/daemon/src/plain_services.ts
+++ b/packages/daemon/src/plain_services.ts
@@ -8,9 +8,9 @@
   createServiceCaller,
 } from "@rosemarypin/calls";
 import type { Membership, PeerCaller } from "@rosemarypin/membership";
-import { type ObjectStore, readInstanceList } from "@rosemarypin/platform";
 import type { NoteKeeper } from "@rosemarypin/release";
 import type { Settings } from "@rosemarypin/schemas";
+import { type ObjectStore, readInstanceList } from "@rosemarypin/store";
 import type { Metrics } from "@rosemarypin/telemetry";
 import { claimOwnerMethods, createPeerClaimOwners } from "./claim_owners.ts";
 import { endHandOverMethods, finishEnds } from "./end_hand_over.ts";
--- a/packages/daemon/src/weight_loads.ts
+++ b/packages/daemon/src/weight_loads.ts
@@ -1,10 +1,11 @@
 /** The way to the weight store that the settings name. */
+
+import type { Settings } from "@rosemarypin/schemas";
 import {
   createHttpWeightStore,
   createWeightLoader,
   type WeightLoader,
-} from "@rosemarypin/platform";
-import type { Settings } from "@rosemarypin/schemas";
+} from "@rosemarypin/store";
 
 /** Without a weight store, engines are taken to have weights at hand. */
 const atHand: WeightLoader = { load: () => Promise.resolve(true) };
--- a/packages/fakes/src/memory_store.ts
+++ b/packages/fakes/src/memory_store.ts
@@ -6,7 +6,7 @@
   StoreFailure,
   StoreResult,
   WatchBatch,
-} from "@rosemarypin/platform";
+} from "@rosemarypin/store";
 import { pause } from "@rosemarypin/timing";
 
 /** Faults of one client's calls; a test changes them as it goes. */
--- a/packages/placement/src/control_lease.ts
+++ b/packages/placement/src/control_lease.ts
@@ -1,5 +1,5 @@
 /** The right to order the engines of one failure domain. */
-import type { ObjectStore, StoredObject } from "@rosemarypin/platform";
+
 import {
   elapsedMs,
   type Moment,
@@ -11,6 +11,7 @@
   leaseObjectSchema,
   storedKeys,
 } from "@rosemarypin/schemas";
+import type { ObjectStore, StoredObject } from "@rosemarypin/store";
 import { createLogger } from "@rosemarypin/telemetry";
 
 const DURATION_MS = 6_000;
--- a/packages/placement/src/engine_loads.ts
+++ b/packages/placement/src/engine_loads.ts
@@ -1,6 +1,7 @@
 /** Weights that the weight store serves, or has served, to engines. */
-import type { WeightLoader } from "@rosemarypin/platform";
+
 import type { HeldLayers } from "@rosemarypin/schemas";
+import type { WeightLoader } from "@rosemarypin/store";
 import { isSameRange } from "./held_layers.ts";
 import type { MissingWeights } from "./placed_state.ts";
 
--- a/packages/placement/src/placer.ts
+++ b/packages/placement/src/placer.ts
@@ -1,5 +1,5 @@
 /** Keeps a plan for the engines of one failure domain while it orders them. */
-import type { WeightLoader } from "@rosemarypin/platform";
+
 import type { NoteKeeper } from "@rosemarypin/release";
 import type {
   EngineSettings,
@@ -8,6 +8,7 @@
   NoteRecord,
   PlacementSettings,
 } from "@rosemarypin/schemas";
+import type { WeightLoader } from "@rosemarypin/store";
 import type { Metrics } from "@rosemarypin/telemetry";
 import type { ControlLease } from "./control_lease.ts";
 import { createEngineLoads } from "./engine_loads.ts";
--- a/packages/release/src/head_follower.ts
+++ b/packages/release/src/head_follower.ts
@@ -1,6 +1,7 @@
 /** Reads and watches the head object in the store. */
-import type { ObjectStore, Revision } from "@rosemarypin/platform";
+
 import { headObjectSchema, type NoteRecord } from "@rosemarypin/schemas";
+import type { ObjectStore, Revision } from "@rosemarypin/store";
 import { createLogger } from "@rosemarypin/telemetry";
 import { pause } from "@rosemarypin/timing";
 import { backoffMs } from "./backoff.ts";
--- a/packages/release/src/head_follower_test.ts
+++ b/packages/release/src/head_follower_test.ts
@@ -1,5 +1,5 @@
-import type { ObjectStore, StoredObject } from "@rosemarypin/platform";
 import { emptyCatalogue, type NoteRecord } from "@rosemarypin/schemas";
+import type { ObjectStore, StoredObject } from "@rosemarypin/store";
 import { afterEach, beforeEach, expect, it, vi } from "vitest";
 import { followHead } from "./head_follower.ts";
 
--- a/packages/release/src/note_history.ts
+++ b/packages/release/src/note_history.ts
@@ -1,10 +1,11 @@
 /** The notes that were recorded, by number. */
-import type { ObjectStore, StoredObject } from "@rosemarypin/platform";
+
 import {
   headObjectSchema,
   type NoteRecord,
   storedKeys,
 } from "@rosemarypin/schemas";
+import type { ObjectStore, StoredObject } from "@rosemarypin/store";
 
 /** What a stored note object holds. */
 export type StoredNote =
--- a/packages/release/src/note_keeper.ts
+++ b/packages/release/src/note_keeper.ts
@@ -1,7 +1,6 @@
 /** Keeps the note that this instance applies, and never goes back. */
 
 import type { Membership, PeerCaller } from "@rosemarypin/membership";
-import type { ObjectStore } from "@rosemarypin/platform";
 import {
   emptyCatalogue,
   type InstanceReference,
@@ -10,6 +9,7 @@
   type NoteRequest,
   storedKeys,
 } from "@rosemarypin/schemas";
+import type { ObjectStore } from "@rosemarypin/store";
 import { createLogger, type Metrics } from "@rosemarypin/telemetry";
 import { createContact } from "./contact.ts";
 import type { HeadNews } from "./head_follower.ts";
--- a/packages/release/src/note_sources.ts
+++ b/packages/release/src/note_sources.ts
@@ -1,12 +1,12 @@
 /** Where notes come from: the store, peers, and hints of engines. */
 import type { Membership, PeerCaller } from "@rosemarypin/membership";
-import type { ObjectStore } from "@rosemarypin/platform";
 import {
   type Address,
   type NoteReply,
   type NoteRequest,
   noteReplySchema,
 } from "@rosemarypin/schemas";
+import type { ObjectStore } from "@rosemarypin/store";
 import { pause } from "@rosemarypin/timing";
 import { jittered } from "./backoff.ts";
 import { UNLISTED_ALLOWANCE_MS } from "./contact.ts";
--- a/packages/release/src/publisher.ts
+++ b/packages/release/src/publisher.ts
@@ -1,12 +1,12 @@
 /** Publishes a note by a conditional update of the head object. */
 
-import type { ObjectStore, StoredObject } from "@rosemarypin/platform";
 import {
   emptyCatalogue,
   type NoteRecord,
   type ReleaseNote,
   storedKeys,
 } from "@rosemarypin/schemas";
+import type { ObjectStore, StoredObject } from "@rosemarypin/store";
 import { createLogger } from "@rosemarypin/telemetry";
 import { foldNote, type NoteProblem } from "./fold.ts";
 import { createNoteHistory, parseStoredNote } from "./note_history.ts";
--- a/packages/release/src/recall_test.ts
+++ b/packages/release/src/recall_test.ts
@@ -1,5 +1,4 @@
 import { createMemoryStore, createPeerNetwork } from "@rosemarypin/fakes";
-import type { ObjectStore } from "@rosemarypin/platform";
 import {
   type NoteRecord,
   noteRequestSchema,
@@ -7,6 +6,7 @@
   releaseNoteSchema,
   storedKeys,
 } from "@rosemarypin/schemas";
+import type { ObjectStore } from "@rosemarypin/store";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 import { createConfirmer } from "./confirmations.ts";
 import { createNoteKeeper } from "./note_keeper.ts";
--- a/packages/release/src/registration.ts
+++ b/packages/release/src/registration.ts
@@ -8,7 +8,6 @@
  * instance that can have read an earlier one.
  */
 import type { PeerCaller } from "@rosemarypin/membership";
-import type { ObjectStore, StoredObject } from "@rosemarypin/platform";
 import {
   formatAddress,
   type InstanceReference,
@@ -17,6 +16,7 @@
   registryObjectSchema,
   storedKeys,
 } from "@rosemarypin/schemas";
+import type { ObjectStore, StoredObject } from "@rosemarypin/store";
 import { createLogger } from "@rosemarypin/telemetry";
 import { pause } from "@rosemarypin/timing";
 import { backoffMs, jittered } from "./backoff.ts";
--- a/packages/release/src/withdrawn_names.ts
+++ b/packages/release/src/withdrawn_names.ts
@@ -2,7 +2,7 @@
  * Names that were withdrawn and are never given out again. The head object
  * holds the newest withdrawals; each older one has an object of its own.
  */
-import type { ObjectStore, StoreResult } from "@rosemarypin/platform";
+
 import {
   type AddedLine,
   type ReleaseNote,
@@ -10,6 +10,7 @@
   type Withdrawal,
   type WithdrawnLine,
 } from "@rosemarypin/schemas";
+import type { ObjectStore, StoreResult } from "@rosemarypin/store";
 import type { NoteProblem } from "./fold.ts";
 
 /** More than a day of withdrawals when half of 410 notes withdraw something. */
--- a/packages/release/src/withdrawn_names_test.ts
+++ b/packages/release/src/withdrawn_names_test.ts
@@ -1,6 +1,6 @@
 import { createMemoryStore, createPeerNetwork } from "@rosemarypin/fakes";
-import type { ObjectStore } from "@rosemarypin/platform";
 import { emptyCatalogue, storedKeys } from "@rosemarypin/schemas";
+import type { ObjectStore } from "@rosemarypin/store";
 import { expect, it } from "vitest";
 import { createNoteKeeper } from "./note_keeper.ts";
 import { createPublisher } from "./publisher.ts";
