--- /dev/null
+++ b/packages/gateway/src/backend_fleet.ts
@@ -0,0 +1,128 @@
+/** The backend servers that an instance knows, and what it sent to them. */
+import type { LayerRange } from "@rosemarypin/pipelines";
+import { createLogger } from "@rosemarypin/telemetry";
+import type { BackendServer, EngineReport } from "./backend_server.ts";
+import { createSuspicion, type Suspicion } from "./suspicion.ts";
+
+/**
+ * How far an entry may lag behind the server it tells of: it is written every
+ * 1.2 s, and its way through the store takes up to 0.8 s.
+ */
+const ENTRY_LAG_MS = 2_000;
+
+const log = createLogger("backends");
+
+export interface BackendFleet {
+  readonly suspicion: Suspicion;
+  get(id: string): BackendServer | null;
+  byAddress(address: string): BackendServer | null;
+  /** Servers of a service, those that are leaving or doubted too. */
+  ofService(service: string): BackendServer[];
+  /** Whether new requests may go to the server. */
+  isUsable(server: BackendServer): boolean;
+  /** Takes in an entry of the list. */
+  put(server: BackendServer): void;
+  remove(id: string): void;
+  /** Takes in what an engine said of itself, which is newer than its entry. */
+  putReport(id: string, report: EngineReport): void;
+  /** Calls back when a server came, changed or went. */
+  onChanged(callback: (id: string) => void): void;
+}
+
+/** Creates a fleet without servers. */
+export function createBackendFleet(): BackendFleet {
+  const servers = new Map<string, BackendServer>();
+  const suspicion = createSuspicion();
+  const callbacks: ((id: string) => void)[] = [];
+  const reportedAt = new Map<string, number>();
+
+  function changed(id: string): void {
+    for (const callback of callbacks) callback(id);
+  }
+
+  return {
+    suspicion,
+    get: (id) => servers.get(id) ?? null,
+    byAddress(address) {
+      for (const server of servers.values()) {
+        if (server.address === address) return server;
+      }
+      return null;
+    },
+    ofService: (service) =>
+      [...servers.values()].filter((server) => server.service === service),
+    isUsable: (server) => !server.leaving && !suspicion.isDoubted(server.id),
+    put(server) {
+      const last = servers.get(server.id);
+      const isSameLife = last?.startedAt === server.startedAt;
+      if (last && isOlder(server, last)) {
+        // Only its leaving is news.
+        if (!server.leaving || last.leaving) return;
+        servers.set(server.id, { ...last, leaving: true });
+      } else if (last && isSameLife) {
+        const isReportNewer = isFresh(reportedAt.get(server.id));
+        const { orderCount } = last;
+        const held = isReportNewer ? last.held : server.held;
+        servers.set(server.id, { ...server, orderCount, held });
+      } else {
+        servers.set(server.id, server);
+        reportedAt.delete(server.id);
+        suspicion.worked(server.id);
+      }
+      logChange(server, last);
+      changed(server.id);
+    },
+    remove(id) {
+      const last = servers.get(id);
+      if (!last) return;
+      servers.delete(id);
+      reportedAt.delete(id);
+      suspicion.worked(id);
+      log.info("server_gone", { id, address: last.address });
+      changed(id);
+    },
+    putReport(id, report) {
+      const last = servers.get(id);
+      if (!last) return;
+      const startedAt = report.startedAt ?? last.startedAt;
+      // Of a life that ended, or of one that has not written its entry yet.
+      if (startedAt !== last.startedAt) return;
+      reportedAt.set(id, performance.now());
+      const { orderCount, held } = report;
+      servers.set(id, { ...last, orderCount, held });
+      if (!isSameRange(held, last.held)) changed(id);
+    },
+    onChanged(callback) {
+      callbacks.push(callback);
+    },
+  };
+}
+
+/** Whether a report is newer than what an entry that comes now tells. */
+function isFresh(reportedAt: number | undefined): boolean {
+  if (reportedAt === undefined) return false;
+  return performance.now() - reportedAt < ENTRY_LAG_MS;
+}
+
+/** Whether an entry was written before the one that is known. */
+function isOlder(entry: BackendServer, known: BackendServer): boolean {
+  if (entry.startedAt !== known.startedAt) {
+    return entry.startedAt < known.startedAt;
+  }
+  return entry.renewal < known.renewal;
+}
+
+function isSameRange(a: LayerRange | null, b: LayerRange | null): boolean {
+  return a?.from === b?.from && a?.to === b?.to;
+}
+
+function logChange(server: BackendServer, last: BackendServer | undefined) {
+  const { id, address, failureDomain, leaving, held, startedAt } = server;
+  if (!last || last.startedAt !== startedAt) {
+    log.info("server_seen", { id, address, domain: failureDomain, startedAt });
+  } else if (leaving && !last.leaving) {
+    log.info("server_leaving", { id, address });
+  } else if (!isSameRange(held, last.held)) {
+    log.info("server_layers", { id, from: held?.from, to: held?.to });
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/caller_answer.ts
@@ -0,0 +1,72 @@
+/** Writes answers to callers: those of backend servers, and our own. */
+import type { ServerResponse } from "node:http";
+import type { CallEnd, CallerCall, CallOutcome } from "./caller_call.ts";
+import type { RequestCodec } from "./protocol.ts";
+
+/** Statuses that promise that the request did not and will not run. */
+const NOT_RUN_STATUSES = new Set([408, 421, 429, 503]);
+/** When to come back after a refusal, in seconds; spread, so that those who
+ * were refused together don't return together. */
+const RETRY_AFTER_SECONDS = { least: 0.4, most: 1.6 } as const;
+
+export interface RefusalOptions {
+  readonly status: number;
+  readonly reason: string;
+  readonly requestId: string | null;
+  /** When to come back, in seconds; chosen here when left out. */
+  readonly retryAfterSeconds?: number;
+}
+
+/** Writes an answer of our own; does nothing when one has begun. */
+export function refuse(
+  codec: RequestCodec,
+  response: ServerResponse,
+  { status, reason, requestId, retryAfterSeconds }: RefusalOptions,
+): void {
+  if (response.headersSent || response.destroyed) return;
+  const body = `${JSON.stringify({ error: reason })}\n`;
+  response.writeHead(status, {
+    ...codec.encodeRefusal({
+      requestId,
+      retryAfterSeconds: NOT_RUN_STATUSES.has(status)
+        ? (retryAfterSeconds ?? spreadRetryAfter())
+        : null,
+    }),
+    "Content-Type": "application/json",
+    "Content-Length": Buffer.byteLength(body),
+  });
+  response.end(body);
+}
+
+function spreadRetryAfter(): number {
+  const { least, most } = RETRY_AFTER_SECONDS;
+  return least + Math.random() * (most - least);
+}
+
+/** Ends a call with an answer of our own, and says how it ended. */
+export function endWithRefusal(
+  codec: RequestCodec,
+  call: CallerCall,
+  options: {
+    readonly outcome: CallOutcome;
+    readonly reason: string;
+    readonly attempts: number;
+    readonly retryAfterSeconds?: number;
+  },
+): CallEnd {
+  const { outcome, reason, attempts } = options;
+  const status = outcome === "not_run" ? 503 : isTimeOver(call) ? 504 : 502;
+  refuse(codec, call.response, {
+    status,
+    reason,
+    requestId: call.facts.requestId,
+    ...(options.retryAfterSeconds === undefined
+      ? {}
+      : { retryAfterSeconds: options.retryAfterSeconds }),
+  });
+  return { status, outcome, reason, attempts, firstByteMs: null };
+}
+
+function isTimeOver(call: CallerCall): boolean {
+  return performance.now() >= call.deadlineAt;
+}
--- /dev/null
+++ b/packages/gateway/src/caller_listener.ts
@@ -0,0 +1,269 @@
+/** Takes callers' requests in and hands them to be forwarded. */
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import { createLogger } from "@rosemarypin/telemetry";
+import { refuse } from "./caller_answer.ts";
+import type { CallEnd, CallerCall } from "./caller_call.ts";
+import type {
+  CallerLimits,
+  Organisation,
+  Route,
+  Service,
+} from "./configuration.ts";
+import type {
+  AppliedConfiguration,
+  ConfigurationKeeper,
+} from "./configuration_keeper.ts";
+import type { RequestCodec, RequestFacts } from "./protocol.ts";
+
+/** Until a configuration tells the bounds on callers. */
+const FIRST_LIMITS: CallerLimits = {
+  headerBytes: 16_384,
+  bodyBytes: 4_194_304,
+  headerTimeoutMs: 3_000,
+  idleTimeoutMs: 15_000,
+};
+/** What the parser takes at most; the configuration's bound is smaller. */
+const PARSER_HEADER_BYTES = 65_536;
+/** The whole request, with a body that is sent slowly, in milliseconds. */
+const REQUEST_TIMEOUT_MS = 20_000;
+const DEFAULT_DEADLINE_MS = 30_000;
+
+const log = createLogger("callers");
+
+export interface CallerListenerOptions {
+  readonly keeper: ConfigurationKeeper;
+  readonly codec: RequestCodec;
+  readonly forward: (call: CallerCall) => Promise<CallEnd>;
+  readonly isStopping: () => boolean;
+  readonly onEnded: (call: CallerCall, end: CallEnd) => void;
+}
+
+export interface CallerListener {
+  readonly server: Server;
+  /** Requests in progress. */
+  inProgress(): number;
+}
+
+interface Admitted {
+  readonly route: Route;
+  readonly service: Service;
+  readonly organisation: Organisation | null;
+}
+
+interface Refusal {
+  readonly status: number;
+  readonly reason: string;
+}
+
+/** Creates the listener; it is not bound to an address yet. */
+export function createCallerListener(
+  options: CallerListenerOptions,
+): CallerListener {
+  const { keeper, codec } = options;
+  let inProgress = 0;
+  const server = createServer(
+    { maxHeaderSize: PARSER_HEADER_BYTES, requestTimeout: REQUEST_TIMEOUT_MS },
+    (request, response) => void take(request, response),
+  );
+  applyLimits(server, FIRST_LIMITS);
+  keeper.onChanged(({ limits }) => applyLimits(server, limits));
+
+  async function take(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    inProgress += 1;
+    if (options.isStopping()) response.setHeader("Connection", "close");
+    try {
+      await handle(request, response);
+    } catch (error) {
+      const reason = error instanceof Error ? error.message : String(error);
+      log.warn("request_failed", { reason });
+      response.destroy();
+    } finally {
+      inProgress -= 1;
+    }
+  }
+
+  async function handle(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const startedAt = performance.now();
+    const facts = codec.decodeRequest(request.headers);
+    const applied = keeper.applied();
+    const admitted = admit(request, { facts, applied });
+    if ("status" in admitted) {
+      return refuseRequest(request, response, { facts, refusal: admitted });
+    }
+    const body = await readBody(request, applied?.limits ?? FIRST_LIMITS);
+    if (body === "too_large") {
+      const refusal = { status: 413, reason: "body_too_large" };
+      response.setHeader("Connection", "close");
+      return refuseRequest(request, response, { facts, refusal });
+    }
+    if (body === "broken") {
+      log.info("request_broken", { request: facts.requestId ?? "" });
+      response.destroy();
+      return;
+    }
+    const { route } = admitted;
+    const waitMs = Math.min(
+      facts.deadlineMs ?? DEFAULT_DEADLINE_MS,
+      route.timeoutMs,
+    );
+    const left = new AbortController();
+    let callerLeft = false;
+    const timer = setTimeout(() => left.abort(), waitMs);
+    response.once("close", () => {
+      if (!response.writableFinished) callerLeft = true;
+      left.abort();
+    });
+    const call: CallerCall = {
+      id: facts.requestId ?? crypto.randomUUID(),
+      facts,
+      ...admitted,
+      method: request.method ?? "GET",
+      path: request.url ?? "/",
+      rawHeaders: request.rawHeaders,
+      body,
+      response,
+      startedAt,
+      deadlineAt: startedAt + waitMs,
+      signal: left.signal,
+      callerLeft: () => callerLeft,
+    };
+    try {
+      const end = await options.forward(call);
+      logEnd(call, end);
+      options.onEnded(call, end);
+    } finally {
+      clearTimeout(timer);
+    }
+  }
+
+  function refuseRequest(
+    request: IncomingMessage,
+    response: ServerResponse,
+    options: { readonly facts: RequestFacts; readonly refusal: Refusal },
+  ): void {
+    const { facts, refusal } = options;
+    const { status, reason } = refusal;
+    log.info("request_refused", {
+      request: facts.requestId ?? "",
+      status,
+      reason,
+      host: request.headers.host,
+      path: request.url,
+      version: keeper.applied()?.version ?? 0,
+    });
+    request.resume();
+    refuse(codec, response, { status, reason, requestId: facts.requestId });
+  }
+
+  return { server, inProgress: () => inProgress };
+}
+
+/** Decides whether a request may be forwarded, and by which route. */
+function admit(
+  request: IncomingMessage,
+  options: {
+    readonly facts: RequestFacts;
+    readonly applied: AppliedConfiguration | null;
+  },
+): Admitted | Refusal {
+  const { facts, applied } = options;
+  if (!applied) return { status: 503, reason: "no_configuration" };
+  if (headerBytes(request.rawHeaders) > applied.limits.headerBytes) {
+    return { status: 431, reason: "headers_too_large" };
+  }
+  const route = applied.table.find(
+    request.headers.host ?? "",
+    pathOf(request.url ?? "/"),
+  );
+  if (!route) return { status: 404, reason: "no_route" };
+  const organisation = organisationOf(applied, facts);
+  if (!organisation && applied.organisations && !route.isPublic) {
+    return { status: 401, reason: "unknown_key" };
+  }
+  const service = chooseShare(route, applied.services);
+  if (!service) return { status: 503, reason: "no_service" };
+  return { route, service, organisation };
+}
+
+function organisationOf(
+  { organisations }: AppliedConfiguration,
+  { key }: RequestFacts,
+): Organisation | null {
+  return key === null ? null : (organisations?.get(key) ?? null);
+}
+
+/** Draws the service of a request by the weights of the route's shares. */
+function chooseShare(
+  { shares }: Route,
+  services: ReadonlyMap<string, Service>,
+): Service | null {
+  const total = shares.reduce((sum, { weight }) => sum + weight, 0);
+  let drawn = Math.random() * total;
+  for (const { service, weight } of shares) {
+    drawn -= weight;
+    if (drawn < 0) return services.get(service) ?? null;
+  }
+  return services.get(shares.at(-1)?.service ?? "") ?? null;
+}
+
+function pathOf(url: string): string {
+  const query = url.indexOf("?");
+  return query < 0 ? url : url.slice(0, query);
+}
+
+function headerBytes(rawHeaders: readonly string[]): number {
+  return rawHeaders.reduce((sum, text) => sum + text.length + 2, 0);
+}
+
+async function readBody(
+  request: IncomingMessage,
+  { bodyBytes }: CallerLimits,
+): Promise<Buffer | null | "too_large" | "broken"> {
+  const declared = Number(request.headers["content-length"] ?? 0);
+  if (declared > bodyBytes) return "too_large";
+  const chunks: Buffer[] = [];
+  let bytes = 0;
+  try {
+    for await (const chunk of request) {
+      bytes += (chunk as Buffer).length;
+      if (bytes > bodyBytes) return "too_large";
+      chunks.push(chunk as Buffer);
+    }
+  } catch {
+    return "broken";
+  }
+  return bytes === 0 ? null : Buffer.concat(chunks);
+}
+
+function applyLimits(server: Server, limits: CallerLimits): void {
+  server.headersTimeout = limits.headerTimeoutMs;
+  server.keepAliveTimeout = limits.idleTimeoutMs;
+}
+
+function logEnd(call: CallerCall, end: CallEnd): void {
+  const fields = {
+    request: call.id,
+    route: call.route.name,
+    service: call.service.name,
+    organisation: call.organisation?.name,
+    status: end.status,
+    outcome: end.outcome,
+    reason: end.reason,
+    attempts: end.attempts,
+    first_ms: end.firstByteMs === null ? undefined : end.firstByteMs.toFixed(0),
+    total_ms: (performance.now() - call.startedAt).toFixed(0),
+  };
+  if (end.outcome === "answered") log.info("request_ended", fields);
+  else log.warn("request_ended", fields);
+}
--- /dev/null
+++ b/packages/gateway/src/forward_plain.ts
@@ -0,0 +1,168 @@
+/** Forwards requests of plain services: whole answers, at most some repeats. */
+import type { BackendExchange, OpenAnswer } from "./backend_exchange.ts";
+import type { BackendFleet } from "./backend_fleet.ts";
+import type { BackendServer } from "./backend_server.ts";
+import { endWithRefusal } from "./caller_answer.ts";
+import {
+  type CallEnd,
+  type CallerCall,
+  priorityOf,
+  timeLeftMs,
+} from "./caller_call.ts";
+import type { RequestCodec } from "./protocol.ts";
+import type { RetryBudget } from "./retry_budget.ts";
+import type { ServerChoice } from "./server_choice.ts";
+
+/** Servers that may refuse a request before it is refused to the caller. */
+const MOST_REFUSALS = 3;
+const SERVER_ERROR = 500;
+
+export interface ForwardParts {
+  readonly codec: RequestCodec;
+  readonly exchange: BackendExchange;
+  readonly fleet: BackendFleet;
+  readonly budget: RetryBudget;
+  readonly choice: ServerChoice;
+}
+
+type Attempt =
+  | {
+      readonly kind: "answer";
+      readonly answer: OpenAnswer;
+      readonly body: Buffer;
+    }
+  | { readonly kind: "not_run"; readonly detail: string }
+  | { readonly kind: "unknown"; readonly detail: string };
+
+/** Forwards a call until it has an answer, or nobody may answer it. */
+export async function forwardPlain(
+  call: CallerCall,
+  parts: ForwardParts,
+): Promise<CallEnd> {
+  const { codec, budget, choice } = parts;
+  const mayRepeat = call.route.kind === "idempotent";
+  const avoided = new Set<string>();
+  let attempts = 0;
+  let runs = 0;
+  let last: Attempt = { kind: "not_run", detail: "no_server" };
+  while (!call.signal.aborted) {
+    const server = choice.choose(call.service.name, avoided);
+    if (!server) break;
+    if (attempts > 0 && !budget.take(call.service.name)) break;
+    attempts += 1;
+    avoided.add(server.id);
+    last = await attemptOnce(call, server, parts);
+    if (last.kind === "not_run") {
+      if (attempts - runs > MOST_REFUSALS) break;
+      continue;
+    }
+    runs += 1;
+    const isFinal = last.kind === "answer" && last.answer.status < SERVER_ERROR;
+    if (isFinal || !mayRepeat || runs >= call.route.maxAttempts) break;
+  }
+  if (call.callerLeft()) {
+    const reason = "caller_left";
+    return { status: 0, outcome: reason, reason, attempts, firstByteMs: null };
+  }
+  if (last.kind === "answer") return passOn(call, last, { codec, attempts });
+  // Once it may have run, a later refusal does not say that it did not.
+  const outcome = runs > 0 ? "unknown" : "not_run";
+  const reason = last.detail;
+  return endWithRefusal(codec, call, { outcome, reason, attempts });
+}
+
+async function attemptOnce(
+  call: CallerCall,
+  server: BackendServer,
+  { codec, exchange, fleet, choice }: ForwardParts,
+): Promise<Attempt> {
+  const sentAt = performance.now();
+  choice.began(server.id);
+  let ok = false;
+  try {
+    const result = await exchange.send(
+      server,
+      {
+        method: call.method,
+        path: call.path,
+        headers: codec.encodeAttempt(call.rawHeaders, {
+          backendId: server.id,
+          organisation: call.organisation?.name ?? null,
+          deadlineMs: timeLeftMs(call),
+          priority: priorityOf(call),
+          pipeline: null,
+          lastEventId: null,
+        }),
+        body: call.body,
+      },
+      {
+        signal: call.signal,
+        freshConnection: call.route.kind !== "idempotent",
+      },
+    );
+    if (result.kind === "not_sent") {
+      fleet.suspicion.failed(server.id);
+      return { kind: "not_run", detail: result.detail };
+    }
+    if (result.kind === "broken") {
+      return { kind: "unknown", detail: result.detail };
+    }
+    const attempt = await readAnswer(call, result, codec);
+    ok = attempt.kind === "answer" && attempt.answer.status < SERVER_ERROR;
+    if (ok) fleet.suspicion.worked(server.id);
+    return attempt;
+  } finally {
+    choice.ended(server.id, { tookMs: performance.now() - sentAt, ok });
+  }
+}
+
+async function readAnswer(
+  call: CallerCall,
+  answer: OpenAnswer,
+  codec: RequestCodec,
+): Promise<Attempt> {
+  const facts = codec.decodeAnswer(answer.status, answer.headers);
+  const isOurs =
+    facts.requestId === null || facts.requestId === call.facts.requestId;
+  if (!isOurs || !facts.plainBody) {
+    answer.abandon();
+    return { kind: "unknown", detail: "answer_of_another_request" };
+  }
+  const isSuccess = answer.status < 300;
+  if (isSuccess && !facts.signed) {
+    answer.abandon();
+    return { kind: "unknown", detail: "unsigned_answer" };
+  }
+  try {
+    const chunks: Buffer[] = [];
+    for await (const chunk of answer.body) chunks.push(chunk);
+    if (facts.notRun && !isSuccess) {
+      return { kind: "not_run", detail: `refused_${answer.status}` };
+    }
+    return { kind: "answer", answer, body: Buffer.concat(chunks) };
+  } catch (error) {
+    const reason = error instanceof Error ? error.message : String(error);
+    return { kind: "unknown", detail: `answer_broke_off: ${reason}` };
+  }
+}
+
+function passOn(
+  call: CallerCall,
+  { answer, body }: { readonly answer: OpenAnswer; readonly body: Buffer },
+  {
+    codec,
+    attempts,
+  }: { readonly codec: RequestCodec; readonly attempts: number },
+): CallEnd {
+  const firstByteMs = performance.now() - call.startedAt;
+  const headers = codec.encodeAnswer(answer.headers);
+  call.response.writeHead(answer.status, headers);
+  call.response.end(body);
+  return {
+    status: answer.status,
+    outcome: "answered",
+    reason: `status_${answer.status}`,
+    attempts,
+    firstByteMs,
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/gateway.ts
@@ -0,0 +1,170 @@
+/** Wires one instance that forwards requests by the platform's protocols. */
+import { once } from "node:events";
+import type { Server } from "node:http";
+import { createLogger } from "@rosemarypin/telemetry";
+import { pause } from "@rosemarypin/timing";
+import { createBackendExchange } from "./backend_exchange.ts";
+import { createBackendFleet } from "./backend_fleet.ts";
+import type { CallEnd, CallerCall } from "./caller_call.ts";
+import { createCallerListener } from "./caller_listener.ts";
+import { createConfigurationKeeper } from "./configuration_keeper.ts";
+import {
+  createMetricsServer,
+  createReadinessServer,
+} from "./control_listener.ts";
+import { forwardPlain } from "./forward_plain.ts";
+import { forwardStream } from "./forward_stream.ts";
+import { createGatewayMetrics } from "./gateway_metrics.ts";
+import { startObjectMirror } from "./object_mirror.ts";
+import { createOrderingRight } from "./ordering_right.ts";
+import { createPipelineRouter } from "./pipeline_router.ts";
+import { startPlacement } from "./placement_loop.ts";
+import type { Platform } from "./platform.ts";
+import { startPresence } from "./presence.ts";
+import { createRetryBudget } from "./retry_budget.ts";
+import { createServerChoice } from "./server_choice.ts";
+import type { GatewaySettings, ListenAddress } from "./settings.ts";
+import { createStallWatch } from "./stall_watch.ts";
+
+/**
+ * A balancer asks once a second and takes an instance out after two misses;
+ * until then it sends new connections, which are served.
+ */
+const BALANCER_LAG_MS = 2_500;
+/** Kept back of the grace time, so that the process ends by itself. */
+const STOP_MARGIN_MS = 400;
+const STOP_STEP_MS = 50;
+
+const log = createLogger("gateway");
+
+export interface Gateway {
+  /** Ends gracefully: no request in progress is cut before the grace time. */
+  stop(): Promise<void>;
+}
+
+/** Starts an instance; resolves once it listens. */
+export async function startGateway(
+  settings: GatewaySettings,
+  platform: Platform,
+): Promise<Gateway> {
+  const { instance, failureDomain } = settings;
+  const { store, keys, codec, engines } = platform;
+  const ending = new AbortController();
+  const { signal } = ending;
+  let stopping = false;
+
+  const keeper = createConfigurationKeeper();
+  const fleet = createBackendFleet();
+  const configurations = startObjectMirror({
+    store,
+    prefix: keys.configurations,
+    signal,
+    onObject({ key, value }) {
+      if (key !== keys.configuration) return;
+      const configuration = platform.decodeConfiguration(value);
+      if (configuration) keeper.offer(configuration);
+    },
+  });
+  const servers = startObjectMirror({
+    store,
+    prefix: keys.servers,
+    signal,
+    onObject({ key, value }) {
+      const id = key.slice(keys.servers.length);
+      const server = platform.decodeServer(id, value);
+      if (typeof server === "string") {
+        log.warn("server_entry_unreadable", { id, reason: server });
+      } else fleet.put(server);
+    },
+    onRemoved: (key) => fleet.remove(key.slice(keys.servers.length)),
+  });
+  const presence = startPresence({ store, instance, failureDomain, signal });
+  const right = createOrderingRight({
+    store,
+    instance,
+    failureDomain,
+    presence,
+  });
+  const budget = createRetryBudget(settings.retryBudget, presence.count);
+  const exchange = createBackendExchange();
+  const choice = createServerChoice({ fleet, failureDomain });
+  const router = createPipelineRouter({
+    fleet,
+    failureDomain,
+    sharers: () => Math.max(1, presence.count() / 2),
+  });
+  const stalls = createStallWatch({ fleet, engines });
+  startPlacement({
+    keeper,
+    fleet,
+    engines,
+    signal,
+    rightFor: (domain) => right.forDomain(domain),
+  });
+  const metrics = createGatewayMetrics({
+    inProgress: () => listener.inProgress(),
+    configurationVersion: () => keeper.applied()?.version ?? 0,
+    configurationAgeSeconds: () => configurations.ageMs() / 1_000,
+    serverListAgeSeconds: () => servers.ageMs() / 1_000,
+  });
+  const listener = createCallerListener({
+    keeper,
+    codec,
+    forward,
+    isStopping: () => stopping,
+    onEnded: metrics.countEnd,
+  });
+
+  function forward(call: CallerCall): Promise<CallEnd> {
+    budget.countRequest(call.service.name);
+    const parts = { codec, exchange, fleet, budget };
+    if (call.service.engine) {
+      return forwardStream(call, { ...parts, router, stalls });
+    }
+    return forwardPlain(call, { ...parts, choice });
+  }
+
+  const readiness = createReadinessServer({
+    path: platform.readyPath,
+    isReady: () => !stopping && keeper.applied() !== null,
+  });
+  await listen(readiness, settings.readiness);
+  await listen(listener.server, settings.callers);
+  if (settings.metrics) {
+    await listen(createMetricsServer(metrics.registry), settings.metrics);
+  }
+  log.info("started", {
+    instance,
+    domain: failureDomain,
+    callers: `${settings.callers.host}:${settings.callers.port}`,
+    memory_mb: (process.memoryUsage().rss / 1e6).toFixed(0),
+  });
+
+  async function stop(): Promise<void> {
+    if (stopping) return;
+    stopping = true;
+    const startedAt = performance.now();
+    const passedMs = () => performance.now() - startedAt;
+    log.info("stopping", { in_progress: listener.inProgress() });
+    void presence.leave();
+    void right.release();
+    const mostMs = settings.graceMs - STOP_MARGIN_MS;
+    while (passedMs() < mostMs) {
+      const isQuiet = listener.inProgress() === 0;
+      if (isQuiet && passedMs() > Math.min(BALANCER_LAG_MS, mostMs)) break;
+      await pause(STOP_STEP_MS);
+    }
+    const cut = listener.inProgress();
+    ending.abort();
+    listener.server.close();
+    listener.server.closeIdleConnections();
+    log.info("stopped", { cut, after_ms: passedMs().toFixed(0) });
+  }
+
+  return { stop };
+}
+
+async function listen(server: Server, address: ListenAddress): Promise<void> {
+  server.listen({ host: address.host, port: address.port });
+  await once(server, "listening");
+}
--- /dev/null
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -0,0 +1,92 @@
+/** Counters and histograms of one gateway. */
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import type { CallEnd, CallerCall } from "./caller_call.ts";
+
+const SECONDS_BUCKETS = [
+  0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.83, 1.5, 3, 6, 15, 30,
+];
+
+export interface GatewayMetrics {
+  readonly registry: Registry;
+  countEnd(call: CallerCall, end: CallEnd): void;
+}
+
+export interface GatewayGauges {
+  readonly inProgress: () => number;
+  readonly configurationVersion: () => number;
+  readonly configurationAgeSeconds: () => number;
+  readonly serverListAgeSeconds: () => number;
+}
+
+/** Creates the metrics in a registry of their own. */
+export function createGatewayMetrics(gauges: GatewayGauges): GatewayMetrics {
+  const registry = new Registry();
+  const registers = [registry];
+  const requests = new Counter({
+    name: "rosemarypin_requests_total",
+    help: "Requests that got their final answer, by kind and outcome",
+    labelNames: ["kind", "outcome"] as const,
+    registers,
+  });
+  const attempts = new Counter({
+    name: "rosemarypin_attempts_total",
+    help: "Requests sent to backend servers, repeats included",
+    labelNames: ["kind"] as const,
+    registers,
+  });
+  const firstByte = new Histogram({
+    name: "rosemarypin_first_byte_seconds",
+    help: "Time from the request's headers to the answer's first byte",
+    labelNames: ["kind"] as const,
+    buckets: SECONDS_BUCKETS,
+    registers,
+  });
+  const duration = new Histogram({
+    name: "rosemarypin_request_seconds",
+    help: "Time from the request's headers to its end",
+    labelNames: ["kind", "outcome"] as const,
+    buckets: SECONDS_BUCKETS,
+    registers,
+  });
+  addGauge("rosemarypin_in_flight", "Requests in progress", gauges.inProgress);
+  addGauge(
+    "rosemarypin_configuration_version",
+    "Version of the configuration in force",
+    gauges.configurationVersion,
+  );
+  addGauge(
+    "rosemarypin_configuration_age_seconds",
+    "Time since the store last answered about the configuration",
+    gauges.configurationAgeSeconds,
+  );
+  addGauge(
+    "rosemarypin_server_list_age_seconds",
+    "Time since the store last answered about backend servers",
+    gauges.serverListAgeSeconds,
+  );
+
+  function addGauge(name: string, help: string, read: () => number): void {
+    new Gauge({
+      name,
+      help,
+      registers,
+      collect() {
+        this.set(read());
+      },
+    });
+  }
+
+  return {
+    registry,
+    countEnd({ route, startedAt }, end) {
+      const { kind } = route;
+      const { outcome, firstByteMs } = end;
+      requests.inc({ kind, outcome });
+      attempts.inc({ kind }, end.attempts);
+      if (firstByteMs !== null)
+        firstByte.observe({ kind }, firstByteMs / 1_000);
+      const seconds = (performance.now() - startedAt) / 1_000;
+      duration.observe({ kind, outcome }, seconds);
+    },
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/mod.ts
@@ -0,0 +1,7 @@
+/** Forwards requests to backend servers by the configuration in force. */
+export * from "./backend_server.ts";
+export * from "./configuration.ts";
+export { type Gateway, startGateway } from "./gateway.ts";
+export * from "./platform.ts";
+export * from "./protocol.ts";
+export * from "./settings.ts";
--- /dev/null
+++ b/packages/gateway/src/object_mirror.ts
@@ -0,0 +1,128 @@
+/** A local copy of the objects below a prefix, kept current by a watch. */
+import {
+  fullJitterMs,
+  type ObjectStore,
+  type StoredObject,
+  type StoreFailure,
+} from "@rosemarypin/store";
+import { createLogger } from "@rosemarypin/telemetry";
+import { pause } from "@rosemarypin/timing";
+
+/** Short: changes must be in force within two seconds of their writing. */
+const JITTER = { firstMs: 80, largestMs: 600 } as const;
+/**
+ * A watch may skip a change, and a store that was away may have dropped and
+ * taken back entries; reading all anew now and then finds what was missed.
+ */
+const READ_ALL_EVERY_MS = 20_000;
+/**
+ * After an outage of the store, entries that lapsed meanwhile are written
+ * again within about two seconds; what is missing then is gone.
+ */
+const RETURN_GRACE_MS = 2_500;
+
+const log = createLogger("store");
+
+export interface ObjectMirrorOptions {
+  readonly store: ObjectStore;
+  readonly prefix: string;
+  readonly signal: AbortSignal;
+  /** Called for each new version of an object. */
+  readonly onObject: (object: StoredObject) => void;
+  /** Called when an object is gone for good. */
+  readonly onRemoved?: (key: string) => void;
+}
+
+export interface ObjectMirror {
+  /** Milliseconds since the store last answered; infinite before it did. */
+  ageMs(): number;
+  /** Whether all objects were read at least once. */
+  isFilled(): boolean;
+}
+
+/** Starts to follow the prefix until the signal ends it. */
+export function startObjectMirror(options: ObjectMirrorOptions): ObjectMirror {
+  const { store, prefix, signal } = options;
+  const known = new Map<string, number>();
+  /** Objects that are missing, with the time from which they are gone. */
+  const missing = new Map<string, NodeJS.Timeout>();
+  let since = 0;
+  let readAllAt = -Infinity;
+  let answeredAt = -Infinity;
+  let failures = 0;
+  let returnedAt = -Infinity;
+  void follow();
+
+  async function follow(): Promise<void> {
+    while (!signal.aborted) {
+      const readsAll = performance.now() - readAllAt >= READ_ALL_EVERY_MS;
+      const result = await store.watch(prefix, {
+        since: readsAll ? 0 : since,
+        signal,
+      });
+      if (signal.aborted) return;
+      if (result.kind !== "ok") {
+        await waitAfter(result);
+        continue;
+      }
+      const now = performance.now();
+      if (failures > 0) {
+        returnedAt = now;
+        log.info("store_back", { prefix, failures });
+      }
+      failures = 0;
+      answeredAt = now;
+      const { objects, removed = [], revision, isWhole } = result.value;
+      if (isWhole) readAllAt = now;
+      // A store that lags must not lead the watch back.
+      since = Math.max(since, revision);
+      for (const object of objects) take(object);
+      for (const key of removed) miss(key);
+      if (isWhole) missOthers(objects);
+    }
+  }
+
+  async function waitAfter(failure: StoreFailure): Promise<void> {
+    failures += 1;
+    if (failures === 1) {
+      const detail = "detail" in failure ? failure.detail : "";
+      log.warn("store_away", { prefix, kind: failure.kind, detail });
+    }
+    await pause(fullJitterMs(failures, JITTER), signal);
+  }
+
+  function take(object: StoredObject): void {
+    clearTimeout(missing.get(object.key));
+    missing.delete(object.key);
+    const last = known.get(object.key) ?? -Infinity;
+    if (object.version <= last) return;
+    known.set(object.key, object.version);
+    options.onObject(object);
+  }
+
+  function missOthers(objects: readonly StoredObject[]): void {
+    const there = new Set(objects.map(({ key }) => key));
+    for (const key of known.keys()) if (!there.has(key)) miss(key);
+  }
+
+  function miss(key: string): void {
+    if (!known.has(key) || missing.has(key)) return;
+    const graceMs = returnedAt + RETURN_GRACE_MS - performance.now();
+    if (graceMs <= 0) return drop(key);
+    missing.set(
+      key,
+      setTimeout(() => drop(key), graceMs),
+    );
+  }
+
+  function drop(key: string): void {
+    missing.delete(key);
+    known.delete(key);
+    options.onRemoved?.(key);
+  }
+
+  return {
+    ageMs: () => performance.now() - answeredAt,
+    isFilled: () => readAllAt > -Infinity,
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/pipeline_router.ts
@@ -0,0 +1,128 @@
+/** Chooses pipelines for answers, and keeps count of what they use. */
+import {
+  findPipeline,
+  layersIn,
+  roomTokens,
+  type StageCandidate,
+} from "@rosemarypin/pipelines";
+import type { BackendFleet } from "./backend_fleet.ts";
+import type { BackendServer } from "./backend_server.ts";
+import type { EngineShape, Service } from "./configuration.ts";
+import type { AddressedStage } from "./protocol.ts";
+
+export interface PipelineRequest {
+  readonly service: Service;
+  /** Prompt and expected answer, in tokens. */
+  readonly tokens: number;
+  /** Engines that this answer is to keep away from. */
+  readonly avoided: ReadonlySet<string>;
+}
+
+/** A pipeline that is counted as in use until it is released. */
+export interface ChosenPipeline {
+  readonly stages: readonly AddressedStage[];
+  readonly first: BackendServer;
+  release(): void;
+}
+
+export interface PipelineRouter {
+  /** Chooses a pipeline, or gives `null` when a layer is held by nobody. */
+  choose(request: PipelineRequest): ChosenPipeline | null;
+  /** Whether any pipeline stands. */
+  isServable(service: Service): boolean;
+  /** Answers in progress that pass through an engine. */
+  inProgress(engineId: string): number;
+}
+
+interface Use {
+  answers: number;
+  /** Tokens times layers. */
+  tokenLayers: number;
+}
+
+export interface PipelineRouterOptions {
+  readonly fleet: BackendFleet;
+  readonly failureDomain: string;
+  /** Instances that share the engines. */
+  readonly sharers: () => number;
+}
+
+/** Creates a router without answers in progress. */
+export function createPipelineRouter({
+  fleet,
+  failureDomain,
+  sharers,
+}: PipelineRouterOptions): PipelineRouter {
+  const uses = new Map<string, Use>();
+
+  function candidates(
+    service: Service,
+    engine: EngineShape,
+    avoided: ReadonlySet<string>,
+  ): StageCandidate[] {
+    return fleet.ofService(service.name).flatMap((server) => {
+      const kind = engine.kinds.get(server.kind ?? "");
+      const { held } = server;
+      if (!kind || !held || avoided.has(server.id)) return [];
+      if (!fleet.isUsable(server)) return [];
+      const { memoryMb, stepFactor, readFactor } = kind;
+      const layers = layersIn(held);
+      const room = roomTokens(engine.model, { memoryMb, layers }) * layers;
+      const used = (uses.get(server.id)?.tokenLayers ?? 0) * sharers();
+      return [
+        {
+          id: server.id,
+          failureDomain: server.failureDomain,
+          memoryMb,
+          stepFactor,
+          readFactor,
+          held,
+          load: used / Math.max(1, room),
+        },
+      ];
+    });
+  }
+
+  function find(service: Service, avoided: ReadonlySet<string>) {
+    const { engine } = service;
+    if (!engine) return null;
+    const options = { model: engine.model, failureDomain };
+    return findPipeline(candidates(service, engine, avoided), options);
+  }
+
+  function count(stages: readonly AddressedStage[], tokens: number): void {
+    for (const { engineId, range } of stages) {
+      const use = uses.get(engineId) ?? { answers: 0, tokenLayers: 0 };
+      use.answers += Math.sign(tokens);
+      use.tokenLayers += tokens * layersIn(range);
+      if (use.answers === 0) uses.delete(engineId);
+      else uses.set(engineId, use);
+    }
+  }
+
+  return {
+    choose({ service, tokens, avoided }) {
+      const found = find(service, avoided);
+      if (!found) return null;
+      const stages = found.stages.flatMap((stage) => {
+        const server = fleet.get(stage.engineId);
+        return server ? [{ ...stage, address: server.address }] : [];
+      });
+      const first = fleet.get(stages[0]?.engineId ?? "");
+      if (!first || stages.length !== found.stages.length) return null;
+      let released = false;
+      count(stages, tokens);
+      return {
+        stages,
+        first,
+        release() {
+          if (released) return;
+          released = true;
+          count(stages, -tokens);
+        },
+      };
+    },
+    isServable: (service) => find(service, new Set()) !== null,
+    inProgress: (engineId) => uses.get(engineId)?.answers ?? 0,
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/placement_loop.ts
@@ -0,0 +1,197 @@
+/** Orders engines to hold the layers that the plan gives them. */
+import {
+  type LayerOrder,
+  type LayerRange,
+  type PlannedEngine,
+  planLayers,
+} from "@rosemarypin/pipelines";
+import { createLogger } from "@rosemarypin/telemetry";
+import { pause } from "@rosemarypin/timing";
+import type { BackendFleet } from "./backend_fleet.ts";
+import type { BackendServer } from "./backend_server.ts";
+import type { Service } from "./configuration.ts";
+import type { ConfigurationKeeper } from "./configuration_keeper.ts";
+import type { EngineCalls } from "./protocol.ts";
+
+/** How often the plan is looked at when nothing wakes the loop. */
+const LOOK_EVERY_MS = 500;
+/** Changes that come together are planned together. */
+const GATHER_MS = 30;
+/** At the start engines appear one by one; planning waits for the rest. */
+const SETTLE_MS = 400;
+const ORDER_TIMEOUT_MS = 1_000;
+const REPORT_TIMEOUT_MS = 300;
+/** Reports of engines with an order in progress are read this often. */
+const FOLLOW_EVERY_MS = 250;
+/** An order without an effect for so long is taken as lost. */
+const ORDER_LOST_AFTER_MS = 4_000;
+
+const log = createLogger("placement");
+
+export interface PlacementOptions {
+  readonly keeper: ConfigurationKeeper;
+  readonly fleet: BackendFleet;
+  readonly engines: EngineCalls;
+  readonly signal: AbortSignal;
+  /** Fencing number of the right to order in a domain; `null` without it. */
+  readonly rightFor: (failureDomain: string) => number | null;
+}
+
+interface Pending {
+  readonly range: LayerRange;
+  readonly startedAt: number;
+  readonly orderedAt: number;
+}
+
+/** Starts the loop; it ends with the signal. */
+export function startPlacement(options: PlacementOptions): void {
+  const { keeper, fleet, engines, signal } = options;
+  const pending = new Map<string, Pending>();
+  let wake: (() => void) | null = null;
+  let changedAt = performance.now();
+  fleet.onChanged(() => {
+    changedAt = performance.now();
+    wake?.();
+  });
+  void run();
+
+  async function run(): Promise<void> {
+    while (!signal.aborted) {
+      await nextLook();
+      for (const service of keeper.applied()?.services.values() ?? []) {
+        if (service.engine) await placeService(service);
+      }
+    }
+  }
+
+  async function nextLook(): Promise<void> {
+    const everyMs = pending.size > 0 ? FOLLOW_EVERY_MS : LOOK_EVERY_MS;
+    const stop = new AbortController();
+    wake = () => stop.abort();
+    await pause(everyMs, AbortSignal.any([signal, stop.signal]));
+    wake = null;
+    await pause(GATHER_MS, signal);
+  }
+
+  async function placeService(service: Service): Promise<void> {
+    const { engine } = service;
+    if (!engine) return;
+    await followOrders();
+    const servers = fleet.ofService(service.name);
+    const holdsNothing = servers.every(({ held }) => held === null);
+    if (holdsNothing && performance.now() - changedAt < SETTLE_MS) return;
+    const planned = servers.flatMap((server) => {
+      const kind = engine.kinds.get(server.kind ?? "");
+      if (!kind || !fleet.isUsable(server)) return [];
+      return [plannedEngine(server, kind)];
+    });
+    const orders = planLayers(planned, engine.model);
+    await Promise.all(orders.map((order) => place(order)));
+  }
+
+  function plannedEngine(
+    server: BackendServer,
+    kind: {
+      readonly memoryMb: number;
+      readonly stepFactor: number;
+      readonly readFactor: number;
+    },
+  ): PlannedEngine {
+    const order = pending.get(server.id);
+    return {
+      id: server.id,
+      failureDomain: server.failureDomain,
+      memoryMb: kind.memoryMb,
+      stepFactor: kind.stepFactor,
+      readFactor: kind.readFactor,
+      held: order?.range ?? server.held,
+      orderable: !order && options.rightFor(server.failureDomain) !== null,
+    };
+  }
+
+  async function place({ engineId, range }: LayerOrder): Promise<void> {
+    if (fleet.get(engineId)?.orderCount === null) await refresh(engineId);
+    const server = fleet.get(engineId);
+    if (!server || server.orderCount === null || pending.has(engineId)) return;
+    const fencingNumber = options.rightFor(server.failureDomain);
+    if (fencingNumber === null) return;
+    pending.set(engineId, {
+      range,
+      startedAt: server.startedAt,
+      orderedAt: performance.now(),
+    });
+    const answer = await engines.place(
+      server,
+      { range, expectedOrderCount: server.orderCount, fencingNumber },
+      ORDER_TIMEOUT_MS,
+    );
+    log.info("layers_ordered", {
+      id: engineId,
+      from: range.from,
+      to: range.to,
+      held_from: server.held?.from,
+      held_to: server.held?.to,
+      order_count: server.orderCount,
+      fencing_number: fencingNumber,
+      answer: answer.kind,
+      detail: "detail" in answer ? answer.detail : undefined,
+    });
+    if (answer.kind === "accepted" || answer.kind === "unknown") return;
+    // What it holds now decides about the next plan.
+    pending.delete(engineId);
+    await refresh(engineId);
+  }
+
+  /** Looks after orders in progress: what engines report decides. */
+  async function followOrders(): Promise<void> {
+    await Promise.all([...pending.keys()].map((id) => follow(id)));
+  }
+
+  async function follow(id: string): Promise<void> {
+    const order = pending.get(id);
+    const server = fleet.get(id);
+    if (!order || !server || server.startedAt !== order.startedAt) {
+      pending.delete(id);
+      return;
+    }
+    const report = await engines.report(server.address, REPORT_TIMEOUT_MS);
+    if (!report) {
+      if (isLost(order)) pending.delete(id);
+      return;
+    }
+    fleet.putReport(id, report);
+    const isThere =
+      report.held?.from === order.range.from &&
+      report.held.to === order.range.to;
+    if (isThere && !report.busy) {
+      pending.delete(id);
+      log.info("layers_held", {
+        id,
+        from: order.range.from,
+        to: order.range.to,
+        took_ms: (performance.now() - order.orderedAt).toFixed(0),
+      });
+      return;
+    }
+    if (!report.busy && isLost(order)) {
+      pending.delete(id);
+      log.warn("order_lost", {
+        id,
+        from: order.range.from,
+        to: order.range.to,
+      });
+    }
+  }
+
+  async function refresh(id: string): Promise<void> {
+    const server = fleet.get(id);
+    if (!server) return;
+    const report = await engines.report(server.address, REPORT_TIMEOUT_MS);
+    if (report) fleet.putReport(id, report);
+    else fleet.suspicion.failed(id);
+  }
+}
+
+function isLost({ orderedAt }: Pending): boolean {
+  return performance.now() - orderedAt > ORDER_LOST_AFTER_MS;
+}
--- /dev/null
+++ b/packages/gateway/src/presence.ts
@@ -0,0 +1,120 @@
+/** Which instances live, by objects that each writes of itself. */
+import type { ObjectStore } from "@rosemarypin/store";
+import { createLogger } from "@rosemarypin/telemetry";
+import { pause } from "@rosemarypin/timing";
+import { z } from "zod";
+
+/** Kind of the objects, in the store's key space. */
+export const PRESENCE_PREFIX = "rosemarypin-instances/";
+/**
+ * How often an instance renews its object. Each renewal is a write of the
+ * store's rate, shared by all: 340 instances make 85 a second of 400.
+ */
+const RENEW_EVERY_MS = 4_000;
+/** An object that stood still for so long is of an instance that is gone. */
+const GONE_AFTER_MS = 10_000;
+/** Objects of instances that are gone are removed after this. */
+const REMOVE_AFTER_MS = 60_000;
+
+const log = createLogger("presence");
+
+const presenceSchema = z.object({
+  failureDomain: z.string(),
+  /** Start of the process, in Unix milliseconds. */
+  startedAt: z.number(),
+  renewal: z.number(),
+  leaving: z.boolean(),
+});
+
+export type PresenceObject = z.infer<typeof presenceSchema>;
+
+export interface Presence {
+  /** Live instances, this one included. */
+  count(): number;
+  /** Whether another live instance is in the failure domain. */
+  hasOther(failureDomain: string): boolean;
+  /** Writes that this instance is about to stop. */
+  leave(): Promise<void>;
+}
+
+interface Seen {
+  readonly presence: PresenceObject;
+  readonly version: number;
+  readonly movedAt: number;
+}
+
+/** Starts to write this instance's object and to read the others'. */
+export function startPresence(options: {
+  readonly store: ObjectStore;
+  readonly instance: string;
+  readonly failureDomain: string;
+  readonly signal: AbortSignal;
+}): Presence {
+  const { store, instance, failureDomain, signal } = options;
+  const key = `${PRESENCE_PREFIX}${instance}`;
+  const startedAt = Date.now();
+  const others = new Map<string, Seen>();
+  let renewal = 0;
+  let version: number | null = null;
+  void run();
+
+  async function run(): Promise<void> {
+    while (!signal.aborted) {
+      await write(false);
+      await readOthers();
+      await pause(RENEW_EVERY_MS, signal);
+    }
+  }
+
+  async function write(leaving: boolean): Promise<void> {
+    renewal += 1;
+    const value = { failureDomain, startedAt, renewal, leaving };
+    const written = await store.write(key, value, { expectedVersion: version });
+    if (written.kind === "ok") version = written.value;
+    // An earlier life, or a write whose answer was lost: go on from there.
+    if (written.kind === "conflict") version = written.actual?.version ?? null;
+  }
+
+  async function readOthers(): Promise<void> {
+    const listed = await store.list(PRESENCE_PREFIX, { mayBeStale: true });
+    if (listed.kind !== "ok") return;
+    const now = performance.now();
+    for (const object of listed.value) {
+      if (object.key === key) continue;
+      const parsed = presenceSchema.safeParse(object.value);
+      if (!parsed.success) continue;
+      const last = others.get(object.key);
+      if (!last) log.info("instance_seen", { key: object.key });
+      const moved = last?.version !== object.version;
+      others.set(object.key, {
+        presence: parsed.data,
+        version: object.version,
+        movedAt: moved ? now : last.movedAt,
+      });
+    }
+    const there = new Set(listed.value.map((object) => object.key));
+    for (const [other, seen] of others) {
+      if (!there.has(other)) others.delete(other);
+      else if (now - seen.movedAt > REMOVE_AFTER_MS) {
+        await store.remove(other, { expectedVersion: seen.version });
+        others.delete(other);
+        log.info("instance_forgotten", { key: other });
+      }
+    }
+  }
+
+  function live(): PresenceObject[] {
+    const now = performance.now();
+    return [...others.values()]
+      .filter(({ presence }) => !presence.leaving)
+      .filter(({ movedAt }) => now - movedAt < GONE_AFTER_MS)
+      .map(({ presence }) => presence);
+  }
+
+  return {
+    count: () => 1 + live().length,
+    hasOther: (domain) =>
+      live().some((presence) => presence.failureDomain === domain),
+    leave: () => write(true),
+  };
+}
--- /dev/null
+++ b/packages/pipelines/src/layer_plan.ts
@@ -0,0 +1,258 @@
+/**
+ * Decides which engines are to hold which layers. The plan is made anew from
+ * what engines hold, so whoever makes it needs no memory of earlier plans.
+ */
+import { layersWithRoom, roomTokens } from "./engine_capacity.ts";
+import {
+  type EngineFacts,
+  type LayerRange,
+  layersIn,
+  type ModelShape,
+} from "./types.ts";
+
+/**
+ * Answers of usual size for which each stage keeps room. Stages with the same
+ * room make no bottleneck; with 64, every failure domain of three that share
+ * 45 answers a second at 10 ms a token has three times what it needs, and
+ * memory is left to hold some layers twice.
+ */
+const ROOMY_ANSWERS = 64;
+/**
+ * Room that an engine keeps when it takes over layers of a lost one. Fewer
+ * answers at once are better than none until the lost engine is back.
+ */
+const TIGHT_ANSWERS = 12;
+
+/** An engine that may be given other layers. */
+export interface PlannedEngine extends EngineFacts {
+  /** False while an earlier order is in progress. */
+  readonly orderable: boolean;
+}
+
+/** What an engine is to hold from now on. */
+export interface LayerOrder {
+  readonly engineId: string;
+  readonly range: LayerRange;
+}
+
+/**
+ * Gives the orders that fill gaps in the layers of each group of engines. A
+ * group is a failure domain that can hold the whole model: its answers then
+ * cross to no other domain. Domains that are too small form one group.
+ */
+export function planLayers(
+  engines: readonly PlannedEngine[],
+  model: ModelShape,
+): LayerOrder[] {
+  return groupEngines(engines, model).flatMap((group) =>
+    planGroup(group, model),
+  );
+}
+
+function groupEngines(
+  engines: readonly PlannedEngine[],
+  model: ModelShape,
+): PlannedEngine[][] {
+  const domains = new Map<string, PlannedEngine[]>();
+  for (const engine of engines) {
+    const group = domains.get(engine.failureDomain) ?? [];
+    group.push(engine);
+    domains.set(engine.failureDomain, group);
+  }
+  const names = [...domains.keys()].sort();
+  const groups = names.map((name) => domains.get(name) ?? []);
+  const whole = groups.filter((group) => canHoldModel(group, model));
+  const rest = groups.filter((group) => !canHoldModel(group, model)).flat();
+  if (rest.length === 0) return whole;
+  const [first] = whole;
+  if (canHoldModel(rest, model) || !first) return [...whole, rest];
+  // Alone they are of no use; beside a whole group they hold layers twice.
+  return [[...first, ...rest], ...whole.slice(1)];
+}
+
+function canHoldModel(
+  group: readonly PlannedEngine[],
+  model: ModelShape,
+): boolean {
+  return (
+    groupLayers(group, model, tokensOf(model, TIGHT_ANSWERS)) >=
+    model.layerCount
+  );
+}
+
+function groupLayers(
+  group: readonly PlannedEngine[],
+  model: ModelShape,
+  tokens: number,
+): number {
+  return group.reduce(
+    (sum, { memoryMb }) => sum + layersWithRoom(model, { memoryMb, tokens }),
+    0,
+  );
+}
+
+function tokensOf(model: ModelShape, answers: number): number {
+  return answers * (model.usualPromptTokens + model.usualAnswerTokens);
+}
+
+/** The most room, up to the wanted one, with which the group holds all. */
+function roomOfGroup(
+  group: readonly PlannedEngine[],
+  model: ModelShape,
+): number {
+  for (let answers = ROOMY_ANSWERS; answers > TIGHT_ANSWERS; answers -= 2) {
+    const tokens = tokensOf(model, answers);
+    if (groupLayers(group, model, tokens) >= model.layerCount) return tokens;
+  }
+  return tokensOf(model, TIGHT_ANSWERS);
+}
+
+function planGroup(
+  group: readonly PlannedEngine[],
+  model: ModelShape,
+): LayerOrder[] {
+  const tokens = roomOfGroup(group, model);
+  const holds = new Map<string, LayerRange>();
+  for (const { id, held } of group) if (held) holds.set(id, held);
+  const free = group
+    .filter(({ held, orderable }) => held === null && orderable)
+    .sort(bySpeed);
+  const orders = new Map<string, LayerOrder>();
+
+  function give(engine: PlannedEngine, range: LayerRange): void {
+    holds.set(engine.id, range);
+    orders.set(engine.id, { engineId: engine.id, range });
+  }
+
+  function usualLayers({ memoryMb }: PlannedEngine): number {
+    return layersWithRoom(model, { memoryMb, tokens });
+  }
+
+  function coverage(): number[] {
+    const counts = new Array<number>(model.layerCount).fill(0);
+    for (const { from, to } of holds.values()) {
+      for (let layer = from; layer < to; layer += 1) {
+        counts[layer] = (counts[layer] ?? 0) + 1;
+      }
+    }
+    return counts;
+  }
+
+  /** Room for tokens that all holders of each layer have together. */
+  function roomByLayer(): number[] {
+    const rooms = new Array<number>(model.layerCount).fill(0);
+    for (const { id, memoryMb } of group) {
+      const range = holds.get(id);
+      if (!range) continue;
+      const room = roomTokens(model, { memoryMb, layers: layersIn(range) });
+      for (let layer = range.from; layer < range.to; layer += 1) {
+        rooms[layer] = (rooms[layer] ?? 0) + room;
+      }
+    }
+    return rooms;
+  }
+
+  /** An engine all of whose layers other engines of the group hold too. */
+  function spareEngine(counts: readonly number[]): PlannedEngine | undefined {
+    return group
+      .filter(({ id, orderable }) => {
+        const range = holds.get(id);
+        if (!orderable || !range || orders.has(id)) return false;
+        const held = counts.slice(range.from, range.to);
+        return held.every((count) => count > 1);
+      })
+      .sort(bySpeed)[0];
+  }
+
+  function fillGap(gap: LayerRange): boolean {
+    const engine = free.shift() ?? spareEngine(coverage());
+    if (engine) {
+      const layers = usualLayers(engine);
+      if (layers === 0) return true;
+      give(engine, windowFrom(gap.from, layers, model.layerCount));
+      return true;
+    }
+    return extendNeighbour(gap);
+  }
+
+  /** Lets the engine beside a gap with most spare memory hold part of it. */
+  function extendNeighbour(gap: LayerRange): boolean {
+    const tight = tokensOf(model, TIGHT_ANSWERS);
+    const choices = group.flatMap((engine) => {
+      const range = holds.get(engine.id);
+      if (!range || !engine.orderable || orders.has(engine.id)) return [];
+      if (range.to !== gap.from && range.from !== gap.to) return [];
+      const { memoryMb } = engine;
+      const most = layersWithRoom(model, { memoryMb, tokens: tight });
+      const more = Math.min(most - layersIn(range), layersIn(gap));
+      return more > 0 ? [{ engine, range, more }] : [];
+    });
+    const best = choices.sort((a, b) => b.more - a.more)[0];
+    if (!best) return false;
+    const { engine, range, more } = best;
+    const isBefore = range.to === gap.from;
+    give(
+      engine,
+      isBefore
+        ? { from: range.from, to: range.to + more }
+        : { from: range.from - more, to: range.to },
+    );
+    return true;
+  }
+
+  /** Doubles the layers whose holders have least room. */
+  function doubleLayers(engine: PlannedEngine): void {
+    const layers = usualLayers(engine);
+    if (layers === 0) return;
+    const need = roomByLayer().map((room) => 1 / Math.max(1, room));
+    let best = { from: 0, need: -1 };
+    for (let from = 0; from + layers <= model.layerCount; from += 1) {
+      const sum = need
+        .slice(from, from + layers)
+        .reduce((total, value) => total + value, 0);
+      if (sum > best.need * (1 + Number.EPSILON * 16)) {
+        best = { from, need: sum };
+      }
+    }
+    give(engine, { from: best.from, to: best.from + layers });
+  }
+
+  const skipped = new Set<number>();
+  for (;;) {
+    const gap = firstGap(coverage(), skipped);
+    if (!gap) break;
+    if (!fillGap(gap)) skipped.add(gap.from);
+  }
+  for (const engine of free) doubleLayers(engine);
+  return [...orders.values()];
+}
+
+/** The first run of layers that nobody holds, but for given-up ones. */
+function firstGap(
+  counts: readonly number[],
+  skipped: ReadonlySet<number>,
+): LayerRange | null {
+  for (let from = 0; from < counts.length; from += 1) {
+    if (counts[from] !== 0) continue;
+    let to = from + 1;
+    while (to < counts.length && counts[to] === 0) to += 1;
+    if (!skipped.has(from)) return { from, to };
+    from = to;
+  }
+  return null;
+}
+
+/** A window from a layer on, moved back where it would pass the end. */
+function windowFrom(
+  from: number,
+  layers: number,
+  layerCount: number,
+): LayerRange {
+  const start = Math.max(0, Math.min(from, layerCount - layers));
+  return { from: start, to: start + layers };
+}
+
+/** Fast engines first: more layers on them make every token faster. */
+function bySpeed(a: PlannedEngine, b: PlannedEngine): number {
+  return a.stepFactor - b.stepFactor || (a.id < b.id ? -1 : 1);
+}
--- a/packages/store/src/object_store.ts
+++ b/packages/store/src/object_store.ts
@@ -40,11 +40,17 @@
   readonly objects: readonly StoredObject[];
   /** Where to go on; may skip versions that were overwritten meanwhile. */
   readonly revision: Revision;
+  /** Keys of objects that were removed, where the store tells them. */
+  readonly removed?: readonly string[];
+  /** Whether `objects` is all there is, so that any other key is gone. */
+  readonly isWhole?: boolean;
 }
 
 /** Options of a call that may be given up. */
 export interface StoreCallOptions {
   readonly signal?: AbortSignal;
+  /** A read may bring what was true seconds ago, at a lower price. */
+  readonly mayBeStale?: boolean;
   /** From sending to the answer, in milliseconds; the wait for a turn apart. */
   readonly timeoutMs?: number;
   /** Who goes first when calls are short; `control` when left out. */
@@ -77,7 +83,11 @@
     key: string,
     options: StoreCallOptions & { readonly expectedVersion: number },
   ): Promise<StoreResult<null>>;
-  /** Waits until something under `prefix` is newer than `since`. */
+  /**
+   * Waits until something under `prefix` is newer than `since`; with 0 it
+   * brings all there is at once. A store may answer after a while without any
+   * change.
+   */
   watch(
     prefix: string,
     options: StoreCallOptions & { readonly since: Revision },
