Keep room for 110 answers in each stage

Cause: with room for 64 answers of usual size, engines ran out of memory from the tenth second on, and answers were preempted and read again.

--- a/packages/pipelines/src/layer_plan.ts
+++ b/packages/pipelines/src/layer_plan.ts
@@ -16,7 +16,7 @@
  * 45 answers a second at 10 ms a token has three times what it needs, and
  * memory is left to hold some layers twice.
  */
-const ROOMY_ANSWERS = 64;
+const ROOMY_ANSWERS = 110;
 /**
  * Room that an engine keeps when it takes over layers of a lost one. Fewer
  * answers at once are better than none until the lost engine is back.
