--- a/packages/gateway/src/caller_listener.ts
+++ b/packages/gateway/src/caller_listener.ts
@@ -32,6 +32,13 @@
 /** The whole request, with a body that is sent slowly, in milliseconds. */
 const REQUEST_TIMEOUT_MS = 20_000;
 const DEFAULT_DEADLINE_MS = 30_000;
+/**
+ * How long requests are taken after the signal to stop, in milliseconds. The
+ * balancer sends connections until it has missed two answers, a second apart.
+ * A request that comes later was sent on a kept connection, and its answer
+ * might not end before the process has to: it is refused, as not run.
+ */
+export const TAKEN_AFTER_STOP_MS = 2_600;
 
 const log = createLogger("callers");
 
@@ -39,7 +46,8 @@
   readonly keeper: ConfigurationKeeper;
   readonly codec: RequestCodec;
   readonly forward: (call: CallerCall) => Promise<CallEnd>;
-  readonly isStopping: () => boolean;
+  /** Milliseconds since the signal to stop; `null` before it. */
+  readonly stoppingForMs: () => number | null;
   readonly onEnded: (call: CallerCall, end: CallEnd) => void;
 }
 
@@ -73,12 +81,21 @@
   applyLimits(server, FIRST_LIMITS);
   keeper.onChanged(({ limits }) => applyLimits(server, limits));
 
+  function isStopping(): boolean {
+    return options.stoppingForMs() !== null;
+  }
+
   async function take(
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
     inProgress += 1;
-    if (options.isStopping()) response.setHeader("Connection", "close");
+    if (isStopping()) response.setHeader("Connection", "close");
+    // An answer that began before the signal has promised to keep its
+    // connection; the next request on it would come to a stopped process.
+    response.once("finish", () => {
+      if (isStopping()) request.socket.end();
+    });
     try {
       await handle(request, response);
     } catch (error) {
@@ -97,7 +114,10 @@
     const startedAt = performance.now();
     const facts = codec.decodeRequest(request.headers);
     const applied = keeper.applied();
-    const admitted = admit(request, { facts, applied });
+    const isLate = (options.stoppingForMs() ?? 0) > TAKEN_AFTER_STOP_MS;
+    const admitted = isLate
+      ? { status: 503, reason: "stopping" }
+      : admit(request, { facts, applied });
     if ("status" in admitted) {
       return refuseRequest(request, response, { facts, refusal: admitted });
     }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -6,7 +6,10 @@
 import { createBackendExchange } from "./backend_exchange.ts";
 import { createBackendFleet } from "./backend_fleet.ts";
 import type { CallEnd, CallerCall } from "./caller_call.ts";
-import { createCallerListener } from "./caller_listener.ts";
+import {
+  createCallerListener,
+  TAKEN_AFTER_STOP_MS,
+} from "./caller_listener.ts";
 import { createConfigurationKeeper } from "./configuration_keeper.ts";
 import {
   createMetricsServer,
@@ -26,11 +29,6 @@
 import type { GatewaySettings, ListenAddress } from "./settings.ts";
 import { createStallWatch } from "./stall_watch.ts";
 
-/**
- * A balancer asks once a second and takes an instance out after two misses;
- * until then it sends new connections, which are served.
- */
-const BALANCER_LAG_MS = 2_500;
 /** Kept back of the grace time, so that the process ends by itself. */
 const STOP_MARGIN_MS = 400;
 const STOP_STEP_MS = 50;
@@ -51,7 +49,7 @@
   const { store, keys, codec, engines } = platform;
   const ending = new AbortController();
   const { signal } = ending;
-  let stopping = false;
+  let stoppedAt: number | null = null;
 
   const keeper = createConfigurationKeeper();
   const fleet = createBackendFleet();
@@ -111,7 +109,8 @@
     keeper,
     codec,
     forward,
-    isStopping: () => stopping,
+    stoppingForMs: () =>
+      stoppedAt === null ? null : performance.now() - stoppedAt,
     onEnded: metrics.countEnd,
   });
 
@@ -126,7 +125,7 @@
 
   const readiness = createReadinessServer({
     path: platform.readyPath,
-    isReady: () => !stopping && keeper.applied() !== null,
+    isReady: () => stoppedAt === null && keeper.applied() !== null,
   });
   await listen(readiness, settings.readiness);
   await listen(listener.server, settings.callers);
@@ -141,23 +140,23 @@
   });
 
   async function stop(): Promise<void> {
-    if (stopping) return;
-    stopping = true;
+    if (stoppedAt !== null) return;
     const startedAt = performance.now();
+    stoppedAt = startedAt;
     const passedMs = () => performance.now() - startedAt;
     log.info("stopping", { in_progress: listener.inProgress() });
     void presence.leave();
     void right.release();
     const mostMs = settings.graceMs - STOP_MARGIN_MS;
     while (passedMs() < mostMs) {
+      listener.server.closeIdleConnections();
       const isQuiet = listener.inProgress() === 0;
-      if (isQuiet && passedMs() > Math.min(BALANCER_LAG_MS, mostMs)) break;
+      if (isQuiet && passedMs() > TAKEN_AFTER_STOP_MS) break;
       await pause(STOP_STEP_MS);
     }
     const cut = listener.inProgress();
     ending.abort();
     listener.server.close();
-    listener.server.closeIdleConnections();
     log.info("stopped", { cut, after_ms: passedMs().toFixed(0) });
   }
 
