Trust a silent engine again after a probe only, and replace its stage

Ruled out: missing memory (30 of 39 engines left, four copies of the layers). Now refusals only keep requests away for a moment, silence ends with a report, and only engines that miss two reports are planned around. A stage that stands still is replaced in the running answer.

--- a/packages/gateway/src/backend_exchange.ts
+++ b/packages/gateway/src/backend_exchange.ts
@@ -1,6 +1,7 @@
 /** Sends one request to one backend server, once. */
 import { Agent, buildConnector, Client, type Dispatcher, errors } from "undici";
 import type { BackendServer } from "./backend_server.ts";
+import type { AwayReason } from "./doubts.ts";
 import type { AnswerHeaders } from "./protocol.ts";
 
 /**
@@ -167,6 +168,11 @@
   return { kind: "broken", detail: code || detail };
 }
 
+/** What a connection that did not come about says of its server. */
+export function awayReason(detail: string): AwayReason {
+  return detail === "ECONNREFUSED" ? "ended" : "silent";
+}
+
 /** Codes that only the making of a connection brings. */
 const CONNECT_FAILURES = new Set([
   "ECONNREFUSED",
--- a/packages/gateway/src/backend_fleet.ts
+++ b/packages/gateway/src/backend_fleet.ts
@@ -2,7 +2,8 @@
 import type { LayerRange } from "@rosemarypin/pipelines";
 import { createLogger } from "@rosemarypin/telemetry";
 import type { BackendServer, EngineReport } from "./backend_server.ts";
-import { createSuspicion, type Suspicion } from "./suspicion.ts";
+import { createDoubts, type Doubts } from "./doubts.ts";
+import type { EngineCalls } from "./protocol.ts";
 
 /**
  * How far an entry may lag behind the server it tells of: it is written every
@@ -10,10 +11,13 @@
  */
 const ENTRY_LAG_MS = 2_000;
 
+/** Bound on a probe; engines in reach answer in a few milliseconds. */
+const PROBE_TIMEOUT_MS = 300;
+
 const log = createLogger("backends");
 
 export interface BackendFleet {
-  readonly suspicion: Suspicion;
+  readonly doubts: Doubts;
   get(id: string): BackendServer | null;
   byAddress(address: string): BackendServer | null;
   /** Servers of a service, those that are leaving or doubted too. */
@@ -25,23 +29,54 @@
   remove(id: string): void;
   /** Takes in what an engine said of itself, which is newer than its entry. */
   putReport(id: string, report: EngineReport): void;
+  /** Asks an engine what it holds now, since it refused a request. */
+  recheck(id: string): void;
   /** Calls back when a server came, changed or went. */
   onChanged(callback: (id: string) => void): void;
 }
 
+export interface BackendFleetOptions {
+  readonly engines: EngineCalls;
+  readonly signal: AbortSignal;
+}
+
 /** Creates a fleet without servers. */
-export function createBackendFleet(): BackendFleet {
+export function createBackendFleet({
+  engines,
+  signal,
+}: BackendFleetOptions): BackendFleet {
   const servers = new Map<string, BackendServer>();
-  const suspicion = createSuspicion();
+  const doubts = createDoubts({ probe, signal });
   const callbacks: ((id: string) => void)[] = [];
   const reportedAt = new Map<string, number>();
 
+  /** Engines are asked for a report; plain services have none. */
+  async function probe(id: string): Promise<boolean | null> {
+    const server = servers.get(id);
+    if (!server || server.kind === null) return null;
+    const report = await engines.report(server.address, PROBE_TIMEOUT_MS);
+    if (report) putReport(id, report);
+    return report !== null;
+  }
+
   function changed(id: string): void {
     for (const callback of callbacks) callback(id);
   }
 
+  function putReport(id: string, report: EngineReport): void {
+    const last = servers.get(id);
+    if (!last) return;
+    const startedAt = report.startedAt ?? last.startedAt;
+    // Of a life that ended, or of one that has not written its entry yet.
+    if (startedAt !== last.startedAt) return;
+    reportedAt.set(id, performance.now());
+    const { orderCount, held } = report;
+    servers.set(id, { ...last, orderCount, held });
+    if (!isSameRange(held, last.held)) changed(id);
+  }
+
   return {
-    suspicion,
+    doubts,
     get: (id) => servers.get(id) ?? null,
     byAddress(address) {
       for (const server of servers.values()) {
@@ -51,7 +86,7 @@
     },
     ofService: (service) =>
       [...servers.values()].filter((server) => server.service === service),
-    isUsable: (server) => !server.leaving && !suspicion.isDoubted(server.id),
+    isUsable: (server) => !server.leaving && !doubts.isDoubted(server.id),
     put(server) {
       const last = servers.get(server.id);
       const isSameLife = last?.startedAt === server.startedAt;
@@ -67,7 +102,7 @@
       } else {
         servers.set(server.id, server);
         reportedAt.delete(server.id);
-        suspicion.worked(server.id);
+        doubts.worked(server.id);
       }
       logChange(server, last);
       changed(server.id);
@@ -77,20 +112,16 @@
       if (!last) return;
       servers.delete(id);
       reportedAt.delete(id);
-      suspicion.worked(id);
+      doubts.worked(id);
       log.info("server_gone", { id, address: last.address });
       changed(id);
     },
-    putReport(id, report) {
-      const last = servers.get(id);
-      if (!last) return;
-      const startedAt = report.startedAt ?? last.startedAt;
-      // Of a life that ended, or of one that has not written its entry yet.
-      if (startedAt !== last.startedAt) return;
-      reportedAt.set(id, performance.now());
-      const { orderCount, held } = report;
-      servers.set(id, { ...last, orderCount, held });
-      if (!isSameRange(held, last.held)) changed(id);
+    putReport,
+    recheck(id) {
+      doubts.refused(id);
+      void probe(id).then((works) => {
+        if (works === false) doubts.away(id, "silent");
+      });
     },
     onChanged(callback) {
       callbacks.push(callback);
--- a/packages/gateway/src/forward_plain.ts
+++ b/packages/gateway/src/forward_plain.ts
@@ -1,5 +1,9 @@
 /** Forwards requests of plain services: whole answers, at most some repeats. */
-import type { BackendExchange, OpenAnswer } from "./backend_exchange.ts";
+import {
+  awayReason,
+  type BackendExchange,
+  type OpenAnswer,
+} from "./backend_exchange.ts";
 import type { BackendFleet } from "./backend_fleet.ts";
 import type { BackendServer } from "./backend_server.ts";
 import { endWithRefusal } from "./caller_answer.ts";
@@ -101,7 +105,7 @@
       },
     );
     if (result.kind === "not_sent") {
-      fleet.suspicion.failed(server.id);
+      fleet.doubts.away(server.id, awayReason(result.detail));
       return { kind: "not_run", detail: result.detail };
     }
     if (result.kind === "broken") {
@@ -109,7 +113,7 @@
     }
     const attempt = await readAnswer(call, result, codec);
     ok = attempt.kind === "answer" && attempt.answer.status < SERVER_ERROR;
-    if (ok) fleet.suspicion.worked(server.id);
+    if (ok) fleet.doubts.worked(server.id);
     return attempt;
   } finally {
     choice.ended(server.id, { tookMs: performance.now() - sentAt, ok });
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -52,7 +52,7 @@
   let stoppedAt: number | null = null;
 
   const keeper = createConfigurationKeeper();
-  const fleet = createBackendFleet();
+  const fleet = createBackendFleet({ engines, signal });
   const configurations = startObjectMirror({
     store,
     prefix: keys.configurations,
@@ -83,7 +83,10 @@
     failureDomain,
     presence,
   });
-  const budget = createRetryBudget(settings.retryBudget, presence.count);
+  const budget = createRetryBudget(
+    settings.retryBudget,
+    presence.countPossible,
+  );
   const exchange = createBackendExchange();
   const choice = createServerChoice({ fleet, failureDomain });
   const router = createPipelineRouter({
@@ -118,7 +121,7 @@
     budget.countRequest(call.service.name);
     const parts = { codec, exchange, fleet, budget };
     if (call.service.engine) {
-      return forwardStream(call, { ...parts, router, stalls });
+      return forwardStream(call, { ...parts, router, stalls, engines });
     }
     return forwardPlain(call, { ...parts, choice });
   }
--- a/packages/gateway/src/pipeline_router.ts
+++ b/packages/gateway/src/pipeline_router.ts
@@ -1,8 +1,10 @@
 /** Chooses pipelines for answers, and keeps count of what they use. */
 import {
   findPipeline,
+  type LayerRange,
   layersIn,
   roomTokens,
+  type Stage,
   type StageCandidate,
 } from "@rosemarypin/pipelines";
 import type { BackendFleet } from "./backend_fleet.ts";
@@ -28,6 +30,14 @@
 export interface PipelineRouter {
   /** Chooses a pipeline, or gives `null` when a layer is held by nobody. */
   choose(request: PipelineRequest): ChosenPipeline | null;
+  /**
+   * Puts other engines in the place of one stage and counts them as in use;
+   * `null` when nobody else holds its layers.
+   */
+  replaceStage(
+    pipeline: ChosenPipeline,
+    request: PipelineRequest & { readonly address: string },
+  ): ChosenPipeline | null;
   /** Whether any pipeline stands. */
   isServable(service: Service): boolean;
   /** Answers in progress that pass through an engine. */
@@ -83,11 +93,46 @@
     });
   }
 
-  function find(service: Service, avoided: ReadonlySet<string>) {
+  function find(
+    { service, avoided }: Pick<PipelineRequest, "service" | "avoided">,
+    range?: LayerRange,
+  ): AddressedStage[] | null {
     const { engine } = service;
     if (!engine) return null;
-    const options = { model: engine.model, failureDomain };
-    return findPipeline(candidates(service, engine, avoided), options);
+    const found = findPipeline(candidates(service, engine, avoided), {
+      model: engine.model,
+      failureDomain,
+      ...(range ? { range } : {}),
+    });
+    return found ? addressed(found.stages) : null;
+  }
+
+  /** `null` when an engine went away meanwhile. */
+  function addressed(stages: readonly Stage[]): AddressedStage[] | null {
+    const known = stages.flatMap((stage) => {
+      const server = fleet.get(stage.engineId);
+      return server ? [{ ...stage, address: server.address }] : [];
+    });
+    return known.length === stages.length ? known : null;
+  }
+
+  function use(
+    stages: readonly AddressedStage[],
+    tokens: number,
+  ): ChosenPipeline | null {
+    const first = fleet.get(stages[0]?.engineId ?? "");
+    if (!first) return null;
+    let released = false;
+    count(stages, tokens);
+    return {
+      stages,
+      first,
+      release() {
+        if (released) return;
+        released = true;
+        count(stages, -tokens);
+      },
+    };
   }
 
   function count(stages: readonly AddressedStage[], tokens: number): void {
@@ -101,28 +146,27 @@
   }
 
   return {
-    choose({ service, tokens, avoided }) {
-      const found = find(service, avoided);
-      if (!found) return null;
-      const stages = found.stages.flatMap((stage) => {
-        const server = fleet.get(stage.engineId);
-        return server ? [{ ...stage, address: server.address }] : [];
-      });
-      const first = fleet.get(stages[0]?.engineId ?? "");
-      if (!first || stages.length !== found.stages.length) return null;
-      let released = false;
-      count(stages, tokens);
-      return {
-        stages,
-        first,
-        release() {
-          if (released) return;
-          released = true;
-          count(stages, -tokens);
-        },
-      };
+    choose(request) {
+      const stages = find(request);
+      return stages ? use(stages, request.tokens) : null;
+    },
+    replaceStage({ stages }, request) {
+      const at = stages.findIndex(({ address }) => address === request.address);
+      const lost = stages[at];
+      // The first engine carries the stream; nothing can take its place.
+      if (!lost || at === 0) return null;
+      const inUse = stages.map(({ engineId }) => engineId);
+      const avoided = new Set([...request.avoided, ...inUse]);
+      const others = find({ service: request.service, avoided }, lost.range);
+      if (!others) return null;
+      const changed = [
+        ...stages.slice(0, at),
+        ...others,
+        ...stages.slice(at + 1),
+      ];
+      return use(changed, request.tokens);
     },
-    isServable: (service) => find(service, new Set()) !== null,
+    isServable: (service) => find({ service, avoided: new Set() }) !== null,
     inProgress: (engineId) => uses.get(engineId)?.answers ?? 0,
   };
 }
--- a/packages/gateway/src/placement_loop.ts
+++ b/packages/gateway/src/placement_loop.ts
@@ -82,7 +82,7 @@
     if (holdsNothing && performance.now() - changedAt < SETTLE_MS) return;
     const planned = servers.flatMap((server) => {
       const kind = engine.kinds.get(server.kind ?? "");
-      if (!kind || !fleet.isUsable(server)) return [];
+      if (!kind || server.leaving || fleet.doubts.isGone(server.id)) return [];
       return [plannedEngine(server, kind)];
     });
     const orders = planLayers(planned, engine.model);
@@ -188,7 +188,7 @@
     if (!server) return;
     const report = await engines.report(server.address, REPORT_TIMEOUT_MS);
     if (report) fleet.putReport(id, report);
-    else fleet.suspicion.failed(id);
+    else fleet.doubts.away(id, "silent");
   }
 }
 
--- a/packages/gateway/src/presence.ts
+++ b/packages/gateway/src/presence.ts
@@ -16,6 +16,9 @@
 /** Objects of instances that are gone are removed after this. */
 const REMOVE_AFTER_MS = 60_000;
 
+/** Assumed until the objects were read once. */
+const FIRST_COUNT = 8;
+
 const log = createLogger("presence");
 
 const presenceSchema = z.object({
@@ -31,6 +34,11 @@
 export interface Presence {
   /** Live instances, this one included. */
   count(): number;
+  /**
+   * Instances that live or may live: one that this instance has not heard of
+   * for a while may be cut off, and still send its part of the repeats.
+   */
+  countPossible(): number;
   /** Whether another live instance is in the failure domain. */
   hasOther(failureDomain: string): boolean;
   /** Writes that this instance is about to stop. */
@@ -55,6 +63,7 @@
   const startedAt = Date.now();
   const others = new Map<string, Seen>();
   let renewal = 0;
+  let hasRead = false;
   let version: number | null = null;
   void run();
 
@@ -78,6 +87,7 @@
   async function readOthers(): Promise<void> {
     const listed = await store.list(PRESENCE_PREFIX, { mayBeStale: true });
     if (listed.kind !== "ok") return;
+    hasRead = true;
     const now = performance.now();
     for (const object of listed.value) {
       if (object.key === key) continue;
@@ -113,6 +123,13 @@
 
   return {
     count: () => 1 + live().length,
+    countPossible: () =>
+      Math.max(
+        hasRead ? 1 : FIRST_COUNT,
+        1 +
+          [...others.values()].filter(({ presence }) => !presence.leaving)
+            .length,
+      ),
     hasOther: (domain) =>
       live().some((presence) => presence.failureDomain === domain),
     leave: () => write(true),
--- a/packages/gateway/src/stall_watch.ts
+++ b/packages/gateway/src/stall_watch.ts
@@ -60,14 +60,14 @@
     async ask(first, requestId) {
       const stalled = await askShared(first);
       if (!stalled) {
-        fleet.suspicion.failed(first.id);
+        fleet.doubts.away(first.id, "silent");
         log.warn("first_engine_away", { id: first.id, request: requestId });
         return { kind: "first_engine_away" };
       }
       const address = stalled.get(requestId);
       if (address === undefined) return { kind: "working" };
       const stage = fleet.byAddress(address);
-      if (stage) fleet.suspicion.failed(stage.id);
+      if (stage) fleet.doubts.away(stage.id, "silent");
       log.warn("stage_away", { id: stage?.id, address, request: requestId });
       return { kind: "stage_away", address };
     },
--- /dev/null
+++ b/packages/gateway/src/stream_run.ts
@@ -0,0 +1,209 @@
+/** One run of a streamed answer on one pipeline. */
+import {
+  awayReason,
+  type BackendExchange,
+  type OpenAnswer,
+} from "./backend_exchange.ts";
+import type { BackendFleet } from "./backend_fleet.ts";
+import { type CallerCall, priorityOf, timeLeftMs } from "./caller_call.ts";
+import { createEventSplitter } from "./event_splitter.ts";
+import type { ChosenPipeline, PipelineRouter } from "./pipeline_router.ts";
+import type { AnswerFacts, EngineCalls, RequestCodec } from "./protocol.ts";
+import type { RetryBudget } from "./retry_budget.ts";
+import { type SilenceWatch, watchSilence } from "./silence_watch.ts";
+import type { StallWatch } from "./stall_watch.ts";
+
+export interface StreamParts {
+  readonly codec: RequestCodec;
+  readonly exchange: BackendExchange;
+  readonly fleet: BackendFleet;
+  readonly budget: RetryBudget;
+  readonly router: PipelineRouter;
+  readonly stalls: StallWatch;
+  readonly engines: EngineCalls;
+}
+
+/** What the caller has of the answer so far. */
+export interface StreamProgress {
+  begun: boolean;
+  lastEventId: string | null;
+  firstByteMs: number | null;
+}
+
+/** A run; its pipeline changes when a stage is replaced. */
+export interface StreamRun {
+  pipeline: ChosenPipeline;
+  readonly tokens: number;
+  /** Engines that the call keeps away from; grows. */
+  readonly avoided: Set<string>;
+  readonly stop: AbortController;
+}
+
+export type RunEnd =
+  | { readonly kind: "complete"; readonly status: number }
+  /** A failure that the server has signed, held back until it is final. */
+  | {
+      readonly kind: "failed";
+      readonly answer: OpenAnswer;
+      readonly body: Buffer;
+    }
+  | { readonly kind: "not_run"; readonly detail: string }
+  | {
+      readonly kind: "broken";
+      readonly detail: string;
+      /** Whether the engine that it was sent to has ended or was cut off. */
+      readonly firstEngineAway: boolean;
+    };
+
+/** Sends the call over the run's pipeline and passes on what comes. */
+export async function runStream(
+  call: CallerCall,
+  run: StreamRun,
+  options: { readonly progress: StreamProgress; readonly parts: StreamParts },
+): Promise<RunEnd> {
+  const { progress, parts } = options;
+  const silence = watchSilence(call, run, parts);
+  try {
+    const result = await send(call, run, options);
+    if (result.kind === "not_sent") {
+      const { id } = run.pipeline.first;
+      parts.fleet.doubts.away(id, awayReason(result.detail));
+      return { kind: "not_run", detail: result.detail };
+    }
+    if (result.kind === "broken") return broken(silence, result.detail);
+    const facts = parts.codec.decodeAnswer(result.status, result.headers);
+    if (!isOwnAnswer(call, facts)) {
+      result.abandon();
+      return broken(silence, "answer_of_another_request");
+    }
+    if (result.status >= 300)
+      return await readRefusal(run, result, { facts, parts });
+    if (!facts.signed) {
+      result.abandon();
+      return broken(silence, "unsigned_answer");
+    }
+    const { codec } = parts;
+    return await passOnEvents(call, result, { progress, codec, silence });
+  } catch (error) {
+    return broken(
+      silence,
+      error instanceof Error ? error.message : String(error),
+    );
+  } finally {
+    silence.end();
+    run.pipeline.release();
+  }
+}
+
+function broken(silence: SilenceWatch, detail: string): RunEnd {
+  const cause = silence.cause();
+  return {
+    kind: "broken",
+    detail: cause ?? detail,
+    firstEngineAway: cause === "first_engine_away",
+  };
+}
+
+function send(
+  call: CallerCall,
+  run: StreamRun,
+  options: { readonly progress: StreamProgress; readonly parts: StreamParts },
+) {
+  const { codec, exchange } = options.parts;
+  const { first, stages } = run.pipeline;
+  const request = {
+    method: call.method,
+    path: call.path,
+    headers: codec.encodeAttempt(call.rawHeaders, {
+      backendId: first.id,
+      organisation: call.organisation?.name ?? null,
+      deadlineMs: timeLeftMs(call),
+      priority: priorityOf(call),
+      pipeline: stages,
+      lastEventId: options.progress.lastEventId,
+    }),
+    body: call.body,
+  };
+  return exchange.send(first, request, {
+    signal: AbortSignal.any([call.signal, run.stop.signal]),
+    freshConnection: !call.route.resumable,
+  });
+}
+
+function isOwnAnswer(
+  { facts }: CallerCall,
+  { requestId, plainBody }: AnswerFacts,
+): boolean {
+  return plainBody && (requestId === null || requestId === facts.requestId);
+}
+
+async function readRefusal(
+  run: StreamRun,
+  answer: OpenAnswer,
+  options: { readonly facts: AnswerFacts; readonly parts: StreamParts },
+): Promise<RunEnd> {
+  const { facts, parts } = options;
+  const body = await readAll(answer);
+  if (!facts.notRun) return { kind: "failed", answer, body };
+  const atFault = facts.faultyStage
+    ? parts.fleet.byAddress(facts.faultyStage)
+    : run.pipeline.first;
+  if (atFault) {
+    run.avoided.add(atFault.id);
+    parts.fleet.recheck(atFault.id);
+  }
+  return { kind: "not_run", detail: `refused_${answer.status}` };
+}
+
+async function readAll(answer: OpenAnswer): Promise<Buffer> {
+  const chunks: Buffer[] = [];
+  for await (const chunk of answer.body) chunks.push(chunk);
+  return Buffer.concat(chunks);
+}
+
+async function passOnEvents(
+  call: CallerCall,
+  answer: OpenAnswer,
+  options: {
+    readonly progress: StreamProgress;
+    readonly codec: RequestCodec;
+    readonly silence: SilenceWatch;
+  },
+): Promise<RunEnd> {
+  const { progress, codec, silence } = options;
+  const { response } = call;
+  const splitter = createEventSplitter();
+  if (!progress.begun) {
+    progress.begun = true;
+    response.writeHead(answer.status, codec.encodeAnswer(answer.headers));
+    response.flushHeaders();
+  }
+  for await (const chunk of answer.body) {
+    silence.heard();
+    for (const event of splitter.push(chunk)) {
+      if (event.id !== null && isRepeated(event.id, progress.lastEventId)) {
+        continue;
+      }
+      if (event.id !== null) progress.lastEventId = event.id;
+      progress.firstByteMs ??= performance.now() - call.startedAt;
+      if (!response.write(event.bytes)) await drained(call);
+    }
+  }
+  const rest = splitter.rest();
+  if (rest.length > 0) response.write(rest);
+  response.end();
+  return { kind: "complete", status: answer.status };
+}
+
+/** A run that was taken up may begin with events that the caller has. */
+function isRepeated(id: string, last: string | null): boolean {
+  return last !== null && Number(id) <= Number(last);
+}
+
+function drained({ response, signal }: CallerCall): Promise<void> {
+  return new Promise((resolve) => {
+    if (signal.aborted) return resolve();
+    response.once("drain", resolve);
+    signal.addEventListener("abort", () => resolve(), { once: true });
+  });
+}
--- a/packages/pipelines/src/pipeline_path.ts
+++ b/packages/pipelines/src/pipeline_path.ts
@@ -48,6 +48,8 @@
   readonly model: ModelShape;
   /** Domain in which the pipeline preferably begins. */
   readonly failureDomain: string;
+  /** Layers that the path has to run; all of them when left out. */
+  readonly range?: LayerRange;
 }
 
 interface Reached {
@@ -74,9 +76,10 @@
 
 function searchPath(
   candidates: readonly StageCandidate[],
-  { model, failureDomain }: PathOptions,
+  { model, failureDomain, range }: PathOptions,
   whole: ReadonlySet<string>,
 ): Pipeline | null {
+  const { from: first, to: end } = range ?? { from: 0, to: model.layerCount };
   const starts = new Set(candidates.map(({ held }) => held.from));
   const byLayer: StageCandidate[][] = [];
   for (const candidate of candidates) {
@@ -87,13 +90,13 @@
     }
   }
   const reached: Map<string, Reached>[] = [];
-  reached[0] = new Map([
+  reached[first] = new Map([
     [
       failureDomain,
       { cost: 0, stageCount: 0, previous: null, stage: null, failureDomain },
     ],
   ]);
-  for (let at = 0; at < model.layerCount; at += 1) {
+  for (let at = first; at < end; at += 1) {
     for (const from of reached[at]?.values() ?? []) {
       if (from.stageCount === MOST_STAGES) continue;
       for (const candidate of byLayer[at] ?? []) {
@@ -101,7 +104,7 @@
       }
     }
   }
-  const ends = [...(reached[model.layerCount]?.values() ?? [])];
+  const ends = [...(reached[end]?.values() ?? [])];
   const best = ends.sort((a, b) => a.cost - b.cost)[0];
   return best ? { stages: stagesOf(best), cost: best.cost } : null;
 
@@ -113,8 +116,9 @@
       from.stage === null && candidate.failureDomain !== failureDomain;
     const entryMs = STAGE_MS + (crosses ? CROSSING_MS : begins ? 1 : 0);
     const layerMs = layerCost(model, candidate);
-    for (let to = at + 1; to <= candidate.held.to; to += 1) {
-      const isEnd = to === candidate.held.to;
+    const furthest = Math.min(candidate.held.to, end);
+    for (let to = at + 1; to <= furthest; to += 1) {
+      const isEnd = to === furthest;
       if (!isEnd && (!starts.has(to) || whole.has(candidate.id))) continue;
       offer(to, {
         cost: from.cost + entryMs + layerMs * (to - at),
--- a/packages/placement/src/control_lease.ts
+++ b/packages/placement/src/control_lease.ts
@@ -111,7 +111,8 @@
     if (lease === null) return acquire(1, version);
     // A reply to an earlier write was lost: the lease is ours all the same.
     if (isOwn(lease) && !lease.released) return renewFound(lease, version);
-    if (lease.released) return acquire(lease.fencingNumber + 1, version);
+    const isFree = lease.released || isEarlierLife(lease);
+    if (isFree) return acquire(lease.fencingNumber + 1, version);
     if (seen === null || seen.version !== version) {
       seen = { version: version ?? 0, at: readMoment() };
       return true;
@@ -127,6 +128,16 @@
     return lease.holder === holder && lease.incarnation === incarnation;
   }
 
+  /**
+   * An instance that was killed and started again finds its own lease. The
+   * process that held it has ended, so there is nobody to wait for; waiting
+   * for the lease to lapse left lost layers unplaced for six seconds.
+   */
+  function isEarlierLife(lease: LeaseObject): boolean {
+    const { holder, incarnation } = options;
+    return lease.holder === holder && lease.incarnation < incarnation;
+  }
+
   function renewFound(
     lease: LeaseObject,
     version: number | null,
