--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -92,7 +92,7 @@
   const router = createPipelineRouter({
     fleet,
     failureDomain,
-    sharers: () => Math.max(1, presence.count() / 2),
+    instancesIn: presence.countIn,
   });
   const stalls = createStallWatch({ fleet, engines });
   startPlacement({
--- a/packages/gateway/src/pipeline_router.ts
+++ b/packages/gateway/src/pipeline_router.ts
@@ -53,17 +53,19 @@
 export interface PipelineRouterOptions {
   readonly fleet: BackendFleet;
   readonly failureDomain: string;
-  /** Instances that share the engines. */
-  readonly sharers: () => number;
+  /** Live instances in a failure domain, this one included. */
+  readonly instancesIn: (failureDomain: string) => number;
 }
 
 /** Creates a router without answers in progress. */
 export function createPipelineRouter({
   fleet,
   failureDomain,
-  sharers,
+  instancesIn,
 }: PipelineRouterOptions): PipelineRouter {
   const uses = new Map<string, Use>();
+  /** Of all answers in progress here. */
+  let totalTokens = 0;
 
   function candidates(
     service: Service,
@@ -78,7 +80,7 @@
       const { memoryMb, stepFactor, readFactor } = kind;
       const layers = layersIn(held);
       const room = roomTokens(engine.model, { memoryMb, layers }) * layers;
-      const used = (uses.get(server.id)?.tokenLayers ?? 0) * sharers();
+      const used = estimateUse(server, layers);
       return [
         {
           id: server.id,
@@ -93,6 +95,20 @@
     });
   }
 
+  /**
+   * Memory of an engine that answers of all instances take, in tokens times
+   * layers. An instance knows its own answers only. Callers are spread over
+   * instances, and each of them prefers the engines of its domain: so others
+   * there have as many as this one, and instances of another domain have as
+   * many at their engines as this one has in all.
+   */
+  function estimateUse(server: BackendServer, layers: number): number {
+    const own = uses.get(server.id)?.tokenLayers ?? 0;
+    const others = instancesIn(server.failureDomain);
+    if (server.failureDomain === failureDomain) return own * others;
+    return own + totalTokens * layers * others;
+  }
+
   function find(
     { service, avoided }: Pick<PipelineRequest, "service" | "avoided">,
     range?: LayerRange,
@@ -136,6 +152,7 @@
   }
 
   function count(stages: readonly AddressedStage[], tokens: number): void {
+    totalTokens += tokens;
     for (const { engineId, range } of stages) {
       const use = uses.get(engineId) ?? { answers: 0, tokenLayers: 0 };
       use.answers += Math.sign(tokens);
--- a/packages/gateway/src/presence.ts
+++ b/packages/gateway/src/presence.ts
@@ -39,6 +39,8 @@
    * for a while may be cut off, and still send its part of the repeats.
    */
   countPossible(): number;
+  /** Live instances in a failure domain, this one included. */
+  countIn(failureDomain: string): number;
   /** Whether another live instance is in the failure domain. */
   hasOther(failureDomain: string): boolean;
   /** Writes that this instance is about to stop. */
@@ -121,6 +123,11 @@
       .map(({ presence }) => presence);
   }
 
+  function othersIn(domain: string): number {
+    return live().filter((presence) => presence.failureDomain === domain)
+      .length;
+  }
+
   return {
     count: () => 1 + live().length,
     countPossible: () =>
@@ -130,8 +137,8 @@
           [...others.values()].filter(({ presence }) => !presence.leaving)
             .length,
       ),
-    hasOther: (domain) =>
-      live().some((presence) => presence.failureDomain === domain),
+    countIn: (domain) => othersIn(domain) + (domain === failureDomain ? 1 : 0),
+    hasOther: (domain) => othersIn(domain) > 0,
     leave: () => write(true),
   };
 }
--- a/packages/pipelines/src/pipeline_path.ts
+++ b/packages/pipelines/src/pipeline_path.ts
@@ -18,6 +18,12 @@
  * activations of every token over a link that all pipelines share.
  */
 const CROSSING_MS = 8;
+/**
+ * The same for a pipeline that begins in another domain. It moves only the
+ * prompt's and the answer's text, but instances that all prefer the domain
+ * with the fastest engines fill it before the others.
+ */
+const BEGIN_ELSEWHERE_MS = 4;
 /** Longest pipeline that engines accept. */
 const MOST_STAGES = 32;
 /** Load from which an engine counts as full; above it the cost is steep. */
@@ -111,10 +117,10 @@
   function step(from: Reached, candidate: StageCandidate, at: number): void {
     const crosses =
       from.stage !== null && candidate.failureDomain !== from.failureDomain;
-    // Beginning elsewhere moves only the prompt's and the answer's text.
     const begins =
       from.stage === null && candidate.failureDomain !== failureDomain;
-    const entryMs = STAGE_MS + (crosses ? CROSSING_MS : begins ? 1 : 0);
+    const entryMs =
+      STAGE_MS + (crosses ? CROSSING_MS : begins ? BEGIN_ELSEWHERE_MS : 0);
     const layerMs = layerCost(model, candidate);
     const furthest = Math.min(candidate.held.to, end);
     for (let to = at + 1; to <= furthest; to += 1) {
