--- a/packages/checks/src/workspace_test.ts
+++ b/packages/checks/src/workspace_test.ts
@@ -111,7 +111,7 @@
 describe("the platform's names", () => {
   /** Headers, paths and fields that only the platform's own pages use. */
   const foreign = [
-    /x-(target-instance|hop-count|engine-signature|not-executed|token-count|credential|tenant|request-priority|deadline|prompt-prefix|weight-versions|expect-version|length-hint)/i,
+    /x-(target-instance|hop-count|engine-signature|not-executed|token-count|credential|tenant|request-priority|deadline\b(?!-ms)|prompt-prefix|weight-versions|expect-version|length-hint)/i,
     /\bat-server\b/i,
     /\/-\/(ready|report|order|objects)/,
     /\b(gap_aim_ms|goal_ms|kv_bytes|layer_mb|read_x|act_bytes|store_revision|create_revision|api_keys|config_apply_ms|max_attempts|path_prefix|internal_ports|node_name)\b/,
--- a/packages/gateway/src/backend_exchange.ts
+++ b/packages/gateway/src/backend_exchange.ts
@@ -1,8 +1,9 @@
 /** Sends one request to one backend server, once. */
-import { Agent, buildConnector, Client, type Dispatcher, errors } from "undici";
+import { Agent, Client, type Dispatcher, errors } from "undici";
 import type { BackendServer } from "./backend_server.ts";
 import type { AwayReason } from "./doubts.ts";
 import type { AnswerHeaders } from "./protocol.ts";
+import { createTimedConnector } from "./timed_connector.ts";
 
 /**
  * Bound on the time until a connection stands, in milliseconds. Links take
@@ -55,14 +56,14 @@
 
 /** Creates the sender; connections are kept for each server. */
 export function createBackendExchange(): BackendExchange {
+  const connect = createTimedConnector(CONNECT_TIMEOUT_MS);
   const agent = new Agent({
-    connect: { timeout: CONNECT_TIMEOUT_MS },
+    connect,
     pipelining: 1,
     keepAliveTimeout: KEEP_IDLE_MS,
     headersTimeout: 0,
     bodyTimeout: 0,
   });
-  const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
 
   async function sendKept(
     server: BackendServer,
--- a/packages/gateway/src/backend_fleet.ts
+++ b/packages/gateway/src/backend_fleet.ts
@@ -27,6 +27,12 @@
   /** Takes in an entry of the list. */
   put(server: BackendServer): void;
   remove(id: string): void;
+  /**
+   * Another server has the address: the entry is void until it is written
+   * anew. Asked by its address, the other one answers, so doubt alone would
+   * end at once, and orders and requests would go there again and again.
+   */
+  replaced(id: string): void;
   /** Takes in what an engine said of itself, which is newer than its entry. */
   putReport(id: string, report: EngineReport): void;
   /** Asks an engine what it holds now, since it refused a request. */
@@ -48,6 +54,7 @@
   const servers = new Map<string, BackendServer>();
   const doubts = createDoubts({ probe, signal });
   const callbacks: ((id: string) => void)[] = [];
+  const voided = new Map<string, BackendServer>();
   const reportedAt = new Map<string, number>();
 
   /** Engines are asked for a report; plain services have none. */
@@ -79,15 +86,21 @@
     doubts,
     get: (id) => servers.get(id) ?? null,
     byAddress(address) {
+      // The entry of one that ended may still stand beside its successor's.
+      let latest: BackendServer | null = null;
       for (const server of servers.values()) {
-        if (server.address === address) return server;
+        if (server.address !== address) continue;
+        if (!latest || server.startedAt > latest.startedAt) latest = server;
       }
-      return null;
+      return latest;
     },
     ofService: (service) =>
       [...servers.values()].filter((server) => server.service === service),
     isUsable: (server) => !server.leaving && !doubts.isDoubted(server.id),
     put(server) {
+      const before = voided.get(server.id);
+      if (before && !isNewer(server, before)) return;
+      voided.delete(server.id);
       const last = servers.get(server.id);
       const isSameLife = last?.startedAt === server.startedAt;
       if (last && isOlder(server, last)) {
@@ -116,6 +129,12 @@
       log.info("server_gone", { id, address: last.address });
       changed(id);
     },
+    replaced(id) {
+      const last = servers.get(id);
+      if (!last) return;
+      voided.set(id, last);
+      this.remove(id);
+    },
     putReport,
     recheck(id) {
       doubts.refused(id);
@@ -143,6 +162,10 @@
   return entry.renewal < known.renewal;
 }
 
+function isNewer(entry: BackendServer, known: BackendServer): boolean {
+  return entry.startedAt > known.startedAt || entry.renewal > known.renewal;
+}
+
 function isSameRange(a: LayerRange | null, b: LayerRange | null): boolean {
   return a?.from === b?.from && a?.to === b?.to;
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,5 +1,5 @@
 /** Wires one instance that forwards requests by the platform's protocols. */
-import { once } from "node:events";
+import { once, setMaxListeners } from "node:events";
 import type { Server } from "node:http";
 import { createLogger } from "@rosemarypin/telemetry";
 import { pause } from "@rosemarypin/timing";
@@ -49,6 +49,8 @@
   const { store, keys, codec, engines } = platform;
   const ending = new AbortController();
   const { signal } = ending;
+  // Each wait listens to it: one for each doubted server, and some more.
+  setMaxListeners(0, signal);
   let stoppedAt: number | null = null;
 
   const keeper = createConfigurationKeeper();
@@ -82,6 +84,7 @@
     instance,
     failureDomain,
     presence,
+    storeAwayMs: () => Math.min(configurations.awayMs(), servers.awayMs()),
   });
   const budget = createRetryBudget(
     settings.retryBudget,
--- a/packages/gateway/src/mod.ts
+++ b/packages/gateway/src/mod.ts
@@ -5,3 +5,4 @@
 export * from "./platform.ts";
 export * from "./protocol.ts";
 export * from "./settings.ts";
+export { createTimedConnector } from "./timed_connector.ts";
--- a/packages/gateway/src/object_mirror.ts
+++ b/packages/gateway/src/object_mirror.ts
@@ -36,6 +36,8 @@
 export interface ObjectMirror {
   /** Milliseconds since the store last answered; infinite before it did. */
   ageMs(): number;
+  /** Milliseconds since calls began to fail; 0 while they work. */
+  awayMs(): number;
   /** Whether all objects were read at least once. */
   isFilled(): boolean;
 }
@@ -51,6 +53,7 @@
   let isFilled = false;
   let answeredAt = -Infinity;
   let failures = 0;
+  let failedAt = -Infinity;
   let returnedAt = -Infinity;
   void follow();
 
@@ -91,6 +94,7 @@
     // A watch that fell silent, or was cut, says nothing of what it missed.
     readAllAt = -Infinity;
     if (failures === 1) {
+      failedAt = performance.now();
       const detail = "detail" in failure ? failure.detail : "";
       log.warn("store_away", { prefix, kind: failure.kind, detail });
     }
@@ -129,6 +133,7 @@
 
   return {
     ageMs: () => performance.now() - answeredAt,
+    awayMs: () => (failures > 0 ? performance.now() - failedAt : 0),
     isFilled: () => isFilled,
   };
 }
--- a/packages/gateway/src/ordering_right.ts
+++ b/packages/gateway/src/ordering_right.ts
@@ -3,6 +3,14 @@
 import type { ObjectStore } from "@rosemarypin/store";
 import type { Presence } from "./presence.ts";
 
+/**
+ * After so long without the store, an instance may order the engines of its
+ * own domain without a lease. Nobody can renew or take one then: the holder
+ * may have stopped, and layers of lost engines would stay away for as long as
+ * the store. Each order names the state that it is meant for, so of two
+ * instances that order at once one is refused.
+ */
+const WITHOUT_STORE_AFTER_MS = 500;
 /** An instance of another domain takes over when none of its own lives. */
 const FOREIGN_AFTER_MS = 3_000;
 
@@ -19,8 +27,12 @@
   readonly instance: string;
   readonly failureDomain: string;
   readonly presence: Presence;
+  /** Milliseconds since calls of the store began to fail; 0 if they work. */
+  readonly storeAwayMs: () => number;
 }): OrderingRight {
   const startedAt = performance.now();
+  /** Highest fencing number that this instance held, by domain. */
+  const lastNumbers = new Map<string, number>();
   const leases = new Map<string, ControlLease>();
 
   function mayHold(domain: string): boolean {
@@ -45,7 +57,14 @@
   }
 
   return {
-    forDomain: (domain) => leaseOf(domain).held()?.fencingNumber ?? null,
+    forDomain(domain) {
+      const held = leaseOf(domain).held();
+      if (held) lastNumbers.set(domain, held.fencingNumber);
+      if (held) return held.fencingNumber;
+      const isOwn = domain === options.failureDomain;
+      const isAway = options.storeAwayMs() > WITHOUT_STORE_AFTER_MS;
+      return isOwn && isAway ? (lastNumbers.get(domain) ?? 0) : null;
+    },
     async release() {
       await Promise.all([...leases.values()].map((lease) => lease.release()));
     },
--- a/packages/gateway/src/placement_loop.ts
+++ b/packages/gateway/src/placement_loop.ts
@@ -41,6 +41,10 @@
   readonly range: LayerRange;
   readonly startedAt: number;
   readonly orderedAt: number;
+  /** The order count that the engine had. */
+  readonly expected: number;
+  /** Whether the engine has said that it began. */
+  acknowledged: boolean;
 }
 
 /** Starts the loop; it ends with the signal. */
@@ -116,11 +120,14 @@
     if (!server || server.orderCount === null || pending.has(engineId)) return;
     const fencingNumber = options.rightFor(server.failureDomain);
     if (fencingNumber === null) return;
-    pending.set(engineId, {
+    const order: Pending = {
       range,
       startedAt: server.startedAt,
       orderedAt: performance.now(),
-    });
+      expected: server.orderCount,
+      acknowledged: false,
+    };
+    pending.set(engineId, order);
     const answer = await engines.place(
       server,
       { range, expectedOrderCount: server.orderCount, fencingNumber },
@@ -137,9 +144,11 @@
       answer: answer.kind,
       detail: "detail" in answer ? answer.detail : undefined,
     });
+    order.acknowledged = answer.kind === "accepted";
     if (answer.kind === "accepted" || answer.kind === "unknown") return;
     // What it holds now decides about the next plan.
     pending.delete(engineId);
+    if (answer.kind === "replaced") return fleet.replaced(engineId);
     await refresh(engineId);
   }
 
@@ -174,7 +183,12 @@
       });
       return;
     }
-    if (!report.busy && isLost(order)) {
+    // An order without an answer may still be carried out, seconds later. It
+    // names the count that it was meant for, so that it then finds the engine
+    // changed by the one that is sent in its place, and is refused.
+    const notBegun =
+      !order.acknowledged && report.orderCount === order.expected;
+    if (!report.busy && (notBegun || isLost(order))) {
       pending.delete(id);
       log.warn("order_lost", {
         id,
--- a/packages/gateway/src/protocol.ts
+++ b/packages/gateway/src/protocol.ts
@@ -74,6 +74,8 @@
   | { readonly kind: "done" }
   /** The order does not fit the engine's state, which moved on. */
   | { readonly kind: "conflict"; readonly detail: string }
+  /** The engine at the address is another one. */
+  | { readonly kind: "replaced" }
   /** A later holder of the right to order has ordered it. */
   | { readonly kind: "fenced" }
   | { readonly kind: "refused"; readonly detail: string }
--- a/packages/gateway/src/stream_run.ts
+++ b/packages/gateway/src/stream_run.ts
@@ -1,4 +1,5 @@
 /** One run of a streamed answer on one pipeline. */
+import { once } from "node:events";
 import {
   awayReason,
   type BackendExchange,
@@ -23,6 +24,8 @@
   readonly engines: EngineCalls;
 }
 
+const MISDIRECTED = 421;
+
 /** What the caller has of the answer so far. */
 export interface StreamProgress {
   begun: boolean;
@@ -148,7 +151,11 @@
   const atFault = facts.faultyStage
     ? parts.fleet.byAddress(facts.faultyStage)
     : run.pipeline.first;
-  if (atFault) {
+  // A refusal without a stage at fault comes from the engine that it was sent
+  // to: the one there is not the one that was meant.
+  if (atFault && answer.status === MISDIRECTED && !facts.faultyStage) {
+    parts.fleet.replaced(atFault.id);
+  } else if (atFault) {
     run.avoided.add(atFault.id);
     parts.fleet.recheck(atFault.id);
   }
@@ -200,10 +207,7 @@
   return last !== null && Number(id) <= Number(last);
 }
 
-function drained({ response, signal }: CallerCall): Promise<void> {
-  return new Promise((resolve) => {
-    if (signal.aborted) return resolve();
-    response.once("drain", resolve);
-    signal.addEventListener("abort", () => resolve(), { once: true });
-  });
+/** Resolves when the caller has read on, or nobody waits any more. */
+async function drained({ response, signal }: CallerCall): Promise<void> {
+  await once(response, "drain", { signal }).catch(() => {});
 }
--- /dev/null
+++ b/packages/gateway/src/timed_connector.ts
@@ -0,0 +1,33 @@
+/** Makes connections within a time that holds to the millisecond. */
+import { connect } from "node:net";
+import { type buildConnector, errors } from "undici";
+
+/**
+ * Creates the connector of an undici client. The client's own bound on the
+ * time to connect is counted in steps of up to a second: with a bound of
+ * 300 ms, three probes of a server that was cut off took 3.1 s, and requests
+ * missed their objective of 500 ms before another server was tried.
+ */
+export function createTimedConnector(
+  timeoutMs: number,
+): buildConnector.connector {
+  return ({ hostname, port }, callback) => {
+    const socket = connect({ host: hostname, port: Number(port) });
+    const timer = setTimeout(() => {
+      const detail = `no connection to ${hostname}:${port} in ${timeoutMs} ms`;
+      socket.destroy(new errors.ConnectTimeoutError(detail));
+    }, timeoutMs);
+    socket.setNoDelay(true);
+    socket.once("connect", () => {
+      clearTimeout(timer);
+      socket.off("error", fail);
+      callback(null, socket);
+    });
+    socket.once("error", fail);
+
+    function fail(error: Error): void {
+      clearTimeout(timer);
+      callback(error, null);
+    }
+  };
+}
