Widen narrow stages by their neighbours

Cause: after losses a neighbour held a whole lost range and had room for few answers (mtwara: 19 layers, 13,700 tokens of 104,000), and its domain could take no more than it; nothing ever gave layers back. Now a gap is shared layer by layer between both neighbours, and a stage with under half of the planned room is relieved a step at a time: a neighbour loads layers of it, then it gives them up.

--- a/packages/pipelines/src/layer_plan.ts
+++ b/packages/pipelines/src/layer_plan.ts
@@ -32,6 +32,9 @@
 /** Share of the planned room below which layers get an engine more. */
 const TIGHT_SHARE = 0.5;
 
+/** A neighbour helps if its room is then still so many times larger. */
+const WIDER_BY = 1.2;
+
 /** An engine that may be given other layers. */
 export interface PlannedEngine extends EngineFacts {
   /** Layers that it serves now; `held` is what it was last ordered to hold. */
@@ -132,6 +135,7 @@
   },
 ): LayerOrder[] {
   const { model, servedElsewhere } = options;
+  const tightTokens = tokensOf(model, TIGHT_ANSWERS);
   const tokens = roomOfGroup(group, model);
   const holds = new Map<string, LayerRange>();
   for (const { id, held } of group) if (held) holds.set(id, held);
@@ -204,11 +208,11 @@
    */
   function fillGap(gap: LayerRange): boolean {
     if (useFree(gap)) return true;
-    if (extendNeighbour(gap, { mayGiveUp: false })) return true;
+    if (extendNeighbours(gap, { mayGiveUp: false })) return true;
     const spare = spareEngine();
     if (spare && giveUsual(spare, gap)) return true;
     if (layersOf(gap).every((layer) => servedElsewhere[layer])) return false;
-    if (extendNeighbour(gap, { mayGiveUp: true })) return true;
+    if (extendNeighbours(gap, { mayGiveUp: true })) return true;
     shiftSpare(gap);
     return false;
   }
@@ -231,27 +235,53 @@
     return true;
   }
 
-  /** Lets the engine beside a gap with most spare memory hold part of it. */
-  function extendNeighbour(
+  /**
+   * Lets the engines beside a gap hold its layers, each layer going to the one
+   * that has more room left with it. Given to one of them alone, a whole range
+   * made that one the narrowest stage of all.
+   */
+  function extendNeighbours(
     gap: LayerRange,
     { mayGiveUp }: { readonly mayGiveUp: boolean },
   ): boolean {
-    const choices = group.flatMap((engine) => {
-      const range = holds.get(engine.id);
-      if (!range || !engine.orderable) return [];
-      const isBefore = range.to === gap.from;
-      if (!isBefore && range.from !== gap.to) return [];
-      const kept =
-        mayGiveUp && !orders.has(engine.id)
-          ? withoutDoubles(engine, range, isBefore)
-          : range;
-      const more = Math.min(mostLayers(engine) - layersIn(kept), layersIn(gap));
-      return more > 0 ? [{ engine, kept, isBefore, more }] : [];
-    });
-    const best = choices.sort((a, b) => b.more - a.more)[0];
-    if (!best) return false;
-    give(best.engine, grow(best.kept, best.more, best.isBefore));
-    return true;
+    const before = neighbour(({ to }) => to === gap.from, true);
+    const after = neighbour(({ from }) => from === gap.to, false);
+    let { from, to } = gap;
+    while (from < to) {
+      const roomBefore = before ? roomWith(before, from - gap.from + 1) : -1;
+      const roomAfter = after ? roomWith(after, gap.to - to + 1) : -1;
+      if (Math.max(roomBefore, roomAfter) < tightTokens) break;
+      if (roomBefore >= roomAfter) from += 1;
+      else to -= 1;
+    }
+    if (before && from > gap.from) {
+      give(before.engine, grow(before.kept, from - gap.from, true));
+    }
+    if (after && to < gap.to) {
+      give(after.engine, grow(after.kept, gap.to - to, false));
+    }
+    return from > gap.from || to < gap.to;
+
+    function neighbour(
+      isBeside: (range: LayerRange) => boolean,
+      isBefore: boolean,
+    ): Neighbour | undefined {
+      const choices = group.flatMap((engine) => {
+        const range = holds.get(engine.id);
+        if (!range || !engine.orderable || !isBeside(range)) return [];
+        const kept =
+          mayGiveUp && !orders.has(engine.id)
+            ? withoutDoubles(engine, range, isBefore)
+            : range;
+        return [{ engine, kept }];
+      });
+      return choices.sort((a, b) => roomWith(b, 1) - roomWith(a, 1))[0];
+    }
+  }
+
+  function roomWith({ engine, kept }: Neighbour, more: number): number {
+    const { memoryMb } = engine;
+    return roomTokens(model, { memoryMb, layers: layersIn(kept) + more });
   }
 
   /** What is left of a range without far layers that others serve too. */
@@ -295,8 +325,57 @@
   }
 
   function mostLayers({ memoryMb }: PlannedEngine): number {
-    const tokens = tokensOf(model, TIGHT_ANSWERS);
-    return layersWithRoom(model, { memoryMb, tokens });
+    return layersWithRoom(model, { memoryMb, tokens: tightTokens });
+  }
+
+  /**
+   * Makes narrow stages wider, a step at a time: a neighbour with more room
+   * holds layers of theirs too, and then they give these up. That needs no
+   * pause: what passes through the layers that are given up goes on, and new
+   * answers use the neighbour.
+   */
+  function widen(engine: PlannedEngine): void {
+    const range = holds.get(engine.id);
+    if (!range || !engine.orderable || orders.has(engine.id)) return;
+    const room = roomWith({ engine, kept: range }, 0);
+    if (room >= tokens * TIGHT_SHARE) return;
+    const narrower = trimmed(engine, range);
+    if (layersIn(narrower) < layersIn(range)) return give(engine, narrower);
+    const helps = group.flatMap((other) => {
+      const held = holds.get(other.id);
+      if (!held || !other.orderable || orders.has(other.id)) return [];
+      const isBefore = held.from < range.from && held.to === range.from;
+      const isAfter = held.to > range.to && held.from === range.to;
+      if (!isBefore && !isAfter) return [];
+      const help = { engine: other, kept: held };
+      return [{ help, isBefore, roomAfter: roomWith(help, 1) }];
+    });
+    const best = helps.sort((a, b) => b.roomAfter - a.roomAfter)[0];
+    if (!best) return;
+    const more = balancedMove({ engine, kept: range }, best.help);
+    if (more > 0)
+      give(best.help.engine, grow(best.help.kept, more, best.isBefore));
+  }
+
+  /** Layers that may go over until both have about the same room. */
+  function balancedMove(narrow: Neighbour, help: Neighbour): number {
+    let more = 0;
+    while (
+      layersIn(narrow.kept) - more > 1 &&
+      roomWith(help, more + 1) > roomWith(narrow, -more) * WIDER_BY
+    ) {
+      more += 1;
+    }
+    return more;
+  }
+
+  /** A range without edges that others serve, down to the usual size. */
+  function trimmed(engine: PlannedEngine, range: LayerRange): LayerRange {
+    const least = usualLayers(engine);
+    let { from, to } = range;
+    while (to - from > least && isServedByOthers(engine, from)) from += 1;
+    while (to - from > least && isServedByOthers(engine, to - 1)) to -= 1;
+    return { from, to };
   }
 
   /** Doubles the layers whose holders have least room. */
@@ -327,13 +406,22 @@
     if (!gap) break;
     if (!fillGap(gap)) skipped.add(gap.from);
   }
+  free.sort((a, b) => a.memoryMb - b.memoryMb);
   while (free.length > reserveOf(group) || (free.length > 0 && isTight())) {
     const engine = free.shift();
     if (engine) doubleLayers(engine);
   }
+  if (orders.size === 0) for (const engine of group) widen(engine);
   return [...orders.values()];
 }
 
+/** An engine beside layers that it could hold too. */
+interface Neighbour {
+  readonly engine: PlannedEngine;
+  /** What it goes on to hold of its own. */
+  readonly kept: LayerRange;
+}
+
 function countHolders(
   ranges: readonly LayerRange[],
   layerCount: number,
--- a/packages/pipelines/src/layer_plan_test.ts
+++ b/packages/pipelines/src/layer_plan_test.ts
@@ -128,6 +128,43 @@
     }
   });
 
+  it("makes a narrow stage wider without a gap at any time", () => {
+    // After losses one engine holds far more layers than planned and has room
+    // for few answers: the whole domain can take no more than it. Its
+    // neighbours have memory to spare, and none may stop serving meanwhile.
+    const ranges: [keyof typeof KINDS, number, number][] = [
+      ["medium", 0, 19],
+      ["small", 19, 26],
+      ["small", 26, 33],
+      ["small", 33, 40],
+      ["small", 40, 47],
+      ["small", 47, 54],
+      ["small", 54, 61],
+      ["small", 61, 68],
+      ["tiny", 68, 72],
+      ["tiny", 72, 76],
+      ["tiny", 76, 80],
+    ];
+    let now = ranges.map(([kind, from, to], index) =>
+      engine(`e-${index}`, kind, {
+        held: { from, to },
+        serving: { from, to },
+      }),
+    );
+    const roomOf = ({ memoryMb, held }: PlannedEngine) =>
+      roomTokens(model, { memoryMb, layers: held ? held.to - held.from : 0 });
+    const narrowest = () => Math.min(...now.map(roomOf));
+    const before = narrowest();
+    for (let round = 0; round < 12; round += 1) {
+      const next = apply(now);
+      expectNothingLost(now, next);
+      now = next;
+      expect(uncovered(now)).toEqual([]);
+    }
+    expect(narrowest()).toBeGreaterThan(2 * before);
+    expect(planLayers(now, model)).toEqual([]);
+  });
+
   it("keeps an engine whose layers are only being loaded elsewhere", () => {
     // An engine joins and is ordered to double layers. Before they are there,
     // a gap opens elsewhere: whoever serves those layers now must not go.
