Write logs to standard output without blocking; tell a request's story from logs

Cause: the log library wrote synchronously to standard error, so a reader that stands still stopped the process.

--- a/packages/cli/src/run_command.ts
+++ b/packages/cli/src/run_command.ts
@@ -9,6 +9,7 @@
 import { noteViewCommands } from "./commands/note_view.ts";
 import { reportCommands } from "./commands/report.ts";
 import { statusCommands } from "./commands/status.ts";
+import { traceCommands } from "./commands/trace.ts";
 import { exitCodes } from "./exit_codes.ts";
 import type { Output } from "./output.ts";
 
@@ -18,6 +19,7 @@
   ...noteViewCommands,
   ...statusCommands,
   ...explainCommands,
+  ...traceCommands,
   ...checkCommands,
   ...reportCommands,
   ...keyCommands,
--- a/packages/gateway/src/forward_plain.ts
+++ b/packages/gateway/src/forward_plain.ts
@@ -1,4 +1,5 @@
 /** Forwards requests of plain services: whole answers, at most some repeats. */
+import { createLogger } from "@rosemarypin/telemetry";
 import {
   awayReason,
   type BackendExchange,
@@ -21,6 +22,8 @@
 const MOST_REFUSALS = 3;
 const SERVER_ERROR = 500;
 
+const log = createLogger("calls");
+
 export interface ForwardParts {
   readonly codec: RequestCodec;
   readonly exchange: BackendExchange;
@@ -81,6 +84,12 @@
   { codec, exchange, fleet, choice }: ForwardParts,
 ): Promise<Attempt> {
   const sentAt = performance.now();
+  log.info("request_sent", {
+    request: call.id,
+    route: call.route.name,
+    id: server.id,
+    left_ms: timeLeftMs(call).toFixed(0),
+  });
   choice.began(server.id);
   let ok = false;
   try {
--- a/packages/gateway/src/stream_run.ts
+++ b/packages/gateway/src/stream_run.ts
@@ -1,5 +1,6 @@
 /** One run of a streamed answer on one pipeline. */
 import { once } from "node:events";
+import { createLogger } from "@rosemarypin/telemetry";
 import {
   awayReason,
   type BackendExchange,
@@ -26,6 +27,8 @@
 
 const MISDIRECTED = 421;
 
+const log = createLogger("streams");
+
 /** What the caller has of the answer so far. */
 export interface StreamProgress {
   begun: boolean;
@@ -65,6 +68,15 @@
   options: { readonly progress: StreamProgress; readonly parts: StreamParts },
 ): Promise<RunEnd> {
   const { progress, parts } = options;
+  const { first, stages } = run.pipeline;
+  log.info("request_sent", {
+    request: call.id,
+    route: call.route.name,
+    id: first.id,
+    stages: stages.map(({ engineId }) => engineId).join(","),
+    after_event: progress.lastEventId ?? undefined,
+    left_ms: timeLeftMs(call).toFixed(0),
+  });
   const silence = watchSilence(call, run, parts);
   try {
     const result = await send(call, run, options);
--- a/packages/telemetry/src/log.ts
+++ b/packages/telemetry/src/log.ts
@@ -1,5 +1,7 @@
 /** One line of key=value pairs for each event, through `debug`. */
+import { format } from "node:util";
 import debug from "debug";
+import { createLineWriter, type LineWriter } from "./line_writer.ts";
 
 /** A value that a log line can carry. */
 export type LogValue = string | number | boolean | undefined;
@@ -41,6 +43,16 @@
   debug.enable(`${NAMESPACE}:*:info,${NAMESPACE}:*:warn`);
 }
 
+/** Sends all lines to standard output, where they can hold nothing up. */
+export function writeLogsToOutput(): LineWriter {
+  const writer = createLineWriter();
+  debug.log = (...args: unknown[]) => {
+    const text = `${format(...args)}\n`;
+    writer.line(text, { isWarning: text.includes(":warn event=") });
+  };
+  return writer;
+}
+
 function formatEvent(
   event: string,
   fields: Readonly<Record<string, LogValue>> = {},
