Let instances tell each other what the store withholds from one of them

Ruled out: a stale read, as the mirror never went back. Peers that are not heard of only because the store is away no longer count as gone. Also: an idempotent request leaves a server that does not answer in half of its time.

--- a/packages/gateway/src/backend_exchange.ts
+++ b/packages/gateway/src/backend_exchange.ts
@@ -165,7 +165,7 @@
   { connected }: { readonly connected: boolean | undefined },
 ): ExchangeResult {
   const detail = error instanceof Error ? error.message : String(error);
-  const code = (error as { code?: string }).code ?? "";
+  const code = codeOf(error);
   const isConnectFailure =
     error instanceof errors.ConnectTimeoutError || CONNECT_FAILURES.has(code);
   if (connected === false || (connected === undefined && isConnectFailure)) {
@@ -174,6 +174,13 @@
   return { kind: "broken", detail: code || detail };
 }
 
+function codeOf(error: unknown): string {
+  const { name, code } = error as { name?: string; code?: unknown };
+  const isGivenUp = name === "AbortError" || name === "TimeoutError";
+  if (isGivenUp) return "given_up";
+  return typeof code === "string" ? code : "";
+}
+
 /** What a connection that did not come about says of its server. */
 export function awayReason(detail: string): AwayReason {
   return detail === "ECONNREFUSED" ? "ended" : "silent";
--- a/packages/gateway/src/forward_plain.ts
+++ b/packages/gateway/src/forward_plain.ts
@@ -21,6 +21,13 @@
 /** Servers that may refuse a request before it is refused to the caller. */
 const MOST_REFUSALS = 3;
 const SERVER_ERROR = 500;
+/**
+ * Share of the time left after which an idempotent request goes to another
+ * server, and the least such time, in objectives. A server that takes requests
+ * in and never answers else uses up all the time that its callers have.
+ */
+const FIRST_TRY_SHARE = 0.5;
+const LEAST_TRY_OBJECTIVES = 2;
 
 const log = createLogger("calls");
 
@@ -58,7 +65,11 @@
     if (attempts > 0 && !budget.take(call.service.name)) break;
     attempts += 1;
     avoided.add(server.id);
-    last = await attemptOnce(call, server, parts);
+    const isLast = !mayRepeat || runs + 1 >= call.route.maxAttempts;
+    last = await attemptOnce(call, server, {
+      ...parts,
+      longestMs: isLast ? null : tryMs(call),
+    });
     if (last.kind === "not_run") {
       if (attempts - runs > MOST_REFUSALS) break;
       continue;
@@ -78,11 +89,18 @@
   return endWithRefusal(codec, call, { outcome, reason, attempts });
 }
 
+/** How long one server may take while another could be tried. */
+function tryMs(call: CallerCall): number {
+  const leastMs = LEAST_TRY_OBJECTIVES * call.route.objectiveMs;
+  return Math.ceil(Math.max(leastMs, timeLeftMs(call) * FIRST_TRY_SHARE));
+}
+
 async function attemptOnce(
   call: CallerCall,
   server: BackendServer,
-  { codec, exchange, fleet, choice }: ForwardParts,
+  options: ForwardParts & { readonly longestMs: number | null },
 ): Promise<Attempt> {
+  const { codec, exchange, fleet, choice, longestMs } = options;
   const sentAt = performance.now();
   log.info("request_sent", {
     request: call.id,
@@ -109,7 +127,10 @@
         body: call.body,
       },
       {
-        signal: call.signal,
+        signal:
+          longestMs === null
+            ? call.signal
+            : AbortSignal.any([call.signal, AbortSignal.timeout(longestMs)]),
         freshConnection: call.route.kind !== "idempotent",
       },
     );
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,6 +1,7 @@
 /** Wires one instance that forwards requests by the platform's protocols. */
 import { once, setMaxListeners } from "node:events";
 import type { Server } from "node:http";
+import { createPeerCaller, startPeerServer } from "@rosemarypin/membership";
 import { createLogger } from "@rosemarypin/telemetry";
 import { pause } from "@rosemarypin/timing";
 import { createBackendExchange } from "./backend_exchange.ts";
@@ -20,6 +21,7 @@
 import { createGatewayMetrics } from "./gateway_metrics.ts";
 import { startObjectMirror } from "./object_mirror.ts";
 import { createOrderingRight } from "./ordering_right.ts";
+import { peerNewsMethods, startPeerNews } from "./peer_news.ts";
 import { createPipelineRouter } from "./pipeline_router.ts";
 import { startPlacement } from "./placement_loop.ts";
 import type { Platform } from "./platform.ts";
@@ -78,7 +80,23 @@
     },
     onRemoved: (key) => fleet.remove(key.slice(keys.servers.length)),
   });
-  const presence = startPresence({ store, instance, failureDomain, signal });
+  const presence = startPresence({
+    store,
+    instance,
+    failureDomain,
+    peer: settings.peers,
+    signal,
+  });
+  const mirrors = [configurations, servers];
+  if (settings.peers) {
+    await startPeerServer(settings.peers, peerNewsMethods(mirrors));
+    startPeerNews({
+      mirrors,
+      caller: createPeerCaller(settings.peers.host),
+      peers: presence.peers,
+      signal,
+    });
+  }
   const right = createOrderingRight({
     store,
     instance,
--- a/packages/gateway/src/object_mirror.ts
+++ b/packages/gateway/src/object_mirror.ts
@@ -34,6 +34,15 @@
 }
 
 export interface ObjectMirror {
+  readonly prefix: string;
+  /** The store's revision up to which the mirror is current. */
+  revision(): number;
+  objects(): readonly StoredObject[];
+  /** Takes in all objects as a peer has them, at a higher revision. */
+  takeFromPeer(news: {
+    readonly revision: number;
+    readonly objects: readonly StoredObject[];
+  }): void;
   /** Milliseconds since the store last answered; infinite before it did. */
   ageMs(): number;
   /** Milliseconds since calls began to fail; 0 while they work. */
@@ -45,7 +54,7 @@
 /** Starts to follow the prefix until the signal ends it. */
 export function startObjectMirror(options: ObjectMirrorOptions): ObjectMirror {
   const { store, prefix, signal } = options;
-  const known = new Map<string, number>();
+  const known = new Map<string, StoredObject>();
   /** Objects that are missing, with the time from which they are gone. */
   const missing = new Map<string, NodeJS.Timeout>();
   let since = 0;
@@ -104,9 +113,9 @@
   function take(object: StoredObject): void {
     clearTimeout(missing.get(object.key));
     missing.delete(object.key);
-    const last = known.get(object.key) ?? -Infinity;
+    const last = known.get(object.key)?.version ?? -Infinity;
     if (object.version <= last) return;
-    known.set(object.key, object.version);
+    known.set(object.key, object);
     options.onObject(object);
   }
 
@@ -132,6 +141,15 @@
   }
 
   return {
+    prefix,
+    revision: () => since,
+    objects: () => [...known.values()],
+    takeFromPeer({ revision, objects }) {
+      if (revision <= since) return;
+      since = revision;
+      for (const object of objects) take(object);
+      missOthers(objects);
+    },
     ageMs: () => performance.now() - answeredAt,
     awayMs: () => (failures > 0 ? performance.now() - failedAt : 0),
     isFilled: () => isFilled,
--- a/packages/gateway/src/presence.ts
+++ b/packages/gateway/src/presence.ts
@@ -1,4 +1,5 @@
 /** Which instances live, by objects that each writes of itself. */
+import type { Address } from "@rosemarypin/schemas";
 import type { ObjectStore } from "@rosemarypin/store";
 import { createLogger } from "@rosemarypin/telemetry";
 import { pause } from "@rosemarypin/timing";
@@ -26,6 +27,8 @@
   /** Start of the process, in Unix milliseconds. */
   startedAt: z.number(),
   renewal: z.number(),
+  /** Where other instances reach it; `null` where they can't. */
+  peer: z.object({ host: z.string(), port: z.number() }).nullable(),
   leaving: z.boolean(),
 });
 
@@ -43,6 +46,8 @@
   countIn(failureDomain: string): number;
   /** Whether another live instance is in the failure domain. */
   hasOther(failureDomain: string): boolean;
+  /** Where other live instances are reached. */
+  peers(): Address[];
   /** Writes that this instance is about to stop. */
   leave(): Promise<void>;
 }
@@ -58,14 +63,16 @@
   readonly store: ObjectStore;
   readonly instance: string;
   readonly failureDomain: string;
+  readonly peer: Address | null;
   readonly signal: AbortSignal;
 }): Presence {
-  const { store, instance, failureDomain, signal } = options;
+  const { store, instance, failureDomain, peer, signal } = options;
   const key = `${PRESENCE_PREFIX}${instance}`;
   const startedAt = Date.now();
   const others = new Map<string, Seen>();
   let renewal = 0;
   let hasRead = false;
+  let readAt = -Infinity;
   let version: number | null = null;
   void run();
 
@@ -79,7 +86,7 @@
 
   async function write(leaving: boolean): Promise<void> {
     renewal += 1;
-    const value = { failureDomain, startedAt, renewal, leaving };
+    const value = { failureDomain, startedAt, renewal, peer, leaving };
     const written = await store.write(key, value, { expectedVersion: version });
     if (written.kind === "ok") version = written.value;
     // An earlier life, or a write whose answer was lost: go on from there.
@@ -91,6 +98,7 @@
     if (listed.kind !== "ok") return;
     hasRead = true;
     const now = performance.now();
+    readAt = now;
     for (const object of listed.value) {
       if (object.key === key) continue;
       const parsed = presenceSchema.safeParse(object.value);
@@ -115,11 +123,14 @@
     }
   }
 
+  /**
+   * Judged by the time of the last reading: while the store is away nobody's
+   * object moves, and nobody is gone for that.
+   */
   function live(): PresenceObject[] {
-    const now = performance.now();
     return [...others.values()]
       .filter(({ presence }) => !presence.leaving)
-      .filter(({ movedAt }) => now - movedAt < GONE_AFTER_MS)
+      .filter(({ movedAt }) => readAt - movedAt < GONE_AFTER_MS)
       .map(({ presence }) => presence);
   }
 
@@ -139,6 +150,7 @@
       ),
     countIn: (domain) => othersIn(domain) + (domain === failureDomain ? 1 : 0),
     hasOther: (domain) => othersIn(domain) > 0,
+    peers: () => live().flatMap((presence) => presence.peer ?? []),
     leave: () => write(true),
   };
 }
