--- /dev/null
+++ b/packages/checks/src/platform_soak/soak_run.ts
@@ -0,0 +1,305 @@
+/** A run of the soak: real processes, random faults, promises judged. */
+import { mkdtempSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import {
+  call,
+  type Deployment,
+  drawSettings,
+  type EngineStandIn,
+  type PlainBehaviour,
+  startDeployment,
+  streamHeaders,
+  writeSettings,
+} from "@rosemarypin/platform/stand_in";
+import type { SeededRandom } from "../seeded_random.ts";
+import {
+  type FaultProxy,
+  type ProxyFault,
+  startFaultProxy,
+} from "./fault_proxy.ts";
+import {
+  createInstanceProcess,
+  type InstanceProcess,
+} from "./instance_process.ts";
+import { judgeCalls, type SoakCall, type SoakKind } from "./judges.ts";
+
+const GRACE_MS = 5_000;
+const CALLERS = 6;
+const DEADLINE_MS = 3_000;
+/** Requests in flight at the end may take until their deadline. */
+const SETTLE_MS = DEADLINE_MS + 500;
+/** Time for the processes to start and to place layers. */
+const START_MS = 3_500;
+
+export interface SoakResult {
+  readonly folder: string;
+  readonly faults: readonly string[];
+  readonly calls: readonly SoakCall[];
+  readonly broken: readonly string[];
+}
+
+/** Runs for a time; every random choice comes from `random`. */
+export async function runPlatformSoak(
+  random: SeededRandom,
+  durationMs: number,
+): Promise<SoakResult> {
+  const folder = mkdtempSync(join(tmpdir(), "rosemarypin-soak-"));
+  const world = await startWorld(folder);
+  const calls: SoakCall[] = [];
+  const faults: string[] = [];
+  /** When unplanned faults began or ended, so as to judge planned stops. */
+  let unplannedAt = -Infinity;
+  await sleep(START_MS);
+  const endsAt = performance.now() + durationMs;
+  const isOver = () => performance.now() >= endsAt;
+  const callers = Array.from({ length: CALLERS }, (_, index) =>
+    keepCalling(index),
+  );
+  while (!isOver()) await breakSomething();
+  await Promise.all(callers);
+  await sleep(SETTLE_MS);
+  await world.stop();
+  return { folder, faults, calls, broken: judgeCalls(calls, world.runsOf) };
+
+  async function keepCalling(index: number): Promise<void> {
+    for (let count = 0; !isOver(); count += 1) {
+      const id = `c${index}-${count}`;
+      const kind = random.pick<SoakKind>([
+        "stream",
+        "stream",
+        "order",
+        "lookup",
+      ]);
+      const events = random.between(2, 30);
+      const instance = world.instances[random.between(0, 2)];
+      if (!instance?.isUp()) {
+        await sleep(20);
+        continue;
+      }
+      const startedAt = performance.now();
+      const answer = await call(instance.url, {
+        id,
+        deadlineMs: DEADLINE_MS,
+        ...requestOf(kind, events),
+      });
+      const onlyPlanned = unplannedAt < startedAt - SETTLE_MS;
+      calls.push({ id, kind, events, answer, onlyPlanned });
+    }
+  }
+
+  async function breakSomething(): Promise<void> {
+    const fault = random.pick(FAULTS);
+    const isPlanned = fault === "stop_instance" || fault === "configure";
+    faults.push(fault);
+    if (!isPlanned) unplannedAt = Number.POSITIVE_INFINITY;
+    await carryOut(fault, { world, random });
+    if (!isPlanned) unplannedAt = performance.now();
+    await sleep(random.between(50, 900));
+  }
+}
+
+const FAULTS = [
+  "stop_instance",
+  "kill_instance",
+  "freeze_instance",
+  "configure",
+  "store_down",
+  "store_silent",
+  "store_loses_replies",
+  "door_closed",
+  "engine_ends",
+  "engine_silent",
+  "engine_full",
+  "engine_breaks",
+  "connections_reset",
+  "connections_harmed",
+  "server_misbehaves",
+] as const;
+type Fault = (typeof FAULTS)[number];
+
+interface World {
+  readonly deployment: Deployment;
+  readonly instances: readonly InstanceProcess[];
+  readonly proxies: readonly FaultProxy[];
+  readonly doors: readonly { closed: boolean }[];
+  runsOf(id: string): number;
+  stop(): Promise<void>;
+}
+
+async function startWorld(folder: string): Promise<World> {
+  const deployment = await startDeployment({
+    engines: ["a", "a", "a", "a", "b", "b", "b", "b"],
+    plainServers: ["a", "b"],
+    instances: [],
+    eventMs: 15,
+  });
+  const proxies: FaultProxy[] = [];
+  const behind = new Map<string, string>();
+  for (const server of [...deployment.engines, ...deployment.plainServers]) {
+    const proxy = await startFaultProxy(server.address);
+    proxies.push(proxy);
+    behind.set(server.id, proxy.address);
+    if ("held" in server) deployment.registry.set(proxy.address, server);
+  }
+  const enterAll = () => {
+    for (const server of [...deployment.engines, ...deployment.plainServers]) {
+      if (server.isUp()) {
+        deployment.enter(server, { address: behind.get(server.id) });
+      } else deployment.store.remove("servers", server.id);
+    }
+  };
+  enterAll();
+  const heartbeat = setInterval(enterAll, 600);
+  const doors: { closed: boolean }[] = [];
+  const instances: InstanceProcess[] = [];
+  for (const [index, domain] of ["a", "a", "b"].entries()) {
+    const door = await deployment.store.openDoor();
+    doors.push(door);
+    const settings = await drawSettings(`i-${index}`, {
+      domain,
+      storeAddress: door.address,
+      graceMs: GRACE_MS,
+    });
+    const settingsFile = join(folder, `i-${index}.json`);
+    writeSettings(settingsFile, settings);
+    const instance = createInstanceProcess({
+      name: `i-${index}`,
+      url: `http://${settings.callers.host}:${settings.callers.port}`,
+      settingsFile,
+      logFile: join(folder, `i-${index}.log`),
+    });
+    instance.start();
+    instances.push(instance);
+  }
+  return {
+    deployment,
+    instances,
+    proxies,
+    doors,
+    runsOf: (id) =>
+      deployment.plainServers
+        .flatMap(({ runs }) => runs)
+        .filter((run) => run.requestId === id).length,
+    async stop() {
+      clearInterval(heartbeat);
+      await Promise.all(instances.map((instance) => instance.kill()));
+      await Promise.all(proxies.map((proxy) => proxy.stop()));
+      await deployment.stop();
+    },
+  };
+}
+
+async function carryOut(
+  fault: Fault,
+  { world, random }: { readonly world: World; readonly random: SeededRandom },
+): Promise<void> {
+  const { deployment, instances, proxies, doors } = world;
+  const { store, engines, plainServers } = deployment;
+  const lastsMs = random.between(200, 2_500);
+  const instance = instances[random.between(0, instances.length - 1)];
+  const engine = engines[random.between(0, engines.length - 1)];
+  const proxy = proxies[random.between(0, proxies.length - 1)];
+  const door = doors[random.between(0, doors.length - 1)];
+  const server = plainServers[random.between(0, plainServers.length - 1)];
+  if (!instance || !engine || !proxy || !door || !server) return;
+  switch (fault) {
+    case "stop_instance":
+      await instance.stop();
+      instance.start();
+      return sleep(1_000);
+    case "kill_instance":
+      await instance.kill();
+      instance.start();
+      return sleep(1_000);
+    case "freeze_instance":
+      instance.freeze();
+      await sleep(lastsMs);
+      return instance.thaw();
+    case "configure":
+      deployment.configure();
+      return;
+    case "store_down":
+      return during(lastsMs, (on) => {
+        store.faults.down = on;
+      });
+    case "store_silent":
+      return during(lastsMs, (on) => {
+        store.faults.silent = on;
+      });
+    case "store_loses_replies":
+      return during(lastsMs, (on) => {
+        store.faults.losesReplies = on;
+      });
+    case "door_closed":
+      return during(lastsMs, (on) => {
+        door.closed = on;
+      });
+    case "engine_ends":
+      await engine.stop();
+      await sleep(lastsMs);
+      return engine.restart();
+    case "engine_silent":
+      return during(lastsMs, (on) => {
+        engine.silent = on;
+      });
+    case "engine_full":
+      return during(lastsMs, (on) => {
+        engine.full = on;
+      });
+    case "engine_breaks":
+      return breakAnswers(engine, random, lastsMs);
+    case "connections_reset":
+      return proxy.reset();
+    case "connections_harmed":
+      proxy.fault = random.pick<ProxyFault>([
+        "delayed",
+        "silenced",
+        "cut_one_way",
+      ]);
+      await sleep(lastsMs);
+      proxy.fault = "none";
+      return proxy.reset();
+    case "server_misbehaves":
+      server.behaviour = random.pick<PlainBehaviour>([
+        "refuses",
+        "drops",
+        "cuts",
+        "fails",
+        "confuses",
+        "unsigned",
+        "hangs",
+      ]);
+      await sleep(lastsMs);
+      server.behaviour = "answers";
+  }
+}
+
+async function during(
+  lastsMs: number,
+  set: (on: boolean) => void,
+): Promise<void> {
+  set(true);
+  await sleep(lastsMs);
+  set(false);
+}
+
+async function breakAnswers(
+  engine: EngineStandIn,
+  random: SeededRandom,
+  lastsMs: number,
+): Promise<void> {
+  engine.breaksAfter = random.between(0, 5);
+  await sleep(lastsMs);
+  engine.breaksAfter = null;
+}
+
+function requestOf(kind: SoakKind, events: number) {
+  if (kind === "lookup") return { method: "GET", path: "/look/1" };
+  if (kind === "order") return { path: "/order/1", body: "two filters" };
+  return { path: "/ask/1", body: "why", headers: streamHeaders(events) };
+}
+
+function sleep(durationMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, durationMs));
+}
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -6,6 +6,7 @@
 
 /** Tests run against the sources; started processes run from `dist`. */
 const alias = Object.fromEntries([
+  ["@rosemarypin/platform/stand_in", `${root}platform/src/stand_in/mod.ts`],
   ...readdirSync(`${root}packages`).map((name) => [
     `@rosemarypin/${name}`,
     `${root}packages/${name}/src/mod.ts`,
