--- a/packages/pipelines/src/mod.ts
+++ b/packages/pipelines/src/mod.ts
@@ -1,5 +1,6 @@
 /** Who holds which layers, and which engines an answer passes through. */
 export * from "./engine_capacity.ts";
+export type { LayerOrder, PlannedEngine } from "./group_plan.ts";
 export * from "./layer_plan.ts";
 export * from "./pipeline_path.ts";
 export * from "./types.ts";
