Let plain calls and streams share one request, one check and one reading

The request to a backend server, the check that an answer is the call's own and the reading of a whole body stood twice, in forward_plain and stream_run. presence.count and the mirror's isFilled had no caller. No behaviour changes; 128 tests of gateway and platform pass, no assertion was touched.

--- a/packages/gateway/src/forward_plain.ts
+++ b/packages/gateway/src/forward_plain.ts
@@ -6,14 +6,10 @@
   type OpenAnswer,
 } from "./backend_exchange.ts";
 import type { BackendFleet } from "./backend_fleet.ts";
+import { isOwnAnswer, outgoingRequest, readWhole } from "./backend_request.ts";
 import type { BackendServer } from "./backend_server.ts";
 import { beginAnswer, endWithRefusal } from "./caller_answer.ts";
-import {
-  type CallEnd,
-  type CallerCall,
-  priorityOf,
-  timeLeftMs,
-} from "./caller_call.ts";
+import { type CallEnd, type CallerCall, timeLeftMs } from "./caller_call.ts";
 import type { RequestCodec } from "./protocol.ts";
 import type { RetryBudget } from "./retry_budget.ts";
 import type { ServerChoice } from "./server_choice.ts";
@@ -113,19 +109,11 @@
   try {
     const result = await exchange.send(
       server,
-      {
-        method: call.method,
-        path: call.path,
-        headers: codec.encodeAttempt(call.rawHeaders, {
-          backendId: server.id,
-          organisation: call.organisation?.name ?? null,
-          deadlineMs: timeLeftMs(call),
-          priority: priorityOf(call),
-          pipeline: null,
-          lastEventId: null,
-        }),
-        body: call.body,
-      },
+      outgoingRequest(codec, call, {
+        backendId: server.id,
+        pipeline: null,
+        lastEventId: null,
+      }),
       {
         signal:
           longestMs === null
@@ -156,9 +144,7 @@
   codec: RequestCodec,
 ): Promise<Attempt> {
   const facts = codec.decodeAnswer(answer.status, answer.headers);
-  const isOurs =
-    facts.requestId === null || facts.requestId === call.facts.requestId;
-  if (!isOurs || !facts.plainBody) {
+  if (!isOwnAnswer(call, facts)) {
     answer.abandon();
     return { kind: "unknown", detail: "answer_of_another_request" };
   }
@@ -168,12 +154,11 @@
     return { kind: "unknown", detail: "unsigned_answer" };
   }
   try {
-    const chunks: Buffer[] = [];
-    for await (const chunk of answer.body) chunks.push(chunk);
+    const body = await readWhole(answer);
     if (facts.notRun && !isSuccess) {
       return { kind: "not_run", detail: `refused_${answer.status}` };
     }
-    return { kind: "answer", answer, body: Buffer.concat(chunks) };
+    return { kind: "answer", answer, body };
   } catch (error) {
     const reason = error instanceof Error ? error.message : String(error);
     return { kind: "unknown", detail: `answer_broke_off: ${reason}` };
--- a/packages/gateway/src/object_mirror.ts
+++ b/packages/gateway/src/object_mirror.ts
@@ -47,8 +47,6 @@
   ageMs(): number;
   /** Milliseconds since calls began to fail; 0 while they work. */
   awayMs(): number;
-  /** Whether all objects were read at least once. */
-  isFilled(): boolean;
 }
 
 /** Starts to follow the prefix until the signal ends it. */
@@ -59,7 +57,6 @@
   const missing = new Map<string, NodeJS.Timeout>();
   let since = 0;
   let readAllAt = -Infinity;
-  let isFilled = false;
   let answeredAt = -Infinity;
   let failures = 0;
   let failedAt = -Infinity;
@@ -86,10 +83,7 @@
       failures = 0;
       answeredAt = now;
       const { objects, removed = [], revision, isWhole } = result.value;
-      if (isWhole) {
-        readAllAt = now;
-        isFilled = true;
-      }
+      if (isWhole) readAllAt = now;
       // A store that lags must not lead the watch back.
       since = Math.max(since, revision);
       for (const object of objects) take(object);
@@ -152,6 +146,5 @@
     },
     ageMs: () => performance.now() - answeredAt,
     awayMs: () => (failures > 0 ? performance.now() - failedAt : 0),
-    isFilled: () => isFilled,
   };
 }
--- a/packages/gateway/src/presence.ts
+++ b/packages/gateway/src/presence.ts
@@ -35,8 +35,6 @@
 export type PresenceObject = z.infer<typeof presenceSchema>;
 
 export interface Presence {
-  /** Live instances, this one included. */
-  count(): number;
   /**
    * Instances that live or may live: one that this instance has not heard of
    * for a while may be cut off, and still send its part of the repeats.
@@ -145,7 +143,6 @@
   }
 
   return {
-    count: () => 1 + live().length,
     countPossible: () =>
       Math.max(
         hasRead ? 1 : FIRST_COUNT,
--- a/packages/gateway/src/stream_run.ts
+++ b/packages/gateway/src/stream_run.ts
@@ -7,8 +7,9 @@
   type OpenAnswer,
 } from "./backend_exchange.ts";
 import type { BackendFleet } from "./backend_fleet.ts";
+import { isOwnAnswer, outgoingRequest, readWhole } from "./backend_request.ts";
 import { beginAnswer } from "./caller_answer.ts";
-import { type CallerCall, priorityOf, timeLeftMs } from "./caller_call.ts";
+import { type CallerCall, timeLeftMs } from "./caller_call.ts";
 import { createEventSplitter } from "./event_splitter.ts";
 import type { ChosenPipeline, PipelineRouter } from "./pipeline_router.ts";
 import type { AnswerFacts, EngineCalls, RequestCodec } from "./protocol.ts";
@@ -127,39 +128,24 @@
 ) {
   const { codec, exchange } = options.parts;
   const { first, stages } = run.pipeline;
-  const request = {
-    method: call.method,
-    path: call.path,
-    headers: codec.encodeAttempt(call.rawHeaders, {
-      backendId: first.id,
-      organisation: call.organisation?.name ?? null,
-      deadlineMs: timeLeftMs(call),
-      priority: priorityOf(call),
-      pipeline: stages,
-      lastEventId: options.progress.lastEventId,
-    }),
-    body: call.body,
-  };
+  const request = outgoingRequest(codec, call, {
+    backendId: first.id,
+    pipeline: stages,
+    lastEventId: options.progress.lastEventId,
+  });
   return exchange.send(first, request, {
     signal: AbortSignal.any([call.signal, run.stop.signal]),
     freshConnection: !call.route.resumable,
   });
 }
 
-function isOwnAnswer(
-  { facts }: CallerCall,
-  { requestId, plainBody }: AnswerFacts,
-): boolean {
-  return plainBody && (requestId === null || requestId === facts.requestId);
-}
-
 async function readRefusal(
   run: StreamRun,
   answer: OpenAnswer,
   options: { readonly facts: AnswerFacts; readonly parts: StreamParts },
 ): Promise<RunEnd> {
   const { facts, parts } = options;
-  const body = await readAll(answer);
+  const body = await readWhole(answer);
   if (!facts.notRun) return { kind: "failed", answer, body };
   const atFault = facts.faultyStage
     ? parts.fleet.byAddress(facts.faultyStage)
@@ -175,12 +161,6 @@
   return { kind: "not_run", detail: `refused_${answer.status}` };
 }
 
-async function readAll(answer: OpenAnswer): Promise<Buffer> {
-  const chunks: Buffer[] = [];
-  for await (const chunk of answer.body) chunks.push(chunk);
-  return Buffer.concat(chunks);
-}
-
 async function passOnEvents(
   call: CallerCall,
   answer: OpenAnswer,
