Speak to the object API through one client, and play one store

Cause: two clients of an object API lived side by side. The product's own spoke a wire that was made up before the users' protocol was known, against a stand-in of that wire; the gateway spoke the real one against another stand-in. Faults that one stand-in played the other client never met.

Now: platform/ holds the one client. What bounds calls (budget, turns, breaker) wraps any client in packages/store, and how long calls may take is decided there, for the two uses. One stand-in plays the store with the faults of both; the daemon, demo, scenarios, bench and soak run against it. packages/stand_ins has no object API any more.

Ruled out: a second carrier behind the store's interface, kept for the daemon alone; it would have to be held to the same contract forever.

Tests: the contract of the object API moves with its client and keeps its cases. Two expectations follow the users' protocol: a 503 promises that nothing was done, so a write is unavailable and not a lost reply; the fault that fails after writing answers 500, which promises nothing, and is a lost reply as before (a case for removal is added).

--- a/packages/bench/src/bookings/bookings_bench.ts
+++ b/packages/bench/src/bookings/bookings_bench.ts
@@ -5,21 +5,24 @@
   type ClaimRequest,
   createRecordClaims,
 } from "@rosemarypin/calls";
-import { startObjectApi } from "@rosemarypin/stand_ins";
-import { createHttpObjectStore, type ObjectStore } from "@rosemarypin/store";
+import { createObjectStore } from "@rosemarypin/platform";
+import { startStore } from "@rosemarypin/platform/stand_in";
+import {
+  createGuardedObjectStore,
+  type ObjectStore,
+  PATIENT_STORE_TIMES,
+} from "@rosemarypin/store";
 import { pause } from "@rosemarypin/timing";
 import { build, type Histogram } from "hdr-histogram-js";
 import type { BenchCommand } from "../bench_command.ts";
 import { measureConnections } from "./connections.ts";
 import { countStore, type StoreCost } from "./counted_store.ts";
-import { freePort } from "./free_port.ts";
 import {
   createShardClaims,
   type ShardOptions,
   shardOf,
 } from "./shard_claims.ts";
 
-const HOST = "127.0.0.1";
 const INSTANCES = 4;
 const STORE_DELAY_MS = 3;
 /** There and back between failure domains. */
@@ -68,16 +71,17 @@
   name: string,
   options: { readonly create: Ways; readonly rate: number },
 ): Promise<void> {
-  const port = await freePort();
-  const api = await startObjectApi({ host: HOST, port });
-  const url = `http://${HOST}:${port}`;
-  await fetch(`${url}/faults`, {
-    method: "POST",
-    body: JSON.stringify({ delayMs: STORE_DELAY_MS }),
-  });
+  const api = await startStore();
+  api.faults.delayMs = STORE_DELAY_MS;
   const cost: StoreCost = { calls: 0, bytes: 0 };
   const stores = Array.from({ length: INSTANCES }, () =>
-    countStore(createHttpObjectStore({ url, callsPerSecond: 10_000 }), cost),
+    countStore(
+      createGuardedObjectStore({
+        client: createObjectStore(api.address, PATIENT_STORE_TIMES),
+        callsPerSecond: 10_000,
+      }),
+      cost,
+    ),
   );
   const latency = build();
   const result = await drive(options.create(stores), {
@@ -93,8 +97,7 @@
       `claim_p50_ms=${micros(50)} claim_p99_ms=${micros(99)} ` +
       `refused=${result.refused} bookings=${result.bookings}`,
   );
-  api.closeAllConnections();
-  api.close();
+  await api.stop();
 }
 
 /** Bookings come at an even rate, whether or not earlier ones have ended. */
--- a/packages/bench/src/store/clients.ts
+++ b/packages/bench/src/store/clients.ts
@@ -1,79 +1,60 @@
 /** Users of the object API as an instance has them, many in one process. */
 
+import { createObjectStore } from "@rosemarypin/platform";
 import {
-  createHttpObjectStore,
+  createGuardedObjectStore,
   followObjects,
   type ObjectStore,
+  PATIENT_STORE_TIMES,
 } from "@rosemarypin/store";
 import { pause } from "@rosemarypin/timing";
-import { request } from "undici";
 
 const HEAD_KEY = "bench/notes/head";
+const LEASE_KEY = "bench/leases/a";
+/** Behind the head object, which is written first. */
+const FIRST_REVISION = 2;
 const LEASE_EVERY_MS = 2_000;
 /** How often each instance tries to write a claim, also in an outage. */
 const CLAIM_EVERY_MS = 4_000;
 const CALLS_PER_SECOND = 50;
 const PLAIN_RETRY_MS = 1_000;
-const PLAIN_TIMEOUT_MS = 30_000;
 
 /** Starts the store's users of one instance. */
 export type StartClient = (options: {
-  readonly url: string;
+  /** HOST:PORT of the store. */
+  readonly address: string;
   readonly fleet: number;
   readonly signal: AbortSignal;
 }) => void;
 
-/** The client of the platform package: breaker, full jitter, budget. */
-export const startOwnClient: StartClient = ({ url, fleet, signal }) => {
-  const store = createHttpObjectStore({
-    url,
+/** As the daemon has it: breaker, full jitter, budget. */
+export const startOwnClient: StartClient = ({ address, fleet, signal }) => {
+  const store = createGuardedObjectStore({
+    client: createObjectStore(address, PATIENT_STORE_TIMES),
     callsPerSecond: CALLS_PER_SECOND,
     instances: () => fleet,
   });
   void followObjects(store, HEAD_KEY, { onObject() {}, signal });
-  repeat(() => store.read("bench/leases/a"), LEASE_EVERY_MS, signal);
+  repeat(() => store.read(LEASE_KEY), LEASE_EVERY_MS, signal);
   repeat(() => writeClaim(store), CLAIM_EVERY_MS, signal);
 };
 
 /** For comparison: no breaker, and every call that failed again in 1 s. */
-export const startPlainClient: StartClient = ({ url, signal }) => {
-  const get = (path: string) => plainCall("GET", `${url}${path}`, signal);
-  void watchPlainly(get, signal);
-  repeat(() => get("/objects/bench/leases/a"), LEASE_EVERY_MS, signal);
-  repeat(
-    () => plainCall("PUT", `${url}/objects/bench/claims/x`, signal),
-    CLAIM_EVERY_MS,
-    signal,
-  );
+export const startPlainClient: StartClient = ({ address, signal }) => {
+  const store = createObjectStore(address, PATIENT_STORE_TIMES);
+  void watchPlainly(store, signal);
+  repeat(() => store.read(LEASE_KEY), LEASE_EVERY_MS, signal);
+  repeat(() => writeClaim(store), CLAIM_EVERY_MS, signal);
 };
 
 async function watchPlainly(
-  get: (path: string) => Promise<number>,
+  store: ObjectStore,
   signal: AbortSignal,
 ): Promise<void> {
   while (!signal.aborted) {
-    const status = await get(`/watch?prefix=${HEAD_KEY}&since=1`);
-    if (status !== 200) await pause(PLAIN_RETRY_MS);
-  }
-}
-
-async function plainCall(
-  method: "GET" | "PUT",
-  url: string,
-  signal: AbortSignal,
-): Promise<number> {
-  try {
-    const timeout = AbortSignal.timeout(PLAIN_TIMEOUT_MS);
-    const response = await request(url, {
-      method,
-      body: method === "PUT" ? "{}" : null,
-      headers: { "if-none-match": "*" },
-      signal: AbortSignal.any([signal, timeout]),
-    });
-    await response.body.dump();
-    return response.statusCode;
-  } catch {
-    return 0;
+    const since = FIRST_REVISION;
+    const result = await store.watch(HEAD_KEY, { since, signal });
+    if (result.kind !== "ok") await pause(PLAIN_RETRY_MS);
   }
 }
 
--- a/packages/bench/src/store/store_bench.ts
+++ b/packages/bench/src/store/store_bench.ts
@@ -1,13 +1,12 @@
 /** `npm run bench -- store`: what the fleet costs the object API. */
 
 import { setMaxListeners } from "node:events";
-import type { AddressInfo } from "node:net";
 import {
   kanemShape,
   planDeployment,
   startDeployment,
 } from "@rosemarypin/launcher";
-import { startObjectApi } from "@rosemarypin/stand_ins";
+import { type StoreStandIn, startStore } from "@rosemarypin/platform/stand_in";
 import { pause } from "@rosemarypin/timing";
 import { request } from "undici";
 import type { BenchCommand } from "../bench_command.ts";
@@ -17,7 +16,6 @@
   startPlainClient,
 } from "./clients.ts";
 
-const HOST = "127.0.0.1";
 const FLEET = 340;
 const SETTLE_MS = 5_000;
 const REST_MS = 20_000;
@@ -64,22 +62,22 @@
   name: string,
   startClient: StartClient,
 ): Promise<number> {
-  const server = await startObjectApi({ host: HOST, port: 0 });
-  const url = `http://${HOST}:${(server.address() as AddressInfo).port}`;
-  await put(`${url}/objects/bench/notes/head`);
+  const server = await startStore();
+  const { address } = server;
+  server.put("bench-notes", "head", {});
   const stopping = new AbortController();
   const { signal } = stopping;
   setMaxListeners(0, signal);
-  for (let at = 0; at < FLEET; at++) startClient({ url, fleet: FLEET, signal });
+  for (let at = 0; at < FLEET; at++)
+    startClient({ address, fleet: FLEET, signal });
   await pause(SETTLE_MS);
-  const before = await sample(url, SETTLE_MS);
-  await setDown(url, true);
-  const outage = await sample(url, OUTAGE_MS);
-  await setDown(url, false);
-  const back = await sample(url, RETURN_MS);
+  const before = await sample(server, SETTLE_MS);
+  server.setFaults({ down: true });
+  const outage = await sample(server, OUTAGE_MS);
+  server.setFaults({ down: false });
+  const back = await sample(server, RETURN_MS);
   stopping.abort();
-  server.closeAllConnections();
-  server.close();
+  await server.stop();
   const peak = Math.round(Math.max(...back.rates));
   const backAfter = (back.watchesBackMs / 1_000).toFixed(1);
   console.log(
@@ -89,16 +87,16 @@
 }
 
 /** Calls a second in each sample, and when 99% of the watches stood again. */
-async function sample(url: string, durationMs: number) {
+async function sample(server: StoreStandIn, durationMs: number) {
   const startedAt = performance.now();
   const rates: number[] = [];
   let watchesBackMs = Infinity;
-  let last = await readCounts(url);
+  let last = { ...server.counts };
   const watchesBefore = last.watch ?? 0;
   let lastAt = startedAt;
   while (performance.now() - startedAt < durationMs) {
     await pause(SAMPLE_MS);
-    const counts = await readCounts(url);
+    const counts = { ...server.counts };
     const now = performance.now();
     const calls = (counts.calls ?? 0) - (last.calls ?? 0);
     rates.push((calls / (now - lastAt)) * 1_000);
@@ -118,23 +116,7 @@
 }
 
 async function readCalls(url: string): Promise<number> {
-  return (await readCounts(url)).calls ?? 0;
-}
-
-async function readCounts(url: string): Promise<Record<string, number>> {
   const response = await request(`${url}/counts`);
-  return (await response.body.json()) as Record<string, number>;
-}
-
-async function setDown(url: string, down: boolean): Promise<void> {
-  const body = JSON.stringify({ down });
-  const response = await request(`${url}/faults`, { method: "POST", body });
-  await response.body.dump();
-}
-
-async function put(url: string): Promise<void> {
-  const headers = { "if-none-match": "*" };
-  const options = { method: "PUT", headers, body: "{}" } as const;
-  const response = await request(url, options);
-  await response.body.dump();
+  const counts = (await response.body.json()) as Record<string, number>;
+  return counts.calls ?? 0;
 }
--- a/packages/checks/src/platform_soak/soak_run.ts
+++ b/packages/checks/src/platform_soak/soak_run.ts
@@ -229,7 +229,7 @@
       });
     case "store_loses_replies":
       return during(lastsMs, (on) => {
-        store.faults.losesReplies = on;
+        store.faults.loseReplies = on ? Number.POSITIVE_INFINITY : 0;
       });
     case "door_closed":
       return during(lastsMs, (on) => {
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -11,6 +11,7 @@
   createPeerCaller,
   startPeerServer,
 } from "@rosemarypin/membership";
+import { createObjectStore } from "@rosemarypin/platform";
 import {
   createConfirmer,
   createNoteKeeper,
@@ -30,7 +31,11 @@
   type Settings,
   type Status,
 } from "@rosemarypin/schemas";
-import { createHttpObjectStore, readPeerHints } from "@rosemarypin/store";
+import {
+  createGuardedObjectStore,
+  PATIENT_STORE_TIMES,
+  readPeerHints,
+} from "@rosemarypin/store";
 import { createLogger, createMetrics } from "@rosemarypin/telemetry";
 import { startAdminServer } from "./admin_server.ts";
 import { startCallerServer } from "./caller_server.ts";
@@ -100,8 +105,9 @@
     hints: () => readPeerHints(settings.platform.instanceList),
     forgetSilentAfterMs: 2_000 * settings.release.serveWithoutContactSeconds,
   });
-  const store = createHttpObjectStore({
-    url: settings.platform.objectApi,
+  const storeAddress = new URL(settings.platform.objectApi).host;
+  const store = createGuardedObjectStore({
+    client: createObjectStore(storeAddress, PATIENT_STORE_TIMES),
     callsPerSecond: settings.platform.callsPerSecond,
     instances: () => membership.peers().length + 1,
     metrics,
--- a/packages/launcher/src/stops_test.ts
+++ b/packages/launcher/src/stops_test.ts
@@ -163,12 +163,15 @@
 /** What the store knows of the newest order. */
 async function readLastClaim(): Promise<string | undefined> {
   const { objectApi, shape } = deployment.plan;
-  const query = new URLSearchParams({ prefix: `${shape.deployment}/claims/` });
-  const { objects } = await readJson<{
-    objects: { value: { claimedAt: number; state: { kind: string } } }[];
-  }>(`${objectApi}/objects?${query}`);
-  objects.sort((one, other) => other.value.claimedAt - one.value.claimedAt);
-  return objects[0]?.value.state.kind;
+  const response = await request(`${objectApi}/everything`);
+  const objects = (await response.body.json()) as {
+    kind: string;
+    spec: { claimedAt: number; state: { kind: string } };
+  }[];
+  const claims = objects
+    .filter(({ kind }) => kind.startsWith(`${shape.deployment}-claims-`))
+    .sort((one, other) => other.spec.claimedAt - one.spec.claimedAt);
+  return claims[0]?.spec.state.kind;
 }
 
 async function countRuns(key: string): Promise<number> {
--- a/packages/stand_ins/src/main.ts
+++ b/packages/stand_ins/src/main.ts
@@ -1,12 +1,15 @@
 #!/usr/bin/env node
 /** Entry of a stand-in process: `--settings FILE` says which one. */
 import { readFileSync } from "node:fs";
-import { formatProblem, parseYamlFile } from "@rosemarypin/schemas";
+import {
+  type Address,
+  formatProblem,
+  parseYamlFile,
+} from "@rosemarypin/schemas";
 import meow from "meow";
 import { startBalancer } from "./balancer.ts";
 import { startEngine } from "./engine/engine.ts";
 import { startInstanceList } from "./instance_list.ts";
-import { startObjectApi } from "./object_api.ts";
 import { startPlainService } from "./plain_service.ts";
 import {
   type StandInSettings,
@@ -30,13 +33,19 @@
 }
 await start(result.value);
 
+/** Loaded on demand: no other stand-in needs the platform's protocols. */
+async function startObjectApi(place: Address) {
+  const { startStore } = await import("@rosemarypin/platform/stand_in");
+  return startStore(place);
+}
+
 function start(settings: StandInSettings) {
   const { host, port } = settings.address;
   switch (settings.kind) {
     case "engine":
       return startEngine(settings);
     case "object_api":
-      return startObjectApi({ host, port });
+      return startObjectApi(settings.address);
     case "instance_list": {
       const { lagMs, initial } = settings;
       return startInstanceList({ host, port, lagMs, initial });
--- a/packages/stand_ins/src/mod.ts
+++ b/packages/stand_ins/src/mod.ts
@@ -9,7 +9,6 @@
 export * from "./engine/speed.ts";
 export * from "./engine/step.ts";
 export * from "./instance_list.ts";
-export * from "./object_api.ts";
 export * from "./plain_service.ts";
 export * from "./stand_in_settings.ts";
 export * from "./weight_store.ts";
--- a/packages/store/src/object_store.ts
+++ b/packages/store/src/object_store.ts
@@ -9,20 +9,30 @@
   readonly version: number;
 }
 
+/** What is known of a call that gave no result. */
+export interface BrokenCall {
+  readonly detail: string;
+  /**
+   * Set where the failure says nothing against the store: the caller gave up,
+   * or waited for less time than a store may take.
+   */
+  readonly storeMayWork?: true;
+}
+
 /** Why a call gave no result. */
 export type StoreFailure =
   /** The object is not at the expected version; nothing was written. */
   | { readonly kind: "conflict"; readonly actual: StoredObject | null }
   /**
-   * Certainly without effect: not sent, never connected, refused by a rate
-   * limit or another answer below 500, or a call that only reads.
+   * Certainly without effect: not sent, never connected, an answer that says
+   * so, or a call that only reads.
    */
-  | { readonly kind: "unavailable"; readonly detail: string }
+  | ({ readonly kind: "unavailable" } & BrokenCall)
   /**
    * The write may have taken effect: it was sent, and no usable answer came,
-   * or one from 500 upwards, which a store may give after it has written.
+   * or one that a store may give after it has written.
    */
-  | { readonly kind: "reply_lost"; readonly detail: string }
+  | ({ readonly kind: "reply_lost" } & BrokenCall)
   /** The value is larger than the store takes; a retry cannot help. */
   | { readonly kind: "too_large"; readonly bytes: number }
   /** This instance has used up its calls for now; nothing was sent. */
--- a/packages/store/src/store_breaker.ts
+++ b/packages/store/src/store_breaker.ts
@@ -8,7 +8,7 @@
   handleWhenResult,
 } from "cockatiel";
 import { fullJitterMs } from "./full_jitter.ts";
-import type { StoreOutcome } from "./store_request.ts";
+import type { StoreResult } from "./object_store.ts";
 
 /** Failures in a row after which the store counts as away. */
 const FAILURES_TO_OPEN = 3;
@@ -27,7 +27,7 @@
    */
   admits(): Promise<boolean>;
   /** Makes a call and learns from its outcome. */
-  run(send: () => Promise<StoreOutcome>): Promise<StoreOutcome>;
+  run<T>(send: () => Promise<StoreResult<T>>): Promise<StoreResult<T>>;
 }
 
 /**
@@ -39,10 +39,10 @@
  */
 export function createStoreBreaker(options: {
   readonly instances: () => number;
-  readonly probe: () => Promise<StoreOutcome>;
+  readonly probe: () => Promise<StoreResult<unknown>>;
 }): StoreBreaker {
   const policy = circuitBreaker(
-    handleWhenResult((outcome) => !(outcome as StoreOutcome).healthy),
+    handleWhenResult((result) => saysAway(result as StoreResult<unknown>)),
     {
       breaker: new ConsecutiveBreaker(FAILURES_TO_OPEN),
       halfOpenAfter: new DelegateBackoff(({ attempt }) => waitMs(attempt)),
@@ -81,8 +81,7 @@
       try {
         return await policy.execute(send);
       } catch {
-        const detail = "the store has just gone away";
-        return { healthy: false, result: { kind: "unavailable", detail } };
+        return { kind: "unavailable", detail: "the store has just gone away" };
       }
     },
   };
@@ -91,3 +90,10 @@
     return policy.state === CircuitState.Closed;
   }
 }
+
+/** Whether a result shows that the store does not work. */
+function saysAway(result: StoreResult<unknown>): boolean {
+  const isBroken =
+    result.kind === "unavailable" || result.kind === "reply_lost";
+  return isBroken && !result.storeMayWork;
+}
--- a/packages/store/src/store_breaker_test.ts
+++ b/packages/store/src/store_breaker_test.ts
@@ -1,7 +1,7 @@
 import { createSeededRandom } from "@rosemarypin/checks";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import type { StoreResult } from "./object_store.ts";
 import { createStoreBreaker } from "./store_breaker.ts";
-import type { StoreOutcome } from "./store_request.ts";
 
 const SEED = 3;
 const FINE = 1_000_000;
@@ -11,10 +11,7 @@
 /** Long enough for waits to have grown to their largest. */
 const GROWN_AFTER_SECONDS = 60;
 
-const FAILED: StoreOutcome = {
-  healthy: false,
-  result: { kind: "unavailable", detail: "away" },
-};
+const FAILED: StoreResult<never> = { kind: "unavailable", detail: "away" };
 
 beforeEach(() => {
   vi.useFakeTimers();
