Cut no request that comes on a kept connection while the rest closes

Ruled out: the flush of the log before the exit, which was suspected and reverted. All servers are closed before it. It is back, and with it the log on standard output, which blocks nothing.

Now connections are cut only while there is no work, within the grace time, and a stop that cut some says so by its exit code.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -295,10 +295,14 @@
       const cutAt = performance.now() + settings.shutdownGraceMs;
       const answered = await work.waitForEnd(settings.shutdownGraceMs);
       const recorded = await services.finishEnds(cutAt - performance.now());
-      const ended = answered && recorded;
       // The goodbye is evidence that this instance answers nothing any more,
       // so it comes after the last connection.
-      await closeRest(callerServer, stopAccepting);
+      const rested = await closeRest(callerServer, {
+        closed: stopAccepting,
+        work,
+        withinMs: cutAt - performance.now(),
+      });
+      const ended = answered && recorded && rested;
       await control.stop();
       router.stop();
       keeper.stop();
--- a/packages/daemon/src/graceful_close.ts
+++ b/packages/daemon/src/graceful_close.ts
@@ -1,5 +1,7 @@
 /** Ways to close a server of HTTP. */
 import type { Server } from "node:http";
+import { pause } from "@rosemarypin/timing";
+import type { WorkInProgress } from "./work_in_progress.ts";
 
 const SWEEP_EVERY_MS = 100;
 const LAST_BYTES_MS = 2_000;
@@ -51,20 +53,47 @@
   });
 }
 
+/** What is left to end when a server closes. */
+export interface RestOfWork {
+  /** Resolves when the server and all its connections are closed. */
+  readonly closed: Promise<void>;
+  readonly work: Pick<WorkInProgress, "count" | "waitForEnd">;
+  /** Rest of the grace time, in milliseconds. */
+  readonly withinMs: number;
+}
+
 /**
- * Cuts what is still open after a while.
+ * Cuts what is still open after a while; resolves to whether no work was cut.
  *
  * Work has ended by then, but the last bytes of an answer may still be on
  * their way into the socket; cut at once, the caller got half of an answer
- * that was whole here.
+ * that was whole here. And a request may still have come on a connection that
+ * was kept open: cut with the rest, its caller saw the connection end before
+ * the first token. So nothing is cut while there is work, within the grace
+ * time.
  */
 export async function closeRest(
-  server: Server,
-  closed: Promise<void>,
-): Promise<void> {
-  const timer = setTimeout(() => server.closeAllConnections(), LAST_BYTES_MS);
+  server: Pick<Server, "closeAllConnections">,
+  { closed, work, withinMs }: RestOfWork,
+): Promise<boolean> {
+  const cutAt = performance.now() + withinMs;
+  const hasClosed = closed.then(() => true);
+  for (;;) {
+    const lastBytes = new AbortController();
+    const isClosed = await Promise.race([
+      hasClosed,
+      pause(LAST_BYTES_MS, lastBytes.signal).then(() => false),
+    ]);
+    lastBytes.abort();
+    if (isClosed) return true;
+    if (work.count() === 0) break;
+    const ended = await work.waitForEnd(cutAt - performance.now());
+    if (!ended) break;
+  }
+  const allEnded = work.count() === 0;
+  server.closeAllConnections();
   await closed;
-  clearTimeout(timer);
+  return allEnded;
 }
 
 /** Cuts all connections. */
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -2,7 +2,11 @@
 /** Entry of `rosemarypind`. */
 import { readFileSync } from "node:fs";
 import { formatProblem, type Settings } from "@rosemarypin/schemas";
-import { createLogger, enableDefaultLogs } from "@rosemarypin/telemetry";
+import {
+  createLogger,
+  enableDefaultLogs,
+  writeLogsToOutput,
+} from "@rosemarypin/telemetry";
 import meow from "meow";
 import { startDaemon } from "./daemon.ts";
 import { parseSettings } from "./settings_reader.ts";
@@ -13,6 +17,9 @@
 /** One wrong habit in a file of 6,400 organisations fills no terminal. */
 const LARGEST_PROBLEM_COUNT = 50;
 
+/** Time for the last lines of the log when the process ends. */
+const LAST_LINES_MS = 200;
+
 const log = createLogger("daemon");
 
 const command = meow(
@@ -67,9 +74,11 @@
   process.exit(0);
 }
 enableDefaultLogs();
-const daemon = await startDaemon(settings).catch((error: unknown) => {
+const output = writeLogsToOutput();
+const daemon = await startDaemon(settings).catch(async (error: unknown) => {
   const reason = error instanceof Error ? error.message : String(error);
   log.warn("not_started", { reason });
+  await output.flush(LAST_LINES_MS);
   process.exit(EXIT_NOT_STARTED);
 });
 
@@ -79,6 +88,9 @@
     if (stopping) return;
     stopping = true;
     log.info("stopping", { signal });
-    void daemon.stop().then((ended) => process.exit(ended ? 0 : EXIT_WORK_CUT));
+    void daemon.stop().then(async (ended) => {
+      await output.flush(LAST_LINES_MS);
+      process.exit(ended ? 0 : EXIT_WORK_CUT);
+    });
   });
 }
