Wait for entries that a peer saw lapse, and find a cut domain out as a whole

And during the cut, engines of the other domains were found silent one after the other, so that layers were planned anew in five rounds, with a gap until 5.7 s into the cut.

Now an entry that is missing from a peer's list is waited for as after an outage, while the own watch fails; and when two engines of another domain fall silent within a second, the others of that domain are asked at once.

Tests: object_mirror_test, backend_fleet_test; both fail without their guard.

--- a/packages/gateway/src/backend_fleet.ts
+++ b/packages/gateway/src/backend_fleet.ts
@@ -2,6 +2,7 @@
 import type { LayerRange } from "@rosemarypin/pipelines";
 import { createLogger } from "@rosemarypin/telemetry";
 import type { BackendServer, EngineReport } from "./backend_server.ts";
+import { createDomainSuspicion } from "./domain_suspicion.ts";
 import { createDoubts, type Doubts } from "./doubts.ts";
 import type { EngineCalls } from "./protocol.ts";
 
@@ -43,16 +44,20 @@
 
 export interface BackendFleetOptions {
   readonly engines: EngineCalls;
+  /** Of this instance. */
+  readonly failureDomain: string;
   readonly signal: AbortSignal;
 }
 
 /** Creates a fleet without servers. */
 export function createBackendFleet({
   engines,
+  failureDomain,
   signal,
 }: BackendFleetOptions): BackendFleet {
   const servers = new Map<string, BackendServer>();
-  const doubts = createDoubts({ probe, signal });
+  const suspicion = createDomainSuspicion(failureDomain);
+  const doubts = createDoubts({ probe, onSilent: suspectDomain, signal });
   const callbacks: ((id: string) => void)[] = [];
   const voided = new Map<string, BackendServer>();
   const reportedAt = new Map<string, number>();
@@ -66,6 +71,20 @@
     return report !== null;
   }
 
+  /** Asks the other engines of a domain when several fell silent. */
+  function suspectDomain(id: string): void {
+    const domain = servers.get(id)?.failureDomain;
+    if (domain === undefined || !suspicion.silent(domain)) return;
+    log.warn("domain_suspected", { domain });
+    for (const other of servers.values()) {
+      if (other.failureDomain !== domain || doubts.isDoubted(other.id))
+        continue;
+      void probe(other.id).then((works) => {
+        if (works === false) doubts.away(other.id, "silent");
+      });
+    }
+  }
+
   function changed(id: string): void {
     for (const callback of callbacks) callback(id);
   }
@@ -173,7 +192,12 @@
 function logChange(server: BackendServer, last: BackendServer | undefined) {
   const { id, address, failureDomain, leaving, held, startedAt } = server;
   if (!last || last.startedAt !== startedAt) {
-    log.info("server_seen", { id, address, domain: failureDomain, startedAt });
+    log.info("server_seen", {
+      id,
+      address,
+      domain: failureDomain,
+      started_at: startedAt,
+    });
   } else if (leaving && !last.leaving) {
     log.info("server_leaving", { id, address });
   } else if (!isSameRange(held, last.held)) {
--- /dev/null
+++ b/packages/gateway/src/backend_fleet_test.ts
@@ -0,0 +1,82 @@
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import { createBackendFleet } from "./backend_fleet.ts";
+import type { BackendServer, EngineReport } from "./backend_server.ts";
+import type { EngineCalls } from "./protocol.ts";
+
+beforeEach(() => {
+  vi.useFakeTimers();
+});
+afterEach(() => {
+  vi.useRealTimers();
+});
+
+function engine(id: string, failureDomain: string): BackendServer {
+  return {
+    id,
+    service: "model",
+    address: id,
+    failureDomain,
+    kind: "fast",
+    startedAt: 1,
+    renewal: 1,
+    leaving: false,
+    held: null,
+    orderCount: 0,
+  } as BackendServer;
+}
+
+/** A fleet seen from domain `a`; engines in `cut` don't answer. */
+function setUp(cut: ReadonlySet<string>) {
+  const asked: string[] = [];
+  const ending = new AbortController();
+  const report = { held: null, orderCount: 0, startedAt: 1 };
+  const engines = {
+    report: async (address: string) => {
+      asked.push(address);
+      return cut.has(address) ? null : (report as EngineReport);
+    },
+  } as unknown as EngineCalls;
+  const fleet = createBackendFleet({
+    engines,
+    failureDomain: "a",
+    signal: ending.signal,
+  });
+  for (const id of ["a1", "a2", "a3"]) fleet.put(engine(id, "a"));
+  for (const id of ["b1", "b2", "b3", "b4"]) fleet.put(engine(id, "b"));
+  return { fleet, asked, end: () => ending.abort() };
+}
+
+describe("a failure domain that is cut off", () => {
+  it("is found out as a whole when two of its engines fall silent", async () => {
+    // Requests use two engines of a domain when it is cut off. The others
+    // counted as serving until requests failed there too, so that their
+    // layers were not loaded elsewhere, and callers were refused meanwhile.
+    const { fleet, end } = setUp(new Set(["b1", "b2", "b3", "b4"]));
+    fleet.doubts.away("b1", "silent");
+    fleet.doubts.away("b2", "silent");
+    await vi.advanceTimersByTimeAsync(1_000);
+    const gone = ["b1", "b2", "b3", "b4"].filter(fleet.doubts.isGone);
+    expect(gone).toEqual(["b1", "b2", "b3", "b4"]);
+    end();
+  });
+
+  it("leaves those of its engines in use that answer", async () => {
+    const { fleet, end } = setUp(new Set(["b1", "b2"]));
+    fleet.doubts.away("b1", "silent");
+    fleet.doubts.away("b2", "silent");
+    await vi.advanceTimersByTimeAsync(1_000);
+    expect(fleet.doubts.isDoubted("b3")).toBe(false);
+    end();
+  });
+
+  it.each([
+    ["one engine of another domain", ["b1"]],
+    ["engines of the own domain", ["a1", "a2"]],
+  ])("is not suspected for %s", async (_name, silent) => {
+    const { fleet, asked, end } = setUp(new Set(silent));
+    for (const id of silent) fleet.doubts.away(id, "silent");
+    await vi.advanceTimersByTimeAsync(1_000);
+    expect(asked.filter((id) => !silent.includes(id))).toEqual([]);
+    end();
+  });
+});
--- a/packages/gateway/src/doubts.ts
+++ b/packages/gateway/src/doubts.ts
@@ -58,11 +58,17 @@
 export interface DoubtsOptions {
   /** Asks a server whether it works; `null` for those that can't be asked. */
   readonly probe: (id: string) => Promise<boolean | null>;
+  /** Called when a server falls silent that was not doubted before. */
+  readonly onSilent?: (id: string) => void;
   readonly signal: AbortSignal;
 }
 
 /** Creates a record without any doubt. */
-export function createDoubts({ probe, signal }: DoubtsOptions): Doubts {
+export function createDoubts({
+  probe,
+  onSilent,
+  signal,
+}: DoubtsOptions): Doubts {
   const doubts = new Map<string, Doubt>();
   const refusals = new Map<string, number>();
 
@@ -112,6 +118,7 @@
     };
     doubts.set(id, doubt);
     log.warn("server_doubted", { id, reason });
+    if (reason === "silent") onSilent?.(id);
     if ((await probe(id)) === null) {
       doubts.set(id, { ...doubt, probed: false, misses: 0 });
       const timed = doubts.get(id);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -56,7 +56,7 @@
   let stoppedAt: number | null = null;
 
   const keeper = createConfigurationKeeper();
-  const fleet = createBackendFleet({ engines, signal });
+  const fleet = createBackendFleet({ engines, failureDomain, signal });
   const configurations = startObjectMirror({
     store,
     prefix: keys.configurations,
--- a/packages/gateway/src/object_mirror.ts
+++ b/packages/gateway/src/object_mirror.ts
@@ -120,7 +120,10 @@
 
   function miss(key: string): void {
     if (!known.has(key) || missing.has(key)) return;
-    const graceMs = returnedAt + RETURN_GRACE_MS - performance.now();
+    // While the store is away, only a peer can tell that an entry is missing:
+    // it may have lapsed behind the cut that keeps the store away from here.
+    const seenFrom = failures > 0 ? performance.now() : returnedAt;
+    const graceMs = seenFrom + RETURN_GRACE_MS - performance.now();
     if (graceMs <= 0) return drop(key);
     missing.set(
       key,
--- a/packages/gateway/src/object_mirror_test.ts
+++ b/packages/gateway/src/object_mirror_test.ts
@@ -23,7 +23,7 @@
   } as unknown as ObjectStore;
   const events: string[] = [];
   const ending = new AbortController();
-  startObjectMirror({
+  const mirror = startObjectMirror({
     store,
     prefix: "k/",
     signal: ending.signal,
@@ -31,6 +31,7 @@
     onRemoved: (key) => events.push(`${key} gone`),
   });
   return {
+    mirror,
     events,
     asked,
     end: () => ending.abort(),
@@ -109,4 +110,30 @@
     expect(events).toEqual(["k/back@8", "k/lost gone"]);
     end();
   });
+
+  it("waits for entries that a peer has seen lapse during a cut", async () => {
+    // A failure domain is cut off, and its servers' entries lapse in the
+    // store. When the cut heals, a peer tells that they are gone before the
+    // store is read again here. All servers of the domain were dropped at
+    // once, though they lived and were in use, and its callers were refused
+    // until each had written its entry anew.
+    const { mirror, events, answer, end } = setUp();
+    await answer(batch([["k/a", 1]], { isWhole: true }));
+    await answer(away);
+    mirror.takeFromPeer({ revision: 9, objects: [] });
+    await vi.advanceTimersByTimeAsync(2_000);
+    expect(events).toEqual(["k/a@1"]);
+    await answer(batch([["k/a", 10]]));
+    await vi.advanceTimersByTimeAsync(3_000);
+    expect(events).toEqual(["k/a@1", "k/a@10"]);
+    end();
+  });
+
+  it("takes a peer's word for what is gone while its own watch works", async () => {
+    const { mirror, events, answer, end } = setUp();
+    await answer(batch([["k/a", 1]], { isWhole: true }));
+    mirror.takeFromPeer({ revision: 9, objects: [] });
+    expect(events).toEqual(["k/a@1", "k/a gone"]);
+    end();
+  });
 });
