Hold log lines to a typed catalogue of events and fields

An engineer on call met events that no page explained, and nothing kept a page and the lines the same.

--- a/packages/telemetry/src/log.ts
+++ b/packages/telemetry/src/log.ts
@@ -1,19 +1,31 @@
 /** One line of key=value pairs for each event, through `debug`. */
 import { format } from "node:util";
 import debug from "debug";
+import type { EventField, EventName } from "./event_catalogue.ts";
 import { createLineWriter, type LineWriter } from "./line_writer.ts";
 
 /** A value that a log line can carry. */
 export type LogValue = string | number | boolean | undefined;
 
+/** Fields of one event; those without a value are left out of the line. */
+export type LogFields<Name extends EventName> = {
+  readonly [Field in EventField<Name>]?: LogValue;
+};
+
+/** Writes one event; which there are, and their fields, the catalogue says. */
+export type WriteEvent = <Name extends EventName>(
+  event: Name,
+  fields?: LogFields<Name>,
+) => void;
+
 /** Writes events of one part of the program. */
 export interface Logger {
   /** Something worth keeping in normal running. */
-  info(event: string, fields?: Readonly<Record<string, LogValue>>): void;
+  readonly info: WriteEvent;
   /** Something an operator should look at. */
-  warn(event: string, fields?: Readonly<Record<string, LogValue>>): void;
+  readonly warn: WriteEvent;
   /** Detail for tracing; off unless `DEBUG` asks for it. */
-  detail(event: string, fields?: Readonly<Record<string, LogValue>>): void;
+  readonly detail: WriteEvent;
 }
 
 const NAMESPACE = "rosemarypin";
--- a/packages/telemetry/src/log_test.ts
+++ b/packages/telemetry/src/log_test.ts
@@ -21,7 +21,9 @@
 
 describe("a log line", () => {
   it("is one line of pairs, whatever the values", () => {
-    createLogger("test").info("happened", {
+    // Made up: the catalogue holds lines of the product, and not this one.
+    const write = createLogger("test").info as (...line: unknown[]) => void;
+    write("happened", {
       plain: "a-b.c",
       number: 7,
       flag: false,
@@ -38,4 +40,14 @@
       `"time=NOW scope=rosemarypin:test:info event=happened plain=a-b.c number=7 flag=false spaced="two words" equals="a=b" quoted="say \\"no\\"" broken="line\\nevent=forged" empty="""`,
     );
   });
+
+  it("names an event and fields of the catalogue only", () => {
+    const log = createLogger("test");
+    log.info("server_back", { id: "e", after_ms: 150 });
+    // @ts-expect-error: no such event
+    log.info("server_came_back", { id: "e" });
+    // @ts-expect-error: no such field of this event
+    log.info("server_back", { server: "e" });
+    expect(lines).toHaveLength(3);
+  });
 });
