Tell the platform's configurations as release notes, by the same commands

An operator whose only lever is the store could not see what a version had added, changed or withdrawn, nor which one decided about a service.

--- a/packages/cli/src/commands/note_view.ts
+++ b/packages/cli/src/commands/note_view.ts
@@ -1,10 +1,10 @@
 /** Commands that show release notes and wait for them. */
 import {
-  historySchema,
   type NoteDiff,
-  type NoteRecord,
   noteDiffSchema,
-  noteRecordSchema,
+  type ShownNote,
+  shownHistorySchema,
+  shownNoteSchema,
 } from "@rosemarypin/schemas";
 import { readCurrentNumber } from "../admin_client.ts";
 import type { Command } from "../command.ts";
@@ -31,7 +31,7 @@
       );
     }
     const path = `/v1/notes/${number}`;
-    const record = await context.admin.get(path, noteRecordSchema);
+    const record = await context.admin.get(path, shownNoteSchema);
     show(context.output, record, { render: renderRecord });
     return exitCodes.ok;
   },
@@ -42,7 +42,7 @@
   summary: "list the latest notes, newest first",
   help: "Usage: rosemarypin note history [--json]",
   async run({ admin, output }) {
-    const { notes } = await admin.get("/v1/notes", historySchema);
+    const { notes } = await admin.get("/v1/notes", shownHistorySchema);
     show(output, notes, { render: (rows) => renderHistory(output, rows) });
     return exitCodes.ok;
   },
@@ -104,7 +104,7 @@
   throw usageError(`'${word}' is no number of a note; see 'note history'`);
 }
 
-function renderHistory(output: Output, notes: readonly NoteRecord[]): string {
+function renderHistory(output: Output, notes: readonly ShownNote[]): string {
   if (notes.length === 0) return "no notes yet";
   const rows = notes.map(({ number, note, recordedAt }) => [
     number,
@@ -116,14 +116,15 @@
   return table(output, { titles, rows });
 }
 
-function renderRecord({ number, note, recordedBy }: NoteRecord): string {
+function renderRecord({ number, note, recordedBy }: ShownNote): string {
   const lines = [
     ...note.added.map((line) => `  + ${describeLine(line)}`),
     ...note.changed.map((line) => `  ~ ${describeLine(line)}`),
     ...note.withdrawn.map((line) => `  - ${describeLine(line)}`),
   ];
   const title = `note ${number}: ${note.reason}`;
-  const source = `supersedes ${note.supersedes}, recorded by ${recordedBy}, publish id ${note.publishId}`;
+  const publish = note.publishId ? `, publish id ${note.publishId}` : "";
+  const source = `supersedes ${note.supersedes}, recorded by ${recordedBy}${publish}`;
   return [title, source, ...lines].join("\n");
 }
 
--- /dev/null
+++ b/packages/gateway/src/administration.ts
@@ -0,0 +1,153 @@
+/** What operators may ask one instance: notes, status, and why. */
+import type {
+  BackendView,
+  Explain,
+  FailureBody,
+  InstanceView,
+  Status,
+} from "@rosemarypin/schemas";
+import type { BackendFleet } from "./backend_fleet.ts";
+import type { BackendServer } from "./backend_server.ts";
+import type { ConfigurationKeeper } from "./configuration_keeper.ts";
+import type { Presence } from "./presence.ts";
+import type { ReleaseHistory } from "./release_history.ts";
+
+export interface AdministrationOptions {
+  readonly instance: string;
+  readonly failureDomain: string;
+  readonly keeper: ConfigurationKeeper;
+  readonly history: ReleaseHistory;
+  readonly fleet: BackendFleet;
+  readonly presence: Presence;
+  readonly inProgress: () => number;
+  readonly isDraining: () => boolean;
+}
+
+/** An answer in JSON. */
+export interface AdministrationAnswer {
+  readonly status: number;
+  readonly body: unknown;
+}
+
+/** Answers `GET` of a path with its query; `null` for an unknown path. */
+export type Administration = (url: URL) => AdministrationAnswer | null;
+
+/** Creates the read-only administration API of one instance. */
+export function createAdministration(
+  options: AdministrationOptions,
+): Administration {
+  const { keeper, history, fleet } = options;
+  const startedAt = Date.now();
+
+  function status(): Status {
+    const note = keeper.applied()?.version ?? 0;
+    const services = [...(keeper.applied()?.services.keys() ?? [])];
+    return {
+      deployment: "platform",
+      instance: options.instance,
+      startedAt,
+      note,
+      phase: note === 0 ? "none" : "recorded",
+      instances: [ownView(note), ...otherViews()],
+      backends: services.flatMap((name) => fleet.ofService(name).map(viewOf)),
+    };
+  }
+
+  function ownView(note: number): InstanceView {
+    return {
+      id: options.instance,
+      failureDomain: options.failureDomain,
+      state: "alive",
+      note,
+      draining: options.isDraining(),
+      load: options.inProgress(),
+      heardAgoMs: 0,
+    };
+  }
+
+  /** Other instances tell the store that they live, and not what they apply. */
+  function otherViews(): InstanceView[] {
+    return options.presence.others().map((other) => ({
+      id: other.instance,
+      failureDomain: other.failureDomain,
+      state: other.leaving ? "left" : other.isLive ? "alive" : "suspect",
+      note: 0,
+      draining: other.leaving,
+      load: 0,
+      heardAgoMs: other.heardAgoMs,
+    }));
+  }
+
+  function viewOf(server: BackendServer): BackendView {
+    const { id, service, kind, failureDomain, held } = server;
+    const isDoubted = fleet.doubts.isDoubted(id);
+    return {
+      id,
+      kind: kind === null ? "service" : "engine",
+      name: service,
+      failureDomain,
+      state: server.leaving ? "leaving" : isDoubted ? "unreachable" : "ready",
+      holds: held ? [`${held.from}-${held.to}`] : [],
+      inFlight: 0,
+      load: 0,
+    };
+  }
+
+  function explainService(name: string): Explain {
+    const applied = keeper.applied();
+    const subject = { kind: "service" as const, name };
+    const number = applied?.version ?? 0;
+    const found = history.lineAbout("service", name);
+    const decidedBy = found && { ...found, reason: "written to the store" };
+    const decision = decidedBy ? { decidedBy } : {};
+    if (!applied) {
+      const message = "no configuration is in force yet";
+      return { number, subject, verdict: "no_note", message };
+    }
+    if (applied.services.has(name)) {
+      const routes = applied.routes
+        .filter(({ shares }) => shares.some(({ service }) => service === name))
+        .map(({ host, pathPrefix }) => `${host}${pathPrefix}`);
+      const message = `${routes.length} routes lead to it: ${routes.join(", ")}`;
+      return { number, subject, verdict: "answered", ...decision, message };
+    }
+    const isWithdrawn = found?.line.startsWith("withdrawn") === true;
+    const verdict = isWithdrawn ? "withdrawn" : "unknown";
+    const message = isWithdrawn
+      ? "a later configuration left it out"
+      : "no configuration that is remembered here names it";
+    return { number, subject, verdict, ...decision, message };
+  }
+
+  function showNote(number: number): AdministrationAnswer {
+    const note = history.find(number);
+    if (note) return { status: 200, body: note };
+    return failure(404, `note ${number} is not remembered here`);
+  }
+
+  return function answer({ pathname, searchParams }) {
+    if (pathname === "/v1/notes") {
+      return { status: 200, body: { notes: history.notes() } };
+    }
+    if (pathname === "/v1/status") return { status: 200, body: status() };
+    if (pathname === "/v1/explain") {
+      const name = searchParams.get("service");
+      if (name) return { status: 200, body: explainService(name) };
+      return failure(400, "name a service: explain SERVICE --service");
+    }
+    const number = /^\/v1\/notes\/(\d{1,15})$/.exec(pathname)?.[1];
+    return number === undefined ? null : showNote(Number(number));
+  };
+}
+
+function failure(status: number, message: string): AdministrationAnswer {
+  const code = status === 404 ? "unknown_note" : "bad_request";
+  const requestId = crypto.randomUUID();
+  const error: FailureBody["error"] = {
+    outcome: "not_run",
+    code,
+    message,
+    requestId,
+  };
+  return { status, body: { error } };
+}
--- a/packages/gateway/src/control_listener.ts
+++ b/packages/gateway/src/control_listener.ts
@@ -1,6 +1,7 @@
 /** Answers the balancer's questions, and serves metrics. */
 import { createServer, type Server } from "node:http";
 import type { Registry } from "prom-client";
+import type { Administration } from "./administration.ts";
 
 /** Tells whether new connections may come; any other path is unknown. */
 export function createReadinessServer(options: {
@@ -14,14 +15,25 @@
   });
 }
 
-/** Serves the metrics as text at `/metrics`. */
-export function createMetricsServer(registry: Registry): Server {
+/** Serves the metrics as text at `/metrics`, and the administration API. */
+export function createOperatorsServer(
+  registry: Registry,
+  administration: Administration,
+): Server {
   return createServer(async (request, response) => {
-    if (request.url !== "/metrics") {
+    const url = new URL(request.url ?? "/", "http://instance");
+    if (url.pathname === "/metrics") {
+      const text = await registry.metrics();
+      const headers = { "Content-Type": registry.contentType };
+      response.writeHead(200, headers).end(text);
+      return;
+    }
+    const answer = request.method === "GET" ? administration(url) : null;
+    if (!answer) {
       response.writeHead(404).end();
       return;
     }
-    const text = await registry.metrics();
-    response.writeHead(200, { "Content-Type": registry.contentType }).end(text);
+    response.writeHead(answer.status, { "Content-Type": "application/json" });
+    response.end(JSON.stringify(answer.body));
   });
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -4,6 +4,7 @@
 import { createPeerCaller, startPeerServer } from "@rosemarypin/membership";
 import { createLogger } from "@rosemarypin/telemetry";
 import { pause } from "@rosemarypin/timing";
+import { createAdministration } from "./administration.ts";
 import { createBackendExchange } from "./backend_exchange.ts";
 import { createBackendFleet } from "./backend_fleet.ts";
 import type { CallEnd, CallerCall } from "./caller_call.ts";
@@ -13,7 +14,7 @@
 } from "./caller_listener.ts";
 import { createConfigurationKeeper } from "./configuration_keeper.ts";
 import {
-  createMetricsServer,
+  createOperatorsServer,
   createReadinessServer,
 } from "./control_listener.ts";
 import { forwardPlain } from "./forward_plain.ts";
@@ -26,6 +27,7 @@
 import { startPlacement } from "./placement_loop.ts";
 import type { Platform } from "./platform.ts";
 import { startPresence } from "./presence.ts";
+import { createReleaseHistory } from "./release_history.ts";
 import { createRetryBudget } from "./retry_budget.ts";
 import { createServerChoice } from "./server_choice.ts";
 import type { GatewaySettings, ListenAddress } from "./settings.ts";
@@ -56,6 +58,8 @@
   let stoppedAt: number | null = null;
 
   const keeper = createConfigurationKeeper();
+  const history = createReleaseHistory(instance);
+  keeper.onChanged(history.record);
   const fleet = createBackendFleet({ engines, failureDomain, signal });
   const configurations = startObjectMirror({
     store,
@@ -154,7 +158,20 @@
   await listen(readiness, settings.readiness);
   await listen(listener.server, settings.callers);
   if (settings.metrics) {
-    await listen(createMetricsServer(metrics.registry), settings.metrics);
+    const administration = createAdministration({
+      instance,
+      failureDomain,
+      keeper,
+      history,
+      fleet,
+      presence,
+      inProgress: () => listener.inProgress(),
+      isDraining: () => stoppedAt !== null,
+    });
+    await listen(
+      createOperatorsServer(metrics.registry, administration),
+      settings.metrics,
+    );
   }
   log.info("started", {
     instance,
--- a/packages/gateway/src/presence.ts
+++ b/packages/gateway/src/presence.ts
@@ -46,12 +46,24 @@
   hasOther(failureDomain: string): boolean;
   /** Live instances whose names come first, in a domain or in all. */
   ahead(failureDomain: string | null): number;
+  /** All other instances that are known. */
+  others(): OtherInstance[];
   /** Where other live instances are reached. */
   peers(): Address[];
   /** Writes that this instance is about to stop. */
   leave(): Promise<void>;
 }
 
+/** Another instance as its own object tells of it. */
+export interface OtherInstance {
+  readonly instance: string;
+  readonly failureDomain: string;
+  readonly leaving: boolean;
+  readonly isLive: boolean;
+  /** Since its object was seen to change. */
+  readonly heardAgoMs: number;
+}
+
 interface Seen {
   readonly presence: PresenceObject;
   readonly version: number;
@@ -157,6 +169,14 @@
         ([other, { presence }]) =>
           other < key && (domain === null || presence.failureDomain === domain),
       ).length,
+    others: () =>
+      [...others].map(([other, { presence, movedAt }]) => ({
+        instance: other.slice(PRESENCE_PREFIX.length),
+        failureDomain: presence.failureDomain,
+        leaving: presence.leaving,
+        isLive: readAt - movedAt < GONE_AFTER_MS,
+        heardAgoMs: performance.now() - movedAt,
+      })),
     peers: () => live().flatMap((presence) => presence.peer ?? []),
     leave: () => write(true),
   };
--- a/packages/schemas/src/admin.ts
+++ b/packages/schemas/src/admin.ts
@@ -43,6 +43,33 @@
 /** The list of notes, newest first. */
 export const historySchema = z.object({ notes: z.array(noteRecordSchema) });
 
+/** A line of a note, whatever it tells of. */
+const shownLineSchema = z.record(z.string(), z.unknown());
+
+/**
+ * A note as it is shown, from either source: one that operators published
+ * here, or a configuration of the platform told as a note.
+ */
+export const shownNoteSchema = z.looseObject({
+  number: noteNumberSchema,
+  recordedAt: z.number(),
+  recordedBy: nameSchema,
+  note: z.looseObject({
+    supersedes: noteNumberSchema,
+    reason: z.string(),
+    publishId: z.string().optional(),
+    added: z.array(shownLineSchema),
+    changed: z.array(shownLineSchema),
+    withdrawn: z.array(shownLineSchema),
+  }),
+});
+export type ShownNote = z.infer<typeof shownNoteSchema>;
+
+/** Notes as they are shown, newest first. */
+export const shownHistorySchema = z.object({
+  notes: z.array(shownNoteSchema),
+});
+
 /** One instance, as the answering instance sees it. */
 export const instanceViewSchema = z.object({
   id: nameSchema,
