--- a/packages/gateway/src/silence_watch.ts
+++ b/packages/gateway/src/silence_watch.ts
@@ -1,7 +1,6 @@
 /** Looks after a run of a stream while nothing comes, and mends its pipeline. */
 import { createLogger } from "@rosemarypin/telemetry";
 import type { CallerCall } from "./caller_call.ts";
-import type { ChosenPipeline } from "./pipeline_router.ts";
 import type { StreamParts, StreamRun } from "./stream_run.ts";
 
 /**
@@ -17,6 +16,8 @@
  */
 const AFTER_CHANGE_MS = 900;
 const CHANGE_TIMEOUT_MS = 400;
+/** Engines that may refuse one change for want of memory. */
+const MOST_TRIES = 3;
 /** Changes of one run; after them it goes on elsewhere. */
 const MOST_CHANGES = 2;
 
@@ -41,7 +42,7 @@
   run: StreamRun,
   parts: StreamParts,
 ): SilenceWatch {
-  const { router, stalls, engines } = parts;
+  const { router, stalls, engines, fleet } = parts;
   const firstMs = Math.max(FIRST_SILENCE_MS, call.route.objectiveMs);
   let cause: string | null = null;
   let ended = false;
@@ -70,13 +71,33 @@
     if (!ended) stop(verdict.kind);
   }
 
+  /**
+   * Puts other engines in the place of a lost stage. All answers that passed
+   * through it move at once, and the engine that comes first to mind is soon
+   * full; those that it refuses go to the next one. Taken up on a new pipeline
+   * instead, each would read all its tokens again on every stage, and use up
+   * one of the few runs that its route allows.
+   */
   async function replace(address: string): Promise<boolean> {
+    const full = new Set<string>();
+    for (let tries = 0; tries < MOST_TRIES; tries += 1) {
+      const moved = await replaceBy(address, full);
+      if (moved !== "full") return moved === "moved";
+    }
+    return false;
+  }
+
+  async function replaceBy(
+    address: string,
+    full: Set<string>,
+  ): Promise<"moved" | "full" | "failed"> {
     const { service } = call;
-    const { avoided, tokens } = run;
+    const { tokens } = run;
+    const avoided = new Set([...run.avoided, ...full]);
     const last = run.pipeline;
     const request = { service, tokens, avoided, address };
     const next = router.replaceStage(last, request);
-    if (!next) return false;
+    if (!next) return "failed";
     const answer = await engines.changePipeline(
       last.first.address,
       { requestId: call.id, pipeline: next.stages },
@@ -89,17 +110,19 @@
       answer: answer.kind,
       detail: "detail" in answer ? answer.detail : undefined,
     });
-    if (answer.kind !== "moved" || ended) {
-      next.release();
-      return false;
+    if (answer.kind === "moved" && !ended) {
+      last.release();
+      run.pipeline = next;
+      return "moved";
     }
-    moveUse(last, next);
-    return true;
-  }
-
-  function moveUse(last: ChosenPipeline, next: ChosenPipeline): void {
-    last.release();
-    run.pipeline = next;
+    next.release();
+    if (ended || answer.kind !== "no_room") return "failed";
+    const refusing = next.stages.find((one) => one.address === answer.address);
+    const isNew = refusing && !last.stages.includes(refusing);
+    if (!isNew) return "failed";
+    full.add(refusing.engineId);
+    fleet.doubts.refused(refusing.engineId);
+    return "full";
   }
 
   function stop(reason: string): void {
