Believe an engine's own word on its memory for a second; read no field in vain

An instance estimates what other instances send. An engine that refused an answer for want of memory was kept away from for 250 ms and then got the next one, though the report that was read of it after the refusal told that it was full. Its reported load counts for 1 s now, where it is higher than the estimate. Test: backend_fleet_test.

Fields that were decoded and that nothing read are gone: first start, renewal interval, stall time, health path, connections, report lag, waiting, running and slowness of reports, two costs of models.

--- a/packages/gateway/src/backend_fleet.ts
+++ b/packages/gateway/src/backend_fleet.ts
@@ -12,6 +12,12 @@
  */
 const ENTRY_LAG_MS = 2_000;
 
+/**
+ * For how long a reported load is believed. An answer takes 2 to 4 s, so a
+ * quarter to a half of what was reported has ended by then.
+ */
+const LOAD_HOLDS_MS = 1_000;
+
 /** Bound on a probe; engines in reach answer in a few milliseconds. */
 const PROBE_TIMEOUT_MS = 300;
 
@@ -34,6 +40,11 @@
    * end at once, and orders and requests would go there again and again.
    */
   replaced(id: string): void;
+  /**
+   * Share of an engine's memory that answers take, as it said itself a moment
+   * ago; `null` when it was not asked lately.
+   */
+  reportedLoad(id: string): number | null;
   /** Takes in what an engine said of itself, which is newer than its entry. */
   putReport(id: string, report: EngineReport): void;
   /** Asks an engine what it holds now, since it refused a request. */
@@ -61,6 +72,7 @@
   const callbacks: ((id: string) => void)[] = [];
   const voided = new Map<string, BackendServer>();
   const reportedAt = new Map<string, number>();
+  const reportedLoads = new Map<string, number>();
 
   /** Engines are asked for a report; plain services have none. */
   async function probe(id: string): Promise<boolean | null> {
@@ -96,7 +108,8 @@
     // Of a life that ended, or of one that has not written its entry yet.
     if (startedAt !== last.startedAt) return;
     reportedAt.set(id, performance.now());
-    const { orderCount, held } = report;
+    const { orderCount, held, usedTokenLayers, totalTokenLayers } = report;
+    reportedLoads.set(id, usedTokenLayers / Math.max(1, totalTokenLayers));
     servers.set(id, { ...last, orderCount, held });
     if (!isSameRange(held, last.held)) changed(id);
   }
@@ -113,6 +126,11 @@
       }
       return latest;
     },
+    reportedLoad(id) {
+      const at = reportedAt.get(id) ?? Number.NEGATIVE_INFINITY;
+      if (performance.now() - at > LOAD_HOLDS_MS) return null;
+      return reportedLoads.get(id) ?? null;
+    },
     ofService: (service) =>
       [...servers.values()].filter((server) => server.service === service),
     isUsable: (server) => !server.leaving && !doubts.isDoubted(server.id),
@@ -144,6 +162,7 @@
       if (!last) return;
       servers.delete(id);
       reportedAt.delete(id);
+      reportedLoads.delete(id);
       doubts.worked(id);
       log.info("server_gone", { id, address: last.address });
       changed(id);
--- a/packages/gateway/src/backend_fleet_test.ts
+++ b/packages/gateway/src/backend_fleet_test.ts
@@ -80,3 +80,19 @@
     end();
   });
 });
+
+describe("the load of an engine", () => {
+  it("is known from its report for a moment", async () => {
+    // Other instances fill an engine. This one knows of its own answers only,
+    // and sends the next one there again right after a refusal.
+    const { fleet, end } = setUp(new Set());
+    expect(fleet.reportedLoad("a1")).toBeNull();
+    const report = { held: null, orderCount: 0, startedAt: 1 };
+    const memory = { usedTokenLayers: 95, totalTokenLayers: 100 };
+    fleet.putReport("a1", { ...report, ...memory } as EngineReport);
+    expect(fleet.reportedLoad("a1")).toBe(0.95);
+    await vi.advanceTimersByTimeAsync(1_500);
+    expect(fleet.reportedLoad("a1")).toBeNull();
+    end();
+  });
+});
--- a/packages/gateway/src/backend_server.ts
+++ b/packages/gateway/src/backend_server.ts
@@ -32,13 +32,9 @@
   /** Whether an order is in progress. */
   readonly busy: boolean;
   readonly held: LayerRange | null;
-  readonly waiting: number;
-  readonly running: number;
   /** Memory that answers take, in tokens times layers. */
   readonly usedTokenLayers: number;
   readonly totalTokenLayers: number;
-  /** Over 1 where the engine is slower than its kind. */
-  readonly slowness: number;
   /** Answers that wait for a later stage which does not answer. */
   readonly stalled: readonly StalledAnswer[];
 }
--- a/packages/gateway/src/configuration.ts
+++ b/packages/gateway/src/configuration.ts
@@ -50,16 +50,11 @@
   readonly kinds: ReadonlyMap<string, EngineKind>;
   /** Requests that an engine takes as the first stage. */
   readonly slots: number;
-  /** How old an engine's report on itself is, in milliseconds. */
-  readonly reportLagMs: number;
 }
 
 /** A service that backend servers offer. */
 export interface Service {
   readonly name: string;
-  readonly healthPath: string;
-  /** Connections that one server accepts from all instances together. */
-  readonly maxConnections: number;
   /** Present where engines hold layers and serve in pipelines. */
   readonly engine: EngineShape | null;
 }
--- a/packages/gateway/src/pipeline_router.ts
+++ b/packages/gateway/src/pipeline_router.ts
@@ -87,7 +87,12 @@
           stepFactor,
           readFactor,
           held,
-          load: used / Math.max(1, room),
+          // What others send is estimated; an engine that refused an answer
+          // was asked, and knows better while its word is new.
+          load: Math.max(
+            used / Math.max(1, room),
+            fleet.reportedLoad(server.id) ?? 0,
+          ),
         },
       ];
     });
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -24,13 +24,7 @@
   readonly peers: ListenAddress | null;
   /** HOST:PORT of the object API. */
   readonly storeAddress: string;
-  /** Whether the whole deployment starts for the first time. */
-  readonly firstStart: boolean;
-  /** How often backend servers renew their entries. */
-  readonly serverHeartbeatMs: number;
   /** From the signal to stop until the process is killed. */
   readonly graceMs: number;
-  /** How long engines wait for a stage that does not answer. */
-  readonly stallMs: number;
   readonly retryBudget: RetryBudgetSettings;
 }
--- a/packages/pipelines/src/layer_plan_test.ts
+++ b/packages/pipelines/src/layer_plan_test.ts
@@ -11,8 +11,6 @@
   layerMb: 1_750,
   tokenLayerBytes: 10_567,
   stepMs: 0.85,
-  stepAnswerMs: 0.0055,
-  promptTokensPerMs: 196,
   usualPromptTokens: 772,
   usualAnswerTokens: 174,
 };
--- a/packages/pipelines/src/pipeline_path_test.ts
+++ b/packages/pipelines/src/pipeline_path_test.ts
@@ -14,8 +14,6 @@
   layerMb: 100,
   tokenLayerBytes: 1_000,
   stepMs: 6,
-  stepAnswerMs: 0,
-  promptTokensPerMs: 100,
   usualPromptTokens: 10,
   usualAnswerTokens: 10,
 };
--- a/packages/pipelines/src/types.ts
+++ b/packages/pipelines/src/types.ts
@@ -16,10 +16,6 @@
   readonly tokenLayerBytes: number;
   /** One step of generation through all layers, in milliseconds. */
   readonly stepMs: number;
-  /** What each answer in a step adds through all layers, in milliseconds. */
-  readonly stepAnswerMs: number;
-  /** Prompt tokens that all layers read in a millisecond. */
-  readonly promptTokensPerMs: number;
   /** Mean number of prompt tokens. */
   readonly usualPromptTokens: number;
   /** Mean number of generated tokens. */
