Soak: callers that keep their connections, and faults that overlap

Every other caller now keeps its connections and uses them until the process is gone, also while it stops; two series of faults run at once, signals to one instance one after the other. A request that crosses the close of a kept connection and ran nowhere is allowed, as its caller may send it again; one that ran is a break (judges_test).

--- a/packages/checks/src/platform_soak/instance_process.ts
+++ b/packages/checks/src/platform_soak/instance_process.ts
@@ -13,6 +13,8 @@
   readonly url: string;
   /** Whether it runs and was not asked to stop. */
   isUp(): boolean;
+  /** Whether no process of it is left, be it stopping or frozen. */
+  isGone(): boolean;
   start(): void;
   /** Asks it to stop, and waits until it has; gives its exit code. */
   stop(): Promise<number | null>;
@@ -30,6 +32,7 @@
 }): InstanceProcess {
   const log = createWriteStream(options.logFile, { flags: "a" });
   let child: ChildProcess | null = null;
+  let running = 0;
 
   async function ended(signal: NodeJS.Signals): Promise<number | null> {
     const last = child;
@@ -45,12 +48,17 @@
     name: options.name,
     url: options.url,
     isUp: () => child !== null && child.exitCode === null,
+    isGone: () => running === 0,
     start() {
       child = spawn(
         process.execPath,
         [program, "--settings", options.settingsFile],
         { stdio: ["ignore", "pipe", "pipe"] },
       );
+      running += 1;
+      child.once("exit", () => {
+        running -= 1;
+      });
       child.stdout?.pipe(log, { end: false });
       child.stderr?.pipe(log, { end: false });
     },
--- a/packages/checks/src/platform_soak/judges.ts
+++ b/packages/checks/src/platform_soak/judges.ts
@@ -41,7 +41,15 @@
   }
   if (answer.status === 200 && kind === "stream") return judgeStream(call);
   // Where nothing listens, no request was taken, and so none was cut.
-  if (call.onlyPlanned && answer.status === 0 && !answer.refused) {
+  // A request may cross the close of a kept connection; it runs nowhere then,
+  // and its caller may send it again.
+  const hasCrossed = answer.onKeptConnection && runs === 0;
+  if (
+    call.onlyPlanned &&
+    answer.status === 0 &&
+    !answer.refused &&
+    !hasCrossed
+  ) {
     return "a planned stop cut a request";
   }
   return null;
--- a/packages/checks/src/platform_soak/judges_test.ts
+++ b/packages/checks/src/platform_soak/judges_test.ts
@@ -14,6 +14,7 @@
       whole: true,
       tookMs: 1,
       refused: false,
+      onKeptConnection: false,
       ...answer,
     },
     ...change,
@@ -32,6 +33,11 @@
     ["has another's event", call(stream, { body: "id: 1\ndata: q.1\n\n" }), 1],
     ["looks whole", call(stream, { body: "id: 1\ndata: r.1\n\n" }), 1],
     ["was cut by a stop", call({ onlyPlanned: true }, { status: 0 }), 0],
+    [
+      "ran and was cut by a stop on a kept connection",
+      call({ onlyPlanned: true }, { status: 0, onKeptConnection: true }),
+      1,
+    ],
   ])("see a request that %s", (_name, seen, runs) => {
     expect(judgeCalls([seen], () => runs)).toHaveLength(1);
   });
@@ -44,6 +50,11 @@
       call({ onlyPlanned: true }, { status: 0, refused: true }),
       0,
     ],
+    [
+      "a request that crossed the close of its kept connection",
+      call({ onlyPlanned: true }, { status: 0, onKeptConnection: true }),
+      0,
+    ],
     ["a whole stream", call(stream, { body: whole }), 1],
     [
       "a stream that was cut",
--- a/packages/checks/src/platform_soak/soak_run.ts
+++ b/packages/checks/src/platform_soak/soak_run.ts
@@ -1,5 +1,6 @@
 /** A run of the soak: real processes, random faults, promises judged. */
 import { mkdtempSync } from "node:fs";
+import { Agent } from "node:http";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import {
@@ -26,6 +27,8 @@
 
 const GRACE_MS = 5_000;
 const CALLERS = 6;
+/** Faults overlap: an engine ends while an instance is replaced. */
+const FAULTS_AT_ONCE = 2;
 const DEADLINE_MS = 3_000;
 /** Requests in flight at the end may take until their deadline. */
 const SETTLE_MS = DEADLINE_MS + 500;
@@ -48,21 +51,36 @@
   const world = await startWorld(folder);
   const calls: SoakCall[] = [];
   const faults: string[] = [];
-  /** When unplanned faults began or ended, so as to judge planned stops. */
+  /** Unplanned faults in progress, and the end of the last one. */
+  let unplanned = 0;
   let unplannedAt = -Infinity;
+  /** Instances that are being stopped, killed or frozen now. */
+  const hurt = new Set<InstanceProcess>();
   await sleep(START_MS);
   const endsAt = performance.now() + durationMs;
   const isOver = () => performance.now() >= endsAt;
   const callers = Array.from({ length: CALLERS }, (_, index) =>
     keepCalling(index),
   );
-  while (!isOver()) await breakSomething();
-  await Promise.all(callers);
+  const breakers = Array.from({ length: FAULTS_AT_ONCE }, keepBreaking);
+  await Promise.all([...callers, ...breakers]);
   await sleep(SETTLE_MS);
   await world.stop();
   return { folder, faults, calls, broken: judgeCalls(calls, world.runsOf) };
 
+  async function keepBreaking(): Promise<void> {
+    while (!isOver()) await breakSomething();
+  }
+
+  /**
+   * Every other caller keeps its connections, and goes on to use them until
+   * the process is gone, also while it stops.
+   */
   async function keepCalling(index: number): Promise<void> {
+    const keeps = index % 2 === 0;
+    const agent = new Agent({ keepAlive: true, maxSockets: 1 });
+    const mayCall = (instance: InstanceProcess) =>
+      keeps ? !instance.isGone() : instance.isUp();
     for (let count = 0; !isOver(); count += 1) {
       const id = `c${index}-${count}`;
       const kind = random.pick<SoakKind>([
@@ -73,7 +91,7 @@
       ]);
       const events = random.between(2, 30);
       const instance = world.instances[random.between(0, 2)];
-      if (!instance?.isUp()) {
+      if (!instance || !mayCall(instance)) {
         await sleep(20);
         continue;
       }
@@ -81,9 +99,11 @@
       const answer = await call(instance.url, {
         id,
         deadlineMs: DEADLINE_MS,
+        ...(keeps ? { agent } : {}),
         ...requestOf(kind, events),
       });
-      const onlyPlanned = unplannedAt < startedAt - SETTLE_MS;
+      const isCalm = unplannedAt < startedAt - SETTLE_MS;
+      const onlyPlanned = unplanned === 0 && isCalm;
       calls.push({ id, kind, events, answer, onlyPlanned });
     }
   }
@@ -92,9 +112,12 @@
     const fault = random.pick(FAULTS);
     const isPlanned = fault === "stop_instance" || fault === "configure";
     faults.push(fault);
-    if (!isPlanned) unplannedAt = Number.POSITIVE_INFINITY;
-    await carryOut(fault, { world, random });
-    if (!isPlanned) unplannedAt = performance.now();
+    if (!isPlanned) unplanned += 1;
+    await carryOut(fault, { world, random, hurt });
+    if (!isPlanned) {
+      unplanned -= 1;
+      unplannedAt = performance.now();
+    }
     await sleep(random.between(50, 900));
   }
 }
@@ -178,8 +201,8 @@
     proxies,
     doors,
     runsOf: (id) =>
-      deployment.plainServers
-        .flatMap(({ runs }) => runs)
+      [...deployment.plainServers, ...deployment.engines]
+        .flatMap<{ readonly requestId: string }>(({ runs }) => runs)
         .filter((run) => run.requestId === id).length,
     async stop() {
       clearInterval(heartbeat);
@@ -192,8 +215,13 @@
 
 async function carryOut(
   fault: Fault,
-  { world, random }: { readonly world: World; readonly random: SeededRandom },
+  options: {
+    readonly world: World;
+    readonly random: SeededRandom;
+    readonly hurt: Set<InstanceProcess>;
+  },
 ): Promise<void> {
+  const { world, random, hurt } = options;
   const { deployment, instances, proxies, doors } = world;
   const { store, engines, plainServers } = deployment;
   const lastsMs = random.between(200, 2_500);
@@ -205,17 +233,14 @@
   if (!instance || !engine || !proxy || !door || !server) return;
   switch (fault) {
     case "stop_instance":
-      await instance.stop();
-      instance.start();
-      return sleep(1_000);
     case "kill_instance":
-      await instance.kill();
-      instance.start();
-      return sleep(1_000);
     case "freeze_instance":
-      instance.freeze();
-      await sleep(lastsMs);
-      return instance.thaw();
+      // Signals come one after the other; what else goes on overlaps them.
+      if (hurt.has(instance)) return;
+      hurt.add(instance);
+      await hurtInstance(instance, fault, lastsMs);
+      hurt.delete(instance);
+      return;
     case "configure":
       deployment.configure();
       return;
@@ -275,6 +300,22 @@
   }
 }
 
+async function hurtInstance(
+  instance: InstanceProcess,
+  fault: "stop_instance" | "kill_instance" | "freeze_instance",
+  lastsMs: number,
+): Promise<void> {
+  if (fault === "freeze_instance") {
+    instance.freeze();
+    await sleep(lastsMs);
+    return instance.thaw();
+  }
+  if (fault === "stop_instance") await instance.stop();
+  else await instance.kill();
+  instance.start();
+  await sleep(1_000);
+}
+
 async function during(
   lastsMs: number,
   set: (on: boolean) => void,
