Count an instance that can't write as a user of engines for 10 s, as before

Its store turns one instance away for 8 s; after 5 s the others took it for gone, estimated no use of its domain's engines, and filled them. Who counts as a user of engines is judged after 10 s again; who may take a lease over, after 2.5 renewals. Test: ordering_right_test.

--- a/packages/gateway/src/ordering_right_test.ts
+++ b/packages/gateway/src/ordering_right_test.ts
@@ -80,3 +80,19 @@
     expect(await untilTaken(instances)).toBeLessThanOrEqual(12_000);
   });
 });
+
+describe("an instance that the store turns away", () => {
+  it("counts among the users of its domain's engines for 10 s", async () => {
+    // The store refuses one instance for 8 seconds; it goes on to serve. The
+    // others took it for gone after 5, its domain's engines for idle, and sent
+    // them their own answers on top of its.
+    const instances = setUp();
+    await settle(instances);
+    const [first, refused] = instances;
+    refused.faults.down = true;
+    await vi.advanceTimersByTimeAsync(8_000);
+    expect(first.presence.countIn("b")).toBe(1);
+    await vi.advanceTimersByTimeAsync(8_000);
+    expect(first.presence.countIn("b")).toBe(0);
+  });
+});
--- a/packages/gateway/src/presence.ts
+++ b/packages/gateway/src/presence.ts
@@ -22,6 +22,12 @@
  * gone.
  */
 const GONE_AFTER_RENEWALS = 2.5;
+/**
+ * An instance that can't write, since the store turns it away, goes on to send
+ * requests: for so long it counts among those that use its domain's engines.
+ * Taken for gone sooner, those engines looked idle, and others filled them.
+ */
+const COUNTED_FOR_MS = 10_000;
 /** Objects of instances that are gone are removed after this. */
 const REMOVE_AFTER_MS = 60_000;
 
@@ -168,6 +174,16 @@
     return liveObjects().map(([, { presence }]) => presence);
   }
 
+  /** Others that may send requests from a domain, judged by the same time. */
+  function sendingIn(domain: string): number {
+    return [...others.values()].filter(
+      ({ presence, movedAt }) =>
+        presence.failureDomain === domain &&
+        !presence.leaving &&
+        readAt - movedAt < COUNTED_FOR_MS,
+    ).length;
+  }
+
   function othersIn(domain: string): number {
     return live().filter((presence) => presence.failureDomain === domain)
       .length;
@@ -181,7 +197,7 @@
           [...others.values()].filter(({ presence }) => !presence.leaving)
             .length,
       ),
-    countIn: (domain) => othersIn(domain) + (domain === failureDomain ? 1 : 0),
+    countIn: (domain) => sendingIn(domain) + (domain === failureDomain ? 1 : 0),
     hasOther: (domain) => othersIn(domain) > 0,
     ahead: (domain) =>
       liveObjects().filter(
