--- a/packages/gateway/src/forward_stream.ts
+++ b/packages/gateway/src/forward_stream.ts
@@ -85,14 +85,7 @@
       break;
     }
     attempts += 1;
-    const run = {
-      pipeline,
-      tokens,
-      avoided,
-      stop: new AbortController(),
-      mayGoElsewhere:
-        call.route.resumable && runs - lost + 1 < call.route.maxAttempts,
-    };
+    const run = { pipeline, tokens, avoided, stop: new AbortController() };
     last = await runStream(call, run, { progress, parts });
     if (last.kind === "complete") break;
     if (last.kind === "not_run") {
--- a/packages/gateway/src/silence_watch.ts
+++ b/packages/gateway/src/silence_watch.ts
@@ -16,13 +16,6 @@
  */
 const AFTER_CHANGE_MS = 900;
 const CHANGE_TIMEOUT_MS = 400;
-/**
- * Silence after which a stream goes elsewhere though all its engines answer: a
- * full stage preempts its newest answers and reads them again, for seconds.
- * Callers leave a stream after 2 s without an event, and another pipeline needs
- * a few hundred milliseconds to read the tokens so far.
- */
-const LONGEST_SILENCE_MS = 1_200;
 /** Engines that may refuse one change for want of memory. */
 const MOST_TRIES = 3;
 /** Changes of one run; after them it goes on elsewhere. */
@@ -54,7 +47,6 @@
   let cause: string | null = null;
   let ended = false;
   let changes = 0;
-  let heardAt = performance.now();
   let timer = setTimeout(() => void ask(), firstMs);
 
   function again(waitMs: number): void {
@@ -64,9 +56,7 @@
   async function ask(): Promise<void> {
     const verdict = await stalls.ask(run.pipeline.first, call.id);
     if (ended) return;
-    if (verdict.kind === "working") {
-      return standsStill() && goElsewhere() ? undefined : again(SILENCE_MS);
-    }
+    if (verdict.kind === "working") return again(SILENCE_MS);
     if (verdict.kind === "first_engine_away") {
       run.avoided.add(run.pipeline.first.id);
       return stop(verdict.kind);
@@ -81,29 +71,6 @@
     if (!ended) stop(verdict.kind);
   }
 
-  function standsStill(): boolean {
-    return performance.now() - heardAt >= LONGEST_SILENCE_MS;
-  }
-
-  /** Gives the run up if other engines could take the stream. */
-  function goElsewhere(): boolean {
-    if (!run.mayGoElsewhere) return false;
-    const { service } = call;
-    const here = run.pipeline.stages.map(({ engineId }) => engineId);
-    const avoided = new Set([...run.avoided, ...here]);
-    const other = router.choose({ service, tokens: run.tokens, avoided });
-    if (!other) return false;
-    other.release();
-    log.warn("stream_stands_still", {
-      request: call.id,
-      silent_ms: (performance.now() - heardAt).toFixed(0),
-      stages: here.join(","),
-    });
-    for (const engineId of here) run.avoided.add(engineId);
-    stop("stood_still");
-    return true;
-  }
-
   /**
    * Puts other engines in the place of a lost stage. All answers that passed
    * through it move at once, and the engine that comes first to mind is soon
@@ -167,7 +134,6 @@
 
   return {
     heard() {
-      heardAt = performance.now();
       clearTimeout(timer);
       again(SILENCE_MS);
     },
--- a/packages/gateway/src/stream_run.ts
+++ b/packages/gateway/src/stream_run.ts
@@ -45,8 +45,6 @@
   /** Engines that the call keeps away from; grows. */
   readonly avoided: Set<string>;
   readonly stop: AbortController;
-  /** Whether the call may be sent once more when this run is given up. */
-  readonly mayGoElsewhere: boolean;
 }
 
 export type RunEnd =
--- a/packages/telemetry/src/event_catalogue.ts
+++ b/packages/telemetry/src/event_catalogue.ts
@@ -90,10 +90,6 @@
       says: "the engine that carries an answer does not answer",
       fields: ["id", "request"],
     },
-    stream_stands_still: {
-      says: "its engines answer, and no event came for long; it goes elsewhere",
-      fields: ["request", "silent_ms", "stages"],
-    },
     stage_away: {
       says: "a later stage of an answer does not answer",
       fields: ["id", "address", "request"],
