Let a path that is none not end the process at the operators' port

Found by reading the change: the port of the metrics now parses paths, and one such as "//" can't be parsed; the error in an async handler ended the process. Test: release_notes_test, "goes on after a path that is none"; before, it hung until the run was ended.

--- a/packages/gateway/src/control_listener.ts
+++ b/packages/gateway/src/control_listener.ts
@@ -21,14 +21,15 @@
   administration: Administration,
 ): Server {
   return createServer(async (request, response) => {
-    const url = new URL(request.url ?? "/", "http://instance");
-    if (url.pathname === "/metrics") {
+    const url = parseUrl(request.url ?? "/");
+    if (url?.pathname === "/metrics") {
       const text = await registry.metrics();
       const headers = { "Content-Type": registry.contentType };
       response.writeHead(200, headers).end(text);
       return;
     }
-    const answer = request.method === "GET" ? administration(url) : null;
+    const isAsked = url !== null && request.method === "GET";
+    const answer = isAsked ? administration(url) : null;
     if (!answer) {
       response.writeHead(404).end();
       return;
@@ -37,3 +38,9 @@
     response.end(JSON.stringify(answer.body));
   });
 }
+
+/** `null` for what is no path; an error here would end the process. */
+function parseUrl(path: string): URL | null {
+  const base = "http://instance";
+  return URL.canParse(path, base) ? new URL(path, base) : null;
+}
--- a/packages/gateway/src/domain_suspicion.ts
+++ b/packages/gateway/src/domain_suspicion.ts
@@ -20,7 +20,7 @@
  * When a domain is cut off, each of its servers is found out only by the
  * requests that fail there, one after the other: layers that they held were
  * planned anew in several rounds, and callers were refused for 5.7 s of a cut
- * of 6.1 s (one play). Two servers of a domain that fall silent together are
+ * of 6.1 s (one run). Two servers of a domain that fall silent together are
  * rarely a coincidence; asking the others costs one report each.
  */
 export function createDomainSuspicion(ownDomain: string): DomainSuspicion {
--- a/packages/gateway/src/presence.ts
+++ b/packages/gateway/src/presence.ts
@@ -12,7 +12,7 @@
  * store's rate, shared by all: so few instances renew more often, and from 32 on
  * each every 4 s; 340 make 85 a second of 400. With four, the end of one was
  * noticed 10 s later with the longest interval, and is 5 s later with the
- * shortest. Each second cost 0.004 of a quiet day's worth in calls.
+ * shortest.
  */
 const RENEW_PER_INSTANCE_MS = 125;
 const SHORTEST_RENEWAL_MS = 2_000;
