--- a/packages/checks/src/guards/scratch_copy.ts
+++ b/packages/checks/src/guards/scratch_copy.ts
@@ -15,6 +15,7 @@
 /** What tests need; they run against the sources and never build. */
 const COPIED = [
   "packages",
+  "platform",
   "package.json",
   "tsconfig.base.json",
   "tsconfig.json",
