--- a/packages/telemetry/src/event_catalogue.ts
+++ b/packages/telemetry/src/event_catalogue.ts
@@ -406,12 +406,20 @@
   return [head, ...groups].join("\n");
 }
 
+/** Columns are as wide as their widest cell, as the formatter has them. */
 function renderTable(events: Readonly<Record<string, LogEvent>>): string {
-  const rows = Object.entries(events).map(
-    ([name, { says, fields }]) =>
-      `| \`${name}\` | ${says} | ${fields.map((field) => `\`${field}\``).join(", ")} |`,
-  );
-  return ["| event | says | fields |", "| --- | --- | --- |", ...rows].join(
-    "\n",
+  const titles = ["event", "says", "fields"];
+  const rows = Object.entries(events).map(([name, { says, fields }]) => [
+    `\`${name}\``,
+    says,
+    fields.map((field) => `\`${field}\``).join(", "),
+  ]);
+  const widths = titles.map((title, column) =>
+    Math.max(title.length, ...rows.map((row) => (row[column] ?? "").length)),
   );
+  const rule = widths.map((width) => "-".repeat(width));
+  return [titles, rule, ...rows]
+    .map((row) => row.map((cell, column) => cell.padEnd(widths[column] ?? 0)))
+    .map((row) => `| ${row.join(" | ")} |`)
+    .join("\n");
 }
