--- a/packages/checks/src/log_pipe/log_pipe_run.ts
+++ b/packages/checks/src/log_pipe/log_pipe_run.ts
@@ -4,7 +4,6 @@
 import { Agent } from "node:http";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
-import { fileURLToPath } from "node:url";
 import {
   call,
   drawSettings,
@@ -14,10 +13,8 @@
 } from "@rosemarypin/platform/stand_in";
 import { pause } from "@rosemarypin/timing";
 import { build } from "hdr-histogram-js";
+import { PLATFORM_PROGRAM } from "../platform_program.ts";
 
-const program = fileURLToPath(
-  new URL("../../../../platform/dist/main.js", import.meta.url),
-);
 const GRACE_MS = 5_000;
 const START_WITHIN_MS = 15_000;
 const SAMPLE_MS = 500;
@@ -58,9 +55,13 @@
   });
   const settingsFile = join(folder, "settings.json");
   writeSettings(settingsFile, settings);
-  const child = spawn(process.execPath, [program, "--settings", settingsFile], {
-    stdio: ["ignore", "pipe", "inherit"],
-  });
+  const child = spawn(
+    process.execPath,
+    [PLATFORM_PROGRAM, "--settings", settingsFile],
+    {
+      stdio: ["ignore", "pipe", "inherit"],
+    },
+  );
   // Without a reader the pipe fills up after 64 KB and takes nothing more.
   if (options.readsOutput) child.stdout.resume();
   const url = `http://${settings.callers.host}:${settings.callers.port}`;
--- a/packages/checks/src/platform_soak/instance_process.ts
+++ b/packages/checks/src/platform_soak/instance_process.ts
@@ -2,11 +2,7 @@
 import { type ChildProcess, spawn } from "node:child_process";
 import { once } from "node:events";
 import { createWriteStream } from "node:fs";
-import { fileURLToPath } from "node:url";
-
-const program = fileURLToPath(
-  new URL("../../../../platform/dist/main.js", import.meta.url),
-);
+import { PLATFORM_PROGRAM } from "../platform_program.ts";
 
 export interface InstanceProcess {
   readonly name: string;
@@ -52,7 +48,7 @@
     start() {
       child = spawn(
         process.execPath,
-        [program, "--settings", options.settingsFile],
+        [PLATFORM_PROGRAM, "--settings", options.settingsFile],
         { stdio: ["ignore", "pipe", "pipe"] },
       );
       running += 1;
