Log how many events a stream had, and its longest pause

An operator could see that an answer was slow, not whether it stood still, nor when. request_ended names events, pause_ms and pause_at_ms; a histogram of the longest pause stands beside the one of the first byte.

--- a/packages/gateway/src/caller_call.ts
+++ b/packages/gateway/src/caller_call.ts
@@ -2,6 +2,7 @@
 import type { ServerResponse } from "node:http";
 import type { Organisation, Route, Service } from "./configuration.ts";
 import type { RequestFacts } from "./protocol.ts";
+import type { PaceSummary } from "./stream_pace.ts";
 
 export interface CallerCall {
   /** The caller's id of the request, or one of ours. */
@@ -36,6 +37,8 @@
   readonly attempts: number;
   /** Time to the first byte of the answer; `null` when there was none. */
   readonly firstByteMs: number | null;
+  /** Present for streams of which events went out. */
+  readonly pace?: PaceSummary;
 }
 
 /**
--- a/packages/gateway/src/caller_listener.ts
+++ b/packages/gateway/src/caller_listener.ts
@@ -283,6 +283,9 @@
     attempts: end.attempts,
     first_ms: end.firstByteMs === null ? undefined : end.firstByteMs.toFixed(0),
     total_ms: (performance.now() - call.startedAt).toFixed(0),
+    events: end.pace?.events,
+    pause_ms: end.pace?.pauseMs.toFixed(0),
+    pause_at_ms: end.pace?.pauseAtMs.toFixed(0),
   };
   if (end.outcome === "answered") log.info("request_ended", fields);
   else log.warn("request_ended", fields);
--- a/packages/gateway/src/forward_stream.ts
+++ b/packages/gateway/src/forward_stream.ts
@@ -12,6 +12,7 @@
 } from "./caller_answer.ts";
 import type { CallEnd, CallerCall } from "./caller_call.ts";
 import type { RequestCodec } from "./protocol.ts";
+import { createStreamPace } from "./stream_pace.ts";
 import {
   type RunEnd,
   runStream,
@@ -50,7 +51,7 @@
   const progress: StreamProgress = {
     begun: false,
     lastEventId: call.facts.lastEventId,
-    firstByteMs: null,
+    pace: createStreamPace(call.startedAt),
   };
   const avoided = new Set<string>();
   let attempts = 0;
@@ -119,28 +120,29 @@
   },
 ): CallEnd {
   const { last, progress, attempts, runs, codec } = state;
-  const { firstByteMs } = progress;
+  const pace = progress.pace.summary();
+  const firstByteMs = pace.firstMs;
   if (last.kind === "complete") {
     const { status } = last;
     const outcome = "answered";
-    return { status, outcome, reason: outcome, attempts, firstByteMs };
+    return { status, outcome, reason: outcome, attempts, firstByteMs, pace };
   }
   if (call.callerLeft()) {
     const reason = "caller_left";
-    return { status: 0, outcome: reason, reason, attempts, firstByteMs };
+    return { status: 0, outcome: reason, reason, attempts, firstByteMs, pace };
   }
   if (progress.begun) {
     // An answer that ends early must not look complete to its caller.
     call.response.destroy();
     const reason = last.kind === "failed" ? "failed_midway" : last.detail;
-    return { status: 0, outcome: "cut", reason, attempts, firstByteMs };
+    return { status: 0, outcome: "cut", reason, attempts, firstByteMs, pace };
   }
   if (last.kind === "failed") {
     const { status } = last.answer;
     beginAnswer(codec, call.response, last.answer);
     call.response.end(last.body);
     const reason = `status_${status}`;
-    return { status, outcome: "answered", reason, attempts, firstByteMs };
+    return { status, outcome: "answered", reason, attempts, firstByteMs, pace };
   }
   const outcome = runs > 0 ? "unknown" : "not_run";
   return endWithRefusal(codec, call, {
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/gateway_metrics.ts
@@ -48,6 +48,12 @@
     buckets: SECONDS_BUCKETS,
     registers,
   });
+  const pause = new Histogram({
+    name: "rosemarypin_longest_pause_seconds",
+    help: "The longest time between two events of a stream",
+    buckets: SECONDS_BUCKETS,
+    registers,
+  });
   addGauge("rosemarypin_in_flight", "Requests in progress", gauges.inProgress);
   addGauge(
     "rosemarypin_configuration_version",
@@ -85,6 +91,7 @@
       attempts.inc({ kind }, end.attempts);
       if (firstByteMs !== null)
         firstByte.observe({ kind }, firstByteMs / 1_000);
+      if (end.pace) pause.observe(end.pace.pauseMs / 1_000);
       const seconds = (performance.now() - startedAt) / 1_000;
       duration.observe({ kind, outcome }, seconds);
     },
--- /dev/null
+++ b/packages/gateway/src/stream_pace.ts
@@ -0,0 +1,46 @@
+/** When the events of a stream reached its caller. */
+
+export interface PaceSummary {
+  readonly events: number;
+  /** From the request to the first event, in milliseconds. */
+  readonly firstMs: number | null;
+  /** The longest time between two events, in milliseconds. */
+  readonly pauseMs: number;
+  /** From the request to the beginning of that pause, in milliseconds. */
+  readonly pauseAtMs: number;
+}
+
+export interface StreamPace {
+  /** Takes in that an event is passed on now. */
+  event(): void;
+  /** The pauses between the events so far. */
+  summary(): PaceSummary;
+}
+
+/** Creates the record of one stream, whose request came at `startedAt`. */
+export function createStreamPace(startedAt: number): StreamPace {
+  let events = 0;
+  let firstMs: number | null = null;
+  let lastAt = startedAt;
+  let pauseMs = 0;
+  let pauseAtMs = 0;
+
+  function notePause(now: number): void {
+    if (events === 0 || now - lastAt <= pauseMs) return;
+    pauseMs = now - lastAt;
+    pauseAtMs = lastAt - startedAt;
+  }
+
+  return {
+    event() {
+      const now = performance.now();
+      notePause(now);
+      events += 1;
+      firstMs ??= now - startedAt;
+      lastAt = now;
+    },
+    summary() {
+      return { events, firstMs, pauseMs, pauseAtMs };
+    },
+  };
+}
--- a/packages/gateway/src/stream_run.ts
+++ b/packages/gateway/src/stream_run.ts
@@ -16,6 +16,7 @@
 import type { RetryBudget } from "./retry_budget.ts";
 import { type SilenceWatch, watchSilence } from "./silence_watch.ts";
 import type { StallWatch } from "./stall_watch.ts";
+import type { StreamPace } from "./stream_pace.ts";
 
 export interface StreamParts {
   readonly codec: RequestCodec;
@@ -35,7 +36,7 @@
 export interface StreamProgress {
   begun: boolean;
   lastEventId: string | null;
-  firstByteMs: number | null;
+  readonly pace: StreamPace;
 }
 
 /** A run; its pipeline changes when a stage is replaced. */
@@ -185,7 +186,7 @@
         continue;
       }
       if (event.id !== null) progress.lastEventId = event.id;
-      progress.firstByteMs ??= performance.now() - call.startedAt;
+      progress.pace.event();
       if (!response.write(event.bytes)) await drained(call);
     }
   }
--- a/packages/telemetry/src/event_catalogue.ts
+++ b/packages/telemetry/src/event_catalogue.ts
@@ -59,6 +59,9 @@
         "attempts",
         "first_ms",
         "total_ms",
+        "events",
+        "pause_ms",
+        "pause_at_ms",
       ],
     },
     request_refused: {
@@ -312,6 +315,10 @@
       says: "another instance's object was read first",
       fields: ["key"],
     },
+    peer_datagram_unreadable: {
+      says: "bytes that are no message of an instance came; nothing changes",
+      fields: ["bytes"],
+    },
     instance_forgotten: {
       says: "the object of a gone instance was removed",
       fields: ["key"],
