Lay layers out on fast engines first, with the room that gives most power

Hypothesis: tokens pass more time at engines than they must, and time in progress is exposure. Cause: gaps were filled by the largest empty engine, so cards of 22 GB whose steps take 16 times as long came before cards of 14 GB with 5.3 times; and a fixed room of 110 answers left a card with 4 layers where 108 allow 5.

Change: engines are ranked by time for each layer, the hop to them included; of all amounts of room at which some card holds another number of layers, the one is taken with the most answers a second for the time of one (throughput over delay). What is left over forms further pipelines with engines of their own.

--- a/packages/gateway/src/configuration.ts
+++ b/packages/gateway/src/configuration.ts
@@ -48,8 +48,6 @@
 export interface EngineShape {
   readonly model: ModelShape;
   readonly kinds: ReadonlyMap<string, EngineKind>;
-  /** Requests that an engine takes as the first stage. */
-  readonly slots: number;
 }
 
 /** A service that backend servers offer. */
--- a/packages/pipelines/src/group_plan.ts
+++ b/packages/pipelines/src/group_plan.ts
@@ -3,7 +3,7 @@
  * is narrow, and keeps some engines empty.
  */
 import { layersWithRoom, roomTokens } from "./engine_capacity.ts";
-import { roomOfGroup, tightRoom } from "./group_room.ts";
+import { reserveOf, roomOfGroup, tightRoom, tokensOf } from "./group_room.ts";
 import {
   countHolders,
   firstGap,
@@ -11,6 +11,7 @@
   layersOf,
   windowFrom,
 } from "./layer_coverage.ts";
+import { chooseLayout } from "./layer_layout.ts";
 import {
   type EngineFacts,
   type LayerRange,
@@ -18,12 +19,6 @@
   type ModelShape,
 } from "./types.ts";
 
-/**
- * One empty engine is kept for so many others. It takes the layers of any
- * lost one within a second; one that doubles layers can't, as it would have
- * to give them up first.
- */
-const ENGINES_PER_RESERVE = 8;
 /** Share of the planned room below which layers get an engine more. */
 const TIGHT_SHARE = 0.5;
 
@@ -140,7 +135,7 @@
   function useFree(gap: LayerRange): boolean {
     const bySize = [...free].sort((a, b) => a.memoryMb - b.memoryMb);
     const enough = bySize.find((one) => usualLayers(one) >= layersIn(gap));
-    const engine = holds.size === 0 ? free[0] : (enough ?? bySize.at(-1));
+    const engine = enough ?? bySize.at(-1);
     if (!engine) return false;
     free.splice(free.indexOf(engine), 1);
     giveUsual(engine, gap);
@@ -319,7 +314,29 @@
     return roomByLayer().some((room) => room < tokens * TIGHT_SHARE);
   }
 
+  /**
+   * Lays out one pipeline after the other with engines of their own, fast ones
+   * first, so that an engine's end touches the answers of one pipeline only.
+   */
+  function layOut(): void {
+    for (;;) {
+      const layout = chooseLayout(free, model, {
+        mostEngines: free.length - reserveOf(group),
+        leastTokens: tightTokens,
+        mostTokens: tokensOf(model, model.mostAnswers),
+      });
+      if (!layout) return;
+      let from = 0;
+      for (const { engine, layers } of layout.parts) {
+        free.splice(free.indexOf(engine), 1);
+        give(engine, { from, to: from + layers });
+        from += layers;
+      }
+    }
+  }
+
   const skipped = new Set<number>();
+  if (holds.size === 0) layOut();
   for (;;) {
     const gap = firstGap(coverage(), skipped);
     if (!gap) break;
@@ -341,11 +358,6 @@
   readonly kept: LayerRange;
 }
 
-/** Engines of a group that are left empty, to take any lost one's place. */
-function reserveOf(group: readonly PlannedEngine[]): number {
-  return Math.floor(group.length / ENGINES_PER_RESERVE);
-}
-
 /** Fast engines first: more layers on them make every token faster. */
 function bySpeed(a: PlannedEngine, b: PlannedEngine): number {
   return a.stepFactor - b.stepFactor || (a.id < b.id ? -1 : 1);
--- a/packages/pipelines/src/group_room.ts
+++ b/packages/pipelines/src/group_room.ts
@@ -1,14 +1,14 @@
 /** Room for answers that a group of engines is planned with. */
 import { layersWithRoom } from "./engine_capacity.ts";
+import { chooseLayout } from "./layer_layout.ts";
 import type { EngineFacts, ModelShape } from "./types.ts";
 
 /**
- * Answers of usual size for which each stage keeps room. 45 answers a second
- * of 946 tokens that last 2 to 4 s have 85,000 to 170,000 tokens in use; with
- * 110, three domains have room for 312,000. With 64, 171 of 1,243 answers were
- * preempted on a quiet day, with 110 none.
+ * One empty engine is kept for so many others. It takes the layers of any
+ * lost one within a second; one that doubles layers can't, as it would have
+ * to give them up first.
  */
-const ROOMY_ANSWERS = 110;
+const ENGINES_PER_RESERVE = 8;
 /**
  * Room that an engine keeps when it takes over layers of a lost one. Fewer
  * answers at once are better than none until the lost engine is back.
@@ -37,14 +37,20 @@
   return tokensOf(model, TIGHT_ANSWERS);
 }
 
-/** The most room, up to the wanted one, with which the group holds all. */
+/** Room with which a group of engines is planned, in tokens. */
 export function roomOfGroup(
   group: readonly EngineFacts[],
   model: ModelShape,
 ): number {
-  for (let answers = ROOMY_ANSWERS; answers > TIGHT_ANSWERS; answers -= 2) {
-    const tokens = tokensOf(model, answers);
-    if (groupLayers(group, model, tokens) >= model.layerCount) return tokens;
-  }
-  return tokensOf(model, TIGHT_ANSWERS);
+  const layout = chooseLayout(group, model, {
+    mostEngines: group.length - reserveOf(group),
+    leastTokens: tightRoom(model),
+    mostTokens: tokensOf(model, model.mostAnswers),
+  });
+  return layout?.tokens ?? tightRoom(model);
+}
+
+/** Engines of a group that are left empty, to take any lost one's place. */
+export function reserveOf(group: readonly EngineFacts[]): number {
+  return Math.floor(group.length / ENGINES_PER_RESERVE);
 }
--- a/packages/pipelines/src/layer_plan_test.ts
+++ b/packages/pipelines/src/layer_plan_test.ts
@@ -13,6 +13,7 @@
   stepMs: 0.85,
   usualPromptTokens: 772,
   usualAnswerTokens: 174,
+  mostAnswers: 134,
 };
 
 const KINDS = {
--- a/packages/pipelines/src/pipeline_path.ts
+++ b/packages/pipelines/src/pipeline_path.ts
@@ -3,6 +3,7 @@
  * layers, in which time at engines, hops and crossings of failure domains
  * are the lengths.
  */
+import { layerMs, STAGE_MS } from "./stage_time.ts";
 import {
   type EngineFacts,
   type LayerRange,
@@ -10,8 +11,6 @@
   type ModelShape,
 } from "./types.ts";
 
-/** Waiting for the pass that an engine is in, and the hop, in milliseconds. */
-const STAGE_MS = 0.5;
 /**
  * What a hop into another failure domain counts as, in milliseconds a token.
  * It takes a quarter of a millisecond, but each crossing carries the
@@ -331,9 +330,8 @@
 
 /** Milliseconds that one layer adds to a token on this engine. */
 function layerCost(model: ModelShape, candidate: StageCandidate): number {
-  const stepMs = (model.stepMs * candidate.stepFactor) / model.layerCount;
   const share = layersIn(candidate.held) / model.layerCount;
   const crowd = 1 + candidate.load * (1 + share);
   const full = candidate.load > FULL_LOAD ? FULL_COST_FACTOR : 1;
-  return stepMs * crowd * full;
+  return layerMs(model, candidate) * crowd * full;
 }
--- a/packages/pipelines/src/pipeline_path_test.ts
+++ b/packages/pipelines/src/pipeline_path_test.ts
@@ -16,6 +16,7 @@
   stepMs: 6,
   usualPromptTokens: 10,
   usualAnswerTokens: 10,
+  mostAnswers: 134,
 };
 
 function stage(
--- a/packages/pipelines/src/types.ts
+++ b/packages/pipelines/src/types.ts
@@ -20,6 +20,8 @@
   readonly usualPromptTokens: number;
   /** Mean number of generated tokens. */
   readonly usualAnswerTokens: number;
+  /** Answers that an engine takes at once as the first stage. */
+  readonly mostAnswers: number;
 }
 
 /** An engine as the decisions see it. */
