Let instances tell each other what their answers use of engines

Hypothesis: each instance guesses what the others use (its own times their number); the fastest engines are overfilled, and preempt answers in the middle.

Change: each tells its use in datagrams, at most 2.5 KB a second over all peers; what a silent instance uses is estimated as before.

Tests: use_exchange_test holds bytes a second at 40 instances and datagrams that come late or are none.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,7 +1,11 @@
 /** Wires one instance that forwards requests by the platform's protocols. */
 import { once, setMaxListeners } from "node:events";
 import type { Server } from "node:http";
-import { createPeerCaller, startPeerServer } from "@rosemarypin/membership";
+import {
+  createPeerCaller,
+  createUdpTransport,
+  startPeerServer,
+} from "@rosemarypin/membership";
 import { createLogger } from "@rosemarypin/telemetry";
 import { pause } from "@rosemarypin/timing";
 import { createAdministration } from "./administration.ts";
@@ -17,6 +21,7 @@
   createOperatorsServer,
   createReadinessServer,
 } from "./control_listener.ts";
+import { createEngineUse } from "./engine_use.ts";
 import { forwardPlain } from "./forward_plain.ts";
 import { forwardStream } from "./forward_stream.ts";
 import { createGatewayMetrics } from "./gateway_metrics.ts";
@@ -32,6 +37,7 @@
 import { createServerChoice } from "./server_choice.ts";
 import type { GatewaySettings, ListenAddress } from "./settings.ts";
 import { createStallWatch } from "./stall_watch.ts";
+import { startUseExchange } from "./use_exchange.ts";
 
 /** Kept back of the grace time, so that the process ends by itself. */
 const STOP_MARGIN_MS = 400;
@@ -114,11 +120,22 @@
   );
   const exchange = createBackendExchange();
   const choice = createServerChoice({ fleet, failureDomain });
+  const use = createEngineUse();
   const router = createPipelineRouter({
     fleet,
     failureDomain,
-    instancesIn: presence.countIn,
+    use,
+    othersIn: presence.othersIn,
   });
+  if (settings.peers) {
+    startUseExchange({
+      transport: await createUdpTransport(settings.peers),
+      instance,
+      use,
+      peers: presence.peers,
+      signal,
+    });
+  }
   const stalls = createStallWatch({ fleet, engines });
   startPlacement({
     keeper,
--- a/packages/gateway/src/ordering_right_test.ts
+++ b/packages/gateway/src/ordering_right_test.ts
@@ -91,8 +91,8 @@
     const [first, refused] = instances;
     refused.faults.down = true;
     await vi.advanceTimersByTimeAsync(8_000);
-    expect(first.presence.countIn("b")).toBe(1);
+    expect(first.presence.othersIn("b")).toEqual(["b-1"]);
     await vi.advanceTimersByTimeAsync(8_000);
-    expect(first.presence.countIn("b")).toBe(0);
+    expect(first.presence.othersIn("b")).toEqual([]);
   });
 });
--- a/packages/gateway/src/pipeline_router.ts
+++ b/packages/gateway/src/pipeline_router.ts
@@ -10,6 +10,7 @@
 import type { BackendFleet } from "./backend_fleet.ts";
 import type { BackendServer } from "./backend_server.ts";
 import type { EngineShape, Service } from "./configuration.ts";
+import type { EngineUse } from "./engine_use.ts";
 import type { AddressedStage } from "./protocol.ts";
 
 export interface PipelineRequest {
@@ -42,29 +43,21 @@
   missingLayers(request: Pick<PipelineRequest, "service" | "avoided">): string;
 }
 
-interface Use {
-  answers: number;
-  /** Tokens times layers. */
-  tokenLayers: number;
-}
-
 export interface PipelineRouterOptions {
   readonly fleet: BackendFleet;
   readonly failureDomain: string;
-  /** Live instances in a failure domain, this one included. */
-  readonly instancesIn: (failureDomain: string) => number;
+  readonly use: EngineUse;
+  /** Other instances that may send answers from a failure domain, by name. */
+  readonly othersIn: (failureDomain: string) => readonly string[];
 }
 
 /** Creates a router without answers in progress. */
 export function createPipelineRouter({
   fleet,
   failureDomain,
-  instancesIn,
+  use,
+  othersIn,
 }: PipelineRouterOptions): PipelineRouter {
-  const uses = new Map<string, Use>();
-  /** Of all answers in progress here. */
-  let totalTokens = 0;
-
   function candidates(
     service: Service,
     engine: EngineShape,
@@ -100,16 +93,19 @@
 
   /**
    * Memory of an engine that answers of all instances take, in tokens times
-   * layers. An instance knows its own answers only. Callers are spread over
-   * instances, and each of them prefers the engines of its domain: so others
-   * there have as many as this one, and instances of another domain have as
-   * many at their engines as this one has in all.
+   * layers. An instance that did not tell its use lately is taken to use as
+   * much as this one: callers are spread over instances, and each prefers the
+   * engines of its own domain. One of another domain has as many answers at
+   * the engines there as this one has in all.
    */
   function estimateUse(server: BackendServer, layers: number): number {
-    const own = uses.get(server.id)?.tokenLayers ?? 0;
-    const others = instancesIn(server.failureDomain);
-    if (server.failureDomain === failureDomain) return own * others;
-    return own + totalTokens * layers * others;
+    const own = use.own().get(server.id) ?? 0;
+    const silent = othersIn(server.failureDomain).filter(
+      (instance) => !use.isTold(instance),
+    ).length;
+    const isHome = server.failureDomain === failureDomain;
+    const bySilent = silent * (isHome ? own : use.ownTokens() * layers);
+    return own + use.byOthers(server.id) + bySilent;
   }
 
   function find(
@@ -135,40 +131,19 @@
     return known.length === stages.length ? known : null;
   }
 
-  function use(
+  function take(
     stages: readonly AddressedStage[],
     tokens: number,
   ): ChosenPipeline | null {
     const first = fleet.get(stages[0]?.engineId ?? "");
     if (!first) return null;
-    let released = false;
-    count(stages, tokens);
-    return {
-      stages,
-      first,
-      release() {
-        if (released) return;
-        released = true;
-        count(stages, -tokens);
-      },
-    };
-  }
-
-  function count(stages: readonly AddressedStage[], tokens: number): void {
-    totalTokens += tokens;
-    for (const { engineId, range } of stages) {
-      const use = uses.get(engineId) ?? { answers: 0, tokenLayers: 0 };
-      use.answers += Math.sign(tokens);
-      use.tokenLayers += tokens * layersIn(range);
-      if (use.answers === 0) uses.delete(engineId);
-      else uses.set(engineId, use);
-    }
+    return { stages, first, release: use.take(stages, tokens) };
   }
 
   return {
     choose(request) {
       const stages = find(request);
-      return stages ? use(stages, request.tokens) : null;
+      return stages ? take(stages, request.tokens) : null;
     },
     replaceStage({ stages }, request) {
       const at = stages.findIndex(({ address }) => address === request.address);
@@ -184,7 +159,7 @@
         ...others,
         ...stages.slice(at + 1),
       ];
-      return use(changed, request.tokens);
+      return take(changed, request.tokens);
     },
     missingLayers({ service, avoided }) {
       const { engine } = service;
--- a/packages/gateway/src/presence.ts
+++ b/packages/gateway/src/presence.ts
@@ -54,8 +54,8 @@
    * for a while may be cut off, and still send its part of the repeats.
    */
   countPossible(): number;
-  /** Live instances in a failure domain, this one included. */
-  countIn(failureDomain: string): number;
+  /** Other instances that may send requests from a failure domain. */
+  othersIn(failureDomain: string): readonly string[];
   /** Whether another live instance is in the failure domain. */
   hasOther(failureDomain: string): boolean;
   /** Live instances whose names come first, in a domain or in all. */
@@ -175,16 +175,18 @@
   }
 
   /** Others that may send requests from a domain, judged by the same time. */
-  function sendingIn(domain: string): number {
-    return [...others.values()].filter(
-      ({ presence, movedAt }) =>
-        presence.failureDomain === domain &&
-        !presence.leaving &&
-        readAt - movedAt < COUNTED_FOR_MS,
-    ).length;
+  function sendingIn(domain: string): string[] {
+    return [...others]
+      .filter(
+        ([, { presence, movedAt }]) =>
+          presence.failureDomain === domain &&
+          !presence.leaving &&
+          readAt - movedAt < COUNTED_FOR_MS,
+      )
+      .map(([other]) => other.slice(PRESENCE_PREFIX.length));
   }
 
-  function othersIn(domain: string): number {
+  function countLiveIn(domain: string): number {
     return live().filter((presence) => presence.failureDomain === domain)
       .length;
   }
@@ -197,8 +199,8 @@
           [...others.values()].filter(({ presence }) => !presence.leaving)
             .length,
       ),
-    countIn: (domain) => sendingIn(domain) + (domain === failureDomain ? 1 : 0),
-    hasOther: (domain) => othersIn(domain) > 0,
+    othersIn: sendingIn,
+    hasOther: (domain) => countLiveIn(domain) > 0,
     ahead: (domain) =>
       liveObjects().filter(
         ([other, { presence }]) =>
