Start from compiled code, and let callers wait for the first reading

Hypothesis: after the loss of all instances callers get nothing until a new process listens; most of that time is compiling.

--- a/packages/gateway/src/caller_listener.ts
+++ b/packages/gateway/src/caller_listener.ts
@@ -19,6 +19,7 @@
   ConfigurationKeeper,
 } from "./configuration_keeper.ts";
 import type { RequestCodec, RequestFacts } from "./protocol.ts";
+import type { WarmUp } from "./warm_up.ts";
 
 /** Until a configuration tells the bounds on callers. */
 const FIRST_LIMITS: CallerLimits = {
@@ -46,6 +47,8 @@
   readonly keeper: ConfigurationKeeper;
   readonly codec: RequestCodec;
   readonly forward: (call: CallerCall) => Promise<CallEnd>;
+  /** What a request waits for right after the start. */
+  readonly warmUp: WarmUp;
   /** Milliseconds since the signal to stop; `null` before it. */
   readonly stoppingForMs: () => number | null;
   readonly onEnded: (call: CallerCall, end: CallEnd) => void;
@@ -113,6 +116,7 @@
   ): Promise<void> {
     const startedAt = performance.now();
     const facts = codec.decodeRequest(request.headers);
+    await options.warmUp();
     const applied = keeper.applied();
     const isLate = (options.stoppingForMs() ?? 0) > TAKEN_AFTER_STOP_MS;
     const admitted = isLate
--- a/tools/bundle.mjs
+++ b/tools/bundle.mjs
@@ -1,17 +1,15 @@
 /**
- * Makes the daemon for the users' platform: one file under `target/`. A start
- * from one file takes half the processor time of one from many.
+ * Makes the daemon for the users' platform under `target/`: one script, a
+ * cache of its compiled code, and the program that starts it with the cache.
+ * After a crash callers wait for the start, most of which would be compiling.
  */
+import { spawnSync } from "node:child_process";
+import { copyFileSync } from "node:fs";
 import { fileURLToPath } from "node:url";
 import { build } from "esbuild";
 
 const root = fileURLToPath(new URL("..", import.meta.url));
-
-/** Lets libraries in the bundle that are not modules load Node's own. */
-const REQUIRE = `
-import { createRequire as createBundleRequire } from "node:module";
-const require = createBundleRequire(import.meta.url);
-`;
+const target = `${root}target/`;
 
 /** Packages of the workspace are bundled from their sources. */
 const workspaceSources = {
@@ -20,20 +18,55 @@
     builder.onResolve({ filter: /^@rosemarypin\// }, ({ path }) => {
       const name = path.slice("@rosemarypin/".length);
       const folder = name === "platform" ? name : `packages/${name}`;
-      return { path: `${root}${folder}/src/mod.ts` };
+      const mod = `${root}${folder}/src/mod.ts`;
+      return { path: mod, sideEffects: false };
     });
   },
 };
 
-await build({
-  entryPoints: [`${root}platform/src/main.ts`],
-  outfile: `${root}target/rosemarypind.mjs`,
-  bundle: true,
-  platform: "node",
-  format: "esm",
-  target: "node20",
-  minifySyntax: true,
-  sourcemap: false,
-  banner: { js: REQUIRE },
-  plugins: [workspaceSources],
-});
+/** Leaves out modules that nothing uses; some of them await at their top. */
+async function shake() {
+  const { outputFiles } = await build({
+    entryPoints: [`${root}platform/src/main.ts`],
+    bundle: true,
+    platform: "node",
+    format: "esm",
+    target: "node20",
+    write: false,
+    plugins: [workspaceSources],
+  });
+  return outputFiles[0].text.replace(/^#!.*/, "");
+}
+
+/** Makes a script of the module: the code cache takes scripts only. */
+async function makeScript(contents) {
+  await build({
+    stdin: { contents, resolveDir: root, sourcefile: "rosemarypind.mjs" },
+    outfile: `${target}rosemarypind_script.js`,
+    bundle: true,
+    platform: "node",
+    format: "cjs",
+    target: "node20",
+    minify: true,
+    define: { "import.meta": "importMeta" },
+    banner: {
+      js: 'const importMeta={url:require("node:url").pathToFileURL(__filename).href};',
+    },
+  });
+}
+
+/** Functions that a check of settings calls are in the cache, compiled. */
+function cacheCode() {
+  const program = `${target}rosemarypind.cjs`;
+  copyFileSync(`${root}tools/cached_start.cjs`, program);
+  const settings = `${root}examples/platform_settings.json`;
+  const made = spawnSync(
+    process.execPath,
+    [program, "--make-code-cache", "--settings", settings, "--check"],
+    { stdio: ["ignore", "ignore", "inherit"] },
+  );
+  if (made.status !== 0) throw new Error("the code cache was not made");
+}
+
+await makeScript(await shake());
+cacheCode();
--- /dev/null
+++ b/tools/cached_start.cjs
@@ -0,0 +1,31 @@
+/**
+ * Starts the daemon from its script and the cache of its compiled code. A
+ * cache of another version of Node.js is passed over.
+ */
+const { existsSync, readFileSync, writeFileSync } = require("node:fs");
+const { join } = require("node:path");
+const { constants, Script } = require("node:vm");
+
+const MAKE_CACHE = "--make-code-cache";
+
+const filename = join(__dirname, "rosemarypind_script.js");
+const cacheFile = join(__dirname, "rosemarypind_script.cache");
+const makesCache = process.argv[2] === MAKE_CACHE;
+
+const source = readFileSync(filename, "utf8");
+const parameters = "exports, require, module, __filename, __dirname";
+const script = new Script(`(function (${parameters}) {${source}\n})`, {
+  filename,
+  cachedData:
+    !makesCache && existsSync(cacheFile) ? readFileSync(cacheFile) : undefined,
+  importModuleDynamically: constants.USE_MAIN_CONTEXT_DEFAULT_LOADER,
+});
+
+if (makesCache) process.argv.splice(2, 1);
+const daemon = { exports: {} };
+script.runInThisContext()(daemon.exports, require, daemon, filename, __dirname);
+if (makesCache) {
+  process.once("exit", () => {
+    writeFileSync(cacheFile, script.createCachedData());
+  });
+}
