--- a/packages/gateway/src/backend_fleet.ts
+++ b/packages/gateway/src/backend_fleet.ts
@@ -69,7 +69,12 @@
 }: BackendFleetOptions): BackendFleet {
   const servers = new Map<string, BackendServer>();
   const suspicion = createDomainSuspicion(failureDomain);
-  const doubts = createDoubts({ probe, onSilent: suspectDomain, signal });
+  const doubts = createDoubts({
+    probe,
+    onSilent: suspectDomain,
+    onSuspected: changed,
+    signal,
+  });
   const callbacks: ((id: string) => void)[] = [];
   const voided = new Map<string, BackendServer>();
   const reportedAt = new Map<string, number>();
--- a/packages/gateway/src/doubts.ts
+++ b/packages/gateway/src/doubts.ts
@@ -16,6 +16,12 @@
 const LONGEST_PROBE_MS = 1_200;
 /** Probes in a row without an answer after which a server counts as gone. */
 const MISSES_OF_GONE = 2;
+/** Probes without an answer that each reason stands for. */
+const MISSES_BY_REASON: Readonly<Record<AwayReason, number>> = {
+  silent: 0,
+  unresponsive: 1,
+  ended: MISSES_OF_GONE,
+};
 /**
  * A server without probes is tried again after this, doubled with each
  * failure; its own requests then show whether it is back.
@@ -31,6 +37,8 @@
 export type AwayReason =
   /** It did not answer, or a connection did not come about. */
   | "silent"
+  /** It did not answer a probe, and its answers stand still. */
+  | "unresponsive"
   /** Its address refuses connections: the process has ended. */
   | "ended";
 
@@ -43,6 +51,8 @@
   worked(id: string): void;
   /** Whether requests keep away from it. */
   isDoubted(id: string): boolean;
+  /** Whether engines without work may take its layers, should it be gone. */
+  isSuspected(id: string): boolean;
   /** Whether its layers are to be held by others. */
   isGone(id: string): boolean;
 }
@@ -60,6 +70,8 @@
   readonly probe: (id: string) => Promise<boolean | null>;
   /** Called when a server falls silent that was not doubted before. */
   readonly onSilent?: (id: string) => void;
+  /** Called with each sign that a server may be gone. */
+  readonly onSuspected?: (id: string) => void;
   readonly signal: AbortSignal;
 }
 
@@ -67,6 +79,7 @@
 export function createDoubts({
   probe,
   onSilent,
+  onSuspected,
   signal,
 }: DoubtsOptions): Doubts {
   const doubts = new Map<string, Doubt>();
@@ -94,6 +107,7 @@
         return;
       }
       doubt.misses += 1;
+      onSuspected?.(id);
       if (doubt.misses === MISSES_OF_GONE) {
         log.warn("server_not_answering", { id, misses: doubt.misses });
       }
@@ -108,7 +122,7 @@
 
   async function begin(id: string, reason: AwayReason): Promise<void> {
     const now = performance.now();
-    const misses = reason === "ended" ? MISSES_OF_GONE : 0;
+    const misses = MISSES_BY_REASON[reason];
     const doubt: Doubt = {
       since: now,
       probed: true,
@@ -118,7 +132,8 @@
     };
     doubts.set(id, doubt);
     log.warn("server_doubted", { id, reason });
-    if (reason === "silent") onSilent?.(id);
+    if (reason !== "ended") onSilent?.(id);
+    if (misses > 0) onSuspected?.(id);
     if ((await probe(id)) === null) {
       doubts.set(id, { ...doubt, probed: false, misses: 0 });
       const timed = doubts.get(id);
@@ -136,7 +151,8 @@
         return;
       }
       if (last.probed) {
-        if (reason === "ended") last.misses = MISSES_OF_GONE;
+        last.misses = Math.max(last.misses, MISSES_BY_REASON[reason]);
+        if (last.misses > 0) onSuspected?.(id);
         return;
       }
       // Requests sent before the first failure showed say nothing new.
@@ -159,6 +175,10 @@
       const doubt = doubts.get(id);
       return doubt !== undefined && now < doubt.until;
     },
+    isSuspected(id) {
+      const doubt = doubts.get(id);
+      return doubt?.probed === true && doubt.misses > 0;
+    },
     isGone(id) {
       const doubt = doubts.get(id);
       return doubt?.probed === true && doubt.misses >= MISSES_OF_GONE;
--- a/packages/gateway/src/engine_use.ts
+++ b/packages/gateway/src/engine_use.ts
@@ -9,41 +9,67 @@
  */
 export const TOLD_FOR_MS = 3_000;
 
-/** Use of engines by one instance, in tokens times layers, by engine. */
-export type UseByEngine = ReadonlyMap<string, number>;
+/** What answers of one instance use of an engine, in tokens times layers. */
+export interface EngineLoad {
+  /** Memory, once the answers are whole. */
+  readonly held: number;
+  /** Prompts that are still to be read. */
+  readonly unread: number;
+}
+
+export type LoadByEngine = ReadonlyMap<string, EngineLoad>;
+
+/** An answer that is counted at its stages. */
+export interface TakenUse {
+  /** Its prompt has been read. */
+  begun(): void;
+  release(): void;
+}
 
 export interface EngineUse {
-  /** Counts an answer's memory at its stages until the result is called. */
-  take(stages: readonly AddressedStage[], tokens: number): () => void;
+  /** Counts an answer at its stages; some of them have its prompt to read. */
+  take(answer: {
+    readonly stages: readonly AddressedStage[];
+    readonly tokens: number;
+    readonly unreadTokens: number;
+    readonly unreadStages: readonly AddressedStage[];
+  }): TakenUse;
   /** Of this instance's answers, by engine. */
-  own(): UseByEngine;
+  own(): LoadByEngine;
   /** Tokens of all answers of this instance. */
   ownTokens(): number;
   /** Takes in what another instance uses. */
-  told(instance: string, use: UseByEngine): void;
+  told(instance: string, loads: LoadByEngine): void;
   /** Of one engine by the others that told lately. */
-  byOthers(engineId: string): number;
-  /** Whether another instance told its use lately. */
-  isTold(instance: string): boolean;
+  byOthers(engineId: string): EngineLoad;
+  /** What another instance told lately; `null` when it did not. */
+  toldBy(instance: string): LoadByEngine | null;
 }
 
 interface Told {
-  readonly use: UseByEngine;
+  readonly loads: LoadByEngine;
   readonly at: number;
 }
 
+const NO_LOAD: EngineLoad = { held: 0, unread: 0 };
+
 /** Creates the record without answers in progress. */
 export function createEngineUse(): EngineUse {
-  const own = new Map<string, number>();
+  const own = new Map<string, EngineLoad>();
   const others = new Map<string, Told>();
   let ownTokens = 0;
 
-  function count(stages: readonly AddressedStage[], tokens: number): void {
-    ownTokens += tokens;
+  function add(
+    stages: readonly AddressedStage[],
+    per: { readonly held: number; readonly unread: number },
+  ): void {
     for (const { engineId, range } of stages) {
-      const use = (own.get(engineId) ?? 0) + tokens * layersIn(range);
-      if (use === 0) own.delete(engineId);
-      else own.set(engineId, use);
+      const layers = layersIn(range);
+      const load = own.get(engineId) ?? NO_LOAD;
+      const held = load.held + per.held * layers;
+      const unread = load.unread + per.unread * layers;
+      if (held === 0 && unread === 0) own.delete(engineId);
+      else own.set(engineId, { held, unread });
     }
   }
 
@@ -52,31 +78,52 @@
   }
 
   return {
-    take(stages, tokens) {
+    take({ stages, tokens, unreadTokens, unreadStages }) {
       let isTaken = true;
-      count(stages, tokens);
-      return () => {
-        if (!isTaken) return;
-        isTaken = false;
-        count(stages, -tokens);
+      let isUnread = true;
+      ownTokens += tokens;
+      add(stages, { held: tokens, unread: 0 });
+      add(unreadStages, { held: 0, unread: unreadTokens });
+
+      function begun(): void {
+        if (!isUnread) return;
+        isUnread = false;
+        add(unreadStages, { held: 0, unread: -unreadTokens });
+      }
+
+      return {
+        begun,
+        release() {
+          if (!isTaken) return;
+          isTaken = false;
+          begun();
+          ownTokens -= tokens;
+          add(stages, { held: -tokens, unread: 0 });
+        },
       };
     },
     own: () => own,
     ownTokens: () => ownTokens,
-    told(instance, use) {
-      others.set(instance, { use, at: performance.now() });
+    told(instance, loads) {
+      others.set(instance, { loads, at: performance.now() });
     },
     byOthers(engineId) {
-      let sum = 0;
+      let held = 0;
+      let unread = 0;
       for (const [instance, told] of others) {
-        if (isFresh(told)) sum += told.use.get(engineId) ?? 0;
-        else others.delete(instance);
+        if (!isFresh(told)) {
+          others.delete(instance);
+          continue;
+        }
+        const load = told.loads.get(engineId) ?? NO_LOAD;
+        held += load.held;
+        unread += load.unread;
       }
-      return sum;
+      return { held, unread };
     },
-    isTold(instance) {
+    toldBy(instance) {
       const told = others.get(instance);
-      return told !== undefined && isFresh(told);
+      return told && isFresh(told) ? told.loads : null;
     },
   };
 }
--- a/packages/gateway/src/engine_use_test.ts
+++ b/packages/gateway/src/engine_use_test.ts
@@ -18,32 +18,52 @@
 describe("the use of engines", () => {
   it("counts an answer at each stage until it is released, once", () => {
     const use = createEngineUse();
-    const release = use.take(stages, 100);
-    use.take(stages.slice(0, 1), 50);
+    const answer = { stages, tokens: 100, unreadTokens: 80 };
+    const taken = use.take({ ...answer, unreadStages: stages });
+    use.take({
+      stages: stages.slice(0, 1),
+      tokens: 50,
+      unreadTokens: 0,
+      unreadStages: [],
+    });
     expect([...use.own()]).toEqual([
-      ["e-1", 1_500],
-      ["e-2", 2_000],
+      ["e-1", { held: 1_500, unread: 800 }],
+      ["e-2", { held: 2_000, unread: 1_600 }],
     ]);
-    release();
-    release();
-    expect([...use.own()]).toEqual([["e-1", 500]]);
+    taken.release();
+    taken.release();
+    expect([...use.own()]).toEqual([["e-1", { held: 500, unread: 0 }]]);
     expect(use.ownTokens()).toBe(50);
   });
 
+  it("counts a prompt as unread until the answer begins, once", () => {
+    const use = createEngineUse();
+    const answer = { stages, tokens: 100, unreadTokens: 80 };
+    const taken = use.take({ ...answer, unreadStages: stages.slice(1) });
+    taken.begun();
+    taken.begun();
+    expect([...use.own()]).toEqual([
+      ["e-1", { held: 1_000, unread: 0 }],
+      ["e-2", { held: 2_000, unread: 0 }],
+    ]);
+    taken.release();
+    expect([...use.own()]).toEqual([]);
+  });
+
   it("sums up what others told, the latest word of each", () => {
     const use = createEngineUse();
-    use.told("b", new Map([["e-1", 10]]));
-    use.told("b", new Map([["e-1", 30]]));
-    use.told("c", new Map([["e-1", 5]]));
-    expect(use.byOthers("e-1")).toBe(35);
-    expect(use.byOthers("e-2")).toBe(0);
+    use.told("b", new Map([["e-1", { held: 10, unread: 1 }]]));
+    use.told("b", new Map([["e-1", { held: 30, unread: 2 }]]));
+    use.told("c", new Map([["e-1", { held: 5, unread: 3 }]]));
+    expect(use.byOthers("e-1")).toEqual({ held: 35, unread: 5 });
+    expect(use.byOthers("e-2")).toEqual({ held: 0, unread: 0 });
   });
 
   it("forgets an instance that fell silent", () => {
     const use = createEngineUse();
-    use.told("b", new Map([["e-1", 30]]));
+    use.told("b", new Map([["e-1", { held: 30, unread: 2 }]]));
     vi.advanceTimersByTime(TOLD_FOR_MS);
-    expect(use.byOthers("e-1")).toBe(0);
-    expect(use.isTold("b")).toBe(false);
+    expect(use.byOthers("e-1")).toEqual({ held: 0, unread: 0 });
+    expect(use.toldBy("b")).toBeNull();
   });
 });
--- a/packages/gateway/src/forward_stream.ts
+++ b/packages/gateway/src/forward_stream.ts
@@ -58,10 +58,17 @@
   let runs = 0;
   let lost = 0;
   let waitedMs = 0;
-  const tokens = tokensOf(call);
+  const { tokens, unreadTokens } = sizeOf(call);
   let last: RunEnd = { kind: "not_run", detail: "no_pipeline" };
   while (!call.signal.aborted) {
-    const pipeline = router.choose({ service: call.service, tokens, avoided });
+    const pipeline = router.choose({
+      service: call.service,
+      tokens,
+      unreadTokens,
+      avoided,
+      // Sent to engines without room, answers push others out of memory.
+      ...(progress.begun && waitedMs < LONGEST_WAIT_MS ? { mostLoad: 1 } : {}),
+    });
     if (!pipeline) {
       if (!progress.begun || waitedMs >= LONGEST_WAIT_MS) {
         log.warn("no_pipeline", {
@@ -86,7 +93,15 @@
       break;
     }
     attempts += 1;
-    const run = { pipeline, tokens, avoided, stop: new AbortController() };
+    const run = {
+      pipeline,
+      tokens,
+      unreadTokens,
+      avoided,
+      mayGoElsewhere:
+        call.route.resumable && runs - lost + 1 < call.route.maxAttempts,
+      stop: new AbortController(),
+    };
     last = await runStream(call, run, { progress, parts });
     if (last.kind === "complete") break;
     if (last.kind === "not_run") {
@@ -102,11 +117,16 @@
   return endOf(call, { last, progress, attempts, runs, codec: parts.codec });
 }
 
-function tokensOf({ facts, service }: CallerCall): number {
+/** Tokens of a call's prompt, and those with its expected answer. */
+function sizeOf({ facts, service }: CallerCall): {
+  readonly tokens: number;
+  readonly unreadTokens: number;
+} {
   const model = service.engine?.model;
   const usualAnswer = model?.usualAnswerTokens ?? 0;
-  const prompt = facts.promptTokens ?? model?.usualPromptTokens ?? 0;
-  return prompt + Math.min(facts.mostAnswerTokens ?? usualAnswer, usualAnswer);
+  const unreadTokens = facts.promptTokens ?? model?.usualPromptTokens ?? 0;
+  const answer = Math.min(facts.mostAnswerTokens ?? usualAnswer, usualAnswer);
+  return { tokens: unreadTokens + answer, unreadTokens };
 }
 
 function endOf(
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -36,8 +36,9 @@
 import { createRetryBudget } from "./retry_budget.ts";
 import { createServerChoice } from "./server_choice.ts";
 import type { GatewaySettings, ListenAddress } from "./settings.ts";
-import { createStallWatch } from "./stall_watch.ts";
+import { createStallDetector } from "./stall_detector.ts";
 import { startUseExchange } from "./use_exchange.ts";
+import { createWarmUp } from "./warm_up.ts";
 
 /** Kept back of the grace time, so that the process ends by itself. */
 const STOP_MARGIN_MS = 400;
@@ -136,7 +137,7 @@
       signal,
     });
   }
-  const stalls = createStallWatch({ fleet, engines });
+  const stalls = createStallDetector({ fleet, engines });
   startPlacement({
     keeper,
     fleet,
@@ -154,6 +155,10 @@
     keeper,
     codec,
     forward,
+    warmUp: createWarmUp(
+      () =>
+        keeper.applied() !== null && servers.ageMs() < Number.POSITIVE_INFINITY,
+    ),
     stoppingForMs: () =>
       stoppedAt === null ? null : performance.now() - stoppedAt,
     onEnded: metrics.countEnd,
--- a/packages/gateway/src/pipeline_router.ts
+++ b/packages/gateway/src/pipeline_router.ts
@@ -3,6 +3,7 @@
   findPipeline,
   type LayerRange,
   layersIn,
+  readMs,
   roomTokens,
   type Stage,
   type StageCandidate,
@@ -10,34 +11,43 @@
 import type { BackendFleet } from "./backend_fleet.ts";
 import type { BackendServer } from "./backend_server.ts";
 import type { EngineShape, Service } from "./configuration.ts";
-import type { EngineUse } from "./engine_use.ts";
+import type { EngineLoad, EngineUse, TakenUse } from "./engine_use.ts";
 import type { AddressedStage } from "./protocol.ts";
 
 export interface PipelineRequest {
   readonly service: Service;
   /** Prompt and expected answer, in tokens. */
   readonly tokens: number;
+  /** Those of them that are read before the first event. */
+  readonly unreadTokens: number;
   /** Engines that this answer is to keep away from. */
   readonly avoided: ReadonlySet<string>;
+  /** Share of memory that may be in use on each engine, this answer included. */
+  readonly mostLoad?: number;
 }
 
 /** A pipeline that is counted as in use until it is released. */
-export interface ChosenPipeline {
+export interface ChosenPipeline extends TakenUse {
   readonly stages: readonly AddressedStage[];
   readonly first: BackendServer;
-  release(): void;
 }
 
 export interface PipelineRouter {
   /** Chooses a pipeline, or gives `null` when a layer is held by nobody. */
   choose(request: PipelineRequest): ChosenPipeline | null;
+  /** Whether there is a pipeline for the request. */
+  hasRoom(request: PipelineRequest): boolean;
   /**
    * Puts other engines in the place of one stage and counts them as in use;
    * `null` when nobody else holds its layers.
    */
   replaceStage(
     pipeline: ChosenPipeline,
-    request: PipelineRequest & { readonly address: string },
+    request: PipelineRequest & {
+      readonly address: string;
+      /** Whether only engines of the lost one's failure domain will do. */
+      readonly sameDomain: boolean;
+    },
   ): ChosenPipeline | null;
   /** Layers that no usable engine holds, as ranges, for the log. */
   missingLayers(request: Pick<PipelineRequest, "service" | "avoided">): string;
@@ -65,56 +75,77 @@
   ): StageCandidate[] {
     return fleet.ofService(service.name).flatMap((server) => {
       const kind = engine.kinds.get(server.kind ?? "");
-      const { held } = server;
-      if (!kind || !held || avoided.has(server.id)) return [];
+      const { id, held, failureDomain } = server;
+      if (!kind || !held || avoided.has(id)) return [];
       if (!fleet.isUsable(server)) return [];
       const { memoryMb, stepFactor, readFactor } = kind;
+      const { model } = engine;
       const layers = layersIn(held);
-      const room = roomTokens(engine.model, { memoryMb, layers }) * layers;
-      const used = estimateUse(server, layers);
+      const room = roomTokens(model, { memoryMb, layers }) * layers;
+      const load = estimateLoad(server, layers);
+      // What others send is estimated; an engine that refused an answer was
+      // asked, and knows better while its word is new.
+      const reported = fleet.reportedLoad(id) ?? 0;
       return [
         {
-          id: server.id,
-          failureDomain: server.failureDomain,
+          id,
+          failureDomain,
           memoryMb,
           stepFactor,
           readFactor,
           held,
-          // What others send is estimated; an engine that refused an answer
-          // was asked, and knows better while its word is new.
-          load: Math.max(
-            used / Math.max(1, room),
-            fleet.reportedLoad(server.id) ?? 0,
-          ),
+          load: Math.max(load.held / Math.max(1, room), reported),
+          backlogMs: readMs(model, { readFactor, tokenLayers: load.unread }),
         },
       ];
     });
   }
 
   /**
-   * Memory of an engine that answers of all instances take, in tokens times
-   * layers. An instance that did not tell its use lately is taken to use as
-   * much as this one: callers are spread over instances, and each prefers the
-   * engines of its own domain. One of another domain has as many answers at
-   * the engines there as this one has in all.
+   * What answers of all instances use of an engine. Callers are spread over
+   * instances, so one that did not tell its use lately is taken to use as much
+   * as the others of its failure domain do on the average.
    */
-  function estimateUse(server: BackendServer, layers: number): number {
-    const own = use.own().get(server.id) ?? 0;
-    const silent = othersIn(server.failureDomain).filter(
-      (instance) => !use.isTold(instance),
-    ).length;
-    const isHome = server.failureDomain === failureDomain;
-    const bySilent = silent * (isHome ? own : use.ownTokens() * layers);
-    return own + use.byOthers(server.id) + bySilent;
+  function estimateLoad(server: BackendServer, layers: number): EngineLoad {
+    const own = use.own().get(server.id) ?? NO_LOAD;
+    const told = use.byOthers(server.id);
+    const held = own.held + told.held + heldBySilent(server, layers);
+    return { held, unread: own.unread + told.unread };
+  }
+
+  function heldBySilent(
+    { id, failureDomain: home }: BackendServer,
+    layers: number,
+  ) {
+    const others = othersIn(home);
+    const told = others.flatMap((instance) => use.toldBy(instance) ?? []);
+    const silent = others.length - told.length;
+    if (silent === 0) return 0;
+    const known = told.map((loads) => loads.get(id)?.held ?? 0);
+    if (home === failureDomain) known.push(use.own().get(id)?.held ?? 0);
+    // Nothing is known of that domain: its instances have as many answers at
+    // its engines as this one has in all.
+    if (known.length === 0) return silent * use.ownTokens() * layers;
+    return silent * (sum(known) / known.length);
   }
 
   function find(
-    { service, avoided }: Pick<PipelineRequest, "service" | "avoided">,
-    range?: LayerRange,
+    request: PipelineRequest,
+    part: {
+      readonly range?: LayerRange;
+      readonly onlyDomain?: string | undefined;
+    } = {},
   ): AddressedStage[] | null {
+    const { service, avoided, mostLoad } = request;
     const { engine } = service;
     if (!engine) return null;
-    const found = findPipeline(candidates(service, engine, avoided), {
+    const { range, onlyDomain } = part;
+    const usable = candidates(service, engine, avoided).filter(
+      (one) =>
+        (onlyDomain === undefined || one.failureDomain === onlyDomain) &&
+        (mostLoad === undefined || hasRoomFor(one, request, engine)),
+    );
+    const found = findPipeline(usable, {
       model: engine.model,
       failureDomain,
       ...(range ? { range } : {}),
@@ -122,6 +153,15 @@
     return found ? addressed(found.stages) : null;
   }
 
+  function hasRoomFor(
+    { memoryMb, held, load }: StageCandidate,
+    { tokens, mostLoad = 1 }: PipelineRequest,
+    { model }: EngineShape,
+  ): boolean {
+    const room = roomTokens(model, { memoryMb, layers: layersIn(held) });
+    return load + tokens / Math.max(1, room) <= mostLoad;
+  }
+
   /** `null` when an engine went away meanwhile. */
   function addressed(stages: readonly Stage[]): AddressedStage[] | null {
     const known = stages.flatMap((stage) => {
@@ -133,18 +173,22 @@
 
   function take(
     stages: readonly AddressedStage[],
-    tokens: number,
+    request: PipelineRequest,
+    unreadStages: readonly AddressedStage[],
   ): ChosenPipeline | null {
     const first = fleet.get(stages[0]?.engineId ?? "");
     if (!first) return null;
-    return { stages, first, release: use.take(stages, tokens) };
+    const { tokens, unreadTokens } = request;
+    const taken = use.take({ stages, tokens, unreadTokens, unreadStages });
+    return { stages, first, ...taken };
   }
 
   return {
     choose(request) {
       const stages = find(request);
-      return stages ? take(stages, request.tokens) : null;
+      return stages ? take(stages, request, stages) : null;
     },
+    hasRoom: (request) => find(request) !== null,
     replaceStage({ stages }, request) {
       const at = stages.findIndex(({ address }) => address === request.address);
       const lost = stages[at];
@@ -152,14 +196,20 @@
       if (!lost || at === 0) return null;
       const inUse = stages.map(({ engineId }) => engineId);
       const avoided = new Set([...request.avoided, ...inUse]);
-      const others = find({ service: request.service, avoided }, lost.range);
+      const onlyDomain = request.sameDomain
+        ? fleet.get(lost.engineId)?.failureDomain
+        : undefined;
+      const others = find(
+        { ...request, avoided },
+        { range: lost.range, onlyDomain },
+      );
       if (!others) return null;
       const changed = [
         ...stages.slice(0, at),
         ...others,
         ...stages.slice(at + 1),
       ];
-      return take(changed, request.tokens);
+      return take(changed, request, others);
     },
     missingLayers({ service, avoided }) {
       const { engine } = service;
@@ -172,6 +222,12 @@
   };
 }
 
+const NO_LOAD: EngineLoad = { held: 0, unread: 0 };
+
+function sum(values: readonly number[]): number {
+  return values.reduce((total, value) => total + value, 0);
+}
+
 /** Ranges of layers that none of the others covers, such as `20-31,70-80`. */
 function describeGaps(ranges: readonly LayerRange[], layers: number): string {
   const gaps: string[] = [];
--- a/packages/gateway/src/placement_loop.ts
+++ b/packages/gateway/src/placement_loop.ts
@@ -9,7 +9,7 @@
 import { pause } from "@rosemarypin/timing";
 import type { BackendFleet } from "./backend_fleet.ts";
 import type { BackendServer } from "./backend_server.ts";
-import type { Service } from "./configuration.ts";
+import type { EngineShape, Service } from "./configuration.ts";
 import type { ConfigurationKeeper } from "./configuration_keeper.ts";
 import type { EngineCalls } from "./protocol.ts";
 
@@ -84,13 +84,29 @@
     const servers = fleet.ofService(service.name);
     const holdsNothing = servers.every(({ held }) => held === null);
     if (holdsNothing && performance.now() - changedAt < SETTLE_MS) return;
+    const usable = servers.filter(
+      ({ id, leaving }) => !leaving && !fleet.doubts.isGone(id),
+    );
+    const sure = usable.filter(({ id }) => !fleet.doubts.isSuspected(id));
+    const orders = plan(sure, engine);
+    // While it is not certain that an engine is gone, others keep what they
+    // hold; one that holds nothing loses nothing by loading in vain.
+    const isCertain = sure.length === usable.length;
+    const given = isCertain
+      ? orders
+      : orders.filter(({ engineId }) => fleet.get(engineId)?.held === null);
+    await Promise.all(given.map((order) => place(order)));
+  }
+
+  function plan(
+    servers: readonly BackendServer[],
+    engine: EngineShape,
+  ): LayerOrder[] {
     const planned = servers.flatMap((server) => {
       const kind = engine.kinds.get(server.kind ?? "");
-      if (!kind || server.leaving || fleet.doubts.isGone(server.id)) return [];
-      return [plannedEngine(server, kind)];
+      return kind ? [plannedEngine(server, kind)] : [];
     });
-    const orders = planLayers(planned, engine.model);
-    await Promise.all(orders.map((order) => place(order)));
+    return planLayers(planned, engine.model);
   }
 
   function plannedEngine(
--- /dev/null
+++ b/packages/gateway/src/stage_recovery_test.ts
@@ -0,0 +1,196 @@
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import type { CallerCall } from "./caller_call.ts";
+import type { ChosenPipeline } from "./pipeline_router.ts";
+import type { AddressedStage, MoveAnswer } from "./protocol.ts";
+import {
+  createStageRecovery,
+  type RecoveryParts,
+  type StreamRun,
+} from "./stage_recovery.ts";
+
+beforeEach(() => {
+  vi.useFakeTimers();
+});
+
+afterEach(() => {
+  vi.useRealTimers();
+});
+
+const STAGE_LOST = { kind: "stage", address: "dead:1" } as const;
+
+function stage(engineId: string, from: number, to: number): AddressedStage {
+  return { engineId, address: `${engineId}:1`, range: { from, to } };
+}
+
+function pipeline(...stages: AddressedStage[]): ChosenPipeline {
+  const first = { id: "first", address: "first:1" };
+  const counted = { begun: vi.fn(), release: vi.fn() };
+  return { stages, first, ...counted } as unknown as ChosenPipeline;
+}
+
+interface Surroundings {
+  /** What engines say to changes, in order. */
+  readonly answers?: readonly MoveAnswer[];
+  /** Engines of the lost one's domain that hold its layers. */
+  readonly near?: () => readonly string[];
+  /** Engines of other domains that do. */
+  readonly far?: readonly string[];
+  readonly hasRoomElsewhere?: boolean;
+}
+
+/** A run whose second stage is dead. */
+function setUp({
+  answers = [],
+  near = () => ["s1", "s2", "s3", "s4"],
+  far = [],
+  hasRoomElsewhere = false,
+}: Surroundings = {}) {
+  const kept = stage("first", 0, 4);
+  const run: StreamRun = {
+    pipeline: pipeline(kept, stage("dead", 4, 8)),
+    tokens: 100,
+    unreadTokens: 80,
+    avoided: new Set<string>(),
+    mayGoElsewhere: true,
+    stop: new AbortController(),
+  };
+  const asked: string[] = [];
+  const refused: string[] = [];
+  const left = [...answers];
+  const parts = {
+    router: {
+      hasRoom: () => hasRoomElsewhere,
+      replaceStage(
+        _last: ChosenPipeline,
+        request: {
+          readonly avoided: ReadonlySet<string>;
+          readonly sameDomain: boolean;
+        },
+      ) {
+        const choices = request.sameDomain ? near() : [...near(), ...far];
+        const spare = choices.find((id) => !request.avoided.has(id));
+        return spare ? pipeline(kept, stage(spare, 4, 8)) : null;
+      },
+    },
+    engines: {
+      async changePipeline(
+        _address: string,
+        change: { pipeline: readonly AddressedStage[] },
+      ) {
+        asked.push(change.pipeline.at(-1)?.engineId ?? "");
+        return left.shift() ?? { kind: "moved" };
+      },
+    },
+    fleet: { doubts: { refused: (id: string) => refused.push(id) } },
+  } as unknown as RecoveryParts;
+  const call = {
+    id: "r",
+    service: {},
+    route: { resumable: true },
+    signal: new AbortController().signal,
+  } as CallerCall;
+  const onMoved = vi.fn();
+  const recovery = createStageRecovery(call, run, { parts, onMoved });
+  const settle = (ms = 0) => vi.advanceTimersByTimeAsync(ms);
+  return { run, asked, refused, recovery, onMoved, settle };
+}
+
+const full = (id: string): MoveAnswer => ({
+  kind: "no_room",
+  address: `${id}:1`,
+});
+
+describe("a stage that is lost", () => {
+  it("is replaced by the next engine when the first one is full", async () => {
+    const { run, asked, refused, recovery, onMoved, settle } = setUp({
+      answers: [full("s1"), { kind: "moved" }],
+    });
+    recovery.onStall(STAGE_LOST);
+    await settle();
+    expect(asked).toEqual(["s1", "s2"]);
+    expect(refused).toEqual(["s1"]);
+    expect(run.pipeline.stages.at(-1)?.engineId).toBe("s2");
+    expect(onMoved).toHaveBeenCalledOnce();
+    expect(run.stop.signal.aborted).toBe(false);
+  });
+
+  it("has its run given up after three engines without room", async () => {
+    const { run, asked, recovery, settle } = setUp({
+      answers: [full("s1"), full("s2"), full("s3")],
+      hasRoomElsewhere: true,
+    });
+    recovery.onStall(STAGE_LOST);
+    await settle();
+    expect(asked).toEqual(["s1", "s2", "s3"]);
+    expect(run.stop.signal.aborted).toBe(true);
+    expect(recovery.cause()).toBe("stage_away");
+  });
+
+  it("has its run given up when a stage that stays has no room", async () => {
+    const { run, asked, recovery, settle } = setUp({
+      answers: [full("first")],
+      hasRoomElsewhere: true,
+    });
+    recovery.onStall(STAGE_LOST);
+    await settle();
+    expect(asked).toEqual(["s1"]);
+    expect(run.stop.signal.aborted).toBe(true);
+  });
+
+  it("is waited for while an engine of its domain loads its layers", async () => {
+    let loaded: readonly string[] = [];
+    const { run, asked, recovery, settle } = setUp({
+      near: () => loaded,
+      far: ["f1"],
+    });
+    recovery.onStall(STAGE_LOST);
+    await settle(900);
+    expect(asked).toEqual([]);
+    loaded = ["s1"];
+    await settle(50);
+    expect(asked).toEqual(["s1"]);
+    expect(run.stop.signal.aborted).toBe(false);
+  });
+
+  it("is replaced from another domain before its caller leaves", async () => {
+    const { run, asked, recovery, settle } = setUp({
+      near: () => [],
+      far: ["f1"],
+    });
+    recovery.onStall(STAGE_LOST);
+    await settle(1_400);
+    expect(asked).toEqual([]);
+    await settle(200);
+    expect(asked).toEqual(["f1"]);
+    expect(run.stop.signal.aborted).toBe(false);
+  });
+
+  it("has its run go elsewhere at once where there is room", async () => {
+    const { run, recovery, settle } = setUp({
+      near: () => [],
+      hasRoomElsewhere: true,
+    });
+    recovery.onStall(STAGE_LOST);
+    await settle();
+    expect(run.stop.signal.aborted).toBe(true);
+    expect(run.avoided.has("dead")).toBe(true);
+  });
+
+  it("is left alone when the answer goes on meanwhile", async () => {
+    const { run, asked, recovery, settle } = setUp({ near: () => [] });
+    recovery.onStall(STAGE_LOST);
+    await settle(500);
+    recovery.heard();
+    await settle(5_000);
+    expect(asked).toEqual([]);
+    expect(run.stop.signal.aborted).toBe(false);
+  });
+});
+
+it("a run whose first engine is lost is given up at once", () => {
+  const { run, recovery } = setUp();
+  recovery.onStall({ kind: "first_engine" });
+  expect(run.stop.signal.aborted).toBe(true);
+  expect(recovery.cause()).toBe("first_engine_away");
+  expect(run.avoided.has("first")).toBe(true);
+});
--- /dev/null
+++ b/packages/gateway/src/stall_detector_test.ts
@@ -0,0 +1,199 @@
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import type { BackendFleet } from "./backend_fleet.ts";
+import type { EngineReport } from "./backend_server.ts";
+import type { ChosenPipeline } from "./pipeline_router.ts";
+import type { EngineCalls } from "./protocol.ts";
+import {
+  type AnswerFollower,
+  createStallDetector,
+  type Stall,
+} from "./stall_detector.ts";
+
+beforeEach(() => {
+  vi.useFakeTimers();
+});
+
+afterEach(() => {
+  vi.useRealTimers();
+});
+
+const STAGES = ["first", "second", "third"];
+const EVENT_EVERY_MS = 40;
+
+function setUp() {
+  const dead = new Set<string>();
+  const asked: string[] = [];
+  const away: string[] = [];
+  let stalled: EngineReport["stalled"] = [];
+  let reportAfterMs = 2;
+
+  const engines = {
+    async report(address: string, timeoutMs: number) {
+      const id = address.split(":")[0] ?? "";
+      asked.push(id);
+      const waitMs = dead.has(id) ? timeoutMs : reportAfterMs;
+      await new Promise((resolve) => setTimeout(resolve, waitMs));
+      return dead.has(id) ? null : ({ stalled } as unknown as EngineReport);
+    },
+  } as unknown as EngineCalls;
+  const fleet = {
+    doubts: { away: (id: string) => away.push(id) },
+    putReport: () => {},
+    byAddress: (address: string) => ({ id: address.split(":")[0] }),
+  } as unknown as BackendFleet;
+  const detector = createStallDetector({ fleet, engines });
+  const pipeline = {
+    stages: STAGES.map((engineId, at) => ({
+      engineId,
+      address: `${engineId}:1`,
+      range: { from: at, to: at + 1 },
+    })),
+    first: { id: "first" },
+  } as unknown as ChosenPipeline;
+  const stalls: [string, Stall][] = [];
+  const followers: AnswerFollower[] = [];
+
+  /** Follows some answers with an event each 40 ms, spread evenly. */
+  async function stream(answers: number, forMs: number): Promise<void> {
+    while (followers.length < answers) {
+      const requestId = `r${followers.length}`;
+      followers.push(
+        detector.follow({
+          requestId,
+          pipeline: () => pipeline,
+          onStall: (stall) => stalls.push([requestId, stall]),
+        }),
+      );
+    }
+    const stepMs = EVENT_EVERY_MS / answers;
+    for (let step = 0; step < forMs / stepMs; step += 1) {
+      followers[step % answers]?.heard();
+      await vi.advanceTimersByTimeAsync(stepMs);
+    }
+  }
+
+  return {
+    dead,
+    asked,
+    away,
+    stalls,
+    followers,
+    stream,
+    stallOf(requestId: string, address: string) {
+      stalled = [{ requestId, address }];
+    },
+    slowReports(ms: number) {
+      reportAfterMs = ms;
+    },
+    silence: (ms: number) => vi.advanceTimersByTimeAsync(ms),
+    end() {
+      for (const follower of followers) follower.end();
+    },
+  };
+}
+
+describe("a pipeline whose answers all fall silent", () => {
+  it("has the engine found that does not respond, for all of them", async () => {
+    const { dead, stalls, away, stream, silence, end } = setUp();
+    await stream(10, 1_000);
+    dead.add("second");
+    await silence(200);
+    expect(away).toEqual(["second"]);
+    expect(stalls.length).toBe(10);
+    const kinds = new Set(stalls.map(([, stall]) => JSON.stringify(stall)));
+    expect([...kinds]).toEqual(['{"kind":"stage","address":"second:1"}']);
+    end();
+  });
+
+  it("is not checked while events come as usual", async () => {
+    const { asked, stream, end } = setUp();
+    await stream(10, 3_000);
+    expect(asked).toEqual([]);
+    end();
+  });
+
+  it("is left alone when all engines respond", async () => {
+    const { stalls, away, stream, silence, end } = setUp();
+    await stream(10, 1_000);
+    await silence(1_500);
+    expect(stalls).toEqual([]);
+    expect(away).toEqual([]);
+    end();
+  });
+
+  it("tells of its first engine when that one is lost", async () => {
+    const { dead, stalls, stream, silence, end } = setUp();
+    await stream(4, 1_000);
+    dead.add("first");
+    dead.add("third");
+    await silence(200);
+    expect(stalls.map(([, { kind }]) => kind)).toEqual(
+      new Array(4).fill("first_engine"),
+    );
+    end();
+  });
+
+  it("is left alone when events come while engines are asked", async () => {
+    const { dead, stalls, away, stream, silence, end } = setUp();
+    await stream(10, 1_000);
+    dead.add("second");
+    await silence(120);
+    await stream(10, 40);
+    expect(stalls).toEqual([]);
+    expect(away).toEqual([]);
+    end();
+  });
+
+  it("is not judged while this process was held up itself", async () => {
+    const { dead, stalls, stream, end } = setUp();
+    await stream(10, 1_000);
+    dead.add("second");
+    const later = performance.now() + 3_000;
+    vi.spyOn(performance, "now").mockReturnValue(later);
+    await vi.advanceTimersByTimeAsync(20);
+    expect(stalls).toEqual([]);
+    vi.restoreAllMocks();
+    end();
+  });
+});
+
+describe("an answer that stands still alone", () => {
+  it("has its first engine asked, which names the stage", async () => {
+    const { stallOf, stalls, followers, silence, stream, end } = setUp();
+    await stream(3, 1_000);
+    stallOf("r0", "third:1");
+    for (let step = 0; step < 30; step += 1) {
+      followers[1]?.heard();
+      followers[2]?.heard();
+      await silence(20);
+    }
+    expect(stalls[0]).toEqual(["r0", { kind: "stage", address: "third:1" }]);
+    expect(new Set(stalls.map(([id]) => id))).toEqual(new Set(["r0"]));
+    end();
+  });
+
+  it("is not given up for one report that came late", async () => {
+    const { slowReports, dead, stalls, followers, silence, stream, end } =
+      setUp();
+    await stream(3, 1_000);
+    slowReports(1);
+    dead.add("first");
+    for (let step = 0; step < 30; step += 1) {
+      followers[1]?.heard();
+      followers[2]?.heard();
+      await silence(20);
+    }
+    expect(stalls).toEqual([]);
+    end();
+  });
+});
+
+it("an answer without a first event has all engines asked", async () => {
+  const { dead, stalls, asked, silence, stream, end } = setUp();
+  dead.add("third");
+  void stream(1, 0);
+  await silence(400);
+  expect(new Set(asked)).toEqual(new Set(STAGES));
+  expect(stalls[0]).toEqual(["r0", { kind: "stage", address: "third:1" }]);
+  end();
+});
--- a/packages/gateway/src/stream_run.ts
+++ b/packages/gateway/src/stream_run.ts
@@ -11,11 +11,15 @@
 import { beginAnswer } from "./caller_answer.ts";
 import { type CallerCall, timeLeftMs } from "./caller_call.ts";
 import { createEventSplitter } from "./event_splitter.ts";
-import type { ChosenPipeline, PipelineRouter } from "./pipeline_router.ts";
+import type { PipelineRouter } from "./pipeline_router.ts";
 import type { AnswerFacts, EngineCalls, RequestCodec } from "./protocol.ts";
 import type { RetryBudget } from "./retry_budget.ts";
-import { type SilenceWatch, watchSilence } from "./silence_watch.ts";
-import type { StallWatch } from "./stall_watch.ts";
+import {
+  createStageRecovery,
+  type StageRecovery,
+  type StreamRun,
+} from "./stage_recovery.ts";
+import type { AnswerFollower, StallDetector } from "./stall_detector.ts";
 import type { StreamPace } from "./stream_pace.ts";
 
 export interface StreamParts {
@@ -24,7 +28,7 @@
   readonly fleet: BackendFleet;
   readonly budget: RetryBudget;
   readonly router: PipelineRouter;
-  readonly stalls: StallWatch;
+  readonly stalls: StallDetector;
   readonly engines: EngineCalls;
 }
 
@@ -39,15 +43,6 @@
   readonly pace: StreamPace;
 }
 
-/** A run; its pipeline changes when a stage is replaced. */
-export interface StreamRun {
-  pipeline: ChosenPipeline;
-  readonly tokens: number;
-  /** Engines that the call keeps away from; grows. */
-  readonly avoided: Set<string>;
-  readonly stop: AbortController;
-}
-
 export type RunEnd =
   | { readonly kind: "complete"; readonly status: number }
   /** A failure that the server has signed, held back until it is final. */
@@ -80,7 +75,15 @@
     after_event: progress.lastEventId ?? undefined,
     left_ms: timeLeftMs(call).toFixed(0),
   });
-  const silence = watchSilence(call, run, parts);
+  const recovery = createStageRecovery(call, run, {
+    parts,
+    onMoved: () => follower.moved(),
+  });
+  const follower = parts.stalls.follow({
+    requestId: call.id,
+    pipeline: () => run.pipeline,
+    onStall: recovery.onStall,
+  });
   try {
     const result = await send(call, run, options);
     if (result.kind === "not_sent") {
@@ -88,33 +91,40 @@
       parts.fleet.doubts.away(id, awayReason(result.detail));
       return { kind: "not_run", detail: result.detail };
     }
-    if (result.kind === "broken") return broken(silence, result.detail);
+    if (result.kind === "broken") return broken(recovery, result.detail);
     const facts = parts.codec.decodeAnswer(result.status, result.headers);
     if (!isOwnAnswer(call, facts)) {
       result.abandon();
-      return broken(silence, "answer_of_another_request");
+      return broken(recovery, "answer_of_another_request");
     }
     if (result.status >= 300)
       return await readRefusal(run, result, { facts, parts });
     if (!facts.signed) {
       result.abandon();
-      return broken(silence, "unsigned_answer");
+      return broken(recovery, "unsigned_answer");
     }
     const { codec } = parts;
-    return await passOnEvents(call, result, { progress, codec, silence });
+    return await passOnEvents(call, result, {
+      run,
+      progress,
+      codec,
+      follower,
+      recovery,
+    });
   } catch (error) {
     return broken(
-      silence,
+      recovery,
       error instanceof Error ? error.message : String(error),
     );
   } finally {
-    silence.end();
+    recovery.end();
+    follower.end();
     run.pipeline.release();
   }
 }
 
-function broken(silence: SilenceWatch, detail: string): RunEnd {
-  const cause = silence.cause();
+function broken(recovery: StageRecovery, detail: string): RunEnd {
+  const cause = recovery.cause();
   return {
     kind: "broken",
     detail: cause ?? detail,
@@ -166,12 +176,14 @@
   call: CallerCall,
   answer: OpenAnswer,
   options: {
+    readonly run: StreamRun;
     readonly progress: StreamProgress;
     readonly codec: RequestCodec;
-    readonly silence: SilenceWatch;
+    readonly follower: AnswerFollower;
+    readonly recovery: StageRecovery;
   },
 ): Promise<RunEnd> {
-  const { progress, codec, silence } = options;
+  const { run, progress, codec, follower, recovery } = options;
   const { response } = call;
   const splitter = createEventSplitter();
   if (!progress.begun) {
@@ -180,7 +192,9 @@
     response.flushHeaders();
   }
   for await (const chunk of answer.body) {
-    silence.heard();
+    run.pipeline.begun();
+    follower.heard();
+    recovery.heard();
     for (const event of splitter.push(chunk)) {
       if (event.id !== null && isRepeated(event.id, progress.lastEventId)) {
         continue;
--- a/packages/gateway/src/use_exchange.ts
+++ b/packages/gateway/src/use_exchange.ts
@@ -2,19 +2,35 @@
  * Instances tell each other which engines their answers use, in datagrams: one
  * that is lost is made good by the next.
  */
-import type { DatagramTransport } from "@rosemarypin/membership";
-import { HEADER_BYTES } from "@rosemarypin/membership";
-import type { Address } from "@rosemarypin/schemas";
+import {
+  createByteBudget,
+  type DatagramTransport,
+  HEADER_BYTES,
+} from "@rosemarypin/membership";
+import { type Address, formatAddress } from "@rosemarypin/schemas";
 import { createLogger } from "@rosemarypin/telemetry";
 import { pause } from "@rosemarypin/timing";
 import { z } from "zod";
-import type { EngineUse, UseByEngine } from "./engine_use.ts";
+import type { EngineLoad, EngineUse, LoadByEngine } from "./engine_use.ts";
 
 const METHOD = "engines.use";
 /** What an instance sends at most, over all its peers, in bytes a second. */
 const BYTES_PER_SECOND = 2_500;
-/** No peer is told more often than this. */
-const SHORTEST_PERIOD_MS = 150;
+/** What may be sent at once after a while with less. */
+const BURST_BYTES = 7_500;
+/** How often the own use is looked at; no peer is told more often. */
+const LOOK_EVERY_MS = 40;
+/**
+ * A peer is told this often also of an unchanged use, as far as the bytes
+ * allow: among many peers, those that were told longest ago come first.
+ */
+const LONGEST_PERIOD_MS = 1_000;
+/**
+ * Share by which the use of some engine must differ from what was told last
+ * before it is told anew: a burst is told within milliseconds, and the coming
+ * and going of single answers once a second.
+ */
+const CHANGE_SHARE = 0.15;
 /** Engines beyond these, the least used ones, are not told. */
 const MOST_ENGINES = 40;
 /** Datagrams that can't be read are logged once in so long. */
@@ -29,7 +45,10 @@
     /** Grows with each datagram of one start. */
     sequence: z.number(),
     startedAt: z.number(),
-    use: z.array(z.tuple([z.string(), z.number().nonnegative()])),
+    /** Engine, memory and prompts to be read, in tokens times layers. */
+    use: z.array(
+      z.tuple([z.string(), z.number().nonnegative(), z.number().nonnegative()]),
+    ),
   }),
 });
 
@@ -47,6 +66,14 @@
   const { transport, instance, use, peers, signal } = options;
   const startedAt = Date.now();
   const order = createArrivalOrder();
+  const budget = createByteBudget({
+    bytesPerSecond: BYTES_PER_SECOND,
+    burstBytes: BURST_BYTES,
+  });
+  /** By address; the instances at them are few, and their number bounded. */
+  const toldAt = new Map<string, number>();
+  let lastLoads: LoadByEngine = new Map();
+  let changedAt = -Infinity;
   let sequence = 0;
   let loggedAt = -Infinity;
   transport.onDatagram(receive);
@@ -54,16 +81,39 @@
 
   async function run(): Promise<void> {
     while (!signal.aborted) {
-      const targets = peers();
-      const datagram = encode();
-      for (const target of targets) transport.send(datagram, target);
-      const bytes = targets.length * (datagram.length + HEADER_BYTES);
-      const periodMs = (bytes / BYTES_PER_SECOND) * 1_000;
-      await pause(Math.max(SHORTEST_PERIOD_MS, periodMs), signal);
+      tellDue();
+      await pause(LOOK_EVERY_MS, signal);
     }
     await transport.close();
   }
 
+  function tellDue(): void {
+    if (hasChanged(use.own(), lastLoads)) {
+      lastLoads = new Map(use.own());
+      changedAt = performance.now();
+    }
+    const due = duePeers();
+    if (due.length === 0) return;
+    const datagram = encode();
+    for (const { target, key } of due) {
+      if (!budget.take(datagram.length + HEADER_BYTES)) return;
+      toldAt.set(key, performance.now());
+      transport.send(datagram, target);
+    }
+  }
+
+  /** Peers that don't know of the last change, the longest told ones first. */
+  function duePeers() {
+    const now = performance.now();
+    return peers()
+      .map((target) => {
+        const key = formatAddress(target);
+        return { target, key, at: toldAt.get(key) ?? -Infinity };
+      })
+      .filter(({ at }) => at < changedAt || now - at >= LONGEST_PERIOD_MS)
+      .sort((one, other) => one.at - other.at);
+  }
+
   function encode(): Buffer {
     sequence += 1;
     const params = {
@@ -81,7 +131,11 @@
     const params = decode(datagram);
     if (!params) return logUnreadable(datagram.length);
     if (params.from === instance || !order.isNewest(params)) return;
-    use.told(params.from, new Map(params.use));
+    const loads = params.use.map(([id, held, unread]): [string, EngineLoad] => [
+      id,
+      { held, unread },
+    ]);
+    use.told(params.from, new Map(loads));
   }
 
   function logUnreadable(bytes: number): void {
@@ -104,8 +158,25 @@
   }
 }
 
-function mostUsed(use: UseByEngine): [string, number][] {
-  return [...use].sort((a, b) => b[1] - a[1]).slice(0, MOST_ENGINES);
+function mostUsed(loads: LoadByEngine): [string, number, number][] {
+  return [...loads]
+    .sort(([, a], [, b]) => b.held - a.held)
+    .slice(0, MOST_ENGINES)
+    .map(([id, { held, unread }]) => [
+      id,
+      Math.round(held),
+      Math.round(unread),
+    ]);
+}
+
+/** Whether some engine is used far more, or less, than was told. */
+function hasChanged(now: LoadByEngine, told: LoadByEngine): boolean {
+  const most = Math.max(...[...now.values()].map(({ held }) => held), 0);
+  for (const id of new Set([...now.keys(), ...told.keys()])) {
+    const change = (now.get(id)?.held ?? 0) - (told.get(id)?.held ?? 0);
+    if (Math.abs(change) > CHANGE_SHARE * most) return true;
+  }
+  return false;
 }
 
 /** Creates a record by which datagrams that come late are left out. */
--- a/packages/gateway/src/use_exchange_test.ts
+++ b/packages/gateway/src/use_exchange_test.ts
@@ -1,6 +1,6 @@
 import type { DatagramTransport } from "@rosemarypin/membership";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
-import { createEngineUse } from "./engine_use.ts";
+import { createEngineUse, type EngineUse } from "./engine_use.ts";
 import { startUseExchange } from "./use_exchange.ts";
 
 const END = new AbortController();
@@ -55,30 +55,52 @@
   return { network, uses };
 }
 
+/** Counts an answer of so many tokens at some engines of one layer each. */
+function takeAt(
+  use: EngineUse | undefined,
+  engineIds: readonly string[],
+  tokens: number,
+) {
+  const stages = engineIds.map((engineId, from) => ({
+    engineId,
+    address: "x",
+    range: { from, to: from + 1 },
+  }));
+  return use?.take({ stages, tokens, unreadTokens: 1, unreadStages: stages });
+}
+
 function notification(params: unknown, method = "engines.use"): Buffer {
   return Buffer.from(JSON.stringify({ jsonrpc: "2.0", method, params }));
 }
 
 describe("the exchange of engines' use", () => {
-  it("brings each instance's use to the others within a second", async () => {
+  it("brings a burst to the others within 50 ms", async () => {
     const { uses } = start(["a", "b", "c"]);
-    const range = { from: 0, to: 10 };
-    uses[0]?.take([{ engineId: "e-1", address: "x", range }], 100);
-    uses[1]?.take([{ engineId: "e-1", address: "x", range }], 10);
-    await vi.advanceTimersByTimeAsync(1_000);
-    expect(uses.map((use) => use.byOthers("e-1"))).toEqual([100, 1_000, 1_100]);
+    await vi.advanceTimersByTimeAsync(1_500);
+    takeAt(uses[0], ["e-1"], 1_000);
+    takeAt(uses[1], ["e-1"], 100);
+    await vi.advanceTimersByTimeAsync(50);
+    const held = uses.map((use) => use.byOthers("e-1").held);
+    expect(held).toEqual([100, 1_000, 1_100]);
+  });
+
+  it("brings small changes to the others within a second or so", async () => {
+    const { uses } = start(["a", "b"]);
+    takeAt(uses[0], ["e-1"], 1_000);
+    await vi.advanceTimersByTimeAsync(100);
+    takeAt(uses[0], ["e-1"], 10);
+    await vi.advanceTimersByTimeAsync(1_050);
+    expect(uses[1]?.byOthers("e-1")).toEqual({ held: 1_010, unread: 2 });
   });
 
   it("keeps to its bytes a second among many instances", async () => {
     const hosts = Array.from({ length: 40 }, (_, index) => `i-${index}`);
     const { network, uses } = start(hosts);
-    const stages = Array.from({ length: 60 }, (_, index) => ({
-      engineId: `i-engine-${index}`,
-      address: "x",
-      range: { from: index, to: index + 1 },
-    }));
-    uses[0]?.take(stages, 1_000);
-    await vi.advanceTimersByTimeAsync(60_000);
+    const engineIds = Array.from({ length: 60 }, (_, at) => `i-engine-${at}`);
+    for (let second = 0; second < 60; second += 1) {
+      takeAt(uses[0], engineIds, 1_000 * (second + 1));
+      await vi.advanceTimersByTimeAsync(1_000);
+    }
     const perSecond = (network.sentBytes.get("i-0") ?? 0) / 60;
     expect(perSecond).toBeLessThan(3_000);
     expect(perSecond).toBeGreaterThan(500);
@@ -87,32 +109,37 @@
   it("takes nothing from a datagram that came late", () => {
     const { network, uses } = start(["a"]);
     const news = (sequence: number, tokens: number, startedAt = 5) =>
-      notification({ from: "b", sequence, startedAt, use: [["e-1", tokens]] });
+      notification({
+        from: "b",
+        sequence,
+        startedAt,
+        use: [["e-1", tokens, 0]],
+      });
     network.deliver("a", news(2, 20));
     network.deliver("a", news(1, 10));
-    expect(uses[0]?.byOthers("e-1")).toBe(20);
+    expect(uses[0]?.byOthers("e-1").held).toBe(20);
     network.deliver("a", news(1, 30, 6));
-    expect(uses[0]?.byOthers("e-1")).toBe(30);
+    expect(uses[0]?.byOthers("e-1").held).toBe(30);
     network.deliver("a", news(9, 40, 5));
-    expect(uses[0]?.byOthers("e-1")).toBe(30);
+    expect(uses[0]?.byOthers("e-1").held).toBe(30);
   });
 
   it.each([
     ["no JSON", Buffer.from([0xff, 0x00])],
     ["another method", notification({}, "engines.other")],
-    ["a use below zero", notification({ from: "b", use: [["e-1", -1]] })],
+    ["a use below zero", notification({ from: "b", use: [["e-1", -1, 0]] })],
     [
       "a use that is no number",
       notification({
         from: "b",
         sequence: 1,
         startedAt: 1,
-        use: [["e-1", "x"]],
+        use: [["e-1", "x", 0]],
       }),
     ],
   ])("changes nothing for %s", (_, datagram) => {
     const { network, uses } = start(["a"]);
     network.deliver("a", datagram);
-    expect(uses[0]?.byOthers("e-1")).toBe(0);
+    expect(uses[0]?.byOthers("e-1").held).toBe(0);
   });
 });
--- a/packages/membership/src/mod.ts
+++ b/packages/membership/src/mod.ts
@@ -1,4 +1,5 @@
 /** Which instances are alive, and the small state they share. */
+export { type ByteBudget, createByteBudget } from "./byte_budget.ts";
 export * from "./datagram_transport.ts";
 export * from "./member_table.ts";
 export * from "./membership.ts";
--- a/packages/pipelines/src/layer_layout_test.ts
+++ b/packages/pipelines/src/layer_layout_test.ts
@@ -10,6 +10,7 @@
   layerMb: 1_750,
   tokenLayerBytes: 10_567,
   stepMs: 1,
+  readTokensPerMs: 160,
   usualPromptTokens: 774,
   usualAnswerTokens: 210,
   mostAnswers: 134,
--- a/packages/pipelines/src/layer_plan_test.ts
+++ b/packages/pipelines/src/layer_plan_test.ts
@@ -11,6 +11,7 @@
   layerMb: 1_750,
   tokenLayerBytes: 10_567,
   stepMs: 0.85,
+  readTokensPerMs: 160,
   usualPromptTokens: 772,
   usualAnswerTokens: 174,
   mostAnswers: 134,
--- a/packages/pipelines/src/mod.ts
+++ b/packages/pipelines/src/mod.ts
@@ -3,4 +3,5 @@
 export type { LayerOrder, PlannedEngine } from "./group_plan.ts";
 export * from "./layer_plan.ts";
 export * from "./pipeline_path.ts";
+export { readMs } from "./stage_time.ts";
 export * from "./types.ts";
--- a/packages/pipelines/src/pipeline_path.ts
+++ b/packages/pipelines/src/pipeline_path.ts
@@ -23,6 +23,12 @@
  * with the fastest engines fill it before the others.
  */
 const BEGIN_ELSEWHERE_MS = 4;
+/**
+ * What the backlog of an engine adds to a token, as a share. It delays the
+ * first one only, but that is what callers wait for; and the backlogs of the
+ * stages of a pipeline pass in part at the same time.
+ */
+const BACKLOG_SHARE = 1 / 150;
 /** Longest pipeline that engines accept. */
 const MOST_STAGES = 32;
 /** Load from which an engine counts as full; above it the cost is steep. */
@@ -34,6 +40,8 @@
   readonly held: LayerRange;
   /** Share of its room that answers in progress take; may exceed 1. */
   readonly load: number;
+  /** Time that prompts take which it has not read yet, in milliseconds. */
+  readonly backlogMs: number;
 }
 
 /** One engine's part of a pipeline. */
@@ -132,6 +140,8 @@
   readonly candidate: StageCandidate;
   readonly domain: number;
   readonly layerMs: number;
+  /** What the engine adds to entering it. */
+  readonly entryMs: number;
   /** Layers behind which the pipeline may leave it, in order. */
   readonly ends: readonly number[];
   readonly window: LayerRange;
@@ -169,7 +179,8 @@
     for (const option of byLayer[at] ?? []) {
       if (at < option.window.from || at >= option.window.to) continue;
       const crosses = option.domain !== domain;
-      const entered = cost + entryCost({ crosses, isFirst: at === first });
+      const isFirst = at === first;
+      const entered = cost + option.entryMs + entryCost({ crosses, isFirst });
       for (const to of option.ends) {
         if (to <= at) continue;
         const toCost = entered + option.layerMs * (to - at);
@@ -290,6 +301,7 @@
       candidate,
       domain: domains.indexOf(candidate.failureDomain),
       layerMs: layerCost(model, candidate),
+      entryMs: candidate.backlogMs * BACKLOG_SHARE,
       ends,
       window: bounds.entries.get(id) ?? ANY_ENTRY,
     };
@@ -322,7 +334,9 @@
   let comesFrom = failureDomain;
   return stages.reduce((sum, { engine, range }, at) => {
     const crosses = engine.failureDomain !== comesFrom;
-    const entryMs = entryCost({ crosses, isFirst: at === 0 });
+    const entryMs =
+      engine.backlogMs * BACKLOG_SHARE +
+      entryCost({ crosses, isFirst: at === 0 });
     comesFrom = engine.failureDomain;
     return sum + entryMs + layerCost(model, engine) * layersIn(range);
   }, 0);
--- a/packages/pipelines/src/pipeline_path_test.ts
+++ b/packages/pipelines/src/pipeline_path_test.ts
@@ -14,6 +14,7 @@
   layerMb: 100,
   tokenLayerBytes: 1_000,
   stepMs: 6,
+  readTokensPerMs: 160,
   usualPromptTokens: 10,
   usualAnswerTokens: 10,
   mostAnswers: 134,
@@ -32,6 +33,7 @@
     readFactor: 1,
     held: { from: range[0], to: range[1] },
     load: 0,
+    backlogMs: 0,
     ...facts,
   };
 }
@@ -62,6 +64,14 @@
       ],
       path: ["y=0-6"],
     },
+    {
+      name: "keeps away from engines that have many prompts to read",
+      candidates: [
+        stage("x", [0, 6], { backlogMs: 6_000 }),
+        stage("y", [0, 6], { stepFactor: 3 }),
+      ],
+      path: ["y=0-6"],
+    },
     {
       name: "stays in its domain while that is not full",
       candidates: [
--- a/packages/pipelines/src/stage_time.ts
+++ b/packages/pipelines/src/stage_time.ts
@@ -11,3 +11,12 @@
 ): number {
   return (model.stepMs * stepFactor) / model.layerCount;
 }
+
+/** Milliseconds that an engine without load takes to read prompts. */
+export function readMs(
+  { readTokensPerMs, layerCount }: ModelShape,
+  prompts: { readonly readFactor: number; readonly tokenLayers: number },
+): number {
+  const { readFactor, tokenLayers } = prompts;
+  return (tokenLayers * readFactor) / (readTokensPerMs * layerCount);
+}
--- a/packages/pipelines/src/types.ts
+++ b/packages/pipelines/src/types.ts
@@ -16,6 +16,8 @@
   readonly tokenLayerBytes: number;
   /** One step of generation through all layers, in milliseconds. */
   readonly stepMs: number;
+  /** Prompt tokens read in a millisecond, through all layers. */
+  readonly readTokensPerMs: number;
   /** Mean number of prompt tokens. */
   readonly usualPromptTokens: number;
   /** Mean number of generated tokens. */
--- a/packages/telemetry/src/event_catalogue.ts
+++ b/packages/telemetry/src/event_catalogue.ts
@@ -89,6 +89,10 @@
       says: "a stage of an answer in progress was replaced, or not",
       fields: ["request", "lost", "stages", "answer", "detail"],
     },
+    pipeline_silent: {
+      says: "all answers on a pipeline stand still, and one of its engines does not answer",
+      fields: ["first", "lost", "answers", "silent_ms"],
+    },
     first_engine_away: {
       says: "the engine that carries an answer does not answer",
       fields: ["id", "request"],
