Add up from logs what callers lost, and what began it

rosemarypin account FILE... [--outcomes REPORT]. request_ended names the objective that a late answer missed. Each lost answer stands once in each table; the tables add up to the same sum (test).

--- a/packages/cli/src/command.ts
+++ b/packages/cli/src/command.ts
@@ -12,6 +12,8 @@
   readonly service?: boolean | undefined;
   /** File for the page of `report burn`. */
   readonly html?: string | undefined;
+  /** File with what callers saw, for `account`. */
+  readonly outcomes?: string | undefined;
   /** Series of each objective that `report burn` names. */
   readonly top?: number | undefined;
 }
--- /dev/null
+++ b/packages/cli/src/loss_account.ts
@@ -0,0 +1,239 @@
+/**
+ * Adds up from logs what callers lost: answers that came late or not at all,
+ * by the way they were lost, by the engine or instance that began it, and by
+ * second. Every answer that was lost stands in one row of each table.
+ */
+import type { LogLine } from "./log_story.ts";
+
+/** How an answer was lost. */
+export type LossKind =
+  /** Its first event came after the objective. */
+  | "late_first"
+  /** It stood still for longer than the objective allows. */
+  | "late_pause"
+  | "refused"
+  | "cut"
+  | "failed"
+  | "caller_left"
+  /** The instance that worked on it ended. */
+  | "instance_ended";
+
+/** What began a loss, as far as logs tell. */
+export interface LossOrigin {
+  /** An event of the log, such as `server_doubted`; `none` for no event. */
+  readonly event: string;
+  /** The engine or instance that it was about. */
+  readonly subject: string;
+}
+
+/** One answer that its caller did not get on time. */
+export interface Loss {
+  readonly request: string;
+  readonly kind: LossKind;
+  /** Share of the answer's value that is lost. */
+  readonly share: number;
+  /** Unix milliseconds of its request. */
+  readonly at: number;
+  readonly origin: LossOrigin;
+}
+
+export interface AccountRow {
+  readonly name: string;
+  readonly answers: number;
+  readonly lost: number;
+}
+
+export interface LossAccount {
+  /** Requests that came in, the lost ones too. */
+  readonly answers: number;
+  readonly lost: number;
+  readonly byKind: readonly AccountRow[];
+  readonly byOrigin: readonly AccountRow[];
+  readonly bySubject: readonly AccountRow[];
+  /** Names are seconds of the day, as in the log. */
+  readonly bySecond: readonly AccountRow[];
+}
+
+/** Share of its value that a late answer keeps, where nothing else is told. */
+export const LATE_SHARE = 0.25;
+/** How long before a pause its origin may have been logged, and after. */
+const ORIGIN_BEFORE_MS = 600;
+const ORIGIN_AFTER_MS = 600;
+
+/** Events that may begin a loss, the most telling ones first. */
+const ORIGIN_EVENTS = [
+  "pipeline_silent",
+  "server_doubted",
+  "server_leaving",
+  "server_gone",
+  "layers_ordered",
+  "no_pipeline",
+];
+
+const KINDS_BY_OUTCOME: Readonly<Record<string, LossKind>> = {
+  not_run: "refused",
+  cut: "cut",
+  unknown: "failed",
+  caller_left: "caller_left",
+};
+
+/** Adds the losses up that the lines tell of. */
+export function accountForLosses(
+  lines: readonly LogLine[],
+  { lateShare = LATE_SHARE }: { readonly lateShare?: number } = {},
+): LossAccount {
+  const requests = gatherRequests(lines);
+  const originOf = createOriginFinder(lines);
+  const losses = [...requests.values()].flatMap((request): Loss[] => {
+    const kind = kindOf(request);
+    if (kind === null) return [];
+    const isLate = kind === "late_first" || kind === "late_pause";
+    const share = isLate ? 1 - lateShare : 1;
+    const { id, at } = request;
+    const origin = originOf(request, kind);
+    return [{ request: id, kind, share, at, origin }];
+  });
+  return {
+    answers: requests.size,
+    lost: sum(losses),
+    byKind: table(losses, ({ kind }) => kind),
+    byOrigin: table(losses, ({ origin }) => origin.event),
+    bySubject: table(losses, ({ origin }) => origin.subject),
+    bySecond: table(losses, ({ at }) =>
+      new Date(at).toISOString().slice(11, 19),
+    ).sort((one, other) => (one.name < other.name ? -1 : 1)),
+  };
+}
+
+/** What the log says of one request. */
+interface LoggedRequest {
+  readonly id: string;
+  readonly source: string;
+  at: number;
+  /** Engines or servers that it was sent to. */
+  readonly servers: Set<string>;
+  end: LogLine | null;
+  /** When its instance started anew without having ended it. */
+  instanceEndedAt: number | null;
+}
+
+function gatherRequests(lines: readonly LogLine[]): Map<string, LoggedRequest> {
+  const requests = new Map<string, LoggedRequest>();
+  const open = new Map<string, Set<LoggedRequest>>();
+  for (const line of [...lines].sort((one, other) => one.at - other.at)) {
+    const { event, source, at, fields } = line;
+    const id = fields.request;
+    if (event === "started") endOpen(open.get(source), at);
+    if (event === "request_sent" && id) {
+      const request = requests.get(id) ?? begin(id, line);
+      requests.set(id, request);
+      for (const server of serversOf(line)) request.servers.add(server);
+      const others = open.get(source) ?? new Set();
+      open.set(source, others.add(request));
+    }
+    if (event === "request_ended" && id) {
+      const request = requests.get(id) ?? begin(id, line);
+      requests.set(id, request);
+      request.end = line;
+      request.at = at - Number(fields.total_ms ?? 0);
+      open.get(source)?.delete(request);
+    }
+  }
+  return requests;
+}
+
+function begin(id: string, { source, at }: LogLine): LoggedRequest {
+  const servers = new Set<string>();
+  return { id, source, at, servers, end: null, instanceEndedAt: null };
+}
+
+function endOpen(open: Set<LoggedRequest> | undefined, at: number): void {
+  for (const request of open ?? []) request.instanceEndedAt = at;
+  open?.clear();
+}
+
+function serversOf({ fields }: LogLine): string[] {
+  const stages = (fields.stages ?? "").split(",");
+  return [fields.id ?? "", ...stages].filter((id) => id !== "");
+}
+
+function kindOf({ end, instanceEndedAt }: LoggedRequest): LossKind | null {
+  if (!end) return instanceEndedAt === null ? null : "instance_ended";
+  const { outcome = "", late, status = "" } = end.fields;
+  if (outcome === "answered") {
+    if (late === "first") return "late_first";
+    if (late === "pause") return "late_pause";
+    return Number(status) >= 400 ? "failed" : null;
+  }
+  return KINDS_BY_OUTCOME[outcome] ?? "failed";
+}
+
+/** Finds what an instance logged of a request's servers when it was lost. */
+function createOriginFinder(lines: readonly LogLine[]) {
+  const bySource = new Map<string, LogLine[]>();
+  for (const line of lines) {
+    if (!ORIGIN_EVENTS.includes(line.event)) continue;
+    const list = bySource.get(line.source) ?? [];
+    bySource.set(line.source, list);
+    list.push(line);
+  }
+
+  return (request: LoggedRequest, kind: LossKind): LossOrigin => {
+    if (kind === "instance_ended") {
+      return { event: kind, subject: request.source };
+    }
+    const [from, to] = timeOfLoss(request);
+    const near = (bySource.get(request.source) ?? []).filter(
+      ({ at }) => at >= from - ORIGIN_BEFORE_MS && at <= to + ORIGIN_AFTER_MS,
+    );
+    for (const event of ORIGIN_EVENTS) {
+      const found = near.find(
+        (line) => line.event === event && concerns(line, request),
+      );
+      if (found) return { event, subject: subjectOf(found) };
+    }
+    return { event: "none", subject: "none" };
+  };
+}
+
+/** From when to when the answer stood still, or the whole of a lost one. */
+function timeOfLoss({ at, end }: LoggedRequest): readonly [number, number] {
+  const { pause_at_ms: pauseAt, pause_ms: pause } = end?.fields ?? {};
+  if (pauseAt === undefined || pause === undefined) {
+    return [at, end?.at ?? at];
+  }
+  const from = at + Number(pauseAt);
+  return [from, from + Number(pause)];
+}
+
+function concerns(line: LogLine, { id, servers }: LoggedRequest): boolean {
+  if (line.event === "no_pipeline") return line.fields.request === id;
+  const lost = (line.fields.lost ?? "").split(",");
+  return [line.fields.id ?? "", ...lost].some((server) => servers.has(server));
+}
+
+function subjectOf({ fields }: LogLine): string {
+  return fields.lost ?? fields.id ?? "none";
+}
+
+function sum(losses: readonly Loss[]): number {
+  return losses.reduce((total, { share }) => total + share, 0);
+}
+
+function table(
+  losses: readonly Loss[],
+  nameOf: (loss: Loss) => string,
+): AccountRow[] {
+  const rows = new Map<string, Loss[]>();
+  for (const loss of losses) {
+    const name = nameOf(loss);
+    rows.set(name, [...(rows.get(name) ?? []), loss]);
+  }
+  return [...rows]
+    .map(([name, group]) => ({
+      name,
+      answers: group.length,
+      lost: sum(group),
+    }))
+    .sort((one, other) => other.lost - one.lost);
+}
--- /dev/null
+++ b/packages/cli/src/loss_account_test.ts
@@ -0,0 +1,78 @@
+import { describe, expect, it } from "vitest";
+import { readLog } from "./log_story.ts";
+import { accountForLosses } from "./loss_account.ts";
+
+const AT = Date.parse("2026-01-01T10:00:00.000Z");
+
+/** Lines of one instance, each at so many milliseconds. */
+function logOf(source: string, lines: readonly [number, string][]) {
+  const text = lines.map(([ms, pairs]) => {
+    const time = new Date(AT + ms).toISOString();
+    return `time=${time} scope=rosemarypin:x:info ${pairs}`;
+  });
+  return readLog(source, text.join("\n"));
+}
+
+function ended(request: string, pairs: string): string {
+  return `event=request_ended request=${request} status=200 ${pairs}`;
+}
+
+const LINES = [
+  ...logOf("one", [
+    [0, "event=request_sent request=r1 id=e1 stages=e1,e2"],
+    [10, "event=request_sent request=r2 id=e1 stages=e1,e2"],
+    [20, "event=request_sent request=r3 id=e3 stages=e3,e4"],
+    [30, "event=request_sent request=r4 id=e3 stages=e3,e4"],
+    [900, "event=pipeline_silent first=e1 lost=e2 answers=2 silent_ms=90"],
+    [
+      2_000,
+      ended(
+        "r1",
+        "outcome=answered late=pause total_ms=2000 pause_ms=500 pause_at_ms=800",
+      ),
+    ],
+    [
+      2_100,
+      ended("r2", "outcome=cut total_ms=2090 pause_ms=900 pause_at_ms=700"),
+    ],
+    [
+      2_200,
+      ended("r3", "outcome=answered total_ms=2180 pause_ms=90 pause_at_ms=1"),
+    ],
+    [3_000, "event=started instance=one"],
+  ]),
+  ...logOf("two", [
+    [
+      500,
+      "event=request_ended request=r5 status=503 outcome=not_run total_ms=3",
+    ],
+    [600, ended("r6", "outcome=answered late=first total_ms=700")],
+    [700, "event=request_sent request=r7 id=e9"],
+  ]),
+];
+
+describe("the account of losses", () => {
+  it("has each lost answer once in each table", () => {
+    expect(accountForLosses(LINES)).toMatchSnapshot();
+  });
+
+  it("adds up to the same in all tables", () => {
+    const account = accountForLosses(LINES);
+    const tables = [
+      account.byKind,
+      account.byOrigin,
+      account.bySubject,
+      account.bySecond,
+    ];
+    for (const rows of tables) {
+      const lost = rows.reduce((sum, row) => sum + row.lost, 0);
+      expect(lost).toBeCloseTo(account.lost, 9);
+    }
+  });
+
+  it("counts late answers by the share that they lose", () => {
+    const { byKind } = accountForLosses(LINES, { lateShare: 0.6 });
+    const late = byKind.find(({ name }) => name === "late_pause");
+    expect(late).toEqual({ name: "late_pause", answers: 1, lost: 0.4 });
+  });
+});
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -20,15 +20,17 @@
     service: { type: "boolean" },
     html: { type: "string" },
     top: { type: "number" },
+    outcomes: { type: "string" },
   },
 });
 
-const { reason, publishId, timeout, adapter, service, html, top } = flags;
+const { reason, publishId, timeout, adapter, service, html, top, outcomes } =
+  flags;
 
 process.exitCode = await runCommand(input, {
   output: createOutput({ json: flags.json }),
   help: flags.help ?? false,
   adminUrls: flags.admin.split(",").filter((url) => url !== ""),
   key: process.env.ROSEMARYPIN_ADMIN_KEY ?? "",
-  flags: { reason, publishId, timeout, adapter, service, html, top },
+  flags: { reason, publishId, timeout, adapter, service, html, top, outcomes },
 });
--- a/packages/cli/src/run_command.ts
+++ b/packages/cli/src/run_command.ts
@@ -2,6 +2,7 @@
 import { createAdminClient } from "./admin_client.ts";
 import type { Command, CommandFlags } from "./command.ts";
 import { CommandError } from "./command_error.ts";
+import { accountCommands } from "./commands/account.ts";
 import { checkCommands } from "./commands/check.ts";
 import { explainCommands } from "./commands/explain.ts";
 import { keyCommands } from "./commands/key.ts";
@@ -20,6 +21,7 @@
   ...statusCommands,
   ...explainCommands,
   ...traceCommands,
+  ...accountCommands,
   ...checkCommands,
   ...reportCommands,
   ...keyCommands,
--- a/packages/gateway/src/caller_listener.ts
+++ b/packages/gateway/src/caller_listener.ts
@@ -275,6 +275,18 @@
   server.keepAliveTimeout = limits.idleTimeoutMs;
 }
 
+/** Which objective of its route a whole answer missed, if any. */
+function latenessOf(
+  { route, startedAt }: CallerCall,
+  { outcome, firstByteMs, pace }: CallEnd,
+): "first" | "pause" | undefined {
+  if (outcome !== "answered") return undefined;
+  const firstMs = firstByteMs ?? performance.now() - startedAt;
+  if (firstMs > route.objectiveMs) return "first";
+  const pauseMs = route.kind === "stream" ? (pace?.pauseMs ?? 0) : 0;
+  return pauseMs > route.pauseObjectiveMs ? "pause" : undefined;
+}
+
 function logEnd(call: CallerCall, end: CallEnd): void {
   const fields = {
     request: call.id,
@@ -287,6 +299,7 @@
     attempts: end.attempts,
     first_ms: end.firstByteMs === null ? undefined : end.firstByteMs.toFixed(0),
     total_ms: (performance.now() - call.startedAt).toFixed(0),
+    late: latenessOf(call, end),
     events: end.pace?.events,
     pause_ms: end.pace?.pauseMs.toFixed(0),
     pause_at_ms: end.pace?.pauseAtMs.toFixed(0),
--- a/packages/telemetry/src/event_catalogue.ts
+++ b/packages/telemetry/src/event_catalogue.ts
@@ -59,6 +59,7 @@
         "attempts",
         "first_ms",
         "total_ms",
+        "late",
         "events",
         "pause_ms",
         "pause_at_ms",
