End a stop only after open connections have had their answer

Cause: the process ended at once when no request was in progress; a connection that stood while its request was on its way was reset. Now the listener is closed first, and connections that stand have 300 ms for their request and its refusal.

Test: stop_test, a socket that stands through the stop; before: the stop is over before the request is answered; after: 503, then the stop is over.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -43,6 +43,8 @@
 /** Kept back of the grace time, so that the process ends by itself. */
 const STOP_MARGIN_MS = 400;
 const STOP_STEP_MS = 50;
+/** For connections that stand while their request is still on its way. */
+const LAST_CONNECTIONS_MS = 300;
 
 const log = createLogger("gateway");
 
@@ -217,12 +219,25 @@
       if (isQuiet && passedMs() > TAKEN_AFTER_STOP_MS) break;
       await pause(STOP_STEP_MS);
     }
+    listener.server.close();
+    const lastsMs = Math.min(passedMs() + LAST_CONNECTIONS_MS, mostMs);
+    while (passedMs() < lastsMs && (await countConnections()) > 0) {
+      listener.server.closeIdleConnections();
+      await pause(STOP_STEP_MS);
+    }
     const cut = listener.inProgress();
     ending.abort();
-    listener.server.close();
     log.info("stopped", { cut, after_ms: passedMs().toFixed(0) });
   }
 
+  function countConnections(): Promise<number> {
+    return new Promise((resolve) => {
+      listener.server.getConnections((error, count) => {
+        resolve(error ? 0 : count);
+      });
+    });
+  }
+
   return { stop };
 }
 
