Load no more than a gap needs, and keep spare engines empty or whole stand-ins

Hypothesis: a lost stage is missing for longer than it must.

Change: no more layers than are missing; with three empty engines, two share a gap; spare engines double the engine that holds most if they can hold all of its layers, else stay empty. Among engines that others cover, the slow ones give way.

--- a/packages/pipelines/src/group_plan.ts
+++ b/packages/pipelines/src/group_plan.ts
@@ -4,13 +4,7 @@
  */
 import { layersWithRoom, roomTokens } from "./engine_capacity.ts";
 import { reserveOf, roomOfGroup, tightRoom, tokensOf } from "./group_room.ts";
-import {
-  countHolders,
-  firstGap,
-  grow,
-  layersOf,
-  windowFrom,
-} from "./layer_coverage.ts";
+import { countHolders, firstGap, grow, layersOf } from "./layer_coverage.ts";
 import { chooseLayout } from "./layer_layout.ts";
 import {
   type EngineFacts,
@@ -19,6 +13,9 @@
   type ModelShape,
 } from "./types.ts";
 
+/** Free engines beyond which two of them share a gap. */
+const FREE_TO_SHARE = 2;
+
 /** Share of the planned room below which layers get an engine more. */
 const TIGHT_SHARE = 0.5;
 
@@ -100,7 +97,10 @@
     return rooms;
   }
 
-  /** An engine all of whose layers other engines of the group serve too. */
+  /**
+   * An engine all of whose layers other engines of the group serve too; a slow
+   * one, since pipelines pass through the fast ones.
+   */
   function spareEngine(): PlannedEngine | undefined {
     return group
       .filter((engine) => {
@@ -110,7 +110,7 @@
           isServedByOthers(engine, layer),
         );
       })
-      .sort(bySpeed)[0];
+      .sort((a, b) => bySpeed(b, a))[0];
   }
 
   /**
@@ -131,21 +131,27 @@
     return false;
   }
 
-  /** Uses the smallest free engine that fills the gap, or else the largest. */
+  /**
+   * Uses the smallest free engine that fills the gap, or else the largest. Two
+   * share a gap while others stay free: each has fewer layers to load.
+   */
   function useFree(gap: LayerRange): boolean {
+    const isShared = free.length > FREE_TO_SHARE && layersIn(gap) > 1;
+    const wanted = isShared ? Math.ceil(layersIn(gap) / 2) : layersIn(gap);
     const bySize = [...free].sort((a, b) => a.memoryMb - b.memoryMb);
-    const enough = bySize.find((one) => usualLayers(one) >= layersIn(gap));
+    const enough = bySize.find((one) => usualLayers(one) >= wanted);
     const engine = enough ?? bySize.at(-1);
     if (!engine) return false;
     free.splice(free.indexOf(engine), 1);
-    giveUsual(engine, gap);
+    giveUsual(engine, { from: gap.from, to: gap.from + wanted });
     return true;
   }
 
+  /** No more than is missing: callers wait for each layer to be loaded. */
   function giveUsual(engine: PlannedEngine, gap: LayerRange): boolean {
-    const layers = usualLayers(engine);
+    const layers = Math.min(usualLayers(engine), layersIn(gap));
     if (layers === 0) return false;
-    give(engine, windowFrom(gap.from, layers, model.layerCount));
+    give(engine, { from: gap.from, to: gap.from + layers });
     return true;
   }
 
@@ -292,6 +298,36 @@
     return { from, to };
   }
 
+  /**
+   * Lets free engines stand in for the one that holds most layers alone, if
+   * they can hold all of these: lost, it would leave the largest gap. Else they
+   * stay empty, and fill whatever gap opens sooner than engines that would
+   * have to give layers up first.
+   */
+  function standIn(): void {
+    const spare = free.slice(0, Math.max(0, free.length - reserveOf(group)));
+    const range = largestAlone();
+    if (!range) return;
+    const layers = spare.reduce((total, one) => total + usualLayers(one), 0);
+    if (layers < layersIn(range)) return;
+    let { from } = range;
+    for (const engine of spare) {
+      const to = Math.min(range.to, from + usualLayers(engine));
+      if (from >= to) break;
+      free.splice(free.indexOf(engine), 1);
+      give(engine, { from, to });
+      from = to;
+    }
+  }
+
+  /** The most layers that one engine alone holds. */
+  function largestAlone(): LayerRange | undefined {
+    const counts = coverage();
+    return [...holds.values()]
+      .filter((range) => layersOf(range).every((layer) => counts[layer] === 1))
+      .sort((a, b) => layersIn(b) - layersIn(a) || a.from - b.from)[0];
+  }
+
   /** Doubles the layers whose holders have least room. */
   function doubleLayers(engine: PlannedEngine): void {
     const layers = usualLayers(engine);
@@ -343,10 +379,11 @@
     if (!fillGap(gap)) skipped.add(gap.from);
   }
   free.sort((a, b) => a.memoryMb - b.memoryMb);
-  while (free.length > reserveOf(group) || (free.length > 0 && isTight())) {
+  while (free.length > 0 && isTight()) {
     const engine = free.shift();
     if (engine) doubleLayers(engine);
   }
+  standIn();
   if (orders.size === 0) for (const engine of group) widen(engine);
   return [...orders.values()];
 }
--- a/packages/pipelines/src/layer_coverage.ts
+++ b/packages/pipelines/src/layer_coverage.ts
@@ -44,13 +44,3 @@
   }
   return null;
 }
-
-/** A window from a layer on, moved back where it would pass the end. */
-export function windowFrom(
-  from: number,
-  layers: number,
-  layerCount: number,
-): LayerRange {
-  const start = Math.max(0, Math.min(from, layerCount - layers));
-  return { from: start, to: start + layers };
-}
--- a/packages/pipelines/src/layer_plan_test.ts
+++ b/packages/pipelines/src/layer_plan_test.ts
@@ -185,6 +185,41 @@
     expect(to).toBeGreaterThanOrEqual(first.held.to);
   });
 
+  it("has no more loaded than is missing when an engine is lost", () => {
+    const placed = apply(fleet({ medium: 1, small: 8, tiny: 3 }));
+    const lost = placed.find(({ id, held }) => id.startsWith("tiny") && held);
+    if (!lost?.held) throw new Error("no tiny engine holds anything");
+    const left = placed.filter((one) => one !== lost);
+    const orders = planLayers(left, model);
+    const loaded = orders.reduce(
+      (sum, { range }) => sum + range.to - range.from,
+      0,
+    );
+    expect(loaded).toBe(lost.held.to - lost.held.from);
+  });
+
+  it("lets spare engines stand in for the one that holds most", () => {
+    const placed = apply(fleet({ large: 2, small: 12 }));
+    const largest = placed.filter(({ id }) => id.startsWith("large"));
+    const isDoubled = largest.some(({ id, held }) =>
+      rangesCover(
+        placed.filter((other) => other.id !== id),
+        held,
+      ),
+    );
+    expect(isDoubled).toBe(true);
+  });
+
+  it("keeps engines empty that could stand in for a part only", () => {
+    const placed = apply(fleet({ large: 1, medium: 1, small: 5, tiny: 7 }));
+    const counts = placed.map(({ held }) => held).filter(Boolean);
+    const layers = counts.reduce(
+      (sum, held) => sum + (held ? held.to - held.from : 0),
+      0,
+    );
+    expect(layers).toBe(model.layerCount);
+  });
+
   it("gives no order to an engine with one in progress", () => {
     const engines = fleet({ medium: 1, small: 8, tiny: 3 }).map((one) => ({
       ...one,
@@ -255,6 +290,18 @@
   });
 });
 
+/** Whether engines hold all layers of a range. */
+function rangesCover(
+  engines: readonly PlannedEngine[],
+  range: LayerRange | null,
+): boolean {
+  const missing = uncovered(engines);
+  return (
+    range !== null &&
+    !missing.some((layer) => range.from <= layer && layer < range.to)
+  );
+}
+
 /** Layers that somebody served before the orders are served after them. */
 function expectNothingLost(
   before: readonly PlannedEngine[],
