Ask before each token whether its version may still be given

Cause: an answer's version was made sure of once for each event of an engine. Tokens that wait for an earlier one become ready together, and the later ones of them were handed over without a further look: a caller that is slow to take the first one (or a process frozen in between) got the rest after the version was withdrawn. Test: 'between two tokens that became ready together' failed before (w0 w1 given, expected w0) and passes now.

--- a/packages/calls/src/answer_attempt_events.ts
+++ b/packages/calls/src/answer_attempt_events.ts
@@ -11,12 +11,14 @@
 import { createTokenOrder, type TokenEvent } from "./answer_order.ts";
 import { lookIntoSilence } from "./answer_silence.ts";
 
+const CANCELLED: AttemptEnd = { kind: "retry", reason: "cancelled" };
+
 /** Reads an attempt's events until it ends. */
 export async function* readAttempt(
   events: AsyncIterable<EngineEvent>,
   options: RunningAttempt,
 ): AsyncGenerator<AnswerEvent, AttemptEnd> {
-  const { progress, attempt, signal, pace, lost } = options;
+  const { progress, attempt, pace, lost } = options;
   const reader = createEventReader(events);
   const order = createTokenOrder(progress.delivered.length);
   const first = attempt.stages[0]?.engine ?? "";
@@ -24,9 +26,7 @@
   let waitingSince = performance.now();
   while (true) {
     const next = await reader.next(pace.silenceMs());
-    if (signal.aborted || !(await mayGoOn(attempt, options.keeper))) {
-      return { kind: "retry", reason: "cancelled" };
-    }
+    if (!(await mayDeliver(options))) return CANCELLED;
     if (next.kind === "silent") {
       silentMs = performance.now() - waitingSince;
       const end = await lookIntoSilence(silentMs, { ...options, reader });
@@ -50,6 +50,7 @@
           return { kind: "retry", reason: "a token is missing" };
         }
         for (const token of result.tokens) {
+          if (!(await mayDeliver(options))) return CANCELLED;
           pace.observe(performance.now() - waitingSince);
           take(token, options);
           const { index, text } = token;
@@ -82,6 +83,15 @@
   }
 }
 
+/**
+ * Asked before each token: a slow caller takes one long after it was ready,
+ * and a process can be frozen in between.
+ */
+async function mayDeliver(options: RunningAttempt): Promise<boolean> {
+  const { attempt, keeper, signal } = options;
+  return !signal.aborted && (await mayGoOn(attempt, keeper));
+}
+
 function take(token: TokenEvent, options: RunningAttempt): void {
   const { progress, metrics, onProgress, attempt } = options;
   progress.delivered.push(token.text);
--- a/packages/calls/src/answer_test.ts
+++ b/packages/calls/src/answer_test.ts
@@ -136,6 +136,8 @@
     readonly maxTokens?: number;
     readonly prepare?: (engines: ScriptedEngines) => void;
     readonly keeper?: AnswerDependencies["keeper"];
+    /** Called with each event before the next one is asked for. */
+    readonly onEvent?: (event: AnswerEvent) => void;
   } = {},
 ) {
   const engines = createScriptedEngines(scripts);
@@ -154,7 +156,10 @@
     liveness: QUICK,
     signal: new AbortController().signal,
   });
-  for await (const event of answer) events.push(event);
+  for await (const event of answer) {
+    events.push(event);
+    options.onEvent?.(event);
+  }
   const tokens = events.flatMap((event) =>
     event.type === "token" ? [event.text] : [],
   );
@@ -408,6 +413,21 @@
     expect(result.end).toBe(end);
     expect(result.attempts.map(({ version }) => version)).toEqual(versions);
   });
+
+  test("between two tokens that became ready together", async () => {
+    // A token waits for an earlier one, and the caller is slow to take that
+    // one: the version is withdrawn before the later one can be handed over.
+    const keeper = createFixedNote(note(1, ["v1"]));
+    const early = () => giveEvents([token(1, 1), token(1, 0), token(1, 2)]);
+    const result = await run([early, whole], {
+      keeper,
+      onEvent: (event) => {
+        if (event.type === "token") keeper.set(note(2, ["v2"]));
+      },
+    });
+    expect(result.tokens).toBe("w0");
+    expect(result.end).toBe("withdrawn/withdrawn");
+  });
 });
 
 /**
