Admit answers by the room that engines have, counted by the hint of callers

Cause: answers beyond the memory of all engines were sent on and preempted. Hypothesis: with admission by room (load at most 1, a short wait, then a refusal that says when to come back) a shortage costs the answers that do not fit, not all. Answers are counted with the length that their callers expect, not with the most that they allow.

--- a/packages/gateway/src/forward_stream.ts
+++ b/packages/gateway/src/forward_stream.ts
@@ -2,8 +2,7 @@
  * Forwards answers that come as a stream of events, and takes a broken one up
  * on another pipeline behind the last event that the caller has.
  */
-import { createLogger } from "@rosemarypin/telemetry";
-import { pause } from "@rosemarypin/timing";
+import { createAdmission } from "./admission.ts";
 import {
   beginAnswer,
   drawReturn,
@@ -11,6 +10,7 @@
   type ReturnSpan,
 } from "./caller_answer.ts";
 import type { CallEnd, CallerCall } from "./caller_call.ts";
+import type { AnswerSize } from "./pipeline_router.ts";
 import type { RequestCodec } from "./protocol.ts";
 import { createStreamPace } from "./stream_pace.ts";
 import {
@@ -25,22 +25,14 @@
 /** Runs that may end with their first engine, so that no call goes on for
  * ever while engines fail one after the other. */
 const MOST_LOST = 3;
-/**
- * How long an answer that has begun waits for a pipeline while layers of a
- * lost engine are loaded elsewhere, which takes one to two seconds. One that
- * has not begun is refused at once instead: its caller can come back.
- */
-const LONGEST_WAIT_MS = 4_000;
-const WAIT_STEP_MS = 100;
-
 /**
  * When to come back, in seconds. A lost engine's layers are noticed within
  * one second and held by others one to two seconds later; callers that were
  * refused together return one by one.
  */
 const RETURN_SECONDS: ReturnSpan = { least: 1.2, most: 3.2 };
-
-const log = createLogger("streams");
+/** The same when all engines are full; answers take a second or two. */
+const ROOM_SECONDS: ReturnSpan = { least: 0.5, most: 2 };
 
 /** Forwards a call until its stream is complete or can't be. */
 export async function forwardStream(
@@ -57,37 +49,16 @@
   let attempts = 0;
   let runs = 0;
   let lost = 0;
-  let waitedMs = 0;
-  const { tokens, unreadTokens } = sizeOf(call);
   let last: RunEnd = { kind: "not_run", detail: "no_pipeline" };
+  const size = sizeOf(call);
+  const admission = createAdmission(call, router, { size, avoided });
   while (!call.signal.aborted) {
-    const pipeline = router.choose({
-      service: call.service,
-      tokens,
-      unreadTokens,
-      avoided,
-      // Sent to engines without room, answers push others out of memory.
-      ...(progress.begun && waitedMs < LONGEST_WAIT_MS ? { mostLoad: 1 } : {}),
-    });
-    if (!pipeline) {
-      if (!progress.begun || waitedMs >= LONGEST_WAIT_MS) {
-        log.warn("no_pipeline", {
-          request: call.id,
-          missing_layers: router.missingLayers({
-            service: call.service,
-            avoided,
-          }),
-          avoided: [...avoided].join(",") || undefined,
-          waited_ms: waitedMs,
-        });
-        break;
-      }
-      // Engines that this call kept away from may have come back.
-      avoided.clear();
-      await pause(WAIT_STEP_MS, call.signal);
-      waitedMs += WAIT_STEP_MS;
-      continue;
+    const admitted = await admission.next({ hasBegun: progress.begun });
+    if (admitted.kind === "refused") {
+      if (attempts === 0) last = { kind: "not_run", detail: admitted.reason };
+      break;
     }
+    const { pipeline } = admitted;
     if (attempts > 0 && !budget.take(call.service.name)) {
       pipeline.release();
       break;
@@ -95,8 +66,7 @@
     attempts += 1;
     const run = {
       pipeline,
-      tokens,
-      unreadTokens,
+      size,
       avoided,
       mayGoElsewhere:
         call.route.resumable && runs - lost + 1 < call.route.maxAttempts,
@@ -117,16 +87,14 @@
   return endOf(call, { last, progress, attempts, runs, codec: parts.codec });
 }
 
-/** Tokens of a call's prompt, and those with its expected answer. */
-function sizeOf({ facts, service }: CallerCall): {
-  readonly tokens: number;
-  readonly unreadTokens: number;
-} {
+/** Tokens that a call's answer is expected to take. */
+function sizeOf({ facts, service }: CallerCall): AnswerSize {
   const model = service.engine?.model;
-  const usualAnswer = model?.usualAnswerTokens ?? 0;
-  const unreadTokens = facts.promptTokens ?? model?.usualPromptTokens ?? 0;
-  const answer = Math.min(facts.mostAnswerTokens ?? usualAnswer, usualAnswer);
-  return { tokens: unreadTokens + answer, unreadTokens };
+  const usual = model?.usualAnswerTokens ?? 0;
+  const promptTokens = facts.promptTokens ?? model?.usualPromptTokens ?? 0;
+  const expected = facts.expectedAnswerTokens ?? usual;
+  const answerTokens = Math.min(facts.mostAnswerTokens ?? expected, expected);
+  return { promptTokens, answerTokens };
 }
 
 function endOf(
@@ -169,6 +137,8 @@
     outcome,
     reason: last.detail,
     attempts,
-    retryAfterSeconds: drawReturn(RETURN_SECONDS),
+    retryAfterSeconds: drawReturn(
+      last.detail === "no_room" ? ROOM_SECONDS : RETURN_SECONDS,
+    ),
   });
 }
--- a/packages/gateway/src/pipeline_router.ts
+++ b/packages/gateway/src/pipeline_router.ts
@@ -14,12 +14,16 @@
 import type { EngineLoad, EngineUse, TakenUse } from "./engine_use.ts";
 import type { AddressedStage } from "./protocol.ts";
 
+/** How much an answer takes of engines. */
+export interface AnswerSize {
+  readonly promptTokens: number;
+  /** As far as can be told. */
+  readonly answerTokens: number;
+}
+
 export interface PipelineRequest {
   readonly service: Service;
-  /** Prompt and expected answer, in tokens. */
-  readonly tokens: number;
-  /** Those of them that are read before the first event. */
-  readonly unreadTokens: number;
+  readonly size: AnswerSize;
   /** Engines that this answer is to keep away from. */
   readonly avoided: ReadonlySet<string>;
   /** Share of memory that may be in use on each engine, this answer included. */
@@ -155,11 +159,11 @@
 
   function hasRoomFor(
     { memoryMb, held, load }: StageCandidate,
-    { tokens, mostLoad = 1 }: PipelineRequest,
+    { size, mostLoad = 1 }: PipelineRequest,
     { model }: EngineShape,
   ): boolean {
     const room = roomTokens(model, { memoryMb, layers: layersIn(held) });
-    return load + tokens / Math.max(1, room) <= mostLoad;
+    return load + tokensOf(size) / Math.max(1, room) <= mostLoad;
   }
 
   /** `null` when an engine went away meanwhile. */
@@ -178,8 +182,13 @@
   ): ChosenPipeline | null {
     const first = fleet.get(stages[0]?.engineId ?? "");
     if (!first) return null;
-    const { tokens, unreadTokens } = request;
-    const taken = use.take({ stages, tokens, unreadTokens, unreadStages });
+    const { size } = request;
+    const taken = use.take({
+      stages,
+      tokens: tokensOf(size),
+      unreadTokens: size.promptTokens,
+      unreadStages,
+    });
     return { stages, first, ...taken };
   }
 
@@ -224,6 +233,11 @@
 
 const NO_LOAD: EngineLoad = { held: 0, unread: 0 };
 
+/** Memory that an answer takes once it is whole, in tokens. */
+function tokensOf({ promptTokens, answerTokens }: AnswerSize): number {
+  return promptTokens + answerTokens;
+}
+
 function sum(values: readonly number[]): number {
   return values.reduce((total, value) => total + value, 0);
 }
--- a/packages/gateway/src/protocol.ts
+++ b/packages/gateway/src/protocol.ts
@@ -14,6 +14,8 @@
   readonly key: string | null;
   readonly promptTokens: number | null;
   readonly mostAnswerTokens: number | null;
+  /** What the caller expects; right on the average, far off for some. */
+  readonly expectedAnswerTokens: number | null;
   /** The event after which a stream is to go on. */
   readonly lastEventId: string | null;
 }
--- a/packages/gateway/src/stage_recovery.ts
+++ b/packages/gateway/src/stage_recovery.ts
@@ -3,7 +3,11 @@
 import { pause } from "@rosemarypin/timing";
 import type { BackendFleet } from "./backend_fleet.ts";
 import type { CallerCall } from "./caller_call.ts";
-import type { ChosenPipeline, PipelineRouter } from "./pipeline_router.ts";
+import type {
+  AnswerSize,
+  ChosenPipeline,
+  PipelineRouter,
+} from "./pipeline_router.ts";
 import type { EngineCalls } from "./protocol.ts";
 import type { Stall } from "./stall_detector.ts";
 
@@ -30,8 +34,7 @@
 /** A run of an answer; its pipeline changes when a stage is replaced. */
 export interface StreamRun {
   pipeline: ChosenPipeline;
-  readonly tokens: number;
-  readonly unreadTokens: number;
+  readonly size: AnswerSize;
   /** Engines that the call keeps away from; grows. */
   readonly avoided: Set<string>;
   /** Whether the call may go on in another run. */
@@ -110,15 +113,9 @@
 
   function hasRoomElsewhere(): boolean {
     const { service } = call;
-    const { tokens, unreadTokens, avoided } = run;
+    const { size, avoided } = run;
     const mostLoad = MOST_LOAD_ELSEWHERE;
-    return router.hasRoom({
-      service,
-      tokens,
-      unreadTokens,
-      avoided,
-      mostLoad,
-    });
+    return router.hasRoom({ service, size, avoided, mostLoad });
   }
 
   /**
@@ -149,8 +146,7 @@
     const last = run.pipeline;
     const next = router.replaceStage(last, {
       service: call.service,
-      tokens: run.tokens,
-      unreadTokens: run.unreadTokens,
+      size: run.size,
       avoided: new Set([...run.avoided, ...full]),
       address,
       sameDomain,
--- a/packages/gateway/src/stage_recovery_test.ts
+++ b/packages/gateway/src/stage_recovery_test.ts
@@ -48,8 +48,7 @@
   const kept = stage("first", 0, 4);
   const run: StreamRun = {
     pipeline: pipeline(kept, stage("dead", 4, 8)),
-    tokens: 100,
-    unreadTokens: 80,
+    size: { promptTokens: 80, answerTokens: 20 },
     avoided: new Set<string>(),
     mayGoElsewhere: true,
     stop: new AbortController(),
--- a/packages/telemetry/src/event_catalogue.ts
+++ b/packages/telemetry/src/event_catalogue.ts
@@ -86,6 +86,10 @@
       says: "no usable engine holds these layers",
       fields: ["request", "missing_layers", "avoided", "waited_ms"],
     },
+    no_room: {
+      says: "all engines that could take an answer are full",
+      fields: ["request", "missing_layers", "avoided", "waited_ms"],
+    },
     pipeline_changed: {
       says: "a stage of an answer in progress was replaced, or not",
       fields: ["request", "lost", "stages", "answer", "detail"],
