Follow the store through a few instances of a domain, and gather changes

Cause: each instance held watches of its own. Change: in a domain of four instances or more, an eighth of them (two at least) watch the store; the others follow one of these by calls between instances, and turn to the store at once when it is silent or has not heard of the store for a second. Changes that follow each other within 600 ms are gathered for 250 ms. Renewals and whole readings are spread by instance.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -16,6 +16,7 @@
   createCallerListener,
   TAKEN_AFTER_STOP_MS,
 } from "./caller_listener.ts";
+import { createChangeRelay } from "./change_relay.ts";
 import { createConfigurationKeeper } from "./configuration_keeper.ts";
 import {
   createOperatorsServer,
@@ -25,13 +26,15 @@
 import { forwardPlain } from "./forward_plain.ts";
 import { forwardStream } from "./forward_stream.ts";
 import { createGatewayMetrics } from "./gateway_metrics.ts";
-import { startObjectMirror } from "./object_mirror.ts";
+import { type ObjectMirror, startObjectMirror } from "./object_mirror.ts";
 import { createOrderingRight } from "./ordering_right.ts";
 import { peerNewsMethods, startPeerNews } from "./peer_news.ts";
 import { createPipelineRouter } from "./pipeline_router.ts";
 import { startPlacement } from "./placement_loop.ts";
 import type { Platform } from "./platform.ts";
 import { startPresence } from "./presence.ts";
+import { chooseRelays } from "./relay_choice.ts";
+import { startRelayFollower } from "./relay_follower.ts";
 import { createReleaseHistory } from "./release_history.ts";
 import { createRetryBudget } from "./retry_budget.ts";
 import { createServerChoice } from "./server_choice.ts";
@@ -70,10 +73,35 @@
   const history = createReleaseHistory(instance);
   keeper.onChanged(history.record);
   const fleet = createBackendFleet({ engines, failureDomain, signal });
-  const configurations = startObjectMirror({
+  const presence = startPresence({
     store,
-    prefix: keys.configurations,
+    instance,
+    failureDomain,
+    peer: settings.peers,
+    signal,
+  });
+  const caller = settings.peers ? createPeerCaller(settings.peers.host) : null;
+  const relay = createChangeRelay({
+    mirrors: () => mirrors,
+    probeStore: presence.probeStore,
     signal,
+  });
+  const follower =
+    caller &&
+    startRelayFollower({
+      mirrors: () => mirrors,
+      caller,
+      relays: () => chooseRelays(instance, presence.neighbours()),
+      signal,
+    });
+  const following = {
+    store,
+    signal,
+    ...(follower ? { relay: follower } : {}),
+  };
+  const configurations = startObjectMirror({
+    ...following,
+    prefix: keys.configurations,
     onObject({ key, value }) {
       if (key !== keys.configuration) return;
       const configuration = platform.decodeConfiguration(value);
@@ -81,9 +109,8 @@
     },
   });
   const servers = startObjectMirror({
-    store,
+    ...following,
     prefix: keys.servers,
-    signal,
     onObject({ key, value }) {
       const id = key.slice(keys.servers.length);
       const server = platform.decodeServer(id, value);
@@ -93,22 +120,11 @@
     },
     onRemoved: (key) => fleet.remove(key.slice(keys.servers.length)),
   });
-  const presence = startPresence({
-    store,
-    instance,
-    failureDomain,
-    peer: settings.peers,
-    signal,
-  });
-  const mirrors = [configurations, servers];
-  if (settings.peers) {
-    await startPeerServer(settings.peers, peerNewsMethods(mirrors));
-    startPeerNews({
-      mirrors,
-      caller: createPeerCaller(settings.peers.host),
-      peers: presence.peers,
-      signal,
-    });
+  const mirrors: readonly ObjectMirror[] = [configurations, servers];
+  if (settings.peers && caller) {
+    const methods = { ...peerNewsMethods(mirrors), ...relay.methods };
+    await startPeerServer(settings.peers, methods);
+    startPeerNews({ mirrors, caller, peers: presence.peers, signal });
   }
   const right = createOrderingRight({
     store,
--- a/packages/gateway/src/object_mirror_test.ts
+++ b/packages/gateway/src/object_mirror_test.ts
@@ -64,7 +64,9 @@
     await answer(batch([["k/a", 5]], { isWhole: true }));
     await answer(batch([["k/a", 4]]));
     await answer(batch([["k/a", 5]]));
+    await vi.advanceTimersByTimeAsync(1_000);
     await answer(batch([["k/a", 6]]));
+    await vi.advanceTimersByTimeAsync(1_000);
     expect(events).toEqual(["k/a@5", "k/a@6"]);
     end();
   });
@@ -136,4 +138,18 @@
     expect(events).toEqual(["k/a@1", "k/a gone"]);
     end();
   });
+
+  it("gathers changes that follow each other closely", async () => {
+    const { asked, answer, events, end } = setUp();
+    await answer(batch([["k/a", 1]], { revision: 1 }));
+    await answer(batch([["k/a", 2]], { revision: 2 }));
+    expect(events).toEqual(["k/a@1", "k/a@2"]);
+    expect(asked.length).toBe(2);
+    await vi.advanceTimersByTimeAsync(250);
+    expect(asked.length).toBe(3);
+    await vi.advanceTimersByTimeAsync(2_000);
+    await answer(batch([["k/a", 3]], { revision: 3 }));
+    expect(asked.length).toBe(4);
+    end();
+  });
 });
--- a/packages/gateway/src/presence.ts
+++ b/packages/gateway/src/presence.ts
@@ -4,19 +4,20 @@
 import { createLogger } from "@rosemarypin/telemetry";
 import { pause } from "@rosemarypin/timing";
 import { z } from "zod";
+import type { DomainInstance } from "./relay_choice.ts";
 
 /** Kind of the objects, in the store's key space. */
 export const PRESENCE_PREFIX = "rosemarypin-instances/";
 /**
  * How often an instance renews its object. Each renewal is a write of the
  * store's rate, shared by all: so few instances renew more often, and from 32 on
- * each every 4 s; 340 make 85 a second of 400. With four, the end of one was
+ * each every 8 s; 340 make 43 a second of 400. With four, the end of one was
  * noticed 10 s later with the longest interval, and is 5 s later with the
  * shortest.
  */
-const RENEW_PER_INSTANCE_MS = 125;
+const RENEW_PER_INSTANCE_MS = 250;
 const SHORTEST_RENEWAL_MS = 2_000;
-const LONGEST_RENEWAL_MS = 4_000;
+const LONGEST_RENEWAL_MS = 8_000;
 /**
  * An object that stood still for so many renewals is of an instance that is
  * gone.
@@ -64,6 +65,10 @@
   others(): OtherInstance[];
   /** Where other live instances are reached. */
   peers(): Address[];
+  /** Other live instances of the own failure domain. */
+  neighbours(): DomainInstance[];
+  /** Whether the store answers a small reading in time. */
+  probeStore(timeoutMs: number): Promise<boolean>;
   /** Writes that this instance is about to stop. */
   leave(): Promise<void>;
 }
@@ -121,6 +126,10 @@
     return readAt - movedAt < GONE_AFTER_RENEWALS * renewalMs();
   }
 
+  function countedForMs(): number {
+    return Math.max(COUNTED_FOR_MS, GONE_AFTER_RENEWALS * renewalMs());
+  }
+
   async function write(leaving: boolean): Promise<void> {
     renewal += 1;
     const value = { failureDomain, startedAt, renewal, peer, leaving };
@@ -181,7 +190,7 @@
         ([, { presence, movedAt }]) =>
           presence.failureDomain === domain &&
           !presence.leaving &&
-          readAt - movedAt < COUNTED_FOR_MS,
+          readAt - movedAt < countedForMs(),
       )
       .map(([other]) => other.slice(PRESENCE_PREFIX.length));
   }
@@ -215,6 +224,17 @@
         heardAgoMs: performance.now() - seen.movedAt,
       })),
     peers: () => live().flatMap((presence) => presence.peer ?? []),
+    neighbours: () =>
+      liveObjects()
+        .filter(([, { presence }]) => presence.failureDomain === failureDomain)
+        .map(([other, { presence }]) => ({
+          instance: other.slice(PRESENCE_PREFIX.length),
+          peer: presence.peer,
+        })),
+    async probeStore(timeoutMs) {
+      const options = { mayBeStale: true, timeoutMs };
+      return (await store.read(key, options)).kind === "ok";
+    },
     leave: () => write(true),
   };
 }
--- a/packages/telemetry/src/event_catalogue.ts
+++ b/packages/telemetry/src/event_catalogue.ts
@@ -324,6 +324,14 @@
       says: "another instance's object was read first",
       fields: ["key"],
     },
+    relay_followed: {
+      says: "changes of the store come through this instance now",
+      fields: ["peer"],
+    },
+    relay_passed_over: {
+      says: "it is not followed any more; the store is asked itself",
+      fields: ["peer", "reason"],
+    },
     peer_datagram_unreadable: {
       says: "bytes that are no message of an instance came; nothing changes",
       fields: ["bytes"],
