Leave the next server a quarter of the time when one hangs

Cause: an idempotent request leaves a server that hangs after half the time left, but after two objectives at least. Change: the first server gets three quarters of the time at most. The rule is a module of its own.

--- a/packages/gateway/src/forward_plain.ts
+++ b/packages/gateway/src/forward_plain.ts
@@ -13,18 +13,11 @@
 import type { RequestCodec } from "./protocol.ts";
 import type { RetryBudget } from "./retry_budget.ts";
 import type { ServerChoice } from "./server_choice.ts";
+import { tryTimeMs } from "./try_time.ts";
 
 /** Servers that may refuse a request before it is refused to the caller. */
 const MOST_REFUSALS = 3;
 const SERVER_ERROR = 500;
-/**
- * Share of the time left after which an idempotent request goes to another
- * server, and the least such time, in objectives. A server that takes requests
- * in and never answers else uses up all the time that its callers have.
- */
-const FIRST_TRY_SHARE = 0.5;
-const LEAST_TRY_OBJECTIVES = 2;
-
 const log = createLogger("calls");
 
 export interface ForwardParts {
@@ -85,10 +78,9 @@
   return endWithRefusal(codec, call, { outcome, reason, attempts });
 }
 
-/** How long one server may take while another could be tried. */
 function tryMs(call: CallerCall): number {
-  const leastMs = LEAST_TRY_OBJECTIVES * call.route.objectiveMs;
-  return Math.ceil(Math.max(leastMs, timeLeftMs(call) * FIRST_TRY_SHARE));
+  const { objectiveMs } = call.route;
+  return tryTimeMs({ leftMs: timeLeftMs(call), objectiveMs });
 }
 
 async function attemptOnce(
