--- a/packages/bench/src/recall/recall_processes_test.ts
+++ b/packages/bench/src/recall/recall_processes_test.ts
@@ -106,10 +106,16 @@
   // recalled. Requests queue in its sockets, as do tokens of it. Thawed, it
   // serves both before its watch has told it anything.
   let tokens = 0;
-  const stream = ask(FROZEN, { onToken: () => (tokens += 1) });
-  await until(async () => tokens > 3);
   const frozen = deployment.plan.daemons[FROZEN]?.instance.id ?? "";
-  deployment.processes.signal(frozen, "SIGSTOP");
+  const stream = ask(FROZEN, {
+    onToken() {
+      tokens += 1;
+      // Right behind a token: the instance waits for the next one. Stopped
+      // in the middle of handing one over, it would go on with that.
+      if (tokens === 4) deployment.processes.signal(frozen, "SIGSTOP");
+    },
+  });
+  await until(async () => tokens > 3);
   const queued = [1, 2, 3, 4].map(() => askUntilRun(FROZEN));
   note += 1;
   await publishRecall(deployment, note, { via: OTHER });
--- a/packages/cli/src/log_story_test.ts
+++ b/packages/cli/src/log_story_test.ts
@@ -6,10 +6,10 @@
 time=2026-01-01T00:00:01.000Z scope=rosemarypin:store:warn event=store_away prefix=servers/ detail="read ECONNRESET"
 time=2026-01-01T00:00:02.000Z scope=rosemarypin:streams:info event=request_sent request=r-1 route=ask id=e-1 stages=e-1,e-2 left_ms=900
 time=2026-01-01T00:00:02.100Z scope=rosemarypin:streams:info event=request_sent request=r-2 route=ask id=e-1 stages=e-1 left_ms=900
-time=2026-01-01T00:00:02.400Z scope=rosemarypin:doubts:warn event=server_doubted id=e-2 reason=silent
-time=2026-01-01T00:00:02.500Z scope=rosemarypin:doubts:warn event=server_doubted id=e-9 reason=silent
+time=2026-01-01T00:00:02.400Z scope=rosemarypin:failures:warn event=server_suspected id=e-2 reason=silent
+time=2026-01-01T00:00:02.500Z scope=rosemarypin:failures:warn event=server_suspected id=e-9 reason=silent
 time=2026-01-01T00:00:03.000Z scope=rosemarypin:callers:warn event=request_ended request=r-1 status=0 outcome=cut reason=stage_away
-time=2026-01-01T00:00:30.000Z scope=rosemarypin:doubts:info event=server_back id=e-2
+time=2026-01-01T00:00:30.000Z scope=rosemarypin:failures:info event=server_back id=e-2
 `;
 
 function told(id: string): string[] {
@@ -23,7 +23,7 @@
     expect(told("r-1")).toEqual([
       "instance store_away",
       "subject request_sent e-1",
-      "server server_doubted e-2",
+      "server server_suspected e-2",
       "subject request_ended",
     ]);
   });
@@ -32,7 +32,7 @@
     expect(told("e-2")).toEqual([
       "instance store_away",
       "subject request_sent e-1",
-      "subject server_doubted e-2",
+      "subject server_suspected e-2",
       "subject server_back e-2",
     ]);
   });
--- a/packages/cli/src/loss_account.ts
+++ b/packages/cli/src/loss_account.ts
@@ -20,7 +20,7 @@
 
 /** What began a loss, as far as logs tell. */
 export interface LossOrigin {
-  /** An event of the log, such as `server_doubted`; `none` for no event. */
+  /** An event of the log, such as `server_suspected`; `none` for no event. */
   readonly event: string;
   /** The engine or instance that it was about. */
   readonly subject: string;
@@ -63,7 +63,7 @@
 /** Events that may begin a loss, the most telling ones first. */
 const ORIGIN_EVENTS = [
   "pipeline_silent",
-  "server_doubted",
+  "server_suspected",
   "server_leaving",
   "server_gone",
   "layers_ordered",
--- a/packages/gateway/src/administration.ts
+++ b/packages/gateway/src/administration.ts
@@ -80,13 +80,13 @@
 
   function viewOf(server: BackendServer): BackendView {
     const { id, service, kind, failureDomain, held } = server;
-    const isDoubted = fleet.doubts.isDoubted(id);
+    const isAvoided = fleet.detector.isAvoided(id);
     return {
       id,
       kind: kind === null ? "service" : "engine",
       name: service,
       failureDomain,
-      state: server.leaving ? "leaving" : isDoubted ? "unreachable" : "ready",
+      state: server.leaving ? "leaving" : isAvoided ? "unreachable" : "ready",
       holds: held ? [`${held.from}-${held.to}`] : [],
       inFlight: 0,
       load: 0,
--- a/packages/gateway/src/backend_fleet.ts
+++ b/packages/gateway/src/backend_fleet.ts
@@ -4,7 +4,10 @@
 import { createLogger } from "@rosemarypin/telemetry";
 import type { BackendServer, EngineReport } from "./backend_server.ts";
 import { createDomainSuspicion } from "./domain_suspicion.ts";
-import { createDoubts, type Doubts } from "./doubts.ts";
+import {
+  createFailureDetector,
+  type FailureDetector,
+} from "./failure_detector.ts";
 import type { EngineCalls } from "./protocol.ts";
 
 /**
@@ -25,10 +28,10 @@
 const log = createLogger("backends");
 
 export interface BackendFleet {
-  readonly doubts: Doubts;
+  readonly detector: FailureDetector;
   get(id: string): BackendServer | null;
   byAddress(address: string): BackendServer | null;
-  /** Servers of a service, those that are leaving or doubted too. */
+  /** Servers of a service, those that are leaving or suspected too. */
   ofService(service: string): BackendServer[];
   /** Whether new requests may go to the server. */
   isUsable(server: BackendServer): boolean;
@@ -37,7 +40,7 @@
   remove(id: string): void;
   /**
    * Another server has the address: the entry is void until it is written
-   * anew. Asked by its address, the other one answers, so doubt alone would
+   * anew. Asked by its address, the other one answers, so suspicion alone would
    * end at once, and orders and requests would go there again and again.
    */
   replaced(id: string): void;
@@ -69,7 +72,7 @@
 }: BackendFleetOptions): BackendFleet {
   const servers = new Map<string, BackendServer>();
   const suspicion = createDomainSuspicion(failureDomain);
-  const doubts = createDoubts({
+  const detector = createFailureDetector({
     probe,
     onSilent: suspectDomain,
     onSuspected: changed,
@@ -95,10 +98,10 @@
     if (domain === undefined || !suspicion.silent(domain)) return;
     log.warn("domain_suspected", { domain });
     for (const other of servers.values()) {
-      if (other.failureDomain !== domain || doubts.isDoubted(other.id))
+      if (other.failureDomain !== domain || detector.isAvoided(other.id))
         continue;
       void probe(other.id).then((works) => {
-        if (works === false) doubts.away(other.id, "silent");
+        if (works === false) detector.away(other.id, "silent");
       });
     }
   }
@@ -121,7 +124,7 @@
   }
 
   return {
-    doubts,
+    detector,
     get: (id) => servers.get(id) ?? null,
     byAddress(address) {
       // The entry of one that ended may still stand beside its successor's.
@@ -139,7 +142,7 @@
     },
     ofService: (service) =>
       [...servers.values()].filter((server) => server.service === service),
-    isUsable: (server) => !server.leaving && !doubts.isDoubted(server.id),
+    isUsable: (server) => !server.leaving && !detector.isAvoided(server.id),
     put(server) {
       const before = voided.get(server.id);
       if (before && !isNewer(server, before)) return;
@@ -158,7 +161,7 @@
       } else {
         servers.set(server.id, server);
         reportedAt.delete(server.id);
-        doubts.worked(server.id);
+        detector.worked(server.id);
       }
       const now = servers.get(server.id);
       // Renewals come all the time, and would have layers planned each time.
@@ -172,7 +175,7 @@
       servers.delete(id);
       reportedAt.delete(id);
       reportedLoads.delete(id);
-      doubts.worked(id);
+      detector.worked(id);
       log.info("server_gone", { id, address: last.address });
       changed(id);
     },
@@ -184,9 +187,9 @@
     },
     putReport,
     recheck(id) {
-      doubts.refused(id);
+      detector.refused(id);
       void probe(id).then((works) => {
-        if (works === false) doubts.away(id, "silent");
+        if (works === false) detector.away(id, "silent");
       });
     },
     onChanged(callback) {
--- a/packages/gateway/src/backend_fleet_test.ts
+++ b/packages/gateway/src/backend_fleet_test.ts
@@ -52,20 +52,20 @@
     // counted as serving until requests failed there too, so that their
     // layers were not loaded elsewhere, and callers were refused meanwhile.
     const { fleet, end } = setUp(new Set(["b1", "b2", "b3", "b4"]));
-    fleet.doubts.away("b1", "silent");
-    fleet.doubts.away("b2", "silent");
+    fleet.detector.away("b1", "silent");
+    fleet.detector.away("b2", "silent");
     await vi.advanceTimersByTimeAsync(1_000);
-    const gone = ["b1", "b2", "b3", "b4"].filter(fleet.doubts.isGone);
+    const gone = ["b1", "b2", "b3", "b4"].filter(fleet.detector.isGone);
     expect(gone).toEqual(["b1", "b2", "b3", "b4"]);
     end();
   });
 
   it("leaves those of its engines in use that answer", async () => {
     const { fleet, end } = setUp(new Set(["b1", "b2"]));
-    fleet.doubts.away("b1", "silent");
-    fleet.doubts.away("b2", "silent");
+    fleet.detector.away("b1", "silent");
+    fleet.detector.away("b2", "silent");
     await vi.advanceTimersByTimeAsync(1_000);
-    expect(fleet.doubts.isDoubted("b3")).toBe(false);
+    expect(fleet.detector.isAvoided("b3")).toBe(false);
     end();
   });
 
@@ -74,7 +74,7 @@
     ["engines of the own domain", ["a1", "a2"]],
   ])("is not suspected for %s", async (_name, silent) => {
     const { fleet, asked, end } = setUp(new Set(silent));
-    for (const id of silent) fleet.doubts.away(id, "silent");
+    for (const id of silent) fleet.detector.away(id, "silent");
     await vi.advanceTimersByTimeAsync(1_000);
     expect(asked.filter((id) => !silent.includes(id))).toEqual([]);
     end();
--- a/packages/gateway/src/doubts.ts
+++ b/packages/gateway/src/failure_detector.ts
@@ -26,14 +26,14 @@
  * A server without probes is tried again after this, doubled with each
  * failure; its own requests then show whether it is back.
  */
-const FIRST_DOUBT_MS = 800;
-const LONGEST_DOUBT_MS = 6_400;
+const FIRST_AVOIDED_MS = 800;
+const LONGEST_AVOIDED_MS = 6_400;
 /** Without a failure for so long, a server starts from the beginning. */
 const FORGET_AFTER_MS = 15_000;
 
-const log = createLogger("doubts");
+const log = createLogger("failures");
 
-/** Why a server is doubted. */
+/** Why a server is suspected. */
 export type AwayReason =
   /** It did not answer, or a connection did not come about. */
   | "silent"
@@ -42,7 +42,7 @@
   /** Its address refuses connections: the process has ended. */
   | "ended";
 
-export interface Doubts {
+export interface FailureDetector {
   /** The server did not answer. */
   away(id: string, reason: AwayReason): void;
   /** The server, or a pipeline because of it, refused a request. */
@@ -50,14 +50,14 @@
   /** The server has shown that it works, or has started anew. */
   worked(id: string): void;
   /** Whether requests keep away from it. */
-  isDoubted(id: string): boolean;
+  isAvoided(id: string): boolean;
   /** Whether engines without work may take its layers, should it be gone. */
   isSuspected(id: string): boolean;
   /** Whether its layers are to be held by others. */
   isGone(id: string): boolean;
 }
 
-interface Doubt {
+interface Suspicion {
   readonly since: number;
   readonly probed: boolean;
   failures: number;
@@ -65,24 +65,24 @@
   until: number;
 }
 
-export interface DoubtsOptions {
+export interface FailureDetectorOptions {
   /** Asks a server whether it works; `null` for those that can't be asked. */
   readonly probe: (id: string) => Promise<boolean | null>;
-  /** Called when a server falls silent that was not doubted before. */
+  /** Called when a server falls silent that was not suspected before. */
   readonly onSilent?: (id: string) => void;
   /** Called with each sign that a server may be gone. */
   readonly onSuspected?: (id: string) => void;
   readonly signal: AbortSignal;
 }
 
-/** Creates a record without any doubt. */
-export function createDoubts({
+/** Creates a record without any suspicion. */
+export function createFailureDetector({
   probe,
   onSilent,
   onSuspected,
   signal,
-}: DoubtsOptions): Doubts {
-  const doubts = new Map<string, Doubt>();
+}: FailureDetectorOptions): FailureDetector {
+  const suspicions = new Map<string, Suspicion>();
   const refusals = new Map<string, number>();
 
   /**
@@ -90,62 +90,65 @@
    * after a while without one, a dead stage would take a new batch of answers
    * each time, and hold up each for seconds.
    */
-  async function probeUntilBack(id: string, doubt: Doubt): Promise<void> {
+  async function probeUntilBack(
+    id: string,
+    suspicion: Suspicion,
+  ): Promise<void> {
     let waitMs = FIRST_PROBE_MS;
-    while (!signal.aborted && doubts.get(id) === doubt) {
+    while (!signal.aborted && suspicions.get(id) === suspicion) {
       await pause(waitMs, signal);
       const works = await probe(id);
-      if (doubts.get(id) !== doubt) return;
+      if (suspicions.get(id) !== suspicion) return;
       if (works === null) {
-        doubts.delete(id);
+        suspicions.delete(id);
         return;
       }
       if (works) {
-        const lastedMs = performance.now() - doubt.since;
+        const lastedMs = performance.now() - suspicion.since;
         log.info("server_back", { id, after_ms: lastedMs.toFixed(0) });
-        doubts.delete(id);
+        suspicions.delete(id);
         return;
       }
-      doubt.misses += 1;
+      suspicion.misses += 1;
       onSuspected?.(id);
-      if (doubt.misses === MISSES_OF_GONE) {
-        log.warn("server_not_answering", { id, misses: doubt.misses });
+      if (suspicion.misses === MISSES_OF_GONE) {
+        log.warn("server_not_answering", { id, misses: suspicion.misses });
       }
       waitMs = Math.min(LONGEST_PROBE_MS, waitMs * 2);
     }
   }
 
-  function doubtTimed(doubt: Doubt): void {
-    const lastsMs = FIRST_DOUBT_MS * 2 ** (doubt.failures - 1);
-    doubt.until = performance.now() + Math.min(LONGEST_DOUBT_MS, lastsMs);
+  function avoidForAWhile(suspicion: Suspicion): void {
+    const lastsMs = FIRST_AVOIDED_MS * 2 ** (suspicion.failures - 1);
+    suspicion.until = performance.now() + Math.min(LONGEST_AVOIDED_MS, lastsMs);
   }
 
   async function begin(id: string, reason: AwayReason): Promise<void> {
     const now = performance.now();
     const misses = MISSES_BY_REASON[reason];
-    const doubt: Doubt = {
+    const suspicion: Suspicion = {
       since: now,
       probed: true,
       failures: 1,
       misses,
       until: Number.POSITIVE_INFINITY,
     };
-    doubts.set(id, doubt);
-    log.warn("server_doubted", { id, reason });
+    suspicions.set(id, suspicion);
+    log.warn("server_suspected", { id, reason });
     if (reason !== "ended") onSilent?.(id);
     if (misses > 0) onSuspected?.(id);
     if ((await probe(id)) === null) {
-      doubts.set(id, { ...doubt, probed: false, misses: 0 });
-      const timed = doubts.get(id);
-      if (timed) doubtTimed(timed);
+      suspicions.set(id, { ...suspicion, probed: false, misses: 0 });
+      const timed = suspicions.get(id);
+      if (timed) avoidForAWhile(timed);
       return;
     }
-    await probeUntilBack(id, doubt);
+    await probeUntilBack(id, suspicion);
   }
 
   return {
     away(id, reason) {
-      const last = doubts.get(id);
+      const last = suspicions.get(id);
       if (!last) {
         void begin(id, reason);
         return;
@@ -160,28 +163,28 @@
       if (now < last.until) return;
       const isRecent = now - last.until < FORGET_AFTER_MS;
       last.failures = isRecent ? last.failures + 1 : 1;
-      doubtTimed(last);
+      avoidForAWhile(last);
     },
     refused(id) {
       refusals.set(id, performance.now() + REFUSED_FOR_MS);
     },
     worked(id) {
-      doubts.delete(id);
+      suspicions.delete(id);
       refusals.delete(id);
     },
-    isDoubted(id) {
+    isAvoided(id) {
       const now = performance.now();
       if (now < (refusals.get(id) ?? 0)) return true;
-      const doubt = doubts.get(id);
-      return doubt !== undefined && now < doubt.until;
+      const suspicion = suspicions.get(id);
+      return suspicion !== undefined && now < suspicion.until;
     },
     isSuspected(id) {
-      const doubt = doubts.get(id);
-      return doubt?.probed === true && doubt.misses > 0;
+      const suspicion = suspicions.get(id);
+      return suspicion?.probed === true && suspicion.misses > 0;
     },
     isGone(id) {
-      const doubt = doubts.get(id);
-      return doubt?.probed === true && doubt.misses >= MISSES_OF_GONE;
+      const suspicion = suspicions.get(id);
+      return suspicion?.probed === true && suspicion.misses >= MISSES_OF_GONE;
     },
   };
 }
--- a/packages/gateway/src/forward_plain.ts
+++ b/packages/gateway/src/forward_plain.ts
@@ -115,7 +115,7 @@
       },
     );
     if (result.kind === "not_sent") {
-      fleet.doubts.away(server.id, awayReason(result.detail));
+      fleet.detector.away(server.id, awayReason(result.detail));
       return { kind: "not_run", detail: result.detail };
     }
     if (result.kind === "broken") {
@@ -123,7 +123,7 @@
     }
     const attempt = await readAnswer(call, result, codec);
     ok = attempt.kind === "answer" && attempt.answer.status < SERVER_ERROR;
-    if (ok) fleet.doubts.worked(server.id);
+    if (ok) fleet.detector.worked(server.id);
     return attempt;
   } finally {
     choice.ended(server.id, { tookMs: performance.now() - sentAt, ok });
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -65,7 +65,7 @@
   const { store, keys, codec, engines } = platform;
   const ending = new AbortController();
   const { signal } = ending;
-  // Each wait listens to it: one for each doubted server, and some more.
+  // Each wait listens to it: one for each suspected server, and some more.
   setMaxListeners(0, signal);
   let stoppedAt: number | null = null;
 
--- a/packages/gateway/src/placement_loop.ts
+++ b/packages/gateway/src/placement_loop.ts
@@ -85,9 +85,9 @@
     const holdsNothing = servers.every(({ held }) => held === null);
     if (holdsNothing && performance.now() - changedAt < SETTLE_MS) return;
     const usable = servers.filter(
-      ({ id, leaving }) => !leaving && !fleet.doubts.isGone(id),
+      ({ id, leaving }) => !leaving && !fleet.detector.isGone(id),
     );
-    const sure = usable.filter(({ id }) => !fleet.doubts.isSuspected(id));
+    const sure = usable.filter(({ id }) => !fleet.detector.isSuspected(id));
     const orders = plan(sure, engine);
     // While it is not certain that an engine is gone, others keep what they
     // hold; one that holds nothing loses nothing by loading in vain.
@@ -219,7 +219,7 @@
     if (!server) return;
     const report = await engines.report(server.address, REPORT_TIMEOUT_MS);
     if (report) fleet.putReport(id, report);
-    else fleet.doubts.away(id, "silent");
+    else fleet.detector.away(id, "silent");
   }
 }
 
--- a/packages/gateway/src/server_choice_test.ts
+++ b/packages/gateway/src/server_choice_test.ts
@@ -7,11 +7,11 @@
   return { id, service: "s", failureDomain, leaving } as BackendServer;
 }
 
-function setUp(servers: BackendServer[], doubted: readonly string[] = []) {
+function setUp(servers: BackendServer[], suspected: readonly string[] = []) {
   const fleet = {
     ofService: () => [...servers],
     isUsable: ({ id, leaving }: BackendServer) =>
-      !leaving && !doubted.includes(id),
+      !leaving && !suspected.includes(id),
   } as unknown as BackendFleet;
   return createServerChoice({ fleet, failureDomain: "a" });
 }
@@ -34,7 +34,7 @@
     expect(choice.choose("s", none)).toBeNull();
   });
 
-  it("goes to a doubted server only when there is no other", () => {
+  it("goes to a suspected server only when there is no other", () => {
     const both = setUp([server("x", "a"), server("y", "b")], ["x"]);
     expect(both.choose("s", none)?.id).toBe("y");
     const alone = setUp([server("x", "a")], ["x"]);
--- a/packages/gateway/src/stage_recovery.ts
+++ b/packages/gateway/src/stage_recovery.ts
@@ -177,7 +177,7 @@
     const isNew = refusing && !last.stages.includes(refusing);
     if (!isNew) return "failed";
     full.add(refusing.engineId);
-    fleet.doubts.refused(refusing.engineId);
+    fleet.detector.refused(refusing.engineId);
     return "full";
   }
 
--- a/packages/gateway/src/stage_recovery_test.ts
+++ b/packages/gateway/src/stage_recovery_test.ts
@@ -80,7 +80,7 @@
         return left.shift() ?? { kind: "moved" };
       },
     },
-    fleet: { doubts: { refused: (id: string) => refused.push(id) } },
+    fleet: { detector: { refused: (id: string) => refused.push(id) } },
   } as unknown as RecoveryParts;
   const call = {
     id: "r",
--- a/packages/gateway/src/stall_detector.ts
+++ b/packages/gateway/src/stall_detector.ts
@@ -218,7 +218,7 @@
   function conclude(group: Group, asked: readonly AskedEngine[]): void {
     const lost = asked.filter(({ report }) => !report);
     for (const { engineId } of lost)
-      fleet.doubts.away(engineId, "unresponsive");
+      fleet.detector.away(engineId, "unresponsive");
     if (lost.length > 0) {
       log.warn("pipeline_silent", {
         first: asked[0]?.engineId,
@@ -246,7 +246,7 @@
   /** A stage that its neighbour does not reach, while we may. */
   function stageStall(address: string): Stall {
     const stage = fleet.byAddress(address);
-    if (stage) fleet.doubts.away(stage.id, "silent");
+    if (stage) fleet.detector.away(stage.id, "silent");
     return { kind: "stage", address };
   }
 
--- a/packages/gateway/src/stall_detector_test.ts
+++ b/packages/gateway/src/stall_detector_test.ts
@@ -37,7 +37,7 @@
     },
   } as unknown as EngineCalls;
   const fleet = {
-    doubts: { away: (id: string) => away.push(id) },
+    detector: { away: (id: string) => away.push(id) },
     putReport: () => {},
     byAddress: (address: string) => ({ id: address.split(":")[0] }),
   } as unknown as BackendFleet;
--- a/packages/gateway/src/stream_run.ts
+++ b/packages/gateway/src/stream_run.ts
@@ -88,7 +88,7 @@
     const result = await send(call, run, options);
     if (result.kind === "not_sent") {
       const { id } = run.pipeline.first;
-      parts.fleet.doubts.away(id, awayReason(result.detail));
+      parts.fleet.detector.away(id, awayReason(result.detail));
       return { kind: "not_run", detail: result.detail };
     }
     if (result.kind === "broken") return broken(recovery, result.detail);
--- a/packages/membership/src/datagram_answers.ts
+++ b/packages/membership/src/datagram_answers.ts
@@ -36,8 +36,8 @@
   const relays = createRelays();
   let syncedAt = -Infinity;
 
-  /** Who is doubted is told so with the answer, and can refute it. */
-  function doubtsAbout(peerId: string): MemberNews[] {
+  /** Who is suspected is told so with the answer, and can refute it. */
+  function suspicionsOf(peerId: string): MemberNews[] {
     const news = table.news(peerId);
     return news && news.status !== "alive" ? [news] : [];
   }
@@ -89,7 +89,7 @@
     switch (method) {
       case "ping": {
         const { sequence } = params;
-        return send({ method: "ack", sequence }, peer, doubtsAbout(id));
+        return send({ method: "ack", sequence }, peer, suspicionsOf(id));
       }
       case "ping_request": {
         const { sequence, target } = params;
--- a/packages/telemetry/src/event_catalogue.ts
+++ b/packages/telemetry/src/event_catalogue.ts
@@ -200,7 +200,7 @@
       says: "a server's entry is gone",
       fields: ["id", "address"],
     },
-    server_doubted: {
+    server_suspected: {
       says: "a server did not answer; nothing new goes there",
       fields: ["id", "reason"],
     },
@@ -209,7 +209,7 @@
       fields: ["id", "misses"],
     },
     server_back: {
-      says: "a doubted server answered a probe",
+      says: "a suspected server answered a probe",
       fields: ["id", "after_ms"],
     },
     server_entry_unreadable: {
@@ -379,7 +379,7 @@
       fields: ["peer", "domain", "incarnation"],
     },
     suspicion_refuted: {
-      says: "others doubted this instance; it answered",
+      says: "others suspected this instance; it answered",
       fields: ["status", "revision"],
     },
     replaced_by_successor: {
