--- a/packages/gateway/src/change_relay_test.ts
+++ b/packages/gateway/src/change_relay_test.ts
@@ -70,7 +70,7 @@
       const woken = wake;
       wake = [];
       for (const resolve of woken) resolve();
-      return performance.now();
+      return { at: performance.now(), version };
     },
     as: (reader: string) =>
       ({
@@ -138,10 +138,10 @@
 
   /** Milliseconds from a change until the follower has it. */
   async function changeAndWait(ms: number): Promise<number> {
-    const at = store.change();
+    const { at, version } = store.change();
     await settle(ms);
-    const last = seen.at(-1);
-    return (last?.[1] ?? Number.POSITIVE_INFINITY) - at;
+    const found = seen.find(([one]) => one === version);
+    return (found?.[1] ?? Number.POSITIVE_INFINITY) - at;
   }
 
   return { store, frozen, follower, seen, settle, changeAndWait };
