Split the plan of a group into a draft and the steps that change it

The state is now a draft (`plan_draft`); filling gaps, widening stages and using spare engines are modules that take it; `group_plan` says in which order they come.

--- a/packages/pipelines/src/layer_plan.ts
+++ b/packages/pipelines/src/layer_plan.ts
@@ -2,13 +2,10 @@
  * Decides which engines are to hold which layers. The plan is made anew from
  * what engines hold, so whoever makes it needs no memory of earlier plans.
  */
-import {
-  type LayerOrder,
-  type PlannedEngine,
-  planGroup,
-} from "./group_plan.ts";
+import { planGroup } from "./group_plan.ts";
 import { groupLayers, tightRoom } from "./group_room.ts";
 import { countHolders } from "./layer_coverage.ts";
+import type { LayerOrder, PlannedEngine } from "./plan_draft.ts";
 import type { ModelShape } from "./types.ts";
 
 /**
--- a/packages/pipelines/src/layer_plan_test.ts
+++ b/packages/pipelines/src/layer_plan_test.ts
@@ -1,8 +1,8 @@
 import fc from "fast-check";
 import { describe, expect, it } from "vitest";
 import { layersWithRoom, roomTokens } from "./engine_capacity.ts";
-import type { PlannedEngine } from "./group_plan.ts";
 import { planLayers } from "./layer_plan.ts";
+import type { PlannedEngine } from "./plan_draft.ts";
 import type { LayerRange, ModelShape } from "./types.ts";
 
 const model: ModelShape = {
