Give the gateway folders in the order of a request's way

43 files in one folder did not show the way of a request. The circle of types between the mirror and the relays' follower is gone. Moves and imports only.

--- a/packages/gateway/src/backend_exchange.ts
+++ b/packages/gateway/src/backends/backend_exchange.ts
@@ -1,8 +1,8 @@
 /** Sends one request to one backend server, once. */
 import { Agent, Client, type Dispatcher, errors } from "undici";
-import type { BackendServer } from "./backend_server.ts";
+import type { BackendServer } from "../backend_server.ts";
+import type { AnswerHeaders } from "../protocol.ts";
 import type { AwayReason } from "./failure_detector.ts";
-import type { AnswerHeaders } from "./protocol.ts";
 import { createTimedConnector } from "./timed_connector.ts";
 
 /**
--- a/packages/gateway/src/backend_fleet.ts
+++ b/packages/gateway/src/backends/backend_fleet.ts
@@ -2,13 +2,13 @@
 import { isDeepStrictEqual } from "node:util";
 import type { LayerRange } from "@rosemarypin/pipelines";
 import { createLogger } from "@rosemarypin/telemetry";
-import type { BackendServer, EngineReport } from "./backend_server.ts";
+import type { BackendServer, EngineReport } from "../backend_server.ts";
+import type { EngineCalls } from "../protocol.ts";
 import { createDomainSuspicion } from "./domain_suspicion.ts";
 import {
   createFailureDetector,
   type FailureDetector,
 } from "./failure_detector.ts";
-import type { EngineCalls } from "./protocol.ts";
 
 /**
  * How far an entry may lag behind the server it tells of: it is written every
--- a/packages/gateway/src/backend_fleet_test.ts
+++ b/packages/gateway/src/backends/backend_fleet_test.ts
@@ -1,7 +1,7 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import type { BackendServer, EngineReport } from "../backend_server.ts";
+import type { EngineCalls } from "../protocol.ts";
 import { createBackendFleet } from "./backend_fleet.ts";
-import type { BackendServer, EngineReport } from "./backend_server.ts";
-import type { EngineCalls } from "./protocol.ts";
 
 beforeEach(() => {
   vi.useFakeTimers();
--- a/packages/gateway/src/caller_answer.ts
+++ b/packages/gateway/src/callers/caller_answer.ts
@@ -1,8 +1,8 @@
 /** Writes answers to callers: those of backend servers, and our own. */
 import type { ServerResponse } from "node:http";
-import type { OpenAnswer } from "./backend_exchange.ts";
+import type { OpenAnswer } from "../backends/mod.ts";
+import type { RequestCodec } from "../protocol.ts";
 import type { CallEnd, CallerCall, CallOutcome } from "./caller_call.ts";
-import type { RequestCodec } from "./protocol.ts";
 
 /** Statuses that promise that the request did not and will not run. */
 const NOT_RUN_STATUSES = new Set([408, 421, 429, 503]);
--- a/packages/gateway/src/caller_call.ts
+++ b/packages/gateway/src/callers/caller_call.ts
@@ -1,7 +1,7 @@
 /** A caller's request while this instance works on it. */
 import type { ServerResponse } from "node:http";
-import type { Organisation, Route, Service } from "./configuration.ts";
-import type { RequestFacts } from "./protocol.ts";
+import type { Organisation, Route, Service } from "../configuration.ts";
+import type { RequestFacts } from "../protocol.ts";
 import type { PaceSummary } from "./stream_pace.ts";
 
 export interface CallerCall {
--- a/packages/gateway/src/caller_listener.ts
+++ b/packages/gateway/src/callers/caller_listener.ts
@@ -6,19 +6,19 @@
   type ServerResponse,
 } from "node:http";
 import { createLogger } from "@rosemarypin/telemetry";
-import { refuse } from "./caller_answer.ts";
-import type { CallEnd, CallerCall } from "./caller_call.ts";
 import type {
   CallerLimits,
   Organisation,
   Route,
   Service,
-} from "./configuration.ts";
+} from "../configuration.ts";
 import type {
   AppliedConfiguration,
   ConfigurationKeeper,
-} from "./configuration_keeper.ts";
-import type { RequestCodec, RequestFacts } from "./protocol.ts";
+} from "../following/mod.ts";
+import type { RequestCodec, RequestFacts } from "../protocol.ts";
+import { refuse } from "./caller_answer.ts";
+import type { CallEnd, CallerCall } from "./caller_call.ts";
 import type { WarmUp } from "./warm_up.ts";
 
 /** Until a configuration tells the bounds on callers. */
--- /dev/null
+++ b/packages/gateway/src/callers/mod.ts
@@ -0,0 +1,6 @@
+/** Takes calls from callers, and answers them. */
+export * from "./caller_answer.ts";
+export * from "./caller_call.ts";
+export * from "./caller_listener.ts";
+export * from "./stream_pace.ts";
+export * from "./warm_up.ts";
--- a/packages/gateway/src/configuration_test.ts
+++ b/packages/gateway/src/configuration_test.ts
@@ -4,7 +4,7 @@
   createRouteTable,
   type Route,
 } from "./configuration.ts";
-import { createConfigurationKeeper } from "./configuration_keeper.ts";
+import { createConfigurationKeeper } from "./following/mod.ts";
 
 function route(name: string, host: string, pathPrefix: string): Route {
   return {
--- a/packages/gateway/src/configuration_keeper.ts
+++ b/packages/gateway/src/following/configuration_keeper.ts
@@ -4,7 +4,7 @@
   type Configuration,
   createRouteTable,
   type RouteTable,
-} from "./configuration.ts";
+} from "../configuration.ts";
 
 const log = createLogger("configuration");
 
--- a/packages/gateway/src/object_mirror.ts
+++ b/packages/gateway/src/following/object_mirror.ts
@@ -8,7 +8,6 @@
 import { createLogger } from "@rosemarypin/telemetry";
 import { pause } from "@rosemarypin/timing";
 import { type ChangeLog, type Changes, createChangeLog } from "./change_log.ts";
-import type { RelayFollower } from "./relay_follower.ts";
 
 /** Short: changes must be in force within two seconds of their writing. */
 const JITTER = { firstMs: 80, largestMs: 600 } as const;
@@ -34,6 +33,13 @@
 
 const logger = createLogger("store");
 
+export interface RelayFollower {
+  /** Whether the mirrors are kept current by a relay now. */
+  isFollowing(): boolean;
+  /** Resolves when that has ended. */
+  ended(): Promise<void>;
+}
+
 export interface ObjectMirrorOptions {
   readonly store: ObjectStore;
   readonly prefix: string;
--- a/packages/gateway/src/relay_follower.ts
+++ b/packages/gateway/src/following/relay_follower.ts
@@ -8,7 +8,7 @@
 import { createLogger } from "@rosemarypin/telemetry";
 import { pause } from "@rosemarypin/timing";
 import type { ChangePosition } from "./change_log.ts";
-import type { ObjectMirror } from "./object_mirror.ts";
+import type { ObjectMirror, RelayFollower } from "./object_mirror.ts";
 import {
   FOLLOW_METHOD,
   HOLD_MS,
@@ -32,13 +32,6 @@
 
 const log = createLogger("peers");
 
-export interface RelayFollower {
-  /** Whether the mirrors are kept current by a relay now. */
-  isFollowing(): boolean;
-  /** Resolves when that has ended. */
-  ended(): Promise<void>;
-}
-
 export interface RelayFollowerOptions {
   readonly mirrors: () => readonly ObjectMirror[];
   readonly caller: PeerCaller;
--- a/packages/gateway/src/backend_request.ts
+++ b/packages/gateway/src/forwarding/backend_request.ts
@@ -1,7 +1,7 @@
 /** What plain calls and streams share of asking a backend server. */
-import type { OpenAnswer, OutgoingRequest } from "./backend_exchange.ts";
-import { type CallerCall, priorityOf, timeLeftMs } from "./caller_call.ts";
-import type { AnswerFacts, AttemptFacts, RequestCodec } from "./protocol.ts";
+import type { OpenAnswer, OutgoingRequest } from "../backends/mod.ts";
+import { type CallerCall, priorityOf, timeLeftMs } from "../callers/mod.ts";
+import type { AnswerFacts, AttemptFacts, RequestCodec } from "../protocol.ts";
 
 /** Makes the request that goes to a backend server for a call. */
 export function outgoingRequest(
--- /dev/null
+++ b/packages/gateway/src/forwarding/mod.ts
@@ -0,0 +1,3 @@
+/** What forwarding of all kinds shares. */
+export * from "./backend_request.ts";
+export * from "./retry_budget.ts";
--- a/packages/gateway/src/retry_budget.ts
+++ b/packages/gateway/src/forwarding/retry_budget.ts
@@ -1,5 +1,5 @@
 /** Bounds repeats to a share of the requests, over all instances together. */
-import type { RetryBudgetSettings } from "./settings.ts";
+import type { RetryBudgetSettings } from "../settings.ts";
 
 /**
  * Part of the allowance that is used. Windows of the bound slide, and counts
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -8,40 +8,44 @@
 } from "@rosemarypin/membership";
 import { createLogger } from "@rosemarypin/telemetry";
 import { pause } from "@rosemarypin/timing";
-import { createAdministration } from "./administration.ts";
-import { createBackendExchange } from "./backend_exchange.ts";
-import { createBackendFleet } from "./backend_fleet.ts";
-import type { CallEnd, CallerCall } from "./caller_call.ts";
+import { createBackendExchange, createBackendFleet } from "./backends/mod.ts";
 import {
+  type CallEnd,
+  type CallerCall,
   createCallerListener,
+  createWarmUp,
   TAKEN_AFTER_STOP_MS,
-} from "./caller_listener.ts";
-import { createChangeRelay } from "./change_relay.ts";
-import { createConfigurationKeeper } from "./configuration_keeper.ts";
+} from "./callers/mod.ts";
 import {
+  chooseRelays,
+  createChangeRelay,
+  createConfigurationKeeper,
+  type ObjectMirror,
+  peerNewsMethods,
+  startObjectMirror,
+  startPeerNews,
+  startPresence,
+  startRelayFollower,
+} from "./following/mod.ts";
+import { createRetryBudget } from "./forwarding/mod.ts";
+import {
+  createAdministration,
+  createGatewayMetrics,
   createOperatorsServer,
   createReadinessServer,
-} from "./control_listener.ts";
-import { createEngineUse } from "./engine_use.ts";
-import { forwardPlain } from "./forward_plain.ts";
-import { forwardStream } from "./forward_stream.ts";
-import { createGatewayMetrics } from "./gateway_metrics.ts";
-import { type ObjectMirror, startObjectMirror } from "./object_mirror.ts";
-import { createOrderingRight } from "./ordering_right.ts";
-import { peerNewsMethods, startPeerNews } from "./peer_news.ts";
-import { createPipelineRouter } from "./pipeline_router.ts";
-import { startPlacement } from "./placement_loop.ts";
+  createReleaseHistory,
+} from "./operators/mod.ts";
+import { createOrderingRight, startPlacement } from "./placement/mod.ts";
+import { createServerChoice, forwardPlain } from "./plain/mod.ts";
 import type { Platform } from "./platform.ts";
-import { startPresence } from "./presence.ts";
-import { chooseRelays } from "./relay_choice.ts";
-import { startRelayFollower } from "./relay_follower.ts";
-import { createReleaseHistory } from "./release_history.ts";
-import { createRetryBudget } from "./retry_budget.ts";
-import { createServerChoice } from "./server_choice.ts";
 import type { GatewaySettings, ListenAddress } from "./settings.ts";
-import { createStallDetector } from "./stall_detector.ts";
-import { startUseExchange } from "./use_exchange.ts";
-import { createWarmUp } from "./warm_up.ts";
+import {
+  createEngineUse,
+  createPipelineRouter,
+  createStallDetector,
+  forwardStream,
+  startUseExchange,
+} from "./streams/mod.ts";
 
 /** Kept back of the grace time, so that the process ends by itself. */
 const STOP_MARGIN_MS = 400;
--- a/packages/gateway/src/mod.ts
+++ b/packages/gateway/src/mod.ts
@@ -1,8 +1,8 @@
 /** Forwards requests to backend servers by the configuration in force. */
 export * from "./backend_server.ts";
+export { createTimedConnector } from "./backends/mod.ts";
 export * from "./configuration.ts";
 export { type Gateway, startGateway } from "./gateway.ts";
 export * from "./platform.ts";
 export * from "./protocol.ts";
 export * from "./settings.ts";
-export { createTimedConnector } from "./timed_connector.ts";
--- a/packages/gateway/src/administration.ts
+++ b/packages/gateway/src/operators/administration.ts
@@ -6,10 +6,9 @@
   InstanceView,
   Status,
 } from "@rosemarypin/schemas";
-import type { BackendFleet } from "./backend_fleet.ts";
-import type { BackendServer } from "./backend_server.ts";
-import type { ConfigurationKeeper } from "./configuration_keeper.ts";
-import type { Presence } from "./presence.ts";
+import type { BackendServer } from "../backend_server.ts";
+import type { BackendFleet } from "../backends/mod.ts";
+import type { ConfigurationKeeper, Presence } from "../following/mod.ts";
 import type { ReleaseHistory } from "./release_history.ts";
 
 export interface AdministrationOptions {
--- a/packages/gateway/src/gateway_metrics.ts
+++ b/packages/gateway/src/operators/gateway_metrics.ts
@@ -1,6 +1,6 @@
 /** Counters and histograms of one gateway. */
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
-import type { CallEnd, CallerCall } from "./caller_call.ts";
+import type { CallEnd, CallerCall } from "../callers/mod.ts";
 
 const SECONDS_BUCKETS = [
   0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.83, 1.5, 3, 6, 15, 30,
--- a/packages/gateway/src/release_history.ts
+++ b/packages/gateway/src/operators/release_history.ts
@@ -3,7 +3,7 @@
  * added, changed and withdrew against the one before.
  */
 import type { ShownNote } from "@rosemarypin/schemas";
-import type { Configuration, Organisation } from "./configuration.ts";
+import type { Configuration, Organisation } from "../configuration.ts";
 
 /** Notes that are kept; older ones stand in the logs only. */
 const MOST_NOTES = 32;
--- /dev/null
+++ b/packages/gateway/src/placement/mod.ts
@@ -0,0 +1,3 @@
+/** Orders engines to hold layers. */
+export * from "./ordering_right.ts";
+export * from "./placement_loop.ts";
--- a/packages/gateway/src/ordering_right.ts
+++ b/packages/gateway/src/placement/ordering_right.ts
@@ -1,7 +1,7 @@
 /** The right to order the engines of each failure domain. */
 import { type ControlLease, createControlLease } from "@rosemarypin/placement";
 import type { ObjectStore } from "@rosemarypin/store";
-import type { Presence } from "./presence.ts";
+import type { Presence } from "../following/mod.ts";
 
 /**
  * After so long without the store, an instance may order the engines of its
--- a/packages/gateway/src/ordering_right_test.ts
+++ b/packages/gateway/src/placement/ordering_right_test.ts
@@ -1,7 +1,7 @@
 import { createMemoryStore } from "@rosemarypin/fakes";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import { startPresence } from "../following/mod.ts";
 import { createOrderingRight } from "./ordering_right.ts";
-import { startPresence } from "./presence.ts";
 
 beforeEach(() => {
   vi.useFakeTimers();
--- a/packages/gateway/src/placement_loop.ts
+++ b/packages/gateway/src/placement/placement_loop.ts
@@ -7,11 +7,11 @@
 } from "@rosemarypin/pipelines";
 import { createLogger } from "@rosemarypin/telemetry";
 import { pause } from "@rosemarypin/timing";
-import type { BackendFleet } from "./backend_fleet.ts";
-import type { BackendServer } from "./backend_server.ts";
-import type { EngineShape, Service } from "./configuration.ts";
-import type { ConfigurationKeeper } from "./configuration_keeper.ts";
-import type { EngineCalls } from "./protocol.ts";
+import type { BackendServer } from "../backend_server.ts";
+import type { BackendFleet } from "../backends/mod.ts";
+import type { EngineShape, Service } from "../configuration.ts";
+import type { ConfigurationKeeper } from "../following/mod.ts";
+import type { EngineCalls } from "../protocol.ts";
 
 /** How often the plan is looked at when nothing wakes the loop. */
 const LOOK_EVERY_MS = 500;
--- a/packages/gateway/src/forward_plain.ts
+++ b/packages/gateway/src/plain/forward_plain.ts
@@ -1,17 +1,26 @@
 /** Forwards requests of plain services: whole answers, at most some repeats. */
 import { createLogger } from "@rosemarypin/telemetry";
+import type { BackendServer } from "../backend_server.ts";
 import {
   awayReason,
   type BackendExchange,
+  type BackendFleet,
   type OpenAnswer,
-} from "./backend_exchange.ts";
-import type { BackendFleet } from "./backend_fleet.ts";
-import { isOwnAnswer, outgoingRequest, readWhole } from "./backend_request.ts";
-import type { BackendServer } from "./backend_server.ts";
-import { beginAnswer, endWithRefusal } from "./caller_answer.ts";
-import { type CallEnd, type CallerCall, timeLeftMs } from "./caller_call.ts";
-import type { RequestCodec } from "./protocol.ts";
-import type { RetryBudget } from "./retry_budget.ts";
+} from "../backends/mod.ts";
+import {
+  beginAnswer,
+  type CallEnd,
+  type CallerCall,
+  endWithRefusal,
+  timeLeftMs,
+} from "../callers/mod.ts";
+import {
+  isOwnAnswer,
+  outgoingRequest,
+  type RetryBudget,
+  readWhole,
+} from "../forwarding/mod.ts";
+import type { RequestCodec } from "../protocol.ts";
 import type { ServerChoice } from "./server_choice.ts";
 import { tryTimeMs } from "./try_time.ts";
 
--- /dev/null
+++ b/packages/gateway/src/plain/mod.ts
@@ -0,0 +1,3 @@
+/** Forwards calls that have one whole answer. */
+export * from "./forward_plain.ts";
+export * from "./server_choice.ts";
--- a/packages/gateway/src/server_choice.ts
+++ b/packages/gateway/src/plain/server_choice.ts
@@ -1,6 +1,7 @@
 /** Chooses among the servers of a plain service. */
-import type { BackendFleet } from "./backend_fleet.ts";
-import type { BackendServer } from "./backend_server.ts";
+
+import type { BackendServer } from "../backend_server.ts";
+import type { BackendFleet } from "../backends/mod.ts";
 
 /** What a server in another failure domain counts as, in calls in progress. */
 const CROSSING_CALLS = 0.5;
--- a/packages/gateway/src/server_choice_test.ts
+++ b/packages/gateway/src/plain/server_choice_test.ts
@@ -1,6 +1,6 @@
 import { describe, expect, it } from "vitest";
-import type { BackendFleet } from "./backend_fleet.ts";
-import type { BackendServer } from "./backend_server.ts";
+import type { BackendServer } from "../backend_server.ts";
+import type { BackendFleet } from "../backends/mod.ts";
 import { createServerChoice } from "./server_choice.ts";
 
 function server(id: string, failureDomain: string, leaving = false) {
--- a/packages/gateway/src/admission.ts
+++ b/packages/gateway/src/streams/admission.ts
@@ -1,7 +1,7 @@
 /** Decides when an answer gets a pipeline: now, after a while, or not at all. */
 import { createLogger } from "@rosemarypin/telemetry";
 import { pause } from "@rosemarypin/timing";
-import type { CallerCall } from "./caller_call.ts";
+import type { CallerCall } from "../callers/mod.ts";
 import type {
   ChosenPipeline,
   PipelineRequest,
--- a/packages/gateway/src/admission_test.ts
+++ b/packages/gateway/src/streams/admission_test.ts
@@ -1,6 +1,6 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import type { CallerCall } from "../callers/mod.ts";
 import { createAdmission } from "./admission.ts";
-import type { CallerCall } from "./caller_call.ts";
 import type {
   ChosenPipeline,
   PipelineRequest,
--- a/packages/gateway/src/engine_use.ts
+++ b/packages/gateway/src/streams/engine_use.ts
@@ -1,6 +1,6 @@
 /** Memory of engines that answers take: those of this instance and of others. */
 import { layersIn } from "@rosemarypin/pipelines";
-import type { AddressedStage } from "./protocol.ts";
+import type { AddressedStage } from "../protocol.ts";
 
 /**
  * For how long another instance's use counts after it was told, in
--- a/packages/gateway/src/engine_use_test.ts
+++ b/packages/gateway/src/streams/engine_use_test.ts
@@ -1,6 +1,6 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import type { AddressedStage } from "../protocol.ts";
 import { createEngineUse, TOLD_FOR_MS } from "./engine_use.ts";
-import type { AddressedStage } from "./protocol.ts";
 
 beforeEach(() => {
   vi.useFakeTimers();
--- a/packages/gateway/src/forward_stream.ts
+++ b/packages/gateway/src/streams/forward_stream.ts
@@ -2,17 +2,19 @@
  * Forwards answers that come as a stream of events, and takes a broken one up
  * on another pipeline behind the last event that the caller has.
  */
-import { createAdmission } from "./admission.ts";
+
 import {
   beginAnswer,
+  type CallEnd,
+  type CallerCall,
+  createStreamPace,
   drawReturn,
   endWithRefusal,
   type ReturnSpan,
-} from "./caller_answer.ts";
-import type { CallEnd, CallerCall } from "./caller_call.ts";
+} from "../callers/mod.ts";
+import type { RequestCodec } from "../protocol.ts";
+import { createAdmission } from "./admission.ts";
 import type { AnswerSize } from "./pipeline_router.ts";
-import type { RequestCodec } from "./protocol.ts";
-import { createStreamPace } from "./stream_pace.ts";
 import {
   type RunEnd,
   runStream,
--- a/packages/gateway/src/pipeline_router.ts
+++ b/packages/gateway/src/streams/pipeline_router.ts
@@ -8,11 +8,11 @@
   type Stage,
   type StageCandidate,
 } from "@rosemarypin/pipelines";
-import type { BackendFleet } from "./backend_fleet.ts";
-import type { BackendServer } from "./backend_server.ts";
-import type { EngineShape, Service } from "./configuration.ts";
+import type { BackendServer } from "../backend_server.ts";
+import type { BackendFleet } from "../backends/mod.ts";
+import type { EngineShape, Service } from "../configuration.ts";
+import type { AddressedStage } from "../protocol.ts";
 import type { EngineLoad, EngineUse, TakenUse } from "./engine_use.ts";
-import type { AddressedStage } from "./protocol.ts";
 
 /** How much an answer takes of engines. */
 export interface AnswerSize {
--- a/packages/gateway/src/stage_recovery.ts
+++ b/packages/gateway/src/streams/stage_recovery.ts
@@ -1,14 +1,14 @@
 /** Mends the pipeline of an answer whose stage was lost, or gives the run up. */
 import { createLogger } from "@rosemarypin/telemetry";
 import { pause } from "@rosemarypin/timing";
-import type { BackendFleet } from "./backend_fleet.ts";
-import type { CallerCall } from "./caller_call.ts";
+import type { BackendFleet } from "../backends/mod.ts";
+import type { CallerCall } from "../callers/mod.ts";
+import type { EngineCalls } from "../protocol.ts";
 import type {
   AnswerSize,
   ChosenPipeline,
   PipelineRouter,
 } from "./pipeline_router.ts";
-import type { EngineCalls } from "./protocol.ts";
 import type { Stall } from "./stall_detector.ts";
 
 const CHANGE_TIMEOUT_MS = 400;
--- a/packages/gateway/src/stage_recovery_test.ts
+++ b/packages/gateway/src/streams/stage_recovery_test.ts
@@ -1,7 +1,7 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
-import type { CallerCall } from "./caller_call.ts";
+import type { CallerCall } from "../callers/mod.ts";
+import type { AddressedStage, MoveAnswer } from "../protocol.ts";
 import type { ChosenPipeline } from "./pipeline_router.ts";
-import type { AddressedStage, MoveAnswer } from "./protocol.ts";
 import {
   createStageRecovery,
   type RecoveryParts,
--- a/packages/gateway/src/stall_detector.ts
+++ b/packages/gateway/src/streams/stall_detector.ts
@@ -6,10 +6,10 @@
  * so that silence of all of them is noticed within a few times the usual gap.
  */
 import { createLogger } from "@rosemarypin/telemetry";
-import type { BackendFleet } from "./backend_fleet.ts";
-import type { EngineReport } from "./backend_server.ts";
+import type { EngineReport } from "../backend_server.ts";
+import type { BackendFleet } from "../backends/mod.ts";
+import type { EngineCalls } from "../protocol.ts";
 import type { ChosenPipeline } from "./pipeline_router.ts";
-import type { EngineCalls } from "./protocol.ts";
 
 const TICK_MS = 20;
 /** Bounds of the silence of a whole pipeline after which it is checked. */
--- a/packages/gateway/src/stall_detector_test.ts
+++ b/packages/gateway/src/streams/stall_detector_test.ts
@@ -1,8 +1,8 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
-import type { BackendFleet } from "./backend_fleet.ts";
-import type { EngineReport } from "./backend_server.ts";
+import type { EngineReport } from "../backend_server.ts";
+import type { BackendFleet } from "../backends/mod.ts";
+import type { EngineCalls } from "../protocol.ts";
 import type { ChosenPipeline } from "./pipeline_router.ts";
-import type { EngineCalls } from "./protocol.ts";
 import {
   type AnswerFollower,
   createStallDetector,
--- a/packages/gateway/src/stream_run.ts
+++ b/packages/gateway/src/streams/stream_run.ts
@@ -4,23 +4,30 @@
 import {
   awayReason,
   type BackendExchange,
+  type BackendFleet,
   type OpenAnswer,
-} from "./backend_exchange.ts";
-import type { BackendFleet } from "./backend_fleet.ts";
-import { isOwnAnswer, outgoingRequest, readWhole } from "./backend_request.ts";
-import { beginAnswer } from "./caller_answer.ts";
-import { type CallerCall, timeLeftMs } from "./caller_call.ts";
+} from "../backends/mod.ts";
+import {
+  beginAnswer,
+  type CallerCall,
+  type StreamPace,
+  timeLeftMs,
+} from "../callers/mod.ts";
+import {
+  isOwnAnswer,
+  outgoingRequest,
+  type RetryBudget,
+  readWhole,
+} from "../forwarding/mod.ts";
+import type { AnswerFacts, EngineCalls, RequestCodec } from "../protocol.ts";
 import { createEventSplitter } from "./event_splitter.ts";
 import type { PipelineRouter } from "./pipeline_router.ts";
-import type { AnswerFacts, EngineCalls, RequestCodec } from "./protocol.ts";
-import type { RetryBudget } from "./retry_budget.ts";
 import {
   createStageRecovery,
   type StageRecovery,
   type StreamRun,
 } from "./stage_recovery.ts";
 import type { AnswerFollower, StallDetector } from "./stall_detector.ts";
-import type { StreamPace } from "./stream_pace.ts";
 
 export interface StreamParts {
   readonly codec: RequestCodec;
