Keep connections while stopping, and answer the next request on them

Change: connections stay open while requests are taken; the next answer on one says that it is closed. Idle ones are closed after that only, as before, and whatever is left is closed before the last lines of the log are written.

--- a/packages/gateway/src/callers/caller_listener.ts
+++ b/packages/gateway/src/callers/caller_listener.ts
@@ -94,11 +94,6 @@
   ): Promise<void> {
     inProgress += 1;
     if (isStopping()) response.setHeader("Connection", "close");
-    // An answer that began before the signal has promised to keep its
-    // connection; the next request on it would come to a stopped process.
-    response.once("finish", () => {
-      if (isStopping()) request.socket.end();
-    });
     try {
       await handle(request, response);
     } catch (error) {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -233,10 +233,11 @@
     void presence.leave();
     void right.release();
     const mostMs = settings.graceMs - STOP_MARGIN_MS;
+    const isQuiet = () => listener.inProgress() === 0;
+    // Connections are kept meanwhile: the next request on one is answered, and
+    // told to close it. Closed by us, it could be met by a request on its way.
     while (passedMs() < mostMs) {
-      listener.server.closeIdleConnections();
-      const isQuiet = listener.inProgress() === 0;
-      if (isQuiet && passedMs() > TAKEN_AFTER_STOP_MS) break;
+      if (isQuiet() && passedMs() > TAKEN_AFTER_STOP_MS) break;
       await pause(STOP_STEP_MS);
     }
     listener.server.close();
@@ -245,7 +246,10 @@
       listener.server.closeIdleConnections();
       await pause(STOP_STEP_MS);
     }
+    while (passedMs() < mostMs && !isQuiet()) await pause(STOP_STEP_MS);
     const cut = listener.inProgress();
+    // Nothing is taken any more while the last lines of the log are written.
+    listener.server.closeAllConnections();
     ending.abort();
     log.info("stopped", { cut, after_ms: passedMs().toFixed(0) });
   }
