Look for stalls when something is due, not every 20 ms

A detector woke its process 50 times a second while answers were followed. It now sleeps until the first thing is due, 60 ms at most, so that silence is also noticed sooner than the next full step of 20 ms. Nothing that becomes due meanwhile is due sooner than that bound.

--- a/packages/gateway/src/streams/stall_detector.ts
+++ b/packages/gateway/src/streams/stall_detector.ts
@@ -11,7 +11,12 @@
 import type { EngineCalls } from "../protocol.ts";
 import type { ChosenPipeline } from "./pipeline_router.ts";
 
-const TICK_MS = 20;
+/**
+ * Bounds of the time between two looks. Each is a wake-up of the process; what
+ * becomes due between them becomes due later than the longer one.
+ */
+const SHORTEST_TICK_MS = 20;
+const LONGEST_TICK_MS = 60;
 /** Bounds of the silence of a whole pipeline after which it is checked. */
 const SHORTEST_SILENCE_MS = 60;
 const LONGEST_SILENCE_MS = 350;
@@ -35,10 +40,10 @@
 /** A report serves all pipelines that ask within this time. */
 const REPORT_HOLDS_MS = 100;
 /**
- * A tick that comes so late shows that this process was held up itself: what
+ * A look that comes so late shows that this process was held up itself: what
  * engines sent meanwhile is not read yet, and says nothing of them.
  */
-const HELD_UP_MS = 60;
+const HELD_UP_MS = 40;
 
 const log = createLogger("streams");
 
@@ -114,7 +119,7 @@
   const groups = new Map<string, Group>();
   const shared = new Map<string, SharedReport>();
   let ticker: NodeJS.Timeout | null = null;
-  let tickedAt = performance.now();
+  let tickDueAt = performance.now();
   let heldUpAt = -Infinity;
 
   function groupOf(pipeline: ChosenPipeline): Group {
@@ -139,16 +144,14 @@
     followed.group = groupOf(followed.answer.pipeline());
     followed.group.members.add(followed);
     followed.dueAt = performance.now() + waitMs;
-    if (ticker) return;
-    tickedAt = performance.now();
-    ticker = setInterval(tick, TICK_MS);
+    if (!ticker) tickAfter(SHORTEST_TICK_MS);
   }
 
   function leave({ group }: Followed, followed: Followed): void {
     group.members.delete(followed);
     if (group.members.size === 0) groups.delete(group.key);
-    if (groups.size > 0 || !ticker) return;
-    clearInterval(ticker);
+    if (groups.size > 0) return;
+    if (ticker) clearTimeout(ticker);
     ticker = null;
   }
 
@@ -164,25 +167,46 @@
     followed.dueAt = now + ANSWER_SILENCE_MS;
   }
 
+  function tickAfter(ms: number): void {
+    tickDueAt = performance.now() + ms;
+    ticker = setTimeout(tick, ms);
+  }
+
   function tick(): void {
     const now = performance.now();
-    if (now - tickedAt > HELD_UP_MS) heldUpAt = now;
-    tickedAt = now;
-    if (heldUpAt === now) return;
+    ticker = null;
+    if (isLate()) {
+      heldUpAt = now;
+      return tickAfter(SHORTEST_TICK_MS);
+    }
     for (const group of [...groups.values()]) {
       if (!group.checking && now >= group.nextCheckAt) look(group, now);
     }
+    // What came of it may have ended the last answer, or begun the next one.
+    if (groups.size === 0 || ticker) return;
+    const waitMs = Math.min(...[...groups.values()].map(dueAtOf)) - now;
+    tickAfter(Math.min(LONGEST_TICK_MS, Math.max(SHORTEST_TICK_MS, waitMs)));
+  }
+
+  /** When a pipeline is to be looked at, if nothing is heard until then. */
+  function dueAtOf(group: Group): number {
+    const members = [...group.members];
+    const answersDueAt = Math.min(...members.map(({ dueAt }) => dueAt));
+    const hasBegun = members.some((one) => one.hasBegun);
+    const silentAt = group.heardAt + (hasBegun ? silenceMs(group) : Infinity);
+    return Math.max(group.nextCheckAt, Math.min(answersDueAt, silentAt));
   }
 
   function look(group: Group, now: number): void {
     const begun = [...group.members].filter(({ hasBegun }) => hasBegun);
-    const isSilent = begun.length > 0 && now - group.heardAt > silenceMs(group);
+    const isSilent =
+      begun.length > 0 && now - group.heardAt >= silenceMs(group);
     const isFirstDue = [...group.members].some(
-      ({ hasBegun, dueAt }) => !hasBegun && now > dueAt,
+      ({ hasBegun, dueAt }) => !hasBegun && now >= dueAt,
     );
     if (isSilent || (isFirstDue && begun.length === 0)) {
       void check(group, true);
-    } else if ([...group.members].some(({ dueAt }) => now > dueAt)) {
+    } else if ([...group.members].some(({ dueAt }) => now >= dueAt)) {
       void check(group, false);
     }
   }
@@ -209,9 +233,9 @@
     conclude(group, asked);
   }
 
-  /** Whether the next tick is overdue, before it could say so itself. */
+  /** Whether the next look is overdue, before it could say so itself. */
   function isLate(): boolean {
-    return performance.now() - tickedAt > HELD_UP_MS;
+    return performance.now() - tickDueAt > HELD_UP_MS;
   }
 
   /** Judges by reports of the first engine and of any others. */
