--- a/packages/gateway/src/backends/backend_fleet.ts
+++ b/packages/gateway/src/backends/backend_fleet.ts
@@ -17,8 +17,8 @@
 const ENTRY_LAG_MS = 2_000;
 
 /**
- * For how long a reported load is believed. An answer takes 2 to 4 s, so a
- * quarter to a half of what was reported has ended by then.
+ * For how long a reported load is believed: a part of the time of an answer,
+ * so that most of what was reported is still in progress.
  */
 const LOAD_HOLDS_MS = 1_000;
 
--- a/packages/gateway/src/backends/domain_suspicion.ts
+++ b/packages/gateway/src/backends/domain_suspicion.ts
@@ -17,11 +17,10 @@
 /**
  * Creates a record for the domains other than the own one.
  *
- * When a domain is cut off, each of its servers is found out only by the
- * requests that fail there, one after the other: layers that they held were
- * planned anew in several rounds, and callers were refused for 5.7 s of a cut
- * of 6.1 s (one run). Two servers of a domain that fall silent together are
- * rarely a coincidence; asking the others costs one report each.
+ * When a domain is cut off, each of its servers is found out only by requests
+ * that fail there, one after the other, and their layers are planned anew in
+ * several rounds. Two servers that fall silent together are rarely a
+ * coincidence; asking the others costs one report each.
  */
 export function createDomainSuspicion(ownDomain: string): DomainSuspicion {
   const silences = new Map<string, number[]>();
--- a/packages/gateway/src/backends/timed_connector.ts
+++ b/packages/gateway/src/backends/timed_connector.ts
@@ -7,9 +7,8 @@
 
 /**
  * Creates the connector of an undici client. The client's own bound on the
- * time to connect is counted in steps of up to a second: with a bound of
- * 300 ms, three probes of a server that was cut off took 3.1 s, and requests
- * missed their objective of 500 ms before another server was tried.
+ * time to connect is counted in steps of up to a second, longer than requests
+ * have before another server is to be tried.
  */
 export function createTimedConnector(
   timeoutMs: number,
--- a/packages/gateway/src/following/presence.ts
+++ b/packages/gateway/src/following/presence.ts
@@ -9,11 +9,9 @@
 /** Kind of the objects, in the store's key space. */
 export const PRESENCE_PREFIX = "rosemarypin-instances/";
 /**
- * How often an instance renews its object. Each renewal is a write of the
- * store's rate, shared by all: so few instances renew more often, and from 32 on
- * each every 8 s; 340 make 43 a second of 400. With four, the end of one was
- * noticed 10 s later with the longest interval, and is 5 s later with the
- * shortest.
+ * How often an instance renews its object. All share the store's rate of
+ * writes: few of them renew often, so that the end of one is noticed soon, and
+ * many renew seldom.
  */
 const RENEW_PER_INSTANCE_MS = 250;
 const SHORTEST_RENEWAL_MS = 2_000;
--- a/packages/gateway/src/placement/ordering_right.ts
+++ b/packages/gateway/src/placement/ordering_right.ts
@@ -12,8 +12,8 @@
  */
 const WITHOUT_STORE_AFTER_MS = 500;
 /**
- * Instances that try to hold one lease. Each looks at it every two seconds;
- * with all 25 of a deployment trying, that was a quarter of the store's calls.
+ * Instances that try to hold one lease. Each looks at it every two seconds, so
+ * the store's calls for leases do not grow with the number of instances.
  */
 const CANDIDATES = 2;
 /**
--- a/packages/pipelines/src/gap_filling.ts
+++ b/packages/pipelines/src/gap_filling.ts
@@ -14,8 +14,8 @@
 
 /**
  * An engine that gives layers up refuses them to new answers and loads no
- * others until the answers in progress there have ended, which took 4 to 11
- * seconds. So engines that hold nothing come first, then neighbours, which
+ * others until the answers in progress there have ended, which takes seconds.
+ * So engines that hold nothing come first, then neighbours, which
  * keep all that they hold; then those whose layers all have other holders.
  * Engines in use are moved only when nobody else holds a layer at all.
  */
--- a/packages/pipelines/src/pipeline_path.ts
+++ b/packages/pipelines/src/pipeline_path.ts
@@ -70,9 +70,8 @@
  *
  * An engine may be entered once, which a shortest path does not know of. Where
  * one is entered twice, any pipeline enters it either before its second entry
- * or not before: both are searched, the cheaper one first. With engines used
- * whole instead, 5 of 747 small cases were dearer than need be, the worst by
- * 43 in 100; so none is, up to the bound on searches.
+ * or not before: both are searched, the cheaper one first, up to the bound on
+ * searches.
  */
 export function findPipeline(
   candidates: readonly StageCandidate[],
@@ -200,9 +199,8 @@
 /**
  * Creates the table of a search. A state is a layer and the failure domain of
  * the stage before it; the first state is the first layer in the own domain.
- * Arrays of numbers hold what is known of each: a choice among 650 engines
- * looks at some 200,000 steps, and took 27 ms with an object for each better
- * one, now 3 ms (beside other load).
+ * Arrays of numbers hold what is known of each: a choice among hundreds of
+ * engines looks at some 200,000 steps, too many for an object each.
  */
 function createSearchTable(size: {
   readonly first: number;
