Start all ways of following the store in one place

The gateway's start wired presence, relays, mirrors and news from peers line by line. They are one module of the folder that they belong to; the gateway says which prefixes it wants and who is told.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,11 +1,8 @@
 /** Wires one instance that forwards requests by the platform's protocols. */
 import { once, setMaxListeners } from "node:events";
 import type { Server } from "node:http";
-import {
-  createPeerCaller,
-  createUdpTransport,
-  startPeerServer,
-} from "@rosemarypin/membership";
+import { createUdpTransport } from "@rosemarypin/membership";
+import type { StoredObject } from "@rosemarypin/store";
 import { createLogger } from "@rosemarypin/telemetry";
 import { pause } from "@rosemarypin/timing";
 import { createBackendExchange, createBackendFleet } from "./backends/mod.ts";
@@ -17,15 +14,8 @@
   TAKEN_AFTER_STOP_MS,
 } from "./callers/mod.ts";
 import {
-  chooseRelays,
-  createChangeRelay,
   createConfigurationKeeper,
-  type ObjectMirror,
-  peerNewsMethods,
-  startObjectMirror,
-  startPeerNews,
-  startPresence,
-  startRelayFollower,
+  startStoreFollowing,
 } from "./following/mod.ts";
 import { createRetryBudget } from "./forwarding/mod.ts";
 import {
@@ -77,59 +67,23 @@
   const history = createReleaseHistory(instance);
   keeper.onChanged(history.record);
   const fleet = createBackendFleet({ engines, failureDomain, signal });
-  const presence = startPresence({
+  const { presence, mirrors } = await startStoreFollowing({
     store,
     instance,
     failureDomain,
-    peer: settings.peers,
-    signal,
-  });
-  const caller = settings.peers ? createPeerCaller(settings.peers.host) : null;
-  const relay = createChangeRelay({
-    mirrors: () => mirrors,
-    probeStore: presence.probeStore,
-    signal,
-  });
-  const follower =
-    caller &&
-    startRelayFollower({
-      mirrors: () => mirrors,
-      caller,
-      relays: () => chooseRelays(instance, presence.neighbours()),
-      signal,
-    });
-  const following = {
-    store,
+    peers: settings.peers,
+    prefixes: [
+      { prefix: keys.configurations, onObject: takeConfiguration },
+      {
+        prefix: keys.servers,
+        onObject: takeServer,
+        onRemoved: (key) => fleet.remove(key.slice(keys.servers.length)),
+      },
+    ],
     signal,
-    ...(follower ? { relay: follower } : {}),
-  };
-  const configurations = startObjectMirror({
-    ...following,
-    prefix: keys.configurations,
-    onObject({ key, value }) {
-      if (key !== keys.configuration) return;
-      const configuration = platform.decodeConfiguration(value);
-      if (configuration) keeper.offer(configuration);
-    },
-  });
-  const servers = startObjectMirror({
-    ...following,
-    prefix: keys.servers,
-    onObject({ key, value }) {
-      const id = key.slice(keys.servers.length);
-      const server = platform.decodeServer(id, value);
-      if (typeof server === "string") {
-        log.warn("server_entry_unreadable", { id, reason: server });
-      } else fleet.put(server);
-    },
-    onRemoved: (key) => fleet.remove(key.slice(keys.servers.length)),
   });
-  const mirrors: readonly ObjectMirror[] = [configurations, servers];
-  if (settings.peers && caller) {
-    const methods = { ...peerNewsMethods(mirrors), ...relay.methods };
-    await startPeerServer(settings.peers, methods);
-    startPeerNews({ mirrors, caller, peers: presence.peers, signal });
-  }
+  const [configurations, servers] = mirrors;
+  if (!configurations || !servers) throw new Error("a prefix has no mirror");
   const right = createOrderingRight({
     store,
     instance,
@@ -186,6 +140,20 @@
     onEnded: metrics.countEnd,
   });
 
+  function takeConfiguration({ key, value }: StoredObject): void {
+    if (key !== keys.configuration) return;
+    const configuration = platform.decodeConfiguration(value);
+    if (configuration) keeper.offer(configuration);
+  }
+
+  function takeServer({ key, value }: StoredObject): void {
+    const id = key.slice(keys.servers.length);
+    const server = platform.decodeServer(id, value);
+    if (typeof server === "string") {
+      log.warn("server_entry_unreadable", { id, reason: server });
+    } else fleet.put(server);
+  }
+
   function forward(call: CallerCall): Promise<CallEnd> {
     budget.countRequest(call.service.name);
     const parts = { codec, exchange, fleet, budget };
