Keep nothing of held calls that ended without news

Cause: a relay waited for the next change of each prefix by a promise that was kept until that change came. Change: listeners go with the call that they were for; so do those of an instance that rests while it is followed for. The test counts them over ten held calls (one is left by each with the code before, none now).

--- a/packages/gateway/src/following/change_log.ts
+++ b/packages/gateway/src/following/change_log.ts
@@ -27,8 +27,8 @@
   position(): ChangePosition;
   /** What changed since; all objects when that is not known any more. */
   after(position: ChangePosition | null): Changes;
-  /** Resolves with the next change. */
-  changed(): Promise<void>;
+  /** Calls the listener with each change; returns how to stop. */
+  onChange(listener: () => void): () => void;
 }
 
 /** Creates the log of one mirror, which knows the objects themselves. */
@@ -40,7 +40,7 @@
   let keys: string[] = [];
   /** Sequence of the first of them. */
   let first = 1;
-  let waiting: (() => void)[] = [];
+  const listeners = new Set<() => void>();
 
   function position(): ChangePosition {
     return { epoch, sequence: first + keys.length - 1 };
@@ -54,9 +54,7 @@
         first += keys.length - KEPT_CHANGES;
         keys = keys.slice(-KEPT_CHANGES);
       }
-      const woken = waiting;
-      waiting = [];
-      for (const resolve of woken) resolve();
+      for (const listener of [...listeners]) listener();
     },
     after(since) {
       const isKnown =
@@ -79,6 +77,9 @@
         removed: [...changed].filter((key) => !objects.has(key)),
       };
     },
-    changed: () => new Promise((resolve) => void waiting.push(resolve)),
+    onChange(listener) {
+      listeners.add(listener);
+      return () => listeners.delete(listener);
+    },
   };
 }
--- a/packages/gateway/src/following/change_log_test.ts
+++ b/packages/gateway/src/following/change_log_test.ts
@@ -65,15 +65,18 @@
     expect(names(changes)).toEqual(["a@2999"]);
   });
 
-  it("tells when something changes", async () => {
+  it("tells of each change until it is told to stop", () => {
     const { log, put } = setUp();
-    let isTold = false;
-    const changed = log.changed().then(() => {
-      isTold = true;
+    let told = 0;
+    const stop = log.onChange(() => {
+      told += 1;
     });
-    expect(isTold).toBe(false);
+    expect(told).toBe(0);
     put("a", 1);
-    await changed;
-    expect(isTold).toBe(true);
+    put("a", 2);
+    expect(told).toBe(2);
+    stop();
+    put("a", 3);
+    expect(told).toBe(2);
   });
 });
--- a/packages/gateway/src/following/change_relay.ts
+++ b/packages/gateway/src/following/change_relay.ts
@@ -73,6 +73,16 @@
     });
   }
 
+  /** Listeners go with each call: a quiet prefix changes once in hours. */
+  async function nextChange(withinMs: number): Promise<void> {
+    const change = new AbortController();
+    const stops = mirrors().map(({ log }) =>
+      log.onChange(() => change.abort()),
+    );
+    await pause(withinMs, change.signal);
+    for (const stop of stops) stop();
+  }
+
   /** Since the store last answered; endless while watches fail. */
   function ageMs(): number {
     if (mirrors().some((mirror) => mirror.awayMs() > 0)) {
@@ -92,8 +102,7 @@
         followedAt = performance.now();
         let changes = changesAfter(ask);
         if (changes.length === 0 && ask.holdMs > 0) {
-          const news = mirrors().map((mirror) => mirror.log.changed());
-          await Promise.race([pause(ask.holdMs), ...news]);
+          await nextChange(ask.holdMs);
           changes = changesAfter(ask);
         }
         return { ageMs: ageMs(), changes };
--- a/packages/gateway/src/following/change_relay_test.ts
+++ b/packages/gateway/src/following/change_relay_test.ts
@@ -6,6 +6,7 @@
 import type { Address } from "@rosemarypin/schemas";
 import type { ObjectStore, StoreResult, WatchBatch } from "@rosemarypin/store";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import { type ChangeLog, createChangeLog } from "./change_log.ts";
 import { createChangeRelay } from "./change_relay.ts";
 import { type ObjectMirror, startObjectMirror } from "./object_mirror.ts";
 import { startRelayFollower } from "./relay_follower.ts";
@@ -147,6 +148,44 @@
   return { store, frozen, follower, seen, settle, changeAndWait };
 }
 
+describe("a relay", () => {
+  it("keeps nothing of calls that it held without news", async () => {
+    // A prefix may not change for days, and is asked about twice a second.
+    let listeners = 0;
+    const log = createChangeLog(new Map());
+    const counted: ChangeLog = {
+      ...log,
+      onChange(listener) {
+        const stop = log.onChange(listener);
+        listeners += 1;
+        return () => {
+          listeners -= 1;
+          stop();
+        };
+      },
+    };
+    const mirror = {
+      prefix: PREFIX,
+      log: counted,
+      ageMs: () => 0,
+      awayMs: () => 0,
+    } as unknown as ObjectMirror;
+    const { methods } = createChangeRelay({
+      mirrors: () => [mirror],
+      probeStore: async () => true,
+      signal: ending.signal,
+    });
+    const positions = [{ prefix: PREFIX, position: log.position() }];
+    for (let call = 0; call < 10; call += 1) {
+      const held = methods["objects.follow"]?.({ holdMs: 600, positions });
+      expect(listeners).toBe(1);
+      await vi.advanceTimersByTimeAsync(600);
+      expect(await held).toMatchObject({ changes: [] });
+    }
+    expect(listeners).toBe(0);
+  });
+});
+
 describe("an instance that follows the store through another one", () => {
   it("has changes at once, and asks the store now and then only", async () => {
     const { store, settle, changeAndWait, follower } = setUp();
--- a/packages/gateway/src/following/object_mirror.ts
+++ b/packages/gateway/src/following/object_mirror.ts
@@ -36,8 +36,8 @@
 export interface RelayFollower {
   /** Whether the mirrors are kept current by a relay now. */
   isFollowing(): boolean;
-  /** Resolves when that has ended. */
-  ended(): Promise<void>;
+  /** Calls the listener when that has ended; returns how to stop. */
+  onEnded(listener: () => void): () => void;
 }
 
 export interface ObjectMirrorOptions {
@@ -134,7 +134,10 @@
 
   /** Waits for the relay's end, or until all is to be read anew. */
   async function rest(by: RelayFollower, restMs: number): Promise<void> {
-    await Promise.race([by.ended(), pause(restMs, signal)]);
+    const ended = new AbortController();
+    const stop = by.onEnded(() => ended.abort());
+    await pause(restMs, AbortSignal.any([signal, ended.signal]));
+    stop();
     // What the relay had not passed on yet is read from the store.
     if (!by.isFollowing()) readAllAt = -Infinity;
   }
--- a/packages/gateway/src/following/relay_follower.ts
+++ b/packages/gateway/src/following/relay_follower.ts
@@ -47,7 +47,7 @@
   const { mirrors, caller, relays, signal } = options;
   let following = false;
   let failures = 0;
-  let waiting: (() => void)[] = [];
+  const listeners = new Set<() => void>();
   void run();
 
   async function run(): Promise<void> {
@@ -75,9 +75,7 @@
 
   function stop(): void {
     following = false;
-    const woken = waiting;
-    waiting = [];
-    for (const resolve of woken) resolve();
+    for (const listener of [...listeners]) listener();
   }
 
   /** Follows one relay for as long as it is of use; gives the reason why not. */
@@ -122,7 +120,10 @@
 
   return {
     isFollowing: () => following,
-    ended: () => new Promise((resolve) => void waiting.push(resolve)),
+    onEnded(listener) {
+      listeners.add(listener);
+      return () => listeners.delete(listener);
+    },
   };
 }
 
