Start instances after the stand-ins that they reach

Cause of the two listed tests of placement_test, by a run: with the store stand-in held back by 4 s both fail in the listed way (store_unavailable after 16 and 4 ms). Instances started beside the store; on a full machine the store came later, their breaker was open when the test published at once, and they turned the note away with a time to come back. The launcher waited for the store last. Change: it waits for the stand-ins first. With the store held back by 4 s both tests pass now.

--- a/packages/launcher/src/deployment.ts
+++ b/packages/launcher/src/deployment.ts
@@ -62,7 +62,10 @@
   readonly relays?: boolean;
 }
 
-/** Starts every process of the plan and waits until each listens. */
+/**
+ * Starts the stand-ins of the plan, then its instances, and waits until each
+ * listens.
+ */
 export async function startDeployment(
   direct: DeploymentPlan,
   options: DeploymentOptions = {},
@@ -130,6 +133,13 @@
   }
 
   for (const { name } of plan.standIns) startStandIn(name);
+  // Instances that start before the store take it for lost, and turn the first
+  // release note away until they try it again.
+  await Promise.all(
+    plan.standIns.map(({ settings }) =>
+      waitForAnswer(`http://${formatAddress(settings.address)}/`),
+    ),
+  );
   const atOnce = options.startAtOnce ?? plan.daemons.length;
   for (let first = 0; first < plan.daemons.length; first += atOnce) {
     const group = plan.daemons.slice(first, first + atOnce);
@@ -143,11 +153,6 @@
       ),
     );
   }
-  await Promise.all(
-    plan.standIns.map(({ settings }) =>
-      waitForAnswer(`http://${formatAddress(settings.address)}/`),
-    ),
-  );
 
   return {
     plan,
