Write once what the change had twice

- a relay probes the store while it is followed, instead of waking twice a second on every instance to find that it is not;
Behaviour and assertions are as before.

--- a/packages/gateway/src/following/change_log.ts
+++ b/packages/gateway/src/following/change_log.ts
@@ -5,6 +5,11 @@
 /** Changes that are kept; who is further behind gets all objects. */
 const KEPT_CHANGES = 512;
 
+/** Objects as instances pass them on to each other. */
+export const storedObjectsSchema = z.array(
+  z.object({ key: z.string(), value: z.unknown(), version: z.number() }),
+);
+
 /** How far a follower has read one log. */
 export const positionSchema = z.object({
   /** Tells logs of different processes apart. */
--- a/packages/gateway/src/following/change_relay.ts
+++ b/packages/gateway/src/following/change_relay.ts
@@ -42,15 +42,17 @@
 }: ChangeRelayOptions): ChangeRelay {
   let followedAt = -Infinity;
   let heardAt = -Infinity;
-  void probe();
+  let isProbing = false;
 
-  async function probe(): Promise<void> {
-    while (!signal.aborted) {
+  async function probeWhileFollowed(): Promise<void> {
+    if (isProbing) return;
+    isProbing = true;
+    while (!signal.aborted && isFollowed()) {
       await pause(PROBE_EVERY_MS, signal);
-      if (!isFollowed()) continue;
       const sentAt = performance.now();
       if (await probeStore(PROBE_TIMEOUT_MS)) heardAt = sentAt;
     }
+    isProbing = false;
   }
 
   function isFollowed(): boolean {
@@ -100,6 +102,7 @@
       async [FOLLOW_METHOD](params): Promise<RelayNews> {
         const ask = askSchema.parse(params);
         followedAt = performance.now();
+        void probeWhileFollowed();
         let changes = changesAfter(ask);
         if (changes.length === 0 && ask.holdMs > 0) {
           await nextChange(ask.holdMs);
--- a/packages/gateway/src/following/peer_news.ts
+++ b/packages/gateway/src/following/peer_news.ts
@@ -7,6 +7,7 @@
 import { createLogger } from "@rosemarypin/telemetry";
 import { pause } from "@rosemarypin/timing";
 import { z } from "zod";
+import { storedObjectsSchema } from "./change_log.ts";
 import type { ObjectMirror } from "./object_mirror.ts";
 
 const METHOD = "objects.since";
@@ -25,9 +26,7 @@
 const askSchema = z.object({ prefix: z.string(), revision: z.number() });
 const newsSchema = z.object({
   revision: z.number(),
-  objects: z.array(
-    z.object({ key: z.string(), value: z.unknown(), version: z.number() }),
-  ),
+  objects: storedObjectsSchema,
 });
 
 /** Answers peers from this instance's mirrors. */
--- a/packages/gateway/src/following/relay_follower.ts
+++ b/packages/gateway/src/following/relay_follower.ts
@@ -4,7 +4,7 @@
  * the store lately, the follower turns to the store.
  */
 import type { PeerCaller } from "@rosemarypin/membership";
-import type { Address } from "@rosemarypin/schemas";
+import { type Address, formatAddress } from "@rosemarypin/schemas";
 import { createLogger } from "@rosemarypin/telemetry";
 import { pause } from "@rosemarypin/timing";
 import type { ChangePosition } from "./change_log.ts";
@@ -81,7 +81,7 @@
   /** Follows one relay for as long as it is of use; gives the reason why not. */
   async function follow(relay: Address): Promise<string> {
     const positions = new Map<string, ChangePosition>();
-    while (!signal.aborted && relays().some((one) => isSame(one, relay))) {
+    while (!signal.aborted && isChosen(relay)) {
       const news = await ask(relay, positions);
       if (typeof news === "string") return news;
       if (news.ageMs > MOST_AGE_MS) return "store_not_heard_of";
@@ -100,6 +100,10 @@
     return "no_relay_any_more";
   }
 
+  function isChosen(relay: Address): boolean {
+    return relays().map(formatAddress).includes(formatAddress(relay));
+  }
+
   async function ask(
     relay: Address,
     known: ReadonlyMap<string, ChangePosition>,
@@ -126,7 +130,3 @@
     },
   };
 }
-
-function isSame(one: Address, other: Address): boolean {
-  return one.host === other.host && one.port === other.port;
-}
--- a/packages/gateway/src/following/relay_protocol.ts
+++ b/packages/gateway/src/following/relay_protocol.ts
@@ -1,6 +1,6 @@
 /** What a follower asks of a relay, and what it is told. */
 import { z } from "zod";
-import { positionSchema } from "./change_log.ts";
+import { positionSchema, storedObjectsSchema } from "./change_log.ts";
 
 export const FOLLOW_METHOD = "objects.follow";
 /** How long a relay holds a call without news. */
@@ -21,9 +21,7 @@
       prefix: z.string(),
       position: positionSchema,
       isWhole: z.boolean(),
-      objects: z.array(
-        z.object({ key: z.string(), value: z.unknown(), version: z.number() }),
-      ),
+      objects: storedObjectsSchema,
       removed: z.array(z.string()),
     }),
   ),
--- a/packages/gateway/src/forwarding/mod.ts
+++ b/packages/gateway/src/forwarding/mod.ts
@@ -1,3 +1,4 @@
 /** What forwarding of all kinds shares. */
 export * from "./backend_request.ts";
+export * from "./forwarding_parts.ts";
 export * from "./retry_budget.ts";
--- a/packages/gateway/src/plain/forward_plain.ts
+++ b/packages/gateway/src/plain/forward_plain.ts
@@ -1,12 +1,7 @@
 /** Forwards requests of plain services: whole answers, at most some repeats. */
 import { createLogger } from "@rosemarypin/telemetry";
 import type { BackendServer } from "../backend_server.ts";
-import {
-  awayReason,
-  type BackendExchange,
-  type BackendFleet,
-  type OpenAnswer,
-} from "../backends/mod.ts";
+import { awayReason, type OpenAnswer } from "../backends/mod.ts";
 import {
   beginAnswer,
   type CallEnd,
@@ -15,9 +10,9 @@
   timeLeftMs,
 } from "../callers/mod.ts";
 import {
+  type ForwardingParts,
   isOwnAnswer,
   outgoingRequest,
-  type RetryBudget,
   readWhole,
 } from "../forwarding/mod.ts";
 import type { RequestCodec } from "../protocol.ts";
@@ -27,13 +22,10 @@
 /** Servers that may refuse a request before it is refused to the caller. */
 const MOST_REFUSALS = 3;
 const SERVER_ERROR = 500;
+
 const log = createLogger("calls");
 
-export interface ForwardParts {
-  readonly codec: RequestCodec;
-  readonly exchange: BackendExchange;
-  readonly fleet: BackendFleet;
-  readonly budget: RetryBudget;
+export interface ForwardParts extends ForwardingParts {
   readonly choice: ServerChoice;
 }
 
--- a/packages/gateway/src/streams/engine_use.ts
+++ b/packages/gateway/src/streams/engine_use.ts
@@ -51,7 +51,7 @@
   readonly at: number;
 }
 
-const NO_LOAD: EngineLoad = { held: 0, unread: 0 };
+export const NO_LOAD: EngineLoad = { held: 0, unread: 0 };
 
 /** Creates the record without answers in progress. */
 export function createEngineUse(): EngineUse {
--- a/packages/gateway/src/streams/pipeline_router.ts
+++ b/packages/gateway/src/streams/pipeline_router.ts
@@ -12,7 +12,12 @@
 import type { BackendFleet } from "../backends/mod.ts";
 import type { EngineShape, Service } from "../configuration.ts";
 import type { AddressedStage } from "../protocol.ts";
-import type { EngineLoad, EngineUse, TakenUse } from "./engine_use.ts";
+import {
+  type EngineLoad,
+  type EngineUse,
+  NO_LOAD,
+  type TakenUse,
+} from "./engine_use.ts";
 
 /** How much an answer takes of engines. */
 export interface AnswerSize {
@@ -231,8 +236,6 @@
   };
 }
 
-const NO_LOAD: EngineLoad = { held: 0, unread: 0 };
-
 /** Memory that an answer takes once it is whole, in tokens. */
 function tokensOf({ promptTokens, answerTokens }: AnswerSize): number {
   return promptTokens + answerTokens;
--- a/packages/gateway/src/streams/stall_detector.ts
+++ b/packages/gateway/src/streams/stall_detector.ts
@@ -147,7 +147,8 @@
     if (!ticker) tickAfter(SHORTEST_TICK_MS);
   }
 
-  function leave({ group }: Followed, followed: Followed): void {
+  function leave(followed: Followed): void {
+    const { group } = followed;
     group.members.delete(followed);
     if (group.members.size === 0) groups.delete(group.key);
     if (groups.size > 0) return;
@@ -308,12 +309,12 @@
       return {
         heard: () => heard(followed),
         moved() {
-          leave(followed, followed);
+          leave(followed);
           // Its new stages have all its tokens to read first.
           followed.hasBegun = false;
           join(followed, AFTER_CHANGE_MS);
         },
-        end: () => leave(followed, followed),
+        end: () => leave(followed),
       };
     },
   };
--- a/packages/gateway/src/streams/stream_run.ts
+++ b/packages/gateway/src/streams/stream_run.ts
@@ -1,12 +1,7 @@
 /** One run of a streamed answer on one pipeline. */
 import { once } from "node:events";
 import { createLogger } from "@rosemarypin/telemetry";
-import {
-  awayReason,
-  type BackendExchange,
-  type BackendFleet,
-  type OpenAnswer,
-} from "../backends/mod.ts";
+import { awayReason, type OpenAnswer } from "../backends/mod.ts";
 import {
   beginAnswer,
   type CallerCall,
@@ -14,9 +9,9 @@
   timeLeftMs,
 } from "../callers/mod.ts";
 import {
+  type ForwardingParts,
   isOwnAnswer,
   outgoingRequest,
-  type RetryBudget,
   readWhole,
 } from "../forwarding/mod.ts";
 import type { AnswerFacts, EngineCalls, RequestCodec } from "../protocol.ts";
@@ -29,11 +24,7 @@
 } from "./stage_recovery.ts";
 import type { AnswerFollower, StallDetector } from "./stall_detector.ts";
 
-export interface StreamParts {
-  readonly codec: RequestCodec;
-  readonly exchange: BackendExchange;
-  readonly fleet: BackendFleet;
-  readonly budget: RetryBudget;
+export interface StreamParts extends ForwardingParts {
   readonly router: PipelineRouter;
   readonly stalls: StallDetector;
   readonly engines: EngineCalls;
