Routing: failure domains tell each other the sum of their use of engines

Cause: among more than 20 instances each reports its use of engines to its own failure domain only.

Change: each instance also sends the sum over its domain to instances of other domains, drawn at random, and counts such sums in the choice of a pipeline.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -115,9 +115,12 @@
     startUsageExchange({
       transport: await createUdpTransport(settings.peers),
       instance,
+      failureDomain,
       usage: engineUsage,
-      peers: () =>
+      destinations: () =>
         chooseUsageDestinations(failureDomain, presence.liveOthers()),
+      countDomainInstances: () =>
+        1 + presence.possibleSendersOf(failureDomain).length,
       signal,
     });
   }
--- a/packages/gateway/src/streams/engine_usage.ts
+++ b/packages/gateway/src/streams/engine_usage.ts
@@ -8,6 +8,8 @@
  * estimated.
  */
 export const PEER_LOADS_VALID_MS = 5_000;
+/** Time for which the summed loads of another failure domain are valid. */
+export const DOMAIN_LOADS_VALID_MS = 6_000;
 
 /**
  * Load that answers put on one engine. Both values are in tokens times layers:
@@ -48,11 +50,22 @@
   peerLoadOf(engineId: string): EngineLoad;
   /** Loads that a peer reported; `null` without any or when they expired. */
   peerLoads(instance: string): LoadByEngine | null;
+  /**
+   * Loads of all instances in this failure domain: the sum of those reported by
+   * peers and of the local ones, scaled up to `instanceCount` instances.
+   */
+  domainLoads(instanceCount: number): LoadByEngine;
+  /** Replaces the loads that were reported for another failure domain before. */
+  recordDomainLoads(failureDomain: string, loads: LoadByEngine): void;
+  /** Whether loads that were reported for the failure domain are valid. */
+  hasDomainLoads(failureDomain: string): boolean;
+  /** Sum of the valid loads of other failure domains on one engine. */
+  domainLoadOf(engineId: string): EngineLoad;
   /** Registers a callback for changes of this instance's loads. */
   onChanged(callback: () => void): void;
 }
 
-interface PeerLoads {
+interface ReceivedLoads {
   readonly loads: LoadByEngine;
   readonly receivedAt: number;
 }
@@ -62,7 +75,8 @@
 /** Creates a record without answers and without reports of peers. */
 export function createEngineUsage(): EngineUsage {
   const localLoads = new Map<string, EngineLoad>();
-  const loadsByPeer = new Map<string, PeerLoads>();
+  const loadsByPeer = new Map<string, ReceivedLoads>();
+  const loadsByDomain = new Map<string, ReceivedLoads>();
   const callbacks: (() => void)[] = [];
   let localTokens = 0;
 
@@ -81,8 +95,12 @@
     for (const callback of callbacks) callback();
   }
 
-  function isFresh({ receivedAt }: PeerLoads): boolean {
-    return performance.now() - receivedAt < PEER_LOADS_VALID_MS;
+  function freshPeers(): ReceivedLoads[] {
+    return dropExpired(loadsByPeer, PEER_LOADS_VALID_MS);
+  }
+
+  function freshDomains(): ReceivedLoads[] {
+    return dropExpired(loadsByDomain, DOMAIN_LOADS_VALID_MS);
   }
 
   return {
@@ -115,26 +133,71 @@
     recordPeerLoads(instance, loads) {
       loadsByPeer.set(instance, { loads, receivedAt: performance.now() });
     },
-    peerLoadOf(engineId) {
-      let held = 0;
-      let unread = 0;
-      for (const [instance, peer] of loadsByPeer) {
-        if (!isFresh(peer)) {
-          loadsByPeer.delete(instance);
-          continue;
-        }
-        const load = peer.loads.get(engineId) ?? NO_LOAD;
-        held += load.held;
-        unread += load.unread;
-      }
-      return { held, unread };
-    },
+    peerLoadOf: (engineId) => sumOn(engineId, freshPeers()),
     peerLoads(instance) {
       const peer = loadsByPeer.get(instance);
-      return peer && isFresh(peer) ? peer.loads : null;
+      return peer && isFresh(peer, PEER_LOADS_VALID_MS) ? peer.loads : null;
+    },
+    domainLoads(instanceCount) {
+      const reports = [localLoads, ...freshPeers().map(({ loads }) => loads)];
+      const scale = Math.max(1, instanceCount / reports.length);
+      return sumAll(reports, scale);
     },
+    recordDomainLoads(failureDomain, loads) {
+      loadsByDomain.set(failureDomain, {
+        loads,
+        receivedAt: performance.now(),
+      });
+    },
+    hasDomainLoads(failureDomain) {
+      const domain = loadsByDomain.get(failureDomain);
+      return domain !== undefined && isFresh(domain, DOMAIN_LOADS_VALID_MS);
+    },
+    domainLoadOf: (engineId) => sumOn(engineId, freshDomains()),
     onChanged(callback) {
       callbacks.push(callback);
     },
   };
 }
+
+function isFresh({ receivedAt }: ReceivedLoads, validMs: number): boolean {
+  return performance.now() - receivedAt < validMs;
+}
+
+/** Removes expired loads and returns the others. */
+function dropExpired(
+  received: Map<string, ReceivedLoads>,
+  validMs: number,
+): ReceivedLoads[] {
+  for (const [sender, loads] of received)
+    if (!isFresh(loads, validMs)) received.delete(sender);
+  return [...received.values()];
+}
+
+function sumOn(
+  engineId: string,
+  received: readonly ReceivedLoads[],
+): EngineLoad {
+  let held = 0;
+  let unread = 0;
+  for (const { loads } of received) {
+    const load = loads.get(engineId) ?? NO_LOAD;
+    held += load.held;
+    unread += load.unread;
+  }
+  return { held, unread };
+}
+
+/** Sums the loads by engine and multiplies them by `scale`. */
+function sumAll(reports: readonly LoadByEngine[], scale: number): LoadByEngine {
+  const sums = new Map<string, EngineLoad>();
+  for (const loads of reports) {
+    for (const [id, load] of loads) {
+      const sum = sums.get(id) ?? NO_LOAD;
+      const held = sum.held + load.held * scale;
+      const unread = sum.unread + load.unread * scale;
+      sums.set(id, { held, unread });
+    }
+  }
+  return sums;
+}
--- a/packages/gateway/src/streams/engine_usage_test.ts
+++ b/packages/gateway/src/streams/engine_usage_test.ts
@@ -1,6 +1,10 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 import type { AddressedStage } from "../protocol.ts";
-import { createEngineUsage, PEER_LOADS_VALID_MS } from "./engine_usage.ts";
+import {
+  createEngineUsage,
+  DOMAIN_LOADS_VALID_MS,
+  PEER_LOADS_VALID_MS,
+} from "./engine_usage.ts";
 
 beforeEach(() => {
   vi.useFakeTimers();
@@ -71,4 +75,29 @@
     expect(usage.peerLoadOf("e-1")).toEqual({ held: 0, unread: 0 });
     expect(usage.peerLoads("b")).toBeNull();
   });
+
+  it("scales the sum over the domain to instances without a report", () => {
+    const usage = createEngineUsage();
+    usage.reserve({
+      stages,
+      tokens: 10,
+      unreadTokens: 4,
+      unreadStages: stages,
+    });
+    usage.recordPeerLoads("b", new Map([["e-1", { held: 300, unread: 0 }]]));
+    expect(usage.domainLoads(4).get("e-1")).toEqual({ held: 800, unread: 80 });
+    expect(usage.domainLoads(2).get("e-1")).toEqual({ held: 400, unread: 40 });
+  });
+
+  it("sums the latest loads of other domains until they expire", () => {
+    const usage = createEngineUsage();
+    usage.recordDomainLoads("b", new Map([["e-1", { held: 10, unread: 1 }]]));
+    usage.recordDomainLoads("b", new Map([["e-1", { held: 30, unread: 2 }]]));
+    usage.recordDomainLoads("c", new Map([["e-1", { held: 5, unread: 3 }]]));
+    expect(usage.domainLoadOf("e-1")).toEqual({ held: 35, unread: 5 });
+    expect(usage.hasDomainLoads("b")).toBe(true);
+    vi.advanceTimersByTime(DOMAIN_LOADS_VALID_MS);
+    expect(usage.domainLoadOf("e-1")).toEqual({ held: 0, unread: 0 });
+    expect(usage.hasDomainLoads("b")).toBe(false);
+  });
 });
--- a/packages/gateway/src/streams/pipeline_router.ts
+++ b/packages/gateway/src/streams/pipeline_router.ts
@@ -148,11 +148,14 @@
   ): EngineLoad {
     const localLoad = usage.localLoads().get(id) ?? NO_LOAD;
     const peerLoad = usage.peerLoadOf(id);
+    const domainLoad = usage.domainLoadOf(id);
     const held =
       localLoad.held +
       peerLoad.held +
+      domainLoad.held +
       estimateUnreportedHeld(id, layers, domainUsage);
-    return { held, unread: localLoad.unread + peerLoad.unread };
+    const unread = localLoad.unread + peerLoad.unread + domainLoad.unread;
+    return { held, unread };
   }
 
   function estimateUnreportedHeld(
@@ -182,8 +185,10 @@
         (instance) => usage.peerLoads(instance) ?? [],
       );
       const localLoads = domain === failureDomain ? [usage.localLoads()] : [];
+      // The sum over a domain already covers all its instances.
+      const hasSum = usage.hasDomainLoads(domain);
       const domainUsage = {
-        unreportedCount: instances.length - reportedLoads.length,
+        unreportedCount: hasSum ? 0 : instances.length - reportedLoads.length,
         sampledLoads: [...reportedLoads, ...localLoads],
       };
       usageByDomain.set(domain, domainUsage);
--- /dev/null
+++ b/packages/gateway/src/streams/pipeline_router_test.ts
@@ -0,0 +1,132 @@
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import type { BackendServer } from "../backend_server.ts";
+import type { BackendFleet } from "../backends/mod.ts";
+import type { Service } from "../configuration.ts";
+import { createEngineUsage } from "./engine_usage.ts";
+import { createPipelineRouter } from "./pipeline_router.ts";
+
+beforeEach(() => {
+  vi.useFakeTimers();
+});
+
+afterEach(() => {
+  vi.useRealTimers();
+});
+
+const LAYERS = 10;
+const LAYER_MB = 100;
+const TOKEN_LAYER_BYTES = 10_000;
+/** Holds all layers and memory for 10,000 tokens. */
+const MEMORY_MB = 2_000;
+const CAPACITY_TOKENS = 10_000;
+
+const service = {
+  name: "model",
+  engine: {
+    model: {
+      name: "m",
+      layerCount: LAYERS,
+      layerMb: LAYER_MB,
+      tokenLayerBytes: TOKEN_LAYER_BYTES,
+      stepMs: 1,
+      prefillTokensPerMs: 100,
+      meanPromptTokens: 700,
+      meanAnswerTokens: 200,
+      maxConcurrentAnswers: 100,
+    },
+    kinds: new Map([
+      [
+        "card",
+        {
+          name: "card",
+          memoryMb: MEMORY_MB,
+          stepFactor: 10,
+          prefillFactor: 1,
+        },
+      ],
+    ]),
+  },
+} as unknown as Service;
+
+function engine(id: string, failureDomain: string): BackendServer {
+  return {
+    id,
+    failureDomain,
+    address: `${id}:1`,
+    kind: "card",
+    held: { from: 0, to: LAYERS },
+  } as BackendServer;
+}
+
+/** An instance of domain `a` with three peers there and four in domain `b`. */
+function setUp() {
+  const servers = [engine("near", "a"), engine("far", "b")];
+  const fleet = {
+    ofService: () => servers,
+    get: (id: string) => servers.find((server) => server.id === id) ?? null,
+    isUsable: () => true,
+    reportedLoad: () => null,
+  } as unknown as BackendFleet;
+  const usage = createEngineUsage();
+  const router = createPipelineRouter({
+    fleet,
+    failureDomain: "a",
+    usage,
+    possibleSendersOf: (domain) =>
+      domain === "a" ? ["a-1", "a-2", "a-3"] : ["b-1", "b-2", "b-3", "b-4"],
+  });
+  const size = { promptTokens: 700, answerTokens: 200 };
+  const request = { service, size, avoided: new Set<string>(), maxLoad: 1 };
+  const choose = () => router.choose(request)?.first.id ?? null;
+  return { usage, choose };
+}
+
+/** Loads of one engine that holds answers of `tokens` tokens. */
+function loadsOf(engineId: string, tokens: number) {
+  return new Map([[engineId, { held: tokens * LAYERS, unread: 0 }]]);
+}
+
+describe("choice between failure domains", () => {
+  it("stays in the own domain while that has room", () => {
+    const { usage, choose } = setUp();
+    for (const peer of ["a-1", "a-2", "a-3"])
+      usage.recordPeerLoads(peer, new Map());
+    usage.recordDomainLoads("b", new Map());
+    expect([choose(), choose()]).toEqual(["near", "near"]);
+  });
+
+  // Guards against refusing callers of a domain whose engines are full while
+  // other domains have free engines: with dozens of instances, those of other
+  // domains don't report one by one, and used to count as heavy users.
+  it("uses another domain that reports free engines once its own is full", () => {
+    const { usage, choose } = setUp();
+    for (const peer of ["a-1", "a-2", "a-3"])
+      usage.recordPeerLoads(peer, loadsOf("near", CAPACITY_TOKENS / 3));
+    usage.recordDomainLoads("b", loadsOf("far", CAPACITY_TOKENS / 2));
+    const chosen = Array.from({ length: 6 }, choose);
+    expect(chosen).toEqual(["far", "far", "far", "far", "far", null]);
+  });
+
+  it("uses no other domain whose engines are reported as full", () => {
+    const { usage, choose } = setUp();
+    for (const peer of ["a-1", "a-2", "a-3"])
+      usage.recordPeerLoads(peer, loadsOf("near", CAPACITY_TOKENS / 3));
+    usage.recordDomainLoads("b", loadsOf("far", CAPACITY_TOKENS));
+    expect(choose()).toBeNull();
+  });
+
+  it("counts answers of other domains on engines of its own", () => {
+    const { usage, choose } = setUp();
+    usage.recordDomainLoads("b", loadsOf("near", CAPACITY_TOKENS));
+    expect(choose()).toBe("far");
+  });
+
+  it("assumes instances without a report to use engines as it does", () => {
+    const { usage, choose } = setUp();
+    for (const peer of ["a-1", "a-2", "a-3"])
+      usage.recordPeerLoads(peer, new Map());
+    const chosen = Array.from({ length: 13 }, choose);
+    expect(new Set(chosen.slice(0, 11))).toEqual(new Set(["near"]));
+    expect(chosen.slice(11)).toEqual([null, null]);
+  });
+});
--- a/packages/gateway/src/streams/usage_destinations.ts
+++ b/packages/gateway/src/streams/usage_destinations.ts
@@ -9,19 +9,32 @@
  */
 const MAX_PEERS_FOR_FULL_MESH = 20;
 
+export interface UsageDestinations {
+  /** Peers that receive the usage of this instance alone. */
+  readonly ownUsage: readonly Address[];
+  /** Peers that receive the usage of this instance's failure domain. */
+  readonly domainUsage: readonly Address[];
+}
+
 /**
- * Returns the addresses of all peers when they are few, otherwise of those in
- * this instance's failure domain, whose answers use the same engines. One
- * sampled peer of another domain wouldn't represent the rest of it: full
- * engines on which that peer has no answers would look free.
+ * Returns all peers as receivers of this instance's usage when they are few,
+ * otherwise those in its failure domain. The others then receive the sum over
+ * the domain: the usage of one sampled instance wouldn't represent the rest of
+ * the domain, and full engines on which it has no answers would look free.
  */
 export function chooseUsageDestinations(
   failureDomain: string,
   livePeers: readonly LiveInstance[],
-): Address[] {
-  const destinations =
-    livePeers.length <= MAX_PEERS_FOR_FULL_MESH
-      ? livePeers
-      : livePeers.filter((peer) => peer.failureDomain === failureDomain);
-  return destinations.flatMap(({ peer }) => peer ?? []);
+): UsageDestinations {
+  const isFullMesh = livePeers.length <= MAX_PEERS_FOR_FULL_MESH;
+  const isNear = (peer: LiveInstance) =>
+    isFullMesh || peer.failureDomain === failureDomain;
+  return {
+    ownUsage: addressesOf(livePeers.filter(isNear)),
+    domainUsage: addressesOf(livePeers.filter((peer) => !isNear(peer))),
+  };
+}
+
+function addressesOf(peers: readonly LiveInstance[]): Address[] {
+  return peers.flatMap(({ peer }) => peer ?? []);
 }
--- a/packages/gateway/src/streams/usage_destinations_test.ts
+++ b/packages/gateway/src/streams/usage_destinations_test.ts
@@ -11,9 +11,15 @@
   );
 }
 
-/** Hosts to which an instance of domain `a` sends reports. */
+/** Hosts to which an instance of domain `a` reports its own usage. */
 function destinationHosts(others: readonly LiveInstance[]): string[] {
-  return chooseUsageDestinations("a", others).map(({ host }) => host);
+  return chooseUsageDestinations("a", others).ownUsage.map(({ host }) => host);
+}
+
+/** Hosts to which an instance of domain `a` reports its domain's usage. */
+function domainUsageHosts(others: readonly LiveInstance[]): string[] {
+  const { domainUsage } = chooseUsageDestinations("a", others);
+  return domainUsage.map(({ host }) => host);
 }
 
 describe("usage destinations", () => {
@@ -23,6 +29,7 @@
       "b-0",
       "b-1",
     ]);
+    expect(domainUsageHosts(instances({ a: 1, b: 2 }))).toEqual([]);
   });
 
   // Guards against treating full engines of another domain as free because the
@@ -35,6 +42,12 @@
     ]);
   });
 
+  it("include other domains for the sum when there are many peers", () => {
+    const hosts = domainUsageHosts(instances({ a: 3, b: 9, c: 9 }));
+    expect(hosts).toHaveLength(18);
+    expect(hosts.some((host) => host.startsWith("a"))).toBe(false);
+  });
+
   it("exclude peers without an address", () => {
     const others = instances({ a: 2 }).map((other) => ({
       ...other,
--- a/packages/gateway/src/streams/usage_exchange.ts
+++ b/packages/gateway/src/streams/usage_exchange.ts
@@ -1,6 +1,7 @@
 /**
  * Exchanges the engine usage of instances in datagrams. Each carries the
- * current usage of its sender and not a change, so a lost one isn't resent.
+ * current usage of its sender or its failure domain and not a change, so a lost
+ * one isn't resent.
  */
 import {
   createByteBudget,
@@ -10,11 +11,15 @@
 import { type Address, formatAddress } from "@rosemarypin/schemas";
 import { createLogger } from "@rosemarypin/telemetry";
 import { createInterruptibleTimer, pause } from "@rosemarypin/timing";
-import { z } from "zod";
-import type { EngineLoad, EngineUsage, LoadByEngine } from "./engine_usage.ts";
+import type { EngineUsage, LoadByEngine } from "./engine_usage.ts";
+import {
+  decodeUsageReport,
+  encodeUsageReport,
+  type UsageReport,
+} from "./usage_datagram.ts";
+import type { UsageDestinations } from "./usage_destinations.ts";
 
-const METHOD = "engines.use";
-/** Budget of an instance for its datagrams to all peers. */
+/** Budget of an instance for the reports of its own usage to all peers. */
 const MAX_BYTES_PER_SECOND = 2_500;
 /** Upper bound on the unused budget that accumulates for a burst. */
 const MAX_BURST_BYTES = 7_500;
@@ -30,40 +35,30 @@
  * single answers that begin or end with the next regular report.
  */
 const SIGNIFICANT_CHANGE_SHARE = 0.15;
-/** Engines in one datagram; the least used ones are left out. */
-const MAX_ENGINES_SENT = 40;
+/** Budget for the reports of the domain's usage to other domains. */
+const MAX_DOMAIN_BYTES_PER_SECOND = 1_000;
+const MIN_DOMAIN_SEND_INTERVAL_MS = 500;
+/** Interval at which an instance without peers elsewhere looks for them. */
+const NO_DOMAIN_PEERS_INTERVAL_MS = 2_000;
 /** Rate limit for log lines about unreadable datagrams. */
 const MIN_LOG_INTERVAL_MS = 5_000;
 
 const log = createLogger("peers");
 
-const datagramSchema = z.object({
-  method: z.literal(METHOD),
-  params: z.object({
-    from: z.string(),
-    /** Increases with each datagram after the sender's start. */
-    sequence: z.number(),
-    /** Start of the sender, in Unix milliseconds. */
-    startedAt: z.number(),
-    /** Engine id, held memory and unread prompts, in tokens times layers. */
-    use: z.array(
-      z.tuple([z.string(), z.number().nonnegative(), z.number().nonnegative()]),
-    ),
-  }),
-});
-
 export interface UsageExchangeOptions {
   readonly transport: DatagramTransport;
   readonly instance: string;
   readonly usage: EngineUsage;
-  /** Addresses of the peers that receive reports. */
-  readonly peers: () => readonly Address[];
+  readonly failureDomain: string;
+  readonly destinations: () => UsageDestinations;
+  /** Number of instances in this failure domain, including this one. */
+  readonly countDomainInstances: () => number;
   readonly signal: AbortSignal;
 }
 
 /** Sends and receives reports until the signal aborts. */
 export function startUsageExchange(options: UsageExchangeOptions): void {
-  const { transport, instance, usage, peers, signal } = options;
+  const { transport, instance, usage, destinations, signal } = options;
   const startedAt = Date.now();
   const sequenceFilter = createSequenceFilter();
   const budget = createByteBudget({
@@ -82,7 +77,9 @@
   const localChange = createInterruptibleTimer();
   transport.onDatagram(receive);
   usage.onChanged(localChange.interrupt);
-  void runSendLoop();
+  void Promise.all([runSendLoop(), runDomainSendLoop()]).then(() =>
+    transport.close(),
+  );
 
   async function runSendLoop(): Promise<void> {
     while (!signal.aborted) {
@@ -93,7 +90,35 @@
       if (missingBytes === 0) await localChange.wait(idleMs, signal);
       await pause(Math.max(MIN_SEND_INTERVAL_MS, refillMs), signal);
     }
-    await transport.close();
+  }
+
+  /**
+   * Reports the domain's usage to instances of other domains, one at a time.
+   * They are drawn at random, so that the instances of this domain don't report
+   * to the same one at the same time.
+   */
+  async function runDomainSendLoop(): Promise<void> {
+    while (!signal.aborted) {
+      const targets = destinations().domainUsage;
+      const target = targets[Math.floor(Math.random() * targets.length)];
+      if (!target) {
+        await pause(NO_DOMAIN_PEERS_INTERVAL_MS, signal);
+        continue;
+      }
+      const sentBytes = sendDomainUsage(target);
+      const refillMs = (sentBytes / MAX_DOMAIN_BYTES_PER_SECOND) * 1_000;
+      await pause(Math.max(MIN_DOMAIN_SEND_INTERVAL_MS, refillMs), signal);
+    }
+  }
+
+  /** Returns the bytes sent. */
+  function sendDomainUsage(target: Address): number {
+    const datagram = encodeReport({
+      domain: options.failureDomain,
+      loads: usage.domainLoads(options.countDomainInstances()),
+    });
+    transport.send(datagram, target);
+    return datagram.length + HEADER_BYTES;
   }
 
   /**
@@ -107,7 +132,7 @@
     }
     const dueTargets = findDuePeers();
     if (dueTargets.length === 0) return 0;
-    const datagram = encode();
+    const datagram = encodeReport({ loads: usage.localLoads() });
     const bytes = datagram.length + HEADER_BYTES;
     for (const { target, key } of dueTargets) {
       if (!budget.take(bytes)) return bytes;
@@ -123,8 +148,8 @@
    */
   function findDuePeers() {
     const now = performance.now();
-    return peers()
-      .map((target) => {
+    return destinations()
+      .ownUsage.map((target) => {
         const key = formatAddress(target);
         return { target, key, sentAt: sentAtByAddress.get(key) ?? -Infinity };
       })
@@ -135,28 +160,25 @@
       .sort((a, b) => a.sentAt - b.sentAt);
   }
 
-  function encode(): Buffer {
+  function encodeReport(
+    content: Pick<UsageReport, "domain" | "loads">,
+  ): Buffer {
     sequence += 1;
-    const params = {
+    return encodeUsageReport({
       from: instance,
       sequence,
       startedAt,
-      use: selectMostUsed(usage.localLoads()),
-    };
-    return Buffer.from(
-      JSON.stringify({ jsonrpc: "2.0", method: METHOD, params }),
-    );
+      ...content,
+    });
   }
 
   function receive(datagram: Uint8Array): void {
-    const params = decode(datagram);
-    if (!params) return logUnreadableDatagram(datagram.length);
-    if (params.from === instance || !sequenceFilter.accept(params)) return;
-    const loads = params.use.map(([id, held, unread]): [string, EngineLoad] => [
-      id,
-      { held, unread },
-    ]);
-    usage.recordPeerLoads(params.from, new Map(loads));
+    const report = decodeUsageReport(datagram);
+    if (!report) return logUnreadableDatagram(datagram.length);
+    if (report.from === instance || !sequenceFilter.accept(report)) return;
+    const { from, domain, loads } = report;
+    if (domain === undefined) usage.recordPeerLoads(from, loads);
+    else usage.recordDomainLoads(domain, loads);
   }
 
   function logUnreadableDatagram(bytes: number): void {
@@ -167,29 +189,6 @@
   }
 }
 
-type UsageParams = z.infer<typeof datagramSchema>["params"];
-
-function decode(datagram: Uint8Array): UsageParams | null {
-  try {
-    const value: unknown = JSON.parse(Buffer.from(datagram).toString());
-    const parsed = datagramSchema.safeParse(value);
-    return parsed.success ? parsed.data.params : null;
-  } catch {
-    return null;
-  }
-}
-
-function selectMostUsed(loads: LoadByEngine): [string, number, number][] {
-  return [...loads]
-    .sort(([, a], [, b]) => b.held - a.held)
-    .slice(0, MAX_ENGINES_SENT)
-    .map(([id, { held, unread }]) => [
-      id,
-      Math.round(held),
-      Math.round(unread),
-    ]);
-}
-
 /** Whether the memory held at some engine differs by the significant share. */
 function hasSignificantChange(
   current: LoadByEngine,
@@ -206,16 +205,16 @@
 
 /** Creates a filter that rejects duplicate and reordered datagrams. */
 function createSequenceFilter() {
-  const newestByInstance = new Map<string, UsageParams>();
+  const newestByInstance = new Map<string, UsageReport>();
   return {
-    accept(params: UsageParams): boolean {
-      const newest = newestByInstance.get(params.from);
+    accept(report: UsageReport): boolean {
+      const newest = newestByInstance.get(report.from);
       const isOlder =
         newest !== undefined &&
-        (params.startedAt < newest.startedAt ||
-          (params.startedAt === newest.startedAt &&
-            params.sequence <= newest.sequence));
-      if (!isOlder) newestByInstance.set(params.from, params);
+        (report.startedAt < newest.startedAt ||
+          (report.startedAt === newest.startedAt &&
+            report.sequence <= newest.sequence));
+      if (!isOlder) newestByInstance.set(report.from, report);
       return !isOlder;
     },
   };
--- a/packages/gateway/src/streams/usage_exchange_test.ts
+++ b/packages/gateway/src/streams/usage_exchange_test.ts
@@ -36,18 +36,34 @@
   };
 }
 
-function start(hosts: readonly string[]) {
+/** Failure domain of a host: the part of its name before a slash. */
+function domainOf(host: string): string {
+  return host.split("/")[0] ?? "";
+}
+
+function start(
+  hosts: readonly string[],
+  isNear: (host: string, other: string) => boolean = () => true,
+) {
   const network = createNetwork();
   const usages = hosts.map((instance) => {
     const usage = createEngineUsage();
+    const others = hosts.filter((host) => host !== instance);
+    const addresses = (near: boolean) =>
+      others
+        .filter((other) => isNear(instance, other) === near)
+        .map((host) => ({ host, port: 1 }));
     startUsageExchange({
       transport: network.transport(instance),
       instance,
+      failureDomain: domainOf(instance),
       usage,
-      peers: () =>
-        hosts
-          .filter((host) => host !== instance)
-          .map((host) => ({ host, port: 1 })),
+      destinations: () => ({
+        ownUsage: addresses(true),
+        domainUsage: addresses(false),
+      }),
+      countDomainInstances: () =>
+        hosts.filter((host) => domainOf(host) === domainOf(instance)).length,
       signal: abortController.signal,
     });
     return usage;
@@ -55,6 +71,14 @@
   return { network, usages };
 }
 
+/** Hosts of which each reports its own usage within its domain only. */
+function startDomains(sizes: Readonly<Record<string, number>>) {
+  const hosts = Object.entries(sizes).flatMap(([domain, size]) =>
+    Array.from({ length: size }, (_, at) => `${domain}/${at}`),
+  );
+  return start(hosts, (host, other) => domainOf(host) === domainOf(other));
+}
+
 /** Reserves `tokens` tokens for an answer at engines of one layer each. */
 function reserveAt(
   usage: EngineUsage | undefined,
@@ -125,6 +149,27 @@
     expect(perSecond).toBeLessThan(5);
   });
 
+  // Guards against treating the engines of another domain as full or as free
+  // because its instances, which are many, don't report to this one.
+  it("reports the sum over each domain to the other domains", async () => {
+    const { usages } = startDomains({ a: 3, b: 2 });
+    for (const usage of usages.slice(0, 3)) reserveAt(usage, ["e-1"], 1_000);
+    reserveAt(usages[3], ["e-1"], 50);
+    await vi.advanceTimersByTimeAsync(6_000);
+    const held = usages.map((usage) => usage.domainLoadOf("e-1").held);
+    expect(held).toEqual([50, 50, 50, 3_000, 3_000]);
+  });
+
+  it("reports to other domains within its byte budget", async () => {
+    const { network, usages } = startDomains({ a: 1, b: 30 });
+    const engineIds = Array.from({ length: 60 }, (_, at) => `i-engine-${at}`);
+    reserveAt(usages[0], engineIds, 1_000);
+    await vi.advanceTimersByTimeAsync(30_000);
+    const perSecond = (network.sentBytes.get("a/0") ?? 0) / 30;
+    expect(perSecond).toBeLessThan(1_000);
+    expect(perSecond).toBeGreaterThan(300);
+  });
+
   it("ignores datagrams that arrive out of order", () => {
     const { network, usages } = start(["a"]);
     const usageDatagram = (sequence: number, tokens: number, startedAt = 5) =>
