Streams: engines that answer with errors get no answers for a while

Cause: an engine that answers requests with errors while its reports are good has no load, so that it looked like the best choice to every caller. Nothing kept the second try of a call away from it either.

--- a/packages/gateway/src/backends/backend_fleet.ts
+++ b/packages/gateway/src/backends/backend_fleet.ts
@@ -9,6 +9,10 @@
   createFailureDetector,
   type FailureDetector,
 } from "./failure_detector.ts";
+import {
+  createOutlierEjection,
+  type OutlierEjection,
+} from "./outlier_ejection.ts";
 
 /**
  * Maximum lag of a list entry behind the state of its server: entries are
@@ -29,6 +33,7 @@
 
 export interface BackendFleet {
   readonly detector: FailureDetector;
+  readonly outliers: OutlierEjection;
   get(id: string): BackendServer | null;
   byAddress(address: string): BackendServer | null;
   /** Ids of all servers of all services. */
@@ -84,6 +89,7 @@
     onSuspected: notifyChanged,
     signal,
   });
+  const outliers = createOutlierEjection({ countServers: () => servers.size });
   const changeCallbacks: ((id: string) => void)[] = [];
   const replacedEntries = new Map<string, BackendServer>();
   const reportedAt = new Map<string, number>();
@@ -135,6 +141,7 @@
 
   return {
     detector,
+    outliers,
     get: (id) => servers.get(id) ?? null,
     byAddress(address) {
       // The entry of a stopped server may still be listed beside the entry of
@@ -154,7 +161,8 @@
     ids: () => servers.keys(),
     ofService: (service) =>
       [...servers.values()].filter((server) => server.service === service),
-    isUsable: (server) => !server.leaving && !detector.isAvoided(server.id),
+    isUsable: ({ id, leaving }) =>
+      !leaving && !detector.isAvoided(id) && !outliers.isEjected(id),
     put(server) {
       const replacedEntry = replacedEntries.get(server.id);
       if (replacedEntry && !isNewer(server, replacedEntry)) return;
@@ -173,6 +181,7 @@
       } else {
         servers.set(server.id, server);
         reportedAt.delete(server.id);
+        outliers.forget(server.id);
         detector.reportSuccess(server.id);
       }
       const current = servers.get(server.id);
@@ -187,6 +196,7 @@
       servers.delete(id);
       reportedAt.delete(id);
       reportedLoads.delete(id);
+      outliers.forget(id);
       detector.reportSuccess(id);
       log.info("server_gone", { id, address: last.address });
       notifyChanged(id);
--- a/packages/gateway/src/streams/stream_run.ts
+++ b/packages/gateway/src/streams/stream_run.ts
@@ -31,6 +31,7 @@
 }
 
 const MISDIRECTED_REQUEST = 421;
+const MIN_SERVER_ERROR_STATUS = 500;
 
 const log = createLogger("streams");
 
@@ -89,7 +90,11 @@
       parts.fleet.detector.reportFailure(id, suspicionReasonOf(result.detail));
       return { kind: "not_run", detail: result.detail };
     }
-    if (result.kind === "broken") return brokenRun(recovery, result.detail);
+    if (result.kind === "broken") {
+      const wasStopped = call.signal.aborted || run.stop.signal.aborted;
+      if (!wasStopped) recordFailure(run, "broken", parts);
+      return brokenRun(recovery, result.detail);
+    }
     const facts = parts.codec.decodeAnswer(result.status, result.headers);
     if (!isOwnAnswer(call, facts)) {
       result.abandon();
@@ -101,7 +106,8 @@
       result.abandon();
       return brokenRun(recovery, "unsigned_answer");
     }
-    const { codec } = parts;
+    const { codec, fleet } = parts;
+    fleet.outliers.record(run.pipeline.first.id, "good");
     return await forwardEvents(call, result, {
       run,
       progress,
@@ -121,6 +127,17 @@
   }
 }
 
+/** Records that the first engine failed, and keeps the call away from it. */
+function recordFailure(
+  run: StreamRun,
+  quality: "error" | "broken",
+  { fleet }: Pick<StreamParts, "fleet">,
+): void {
+  const { id } = run.pipeline.first;
+  run.avoided.add(id);
+  fleet.outliers.record(id, quality);
+}
+
 function brokenRun(recovery: StageRecovery, detail: string): RunEnd {
   const cause = recovery.cause();
   return {
@@ -155,7 +172,11 @@
 ): Promise<RunEnd> {
   const { facts, parts } = options;
   const body = await readBody(answer);
-  if (!facts.notRun) return { kind: "failed", answer, body };
+  if (!facts.notRun) {
+    if (answer.status >= MIN_SERVER_ERROR_STATUS)
+      recordFailure(run, "error", parts);
+    return { kind: "failed", answer, body };
+  }
   const faultyServer = facts.faultyStage
     ? parts.fleet.byAddress(facts.faultyStage)
     : run.pipeline.first;
--- a/packages/telemetry/src/event_catalogue.ts
+++ b/packages/telemetry/src/event_catalogue.ts
@@ -214,6 +214,10 @@
       says: "probes of a suspected server failed as well; its layers are placed elsewhere",
       fields: ["id", "misses"],
     },
+    engine_ejected: {
+      says: "an engine answered with errors, though it reports as usual; it gets no answers for a while",
+      fields: ["id", "for_ms"],
+    },
     server_back: {
       says: "a suspected server answered a probe",
       fields: ["id", "after_ms"],
