Streams: the choice of pipelines follows engines' reported slowdown

Cause: an engine that becomes slow says so in its reports, which nothing read; answers went on through it as if it were as fast as its kind.

Change: when the events of the answers on a pipeline take half as long again as usual, the reports of its engines are read.

--- a/packages/gateway/src/backends/backend_fleet.ts
+++ b/packages/gateway/src/backends/backend_fleet.ts
@@ -13,6 +13,7 @@
   createOutlierEjection,
   type OutlierEjection,
 } from "./outlier_ejection.ts";
+import { createSlowEngines } from "./slow_engines.ts";
 
 /**
  * Maximum lag of a list entry behind the state of its server: entries are
@@ -57,6 +58,8 @@
    * `null` if that is older than a second.
    */
   reportedLoad(id: string): number | null;
+  /** Factor by which an engine is slower than its kind; 1 if it isn't slow. */
+  slowdownOf(id: string): number;
   /** Applies an engine's report, which is newer than its list entry. */
   putReport(id: string, report: EngineReport): void;
   /**
@@ -90,6 +93,7 @@
     signal,
   });
   const outliers = createOutlierEjection({ countServers: () => servers.size });
+  const slowEngines = createSlowEngines({ probe, signal });
   const changeCallbacks: ((id: string) => void)[] = [];
   const replacedEntries = new Map<string, BackendServer>();
   const reportedAt = new Map<string, number>();
@@ -134,6 +138,7 @@
     if (startedAt !== last.startedAt) return;
     reportedAt.set(id, performance.now());
     const { orderCount, held, usedTokenLayers, totalTokenLayers } = report;
+    slowEngines.record(id, report.slowdown);
     reportedLoads.set(id, usedTokenLayers / Math.max(1, totalTokenLayers));
     servers.set(id, { ...last, orderCount, held });
     if (!isSameRange(held, last.held)) notifyChanged(id);
@@ -159,6 +164,7 @@
       return reportedLoads.get(id) ?? null;
     },
     ids: () => servers.keys(),
+    slowdownOf: slowEngines.slowdownOf,
     ofService: (service) =>
       [...servers.values()].filter((server) => server.service === service),
     isUsable: ({ id, leaving }) =>
@@ -182,6 +188,7 @@
         servers.set(server.id, server);
         reportedAt.delete(server.id);
         outliers.forget(server.id);
+        slowEngines.forget(server.id);
         detector.reportSuccess(server.id);
       }
       const current = servers.get(server.id);
@@ -197,6 +204,7 @@
       reportedAt.delete(id);
       reportedLoads.delete(id);
       outliers.forget(id);
+      slowEngines.forget(id);
       detector.reportSuccess(id);
       log.info("server_gone", { id, address: last.address });
       notifyChanged(id);
--- a/packages/gateway/src/backends/backend_fleet_test.ts
+++ b/packages/gateway/src/backends/backend_fleet_test.ts
@@ -97,6 +97,20 @@
   });
 });
 
+describe("reported slowdown of an engine", () => {
+  it("is dropped when the engine starts again", () => {
+    // The new process is as fast as its kind, and would otherwise get no
+    // answers until its next report is read.
+    const { fleet, end } = setUp(new Set());
+    const report = { held: null, orderCount: 0, startedAt: 1, slowdown: 8 };
+    fleet.putReport("a1", report as EngineReport);
+    expect(fleet.slowdownOf("a1")).toBe(8);
+    fleet.put({ ...engine("a1", "a"), startedAt: 2 });
+    expect(fleet.slowdownOf("a1")).toBe(1);
+    end();
+  });
+});
+
 describe("renewal of a list entry", () => {
   it("triggers callbacks only if another field changes", () => {
     // Forty servers renew their entries every second. If each renewal woke the
--- a/packages/gateway/src/streams/pipeline_router.ts
+++ b/packages/gateway/src/streams/pipeline_router.ts
@@ -101,7 +101,10 @@
       const { id, held, failureDomain } = server;
       if (!kind || !held || avoided.has(id)) return [];
       if (!fleet.isUsable(server)) return [];
-      const { memoryMb, stepFactor, prefillFactor } = kind;
+      const { memoryMb } = kind;
+      const slowdown = fleet.slowdownOf(id);
+      const stepFactor = kind.stepFactor * slowdown;
+      const prefillFactor = kind.prefillFactor * slowdown;
       const { model } = engine;
       const layers = layersIn(held);
       const capacityTokenLayers =
--- a/packages/gateway/src/streams/pipeline_router_test.ts
+++ b/packages/gateway/src/streams/pipeline_router_test.ts
@@ -61,11 +61,13 @@
 /** An instance of domain `a` with three peers there and four in domain `b`. */
 function setUp() {
   const servers = [engine("near", "a"), engine("far", "b")];
+  const slowdowns = new Map<string, number>();
   const fleet = {
     ofService: () => servers,
     get: (id: string) => servers.find((server) => server.id === id) ?? null,
     isUsable: () => true,
     reportedLoad: () => null,
+    slowdownOf: (id: string) => slowdowns.get(id) ?? 1,
   } as unknown as BackendFleet;
   const usage = createEngineUsage();
   const router = createPipelineRouter({
@@ -78,7 +80,7 @@
   const size = { promptTokens: 700, answerTokens: 200 };
   const request = { service, size, avoided: new Set<string>(), maxLoad: 1 };
   const choose = () => router.choose(request)?.first.id ?? null;
-  return { usage, choose };
+  return { usage, slowdowns, choose };
 }
 
 /** Loads of one engine that holds answers of `tokens` tokens. */
@@ -129,4 +131,13 @@
     expect(new Set(chosen.slice(0, 11))).toEqual(new Set(["near"]));
     expect(chosen.slice(11)).toEqual([null, null]);
   });
+
+  it("avoids an engine that is slower than its kind", () => {
+    const { usage, slowdowns, choose } = setUp();
+    usage.recordDomainLoads("b", new Map());
+    slowdowns.set("near", 3);
+    expect(choose()).toBe("far");
+    slowdowns.delete("near");
+    expect(choose()).toBe("near");
+  });
 });
--- a/packages/gateway/src/streams/stall_detector.ts
+++ b/packages/gateway/src/streams/stall_detector.ts
@@ -9,6 +9,7 @@
 import type { EngineReport } from "../backend_server.ts";
 import type { BackendFleet } from "../backends/mod.ts";
 import type { EngineCalls } from "../protocol.ts";
+import { createEventPace, type EventPace } from "./event_pace.ts";
 import type { ChosenPipeline } from "./pipeline_router.ts";
 
 /**
@@ -47,6 +48,8 @@
 const MAX_RECHECK_MS = 800;
 /** Time without a check after which the pause starts at its minimum. */
 const RECHECK_RESET_MS = 2_000;
+/** Minimum time between two readings of the reports of a slow pipeline. */
+const SLOW_RECHECK_MS = 2_000;
 /** Time for which pipelines share the report of an engine. */
 const REPORT_CACHE_MS = 100;
 /**
@@ -91,6 +94,7 @@
   group: PipelineGroup;
   /** Whether an event arrived since the last change of the pipeline. */
   hasBegun: boolean;
+  lastEventAt: number;
   /** Deadline for the next event. */
   dueAt: number;
 }
@@ -102,6 +106,8 @@
   lastEventAt: number;
   events: number;
   longestGapMs: number;
+  readonly pace: EventPace;
+  nextPaceCheckAt: number;
   isChecking: boolean;
   recheckMs: number;
   nextCheckAt: number;
@@ -146,6 +152,8 @@
       lastEventAt: performance.now(),
       events: 0,
       longestGapMs: 0,
+      pace: createEventPace(),
+      nextPaceCheckAt: 0,
       isChecking: false,
       recheckMs: MIN_RECHECK_MS,
       nextCheckAt: 0,
@@ -176,8 +184,12 @@
     const gapMs = now - group.lastEventAt;
     group.lastEventAt = now;
     group.events += 1;
-    if (answerState.hasBegun) recordGap(group, gapMs);
+    if (answerState.hasBegun) {
+      recordGap(group, gapMs);
+      group.pace.record(now - answerState.lastEventAt);
+    }
     answerState.hasBegun = true;
+    answerState.lastEventAt = now;
     answerState.dueAt = now + MAX_ANSWER_SILENCE_MS;
   }
 
@@ -224,9 +236,19 @@
       void checkPipeline(group, true);
     } else if ([...group.members].some(({ dueAt }) => now >= dueAt)) {
       void checkPipeline(group, false);
+    } else if (now >= group.nextPaceCheckAt && group.pace.isSlow()) {
+      group.nextPaceCheckAt = now + SLOW_RECHECK_MS;
+      readReports(group);
     }
   }
 
+  /** Reads the reports of all engines of a pipeline, which tell slow ones. */
+  function readReports(group: PipelineGroup): void {
+    const [member] = group.members;
+    for (const { engineId, address } of member?.answer.pipeline().stages ?? [])
+      void requestReport(engineId, address);
+  }
+
   /** Probes all engines of a pipeline, or only the first one. */
   async function checkPipeline(
     group: PipelineGroup,
@@ -339,6 +361,7 @@
         answer,
         group: groupOf(answer.pipeline()),
         hasBegun: false,
+        lastEventAt: 0,
         dueAt: 0,
       };
       joinGroup(answerState, FIRST_EVENT_TIMEOUT_MS);
--- a/packages/gateway/src/streams/stall_detector_test.ts
+++ b/packages/gateway/src/streams/stall_detector_test.ts
@@ -55,8 +55,12 @@
   const stalls: [string, Stall][] = [];
   const trackers: AnswerTracker[] = [];
 
-  /** Tracks answers that each have an event every 40 ms, spread evenly. */
-  async function stream(answers: number, forMs: number): Promise<void> {
+  /** Tracks answers that have events at the given interval, spread evenly. */
+  async function stream(
+    answers: number,
+    forMs: number,
+    intervalMs = EVENT_INTERVAL_MS,
+  ): Promise<void> {
     while (trackers.length < answers) {
       const requestId = `r${trackers.length}`;
       trackers.push(
@@ -67,7 +71,7 @@
         }),
       );
     }
-    const stepMs = EVENT_INTERVAL_MS / answers;
+    const stepMs = intervalMs / answers;
     for (let step = 0; step < forMs / stepMs; step += 1) {
       trackers[step % answers]?.onEvent();
       await vi.advanceTimersByTimeAsync(stepMs);
@@ -233,6 +237,17 @@
   end();
 });
 
+// Guards against leaving answers on an engine that has become slow: their events
+// still arrive often enough that the pipeline never counts as silent.
+it("stall detection reads all reports when events become slower", async () => {
+  const { probedEngines, stream, end } = setUp();
+  await stream(10, 2_000);
+  expect(probedEngines).toEqual([]);
+  await stream(10, 1_500, 2 * EVENT_INTERVAL_MS);
+  expect(probedEngines).toEqual(STAGES);
+  end();
+});
+
 it("stall detection rarely wakes up while events arrive regularly", async () => {
   const { stream, end } = setUp();
   const timers = vi.spyOn(globalThis, "setTimeout");
--- a/packages/telemetry/src/event_catalogue.ts
+++ b/packages/telemetry/src/event_catalogue.ts
@@ -214,6 +214,14 @@
       says: "probes of a suspected server failed as well; its layers are placed elsewhere",
       fields: ["id", "misses"],
     },
+    engine_slow: {
+      says: "an engine reports to be slower than its kind; it gets fewer answers",
+      fields: ["id", "slowdown"],
+    },
+    engine_no_longer_slow: {
+      says: "an engine is as fast as its kind again, or does not answer",
+      fields: ["id"],
+    },
     engine_ejected: {
       says: "an engine answered with errors, though it reports as usual; it gets no answers for a while",
       fields: ["id", "for_ms"],
