Streams: a request that its engine dropped goes to another engine

Cause: an engine that takes some requests in and never answers them responds to probes and has sound reports. The first event was overdue, the report was read, and nothing followed: the caller waited until it gave up, 2 s later.

Change: a request without an event 400 ms after it was sent, while other answers on its pipeline have events and the engine reports that nothing waits there, is stopped and goes elsewhere on routes that allow it. The engine counts a broken connection.

Before the change the answer was left alone.

--- a/packages/gateway/src/backend_server.ts
+++ b/packages/gateway/src/backend_server.ts
@@ -42,6 +42,8 @@
   readonly usedTokenLayers: number;
   /** Size of the KV cache memory, in tokens times layers. */
   readonly totalTokenLayers: number;
+  /** Number of requests that wait for memory. */
+  readonly waiting: number;
   /** Factor by which it is slower than its kind at present; 1 if it isn't. */
   readonly slowdown: number;
   /** Answers that are blocked by a later stage that does not respond. */
--- a/packages/gateway/src/streams/stage_recovery.ts
+++ b/packages/gateway/src/streams/stage_recovery.ts
@@ -62,7 +62,7 @@
   end(): void;
 }
 
-export type RecoveryCause = "first_engine_away" | "stage_away";
+export type RecoveryCause = "first_engine_away" | "stage_away" | "dropped";
 
 type ReplacementResult = "moved" | "full" | "failed";
 
@@ -92,6 +92,13 @@
       run.avoided.add(id);
       return stop("first_engine_away");
     }
+    if (stall.kind === "dropped") {
+      const { id } = run.pipeline.first;
+      log.warn("request_dropped", { id, request: call.id });
+      run.avoided.add(id);
+      fleet.outliers.record(id, "broken");
+      return stop("dropped");
+    }
     const { address } = stall;
     const lostStage = run.pipeline.stages.find(
       (stage) => stage.address === address,
--- a/packages/gateway/src/streams/stage_recovery_test.ts
+++ b/packages/gateway/src/streams/stage_recovery_test.ts
@@ -55,6 +55,7 @@
   };
   const requestedEngines: string[] = [];
   const refused: string[] = [];
+  const outliers: [string, string][] = [];
   const remainingAnswers = [...answers];
   const parts = {
     router: {
@@ -84,7 +85,12 @@
         return remainingAnswers.shift() ?? { kind: "moved" };
       },
     },
-    fleet: { detector: { reportRefusal: (id: string) => refused.push(id) } },
+    fleet: {
+      detector: { reportRefusal: (id: string) => refused.push(id) },
+      outliers: {
+        record: (id: string, quality: string) => outliers.push([id, quality]),
+      },
+    },
   } as unknown as RecoveryParts;
   const call = {
     id: "r",
@@ -99,6 +105,7 @@
     run,
     requestedEngines,
     refused,
+    outliers,
     recovery,
     onPipelineChanged,
     settle,
@@ -213,3 +220,12 @@
   expect(recovery.cause()).toBe("first_engine_away");
   expect(run.avoided.has("first")).toBe(true);
 });
+
+it("recovery sends a request that its engine dropped to another engine", () => {
+  const { run, outliers, recovery } = setUp();
+  recovery.onStall({ kind: "dropped" });
+  expect(run.stop.signal.aborted).toBe(true);
+  expect(recovery.cause()).toBe("dropped");
+  expect(run.avoided.has("first")).toBe(true);
+  expect(outliers).toEqual([["first", "broken"]]);
+});
--- a/packages/gateway/src/streams/stall_detector.ts
+++ b/packages/gateway/src/streams/stall_detector.ts
@@ -35,6 +35,12 @@
 const MAX_ANSWER_SILENCE_MS = 350;
 /** Time allowed for the first event, while the engines read the prompt. */
 const FIRST_EVENT_TIMEOUT_MS = 250;
+/**
+ * Time without a first event after which a request counts as dropped by its
+ * engine, if the engine reports that no request waits there and other answers
+ * on the pipeline have events.
+ */
+const DROPPED_AFTER_MS = 400;
 /** Time allowed for the next event, while a new stage reads all tokens. */
 const EVENT_AFTER_CHANGE_TIMEOUT_MS = 900;
 /** Engines that are reachable report within a few milliseconds. */
@@ -65,6 +71,8 @@
 export type Stall =
   /** The engine that streams the answer does not respond. */
   | { readonly kind: "first_engine" }
+  /** The engine that received the request responds, but dropped the request. */
+  | { readonly kind: "dropped" }
   /** A later stage does not respond to this instance or to another stage. */
   | { readonly kind: "stage"; readonly address: string };
 
@@ -94,6 +102,9 @@
   group: PipelineGroup;
   /** Whether an event arrived since the last change of the pipeline. */
   hasBegun: boolean;
+  /** Whether the run has had an event, on whichever pipeline. */
+  hasHadEvent: boolean;
+  readonly trackedAt: number;
   lastEventAt: number;
   /** Deadline for the next event. */
   dueAt: number;
@@ -189,6 +200,7 @@
       group.pace.record(now - answerState.lastEventAt);
     }
     answerState.hasBegun = true;
+    answerState.hasHadEvent = true;
     answerState.lastEventAt = now;
     answerState.dueAt = now + MAX_ANSWER_SILENCE_MS;
   }
@@ -313,6 +325,7 @@
       const { address } = lostStage;
       return notifyStalled(group, () => ({ kind: "stage", address }));
     }
+    if (firstReport.waiting === 0) notifyDropped(group);
     const stalled = new Map(
       firstReport.stalled.map(({ requestId, address }) => [requestId, address]),
     );
@@ -322,6 +335,16 @@
     });
   }
 
+  /** Notifies the answers that the first engine has dropped. */
+  function notifyDropped(group: PipelineGroup): void {
+    const now = performance.now();
+    if (now - group.lastEventAt > MAX_ANSWER_SILENCE_MS) return;
+    for (const { answer, hasHadEvent, trackedAt } of [...group.members]) {
+      if (hasHadEvent || now - trackedAt < DROPPED_AFTER_MS) continue;
+      answer.onStall({ kind: "dropped" });
+    }
+  }
+
   /** Suspects a stage that another stage reported as unreachable. */
   function suspectStage(address: string): Stall {
     const stage = fleet.byAddress(address);
@@ -361,6 +384,8 @@
         answer,
         group: groupOf(answer.pipeline()),
         hasBegun: false,
+        hasHadEvent: false,
+        trackedAt: performance.now(),
         lastEventAt: 0,
         dueAt: 0,
       };
--- a/packages/gateway/src/streams/stall_detector_test.ts
+++ b/packages/gateway/src/streams/stall_detector_test.ts
@@ -25,6 +25,7 @@
   const probedEngines: string[] = [];
   const suspectedEngines: string[] = [];
   let stalled: EngineReport["stalled"] = [];
+  let waiting = 0;
   let reportAfterMs = 2;
 
   const engines = {
@@ -35,7 +36,7 @@
       await new Promise((resolve) => setTimeout(resolve, waitMs));
       return deadEngines.has(id)
         ? null
-        : ({ stalled } as unknown as EngineReport);
+        : ({ stalled, waiting } as unknown as EngineReport);
     },
   } as unknown as EngineCalls;
   const fleet = {
@@ -88,6 +89,9 @@
     stallOf(requestId: string, address: string) {
       stalled = [{ requestId, address }];
     },
+    reportWaiting(count: number) {
+      waiting = count;
+    },
     slowReports(ms: number) {
       reportAfterMs = ms;
     },
@@ -227,6 +231,49 @@
   });
 });
 
+describe("detection of a request without any event", () => {
+  /** Three answers have events for `forMs`, and a fourth one has none. */
+  async function leaveOneWithoutEvents(
+    { stream, trackers, silence }: ReturnType<typeof setUp>,
+    forMs: number,
+  ): Promise<void> {
+    await stream(3, 1_000);
+    await stream(4, 0);
+    for (let elapsedMs = 0; elapsedMs < forMs; elapsedMs += 20) {
+      for (const tracker of trackers.slice(0, 3)) tracker.onEvent();
+      await silence(20);
+    }
+  }
+
+  // Guards against callers that wait until they give up: an engine takes some
+  // requests in and never answers them, while it serves others as usual.
+  it("finds one that its engine dropped", async () => {
+    const scene = setUp();
+    await leaveOneWithoutEvents(scene, 380);
+    expect(scene.stalls).toEqual([]);
+    await leaveOneWithoutEvents(scene, 300);
+    expect(scene.stalls[0]).toEqual(["r3", { kind: "dropped" }]);
+    expect(new Set(scene.stalls.map(([id]) => id))).toEqual(new Set(["r3"]));
+    scene.end();
+  });
+
+  it("lets it wait while requests wait for memory there", async () => {
+    const scene = setUp();
+    scene.reportWaiting(1);
+    await leaveOneWithoutEvents(scene, 1_500);
+    expect(scene.stalls).toEqual([]);
+    scene.end();
+  });
+
+  it("lets it wait while the whole pipeline has no events", async () => {
+    const scene = setUp();
+    await leaveOneWithoutEvents(scene, 20);
+    await scene.silence(1_500);
+    expect(scene.stalls).toEqual([]);
+    scene.end();
+  });
+});
+
 it("stall detection probes all engines of an answer without events", async () => {
   const { deadEngines, stalls, probedEngines, silence, stream, end } = setUp();
   deadEngines.add("third");
--- a/packages/telemetry/src/event_catalogue.ts
+++ b/packages/telemetry/src/event_catalogue.ts
@@ -214,6 +214,10 @@
       says: "probes of a suspected server failed as well; its layers are placed elsewhere",
       fields: ["id", "misses"],
     },
+    request_dropped: {
+      says: "an engine responds but dropped a request without an answer; the request goes elsewhere",
+      fields: ["id", "request"],
+    },
     engine_slow: {
       says: "an engine reports to be slower than its kind; it gets fewer answers",
       fields: ["id", "slowdown"],
