Routing: a margin on engines of other failure domains

Cause: the load of other domains' engines is known with a delay of some two seconds.

Change: engines of other domains are used up to four fifths of their memory.

--- a/packages/gateway/src/streams/pipeline_router.ts
+++ b/packages/gateway/src/streams/pipeline_router.ts
@@ -20,6 +20,13 @@
   NO_LOAD,
 } from "./engine_usage.ts";
 
+/**
+ * Upper bound on the used share of an engine's memory in another failure
+ * domain. Its load is known with a delay of seconds, in which its own domain
+ * and others may fill it; an engine without memory delays all its answers.
+ */
+const MAX_LOAD_IN_OTHER_DOMAIN = 0.8;
+
 /** Tokens for which an answer takes memory on each engine of its pipeline. */
 export interface AnswerSize {
   readonly promptTokens: number;
@@ -224,15 +231,20 @@
   }
 
   function hasRoomFor(
-    { memoryMb, held, load }: StageCandidate,
+    candidate: StageCandidate,
     { size, maxLoad = 1 }: PipelineRequest,
     { model }: EngineShape,
   ): boolean {
+    const { memoryMb, held, load } = candidate;
+    const isNear = candidate.failureDomain === failureDomain;
+    const limit = isNear
+      ? maxLoad
+      : Math.min(maxLoad, MAX_LOAD_IN_OTHER_DOMAIN);
     const capacityTokens = kvCapacityTokens(model, {
       memoryMb,
       layers: layersIn(held),
     });
-    return load + totalTokens(size) / Math.max(1, capacityTokens) <= maxLoad;
+    return load + totalTokens(size) / Math.max(1, capacityTokens) <= limit;
   }
 
   /** Adds the engines' addresses; `null` if one was removed meanwhile. */
