Streams: a lost later stage is not taken for a dropped request

Change: a request counts as dropped only while the other answers on its pipeline had an event within the last 100 ms.

Test: events of the whole pipeline stop, and a request without one is left to the check of the stages; it fails with the bound as it was.

--- a/packages/gateway/src/streams/stall_detector.ts
+++ b/packages/gateway/src/streams/stall_detector.ts
@@ -41,6 +41,11 @@
  * on the pipeline have events.
  */
 const DROPPED_AFTER_MS = 400;
+/**
+ * Time without events on the whole pipeline from which on a later stage may be
+ * lost, so that a request without an event needn't be dropped.
+ */
+const MAX_SILENCE_OF_OTHERS_MS = 100;
 /** Time allowed for the next event, while a new stage reads all tokens. */
 const EVENT_AFTER_CHANGE_TIMEOUT_MS = 900;
 /** Engines that are reachable report within a few milliseconds. */
@@ -338,7 +343,7 @@
   /** Notifies the answers that the first engine has dropped. */
   function notifyDropped(group: PipelineGroup): void {
     const now = performance.now();
-    if (now - group.lastEventAt > MAX_ANSWER_SILENCE_MS) return;
+    if (now - group.lastEventAt > MAX_SILENCE_OF_OTHERS_MS) return;
     for (const { answer, hasHadEvent, trackedAt } of [...group.members]) {
       if (hasHadEvent || now - trackedAt < DROPPED_AFTER_MS) continue;
       answer.onStall({ kind: "dropped" });
--- a/packages/gateway/src/streams/stall_detector_test.ts
+++ b/packages/gateway/src/streams/stall_detector_test.ts
@@ -272,6 +272,16 @@
     expect(scene.stalls).toEqual([]);
     scene.end();
   });
+
+  // Guards against taking the loss of a later stage, which stops all events,
+  // for a fault of the first engine.
+  it("lets it wait when events have stopped shortly before", async () => {
+    const scene = setUp();
+    await leaveOneWithoutEvents(scene, 260);
+    await scene.silence(300);
+    expect(scene.stalls).toEqual([]);
+    scene.end();
+  });
 });
 
 it("stall detection probes all engines of an answer without events", async () => {
