--- a/packages/gateway/src/streams/stall_detector.ts
+++ b/packages/gateway/src/streams/stall_detector.ts
@@ -9,6 +9,7 @@
 import type { EngineReport } from "../backend_server.ts";
 import type { BackendFleet } from "../backends/mod.ts";
 import type { EngineCalls } from "../protocol.ts";
+import { createEventGaps, type EventGaps } from "./event_gaps.ts";
 import { createEventPace, type EventPace } from "./event_pace.ts";
 import type { ChosenPipeline } from "./pipeline_router.ts";
 
@@ -19,18 +20,6 @@
  */
 const MIN_TICK_MS = 20;
 const MAX_TICK_MS = 60;
-/** Bounds of the silence after which a whole pipeline is checked. */
-const MIN_PIPELINE_SILENCE_MS = 60;
-const MAX_PIPELINE_SILENCE_MS = 350;
-/**
- * Silence after which a pipeline is checked, as a multiple of the longest recent
- * gap between its events.
- */
-const SILENCE_GAP_FACTOR = 1.5;
-/** Factor by which each event reduces the longest recent gap. */
-const GAP_DECAY_PER_EVENT = 0.995;
-/** Events after which the gaps of a pipeline are reliable. */
-const MIN_EVENTS_FOR_GAPS = 20;
 /** Silence of one answer after which its first engine is probed. */
 const MAX_ANSWER_SILENCE_MS = 350;
 /** Time allowed for the first event, while the engines read the prompt. */
@@ -120,8 +109,7 @@
   readonly key: string;
   readonly members: Set<AnswerState>;
   lastEventAt: number;
-  events: number;
-  longestGapMs: number;
+  readonly gaps: EventGaps;
   readonly pace: EventPace;
   nextPaceCheckAt: number;
   isChecking: boolean;
@@ -166,8 +154,7 @@
       key,
       members: new Set(),
       lastEventAt: performance.now(),
-      events: 0,
-      longestGapMs: 0,
+      gaps: createEventGaps(),
       pace: createEventPace(),
       nextPaceCheckAt: 0,
       isChecking: false,
@@ -199,11 +186,8 @@
     const { group } = answerState;
     const gapMs = now - group.lastEventAt;
     group.lastEventAt = now;
-    group.events += 1;
-    if (answerState.hasBegun) {
-      recordGap(group, gapMs);
-      group.pace.record(now - answerState.lastEventAt);
-    }
+    group.gaps.record(answerState.hasBegun ? gapMs : null);
+    if (answerState.hasBegun) group.pace.record(now - answerState.lastEventAt);
     answerState.hasBegun = true;
     answerState.hasHadEvent = true;
     answerState.lastEventAt = now;
@@ -237,7 +221,7 @@
     const answersDueAt = Math.min(...members.map(({ dueAt }) => dueAt));
     const hasBegun = members.some((member) => member.hasBegun);
     const silentAt =
-      group.lastEventAt + (hasBegun ? silenceLimitMs(group) : Infinity);
+      group.lastEventAt + (hasBegun ? group.gaps.silenceLimitMs() : Infinity);
     return Math.max(group.nextCheckAt, Math.min(answersDueAt, silentAt));
   }
 
@@ -245,7 +229,7 @@
     const begunAnswers = [...group.members].filter(({ hasBegun }) => hasBegun);
     const isSilent =
       begunAnswers.length > 0 &&
-      now - group.lastEventAt >= silenceLimitMs(group);
+      now - group.lastEventAt >= group.gaps.silenceLimitMs();
     const isFirstEventOverdue = [...group.members].some(
       ({ hasBegun, dueAt }) => !hasBegun && now >= dueAt,
     );
@@ -408,23 +392,3 @@
     },
   };
 }
-
-/**
- * Records a gap between events. It is capped, so that the longest gap decays
- * soon after a stall.
- */
-function recordGap(group: PipelineGroup, gapMs: number): void {
-  const maxGapMs = MAX_PIPELINE_SILENCE_MS / SILENCE_GAP_FACTOR;
-  const decayedMs = group.longestGapMs * GAP_DECAY_PER_EVENT;
-  group.longestGapMs = Math.max(decayedMs, Math.min(gapMs, maxGapMs));
-}
-
-/** Silence of all answers on a pipeline after which it is checked. */
-function silenceLimitMs({ events, longestGapMs }: PipelineGroup): number {
-  if (events < MIN_EVENTS_FOR_GAPS) return MAX_PIPELINE_SILENCE_MS;
-  const silentMs = SILENCE_GAP_FACTOR * longestGapMs;
-  return Math.min(
-    MAX_PIPELINE_SILENCE_MS,
-    Math.max(MIN_PIPELINE_SILENCE_MS, silentMs),
-  );
-}
