--- a/packages/bench/src/answers/entry.ts
+++ b/packages/bench/src/answers/entry.ts
@@ -63,7 +63,7 @@
   };
 }
 
-/** A request with so many words and tokens. */
+/** A request with the given numbers of words and tokens. */
 export function describeRequest(
   requestId: string,
   size: { readonly words: number; readonly tokens: number },
--- a/packages/bench/src/capacity/control_slopes.ts
+++ b/packages/bench/src/capacity/control_slopes.ts
@@ -26,7 +26,7 @@
   });
 }
 
-/** Choosing a subset of 650 engines among so many instances. */
+/** Microseconds of one choice of a subset of 650 engines. */
 export function subsetMicros(instances: number): number {
   const members = listOf(instances, sampleMember);
   const engines = listOf(650, (index) => ({
@@ -40,7 +40,7 @@
   });
 }
 
-/** Heap of the latency metrics of so many models. */
+/** Bytes of heap that the latency metrics of `models` models take. */
 export function metricsBytes(models: number): number {
   return heapBytes(() => observedMetrics(models));
 }
--- a/packages/bench/src/membership/fleet.ts
+++ b/packages/bench/src/membership/fleet.ts
@@ -96,7 +96,7 @@
   };
 }
 
-/** Does what the keeper of the note does: applies it, then tells of it. */
+/** Applies a note and then announces it, like the component that holds it. */
 function applyNote(
   record: MemberRecord,
   membership: Membership,
--- a/packages/bench/src/placement/moved_weights.ts
+++ b/packages/bench/src/placement/moved_weights.ts
@@ -18,7 +18,7 @@
 const LOSSES = 3;
 const CHANGES = 10;
 const THRESHOLDS = [0, 0.05, 0.1, 0.2] as const;
-/** An engine that is away comes back rather than another one going. */
+/** With this many engines lost, one returns before the next one is lost. */
 const AWAY_AT_MOST = 3;
 
 /** Lines about single losses and about thresholds. */
--- a/packages/bench/src/recall/recall_command.ts
+++ b/packages/bench/src/recall/recall_command.ts
@@ -54,7 +54,7 @@
   readonly recalls: number;
   /** Callers of each instance. */
   readonly callers: number;
-  /** Whether the store's watch tells of writes. */
+  /** Whether the store's watch reports writes. */
   readonly watch: boolean;
 }
 
--- a/packages/bench/src/throughput/bench_shape.ts
+++ b/packages/bench/src/throughput/bench_shape.ts
@@ -8,7 +8,7 @@
 export const PROMPT_TOKENS = 24;
 /** Most tokens of an answer. */
 export const ANSWER_TOKENS = 48;
-/** Answers stop by themselves at one token in so many; see `layer_math`. */
+/** Mean tokens after which an answer ends by itself; see `layer_math`. */
 export const STOP_EVERY = 199;
 export const MEAN_TOKENS =
   STOP_EVERY * (1 - (1 - 1 / STOP_EVERY) ** ANSWER_TOKENS);
--- a/packages/bench/src/throughput/virtual/virtual_callers.ts
+++ b/packages/bench/src/throughput/virtual/virtual_callers.ts
@@ -1,6 +1,6 @@
 /**
- * Callers that come back: whoever is refused waits as long as it was told, and
- * whoever gets no whole answer in time leaves and asks again at once.
+ * Callers that retry: a refused one waits for the Retry-After delay, and one
+ * without a complete answer in time disconnects and retries at once.
  */
 import { ANSWER_TOKENS } from "../bench_shape.ts";
 import { createRandom, pickOrganisation } from "../open_loop.ts";
--- a/packages/checks/src/answer_caller.ts
+++ b/packages/checks/src/answer_caller.ts
@@ -47,7 +47,7 @@
   };
 }
 
-/** One caller, who comes back to the other instance when it is cut off. */
+/** One caller, which resumes at the other instance when its stream is cut. */
 export async function serve(
   request: AnswerRequest,
   options: {
--- a/packages/checks/src/answer_faults.ts
+++ b/packages/checks/src/answer_faults.ts
@@ -95,7 +95,7 @@
   if (held) yield held;
 }
 
-/** Kills, freezes and stops engines by plan until it is told to stop. */
+/** Kills, freezes and stops engines according to a plan until stopped. */
 export async function breakEngines(
   group: EngineGroup,
   options: {
@@ -125,7 +125,7 @@
     await takeDown(engine, random.between(DOWN_MS.low, DOWN_MS.high));
   }
 
-  /** One that is down already comes back by itself. */
+  /** An engine that is already down is restarted by its own fault. */
   async function takeDown(engine: string, downMs: number): Promise<void> {
     if (down.has(engine)) return;
     down.add(engine);
--- a/packages/checks/src/answer_report.ts
+++ b/packages/checks/src/answer_report.ts
@@ -55,7 +55,7 @@
   };
 }
 
-/** What a caller has whose answer is gone must still be true. */
+/** The part that a caller received before its answer was cut must be correct. */
 function withLostEnd({ request, events }: Served): ReceivedAnswer {
   const failure = {
     outcome: "failed",
--- a/packages/checks/src/answer_rule.ts
+++ b/packages/checks/src/answer_rule.ts
@@ -1,4 +1,4 @@
-/** What must hold for each answer, told from the engines' journal alone. */
+/** Checks the rules of each answer against the engines' journals alone. */
 import type { AnswerEvent } from "@rosemarypin/calls";
 import type { AnswerRequest } from "@rosemarypin/schemas";
 import { expectedAnswer, type RunEntry } from "@rosemarypin/stand_ins";
--- a/packages/checks/src/bookings/history.ts
+++ b/packages/checks/src/bookings/history.ts
@@ -169,7 +169,7 @@
     interleaving.note("all is well again");
   }
 
-  /** Comes back when it is told to, as callers do. */
+  /** Retries after the delay of the response, as callers do. */
   async function askLast(key: string): Promise<void> {
     await interleaving.sleep(RECOVERY_MS);
     for (let tries = 1; tries <= LAST_TRIES; tries++) {
--- a/packages/checks/src/bookings/judge.ts
+++ b/packages/checks/src/bookings/judge.ts
@@ -1,8 +1,8 @@
-/** Compares what callers were told with the service's own journal. */
+/** Compares the responses to callers with the service's own journal. */
 import type { ServiceCallResult } from "@rosemarypin/calls";
 import type { Run } from "./journaled_service.ts";
 
-/** What one caller was told. */
+/** The response to one caller. */
 export interface Told {
   readonly key: string;
   readonly requestId: string;
@@ -15,13 +15,13 @@
 export interface Verdict {
   /** Keys that ran more than once. */
   readonly doubleRuns: number;
-  /** Calls that ran although their callers were told `not_run`. */
+  /** Calls that ran although the response was `not_run`. */
   readonly falseNotRun: number;
   /** Answers that are not those of the key's own run. */
   readonly wrongAnswers: number;
   /** Keys that stay refused although all is well. */
   readonly stuck: number;
-  /** Keys whose last caller was told `outcome_unknown`. */
+  /** Keys whose last response was `outcome_unknown`. */
   readonly unresolved: number;
 }
 
@@ -45,7 +45,7 @@
   };
 }
 
-/** What each key's last caller was told in the end, after its retries. */
+/** The final response for each key, after the caller's retries. */
 function lastTold(told: readonly Told[]): Told[] {
   const byKey = new Map<string, Told>();
   for (const entry of told) if (entry.last) byKey.set(entry.key, entry);
--- a/packages/checks/src/log_pipe/log_pipe_run.ts
+++ b/packages/checks/src/log_pipe/log_pipe_run.ts
@@ -36,7 +36,7 @@
 
 /** Runs callers for a time; each sends its next request at once. */
 export async function runLogPipe(options: {
-  /** It goes on for longer until so many requests were answered. */
+  /** Minimum duration; longer if `leastAnswered` is not reached by then. */
   readonly durationMs: number;
   readonly leastAnswered: number;
   readonly callers: number;
--- a/packages/checks/src/log_pipe_main.ts
+++ b/packages/checks/src/log_pipe_main.ts
@@ -1,5 +1,5 @@
 #!/usr/bin/env node
-/** Entry of `npm run check:logs`: a log that nobody reads holds nothing up. */
+/** Entry of `npm run check:logs`: an unread log pipe must block nothing. */
 import meow from "meow";
 import { runLogPipe } from "./log_pipe/log_pipe_run.ts";
 
--- a/packages/checks/src/platform_soak/fault_proxy.ts
+++ b/packages/checks/src/platform_soak/fault_proxy.ts
@@ -1,4 +1,4 @@
-/** A loopback proxy that harms the connections that pass through it. */
+/** A loopback proxy that injects faults into the connections it forwards. */
 import { once } from "node:events";
 import { type AddressInfo, connect, createServer, type Socket } from "node:net";
 
@@ -32,7 +32,7 @@
     for (const socket of [near, far]) {
       sockets.add(socket);
       socket.setNoDelay(true);
-      // The other side's end says what there is to say of a broken one.
+      // A failed socket also closes, which ends the connection it is paired with.
       socket.on("error", () => {});
       socket.once("close", () => sockets.delete(socket));
     }
--- a/packages/checks/src/platform_soak/instance_process.ts
+++ b/packages/checks/src/platform_soak/instance_process.ts
@@ -1,4 +1,4 @@
-/** One instance as a process of its own, stopped and hurt by signals. */
+/** An instance as a separate process, which signals stop, freeze and kill. */
 import { type ChildProcess, spawn } from "node:child_process";
 import { once } from "node:events";
 import { createWriteStream } from "node:fs";
--- a/packages/checks/src/platform_soak/soak_run.ts
+++ b/packages/checks/src/platform_soak/soak_run.ts
@@ -78,7 +78,7 @@
 
   /**
    * Every other caller keeps its connections, and goes on to use them until
-   * the process is gone, also while it stops.
+   * the process has exited, also while it stops.
    */
   async function keepCalling(index: number): Promise<void> {
     const keeps = index % 2 === 0;
--- a/packages/checks/src/soak/soak_plan.ts
+++ b/packages/checks/src/soak/soak_plan.ts
@@ -29,7 +29,7 @@
   },
 ];
 
-/** Draws a scenario of so many rounds; each publishes and recalls a version. */
+/** Draws a scenario of rounds that each publish and recall a version. */
 export function drawSoak(random: SeededRandom, rounds: number): Scenario {
   const numbers = Array.from({ length: rounds }, (_, index) => index + 1);
   return scenarioSchema.parse({
--- a/packages/fakes/src/peer_network.ts
+++ b/packages/fakes/src/peer_network.ts
@@ -33,7 +33,7 @@
   readonly listeners: Set<(record: MemberRecord) => void>;
 }
 
-/** Creates a network with no instances; news travels at once. */
+/** Creates a network without instances; messages arrive at once. */
 export function createPeerNetwork(): PeerNetwork {
   const nodes = new Map<string, Node>();
   const cuts = new Set<string>();
--- a/packages/launcher/src/stops_test.ts
+++ b/packages/launcher/src/stops_test.ts
@@ -252,7 +252,7 @@
 
 const prompts = new Map<number, string>();
 
-/** A prompt whose answer has so many tokens and no stop before. */
+/** Returns a prompt whose answer has exactly `tokens` tokens. */
 function findPrompt(tokens: number): string {
   const known = prompts.get(tokens);
   if (known !== undefined) return known;
--- a/packages/scenarios/src/observations.ts
+++ b/packages/scenarios/src/observations.ts
@@ -15,7 +15,7 @@
   readonly answer: StreamedAnswer;
 }
 
-/** A call that may not be repeated, as its caller was told. */
+/** A call that may not be repeated, with the response to its caller. */
 export interface ObservedOrder {
   readonly idempotencyKey: string;
   readonly told: "answered" | Outcome | "broken";
@@ -40,7 +40,7 @@
   readonly withdrawnVersions: readonly string[];
 }
 
-/** A note that withdraws versions, as its publisher was told. */
+/** A note that withdraws versions, with the response to its publisher. */
 export interface RecordedRecall {
   readonly name: string;
   readonly at: number;
--- a/packages/scenarios/src/promises_test.ts
+++ b/packages/scenarios/src/promises_test.ts
@@ -230,7 +230,7 @@
 
 /**
  * A scenario whose callers never got through read "held  judged 0", and the
- * command ended with 0: nothing was shown, and nobody was told.
+ * command exited with 0, although nothing had been checked.
  */
 it("does not count a promise as held when nothing was judged", () => {
   const seen = observe({});
--- a/packages/scenarios/src/traffic.ts
+++ b/packages/scenarios/src/traffic.ts
@@ -1,4 +1,4 @@
-/** Callers that go on asking until they are told to stop. */
+/** Callers that send requests in a loop until they are stopped. */
 import { randomUUID } from "node:crypto";
 import { setTimeout as pause } from "node:timers/promises";
 import {
--- a/packages/stand_ins/src/engine/layer_math.ts
+++ b/packages/stand_ins/src/engine/layer_math.ts
@@ -8,7 +8,7 @@
 
 const { h32 } = await xxhash();
 
-/** Every so many tokens, on average, an answer ends by itself. */
+/** Mean number of tokens after which an answer ends by itself. */
 const STOP_EVERY = 199;
 const WORD_COUNT = 4_096;
 
--- a/packages/stand_ins/src/engine/step.ts
+++ b/packages/stand_ins/src/engine/step.ts
@@ -16,7 +16,7 @@
   readonly open?: AttemptRequest;
 }
 
-/** What the last stage, or a stage in trouble, tells the first one. */
+/** Message of the last stage, or of a failing one, to the first stage. */
 export interface ReturnMessage {
   readonly type: "return";
   readonly requestId: string;
--- a/packages/stand_ins/src/stand_in_settings.ts
+++ b/packages/stand_ins/src/stand_in_settings.ts
@@ -52,7 +52,7 @@
 });
 export type EngineStandInSettings = z.infer<typeof engineStandInSchema>;
 
-/** Settings of any stand-in, told apart by `kind`. */
+/** Settings of any stand-in, a union discriminated by `kind`. */
 export const standInSettingsSchema = z.discriminatedUnion("kind", [
   engineStandInSchema,
   z.strictObject({ kind: z.literal("object_api"), address: addressSchema }),
