--- a/packages/bench/src/throughput/virtual/virtual_load.ts
+++ b/packages/bench/src/throughput/virtual/virtual_load.ts
@@ -71,7 +71,7 @@
   return { organisation, sentAt, tokenTimes, end, endedAt };
 }
 
-/** Probability per token that an answer ends, as in the stand-in. */
+/** Draws the length of an answer, which ends at a token as in the stand-in. */
 export function drawTokens(random: () => number): number {
   const natural = Math.log(1 - random()) / Math.log(1 - 1 / STOP_EVERY);
   return Math.max(1, Math.min(ANSWER_TOKENS, Math.ceil(natural)));
