Routing: the margin applies to domains that report their sum only

Cause: up to 20 peers report one by one, so the load of other domains' engines is known within about a second; the margin gave a fifth of it away for nothing.

Change and test: engines of a domain whose instances report one by one are filled as those of the own domain; the margin stays where only the sum is known.

--- a/packages/gateway/src/streams/pipeline_router.ts
+++ b/packages/gateway/src/streams/pipeline_router.ts
@@ -21,11 +21,12 @@
 } from "./engine_usage.ts";
 
 /**
- * Upper bound on the used share of an engine's memory in another failure
- * domain. Its load is known with a delay of seconds, in which its own domain
- * and others may fill it; an engine without memory delays all its answers.
+ * Upper bound on the used share of an engine's memory in a failure domain whose
+ * instances report only their sum. That is known with a delay of seconds, in
+ * which the domain itself and others may fill the engine; an engine without
+ * memory delays all its answers.
  */
-const MAX_LOAD_IN_OTHER_DOMAIN = 0.8;
+const MAX_SUMMED_LOAD = 0.8;
 
 /** Tokens for which an answer takes memory on each engine of its pipeline. */
 export interface AnswerSize {
@@ -236,10 +237,8 @@
     { model }: EngineShape,
   ): boolean {
     const { memoryMb, held, load } = candidate;
-    const isNear = candidate.failureDomain === failureDomain;
-    const limit = isNear
-      ? maxLoad
-      : Math.min(maxLoad, MAX_LOAD_IN_OTHER_DOMAIN);
+    const isSummed = usage.hasDomainLoads(candidate.failureDomain);
+    const limit = isSummed ? Math.min(maxLoad, MAX_SUMMED_LOAD) : maxLoad;
     const capacityTokens = kvCapacityTokens(model, {
       memoryMb,
       layers: layersIn(held),
--- a/packages/gateway/src/streams/pipeline_router_test.ts
+++ b/packages/gateway/src/streams/pipeline_router_test.ts
@@ -122,6 +122,16 @@
     expect(choose()).toBe(expected);
   });
 
+  it("fills engines of another domain whose instances report one by one", () => {
+    const { usage, choose } = setUp();
+    for (const peer of ["a-1", "a-2", "a-3"])
+      usage.recordPeerLoads(peer, loadsOf("near", CAPACITY_TOKENS / 3));
+    for (const peer of ["b-1", "b-2", "b-3", "b-4"])
+      usage.recordPeerLoads(peer, loadsOf("far", CAPACITY_TOKENS / 5));
+    const chosen = Array.from({ length: 3 }, choose);
+    expect(chosen).toEqual(["far", "far", null]);
+  });
+
   it("counts answers of other domains on engines of its own", () => {
     const { usage, choose } = setUp();
     usage.recordDomainLoads("b", loadsOf("near", CAPACITY_TOKENS));
