Routing: other domains help with half of their engines' memory

Cause: when engines of all domains are slow or lost, a full domain filled the others, and answers were late everywhere where one domain would have refused some.

Change: engines whose domain reports its sum only are used up to a half of their memory in place of four fifths.

--- a/packages/gateway/src/streams/pipeline_router.ts
+++ b/packages/gateway/src/streams/pipeline_router.ts
@@ -23,10 +23,11 @@
 /**
  * Upper bound on the used share of an engine's memory in a failure domain whose
  * instances report only their sum. That is known with a delay of seconds, in
- * which the domain itself and others may fill the engine; an engine without
- * memory delays all its answers.
+ * which the domain itself and others may fill the engine. When all domains are
+ * short of engines, help would also delay the answers of every domain instead
+ * of refusing some in one.
  */
-const MAX_SUMMED_LOAD = 0.8;
+const MAX_SUMMED_LOAD = 0.5;
 
 /** Tokens for which an answer takes memory on each engine of its pipeline. */
 export interface AnswerSize {
