Streams: sums of loads on an engine copy no lists

The sums are taken for each engine at each choice of a pipeline; each made two lists of all senders. Behaviour is as before, by the same tests.

--- a/packages/gateway/src/streams/engine_usage.ts
+++ b/packages/gateway/src/streams/engine_usage.ts
@@ -95,14 +95,6 @@
     for (const callback of callbacks) callback();
   }
 
-  function freshPeers(): ReceivedLoads[] {
-    return dropExpired(loadsByPeer, PEER_LOADS_VALID_MS);
-  }
-
-  function freshDomains(): ReceivedLoads[] {
-    return dropExpired(loadsByDomain, DOMAIN_LOADS_VALID_MS);
-  }
-
   return {
     reserve({ stages, tokens, unreadTokens, unreadStages }) {
       let isReserved = true;
@@ -133,13 +125,16 @@
     recordPeerLoads(instance, loads) {
       loadsByPeer.set(instance, { loads, receivedAt: performance.now() });
     },
-    peerLoadOf: (engineId) => sumOn(engineId, freshPeers()),
+    peerLoadOf: (engineId) => sumOn(engineId, loadsByPeer, PEER_LOADS_VALID_MS),
     peerLoads(instance) {
       const peer = loadsByPeer.get(instance);
       return peer && isFresh(peer, PEER_LOADS_VALID_MS) ? peer.loads : null;
     },
     domainLoads(instanceCount) {
-      const reports = [localLoads, ...freshPeers().map(({ loads }) => loads)];
+      const fresh = [...loadsByPeer.values()].filter((peer) =>
+        isFresh(peer, PEER_LOADS_VALID_MS),
+      );
+      const reports = [localLoads, ...fresh.map(({ loads }) => loads)];
       const scale = Math.max(1, instanceCount / reports.length);
       return sumAll(reports, scale);
     },
@@ -153,7 +148,8 @@
       const domain = loadsByDomain.get(failureDomain);
       return domain !== undefined && isFresh(domain, DOMAIN_LOADS_VALID_MS);
     },
-    domainLoadOf: (engineId) => sumOn(engineId, freshDomains()),
+    domainLoadOf: (engineId) =>
+      sumOn(engineId, loadsByDomain, DOMAIN_LOADS_VALID_MS),
     onChanged(callback) {
       callbacks.push(callback);
     },
@@ -164,24 +160,20 @@
   return performance.now() - receivedAt < validMs;
 }
 
-/** Removes expired loads and returns the others. */
-function dropExpired(
-  received: Map<string, ReceivedLoads>,
-  validMs: number,
-): ReceivedLoads[] {
-  for (const [sender, loads] of received)
-    if (!isFresh(loads, validMs)) received.delete(sender);
-  return [...received.values()];
-}
-
+/** Sums the loads on one engine, and removes those that have expired. */
 function sumOn(
   engineId: string,
-  received: readonly ReceivedLoads[],
+  received: Map<string, ReceivedLoads>,
+  validMs: number,
 ): EngineLoad {
   let held = 0;
   let unread = 0;
-  for (const { loads } of received) {
-    const load = loads.get(engineId) ?? NO_LOAD;
+  for (const [sender, entry] of received) {
+    if (!isFresh(entry, validMs)) {
+      received.delete(sender);
+      continue;
+    }
+    const load = entry.loads.get(engineId) ?? NO_LOAD;
     held += load.held;
     unread += load.unread;
   }
--- a/packages/gateway/src/streams/pipeline_router.ts
+++ b/packages/gateway/src/streams/pipeline_router.ts
@@ -24,8 +24,8 @@
  * Upper bound on the used share of an engine's memory in a failure domain whose
  * instances report only their sum. That is known with a delay of seconds, in
  * which the domain itself and others may fill the engine. When all domains are
- * short of engines, help would also delay the answers of every domain instead
- * of refusing some in one.
+ * short of engines, more use of each other's would delay the answers of every
+ * domain, instead of refusing some in one.
  */
 const MAX_SUMMED_LOAD = 0.5;
 
--- a/packages/gateway/src/streams/stall_detector.ts
+++ b/packages/gateway/src/streams/stall_detector.ts
@@ -243,7 +243,7 @@
     }
   }
 
-  /** Reads the reports of all engines of a pipeline, which tell slow ones. */
+  /** Reads the reports of all engines of a pipeline to find slow ones. */
   function readReports(group: PipelineGroup): void {
     const [member] = group.members;
     for (const { engineId, address } of member?.answer.pipeline().stages ?? [])
