Logs: what a server says about itself in its answers

The codec now reads the three headers, and request_turned_away and request_limit are logged. What is done about them is unchanged.

--- a/packages/gateway/src/backends/backend_fleet.ts
+++ b/packages/gateway/src/backends/backend_fleet.ts
@@ -3,7 +3,7 @@
 import type { LayerRange } from "@rosemarypin/pipelines";
 import { createLogger } from "@rosemarypin/telemetry";
 import type { BackendServer, EngineReport } from "../backend_server.ts";
-import type { EngineCalls } from "../protocol.ts";
+import type { AnswerMetadata, EngineCalls } from "../protocol.ts";
 import { createDomainSuspicion } from "./domain_suspicion.ts";
 import {
   createFailureDetector,
@@ -62,6 +62,11 @@
   slowdownOf(id: string): number;
   /** Applies an engine's report, which is newer than its list entry. */
   putReport(id: string, report: EngineReport): void;
+  /**
+   * Applies what a server says about itself in the headers of an answer, which
+   * is newer than its list entry.
+   */
+  recordAnswer(id: string, answer: ServerAnswer): void;
   /**
    * Handles the refusal of a request by an engine: avoids it for a moment and
    * reads its report.
@@ -71,6 +76,12 @@
   onChanged(callback: (id: string) => void): void;
 }
 
+/** The part of an answer that concerns the server and not the request. */
+export type ServerAnswer = Pick<
+  AnswerMetadata,
+  "notRun" | "retryAfterSeconds" | "requestLimitPerSecond" | "isLeaving"
+>;
+
 export interface BackendFleetOptions {
   readonly engines: EngineCalls;
   /** Failure domain of this instance. */
@@ -98,6 +109,7 @@
   const replacedEntries = new Map<string, BackendServer>();
   const reportedAt = new Map<string, number>();
   const reportedLoads = new Map<string, number>();
+  const requestLimits = new Map<string, number>();
 
   /**
    * Reads an engine's report; resolves to whether the engine answered, `null`
@@ -144,6 +156,24 @@
     if (!isSameRange(held, last.held)) notifyChanged(id);
   }
 
+  function recordAnswer(id: string, answer: ServerAnswer): void {
+    if (answer.notRun) {
+      const { retryAfterSeconds } = answer;
+      log.info("request_turned_away", {
+        id,
+        retry_after_s: retryAfterSeconds ?? undefined,
+      });
+    }
+    logRequestLimit(id, answer.requestLimitPerSecond);
+  }
+
+  function logRequestLimit(id: string, perSecond: number | null): void {
+    if (perSecond === (requestLimits.get(id) ?? null)) return;
+    log.info("request_limit", { id, per_second: perSecond ?? undefined });
+    if (perSecond === null) requestLimits.delete(id);
+    else requestLimits.set(id, perSecond);
+  }
+
   return {
     detector,
     outliers,
@@ -216,6 +246,7 @@
       this.remove(id);
     },
     putReport,
+    recordAnswer,
     handleRefusal(id) {
       detector.reportRefusal(id);
       void probe(id).then((works) => {
--- a/packages/gateway/src/plain/forward_plain.ts
+++ b/packages/gateway/src/plain/forward_plain.ts
@@ -130,7 +130,7 @@
     if (result.kind === "broken") {
       return { kind: "unknown", detail: result.detail };
     }
-    const attempt = await readAnswer(call, result, codec);
+    const attempt = await readAnswer(call, result, { codec, fleet, server });
     succeeded =
       attempt.kind === "answer" &&
       attempt.answer.status < MIN_SERVER_ERROR_STATUS;
@@ -147,13 +147,20 @@
 async function readAnswer(
   call: CallerCall,
   answer: OpenAnswer,
-  codec: RequestCodec,
+  {
+    codec,
+    fleet,
+    server,
+  }: Pick<ForwardingParts, "codec" | "fleet"> & {
+    readonly server: BackendServer;
+  },
 ): Promise<Attempt> {
   const metadata = codec.decodeAnswer(answer.status, answer.headers);
   if (!isOwnAnswer(call, metadata)) {
     answer.abandon();
     return { kind: "unknown", detail: "answer_of_another_request" };
   }
+  fleet.recordAnswer(server.id, metadata);
   const isSuccess = answer.status < 300;
   if (isSuccess && !metadata.isSigned) {
     answer.abandon();
--- a/packages/gateway/src/protocol.ts
+++ b/packages/gateway/src/protocol.ts
@@ -55,6 +55,15 @@
   readonly hasPlainBody: boolean;
   /** Whether a content length or chunked encoding marks the body's end. */
   readonly isFramed: boolean;
+  /** Time for which the server wants no further requests; `null` if not sent. */
+  readonly retryAfterSeconds: number | null;
+  /**
+   * Requests a second that the server takes from all instances together; `null`
+   * if it names no limit.
+   */
+  readonly requestLimitPerSecond: number | null;
+  /** Whether the server is about to stop. */
+  readonly isLeaving: boolean;
 }
 
 export type AnswerHeaders = Readonly<
--- a/packages/telemetry/src/event_catalogue.ts
+++ b/packages/telemetry/src/event_catalogue.ts
@@ -198,6 +198,14 @@
       says: "a server is leaving and gets no new work",
       fields: ["id", "address", "server"],
     },
+    request_turned_away: {
+      says: "a server did not run a request; it wants no further ones for `retry_after_s`, if named",
+      fields: ["id", "retry_after_s"],
+    },
+    request_limit: {
+      says: "a server named the requests a second that it takes from all instances together, or lifted that limit",
+      fields: ["id", "per_second"],
+    },
     server_returned: {
       says: "a server that was leaving accepts work again",
       fields: ["server"],
