Limits: instances together keep the request limit that a server names

Callers saw nothing; a server in need got 47 requests in 4 s from one instance where 27 were allowed, since no code read its limit (class of fault: a signal of the other side that the code has no place for).

Each instance now keeps to a share of the limit, weighted towards the failure domain of the server, for every request that it sends there: new ones, retries, resumed streams, other domains. The sum stays within the limit without messages between instances. An engine at its limit may still be a later stage, which gets no requests from instances; a service whose servers are all at their limits refuses at once with a time to come back.

--- a/packages/gateway/src/backends/backend_fleet.ts
+++ b/packages/gateway/src/backends/backend_fleet.ts
@@ -13,6 +13,7 @@
   createOutlierEjection,
   type OutlierEjection,
 } from "./outlier_ejection.ts";
+import { createRequestLimits, type RequestLimits } from "./request_limits.ts";
 import { createSlowEngines } from "./slow_engines.ts";
 
 /**
@@ -30,11 +31,15 @@
 /** Reachable engines answer a probe within a few milliseconds. */
 const PROBE_TIMEOUT_MS = 300;
 
+/** Status of a request that another server at the address received. */
+export const MISDIRECTED_REQUEST = 421;
+
 const log = createLogger("backends");
 
 export interface BackendFleet {
   readonly detector: FailureDetector;
   readonly outliers: OutlierEjection;
+  readonly limits: RequestLimits;
   get(id: string): BackendServer | null;
   byAddress(address: string): BackendServer | null;
   /** Ids of all servers of all services. */
@@ -66,7 +71,7 @@
    * Applies what a server says about itself in the headers of an answer, which
    * is newer than its list entry.
    */
-  recordAnswer(id: string, answer: ServerAnswer): void;
+  recordAnswer(id: string, status: number, answer: ServerAnswer): void;
   /**
    * Handles the refusal of a request by an engine: avoids it for a moment and
    * reads its report.
@@ -79,13 +84,22 @@
 /** The part of an answer that concerns the server and not the request. */
 export type ServerAnswer = Pick<
   AnswerMetadata,
-  "notRun" | "retryAfterSeconds" | "requestLimitPerSecond" | "isLeaving"
+  | "isSigned"
+  | "notRun"
+  | "retryAfterSeconds"
+  | "requestLimitPerSecond"
+  | "isLeaving"
 >;
 
 export interface BackendFleetOptions {
   readonly engines: EngineCalls;
   /** Failure domain of this instance. */
   readonly failureDomain: string;
+  /**
+   * Number of instances in a failure domain that may send requests, or in all
+   * with `null`; this one is included.
+   */
+  readonly countInstances: (failureDomain: string | null) => number;
   readonly signal: AbortSignal;
 }
 
@@ -93,6 +107,7 @@
 export function createBackendFleet({
   engines,
   failureDomain,
+  countInstances,
   signal,
 }: BackendFleetOptions): BackendFleet {
   const servers = new Map<string, BackendServer>();
@@ -104,12 +119,12 @@
     signal,
   });
   const outliers = createOutlierEjection({ countServers: () => servers.size });
+  const limits = createRequestLimits({ failureDomain, countInstances });
   const slowEngines = createSlowEngines({ probe, signal });
   const changeCallbacks: ((id: string) => void)[] = [];
   const replacedEntries = new Map<string, BackendServer>();
   const reportedAt = new Map<string, number>();
   const reportedLoads = new Map<string, number>();
-  const requestLimits = new Map<string, number>();
 
   /**
    * Reads an engine's report; resolves to whether the engine answered, `null`
@@ -156,7 +171,14 @@
     if (!isSameRange(held, last.held)) notifyChanged(id);
   }
 
-  function recordAnswer(id: string, answer: ServerAnswer): void {
+  function recordAnswer(
+    id: string,
+    status: number,
+    answer: ServerAnswer,
+  ): void {
+    const server = servers.get(id);
+    // A misdirected request was answered by another server at this address.
+    if (!server || status === MISDIRECTED_REQUEST) return;
     if (answer.notRun) {
       const { retryAfterSeconds } = answer;
       log.info("request_turned_away", {
@@ -164,19 +186,16 @@
         retry_after_s: retryAfterSeconds ?? undefined,
       });
     }
-    logRequestLimit(id, answer.requestLimitPerSecond);
-  }
-
-  function logRequestLimit(id: string, perSecond: number | null): void {
-    if (perSecond === (requestLimits.get(id) ?? null)) return;
-    log.info("request_limit", { id, per_second: perSecond ?? undefined });
-    if (perSecond === null) requestLimits.delete(id);
-    else requestLimits.set(id, perSecond);
+    // Answers of intermediaries name no limit and don't lift one.
+    const { requestLimitPerSecond, isSigned } = answer;
+    if (requestLimitPerSecond !== null || isSigned)
+      limits.record(server, requestLimitPerSecond);
   }
 
   return {
     detector,
     outliers,
+    limits,
     get: (id) => servers.get(id) ?? null,
     byAddress(address) {
       // The entry of a stopped server may still be listed beside the entry of
--- a/packages/gateway/src/backends/mod.ts
+++ b/packages/gateway/src/backends/mod.ts
@@ -1,4 +1,5 @@
 /** State of the backend servers, and the connections to them. */
 export * from "./backend_exchange.ts";
 export * from "./backend_fleet.ts";
+export * from "./request_limits.ts";
 export * from "./timed_connector.ts";
--- a/packages/gateway/src/following/presence.ts
+++ b/packages/gateway/src/following/presence.ts
@@ -54,10 +54,11 @@
 
 export interface Presence {
   /**
-   * Number of instances that may be live, including this one. An instance with
-   * an expired heartbeat may only be cut off and still send retries.
+   * Number of instances in a failure domain that may be live, or in all with
+   * `null`; this one is included. An instance with an expired heartbeat may only
+   * be cut off and still send requests.
    */
-  countPossiblyLive(): number;
+  countPossiblyLive(failureDomain: string | null): number;
   /** Names of other instances in a failure domain that may send requests. */
   possibleSendersOf(failureDomain: string): readonly string[];
   /** Whether a failure domain has another live instance. */
@@ -227,14 +228,15 @@
   }
 
   return {
-    countPossiblyLive: () =>
-      Math.max(
-        hasRead ? 1 : INITIAL_INSTANCE_COUNT,
-        1 +
-          [...observedByKey.values()].filter(
-            ({ presence }) => !presence.leaving,
-          ).length,
-      ),
+    countPossiblyLive(domain) {
+      const isIn = (other: string) => domain === null || other === domain;
+      const others = [...observedByKey.values()].filter(
+        ({ presence }) => !presence.leaving && isIn(presence.failureDomain),
+      ).length;
+      const count = others + (isIn(failureDomain) ? 1 : 0);
+      const isUnknown = domain === null && !hasRead;
+      return isUnknown ? Math.max(INITIAL_INSTANCE_COUNT, count) : count;
+    },
     possibleSendersOf: possibleSendersIn,
     hasOtherLiveIn: (domain) => countLiveIn(domain) > 0,
     countLiveBefore: (domain) =>
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -68,7 +68,12 @@
   const keeper = createConfigurationKeeper();
   const history = createReleaseHistory(instance);
   keeper.onChanged(history.record);
-  const fleet = createBackendFleet({ engines, failureDomain, signal });
+  const fleet = createBackendFleet({
+    engines,
+    failureDomain,
+    countInstances: (domain) => presence.countPossiblyLive(domain),
+    signal,
+  });
   const { presence, mirrors } = await startStoreFollowing({
     store,
     instance,
@@ -98,9 +103,8 @@
         serverMirror.unavailableMs(),
       ),
   });
-  const budget = createRetryBudget(
-    settings.retryBudget,
-    presence.countPossiblyLive,
+  const budget = createRetryBudget(settings.retryBudget, () =>
+    presence.countPossiblyLive(null),
   );
   const exchange = createBackendExchange();
   const serverChoice = createServerChoice({ fleet, failureDomain });
--- a/packages/gateway/src/placement/placement_loop_test.ts
+++ b/packages/gateway/src/placement/placement_loop_test.ts
@@ -60,7 +60,12 @@
       return { kind: "accepted" };
     },
   } as unknown as EngineCalls;
-  const fleet = createBackendFleet({ engines, failureDomain: "a", signal });
+  const fleet = createBackendFleet({
+    engines,
+    countInstances: () => 1,
+    failureDomain: "a",
+    signal,
+  });
   const service = { name: "model", engine: SHAPE };
   const keeper = {
     applied: () => ({ services: new Map([["model", service]]) }),
--- a/packages/gateway/src/plain/forward_plain.ts
+++ b/packages/gateway/src/plain/forward_plain.ts
@@ -160,7 +160,7 @@
     answer.abandon();
     return { kind: "unknown", detail: "answer_of_another_request" };
   }
-  fleet.recordAnswer(server.id, metadata);
+  fleet.recordAnswer(server.id, answer.status, metadata);
   const isSuccess = answer.status < 300;
   if (isSuccess && !metadata.isSigned) {
     answer.abandon();
--- a/packages/gateway/src/plain/server_choice.ts
+++ b/packages/gateway/src/plain/server_choice.ts
@@ -14,9 +14,10 @@
 
 export interface ServerChoice {
   /**
-   * Returns the server with the lowest expected answer time, or `null` if all
-   * servers of the service are leaving or excluded. A server under suspicion is
-   * chosen only if there is no other.
+   * Returns the server with the lowest expected answer time, for one request
+   * that counts towards its limit; `null` if all servers of the service are
+   * leaving, excluded or at their limits. A server under suspicion is chosen
+   * only if there is no other.
    */
   choose(service: string, excluded: ReadonlySet<string>): BackendServer | null;
   requestStarted(id: string): void;
@@ -47,10 +48,12 @@
     choose(service, excluded) {
       const candidates = fleet
         .ofService(service)
-        .filter((server) => !server.leaving && !excluded.has(server.id));
+        .filter((server) => !server.leaving && !excluded.has(server.id))
+        .filter((server) => fleet.limits.allows(server));
       const healthy = candidates.filter((server) => fleet.isUsable(server));
       const choices = healthy.length > 0 ? healthy : candidates;
-      return choices.sort((a, b) => cost(a) - cost(b))[0] ?? null;
+      choices.sort((a, b) => cost(a) - cost(b));
+      return choices.find((server) => fleet.limits.take(server)) ?? null;
     },
     requestStarted(id) {
       inProgress.set(id, (inProgress.get(id) ?? 0) + 1);
--- a/packages/gateway/src/plain/server_choice_test.ts
+++ b/packages/gateway/src/plain/server_choice_test.ts
@@ -1,6 +1,6 @@
 import { describe, expect, it } from "vitest";
 import type { BackendServer } from "../backend_server.ts";
-import type { BackendFleet } from "../backends/mod.ts";
+import { type BackendFleet, createRequestLimits } from "../backends/mod.ts";
 import { createServerChoice } from "./server_choice.ts";
 
 function server(id: string, failureDomain: string, leaving = false) {
@@ -12,8 +12,13 @@
     ofService: () => [...servers],
     isUsable: ({ id, leaving }: BackendServer) =>
       !leaving && !suspected.includes(id),
+    limits: createRequestLimits({
+      failureDomain: "a",
+      countInstances: () => 1,
+    }),
   } as unknown as BackendFleet;
-  return createServerChoice({ fleet, failureDomain: "a" });
+  const choice = createServerChoice({ fleet, failureDomain: "a" });
+  return { ...choice, limits: fleet.limits };
 }
 
 const none = new Set<string>();
@@ -49,4 +54,22 @@
     }
     expect(choice.choose("s", none)?.id).toBe("y");
   });
+
+  // Guards against calls beyond the limit of a server, and against waiting for
+  // a server while all are at their limits.
+  it("keeps to the limits of servers", () => {
+    const servers = [server("x", "a"), server("y", "b")];
+    const { choose, limits } = setUp(servers);
+    for (const one of servers) limits.record(one, 1);
+    const chosen = [1, 2, 3].map(() => choose("s", none)?.id);
+    expect(chosen).toEqual(["x", "y", undefined]);
+  });
+
+  it("keeps to the limit of a suspected server that is the only one", () => {
+    const servers = [server("x", "a")];
+    const { choose, limits } = setUp(servers, ["x"]);
+    limits.record(server("x", "a"), 1);
+    const chosen = [1, 2].map(() => choose("s", none)?.id);
+    expect(chosen).toEqual(["x", undefined]);
+  });
 });
--- a/packages/gateway/src/streams/pipeline_router.ts
+++ b/packages/gateway/src/streams/pipeline_router.ts
@@ -57,11 +57,16 @@
 
 export interface PipelineRouter {
   /**
-   * Reserves the cheapest pipeline; `null` when some layer isn't held by any
-   * usable engine that is neither avoided nor loaded beyond `maxLoad`.
+   * Reserves the cheapest pipeline, for one request that counts towards the
+   * limit of its first engine; `null` when some layer isn't held by any usable
+   * engine that is neither avoided nor loaded beyond `maxLoad`, or when no
+   * engine with the first layer may receive a request.
    */
   choose(request: PipelineRequest): ChosenPipeline | null;
-  /** Whether `choose` would find a pipeline; reserves nothing. */
+  /**
+   * Whether `choose` would find a pipeline; reserves nothing. Without `maxLoad`,
+   * the request limits of engines are ignored too.
+   */
   hasPipeline(request: PipelineRequest): boolean;
   /**
    * Reserves a copy of the pipeline with other engines in place of one stage;
@@ -213,16 +218,23 @@
     constraints: {
       readonly range?: LayerRange;
       readonly onlyDomain?: string | undefined;
+      /** Whether engines may start a pipeline in spite of their limits. */
+      readonly ignoresLimits?: boolean;
     } = {},
   ): AddressedStage[] | null {
     const { service, avoided, maxLoad } = request;
     const { engine } = service;
     if (!engine) return null;
-    const { range, onlyDomain } = constraints;
+    const {
+      range,
+      onlyDomain,
+      ignoresLimits = range !== undefined,
+    } = constraints;
     const usable = listCandidates(service, engine, avoided).filter(
       (candidate) =>
         (onlyDomain === undefined || candidate.failureDomain === onlyDomain) &&
-        (maxLoad === undefined || hasRoomFor(candidate, request, engine)),
+        (maxLoad === undefined || hasRoomFor(candidate, request, engine)) &&
+        (ignoresLimits || mayReceiveRequest(candidate)),
     );
     const found = findPipeline(usable, {
       model: engine.model,
@@ -247,6 +259,26 @@
     return load + totalTokens(size) / Math.max(1, capacityTokens) <= limit;
   }
 
+  /**
+   * Whether the limit of an engine with the first layer allows a request. Later
+   * stages receive none from instances.
+   */
+  function mayReceiveRequest({ id, held }: StageCandidate): boolean {
+    if (held.from > 0) return true;
+    const server = fleet.get(id);
+    return server !== null && fleet.limits.allows(server);
+  }
+
+  /** Finds a pipeline whose first engine's limit has counted the request. */
+  function findAndCount(request: PipelineRequest): AddressedStage[] | null {
+    for (;;) {
+      const stages = findStages(request);
+      const first = fleet.get(stages?.[0]?.engineId ?? "");
+      if (!stages || !first) return null;
+      if (fleet.limits.take(first)) return stages;
+    }
+  }
+
   /** Adds the engines' addresses; `null` if one was removed meanwhile. */
   function withAddresses(stages: readonly Stage[]): AddressedStage[] | null {
     const addressedStages = stages.flatMap((stage) => {
@@ -275,10 +307,12 @@
 
   return {
     choose(request) {
-      const stages = findStages(request);
+      const stages = findAndCount(request);
       return stages ? reserve(stages, request, stages) : null;
     },
-    hasPipeline: (request) => findStages(request) !== null,
+    hasPipeline: (request) =>
+      findStages(request, { ignoresLimits: request.maxLoad === undefined }) !==
+      null,
     replaceStage({ stages }, request) {
       const lostIndex = stages.findIndex(
         ({ address }) => address === request.address,
--- a/packages/gateway/src/streams/pipeline_router_test.ts
+++ b/packages/gateway/src/streams/pipeline_router_test.ts
@@ -1,6 +1,6 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 import type { BackendServer } from "../backend_server.ts";
-import type { BackendFleet } from "../backends/mod.ts";
+import { type BackendFleet, createRequestLimits } from "../backends/mod.ts";
 import type { Service } from "../configuration.ts";
 import { createEngineUsage } from "./engine_usage.ts";
 import { createPipelineRouter } from "./pipeline_router.ts";
@@ -68,6 +68,10 @@
     isUsable: () => true,
     reportedLoad: () => null,
     slowdownOf: (id: string) => slowdowns.get(id) ?? 1,
+    limits: createRequestLimits({
+      failureDomain: "a",
+      countInstances: () => 1,
+    }),
   } as unknown as BackendFleet;
   const usage = createEngineUsage();
   const router = createPipelineRouter({
@@ -80,7 +84,7 @@
   const size = { promptTokens: 700, answerTokens: 200 };
   const request = { service, size, avoided: new Set<string>(), maxLoad: 1 };
   const choose = () => router.choose(request)?.first.id ?? null;
-  return { usage, slowdowns, choose };
+  return { fleet, servers, usage, slowdowns, router, request, choose };
 }
 
 /** Loads of one engine that holds answers of `tokens` tokens. */
@@ -156,3 +160,59 @@
     expect(choose()).toBe("near");
   });
 });
+
+describe("request limits of engines", () => {
+  /** Reports of all others, so that their engines count as free. */
+  function setUpFree() {
+    const parts = setUp();
+    for (const peer of ["a-1", "a-2", "a-3"])
+      parts.usage.recordPeerLoads(peer, new Map());
+    parts.usage.recordDomainLoads("b", new Map());
+    const [near, far] = parts.servers;
+    if (!near || !far) throw new Error("no engines");
+    return { ...parts, near, far };
+  }
+
+  // Guards against requests beyond the limit of an engine, in every way in
+  // which a request finds its pipeline.
+  it("apply to each request, and others take what is beyond them", () => {
+    const { fleet, near, far, choose } = setUpFree();
+    fleet.limits.record(near, 1);
+    expect([choose(), choose(), choose()]).toEqual(["near", "far", "far"]);
+    fleet.limits.record(far, 1);
+    expect([choose(), choose()]).toEqual(["far", null]);
+  });
+
+  it("are never passed by answers that accept full engines", () => {
+    const { fleet, servers, router, request } = setUpFree();
+    for (const server of servers) fleet.limits.record(server, 1);
+    const { maxLoad: _, ...unbounded } = request;
+    const chosen = [1, 2, 3].map(() => router.choose(unbounded)?.first.id);
+    expect(chosen).toEqual(["near", "far", undefined]);
+  });
+
+  it("count as a lack of room, which may end soon", () => {
+    const { fleet, servers, router, request, choose } = setUpFree();
+    for (const server of servers) fleet.limits.record(server, 1);
+    expect([choose(), choose(), choose()]).toEqual(["near", "far", null]);
+    const { maxLoad: _, ...unbounded } = request;
+    expect(router.hasPipeline(request)).toBe(false);
+    expect(router.hasPipeline(unbounded)).toBe(true);
+  });
+
+  it("do not apply to later stages, which get no requests", () => {
+    const { fleet, servers, near, far, choose } = setUpFree();
+    servers.splice(
+      0,
+      2,
+      { ...near, held: { from: 0, to: 5 } },
+      {
+        ...far,
+        held: { from: 5, to: LAYERS },
+      },
+    );
+    fleet.limits.record(far, 0);
+    fleet.limits.take(far);
+    expect([choose(), choose()]).toEqual(["near", "near"]);
+  });
+});
--- a/packages/gateway/src/streams/stream_run.ts
+++ b/packages/gateway/src/streams/stream_run.ts
@@ -1,7 +1,11 @@
 /** Runs a streamed answer on one pipeline. */
 import { once } from "node:events";
 import { createLogger } from "@rosemarypin/telemetry";
-import { type OpenAnswer, suspicionReasonOf } from "../backends/mod.ts";
+import {
+  MISDIRECTED_REQUEST,
+  type OpenAnswer,
+  suspicionReasonOf,
+} from "../backends/mod.ts";
 import {
   beginAnswer,
   type CallerCall,
@@ -30,7 +34,6 @@
   readonly engines: EngineCalls;
 }
 
-const MISDIRECTED_REQUEST = 421;
 const MIN_SERVER_ERROR_STATUS = 500;
 
 const log = createLogger("streams");
@@ -100,7 +103,7 @@
       result.abandon();
       return brokenRun(recovery, "answer_of_another_request");
     }
-    parts.fleet.recordAnswer(run.pipeline.first.id, facts);
+    parts.fleet.recordAnswer(run.pipeline.first.id, result.status, facts);
     if (result.status >= 300)
       return await readErrorAnswer(run, result, { facts, parts });
     if (!facts.isSigned) {
--- a/packages/telemetry/src/event_catalogue.ts
+++ b/packages/telemetry/src/event_catalogue.ts
@@ -203,8 +203,12 @@
       fields: ["id", "retry_after_s"],
     },
     request_limit: {
-      says: "a server named the requests a second that it takes from all instances together, or lifted that limit",
-      fields: ["id", "per_second"],
+      says: "a server named the requests a second that it takes from all instances together; this instance uses `share` of them",
+      fields: ["id", "per_second", "share"],
+    },
+    request_limit_lifted: {
+      says: "a server no longer names a limit of requests",
+      fields: ["id"],
     },
     server_returned: {
       says: "a server that was leaving accepts work again",
