Backoff: a server that asks for rest gets no requests in that time

Callers saw little, since each request turned away went to another server; an engine got 7 requests from one instance in 3 s for which it had asked for none. The cause is a cooldown of our own: Retry-After was not read, streams came back after 250 ms, and plain services had no cooldown at all (class of fault: a constant of ours in place of what the other side says).

The time that a server names now lasts, for this instance and that start of the server, whatever else shows that it works: an answered probe, a renewed or returned entry, a good answer. It applies to every way to the server: new requests, retries, resumed streams, stages, the last resort of plain services, orders to load layers and the probe after a refusal. Callers are refused at once when nothing else is left, with a time to come back that lies after it.

--- a/packages/gateway/src/backends/backend_fleet.ts
+++ b/packages/gateway/src/backends/backend_fleet.ts
@@ -14,6 +14,10 @@
   type OutlierEjection,
 } from "./outlier_ejection.ts";
 import { createRequestLimits, type RequestLimits } from "./request_limits.ts";
+import {
+  createRequestedBackoffs,
+  type RequestedBackoffs,
+} from "./requested_backoffs.ts";
 import { createSlowEngines } from "./slow_engines.ts";
 
 /**
@@ -33,6 +37,7 @@
 
 /** Status of a request that another server at the address received. */
 export const MISDIRECTED_REQUEST = 421;
+const UNAVAILABLE = 503;
 
 const log = createLogger("backends");
 
@@ -40,6 +45,7 @@
   readonly detector: FailureDetector;
   readonly outliers: OutlierEjection;
   readonly limits: RequestLimits;
+  readonly backoffs: RequestedBackoffs;
   get(id: string): BackendServer | null;
   byAddress(address: string): BackendServer | null;
   /** Ids of all servers of all services. */
@@ -74,7 +80,7 @@
   recordAnswer(id: string, status: number, answer: ServerAnswer): void;
   /**
    * Handles the refusal of a request by an engine: avoids it for a moment and
-   * reads its report.
+   * reads its report, unless it has asked for a longer backoff.
    */
   handleRefusal(id: string): void;
   /** Registers a callback for added, changed, suspected and removed servers. */
@@ -120,6 +126,7 @@
   });
   const outliers = createOutlierEjection({ countServers: () => servers.size });
   const limits = createRequestLimits({ failureDomain, countInstances });
+  const backoffs = createRequestedBackoffs();
   const slowEngines = createSlowEngines({ probe, signal });
   const changeCallbacks: ((id: string) => void)[] = [];
   const replacedEntries = new Map<string, BackendServer>();
@@ -179,13 +186,16 @@
     const server = servers.get(id);
     // A misdirected request was answered by another server at this address.
     if (!server || status === MISDIRECTED_REQUEST) return;
+    const { retryAfterSeconds } = answer;
     if (answer.notRun) {
-      const { retryAfterSeconds } = answer;
       log.info("request_turned_away", {
         id,
         retry_after_s: retryAfterSeconds ?? undefined,
       });
     }
+    const isTurnedAway = answer.notRun || status === UNAVAILABLE;
+    if (isTurnedAway && retryAfterSeconds !== null)
+      backoffs.record(server, retryAfterSeconds);
     // Answers of intermediaries name no limit and don't lift one.
     const { requestLimitPerSecond, isSigned } = answer;
     if (requestLimitPerSecond !== null || isSigned)
@@ -196,6 +206,7 @@
     detector,
     outliers,
     limits,
+    backoffs,
     get: (id) => servers.get(id) ?? null,
     byAddress(address) {
       // The entry of a stopped server may still be listed beside the entry of
@@ -216,8 +227,11 @@
     slowdownOf: slowEngines.slowdownOf,
     ofService: (service) =>
       [...servers.values()].filter((server) => server.service === service),
-    isUsable: ({ id, leaving }) =>
-      !leaving && !detector.isAvoided(id) && !outliers.isEjected(id),
+    isUsable: (server) =>
+      !server.leaving &&
+      backoffs.remainingMs(server) === 0 &&
+      !detector.isAvoided(server.id) &&
+      !outliers.isEjected(server.id),
     put(server) {
       const replacedEntry = replacedEntries.get(server.id);
       if (replacedEntry && !isNewer(server, replacedEntry)) return;
@@ -268,6 +282,8 @@
     recordAnswer,
     handleRefusal(id) {
       detector.reportRefusal(id);
+      const server = servers.get(id);
+      if (!server || backoffs.remainingMs(server) > 0) return;
       void probe(id).then((works) => {
         if (works === false) detector.reportFailure(id, "silent");
       });
--- a/packages/gateway/src/backends/backend_fleet_test.ts
+++ b/packages/gateway/src/backends/backend_fleet_test.ts
@@ -1,7 +1,7 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 import type { BackendServer, EngineReport } from "../backend_server.ts";
 import type { EngineCalls } from "../protocol.ts";
-import { createBackendFleet } from "./backend_fleet.ts";
+import { type BackendFleet, createBackendFleet } from "./backend_fleet.ts";
 
 beforeEach(() => {
   vi.useFakeTimers();
@@ -127,3 +127,85 @@
     end();
   });
 });
+
+describe("a backoff that an engine asks for", () => {
+  const refusal = {
+    isSigned: false,
+    notRun: true,
+    retryAfterSeconds: 3,
+    requestLimitPerSecond: null,
+    isLeaving: false,
+  };
+
+  function isUsable(fleet: BackendFleet, id: string): boolean {
+    const server = fleet.get(id);
+    return server !== null && fleet.isUsable(server);
+  }
+
+  // Guards against requests to an engine in the time for which it wants none,
+  // because its probes are answered or its entry is renewed.
+  it("lasts as long as it says, whatever else shows that it works", async () => {
+    const { fleet, end } = setUp(new Set());
+    fleet.recordAnswer("a1", 503, refusal);
+    fleet.handleRefusal("a1");
+    await vi.advanceTimersByTimeAsync(1_000);
+    fleet.detector.reportFailure("a1", "silent");
+    await vi.advanceTimersByTimeAsync(1_000);
+    fleet.detector.reportSuccess("a1");
+    fleet.put({ ...engine("a1", "a"), renewal: 2 });
+    await vi.advanceTimersByTimeAsync(900);
+    expect(isUsable(fleet, "a1")).toBe(false);
+    await vi.advanceTimersByTimeAsync(101);
+    expect(isUsable(fleet, "a1")).toBe(true);
+    end();
+  });
+
+  it("is kept when the engine's entry is missing for a while", () => {
+    const { fleet, end } = setUp(new Set());
+    fleet.recordAnswer("a1", 503, refusal);
+    fleet.remove("a1");
+    fleet.put(engine("a1", "a"));
+    expect(isUsable(fleet, "a1")).toBe(false);
+    end();
+  });
+
+  it("ends with a restart of the engine", () => {
+    const { fleet, end } = setUp(new Set());
+    fleet.recordAnswer("a1", 503, refusal);
+    fleet.put({ ...engine("a1", "a"), startedAt: 2 });
+    expect(isUsable(fleet, "a1")).toBe(true);
+    end();
+  });
+
+  it("is not shortened by a later answer", async () => {
+    const { fleet, end } = setUp(new Set());
+    fleet.recordAnswer("a1", 503, refusal);
+    fleet.recordAnswer("a1", 503, { ...refusal, retryAfterSeconds: 1 });
+    fleet.recordAnswer("a1", 200, {
+      ...refusal,
+      notRun: false,
+      isSigned: true,
+    });
+    await vi.advanceTimersByTimeAsync(2_900);
+    expect(isUsable(fleet, "a1")).toBe(false);
+    end();
+  });
+
+  it("is not caused by another server that answers at its address", () => {
+    const { fleet, end } = setUp(new Set());
+    fleet.recordAnswer("a1", 421, refusal);
+    expect(isUsable(fleet, "a1")).toBe(true);
+    end();
+  });
+
+  it("saves the engine the probe that follows other refusals", async () => {
+    const { fleet, probed, end } = setUp(new Set());
+    fleet.recordAnswer("a1", 503, refusal);
+    fleet.handleRefusal("a1");
+    fleet.recordAnswer("a2", 503, { ...refusal, retryAfterSeconds: null });
+    fleet.handleRefusal("a2");
+    await vi.advanceTimersByTimeAsync(100);
+    expect(probed).toEqual(["a2"]);
+    end();
+  });
+});
--- a/packages/gateway/src/backends/mod.ts
+++ b/packages/gateway/src/backends/mod.ts
@@ -2,4 +2,5 @@
 export * from "./backend_exchange.ts";
 export * from "./backend_fleet.ts";
 export * from "./request_limits.ts";
+export * from "./requested_backoffs.ts";
 export * from "./timed_connector.ts";
--- a/packages/gateway/src/callers/caller_answer.ts
+++ b/packages/gateway/src/callers/caller_answer.ts
@@ -80,18 +80,20 @@
     readonly outcome: CallOutcome;
     readonly reason: string;
     readonly attempts: number;
-    readonly retryAfterSeconds?: number;
+    /** Range of the delay before a retry. */
+    readonly retryDelay?: RetryDelayRange;
+    /** Milliseconds until servers want requests again, before that delay. */
+    readonly backoffMs?: number;
   },
 ): CallEnd {
-  const { outcome, reason, attempts } = options;
+  const { outcome, reason, attempts, backoffMs = 0 } = options;
+  const retryDelay = options.retryDelay ?? FULL_SERVER_RETRY_AFTER;
   const status = outcome === "not_run" ? 503 : isPastDeadline(call) ? 504 : 502;
   refuse(codec, call.response, {
     status,
     reason,
     requestId: call.metadata.requestId,
-    ...(options.retryAfterSeconds === undefined
-      ? {}
-      : { retryAfterSeconds: options.retryAfterSeconds }),
+    retryAfterSeconds: backoffMs / 1_000 + drawRetrySeconds(retryDelay),
   });
   return { status, outcome, reason, attempts, firstByteMs: null };
 }
--- a/packages/gateway/src/placement/placement_loop.ts
+++ b/packages/gateway/src/placement/placement_loop.ts
@@ -149,7 +149,9 @@
       held: order?.range ?? server.held,
       serving: server.held,
       acceptsOrders:
-        !order && options.fencingNumberFor(server.failureDomain) !== null,
+        !order &&
+        fleet.backoffs.remainingMs(server) === 0 &&
+        options.fencingNumberFor(server.failureDomain) !== null,
     };
   }
 
--- a/packages/gateway/src/plain/forward_plain.ts
+++ b/packages/gateway/src/plain/forward_plain.ts
@@ -1,7 +1,11 @@
 /** Forwards requests of plain services, with a bounded number of retries. */
 import { createLogger } from "@rosemarypin/telemetry";
 import type { BackendServer } from "../backend_server.ts";
-import { type OpenAnswer, suspicionReasonOf } from "../backends/mod.ts";
+import {
+  type BackendFleet,
+  type OpenAnswer,
+  suspicionReasonOf,
+} from "../backends/mod.ts";
 import {
   beginAnswer,
   type CallEnd,
@@ -84,7 +88,22 @@
   // make the whole call safe to retry.
   const outcome = possibleRuns > 0 ? "unknown" : "not_run";
   const reason = lastAttempt.detail;
-  return endWithRefusal(codec, call, { outcome, reason, attempts });
+  return endWithRefusal(codec, call, {
+    outcome,
+    reason,
+    attempts,
+    backoffMs: commonBackoffMs(parts.fleet, call.service.name),
+  });
+}
+
+/**
+ * Milliseconds until the first server of a service wants requests again; 0 if
+ * one of them does already.
+ */
+function commonBackoffMs(fleet: BackendFleet, service: string): number {
+  const servers = fleet.ofService(service).filter(({ leaving }) => !leaving);
+  if (servers.length === 0) return 0;
+  return Math.min(...servers.map(fleet.backoffs.remainingMs));
 }
 
 function tryTimeoutOf(call: CallerCall): number {
--- a/packages/gateway/src/plain/server_choice.ts
+++ b/packages/gateway/src/plain/server_choice.ts
@@ -16,7 +16,7 @@
   /**
    * Returns the server with the lowest expected answer time, for one request
    * that counts towards its limit; `null` if all servers of the service are
-   * leaving, excluded or at their limits. A server under suspicion is chosen
+   * leaving, excluded, at their limits or have asked for a backoff. A server under suspicion is chosen
    * only if there is no other.
    */
   choose(service: string, excluded: ReadonlySet<string>): BackendServer | null;
@@ -49,6 +49,7 @@
       const candidates = fleet
         .ofService(service)
         .filter((server) => !server.leaving && !excluded.has(server.id))
+        .filter((server) => fleet.backoffs.remainingMs(server) === 0)
         .filter((server) => fleet.limits.allows(server));
       const healthy = candidates.filter((server) => fleet.isUsable(server));
       const choices = healthy.length > 0 ? healthy : candidates;
--- a/packages/gateway/src/plain/server_choice_test.ts
+++ b/packages/gateway/src/plain/server_choice_test.ts
@@ -1,6 +1,10 @@
 import { describe, expect, it } from "vitest";
 import type { BackendServer } from "../backend_server.ts";
-import { type BackendFleet, createRequestLimits } from "../backends/mod.ts";
+import {
+  type BackendFleet,
+  createRequestedBackoffs,
+  createRequestLimits,
+} from "../backends/mod.ts";
 import { createServerChoice } from "./server_choice.ts";
 
 function server(id: string, failureDomain: string, leaving = false) {
@@ -12,13 +16,14 @@
     ofService: () => [...servers],
     isUsable: ({ id, leaving }: BackendServer) =>
       !leaving && !suspected.includes(id),
+    backoffs: createRequestedBackoffs(),
     limits: createRequestLimits({
       failureDomain: "a",
       countInstances: () => 1,
     }),
   } as unknown as BackendFleet;
   const choice = createServerChoice({ fleet, failureDomain: "a" });
-  return { ...choice, limits: fleet.limits };
+  return { ...choice, limits: fleet.limits, backoffs: fleet.backoffs };
 }
 
 const none = new Set<string>();
@@ -72,4 +77,15 @@
     const chosen = [1, 2].map(() => choose("s", none)?.id);
     expect(chosen).toEqual(["x", undefined]);
   });
+
+  // Guards against requests to a server that has asked for none, because it is
+  // the last one or the others are suspected.
+  it("never chooses a server that asked for a backoff", () => {
+    const servers = [server("x", "a"), server("y", "b")];
+    const { choose, backoffs } = setUp(servers, ["y"]);
+    backoffs.record(server("x", "a"), 3);
+    expect(choose("s", none)?.id).toBe("y");
+    backoffs.record(server("y", "b"), 3);
+    expect(choose("s", none)).toBeNull();
+  });
 });
--- a/packages/gateway/src/streams/forward_stream.ts
+++ b/packages/gateway/src/streams/forward_stream.ts
@@ -2,12 +2,13 @@
  * Forwards answers that are streams of events. A broken answer is resumed on
  * another pipeline after the last event that the caller has received.
  */
+
+import type { BackendFleet } from "../backends/mod.ts";
 import {
   beginAnswer,
   type CallEnd,
   type CallerCall,
   createStreamPace,
-  drawRetrySeconds,
   endWithRefusal,
   type RetryDelayRange,
 } from "../callers/mod.ts";
@@ -101,6 +102,7 @@
     attempts,
     runs,
     codec: parts.codec,
+    fleet: parts.fleet,
   });
 }
 
@@ -122,6 +124,7 @@
     readonly attempts: number;
     readonly runs: number;
     readonly codec: RequestCodec;
+    readonly fleet: BackendFleet;
   },
 ): CallEnd {
   const { lastEnd, progress, attempts, runs, codec } = state;
@@ -150,14 +153,28 @@
     return { status, outcome: "answered", reason, attempts, firstByteMs, pace };
   }
   const outcome = runs > 0 ? "unknown" : "not_run";
+  const isFull = lastEnd.detail === "no_room";
   return endWithRefusal(codec, call, {
     outcome,
     reason: lastEnd.detail,
     attempts,
-    retryAfterSeconds: drawRetrySeconds(
-      lastEnd.detail === "no_room"
-        ? RETRY_WHEN_FULL_SECONDS
-        : RETRY_AFTER_LOSS_SECONDS,
-    ),
+    retryDelay: isFull ? RETRY_WHEN_FULL_SECONDS : RETRY_AFTER_LOSS_SECONDS,
+    backoffMs:
+      lastEnd.detail === "no_pipeline"
+        ? soonestBackoffEndMs(state.fleet, call.service.name)
+        : 0,
   });
 }
+
+/**
+ * Milliseconds until the first of the engines that want no requests at present
+ * wants some again; 0 without such engines.
+ */
+function soonestBackoffEndMs(fleet: BackendFleet, service: string): number {
+  const backoffs = fleet
+    .ofService(service)
+    .filter(({ leaving }) => !leaving)
+    .map(fleet.backoffs.remainingMs)
+    .filter((remainingMs) => remainingMs > 0);
+  return backoffs.length > 0 ? Math.min(...backoffs) : 0;
+}
--- a/packages/telemetry/src/event_catalogue.ts
+++ b/packages/telemetry/src/event_catalogue.ts
@@ -202,6 +202,10 @@
       says: "a server did not run a request; it wants no further ones for `retry_after_s`, if named",
       fields: ["id", "retry_after_s"],
     },
+    server_backoff: {
+      says: "a server asked for no requests from this instance for a time, and gets none",
+      fields: ["id", "for_ms"],
+    },
     request_limit: {
       says: "a server named the requests a second that it takes from all instances together; this instance uses `share` of them",
       fields: ["id", "per_second", "share"],
