Leaving: a server's answer that says it leaves counts as its entry does

Requests reached a server that had said in its answers that it was about to stop, for as long as its entry in the list lagged behind, and again when an entry that said ready was renewed or returned.

An answer that announces the end now marks this start of the server as leaving. No entry takes that back; a restart does. Its layers are planned elsewhere at once.

--- a/packages/gateway/src/backends/backend_fleet.ts
+++ b/packages/gateway/src/backends/backend_fleet.ts
@@ -9,6 +9,7 @@
   createFailureDetector,
   type FailureDetector,
 } from "./failure_detector.ts";
+import { createIncarnationMap } from "./incarnation_map.ts";
 import {
   createOutlierEjection,
   type OutlierEjection,
@@ -132,6 +133,11 @@
   const replacedEntries = new Map<string, BackendServer>();
   const reportedAt = new Map<string, number>();
   const reportedLoads = new Map<string, number>();
+  /**
+   * Servers whose answers announced that they are leaving. Their entries may
+   * lag behind, and return after an outage of the store.
+   */
+  const announcedLeaving = createIncarnationMap<true>();
 
   /**
    * Reads an engine's report; resolves to whether the engine answered, `null`
@@ -178,6 +184,37 @@
     if (!isSameRange(held, last.held)) notifyChanged(id);
   }
 
+  function put(entry: BackendServer): void {
+    const leaving = entry.leaving || announcedLeaving.get(entry) !== null;
+    const server = leaving ? { ...entry, leaving } : entry;
+    const replacedEntry = replacedEntries.get(server.id);
+    if (replacedEntry && !isNewer(server, replacedEntry)) return;
+    replacedEntries.delete(server.id);
+    const last = servers.get(server.id);
+    const isSameIncarnation = last?.startedAt === server.startedAt;
+    if (last && isOlder(server, last)) {
+      // An older entry can still add that the server is leaving.
+      if (!server.leaving || last.leaving) return;
+      servers.set(server.id, { ...last, leaving: true });
+    } else if (last && isSameIncarnation) {
+      const hasNewerReport = isNewerThanEntries(reportedAt.get(server.id));
+      const { orderCount } = last;
+      const held = hasNewerReport ? last.held : server.held;
+      servers.set(server.id, { ...server, orderCount, held });
+    } else {
+      servers.set(server.id, server);
+      reportedAt.delete(server.id);
+      outliers.forget(server.id);
+      slowEngines.forget(server.id);
+      detector.reportSuccess(server.id);
+    }
+    const current = servers.get(server.id);
+    // Renewals arrive constantly, and each callback triggers layer planning.
+    if (last && current && isOnlyRenewal(current, last)) return;
+    logChange(server, last);
+    notifyChanged(server.id);
+  }
+
   function recordAnswer(
     id: string,
     status: number,
@@ -186,6 +223,10 @@
     const server = servers.get(id);
     // A misdirected request was answered by another server at this address.
     if (!server || status === MISDIRECTED_REQUEST) return;
+    if (answer.isLeaving && !announcedLeaving.get(server)) {
+      announcedLeaving.set(server, true);
+      put(server);
+    }
     const { retryAfterSeconds } = answer;
     if (answer.notRun) {
       log.info("request_turned_away", {
@@ -232,34 +273,7 @@
       backoffs.remainingMs(server) === 0 &&
       !detector.isAvoided(server.id) &&
       !outliers.isEjected(server.id),
-    put(server) {
-      const replacedEntry = replacedEntries.get(server.id);
-      if (replacedEntry && !isNewer(server, replacedEntry)) return;
-      replacedEntries.delete(server.id);
-      const last = servers.get(server.id);
-      const isSameIncarnation = last?.startedAt === server.startedAt;
-      if (last && isOlder(server, last)) {
-        // An older entry can still add that the server is leaving.
-        if (!server.leaving || last.leaving) return;
-        servers.set(server.id, { ...last, leaving: true });
-      } else if (last && isSameIncarnation) {
-        const hasNewerReport = isNewerThanEntries(reportedAt.get(server.id));
-        const { orderCount } = last;
-        const held = hasNewerReport ? last.held : server.held;
-        servers.set(server.id, { ...server, orderCount, held });
-      } else {
-        servers.set(server.id, server);
-        reportedAt.delete(server.id);
-        outliers.forget(server.id);
-        slowEngines.forget(server.id);
-        detector.reportSuccess(server.id);
-      }
-      const current = servers.get(server.id);
-      // Renewals arrive constantly, and each callback triggers layer planning.
-      if (last && current && isOnlyRenewal(current, last)) return;
-      logChange(server, last);
-      notifyChanged(server.id);
-    },
+    put,
     remove(id) {
       const last = servers.get(id);
       if (!last) return;
--- a/packages/gateway/src/backends/backend_fleet_test.ts
+++ b/packages/gateway/src/backends/backend_fleet_test.ts
@@ -128,20 +128,20 @@
   });
 });
 
-describe("a backoff that an engine asks for", () => {
-  const refusal = {
-    isSigned: false,
-    notRun: true,
-    retryAfterSeconds: 3,
-    requestLimitPerSecond: null,
-    isLeaving: false,
-  };
-
-  function isUsable(fleet: BackendFleet, id: string): boolean {
-    const server = fleet.get(id);
-    return server !== null && fleet.isUsable(server);
-  }
+const refusal = {
+  isSigned: false,
+  notRun: true,
+  retryAfterSeconds: 3,
+  requestLimitPerSecond: null,
+  isLeaving: false,
+};
+
+function isUsable(fleet: BackendFleet, id: string): boolean {
+  const server = fleet.get(id);
+  return server !== null && fleet.isUsable(server);
+}
 
+describe("a backoff that an engine asks for", () => {
   // Guards against requests to an engine in the time for which it wants none,
   // because its probes are answered or its entry is renewed.
   it("lasts as long as it says, whatever else shows that it works", async () => {
@@ -209,3 +209,51 @@
     end();
   });
 });
+
+describe("an engine whose answer says that it is leaving", () => {
+  const lastAnswer = { ...refusal, notRun: false, isSigned: true };
+
+  function setUpLeaving() {
+    const parts = setUp(new Set());
+    parts.fleet.recordAnswer("a1", 200, { ...lastAnswer, isLeaving: true });
+    return parts;
+  }
+
+  // Guards against requests to an engine that is about to end, because the
+  // store lags behind its answers or is not available.
+  it.each([
+    ["is renewed", { renewal: 2 }],
+    ["is delivered once more", {}],
+  ])("gets no requests when its entry %s", (_name, change) => {
+    const { fleet, end } = setUpLeaving();
+    expect(isUsable(fleet, "a1")).toBe(false);
+    fleet.put({ ...engine("a1", "a"), ...change });
+    expect(isUsable(fleet, "a1")).toBe(false);
+    end();
+  });
+
+  it("gets no requests when its entry returns after an outage", () => {
+    const { fleet, end } = setUpLeaving();
+    fleet.remove("a1");
+    fleet.put({ ...engine("a1", "a"), renewal: 3 });
+    expect(isUsable(fleet, "a1")).toBe(false);
+    end();
+  });
+
+  it("gets requests again after a restart", () => {
+    const { fleet, end } = setUpLeaving();
+    fleet.put({ ...engine("a1", "a"), startedAt: 2 });
+    expect(isUsable(fleet, "a1")).toBe(true);
+    end();
+  });
+
+  it("is reported once as changed, so that its layers are placed elsewhere", () => {
+    const { fleet, end } = setUp(new Set());
+    const changed: string[] = [];
+    fleet.onChanged((id) => changed.push(id));
+    for (let answer = 0; answer < 3; answer += 1)
+      fleet.recordAnswer("a1", 200, { ...lastAnswer, isLeaving: true });
+    expect(changed).toEqual(["a1"]);
+    end();
+  });
+});
