Backends: values of a server's incarnation are found by its id

One lookup for each engine in each search for a pipeline built a key of id and start; the id alone finds the value, and the start is compared.

--- a/packages/gateway/src/backends/incarnation_map.ts
+++ b/packages/gateway/src/backends/incarnation_map.ts
@@ -17,6 +17,7 @@
 }
 
 interface StoredValue<Value> {
+  readonly startedAt: number;
   readonly value: Value;
   usedAt: number;
 }
@@ -25,27 +26,31 @@
 export function createIncarnationMap<Value>(): IncarnationMap<Value> {
   const values = new Map<string, StoredValue<Value>>();
 
+  function find({ id, startedAt }: Incarnation): StoredValue<Value> | null {
+    const stored = values.get(id);
+    return stored?.startedAt === startedAt ? stored : null;
+  }
+
   function removeUnused(): void {
     const oldest = performance.now() - UNUSED_TIMEOUT_MS;
-    for (const [key, { usedAt }] of values)
-      if (usedAt < oldest) values.delete(key);
+    for (const [id, { usedAt }] of values)
+      if (usedAt < oldest) values.delete(id);
   }
 
   return {
     get(server) {
-      const stored = values.get(keyOf(server));
+      const stored = find(server);
       if (!stored) return null;
       stored.usedAt = performance.now();
       return stored.value;
     },
     set(server, value) {
       removeUnused();
-      values.set(keyOf(server), { value, usedAt: performance.now() });
+      const { id, startedAt } = server;
+      values.set(id, { startedAt, value, usedAt: performance.now() });
+    },
+    delete(server) {
+      if (find(server)) values.delete(server.id);
     },
-    delete: (server) => void values.delete(keyOf(server)),
   };
 }
-
-function keyOf({ id, startedAt }: Incarnation): string {
-  return `${id}@${startedAt}`;
-}
