Ports: processes claim blocks of ports instead of finding free ones

A program now claims a block of 40 ports by listening on its first one, which the operating system releases when it ends, also when it is killed. One allocator in a package of its own serves the launcher, the bench, the checks and the platform's stand-ins; the two that were there are removed.

--- a/packages/bench/src/answers/engine_process.ts
+++ b/packages/bench/src/answers/engine_process.ts
@@ -3,7 +3,8 @@
 import { writeFileSync } from "node:fs";
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
-import { type createProcessGroup, findFreePorts } from "@rosemarypin/launcher";
+import type { createProcessGroup } from "@rosemarypin/launcher";
+import { claimPorts } from "@rosemarypin/ports";
 import { type EngineSettings, formatAddress } from "@rosemarypin/schemas";
 import { pause } from "@rosemarypin/timing";
 import { request } from "undici";
@@ -31,7 +32,7 @@
   options: EngineProcessOptions,
 ): Promise<EngineSettings> {
   const { folder, processes, batchMs } = options;
-  const [port = 0] = await findFreePorts(1);
+  const [port = 0] = await claimPorts(1);
   const layers = { from: 0, to: options.layers };
   const engine: EngineSettings = {
     id,
--- a/packages/bench/src/answers/recovery_command.ts
+++ b/packages/bench/src/answers/recovery_command.ts
@@ -2,7 +2,7 @@
 
 import type { EngineClient } from "@rosemarypin/backends";
 import { runAnswer } from "@rosemarypin/calls";
-import { findFreePorts } from "@rosemarypin/launcher";
+import { claimPorts } from "@rosemarypin/ports";
 import { type EngineGroup, startEngineGroup } from "@rosemarypin/stand_ins";
 import { pause } from "@rosemarypin/timing";
 import type { BenchCommand } from "../bench_command.ts";
@@ -49,7 +49,7 @@
   async run(words) {
     const isPicked = (name: string) =>
       words.length === 0 || words.includes(name);
-    const ports = await findFreePorts(9);
+    const ports = await claimPorts(9);
     const group = await startEngineGroup({
       model: MODEL,
       versions: [VERSION],
--- a/packages/calls/src/answer_migration_test.ts
+++ b/packages/calls/src/answer_migration_test.ts
@@ -4,7 +4,7 @@
   type EngineFleet,
 } from "@rosemarypin/backends";
 import { createFixedNote, serveVersions } from "@rosemarypin/fakes";
-import { findFreePorts } from "@rosemarypin/launcher";
+import { claimPorts } from "@rosemarypin/ports";
 import { createRouter } from "@rosemarypin/routing";
 import { type AnswerRequest, settingsSchema } from "@rosemarypin/schemas";
 import {
@@ -48,7 +48,7 @@
 let doExportsFail: boolean;
 
 async function startEngines(copies: number): Promise<void> {
-  const ports = await findFreePorts(2 * copies);
+  const ports = await claimPorts(2 * copies);
   group = await startEngineGroup({
     model: "assist",
     versions: ["v1"],
--- a/packages/calls/src/answer_resume_test.ts
+++ b/packages/calls/src/answer_resume_test.ts
@@ -4,7 +4,7 @@
   type EngineFleet,
 } from "@rosemarypin/backends";
 import { createFixedNote, serveVersions } from "@rosemarypin/fakes";
-import { findFreePorts } from "@rosemarypin/launcher";
+import { claimPorts } from "@rosemarypin/ports";
 import { createRouter } from "@rosemarypin/routing";
 import { type AnswerRequest, settingsSchema } from "@rosemarypin/schemas";
 import {
@@ -38,7 +38,7 @@
 let keeper: ReturnType<typeof createFixedNote>;
 
 beforeEach(async () => {
-  const ports = await findFreePorts(2);
+  const ports = await claimPorts(2);
   fleets = [];
   keeper = createFixedNote(serve(1, ["v1"]));
   group = await startEngineGroup({
--- a/packages/checks/src/answer_parts.ts
+++ b/packages/checks/src/answer_parts.ts
@@ -11,7 +11,7 @@
   type ResumeDependencies,
 } from "@rosemarypin/calls";
 import { createFixedNote, serveVersions } from "@rosemarypin/fakes";
-import { findFreePorts } from "@rosemarypin/launcher";
+import { claimPorts } from "@rosemarypin/ports";
 import { createRouter } from "@rosemarypin/routing";
 import { settingsSchema } from "@rosemarypin/schemas";
 import { startEngineGroup } from "@rosemarypin/stand_ins";
@@ -55,7 +55,7 @@
 
 /** Starts three stages of engines and two instances that share them. */
 export async function startParts(random: SeededRandom) {
-  const ports = await findFreePorts(3 * ENGINES_PER_STAGE);
+  const ports = await claimPorts(3 * ENGINES_PER_STAGE);
   const group = await startEngineGroup({
     model: MODEL,
     versions: [VERSION],
--- a/packages/launcher/src/deployment_plan.ts
+++ b/packages/launcher/src/deployment_plan.ts
@@ -1,5 +1,6 @@
 /** Describes a deployment: which processes, where, with which settings. */
 import { createHash } from "node:crypto";
+import { claimPorts } from "@rosemarypin/ports";
 import {
   type Address,
   type EngineSettings,
@@ -11,7 +12,6 @@
   type Settings,
 } from "@rosemarypin/schemas";
 import type { EngineSpeed, StandInSettings } from "@rosemarypin/stand_ins";
-import { findFreePorts } from "./ports.ts";
 
 const HOST = "127.0.0.1";
 const PORTS_PER_INSTANCE = 3;
@@ -98,7 +98,7 @@
     (sum, { perDomain }) => sum + perDomain * shape.domains.length,
     0,
   );
-  const ports = await findFreePorts(
+  const ports = await claimPorts(
     PLATFORM_PORTS +
       engineCount +
       shape.service.servers +
--- a/packages/launcher/src/links/stream_relay_test.ts
+++ b/packages/launcher/src/links/stream_relay_test.ts
@@ -6,8 +6,8 @@
   type Server,
   type Socket,
 } from "node:net";
+import { claimPorts } from "@rosemarypin/ports";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
-import { findFreePorts } from "../ports.ts";
 import { createLinks, type Links } from "./links.ts";
 import { createStreamRelay, type StreamRelay } from "./stream_relay.ts";
 
@@ -27,7 +27,7 @@
   echo = createServer((socket) => socket.pipe(socket));
   echo.listen(0, HOST);
   await once(echo, "listening");
-  [port = 0] = await findFreePorts(1);
+  [port = 0] = await claimPorts(1);
   relay = createStreamRelay({
     links,
     listen: { host: HOST, port },
--- a/packages/launcher/src/mod.ts
+++ b/packages/launcher/src/mod.ts
@@ -5,5 +5,4 @@
 export * from "./kanem.ts";
 export * from "./links/links.ts";
 export { PLATFORM } from "./links/relayed_plan.ts";
-export * from "./ports.ts";
 export * from "./process_group.ts";
--- a/packages/launcher/src/stops_test.ts
+++ b/packages/launcher/src/stops_test.ts
@@ -1,3 +1,4 @@
+import { claimPorts } from "@rosemarypin/ports";
 import { formatAddress } from "@rosemarypin/schemas";
 import {
   expectedAnswer,
@@ -11,7 +12,6 @@
 import { type Deployment, startDeployment } from "./deployment.ts";
 import { type DeploymentPlan, planDeployment } from "./deployment_plan.ts";
 import { KANEM_LAYERS, kanemShape } from "./kanem.ts";
-import { findFreePorts } from "./ports.ts";
 
 const KEY = "kano-demo-key";
 const SHORT_ANSWER = 40;
@@ -26,7 +26,7 @@
     ...kanemShape,
     overrides: { balancerLagMs: 1_500 },
   });
-  const [port = 0] = await findFreePorts(1);
+  const [port = 0] = await claimPorts(1);
   const settings: StandInSettings = {
     kind: "balancer",
     address: { host: "127.0.0.1", port },
--- a/packages/stand_ins/src/engine/engine_test.ts
+++ b/packages/stand_ins/src/engine/engine_test.ts
@@ -1,4 +1,4 @@
-import { findFreePorts } from "@rosemarypin/launcher";
+import { claimPorts } from "@rosemarypin/ports";
 import type { AttemptRequest } from "@rosemarypin/schemas";
 import { request } from "undici";
 import { afterEach, beforeEach, expect, test } from "vitest";
@@ -17,7 +17,7 @@
 let group: EngineGroup;
 
 beforeEach(async () => {
-  const ports = await findFreePorts(2);
+  const ports = await claimPorts(2);
   group = await startEngineGroup({
     model: "assist",
     versions: ["v1"],
