Launcher: a process that ends at its start ends the wait for it

A deployment of which a process ended at its start was waited for during 15 s, and the error named an address that did not answer; the reason stood in a log file of a folder that was left behind, with the other processes still running. Now the wait ends with the process, the error has its name, exit code and last log lines, and what was started is stopped and removed.

--- a/packages/bench/src/recall/recall_processes_test.ts
+++ b/packages/bench/src/recall/recall_processes_test.ts
@@ -29,7 +29,7 @@
   deployment = await startDeployment(await planDeployment(kanemShape));
   await publishFirst(deployment);
 });
-afterAll(() => deployment.stop());
+afterAll(() => deployment?.stop());
 
 const addressesOf = (instance: number) => {
   const daemon = deployment.plan.daemons[instance];
--- a/packages/launcher/src/deployment.ts
+++ b/packages/launcher/src/deployment.ts
@@ -64,7 +64,8 @@
 
 /**
  * Starts the stand-ins of the plan, then its instances, and waits until each
- * listens.
+ * listens. If one of them ends before, all are stopped, and the error says why
+ * it ended.
  */
 export async function startDeployment(
   direct: DeploymentPlan,
@@ -132,26 +133,55 @@
     processes.start(id, { script, args });
   }
 
-  for (const { name } of plan.standIns) startStandIn(name);
-  // Instances that start before the store take it for lost, and turn the first
-  // release note away until they try it again.
-  await Promise.all(
-    plan.standIns.map(({ settings }) =>
-      waitForAnswer(`http://${formatAddress(settings.address)}/`),
-    ),
-  );
-  const atOnce = options.startAtOnce ?? plan.daemons.length;
-  for (let first = 0; first < plan.daemons.length; first += atOnce) {
-    const group = plan.daemons.slice(first, first + atOnce);
-    for (const { instance } of group) startInstance(instance.id);
+  /** Waits until a process answers; rejects if it ends before. */
+  async function waitForProcess(name: string, url: string): Promise<void> {
+    const controller = new AbortController();
+    const { signal } = controller;
+    try {
+      await Promise.race([
+        waitForAnswer(url, { ...options, signal }),
+        processes.rejectOnExit(name),
+      ]);
+    } finally {
+      controller.abort();
+    }
+  }
+
+  async function startAll(): Promise<void> {
+    for (const { name } of plan.standIns) startStandIn(name);
+    // Instances that start before the store take it for lost, and turn the
+    // first release note away until they try it again.
     await Promise.all(
-      group.map(({ instance }) =>
-        waitForAnswer(
-          `http://${formatAddress(instance.addresses.admin)}/healthz`,
-          options,
-        ),
+      plan.standIns.map(({ name, settings }) =>
+        waitForProcess(name, `http://${formatAddress(settings.address)}/`),
       ),
     );
+    const atOnce = options.startAtOnce ?? plan.daemons.length;
+    for (let first = 0; first < plan.daemons.length; first += atOnce) {
+      const group = plan.daemons.slice(first, first + atOnce);
+      for (const { instance } of group) startInstance(instance.id);
+      await Promise.all(
+        group.map(({ instance: { id, addresses } }) =>
+          waitForProcess(
+            id,
+            `http://${formatAddress(addresses.admin)}/healthz`,
+          ),
+        ),
+      );
+    }
+  }
+
+  async function stop({ keepFolder = false } = {}): Promise<void> {
+    await processes.stopAll();
+    relays?.close();
+    if (!keepFolder) rmSync(folder, { recursive: true, force: true });
+  }
+
+  try {
+    await startAll();
+  } catch (error) {
+    await stop();
+    throw error;
   }
 
   return {
@@ -163,21 +193,23 @@
     startStandIn,
     readJournals,
     readEngineRuns,
-    async stop({ keepFolder = false } = {}) {
-      await processes.stopAll();
-      relays?.close();
-      if (!keepFolder) rmSync(folder, { recursive: true, force: true });
-    },
+    stop,
   };
 }
 
-/** Waits until something answers at `url`, whatever the status. */
+/**
+ * Waits until something answers at `url`, whatever the status, or the signal is
+ * aborted. Rejects after `readyWithinMs`, 15 s by default.
+ */
 export async function waitForAnswer(
   url: string,
-  { readyWithinMs = READY_WITHIN_MS }: { readonly readyWithinMs?: number } = {},
+  options: {
+    readonly readyWithinMs?: number;
+    readonly signal?: AbortSignal;
+  } = {},
 ): Promise<void> {
-  const end = Date.now() + readyWithinMs;
-  while (true) {
+  const end = Date.now() + (options.readyWithinMs ?? READY_WITHIN_MS);
+  while (!options.signal?.aborted) {
     try {
       const response = await request(url);
       await response.body.dump();
--- a/packages/launcher/src/process_group.ts
+++ b/packages/launcher/src/process_group.ts
@@ -1,10 +1,12 @@
 /** The processes of one deployment, each known by name. */
 import { type ChildProcess, spawn } from "node:child_process";
 import { once } from "node:events";
-import { createWriteStream } from "node:fs";
+import { createWriteStream, readFileSync } from "node:fs";
 import { join } from "node:path";
 
 const STOP_WITHIN_MS = 5_000;
+/** Lines of its log that describe the end of a process. */
+const DESCRIBED_LINES = 20;
 
 /** Starts, signals and ends processes; logs go to one file for each. */
 export interface ProcessGroup {
@@ -18,6 +20,11 @@
   pid(name: string): number;
   /** Resolves to the exit code, or `null` after a signal. */
   waitForExit(name: string): Promise<number | null>;
+  /**
+   * Rejects when the process ends, with its name, its exit code or signal and
+   * the last lines of its log.
+   */
+  rejectOnExit(name: string): Promise<never>;
   stopAll(): Promise<void>;
 }
 
@@ -30,6 +37,8 @@
   } = {},
 ): ProcessGroup {
   const running = new Map<string, ChildProcess>();
+  /** Resolve once the log of a process is complete. */
+  const completeLogs = new Map<ChildProcess, Promise<unknown>>();
 
   // A launcher that breaks would leave its processes behind, and they would
   // go on to take processor time from whatever is measured next.
@@ -47,6 +56,10 @@
     return child.exitCode !== null || child.signalCode !== null;
   }
 
+  function logFileOf(name: string): string {
+    return join(logFolder, `${name}.log`);
+  }
+
   async function stop(child: ChildProcess): Promise<void> {
     if (hasEnded(child)) return;
     const exited = once(child, "exit");
@@ -62,11 +75,11 @@
       const child = spawn(process.execPath, [script, ...args], {
         stdio: ["ignore", "pipe", "pipe"],
       });
-      const log = createWriteStream(join(logFolder, `${name}.log`), {
-        flags: "a",
-      });
+      const log = createWriteStream(logFileOf(name), { flags: "a" });
       child.stdout.pipe(log, { end: false });
       child.stderr.pipe(log, { end: false });
+      child.once("close", () => log.end());
+      completeLogs.set(child, once(log, "finish"));
       running.set(name, child);
       options.onRunning?.(name, true);
       child.once("exit", () => {
@@ -86,6 +99,15 @@
       if (!hasEnded(child)) await once(child, "exit");
       return child.exitCode;
     },
+    async rejectOnExit(name) {
+      const child = find(name);
+      if (!hasEnded(child)) await once(child, "exit");
+      await completeLogs.get(child);
+      const how = child.signalCode ?? `exit code ${child.exitCode}`;
+      const lines = readFileSync(logFileOf(name), "utf8").trim().split("\n");
+      const lastLines = lines.slice(-DESCRIBED_LINES).join("\n");
+      throw new Error(`${name} ended with ${how}:\n${lastLines}`);
+    },
     async stopAll() {
       await Promise.all([...running.values()].map(stop));
     },
