Soak: a run begins when every instance answers, and leaves no folder

A run in which no answer was 200: the processes got 3.5 s for their start, and a run of 5 s was over before they listened when the processor was busy. Folders of runs that pass are removed; those of failures stay for their logs.

--- a/packages/checks/src/log_pipe/log_pipe_run.ts
+++ b/packages/checks/src/log_pipe/log_pipe_run.ts
@@ -1,6 +1,6 @@
 /** Load on one real instance whose output is read, or is not. */
 import { type ChildProcess, spawn } from "node:child_process";
-import { mkdtempSync, readFileSync } from "node:fs";
+import { mkdtempSync, readFileSync, rmSync } from "node:fs";
 import { Agent } from "node:http";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
@@ -101,6 +101,7 @@
   await Promise.all([...callers, keepSampling()]);
   child.kill("SIGKILL");
   await deployment.stop();
+  rmSync(folder, { recursive: true });
   const millisecondsAt = (percentile: number) =>
     latency.getValueAtPercentile(percentile) / MICROSECONDS;
   return {
--- a/packages/checks/src/platform_soak/soak_run.ts
+++ b/packages/checks/src/platform_soak/soak_run.ts
@@ -11,6 +11,7 @@
   type PlainBehaviour,
   startDeployment,
   streamHeaders,
+  until,
   writeSettings,
 } from "@rosemarypin/platform/stand_in";
 import type { SeededRandom } from "../seeded_random.ts";
@@ -32,8 +33,8 @@
 const DEADLINE_MS = 3_000;
 /** Requests in flight at the end may take until their deadline. */
 const SETTLE_MS = DEADLINE_MS + 500;
-/** Time for the processes to start and to place layers. */
-const START_MS = 3_500;
+/** Bound on the start of the processes and the placement of layers. */
+const START_WITHIN_MS = 45_000;
 
 export interface SoakResult {
   readonly folder: string;
@@ -56,7 +57,7 @@
   let unplannedAt = -Infinity;
   /** Instances that are being stopped, killed or frozen now. */
   const hurt = new Set<InstanceProcess>();
-  await sleep(START_MS);
+  await waitUntilServed(world);
   const endsAt = performance.now() + durationMs;
   const isOver = () => performance.now() >= endsAt;
   const callers = Array.from({ length: CALLERS }, (_, index) =>
@@ -126,6 +127,23 @@
   }
 }
 
+/**
+ * Waits until each instance answers each kind of request, so that the run tests
+ * answers and not the start of the processes.
+ */
+async function waitUntilServed({ instances }: World): Promise<void> {
+  const kinds: readonly SoakKind[] = ["stream", "order", "lookup"];
+  const checks = instances.flatMap(({ url }) =>
+    kinds.map((kind) =>
+      until(async () => {
+        const answer = await call(url, requestOf(kind, 2));
+        return answer.status === 200;
+      }, START_WITHIN_MS),
+    ),
+  );
+  await Promise.all(checks);
+}
+
 /** Ids of the requests that the logs of instances name. */
 function requestsInLogs(folder: string): ReadonlySet<string> {
   const logs = readdirSync(folder).filter((name) => name.endsWith(".log"));
--- a/packages/checks/src/platform_soak/soak_run_test.ts
+++ b/packages/checks/src/platform_soak/soak_run_test.ts
@@ -1,3 +1,4 @@
+import { rmSync } from "node:fs";
 import { describe, expect, it } from "vitest";
 import { createSeededRandom } from "../seeded_random.ts";
 import { runPlatformSoak } from "./soak_run.ts";
@@ -14,5 +15,6 @@
     const result = await runPlatformSoak(random, DURATION_MS);
     expect(result.broken).toEqual([]);
     expect(result.calls.some(({ answer }) => answer.status === 200)).toBe(true);
+    rmSync(result.folder, { recursive: true });
   });
 });
--- a/packages/checks/src/platform_soak_main.ts
+++ b/packages/checks/src/platform_soak_main.ts
@@ -1,5 +1,6 @@
 #!/usr/bin/env node
 /** Entry of `npm run soak:platform`: random faults on the real program. */
+import { rmSync } from "node:fs";
 import meow from "meow";
 import { runPlatformSoak } from "./platform_soak/soak_run.ts";
 import { createSeededRandom } from "./seeded_random.ts";
@@ -38,7 +39,10 @@
     `seed ${seed}: ${result.faults.length} faults, ${result.calls.length} ` +
       `calls, answered ${counts}, broken ${result.broken.length}`,
   );
-  if (result.broken.length === 0 && isShown) continue;
+  if (result.broken.length === 0 && isShown) {
+    rmSync(result.folder, { recursive: true });
+    continue;
+  }
   process.exitCode = 1;
   console.log(`  logs in ${result.folder}; faults: ${result.faults.join(" ")}`);
   for (const line of result.broken.slice(0, 10)) console.log(`  ${line}`);
