Backends: watchers of an engine are found with few hashes

A test of engine subsets had timed out after 60 s beside load 45. The time is its own work, and that of each instance when another joins or leaves: for each of 650 engines all candidates were hashed, and all members filtered. Two candidates of a higher rank decide, and members are grouped once. The choice is the same: the tests of the watchers are unchanged.

--- a/packages/backends/src/engine_subset.ts
+++ b/packages/backends/src/engine_subset.ts
@@ -52,8 +52,14 @@
     return { used: allIds, watched: allIds, isWhole: true };
   }
   const { self, members } = options;
+  const membersByDomain = groupByDomain(members);
   const watched = engines
-    .filter((engine) => isWatcher(self, { engine, members }))
+    .filter(({ id, failureDomain }) =>
+      isWatcher(self, {
+        engineId: id,
+        candidates: membersByDomain.get(failureDomain) ?? members,
+      }),
+    )
     .map(({ id }) => id);
   const withRoles = engines.filter(({ roles }) => roles.length > 0);
   const chosen = [...groupByRole(withRoles).values()].flatMap((group) =>
@@ -91,6 +97,18 @@
   return placed.filter((engine) => chosen.includes(engine.failureDomain));
 }
 
+function groupByDomain(
+  members: readonly SubsetMember[],
+): ReadonlyMap<string, SubsetMember[]> {
+  const groups = new Map<string, SubsetMember[]>();
+  for (const member of members) {
+    const group = groups.get(member.failureDomain);
+    if (group) group.push(member);
+    else groups.set(member.failureDomain, [member]);
+  }
+  return groups;
+}
+
 /**
  * Whether the instance is among the highest-ranked candidates for an engine:
  * the instances of the engine's domain, or all instances if it has none.
@@ -98,21 +116,20 @@
 function isWatcher(
   self: SubsetMember,
   options: {
-    readonly engine: EngineSettings;
-    readonly members: readonly SubsetMember[];
+    readonly engineId: string;
+    readonly candidates: readonly SubsetMember[];
   },
 ): boolean {
-  const { engine, members } = options;
-  const sameDomain = members.filter(
-    ({ failureDomain }) => failureDomain === engine.failureDomain,
-  );
-  const candidates = sameDomain.length > 0 ? sameDomain : members;
+  const { engineId, candidates } = options;
   if (!candidates.some(({ id }) => id === self.id)) return false;
-  const ownRank = rank(self.id, engine.id);
-  const higherRanked = candidates.filter(
-    ({ id }) => rank(id, engine.id) > ownRank,
-  );
-  return higherRanked.length < WATCHERS_PER_ENGINE;
+  const ownRank = rank(self.id, engineId);
+  let higherRanked = 0;
+  // Hashing takes most of the time, and few candidates decide.
+  for (const { id } of candidates) {
+    if (rank(id, engineId) > ownRank) higherRanked += 1;
+    if (higherRanked === WATCHERS_PER_ENGINE) return false;
+  }
+  return true;
 }
 
 function groupByRole(
