--- a/packages/launcher/src/deployment.ts
+++ b/packages/launcher/src/deployment.ts
@@ -19,7 +19,8 @@
 import { startRelays } from "./links/relays.ts";
 import { createProcessGroup, type ProcessGroup } from "./process_group.ts";
 
-const READY_WITHIN_MS = 15_000;
+/** Time after which a process that neither answers nor ends counts as hung. */
+const READY_WITHIN_MS = 50_000;
 const POLL_MS = 50;
 
 const daemonScript = scriptOf("daemon");
@@ -199,7 +200,7 @@
 
 /**
  * Waits until something answers at `url`, whatever the status, or the signal is
- * aborted. Rejects after `readyWithinMs`, 15 s by default.
+ * aborted. Rejects after `readyWithinMs`, 50 s by default.
  */
 export async function waitForAnswer(
   url: string,
