Streams: a caller whose request found the last engine in need learns when to come back

The end of the backoff now counts whenever the search for a pipeline ends without one, not only for requests that were never sent.

--- a/packages/gateway/src/plain/server_choice.ts
+++ b/packages/gateway/src/plain/server_choice.ts
@@ -16,8 +16,8 @@
   /**
    * Returns the server with the lowest expected answer time, for one request
    * that counts towards its limit; `null` if all servers of the service are
-   * leaving, excluded, at their limits or have asked for a backoff. A server under suspicion is chosen
-   * only if there is no other.
+   * leaving, excluded, at their limits or have asked for a backoff. A server
+   * under suspicion is chosen only if there is no other.
    */
   choose(service: string, excluded: ReadonlySet<string>): BackendServer | null;
   requestStarted(id: string): void;
--- a/packages/gateway/src/streams/forward_stream.ts
+++ b/packages/gateway/src/streams/forward_stream.ts
@@ -2,7 +2,6 @@
  * Forwards answers that are streams of events. A broken answer is resumed on
  * another pipeline after the last event that the caller has received.
  */
-
 import type { BackendFleet } from "../backends/mod.ts";
 import {
   beginAnswer,
@@ -60,11 +59,13 @@
   let runs = 0;
   let lostRuns = 0;
   let lastEnd: RunEnd = { kind: "not_run", detail: "no_pipeline" };
+  let hasPipeline = true;
   const size = estimateSize(call);
   const admission = createAdmission(call, router, { size, avoided });
   while (!call.signal.aborted) {
     const admitted = await admission.admit({ hasBegun: progress.hasBegun });
     if (admitted.kind === "refused") {
+      hasPipeline = admitted.reason !== "no_pipeline";
       if (attempts === 0)
         lastEnd = { kind: "not_run", detail: admitted.reason };
       break;
@@ -102,7 +103,9 @@
     attempts,
     runs,
     codec: parts.codec,
-    fleet: parts.fleet,
+    backoffMs: hasPipeline
+      ? 0
+      : soonestBackoffEndMs(parts.fleet, call.service.name),
   });
 }
 
@@ -124,10 +127,11 @@
     readonly attempts: number;
     readonly runs: number;
     readonly codec: RequestCodec;
-    readonly fleet: BackendFleet;
+    /** Milliseconds until engines want requests again, if they don't now. */
+    readonly backoffMs: number;
   },
 ): CallEnd {
-  const { lastEnd, progress, attempts, runs, codec } = state;
+  const { lastEnd, progress, attempts, runs, codec, backoffMs } = state;
   const pace = progress.pace.summary();
   const firstByteMs = pace.firstMs;
   if (lastEnd.kind === "complete") {
@@ -159,10 +163,7 @@
     reason: lastEnd.detail,
     attempts,
     retryDelay: isFull ? RETRY_WHEN_FULL_SECONDS : RETRY_AFTER_LOSS_SECONDS,
-    backoffMs:
-      lastEnd.detail === "no_pipeline"
-        ? soonestBackoffEndMs(state.fleet, call.service.name)
-        : 0,
+    backoffMs,
   });
 }
 
