--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -33,7 +33,8 @@
 
   Exit codes
     0  stopped with all work ended, or the settings are valid
-    1  could not start, such as when an address is in use
+    1  could not start, such as when one of instance.addresses is in use;
+       the line not_started names it
     2  the settings are not valid, or a flag is unknown
     3  stopped, but the grace time cut work in progress
 `,
