Backends: a server's word counts for the start that the request was sent to

An answer was applied to the entry that the list had when the answer arrived. With the entry missing for a moment, as in an outage of the store, the word of the server was lost and requests followed when the entry returned; after a restart under the same id, the new process was held to what the old one had said. Both tests failed before. The server as it was when the request was sent now names the incarnation, and a value of an earlier start never replaces that of a later one.

--- a/packages/gateway/src/backends/backend_fleet.ts
+++ b/packages/gateway/src/backends/backend_fleet.ts
@@ -76,9 +76,14 @@
   putReport(id: string, report: EngineReport): void;
   /**
    * Applies what a server says about itself in the headers of an answer, which
-   * is newer than its list entry.
+   * is newer than its list entry. `server` is as it was when the request was
+   * sent: its entry may be missing or belong to its next start by now.
    */
-  recordAnswer(id: string, status: number, answer: ServerAnswer): void;
+  recordAnswer(
+    server: BackendServer,
+    status: number,
+    answer: ServerAnswer,
+  ): void;
   /**
    * Handles the refusal of a request by an engine: avoids it for a moment and
    * reads its report, unless it has asked for a longer backoff.
@@ -216,16 +221,17 @@
   }
 
   function recordAnswer(
-    id: string,
+    server: BackendServer,
     status: number,
     answer: ServerAnswer,
   ): void {
-    const server = servers.get(id);
     // A misdirected request was answered by another server at this address.
-    if (!server || status === MISDIRECTED_REQUEST) return;
+    if (status === MISDIRECTED_REQUEST) return;
+    const { id, startedAt } = server;
     if (answer.isLeaving && !announcedLeaving.get(server)) {
       announcedLeaving.set(server, true);
-      put(server);
+      const listed = servers.get(id);
+      if (listed?.startedAt === startedAt) put(listed);
     }
     const { retryAfterSeconds } = answer;
     if (answer.notRun) {
--- a/packages/gateway/src/backends/backend_fleet_test.ts
+++ b/packages/gateway/src/backends/backend_fleet_test.ts
@@ -146,7 +146,7 @@
   // because its probes are answered or its entry is renewed.
   it("lasts as long as it says, whatever else shows that it works", async () => {
     const { fleet, end } = setUp(new Set());
-    fleet.recordAnswer("a1", 503, refusal);
+    fleet.recordAnswer(engine("a1", "a"), 503, refusal);
     fleet.handleRefusal("a1");
     await vi.advanceTimersByTimeAsync(1_000);
     fleet.detector.reportFailure("a1", "silent");
@@ -162,16 +162,35 @@
 
   it("is kept when the engine's entry is missing for a while", () => {
     const { fleet, end } = setUp(new Set());
-    fleet.recordAnswer("a1", 503, refusal);
+    fleet.recordAnswer(engine("a1", "a"), 503, refusal);
     fleet.remove("a1");
     fleet.put(engine("a1", "a"));
     expect(isUsable(fleet, "a1")).toBe(false);
     end();
   });
 
+  // Guards against a backoff that is lost because the entry of its engine was
+  // missing when the answer arrived.
+  it("applies to an answer that arrives while the entry is missing", () => {
+    const { fleet, end } = setUp(new Set());
+    fleet.remove("a1");
+    fleet.recordAnswer(engine("a1", "a"), 503, refusal);
+    fleet.put(engine("a1", "a"));
+    expect(isUsable(fleet, "a1")).toBe(false);
+    end();
+  });
+
+  it("does not apply to an engine that has restarted since the request", () => {
+    const { fleet, end } = setUp(new Set());
+    fleet.put({ ...engine("a1", "a"), startedAt: 2 });
+    fleet.recordAnswer(engine("a1", "a"), 503, refusal);
+    expect(isUsable(fleet, "a1")).toBe(true);
+    end();
+  });
+
   it("ends with a restart of the engine", () => {
     const { fleet, end } = setUp(new Set());
-    fleet.recordAnswer("a1", 503, refusal);
+    fleet.recordAnswer(engine("a1", "a"), 503, refusal);
     fleet.put({ ...engine("a1", "a"), startedAt: 2 });
     expect(isUsable(fleet, "a1")).toBe(true);
     end();
@@ -179,9 +198,12 @@
 
   it("is not shortened by a later answer", async () => {
     const { fleet, end } = setUp(new Set());
-    fleet.recordAnswer("a1", 503, refusal);
-    fleet.recordAnswer("a1", 503, { ...refusal, retryAfterSeconds: 1 });
-    fleet.recordAnswer("a1", 200, {
+    fleet.recordAnswer(engine("a1", "a"), 503, refusal);
+    fleet.recordAnswer(engine("a1", "a"), 503, {
+      ...refusal,
+      retryAfterSeconds: 1,
+    });
+    fleet.recordAnswer(engine("a1", "a"), 200, {
       ...refusal,
       notRun: false,
       isSigned: true,
@@ -193,16 +215,19 @@
 
   it("is not caused by another server that answers at its address", () => {
     const { fleet, end } = setUp(new Set());
-    fleet.recordAnswer("a1", 421, refusal);
+    fleet.recordAnswer(engine("a1", "a"), 421, refusal);
     expect(isUsable(fleet, "a1")).toBe(true);
     end();
   });
 
   it("saves the engine the probe that follows other refusals", async () => {
     const { fleet, probed, end } = setUp(new Set());
-    fleet.recordAnswer("a1", 503, refusal);
+    fleet.recordAnswer(engine("a1", "a"), 503, refusal);
     fleet.handleRefusal("a1");
-    fleet.recordAnswer("a2", 503, { ...refusal, retryAfterSeconds: null });
+    fleet.recordAnswer(engine("a2", "a"), 503, {
+      ...refusal,
+      retryAfterSeconds: null,
+    });
     fleet.handleRefusal("a2");
     await vi.advanceTimersByTimeAsync(100);
     expect(probed).toEqual(["a2"]);
@@ -215,7 +240,10 @@
 
   function setUpLeaving() {
     const parts = setUp(new Set());
-    parts.fleet.recordAnswer("a1", 200, { ...lastAnswer, isLeaving: true });
+    parts.fleet.recordAnswer(engine("a1", "a"), 200, {
+      ...lastAnswer,
+      isLeaving: true,
+    });
     return parts;
   }
 
@@ -252,7 +280,10 @@
     const changed: string[] = [];
     fleet.onChanged((id) => changed.push(id));
     for (let answer = 0; answer < 3; answer += 1)
-      fleet.recordAnswer("a1", 200, { ...lastAnswer, isLeaving: true });
+      fleet.recordAnswer(engine("a1", "a"), 200, {
+        ...lastAnswer,
+        isLeaving: true,
+      });
     expect(changed).toEqual(["a1"]);
     end();
   });
--- a/packages/gateway/src/backends/incarnation_map.ts
+++ b/packages/gateway/src/backends/incarnation_map.ts
@@ -12,6 +12,7 @@
 export interface IncarnationMap<Value> {
   /** The value; `null` if none is set since the server's last start. */
   get(server: Incarnation): Value | null;
+  /** Does nothing if a value is set since a later start of the server. */
   set(server: Incarnation, value: Value): void;
   delete(server: Incarnation): void;
 }
@@ -47,6 +48,8 @@
     set(server, value) {
       removeUnused();
       const { id, startedAt } = server;
+      const stored = values.get(id);
+      if (stored && stored.startedAt > startedAt) return;
       values.set(id, { startedAt, value, usedAt: performance.now() });
     },
     delete(server) {
--- a/packages/gateway/src/backends/incarnation_map_test.ts
+++ b/packages/gateway/src/backends/incarnation_map_test.ts
@@ -20,6 +20,8 @@
     expect(map.get(first)).toBe("x");
     map.set(second, "y");
     expect([map.get(first), map.get(second)]).toEqual([null, "y"]);
+    map.set(first, "z");
+    expect([map.get(first), map.get(second)]).toEqual([null, "y"]);
   });
 
   it("is kept while it is read", () => {
--- a/packages/gateway/src/plain/forward_plain.ts
+++ b/packages/gateway/src/plain/forward_plain.ts
@@ -179,7 +179,7 @@
     answer.abandon();
     return { kind: "unknown", detail: "answer_of_another_request" };
   }
-  fleet.recordAnswer(server.id, answer.status, metadata);
+  fleet.recordAnswer(server, answer.status, metadata);
   const isSuccess = answer.status < 300;
   if (isSuccess && !metadata.isSigned) {
     answer.abandon();
--- a/packages/gateway/src/streams/stream_run.ts
+++ b/packages/gateway/src/streams/stream_run.ts
@@ -103,7 +103,7 @@
       result.abandon();
       return brokenRun(recovery, "answer_of_another_request");
     }
-    parts.fleet.recordAnswer(run.pipeline.first.id, result.status, facts);
+    parts.fleet.recordAnswer(run.pipeline.first, result.status, facts);
     if (result.status >= 300)
       return await readErrorAnswer(run, result, { facts, parts });
     if (!facts.isSigned) {
