Backoffs: the field's terms in names, logs and tests; no clock read without one

What is done is unchanged. The clock is read only for servers that have a backoff, not for each engine in each search for a pipeline.

--- a/packages/gateway/src/backends/backend_fleet.ts
+++ b/packages/gateway/src/backends/backend_fleet.ts
@@ -235,13 +235,13 @@
     }
     const { retryAfterSeconds } = answer;
     if (answer.notRun) {
-      log.info("request_turned_away", {
+      log.info("request_rejected", {
         id,
         retry_after_s: retryAfterSeconds ?? undefined,
       });
     }
-    const isTurnedAway = answer.notRun || status === UNAVAILABLE;
-    if (isTurnedAway && retryAfterSeconds !== null)
+    const isRejected = answer.notRun || status === UNAVAILABLE;
+    if (isRejected && retryAfterSeconds !== null)
       backoffs.record(server, retryAfterSeconds);
     // Answers of intermediaries name no limit and don't lift one.
     const { requestLimitPerSecond, isSigned } = answer;
--- a/packages/gateway/src/backends/request_limits_test.ts
+++ b/packages/gateway/src/backends/request_limits_test.ts
@@ -78,7 +78,7 @@
 const CASES = SIZES.flatMap((size) => LIMITS.map((limit) => [limit, size]));
 
 describe("a request limit", () => {
-  // Guards against a server in need that gets several times what it can take,
+  // Guards against an overloaded server that gets several times what it can take,
   // because each instance applies the limit to its own requests alone.
   it.each(CASES)(
     "of %d a second holds for %d instances together",
--- a/packages/gateway/src/backends/requested_backoffs.ts
+++ b/packages/gateway/src/backends/requested_backoffs.ts
@@ -19,7 +19,8 @@
   const endTimes = createIncarnationMap<number>();
 
   function remainingMs(server: Incarnation): number {
-    return Math.max(0, (endTimes.get(server) ?? 0) - performance.now());
+    const endsAt = endTimes.get(server);
+    return endsAt === null ? 0 : Math.max(0, endsAt - performance.now());
   }
 
   return {
--- a/packages/telemetry/src/event_catalogue.ts
+++ b/packages/telemetry/src/event_catalogue.ts
@@ -198,7 +198,7 @@
       says: "a server is leaving and gets no new work",
       fields: ["id", "address", "server"],
     },
-    request_turned_away: {
+    request_rejected: {
       says: "a server did not run a request; it wants no further ones for `retry_after_s`, if named",
       fields: ["id", "retry_after_s"],
     },
