Observability: refusals and metrics say how many engines are listed and avoided

A refusal for want of a pipeline did not show whether engines are gone or only out of this instance's reach. It now names the engines in the list and those avoided after failures; the metrics count both by service.

--- a/packages/gateway/src/backends/backend_fleet.ts
+++ b/packages/gateway/src/backends/backend_fleet.ts
@@ -53,6 +53,8 @@
   ids(): Iterable<string>;
   /** All servers of a service, including leaving and suspected ones. */
   ofService(service: string): BackendServer[];
+  /** Counts the servers of a service that aren't leaving. */
+  countServers(service: string): ServerCounts;
   /** Whether new requests may go to the server. */
   isUsable(server: BackendServer): boolean;
   /** Adds or updates a server from its list entry. */
@@ -93,6 +95,13 @@
   onChanged(callback: (id: string) => void): void;
 }
 
+/** Servers of one service that aren't leaving. */
+export interface ServerCounts {
+  readonly listed: number;
+  /** Those that get no requests from this instance after a failure. */
+  readonly avoided: number;
+}
+
 /** The part of an answer that concerns the server and not the request. */
 export type ServerAnswer = Pick<
   AnswerMetadata,
@@ -274,6 +283,13 @@
     slowdownOf: slowEngines.slowdownOf,
     ofService: (service) =>
       [...servers.values()].filter((server) => server.service === service),
+    countServers(service) {
+      const listed = [...servers.values()].filter(
+        (server) => server.service === service && !server.leaving,
+      );
+      const avoided = listed.filter(({ id }) => detector.isAvoided(id));
+      return { listed: listed.length, avoided: avoided.length };
+    },
     isUsable: (server) =>
       !server.leaving &&
       backoffs.remainingMs(server) === 0 &&
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -142,6 +142,13 @@
     configurationVersion: () => keeper.applied()?.version ?? 0,
     configurationAgeSeconds: () => configurationMirror.ageMs() / 1_000,
     serverListAgeSeconds: () => serverMirror.ageMs() / 1_000,
+    servers: () =>
+      new Map(
+        [...(keeper.applied()?.services.keys() ?? [])].map((service) => [
+          service,
+          fleet.countServers(service),
+        ]),
+      ),
   });
   const listener = createCallerListener({
     keeper,
--- a/packages/gateway/src/operators/gateway_metrics.ts
+++ b/packages/gateway/src/operators/gateway_metrics.ts
@@ -1,5 +1,6 @@
 /** Prometheus metrics of one gateway. */
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import type { ServerCounts } from "../backends/mod.ts";
 import type { CallEnd, CallerCall } from "../callers/mod.ts";
 
 const SECONDS_BUCKETS = [
@@ -16,6 +17,8 @@
   readonly configurationVersion: () => number;
   readonly configurationAgeSeconds: () => number;
   readonly serverListAgeSeconds: () => number;
+  /** Counts of servers, by service. */
+  readonly servers: () => ReadonlyMap<string, ServerCounts>;
 }
 
 /** Creates the metrics in a new registry. */
@@ -71,6 +74,20 @@
     gauges.serverListAgeSeconds,
   );
 
+  new Gauge({
+    name: "rosemarypin_servers",
+    help: "Backend servers in the list, and those avoided after failures",
+    labelNames: ["service", "state"] as const,
+    registers,
+    collect() {
+      this.reset();
+      for (const [service, { listed, avoided }] of gauges.servers()) {
+        this.set({ service, state: "listed" }, listed);
+        this.set({ service, state: "avoided" }, avoided);
+      }
+    },
+  });
+
   function addGauge(name: string, help: string, read: () => number): void {
     new Gauge({
       name,
--- a/packages/gateway/src/streams/admission.ts
+++ b/packages/gateway/src/streams/admission.ts
@@ -110,9 +110,12 @@
       const reason = router.hasPipeline(pipelineRequest)
         ? "no_room"
         : "no_pipeline";
+      const engines = router.countEngines(call.service);
       log.warn(reason, {
         request: call.id,
         missing_layers: router.missingLayers(pipelineRequest) || undefined,
+        engines: engines.listed,
+        engines_avoided: engines.avoided || undefined,
         avoided: [...request.avoided].join(",") || undefined,
         waited_ms: waitedMs,
       });
--- a/packages/gateway/src/streams/admission_test.ts
+++ b/packages/gateway/src/streams/admission_test.ts
@@ -28,6 +28,7 @@
         : null,
     hasPipeline: () => engines !== "missing",
     missingLayers: () => (engines === "missing" ? "0-4" : ""),
+    countEngines: () => ({ listed: 1, avoided: 0 }),
   } as unknown as PipelineRouter;
   const call = {
     id: "r",
--- a/packages/gateway/src/streams/pipeline_router.ts
+++ b/packages/gateway/src/streams/pipeline_router.ts
@@ -9,7 +9,7 @@
   type StageCandidate,
 } from "@rosemarypin/pipelines";
 import type { BackendServer } from "../backend_server.ts";
-import type { BackendFleet } from "../backends/mod.ts";
+import type { BackendFleet, ServerCounts } from "../backends/mod.ts";
 import type { EngineShape, Service } from "../configuration.ts";
 import type { AddressedStage } from "../protocol.ts";
 import {
@@ -88,6 +88,8 @@
    * upper ends are exclusive.
    */
   missingLayers(request: Pick<PipelineRequest, "service" | "avoided">): string;
+  /** Counts the engines of a service. */
+  countEngines(service: Service): ServerCounts;
 }
 
 export interface PipelineRouterOptions {
@@ -345,6 +347,7 @@
       );
       return describeGaps(ranges, engine.model.layerCount);
     },
+    countEngines: ({ name }) => fleet.countServers(name),
   };
 }
 
--- a/packages/telemetry/src/event_catalogue.ts
+++ b/packages/telemetry/src/event_catalogue.ts
@@ -86,12 +86,26 @@
       fields: ["requests"],
     },
     no_pipeline: {
-      says: "some layers that a request needs are held by no usable engine",
-      fields: ["request", "missing_layers", "avoided", "waited_ms"],
+      says: "some layers that a request needs are held by no usable engine; of `engines` in the list this instance avoids `engines_avoided` after failures",
+      fields: [
+        "request",
+        "missing_layers",
+        "engines",
+        "engines_avoided",
+        "avoided",
+        "waited_ms",
+      ],
     },
     no_room: {
       says: "there are pipelines for a request, but their engines are full",
-      fields: ["request", "missing_layers", "avoided", "waited_ms"],
+      fields: [
+        "request",
+        "missing_layers",
+        "engines",
+        "engines_avoided",
+        "avoided",
+        "waited_ms",
+      ],
     },
     pipeline_changed: {
       says: "the replacement of a lost stage was requested; `answer` is the outcome",
