Retries: an attempt that no server received needs no budget

Callers of an instance that can't connect to servers were refused once the retry budget was used up, although nothing of their requests had arrived anywhere: the budget limits arrivals beyond the first of each request, and attempts were counted instead. Now only attempts after one that was sent take from it. The test stops the nearer of two servers with a budget of none: 503 before, 200 after.

--- a/packages/gateway/src/plain/forward_plain.ts
+++ b/packages/gateway/src/plain/forward_plain.ts
@@ -39,7 +39,12 @@
       readonly answer: OpenAnswer;
       readonly body: Buffer;
     }
-  | { readonly kind: "not_run"; readonly detail: string }
+  | {
+      readonly kind: "not_run";
+      readonly detail: string;
+      /** Whether the request reached a server, which refused it. */
+      readonly wasSent: boolean;
+    }
   | { readonly kind: "unknown"; readonly detail: string };
 
 /**
@@ -54,12 +59,17 @@
   const isRetryable = call.route.kind === "idempotent";
   const triedIds = new Set<string>();
   let attempts = 0;
+  let sentAttempts = 0;
   let possibleRuns = 0;
-  let lastAttempt: Attempt = { kind: "not_run", detail: "no_server" };
+  let lastAttempt: Attempt = {
+    kind: "not_run",
+    detail: "no_server",
+    wasSent: false,
+  };
   while (!call.signal.aborted) {
     const server = choice.choose(call.service.name, triedIds);
     if (!server) break;
-    if (attempts > 0 && !budget.takeRetry(call.service.name)) break;
+    if (sentAttempts > 0 && !budget.takeRetry(call.service.name)) break;
     attempts += 1;
     triedIds.add(server.id);
     const isLast = !isRetryable || possibleRuns + 1 >= call.route.maxAttempts;
@@ -67,6 +77,8 @@
       ...parts,
       timeoutMs: isLast ? null : tryTimeoutOf(call),
     });
+    if (lastAttempt.kind !== "not_run" || lastAttempt.wasSent)
+      sentAttempts += 1;
     if (lastAttempt.kind === "not_run") {
       if (attempts - possibleRuns > MAX_REFUSALS) break;
       continue;
@@ -144,7 +156,7 @@
     );
     if (result.kind === "not_sent") {
       fleet.detector.reportFailure(server.id, suspicionReasonOf(result.detail));
-      return { kind: "not_run", detail: result.detail };
+      return { kind: "not_run", detail: result.detail, wasSent: false };
     }
     if (result.kind === "broken") {
       return { kind: "unknown", detail: result.detail };
@@ -188,7 +200,8 @@
   try {
     const body = await readBody(answer);
     if (metadata.notRun && !isSuccess) {
-      return { kind: "not_run", detail: `refused_${answer.status}` };
+      const detail = `refused_${answer.status}`;
+      return { kind: "not_run", detail, wasSent: true };
     }
     return { kind: "answer", answer, body };
   } catch (error) {
--- a/packages/gateway/src/streams/forward_stream.ts
+++ b/packages/gateway/src/streams/forward_stream.ts
@@ -58,7 +58,12 @@
   let attempts = 0;
   let runs = 0;
   let lostRuns = 0;
-  let lastEnd: RunEnd = { kind: "not_run", detail: "no_pipeline" };
+  let sentAttempts = 0;
+  let lastEnd: RunEnd = {
+    kind: "not_run",
+    detail: "no_pipeline",
+    wasSent: false,
+  };
   let hasPipeline = true;
   const size = estimateSize(call);
   const admission = createAdmission(call, router, { size, avoided });
@@ -67,11 +72,11 @@
     if (admitted.kind === "refused") {
       hasPipeline = admitted.reason !== "no_pipeline";
       if (attempts === 0)
-        lastEnd = { kind: "not_run", detail: admitted.reason };
+        lastEnd = { kind: "not_run", detail: admitted.reason, wasSent: false };
       break;
     }
     const { pipeline } = admitted;
-    if (attempts > 0 && !budget.takeRetry(call.service.name)) {
+    if (sentAttempts > 0 && !budget.takeRetry(call.service.name)) {
       pipeline.release();
       break;
     }
@@ -86,6 +91,7 @@
     };
     lastEnd = await runStream(call, run, { progress, parts });
     if (lastEnd.kind === "complete") break;
+    if (lastEnd.kind !== "not_run" || lastEnd.wasSent) sentAttempts += 1;
     if (lastEnd.kind === "not_run") {
       if (attempts - runs > MAX_REFUSALS) break;
       continue;
--- a/packages/gateway/src/streams/stream_run.ts
+++ b/packages/gateway/src/streams/stream_run.ts
@@ -53,7 +53,12 @@
       readonly answer: OpenAnswer;
       readonly body: Buffer;
     }
-  | { readonly kind: "not_run"; readonly detail: string }
+  | {
+      readonly kind: "not_run";
+      readonly detail: string;
+      /** Whether the request reached an engine, which refused it. */
+      readonly wasSent: boolean;
+    }
   | {
       readonly kind: "broken";
       readonly detail: string;
@@ -91,7 +96,7 @@
     if (result.kind === "not_sent") {
       const { id } = run.pipeline.first;
       parts.fleet.detector.reportFailure(id, suspicionReasonOf(result.detail));
-      return { kind: "not_run", detail: result.detail };
+      return { kind: "not_run", detail: result.detail, wasSent: false };
     }
     if (result.kind === "broken") {
       const wasStopped = call.signal.aborted || run.stop.signal.aborted;
@@ -196,7 +201,8 @@
     run.avoided.add(faultyServer.id);
     parts.fleet.handleRefusal(faultyServer.id);
   }
-  return { kind: "not_run", detail: `refused_${answer.status}` };
+  const detail = `refused_${answer.status}`;
+  return { kind: "not_run", detail, wasSent: true };
 }
 
 async function forwardEvents(
