Reachability: an instance notices that it reaches no server of a service

A failure of a server starts a check that connects to six servers of its service at random. When none accepts, the service is cut off from this instance: logged, shown in the metrics, checked again each 0.4 s until two checks in a row succeed. Engines aren't probed one by one meanwhile, and what their failures led to ends when they can be reached again. New connections decide, since open ones may live on while new ones are refused. Nothing acts on it yet.

--- a/packages/gateway/src/backends/backend_fleet.ts
+++ b/packages/gateway/src/backends/backend_fleet.ts
@@ -4,6 +4,7 @@
 import { createLogger } from "@rosemarypin/telemetry";
 import type { BackendServer, EngineReport } from "../backend_server.ts";
 import type { AnswerMetadata, EngineCalls } from "../protocol.ts";
+import type { ConnectionCheck } from "./connection_check.ts";
 import { createDomainSuspicion } from "./domain_suspicion.ts";
 import {
   createFailureDetector,
@@ -14,6 +15,7 @@
   createOutlierEjection,
   type OutlierEjection,
 } from "./outlier_ejection.ts";
+import { createReachability, type Reachability } from "./reachability.ts";
 import { createRequestLimits, type RequestLimits } from "./request_limits.ts";
 import {
   createRequestedBackoffs,
@@ -47,6 +49,7 @@
   readonly outliers: OutlierEjection;
   readonly limits: RequestLimits;
   readonly backoffs: RequestedBackoffs;
+  readonly reachability: Reachability;
   get(id: string): BackendServer | null;
   byAddress(address: string): BackendServer | null;
   /** Ids of all servers of all services. */
@@ -114,6 +117,7 @@
 
 export interface BackendFleetOptions {
   readonly engines: EngineCalls;
+  readonly canConnect: ConnectionCheck;
   /** Failure domain of this instance. */
   readonly failureDomain: string;
   /**
@@ -127,6 +131,7 @@
 /** Creates an empty fleet. */
 export function createBackendFleet({
   engines,
+  canConnect,
   failureDomain,
   countInstances,
   signal,
@@ -135,6 +140,7 @@
   const suspicion = createDomainSuspicion(failureDomain);
   const detector = createFailureDetector({
     probe,
+    onFailure: checkReachability,
     onSilent: probeDomainIfSuspected,
     onSuspected: notifyChanged,
     signal,
@@ -143,6 +149,12 @@
   const limits = createRequestLimits({ failureDomain, countInstances });
   const backoffs = createRequestedBackoffs();
   const slowEngines = createSlowEngines({ probe, signal });
+  const reachability = createReachability({
+    serversOf: ofService,
+    canConnect,
+    onReconnected: probeAvoided,
+    signal,
+  });
   const changeCallbacks: ((id: string) => void)[] = [];
   const replacedEntries = new Map<string, BackendServer>();
   const reportedAt = new Map<string, number>();
@@ -153,18 +165,49 @@
    */
   const announcedLeaving = createIncarnationMap<true>();
 
+  function ofService(service: string): BackendServer[] {
+    return [...servers.values()].filter((server) => server.service === service);
+  }
+
+  function checkReachability(id: string): void {
+    const server = servers.get(id);
+    if (server) reachability.check(server.service);
+  }
+
   /**
-   * Reads an engine's report; resolves to whether the engine answered, `null`
-   * for servers of plain services, which have no reports.
+   * Probes a suspected engine; resolves to whether the engine answered, `null`
+   * for servers of plain services, which have no reports. While no engine can
+   * be reached, the sample of the reachability check stands for all of them.
    */
   async function probe(id: string): Promise<boolean | null> {
     const server = servers.get(id);
     if (!server || server.kind === null) return null;
-    const report = await engines.report(server.address, PROBE_TIMEOUT_MS);
+    if (reachability.isCutOff(server.service)) return false;
+    return readReport(server);
+  }
+
+  /** Reads an engine's report; resolves to whether the engine answered. */
+  async function readReport({ id, address }: BackendServer): Promise<boolean> {
+    const report = await engines.report(address, PROBE_TIMEOUT_MS);
     if (report) putReport(id, report);
     return report !== null;
   }
 
+  /**
+   * Ends what was concluded from failures while no server of the service could
+   * be reached. Otherwise they would get no requests for seconds after that.
+   */
+  async function probeAvoided(service: string): Promise<void> {
+    await Promise.all(
+      ofService(service).map(async (server) => {
+        outliers.forget(server.id);
+        if (!detector.isAvoided(server.id)) return;
+        const works = server.kind === null || (await readReport(server));
+        if (works) detector.reportSuccess(server.id);
+      }),
+    );
+  }
+
   /** Probes all engines of a domain when several stop answering. */
   function probeDomainIfSuspected(id: string): void {
     const domain = servers.get(id)?.failureDomain;
@@ -263,6 +306,7 @@
     outliers,
     limits,
     backoffs,
+    reachability,
     get: (id) => servers.get(id) ?? null,
     byAddress(address) {
       // The entry of a stopped server may still be listed beside the entry of
@@ -281,12 +325,9 @@
     },
     ids: () => servers.keys(),
     slowdownOf: slowEngines.slowdownOf,
-    ofService: (service) =>
-      [...servers.values()].filter((server) => server.service === service),
+    ofService,
     countServers(service) {
-      const listed = [...servers.values()].filter(
-        (server) => server.service === service && !server.leaving,
-      );
+      const listed = ofService(service).filter(({ leaving }) => !leaving);
       const avoided = listed.filter(({ id }) => detector.isAvoided(id));
       return { listed: listed.length, avoided: avoided.length };
     },
--- a/packages/gateway/src/backends/backend_fleet_test.ts
+++ b/packages/gateway/src/backends/backend_fleet_test.ts
@@ -38,6 +38,7 @@
   } as unknown as EngineCalls;
   const fleet = createBackendFleet({
     engines,
+    canConnect: async () => true,
     countInstances: () => 1,
     failureDomain: "a",
     signal: controller.signal,
--- a/packages/gateway/src/backends/failure_detector.ts
+++ b/packages/gateway/src/backends/failure_detector.ts
@@ -71,6 +71,8 @@
 export interface FailureDetectorOptions {
   /** Resolves to whether a server answered, `null` if it can't be probed. */
   readonly probe: (id: string) => Promise<boolean | null>;
+  /** Called with each failure of a server. */
+  readonly onFailure?: (id: string) => void;
   /** Called when a server that was not suspected stops answering. */
   readonly onSilent?: (id: string) => void;
   /** Called with each missed probe or failure of a suspected server. */
@@ -81,6 +83,7 @@
 /** Creates a failure detector without suspicions. */
 export function createFailureDetector({
   probe,
+  onFailure,
   onSilent,
   onSuspected,
   signal,
@@ -158,6 +161,7 @@
 
   return {
     reportFailure(id, reason) {
+      onFailure?.(id);
       const last = suspicions.get(id);
       if (!last) {
         void startSuspicion(id, reason);
--- a/packages/gateway/src/backends/mod.ts
+++ b/packages/gateway/src/backends/mod.ts
@@ -1,6 +1,8 @@
 /** State of the backend servers, and the connections to them. */
 export * from "./backend_exchange.ts";
 export * from "./backend_fleet.ts";
+export * from "./connection_check.ts";
+export type { Reachability } from "./reachability.ts";
 export * from "./request_limits.ts";
 export * from "./requested_backoffs.ts";
 export * from "./timed_connector.ts";
--- /dev/null
+++ b/packages/gateway/src/backends/reachability.ts
@@ -0,0 +1,169 @@
+/**
+ * Detects that this instance reaches no server of a service. New connections
+ * decide: those that are open may work on while no new ones are established,
+ * and may be silent for good while new ones work.
+ */
+import { createLogger } from "@rosemarypin/telemetry";
+import { pause } from "@rosemarypin/timing";
+import type { BackendServer } from "../backend_server.ts";
+import type { ConnectionCheck } from "./connection_check.ts";
+
+/** Servers to which each check connects. */
+const SAMPLE_SIZE = 6;
+/** Servers that can be reached accept connections within milliseconds. */
+const CONNECT_TIMEOUT_MS = 300;
+/** Pause between two checks of a service that was found reachable. */
+const MIN_CHECK_INTERVAL_MS = 500;
+/** Pause between two checks of a service that was found unreachable. */
+const RECHECK_INTERVAL_MS = 400;
+/**
+ * Successful checks in a row after which a service is reachable again.
+ * Hysteresis keeps requests from alternating between two ways while a link
+ * fails and recovers several times a second.
+ */
+const CHECKS_UNTIL_REACHABLE = 2;
+
+const log = createLogger("failures");
+
+export interface Reachability {
+  /** Starts a check of the service, unless there was one just now. */
+  check(service: string): void;
+  /** Whether the last check found no server of the service reachable. */
+  isCutOff(service: string): boolean;
+  /** Whether `isCutOff` holds, or a check is in progress. */
+  mayBeCutOff(service: string): boolean;
+  /** Resolves to `isCutOff`, once a check in progress has ended. */
+  settled(service: string): Promise<boolean>;
+  /** Services of which no server is reachable. */
+  cutOffServices(): readonly string[];
+  /** Registers a callback for services that were cut off or reached again. */
+  onChanged(callback: () => void): void;
+}
+
+export interface ReachabilityOptions {
+  readonly serversOf: (service: string) => readonly BackendServer[];
+  readonly canConnect: ConnectionCheck;
+  /** Called before a service counts as reachable again. */
+  readonly onReconnected: (service: string) => Promise<void>;
+  readonly signal: AbortSignal;
+}
+
+interface ServiceState {
+  isCutOff: boolean;
+  checkedAt: number;
+  /** The check in progress. */
+  checking: Promise<void> | null;
+}
+
+/** Creates the detector; all services count as reachable. */
+export function createReachability({
+  serversOf,
+  canConnect,
+  onReconnected,
+  signal,
+}: ReachabilityOptions): Reachability {
+  const states = new Map<string, ServiceState>();
+  const changeCallbacks: (() => void)[] = [];
+
+  function stateOf(service: string): ServiceState {
+    const existing = states.get(service);
+    if (existing) return existing;
+    const state = { isCutOff: false, checkedAt: -Infinity, checking: null };
+    states.set(service, state);
+    return state;
+  }
+
+  /** Whether any server of a random sample accepts a connection. */
+  async function canReach(service: string): Promise<boolean> {
+    const servers = serversOf(service).filter(({ leaving }) => !leaving);
+    if (servers.length === 0) return true;
+    const checks = drawSample(servers, SAMPLE_SIZE).map(async ({ address }) => {
+      if (await canConnect(address, CONNECT_TIMEOUT_MS)) return;
+      throw new Error(`no connection to ${address}`);
+    });
+    return Promise.any(checks).then(
+      () => true,
+      () => false,
+    );
+  }
+
+  async function runCheck(service: string, state: ServiceState): Promise<void> {
+    const isReachable = await canReach(service);
+    state.checkedAt = performance.now();
+    state.checking = null;
+    if (isReachable) return;
+    state.isCutOff = true;
+    log.warn("service_cut_off", {
+      service,
+      servers: serversOf(service).length,
+    });
+    notifyChanged();
+    void waitUntilReachable(service, state);
+  }
+
+  async function waitUntilReachable(
+    service: string,
+    state: ServiceState,
+  ): Promise<void> {
+    const since = performance.now();
+    let successes = 0;
+    while (successes < CHECKS_UNTIL_REACHABLE) {
+      await pause(RECHECK_INTERVAL_MS, signal);
+      if (signal.aborted) return;
+      successes = (await canReach(service)) ? successes + 1 : 0;
+    }
+    await onReconnected(service);
+    state.isCutOff = false;
+    state.checkedAt = performance.now();
+    const lastedMs = performance.now() - since;
+    log.info("service_reached_again", {
+      service,
+      after_ms: lastedMs.toFixed(0),
+    });
+    notifyChanged();
+  }
+
+  function check(service: string): void {
+    const state = stateOf(service);
+    const sinceLastMs = performance.now() - state.checkedAt;
+    if (state.isCutOff || state.checking) return;
+    if (sinceLastMs < MIN_CHECK_INTERVAL_MS) return;
+    state.checking = runCheck(service, state);
+  }
+
+  function notifyChanged(): void {
+    for (const callback of changeCallbacks) callback();
+  }
+
+  return {
+    check,
+    isCutOff: (service) => states.get(service)?.isCutOff === true,
+    mayBeCutOff(service) {
+      const state = states.get(service);
+      return state !== undefined && (state.isCutOff || state.checking !== null);
+    },
+    async settled(service) {
+      await states.get(service)?.checking;
+      return states.get(service)?.isCutOff === true;
+    },
+    cutOffServices: () =>
+      [...states.keys()].filter((service) => stateOf(service).isCutOff),
+    onChanged(callback) {
+      changeCallbacks.push(callback);
+    },
+  };
+}
+
+/** Draws up to `size` elements at random, each at most once. */
+function drawSample<Element>(
+  elements: readonly Element[],
+  size: number,
+): Element[] {
+  const remaining = [...elements];
+  const sample: Element[] = [];
+  while (sample.length < size && remaining.length > 0) {
+    const index = Math.floor(Math.random() * remaining.length);
+    sample.push(...remaining.splice(index, 1));
+  }
+  return sample;
+}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -5,7 +5,11 @@
 import type { StoredObject } from "@rosemarypin/store";
 import { createLogger } from "@rosemarypin/telemetry";
 import { pause } from "@rosemarypin/timing";
-import { createBackendExchange, createBackendFleet } from "./backends/mod.ts";
+import {
+  checkConnection,
+  createBackendExchange,
+  createBackendFleet,
+} from "./backends/mod.ts";
 import {
   ACCEPT_AFTER_STOP_MS,
   type CallEnd,
@@ -70,6 +74,7 @@
   keeper.onChanged(history.record);
   const fleet = createBackendFleet({
     engines,
+    canConnect: checkConnection,
     failureDomain,
     countInstances: (domain) => presence.countPossiblyLive(domain),
     signal,
@@ -142,6 +147,7 @@
     configurationVersion: () => keeper.applied()?.version ?? 0,
     configurationAgeSeconds: () => configurationMirror.ageMs() / 1_000,
     serverListAgeSeconds: () => serverMirror.ageMs() / 1_000,
+    cutOffServices: fleet.reachability.cutOffServices,
     servers: () =>
       new Map(
         [...(keeper.applied()?.services.keys() ?? [])].map((service) => [
--- a/packages/gateway/src/operators/gateway_metrics.ts
+++ b/packages/gateway/src/operators/gateway_metrics.ts
@@ -19,6 +19,8 @@
   readonly serverListAgeSeconds: () => number;
   /** Counts of servers, by service. */
   readonly servers: () => ReadonlyMap<string, ServerCounts>;
+  /** Services of which this instance reaches no server. */
+  readonly cutOffServices: () => readonly string[];
 }
 
 /** Creates the metrics in a new registry. */
@@ -88,6 +90,17 @@
     },
   });
 
+  new Gauge({
+    name: "rosemarypin_service_cut_off",
+    help: "1 for each service of which no server accepts connections",
+    labelNames: ["service"] as const,
+    registers,
+    collect() {
+      this.reset();
+      for (const service of gauges.cutOffServices()) this.set({ service }, 1);
+    },
+  });
+
   function addGauge(name: string, help: string, read: () => number): void {
     new Gauge({
       name,
--- a/packages/gateway/src/placement/placement_loop_test.ts
+++ b/packages/gateway/src/placement/placement_loop_test.ts
@@ -62,6 +62,7 @@
   } as unknown as EngineCalls;
   const fleet = createBackendFleet({
     engines,
+    canConnect: async () => true,
     countInstances: () => 1,
     failureDomain: "a",
     signal,
--- a/packages/telemetry/src/event_catalogue.ts
+++ b/packages/telemetry/src/event_catalogue.ts
@@ -240,6 +240,14 @@
       says: "a server failed or did not answer; it gets no new work",
       fields: ["id", "reason"],
     },
+    service_cut_off: {
+      says: "no server of a service accepts connections from this instance; `servers` are in the list",
+      fields: ["service", "servers"],
+    },
+    service_reached_again: {
+      says: "servers of a service accept connections again",
+      fields: ["service", "after_ms"],
+    },
     server_not_answering: {
       says: "probes of a suspected server failed as well; its layers are placed elsewhere",
       fields: ["id", "misses"],
