--- a/packages/gateway/src/mod.ts
+++ b/packages/gateway/src/mod.ts
@@ -2,6 +2,7 @@
 export * from "./backend_server.ts";
 export { createTimedConnector } from "./backends/mod.ts";
 export * from "./configuration.ts";
+export { withoutConnectionHeaders } from "./connection_headers.ts";
 export { type Gateway, startGateway } from "./gateway.ts";
 export * from "./platform.ts";
 export * from "./protocol.ts";
