Hand-off: callers of an instance that reaches no server are served through others

Cause: an instance takes its own view for the state of the servers, and its links are the only way to them. Evidence: no_pipeline with all engines suspected at this instance alone, and each refused connection ECONNREFUSED.

While a service is cut off from an instance, its requests are handed off to another instance, which handles them as those of its own callers: it checks the key, chooses the servers, keeps their limits and backoffs, and takes retries from its budget. A request is handed off once only; what may be repeated is sent to a second instance when the first doesn't answer, a stream after its last event, and one of the route's attempts is kept for that. All else runs at most once, on a connection of its own. An instance that is cut off too, stops, has an older configuration or 256 requests of others in progress declines, and another is asked.

--- a/packages/gateway/src/backends/backend_exchange.ts
+++ b/packages/gateway/src/backends/backend_exchange.ts
@@ -49,9 +49,12 @@
   readonly freshConnection: boolean;
 }
 
+/** The part of a server by which it is connected to. */
+export type ServerAddress = Pick<BackendServer, "address">;
+
 export interface BackendExchange {
   send(
-    server: BackendServer,
+    server: ServerAddress,
     request: OutgoingRequest,
     options: ExchangeOptions,
   ): Promise<ExchangeResult>;
@@ -69,7 +72,7 @@
   });
 
   async function sendPooled(
-    server: BackendServer,
+    server: ServerAddress,
     request: OutgoingRequest,
     signal: AbortSignal,
   ): Promise<ExchangeResult> {
@@ -87,7 +90,7 @@
    * request did not run.
    */
   async function sendOnNewConnection(
-    server: BackendServer,
+    server: ServerAddress,
     request: OutgoingRequest,
     signal: AbortSignal,
   ): Promise<ExchangeResult> {
@@ -124,7 +127,7 @@
 async function sendRequest(
   dispatcher: Dispatcher,
   options: {
-    readonly server: BackendServer;
+    readonly server: ServerAddress;
     readonly request: OutgoingRequest;
     readonly signal: AbortSignal;
   },
--- a/packages/gateway/src/callers/caller_answer.ts
+++ b/packages/gateway/src/callers/caller_answer.ts
@@ -5,7 +5,9 @@
 import type { CallEnd, CallerCall, CallOutcome } from "./caller_call.ts";
 
 /** Statuses that guarantee that the request did not and will not run. */
-const NOT_RUN_STATUSES = new Set([408, 421, 429, 503]);
+export const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([
+  408, 421, 429, 503,
+]);
 
 /** Range in seconds from which a retry delay for a caller is drawn. */
 export interface RetryDelayRange {
@@ -84,6 +86,8 @@
     readonly retryDelay?: RetryDelayRange;
     /** Milliseconds until servers want requests again, before that delay. */
     readonly backoffMs?: number;
+    /** Delay before a retry, in place of one from the range. */
+    readonly retryAfterSeconds?: number | null;
   },
 ): CallEnd {
   const { outcome, reason, attempts, backoffMs = 0 } = options;
@@ -93,7 +97,9 @@
     status,
     reason,
     requestId: call.metadata.requestId,
-    retryAfterSeconds: backoffMs / 1_000 + drawRetrySeconds(retryDelay),
+    retryAfterSeconds:
+      options.retryAfterSeconds ??
+      backoffMs / 1_000 + drawRetrySeconds(retryDelay),
   });
   return { status, outcome, reason, attempts, firstByteMs: null };
 }
--- a/packages/gateway/src/callers/caller_call.ts
+++ b/packages/gateway/src/callers/caller_call.ts
@@ -2,6 +2,7 @@
 import type { ServerResponse } from "node:http";
 import type { Organisation, Route, Service } from "../configuration.ts";
 import type { RequestMetadata } from "../protocol.ts";
+import type { HandoffTerms } from "./handoff_terms.ts";
 import type { PaceSummary } from "./stream_pace.ts";
 
 export interface CallerCall {
@@ -17,6 +18,11 @@
   readonly rawHeaders: readonly string[];
   readonly body: Buffer | null;
   readonly response: ServerResponse;
+  /**
+   * Terms under which another instance handed the request off; `null` for
+   * requests that callers sent to this instance.
+   */
+  readonly handedOff: HandoffTerms | null;
   /** By the monotonic clock, in milliseconds. */
   readonly startedAt: number;
   /** Deadline of the caller or the route, by the same clock. */
@@ -58,6 +64,11 @@
   return deadlineAt - performance.now();
 }
 
+/** Number of backend servers that may still run the call. */
+export function maxAttemptsOf({ route, handedOff }: CallerCall): number {
+  return Math.min(route.maxAttempts, handedOff?.maxAttempts ?? Infinity);
+}
+
 /** Priority of the call's organisation, or of its route if that has none. */
 export function priorityOf({ organisation, route }: CallerCall): number {
   return organisation?.priority ?? route.priority;
--- a/packages/gateway/src/callers/caller_listener.ts
+++ b/packages/gateway/src/callers/caller_listener.ts
@@ -19,6 +19,12 @@
 import type { RequestCodec, RequestMetadata } from "../protocol.ts";
 import { refuse } from "./caller_answer.ts";
 import type { CallEnd, CallerCall } from "./caller_call.ts";
+import {
+  decodeHandoffTerms,
+  HANDOFF_HEADER,
+  type HandoffTerms,
+  withoutHandoffTerms,
+} from "./handoff_terms.ts";
 import type { WarmUp } from "./warm_up.ts";
 
 /** Limits that apply until the first configuration is in force. */
@@ -41,6 +47,12 @@
  */
 export const ACCEPT_AFTER_STOP_MS = 2_600;
 
+/**
+ * Bound on requests in progress for other instances. With more, this instance
+ * would be too busy for its own callers.
+ */
+const MAX_HANDED_OFF_REQUESTS = 256;
+
 const log = createLogger("callers");
 
 export interface CallerListenerOptions {
@@ -56,6 +68,8 @@
 
 export interface CallerListener {
   readonly server: Server;
+  /** Handles a request that another instance hands off to this one. */
+  handleHandedOff(request: IncomingMessage, response: ServerResponse): void;
   /** Requests in progress. */
   inProgress(): number;
 }
@@ -77,9 +91,10 @@
 ): CallerListener {
   const { keeper, codec } = options;
   let inProgress = 0;
+  let handedOffInProgress = 0;
   const server = createServer(
     { maxHeaderSize: PARSER_HEADER_BYTES, requestTimeout: REQUEST_TIMEOUT_MS },
-    (request, response) => void handleTracked(request, response),
+    (request, response) => void handleTracked(request, response, null),
   );
   applyLimits(server, DEFAULT_LIMITS);
   keeper.onChanged(({ limits }) => applyLimits(server, limits));
@@ -91,11 +106,12 @@
   async function handleTracked(
     request: IncomingMessage,
     response: ServerResponse,
+    handedOff: HandoffTerms | null,
   ): Promise<void> {
     inProgress += 1;
     if (isStopping()) response.setHeader("Connection", "close");
     try {
-      await handle(request, response);
+      await handle(request, response, handedOff);
     } catch (error) {
       const reason = error instanceof Error ? error.message : String(error);
       log.warn("request_failed", { reason });
@@ -105,19 +121,64 @@
     }
   }
 
+  /**
+   * Handles a request that passes the same checks as one of this instance's own
+   * callers, in particular that of its key.
+   */
+  async function handleHandedOff(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const terms = decodeHandoffTerms(request.headers[HANDOFF_HEADER]);
+    if (!terms) {
+      const refusal = { status: 400, reason: "unreadable_handoff" };
+      const metadata = codec.decodeRequest(request.headers);
+      return refuseRequest(request, response, { metadata, refusal });
+    }
+    handedOffInProgress += 1;
+    await handleTracked(request, response, terms);
+    handedOffInProgress -= 1;
+  }
+
+  /** Why this instance can't take a request over; `null` if it can. */
+  function refuseHandedOff(
+    { configurationVersion }: HandoffTerms,
+    applied: AppliedConfiguration | null,
+  ): Refusal | null {
+    if (isStopping()) return { status: 503, reason: "stopping" };
+    if (handedOffInProgress > MAX_HANDED_OFF_REQUESTS)
+      return { status: 503, reason: "busy" };
+    // An older configuration may lack the route or the key of the request.
+    const isBehind = (applied?.version ?? 0) < configurationVersion;
+    return isBehind ? { status: 503, reason: "configuration_behind" } : null;
+  }
+
   async function handle(
     request: IncomingMessage,
     response: ServerResponse,
+    handedOff: HandoffTerms | null,
   ): Promise<void> {
     const startedAt = performance.now();
-    const metadata = codec.decodeRequest(request.headers);
+    const rawHeaders = handedOff
+      ? withoutHandoffTerms(request.rawHeaders)
+      : request.rawHeaders;
+    const decoded = codec.decodeRequest(request.headers);
+    const metadata = handedOff
+      ? {
+          ...decoded,
+          deadlineMs: handedOff.deadlineMs,
+          lastEventId: handedOff.lastEventId,
+        }
+      : decoded;
     await options.warmUp();
     const applied = keeper.applied();
     const isPastStopGrace =
       (options.stoppingForMs() ?? 0) > ACCEPT_AFTER_STOP_MS;
-    const admitted = isPastStopGrace
+    const refusal = isPastStopGrace
       ? { status: 503, reason: "stopping" }
-      : admit(request, { metadata, applied });
+      : handedOff && refuseHandedOff(handedOff, applied);
+    const admitted =
+      refusal ?? admit(request, { rawHeaders, metadata, applied, handedOff });
     if ("status" in admitted) {
       return refuseRequest(request, response, {
         metadata,
@@ -155,9 +216,10 @@
       ...admitted,
       method: request.method ?? "GET",
       path: request.url ?? "/",
-      rawHeaders: request.rawHeaders,
+      rawHeaders,
       body,
       response,
+      handedOff,
       startedAt,
       deadlineAt: startedAt + callTimeoutMs,
       signal: callAbort.signal,
@@ -191,20 +253,27 @@
     refuse(codec, response, { status, reason, requestId: metadata.requestId });
   }
 
-  return { server, inProgress: () => inProgress };
+  return {
+    server,
+    handleHandedOff: (request, response) =>
+      void handleHandedOff(request, response),
+    inProgress: () => inProgress,
+  };
 }
 
 /** Finds route, service and organisation of a request, or refuses it. */
 function admit(
   request: IncomingMessage,
   options: {
+    readonly rawHeaders: readonly string[];
     readonly metadata: RequestMetadata;
     readonly applied: AppliedConfiguration | null;
+    readonly handedOff: HandoffTerms | null;
   },
 ): Admission | Refusal {
-  const { metadata, applied } = options;
+  const { rawHeaders, metadata, applied, handedOff } = options;
   if (!applied) return { status: 503, reason: "no_configuration" };
-  if (headerBytes(request.rawHeaders) > applied.limits.headerBytes) {
+  if (headerBytes(rawHeaders) > applied.limits.headerBytes) {
     return { status: 431, reason: "headers_too_large" };
   }
   const route = applied.table.find(
@@ -216,7 +285,9 @@
   if (!organisation && applied.organisations && !route.isPublic) {
     return { status: 401, reason: "unknown_key" };
   }
-  const service = drawService(route, applied.services);
+  const service = handedOff
+    ? sharedService(route, applied.services, handedOff.service)
+    : drawService(route, applied.services);
   if (!service) return { status: 503, reason: "no_service" };
   return { route, service, organisation };
 }
@@ -228,6 +299,16 @@
   return key === null ? null : (organisations?.get(key) ?? null);
 }
 
+/** Returns a service by name if the route still has a share of it. */
+function sharedService(
+  { shares }: Route,
+  services: ReadonlyMap<string, Service>,
+  name: string,
+): Service | null {
+  const hasShare = shares.some(({ service }) => service === name);
+  return hasShare ? (services.get(name) ?? null) : null;
+}
+
 /** Draws a service at random by the weights of the route's shares. */
 function drawService(
   { shares }: Route,
@@ -294,6 +375,7 @@
     route: call.route.name,
     service: call.service.name,
     organisation: call.organisation?.name,
+    from: call.handedOff?.from,
     status: end.status,
     outcome: end.outcome,
     reason: end.reason,
--- a/packages/gateway/src/following/presence.ts
+++ b/packages/gateway/src/following/presence.ts
@@ -5,13 +5,15 @@
 import type { Address } from "@rosemarypin/schemas";
 import type { ObjectStore } from "@rosemarypin/store";
 import { createLogger } from "@rosemarypin/telemetry";
-import { pause } from "@rosemarypin/timing";
+import { createInterruptibleTimer } from "@rosemarypin/timing";
 import { z } from "zod";
 import type { DomainInstance } from "./relay_choice.ts";
 
 /** Another instance whose heartbeat has not expired. */
 export interface LiveInstance extends DomainInstance {
   readonly failureDomain: string;
+  /** Whether it reaches model engines, by its latest renewal. */
+  readonly reachesEngines: boolean;
 }
 
 /** Prefix of the keys of presence objects in the store. */
@@ -48,6 +50,8 @@
   /** Address for calls from other instances; `null` if it has none. */
   peer: z.object({ host: z.string(), port: z.number() }).nullable(),
   leaving: z.boolean(),
+  /** Whether it reaches model engines, and may order them. */
+  reachesEngines: z.boolean().default(true),
 });
 
 export type PresenceObject = z.infer<typeof presenceSchema>;
@@ -78,6 +82,8 @@
   liveDomainPeers(): DomainInstance[];
   /** Resolves to whether the store answers a small read in time. */
   probeStore(timeoutMs: number): Promise<boolean>;
+  /** Announces whether this instance reaches model engines. */
+  setReachesEngines(reachesEngines: boolean): void;
   /** Announces that this instance is about to stop. */
   leave(): Promise<void>;
 }
@@ -114,13 +120,18 @@
   let hasRead = false;
   let lastReadAt = -Infinity;
   let version: number | null = null;
+  let reachesEngines = true;
+  let announcedReachesEngines = true;
+  const renewalTimer = createInterruptibleTimer();
   void run();
 
   async function run(): Promise<void> {
     while (!signal.aborted) {
       await write(false);
       await readOthers();
-      await pause(renewalIntervalMs(), signal);
+      // What changed while it was written is announced at once.
+      if (announcedReachesEngines === reachesEngines)
+        await renewalTimer.wait(renewalIntervalMs(), signal);
     }
   }
 
@@ -145,7 +156,15 @@
 
   async function write(leaving: boolean): Promise<void> {
     renewal += 1;
-    const value = { failureDomain, startedAt, renewal, peer, leaving };
+    announcedReachesEngines = reachesEngines;
+    const value: PresenceObject = {
+      failureDomain,
+      startedAt,
+      renewal,
+      peer,
+      leaving,
+      reachesEngines,
+    };
     const writeResult = await store.write(ownKey, value, {
       expectedVersion: version,
     });
@@ -202,6 +221,7 @@
       instance: key.slice(PRESENCE_PREFIX.length),
       failureDomain: presence.failureDomain,
       peer: presence.peer,
+      reachesEngines: presence.reachesEngines,
     }));
   }
 
@@ -261,6 +281,11 @@
       const options = { mayBeStale: true, timeoutMs };
       return (await store.read(ownKey, options)).kind === "ok";
     },
+    setReachesEngines(value) {
+      if (value === reachesEngines) return;
+      reachesEngines = value;
+      renewalTimer.interrupt();
+    },
     leave: () => write(true),
   };
 }
--- a/packages/gateway/src/following/store_following.ts
+++ b/packages/gateway/src/following/store_following.ts
@@ -1,5 +1,10 @@
 /** Keeps mirrors of store prefixes current by watches, relays and peers. */
-import { createPeerCaller, startPeerServer } from "@rosemarypin/membership";
+import {
+  createPeerCaller,
+  type PeerMethods,
+  type PeerRequests,
+  startPeerServer,
+} from "@rosemarypin/membership";
 import type { ObjectStore } from "@rosemarypin/store";
 import type { ListenAddress } from "../settings.ts";
 import { createChangeRelay } from "./change_relay.ts";
@@ -34,6 +39,10 @@
    * from peers.
    */
   readonly peers: ListenAddress | null;
+  /** Further methods that other instances may call. */
+  readonly peerMethods: PeerMethods;
+  /** Requests of other instances that aren't calls of a method. */
+  readonly peerRequests: PeerRequests;
   readonly prefixes: readonly FollowedPrefix[];
   readonly signal: AbortSignal;
 }
@@ -48,6 +57,8 @@
   instance,
   failureDomain,
   peers,
+  peerMethods,
+  peerRequests,
   prefixes,
   signal,
 }: StoreFollowingOptions): Promise<StoreFollowing> {
@@ -79,10 +90,11 @@
       signal,
     });
     const methods = {
+      ...peerMethods,
       ...createSnapshotMethods(mirrors),
       ...changeRelay.methods,
     };
-    await startPeerServer(peers, methods);
+    await startPeerServer(peers, methods, peerRequests);
     startPeerSnapshots({ mirrors, caller, peers: presence.peers, signal });
   }
   return { presence, mirrors };
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,7 +1,7 @@
 /** Assembles, starts and stops one gateway instance. */
 import { once, setMaxListeners } from "node:events";
-import type { Server } from "node:http";
-import { createUdpTransport } from "@rosemarypin/membership";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import { createPeerCaller, createUdpTransport } from "@rosemarypin/membership";
 import type { StoredObject } from "@rosemarypin/store";
 import { createLogger } from "@rosemarypin/telemetry";
 import { pause } from "@rosemarypin/timing";
@@ -16,12 +16,19 @@
   type CallerCall,
   createCallerListener,
   createWarmUp,
+  endWithRefusal,
+  HANDOFF_HEADER,
 } from "./callers/mod.ts";
 import {
   createConfigurationKeeper,
   startStoreFollowing,
 } from "./following/mod.ts";
 import { createRetryBudget } from "./forwarding/mod.ts";
+import {
+  createHelperInstances,
+  createRequestHandoff,
+  PING_METHOD,
+} from "./handoff/mod.ts";
 import {
   createAdministration,
   createGatewayMetrics,
@@ -68,6 +75,7 @@
   // so their number may exceed the default limit.
   setMaxListeners(0, signal);
   let stoppedAt: number | null = null;
+  let isListening = false;
 
   const keeper = createConfigurationKeeper();
   const history = createReleaseHistory(instance);
@@ -84,6 +92,8 @@
     instance,
     failureDomain,
     peers: settings.peers,
+    peerMethods: { [PING_METHOD]: () => true },
+    peerRequests: { header: HANDOFF_HEADER, handle: receiveHandedOff },
     prefixes: [
       { prefix: keys.configurations, onObject: applyConfiguration },
       {
@@ -112,6 +122,20 @@
     presence.countPossiblyLive(null),
   );
   const exchange = createBackendExchange();
+  const helpers = createHelperInstances({
+    failureDomain,
+    liveOthers: presence.liveOthers,
+    caller: createPeerCaller(settings.peers?.host ?? settings.callers.host),
+    signal,
+  });
+  const handoff = createRequestHandoff({
+    instance,
+    helpers,
+    exchange,
+    codec,
+    reachability: fleet.reachability,
+    configurationVersion: () => keeper.applied()?.version ?? 0,
+  });
   const serverChoice = createServerChoice({ fleet, failureDomain });
   const engineUsage = createEngineUsage();
   const router = createPipelineRouter({
@@ -184,9 +208,25 @@
     } else fleet.put(server);
   }
 
-  function forward(call: CallerCall): Promise<CallEnd> {
-    budget.countRequest(call.service.name);
-    const dependencies = { codec, exchange, fleet, budget };
+  /** Handles a request that another instance can't forward to servers. */
+  function receiveHandedOff(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): void {
+    if (isListening) listener.handleHandedOff(request, response);
+    else response.writeHead(503).end();
+  }
+
+  async function forward(call: CallerCall): Promise<CallEnd> {
+    const { name: service } = call.service;
+    if (call.handedOff && (await fleet.reachability.settled(service))) {
+      const reason = "cut_off";
+      const outcome = "not_run";
+      return endWithRefusal(codec, call, { outcome, reason, attempts: 0 });
+    }
+    // The instance that handed it off has counted the request.
+    if (!call.handedOff) budget.countRequest(service);
+    const dependencies = { codec, exchange, fleet, budget, handoff };
     if (call.service.engine) {
       return forwardStream(call, {
         ...dependencies,
@@ -204,6 +244,7 @@
   });
   await listen(readiness, settings.readiness);
   await listen(listener.server, settings.callers);
+  isListening = true;
   if (settings.metrics) {
     const administration = createAdministration({
       instance,
--- /dev/null
+++ b/packages/gateway/src/handoff/request_handoff.ts
@@ -0,0 +1,224 @@
+/**
+ * Hands requests off to other instances while this one reaches no server of
+ * their service. The other instance handles such a request as one of its own
+ * callers': it checks the key, chooses servers, and is bound by their limits.
+ */
+import { formatAddress } from "@rosemarypin/schemas";
+import { createLogger } from "@rosemarypin/telemetry";
+import type {
+  BackendExchange,
+  OpenAnswer,
+  Reachability,
+} from "../backends/mod.ts";
+import {
+  type CallerCall,
+  encodeHandoffTerms,
+  HANDOFF_HEADER,
+  NOT_RUN_STATUSES,
+  timeLeftMs,
+} from "../callers/mod.ts";
+import { withoutConnectionHeaders } from "../connection_headers.ts";
+import { readBody } from "../forwarding/mod.ts";
+import type { RequestCodec } from "../protocol.ts";
+import type {
+  Helper,
+  HelperFailure,
+  HelperInstances,
+  HelperUse,
+} from "./helper_instances.ts";
+
+/** Instances that are asked for one request, one after the other. */
+const MAX_HELPERS = 4;
+/** Refusals after which another instance is asked. */
+const HELPER_FAILURES: ReadonlySet<string> = new Set<HelperFailure>([
+  "cut_off",
+  "stopping",
+  "busy",
+  "configuration_behind",
+]);
+
+const log = createLogger("handoff");
+
+export type HandoffResult =
+  /** An answer that a server gave, or a final answer of the other instance. */
+  | { readonly kind: "answer"; readonly answer: OpenAnswer }
+  /** The other instance refused the request; it did not and will not run. */
+  | {
+      readonly kind: "refused";
+      readonly reason: string;
+      readonly retryAfterSeconds: number | null;
+    }
+  /** No other instance can take the request over; it was not run. */
+  | { readonly kind: "unavailable" }
+  /** The request may have run; no answer arrived. */
+  | { readonly kind: "broken"; readonly detail: string };
+
+export interface HandoffRequest {
+  /** Event after which a stream continues; `null` for its beginning. */
+  readonly lastEventId: string | null;
+  /** Servers that may run the request. */
+  readonly maxAttempts: number;
+  /** Whether the request can be sent again after it may have run. */
+  readonly isRepeatable: boolean;
+}
+
+export interface RequestHandoff {
+  /**
+   * Whether this instance reaches no server for the call, so that another one
+   * is to be asked; waits for a check that is in progress. A request is handed
+   * off only once, so that it can't pass between instances in a loop.
+   */
+  isNeeded(call: CallerCall): Promise<boolean>;
+  /** Sends the call to one other instance after another until one takes it. */
+  send(call: CallerCall, request: HandoffRequest): Promise<HandoffResult>;
+}
+
+export interface RequestHandoffOptions {
+  readonly instance: string;
+  readonly helpers: HelperInstances;
+  readonly reachability: Reachability;
+  readonly exchange: BackendExchange;
+  readonly codec: RequestCodec;
+  readonly configurationVersion: () => number;
+}
+
+/**
+ * Number of servers that another instance may use for a call that may use
+ * `left`. One is kept for the time after that instance, if the call can be
+ * repeated: how many it has used isn't known when it is lost.
+ */
+export function attemptsForHelper(left: number, isRepeatable: boolean): number {
+  return Math.max(1, isRepeatable ? left - 1 : left);
+}
+
+/** Creates the hand-off of one instance. */
+export function createRequestHandoff(
+  options: RequestHandoffOptions,
+): RequestHandoff {
+  const { helpers, exchange, codec, reachability } = options;
+
+  async function sendTo(
+    helper: Helper,
+    call: CallerCall,
+    request: HandoffRequest,
+  ): Promise<HandoffResult | HelperFailure> {
+    const lost = new AbortController();
+    const use = helpers.use(helper, () => {
+      // A request that may run only once is left to its deadline.
+      if (request.isRepeatable) lost.abort();
+    });
+    log.info("request_handed_off", {
+      request: call.id,
+      route: call.route.name,
+      to: helper.instance,
+      after_event: request.lastEventId ?? undefined,
+      left_ms: timeLeftMs(call).toFixed(0),
+    });
+    const result = await exchange.send(
+      { address: formatAddress(helper.address) },
+      {
+        method: call.method,
+        path: call.path,
+        headers: handoffHeaders(call, request),
+        body: call.body,
+      },
+      {
+        signal: AbortSignal.any([call.signal, lost.signal]),
+        freshConnection: !request.isRepeatable,
+      },
+    );
+    if (result.kind !== "answer") {
+      use.end();
+      if (result.kind === "not_sent") return "unreachable";
+      return { kind: "broken", detail: `helper_${result.detail}` };
+    }
+    use.heard();
+    const answer = trackedAnswer(result, use);
+    const metadata = codec.decodeAnswer(answer.status, answer.headers);
+    if (metadata.isSigned || !NOT_RUN_STATUSES.has(answer.status))
+      return { kind: "answer", answer };
+    const reason = await readReason(answer);
+    if (HELPER_FAILURES.has(reason)) return reason as HelperFailure;
+    const { retryAfterSeconds } = metadata;
+    return { kind: "refused", reason, retryAfterSeconds };
+  }
+
+  function handoffHeaders(call: CallerCall, request: HandoffRequest): string[] {
+    const terms = encodeHandoffTerms({
+      from: options.instance,
+      configurationVersion: options.configurationVersion(),
+      service: call.service.name,
+      deadlineMs: Math.max(1, timeLeftMs(call)),
+      maxAttempts: request.maxAttempts,
+      lastEventId: request.lastEventId,
+    });
+    return [
+      ...withoutConnectionHeaders(call.rawHeaders, OWN_HEADERS),
+      HANDOFF_HEADER,
+      terms,
+    ];
+  }
+
+  return {
+    isNeeded: async (call) =>
+      call.handedOff === null &&
+      (await reachability.settled(call.service.name)),
+    async send(call, request) {
+      const asked = new Set<string>();
+      while (asked.size < MAX_HELPERS && !call.signal.aborted) {
+        const helper = helpers.choose(asked);
+        if (!helper) break;
+        asked.add(helper.instance);
+        const result = await sendTo(helper, call, request);
+        if (typeof result !== "string") return result;
+        helpers.recordFailure(helper.instance, result);
+        log.info("handoff_declined", {
+          request: call.id,
+          to: helper.instance,
+          reason: result,
+        });
+      }
+      return { kind: "unavailable" };
+    },
+  };
+}
+
+/** Headers that a caller may not set for another instance. */
+const OWN_HEADERS: ReadonlySet<string> = new Set([HANDOFF_HEADER]);
+
+/** Ends the use of the helper with the answer. */
+function trackedAnswer(answer: OpenAnswer, use: HelperUse): OpenAnswer {
+  return {
+    ...answer,
+    body: trackBody(answer.body, use),
+    abandon() {
+      use.end();
+      answer.abandon();
+    },
+  };
+}
+
+async function* trackBody(
+  body: AsyncIterable<Buffer>,
+  use: HelperUse,
+): AsyncIterable<Buffer> {
+  try {
+    for await (const chunk of body) {
+      use.heard();
+      yield chunk;
+    }
+  } finally {
+    use.end();
+  }
+}
+
+/** Reads why another instance refused a request. */
+async function readReason(answer: OpenAnswer): Promise<string> {
+  try {
+    const content = JSON.parse((await readBody(answer)).toString());
+    return typeof content?.error === "string" ? content.error : "refused";
+  } catch {
+    // The status alone says that the request did not run.
+    return "refused";
+  }
+}
--- a/packages/gateway/src/import_order_test.ts
+++ b/packages/gateway/src/import_order_test.ts
@@ -8,6 +8,7 @@
   "backends",
   "callers",
   "forwarding",
+  "handoff",
   "plain",
   "streams",
   "placement",
--- a/packages/gateway/src/plain/forward_plain.ts
+++ b/packages/gateway/src/plain/forward_plain.ts
@@ -11,6 +11,7 @@
   type CallEnd,
   type CallerCall,
   endWithRefusal,
+  maxAttemptsOf,
   timeLeftMs,
 } from "../callers/mod.ts";
 import {
@@ -19,6 +20,11 @@
   isOwnAnswer,
   readBody,
 } from "../forwarding/mod.ts";
+import {
+  attemptsForHelper,
+  type HandoffResult,
+  type RequestHandoff,
+} from "../handoff/mod.ts";
 import type { RequestCodec } from "../protocol.ts";
 import type { ServerChoice } from "./server_choice.ts";
 import { tryTimeoutMs } from "./try_timeout.ts";
@@ -31,6 +37,7 @@
 
 export interface ForwardParts extends ForwardingParts {
   readonly choice: ServerChoice;
+  readonly handoff: RequestHandoff;
 }
 
 type Attempt =
@@ -47,32 +54,71 @@
     }
   | { readonly kind: "unknown"; readonly detail: string };
 
+/** An attempt through another instance, which chooses the servers. */
+type HelperAttempt =
+  | Exclude<Attempt, { readonly kind: "not_run" }>
+  | Extract<HandoffResult, { readonly kind: "refused" | "unavailable" }>;
+
 /**
  * Forwards a call to one server after another until one answers, no server or
- * retry is left, or the call is aborted.
+ * retry is left, or the call is aborted. While no server can be reached, it is
+ * handed off to another instance.
  */
 export async function forwardPlain(
   call: CallerCall,
   parts: ForwardParts,
 ): Promise<CallEnd> {
-  const { codec, budget, choice } = parts;
+  const { codec, budget, choice, handoff } = parts;
   const isRetryable = call.route.kind === "idempotent";
+  const maxAttempts = maxAttemptsOf(call);
   const triedIds = new Set<string>();
   let attempts = 0;
   let sentAttempts = 0;
   let possibleRuns = 0;
+  let mayHaveHelper = true;
+  let retryAfterSeconds: number | null = null;
   let lastAttempt: Attempt = {
     kind: "not_run",
     detail: "no_server",
     wasSent: false,
   };
   while (!call.signal.aborted) {
-    const server = choice.choose(call.service.name, triedIds);
-    if (!server) break;
+    const usesHelper = mayHaveHelper && (await handoff.isNeeded(call));
+    const server = usesHelper
+      ? null
+      : choice.choose(call.service.name, triedIds);
+    if (!usesHelper && !server) break;
     if (sentAttempts > 0 && !budget.takeRetry(call.service.name)) break;
+    if (!server) {
+      const helperAttempts = attemptsForHelper(
+        maxAttempts - possibleRuns,
+        isRetryable,
+      );
+      const attempt = await attemptOnHelper(call, {
+        ...parts,
+        maxAttempts: helperAttempts,
+      });
+      if (attempt.kind === "unavailable") {
+        mayHaveHelper = false;
+        continue;
+      }
+      attempts += 1;
+      if (attempt.kind === "refused") {
+        const { reason: detail } = attempt;
+        lastAttempt = { kind: "not_run", detail, wasSent: false };
+        retryAfterSeconds = attempt.retryAfterSeconds;
+        break;
+      }
+      lastAttempt = attempt;
+      sentAttempts += 1;
+      possibleRuns += helperAttempts;
+      if (attempt.kind === "answer" || !isRetryable) break;
+      if (possibleRuns >= maxAttempts) break;
+      continue;
+    }
     attempts += 1;
     triedIds.add(server.id);
-    const isLast = !isRetryable || possibleRuns + 1 >= call.route.maxAttempts;
+    const isLast = !isRetryable || possibleRuns + 1 >= maxAttempts;
     lastAttempt = await attemptOnce(call, server, {
       ...parts,
       timeoutMs: isLast ? null : tryTimeoutOf(call),
@@ -87,8 +133,7 @@
     const isFinal =
       lastAttempt.kind === "answer" &&
       lastAttempt.answer.status < MIN_SERVER_ERROR_STATUS;
-    if (isFinal || !isRetryable || possibleRuns >= call.route.maxAttempts)
-      break;
+    if (isFinal || !isRetryable || possibleRuns >= maxAttempts) break;
   }
   if (call.hasCallerLeft()) {
     const reason = "caller_left";
@@ -105,9 +150,41 @@
     reason,
     attempts,
     backoffMs: commonBackoffMs(parts.fleet, call.service.name),
+    retryAfterSeconds,
   });
 }
 
+/** Hands the call off to another instance and reads its whole answer. */
+async function attemptOnHelper(
+  call: CallerCall,
+  options: ForwardParts & { readonly maxAttempts: number },
+): Promise<HelperAttempt> {
+  const { codec, handoff, maxAttempts } = options;
+  const result = await handoff.send(call, {
+    lastEventId: null,
+    maxAttempts,
+    isRepeatable: call.route.kind === "idempotent",
+  });
+  if (result.kind === "broken")
+    return { kind: "unknown", detail: result.detail };
+  if (result.kind !== "answer") return result;
+  const { answer } = result;
+  const metadata = codec.decodeAnswer(answer.status, answer.headers);
+  if (!isOwnAnswer(call, metadata)) {
+    answer.abandon();
+    return { kind: "unknown", detail: "answer_of_another_request" };
+  }
+  // Without a signature, the other instance itself doesn't know the outcome.
+  const isUnknown =
+    !metadata.isSigned &&
+    (answer.status < 300 || answer.status >= MIN_SERVER_ERROR_STATUS);
+  if (isUnknown) {
+    answer.abandon();
+    return { kind: "unknown", detail: `helper_${answer.status}` };
+  }
+  return readWholeBody(answer);
+}
+
 /**
  * Milliseconds until the first server of a service wants requests again; 0 if
  * one of them does already.
@@ -197,13 +274,19 @@
     answer.abandon();
     return { kind: "unknown", detail: "unsigned_answer" };
   }
+  const attempt = await readWholeBody(answer);
+  if (attempt.kind === "answer" && metadata.notRun && !isSuccess) {
+    const detail = `refused_${answer.status}`;
+    return { kind: "not_run", detail, wasSent: true };
+  }
+  return attempt;
+}
+
+async function readWholeBody(
+  answer: OpenAnswer,
+): Promise<Extract<Attempt, { readonly kind: "answer" | "unknown" }>> {
   try {
-    const body = await readBody(answer);
-    if (metadata.notRun && !isSuccess) {
-      const detail = `refused_${answer.status}`;
-      return { kind: "not_run", detail, wasSent: true };
-    }
-    return { kind: "answer", answer, body };
+    return { kind: "answer", answer, body: await readBody(answer) };
   } catch (error) {
     const reason = error instanceof Error ? error.message : String(error);
     return { kind: "unknown", detail: `answer_broke_off: ${reason}` };
--- a/packages/gateway/src/streams/admission.ts
+++ b/packages/gateway/src/streams/admission.ts
@@ -34,6 +34,8 @@
 
 export type AdmissionDecision =
   | { readonly kind: "admitted"; readonly pipeline: ChosenPipeline }
+  /** While it waited, all engines went out of this instance's reach. */
+  | { readonly kind: "out_of_reach" }
   | {
       readonly kind: "refused";
       /**
@@ -58,9 +60,12 @@
   request: Omit<PipelineRequest, "service" | "avoided"> & {
     /** Engines that the call avoids; emptied while a begun answer waits. */
     readonly avoided: Set<string>;
+    /** Whether the call should go through another instance instead. */
+    readonly isOutOfReach: () => boolean;
   },
 ): CallAdmission {
-  const pipelineRequest = { ...request, service: call.service };
+  const { isOutOfReach, ...pipelineOptions } = request;
+  const pipelineRequest = { ...pipelineOptions, service: call.service };
   let waitedMs = 0;
 
   async function waitBeforeRetry(stepMs: number): Promise<void> {
@@ -74,6 +79,7 @@
    */
   async function admitBegunAnswer(): Promise<ChosenPipeline | null> {
     while (!call.signal.aborted && waitedMs < BEGUN_ANSWER_MAX_WAIT_MS) {
+      if (isOutOfReach()) return null;
       const pipeline = router.choose({
         ...pipelineRequest,
         maxLoad: MAX_LOAD,
@@ -107,6 +113,7 @@
     async admit({ hasBegun }) {
       const pipeline = await (hasBegun ? admitBegunAnswer() : admitNewAnswer());
       if (pipeline) return { kind: "admitted", pipeline };
+      if (isOutOfReach()) return { kind: "out_of_reach" };
       const reason = router.hasPipeline(pipelineRequest)
         ? "no_room"
         : "no_pipeline";
--- a/packages/gateway/src/streams/admission_test.ts
+++ b/packages/gateway/src/streams/admission_test.ts
@@ -37,7 +37,11 @@
     signal: new AbortController().signal,
   } as CallerCall;
   const size = { promptTokens: 80, answerTokens: 20 };
-  const admission = createAdmission(call, router, { size, avoided });
+  const admission = createAdmission(call, router, {
+    size,
+    avoided,
+    isOutOfReach: () => false,
+  });
 
   /** Returns the decision for one request of a pipeline, and its delay. */
   async function next(
@@ -46,7 +50,7 @@
   ) {
     const startedAt = performance.now();
     const outcome = admission.admit({ hasBegun }).then((admitted) => ({
-      result: admitted.kind === "admitted" ? "admitted" : admitted.reason,
+      result: admitted.kind === "refused" ? admitted.reason : admitted.kind,
       afterMs: performance.now() - startedAt,
     }));
     for (const [atMs, nextState] of stateChanges) {
--- a/packages/gateway/src/streams/forward_stream.ts
+++ b/packages/gateway/src/streams/forward_stream.ts
@@ -9,10 +9,13 @@
   type CallerCall,
   createStreamPace,
   endWithRefusal,
+  maxAttemptsOf,
   type RetryDelayRange,
 } from "../callers/mod.ts";
+import { attemptsForHelper } from "../handoff/mod.ts";
 import type { RequestCodec } from "../protocol.ts";
 import { createAdmission } from "./admission.ts";
+import { runOnHelper } from "./helper_run.ts";
 import type { AnswerSize } from "./pipeline_router.ts";
 import {
   type RunEnd,
@@ -48,7 +51,10 @@
   call: CallerCall,
   parts: StreamParts,
 ): Promise<CallEnd> {
-  const { budget, router } = parts;
+  const { budget, router, handoff, fleet } = parts;
+  const { name: service } = call.service;
+  const { resumable } = call.route;
+  const maxAttempts = maxAttemptsOf(call);
   const progress: StreamProgress = {
     hasBegun: false,
     lastEventId: call.metadata.lastEventId,
@@ -65,18 +71,61 @@
     wasSent: false,
   };
   let hasPipeline = true;
+  let mayHaveHelper = true;
+  let retryAfterSeconds: number | null = null;
   const size = estimateSize(call);
-  const admission = createAdmission(call, router, { size, avoided });
+  const admission = createAdmission(call, router, {
+    size,
+    avoided,
+    isOutOfReach: () =>
+      mayHaveHelper &&
+      call.handedOff === null &&
+      fleet.reachability.isCutOff(service),
+  });
   while (!call.signal.aborted) {
+    if (mayHaveHelper && (await handoff.isNeeded(call))) {
+      if (sentAttempts > 0 && !budget.takeRetry(service)) break;
+      const helperAttempts = attemptsForHelper(
+        maxAttempts - (runs - lostRuns),
+        resumable,
+      );
+      const end = await runOnHelper(call, {
+        progress,
+        parts,
+        maxAttempts: helperAttempts,
+      });
+      if (end.kind === "unavailable") {
+        mayHaveHelper = false;
+        continue;
+      }
+      attempts += 1;
+      if (end.kind === "refused") {
+        lastEnd = { kind: "not_run", detail: end.reason, wasSent: false };
+        retryAfterSeconds = end.retryAfterSeconds;
+        break;
+      }
+      lastEnd = end;
+      sentAttempts += 1;
+      runs += helperAttempts;
+      if (end.kind !== "broken" || !resumable) break;
+      if (runs - lostRuns >= maxAttempts) break;
+      continue;
+    }
     const admitted = await admission.admit({ hasBegun: progress.hasBegun });
+    if (admitted.kind === "out_of_reach") continue;
     if (admitted.kind === "refused") {
       hasPipeline = admitted.reason !== "no_pipeline";
+      // Engines that were lost one by one may all be out of reach by now.
+      if (!hasPipeline && mayHaveHelper) {
+        fleet.reachability.check(service);
+        if (await handoff.isNeeded(call)) continue;
+      }
       if (attempts === 0)
         lastEnd = { kind: "not_run", detail: admitted.reason, wasSent: false };
       break;
     }
     const { pipeline } = admitted;
-    if (sentAttempts > 0 && !budget.takeRetry(call.service.name)) {
+    if (sentAttempts > 0 && !budget.takeRetry(service)) {
       pipeline.release();
       break;
     }
@@ -85,8 +134,7 @@
       pipeline,
       size,
       avoided,
-      canResumeElsewhere:
-        call.route.resumable && runs - lostRuns + 1 < call.route.maxAttempts,
+      canResumeElsewhere: resumable && runs - lostRuns + 1 < maxAttempts,
       stop: new AbortController(),
     };
     lastEnd = await runStream(call, run, { progress, parts });
@@ -99,9 +147,8 @@
     runs += 1;
     // Runs lost with their first engine don't count as the route's attempts.
     if (lastEnd.kind === "broken" && lastEnd.isFirstEngineLost) lostRuns += 1;
-    if (!call.route.resumable) break;
-    if (runs - lostRuns >= call.route.maxAttempts || lostRuns > MAX_LOST_RUNS)
-      break;
+    if (!resumable) break;
+    if (runs - lostRuns >= maxAttempts || lostRuns > MAX_LOST_RUNS) break;
   }
   return endCall(call, {
     lastEnd,
@@ -109,9 +156,8 @@
     attempts,
     runs,
     codec: parts.codec,
-    backoffMs: hasPipeline
-      ? 0
-      : soonestBackoffEndMs(parts.fleet, call.service.name),
+    backoffMs: hasPipeline ? 0 : soonestBackoffEndMs(fleet, service),
+    retryAfterSeconds,
   });
 }
 
@@ -135,6 +181,8 @@
     readonly codec: RequestCodec;
     /** Milliseconds until engines want requests again, if they don't now. */
     readonly backoffMs: number;
+    /** Time to come back that another instance named. */
+    readonly retryAfterSeconds: number | null;
   },
 ): CallEnd {
   const { lastEnd, progress, attempts, runs, codec, backoffMs } = state;
@@ -170,6 +218,7 @@
     attempts,
     retryDelay: isFull ? RETRY_WHEN_FULL_SECONDS : RETRY_AFTER_LOSS_SECONDS,
     backoffMs,
+    retryAfterSeconds: state.retryAfterSeconds,
   });
 }
 
--- a/packages/gateway/src/streams/stream_run.ts
+++ b/packages/gateway/src/streams/stream_run.ts
@@ -18,6 +18,7 @@
   isOwnAnswer,
   readBody,
 } from "../forwarding/mod.ts";
+import type { RequestHandoff } from "../handoff/mod.ts";
 import type { AnswerMetadata, EngineCalls, RequestCodec } from "../protocol.ts";
 import { createEventSplitter } from "./event_splitter.ts";
 import type { PipelineRouter } from "./pipeline_router.ts";
@@ -26,12 +27,13 @@
   type StageRecovery,
   type StreamRun,
 } from "./stage_recovery.ts";
-import type { AnswerTracker, StallDetector } from "./stall_detector.ts";
+import type { StallDetector } from "./stall_detector.ts";
 
 export interface StreamParts extends ForwardingParts {
   readonly router: PipelineRouter;
   readonly stallDetector: StallDetector;
   readonly engines: EngineCalls;
+  readonly handoff: RequestHandoff;
 }
 
 const MIN_SERVER_ERROR_STATUS = 500;
@@ -45,8 +47,13 @@
   readonly pace: StreamPace;
 }
 
+export interface CompleteRun {
+  readonly kind: "complete";
+  readonly status: number;
+}
+
 export type RunEnd =
-  | { readonly kind: "complete"; readonly status: number }
+  | CompleteRun
   /** An error response of the server, for the caller if no other run follows. */
   | {
       readonly kind: "failed";
@@ -118,11 +125,13 @@
     const { codec, fleet } = parts;
     fleet.outliers.record(run.pipeline.first.id, "good");
     return await forwardEvents(call, result, {
-      run,
       progress,
       codec,
-      tracker,
-      recovery,
+      onChunk() {
+        run.pipeline.markPromptRead();
+        tracker.onEvent();
+        recovery.onEvent();
+      },
     });
   } catch (error) {
     return brokenRun(
@@ -205,18 +214,17 @@
   return { kind: "not_run", detail, wasSent: true };
 }
 
-async function forwardEvents(
+/** Forwards the events of an answer to the caller until it ends. */
+export async function forwardEvents(
   call: CallerCall,
   answer: OpenAnswer,
   options: {
-    readonly run: StreamRun;
     readonly progress: StreamProgress;
     readonly codec: RequestCodec;
-    readonly tracker: AnswerTracker;
-    readonly recovery: StageRecovery;
+    readonly onChunk?: () => void;
   },
-): Promise<RunEnd> {
-  const { run, progress, codec, tracker, recovery } = options;
+): Promise<CompleteRun> {
+  const { progress, codec, onChunk } = options;
   const { response } = call;
   const splitter = createEventSplitter();
   if (!progress.hasBegun) {
@@ -225,9 +233,7 @@
     response.flushHeaders();
   }
   for await (const chunk of answer.body) {
-    run.pipeline.markPromptRead();
-    tracker.onEvent();
-    recovery.onEvent();
+    onChunk?.();
     for (const event of splitter.push(chunk)) {
       if (event.id !== null && isRepeated(event.id, progress.lastEventId)) {
         continue;
--- a/packages/gateway/src/streams/usage_destinations_test.ts
+++ b/packages/gateway/src/streams/usage_destinations_test.ts
@@ -6,7 +6,8 @@
   return Object.entries(sizes).flatMap(([failureDomain, size]) =>
     Array.from({ length: size }, (_, at) => {
       const instance = `${failureDomain}-${at}`;
-      return { instance, failureDomain, peer: { host: instance, port: 1 } };
+      const peer = { host: instance, port: 1 };
+      return { instance, failureDomain, peer, reachesEngines: true };
     }),
   );
 }
--- a/packages/membership/src/peer_rpc.ts
+++ b/packages/membership/src/peer_rpc.ts
@@ -1,5 +1,10 @@
 /** Requests between instances: JSON-RPC 2.0 over HTTP with keep-alive. */
-import { createServer, type IncomingMessage, type Server } from "node:http";
+import {
+  createServer,
+  type IncomingMessage,
+  type RequestListener,
+  type Server,
+} from "node:http";
 import { type Address, formatAddress } from "@rosemarypin/schemas";
 import {
   createJSONRPCErrorResponse,
@@ -11,6 +16,8 @@
 
 const CALL_TIMEOUT_MS = 1_000;
 const MAX_BODY_BYTES = 4 * 1024 * 1024;
+/** Requests of callers, with headers of up to 64 KB, may come through peers. */
+const MAX_HEADER_BYTES = 72 * 1024;
 const PARSE_ERROR = -32_700;
 /** Hosts that bind all addresses of the machine. */
 const WILDCARD_HOSTS = new Set(["0.0.0.0", "::"]);
@@ -33,16 +40,27 @@
   Record<string, (params: unknown) => Promise<unknown> | unknown>
 >;
 
+/** Requests of peers that aren't calls of a method. */
+export interface PeerRequests {
+  /** Name of a header that only these requests have, in lower case. */
+  readonly header: string;
+  readonly handle: RequestListener;
+}
+
 /** Starts the server for requests of peers. */
 export async function startPeerServer(
   address: Address,
   methods: PeerMethods,
+  requests?: PeerRequests,
 ): Promise<Server> {
   const rpc = new JSONRPCServer();
   for (const [name, handler] of Object.entries(methods)) {
     rpc.addMethod(name, handler);
   }
-  const server = createServer(async (incoming, outgoing) => {
+  const options = { maxHeaderSize: MAX_HEADER_BYTES };
+  const server = createServer(options, async (incoming, outgoing) => {
+    if (requests && incoming.headers[requests.header] !== undefined)
+      return requests.handle(incoming, outgoing);
     const answer = await handleCall(rpc, incoming);
     outgoing.setHeader("content-type", "application/json");
     outgoing.end(JSON.stringify(answer));
--- a/packages/telemetry/src/event_catalogue.ts
+++ b/packages/telemetry/src/event_catalogue.ts
@@ -46,6 +46,14 @@
       says: "an attempt is sent to a backend server; `stages` lists its engines, and events up to `after_event` were already received",
       fields: ["request", "route", "id", "stages", "after_event", "left_ms"],
     },
+    request_handed_off: {
+      says: "no server can be reached from here, so a request is sent to the instance `to`",
+      fields: ["request", "route", "to", "after_event", "left_ms"],
+    },
+    handoff_declined: {
+      says: "the instance `to` can't take a request over",
+      fields: ["request", "to", "reason"],
+    },
     request_ended: {
       says: "a request ended: its final answer was sent, or the caller disconnected",
       fields: [
@@ -53,6 +61,7 @@
         "route",
         "service",
         "organisation",
+        "from",
         "status",
         "outcome",
         "reason",
@@ -240,6 +249,10 @@
       says: "a server failed or did not answer; it gets no new work",
       fields: ["id", "reason"],
     },
+    helper_lost: {
+      says: "an instance stopped answering while it handled requests for this one",
+      fields: ["instance", "requests"],
+    },
     service_cut_off: {
       says: "no server of a service accepts connections from this instance; `servers` are in the list",
       fields: ["service", "servers"],
