Hand-off: asks further instances, and when only layers are out of reach

A play with two of four instances cut off showed callers refused in the first second: one instance asked the other, which had not noticed its cut and found no pipeline, and took that for the end. Such an answer now makes it ask the next instance; only full engines and refusals of servers are final, since all instances share them. An instance that reaches some engines, but not all layers, asks as well.

The service counts as reached again when half of a sample is, four times in a row: with one of 39 engines in reach, two successes in a row came about by chance. A check that ends while this process was blocked reads what has arrived first.

--- a/packages/gateway/src/backends/connection_check.ts
+++ b/packages/gateway/src/backends/connection_check.ts
@@ -11,7 +11,9 @@
   const { hostname, port } = new URL(`http://${address}`);
   return new Promise((resolve) => {
     const socket = connect({ host: hostname, port: Number(port) });
-    const timer = setTimeout(() => end(false), timeoutMs);
+    // Timers come before what has arrived while this process was blocked, so
+    // that is read first.
+    const timer = setTimeout(() => setImmediate(end, false), timeoutMs);
     socket.once("connect", () => end(true));
     // A failure is the result of the check, which the caller logs.
     socket.on("error", () => end(false));
--- a/packages/gateway/src/backends/reachability.ts
+++ b/packages/gateway/src/backends/reachability.ts
@@ -11,17 +11,22 @@
 /** Servers to which each check connects. */
 const SAMPLE_SIZE = 6;
 /** Servers that can be reached accept connections within milliseconds. */
-const CONNECT_TIMEOUT_MS = 300;
+const CONNECT_TIMEOUT_MS = 200;
 /** Pause between two checks of a service that was found reachable. */
 const MIN_CHECK_INTERVAL_MS = 500;
 /** Pause between two checks of a service that was found unreachable. */
-const RECHECK_INTERVAL_MS = 400;
+const RECHECK_INTERVAL_MS = 250;
+/**
+ * Share of a sample that makes a service reachable again. A few servers that
+ * can be reached don't hold all layers.
+ */
+const MIN_REACHED_SHARE = 0.5;
 /**
  * Successful checks in a row after which a service is reachable again.
  * Hysteresis keeps requests from alternating between two ways while a link
  * fails and recovers several times a second.
  */
-const CHECKS_UNTIL_REACHABLE = 2;
+const CHECKS_UNTIL_REACHABLE = 4;
 
 const log = createLogger("failures");
 
@@ -73,22 +78,19 @@
     return state;
   }
 
-  /** Whether any server of a random sample accepts a connection. */
-  async function canReach(service: string): Promise<boolean> {
+  /** Share of a random sample of servers that accept a connection. */
+  async function reachedShare(service: string): Promise<number> {
     const servers = serversOf(service).filter(({ leaving }) => !leaving);
-    if (servers.length === 0) return true;
-    const checks = drawSample(servers, SAMPLE_SIZE).map(async ({ address }) => {
-      if (await canConnect(address, CONNECT_TIMEOUT_MS)) return;
-      throw new Error(`no connection to ${address}`);
-    });
-    return Promise.any(checks).then(
-      () => true,
-      () => false,
+    if (servers.length === 0) return 1;
+    const sample = drawSample(servers, SAMPLE_SIZE);
+    const isReached = await Promise.all(
+      sample.map(({ address }) => canConnect(address, CONNECT_TIMEOUT_MS)),
     );
+    return isReached.filter(Boolean).length / sample.length;
   }
 
   async function runCheck(service: string, state: ServiceState): Promise<void> {
-    const isReachable = await canReach(service);
+    const isReachable = (await reachedShare(service)) > 0;
     state.checkedAt = performance.now();
     state.checking = null;
     if (isReachable) return;
@@ -110,7 +112,8 @@
     while (successes < CHECKS_UNTIL_REACHABLE) {
       await pause(RECHECK_INTERVAL_MS, signal);
       if (signal.aborted) return;
-      successes = (await canReach(service)) ? successes + 1 : 0;
+      const isReachable = (await reachedShare(service)) >= MIN_REACHED_SHARE;
+      successes = isReachable ? successes + 1 : 0;
     }
     await onReconnected(service);
     state.isCutOff = false;
--- a/packages/gateway/src/handoff/helper_instances.ts
+++ b/packages/gateway/src/handoff/helper_instances.ts
@@ -27,6 +27,7 @@
 const AVOIDANCE_MS: Readonly<Record<HelperFailure, number>> = {
   unreachable: 2_000,
   cut_off: 1_000,
+  not_able: 500,
   stopping: 10_000,
   busy: 250,
   configuration_behind: 250,
@@ -40,6 +41,8 @@
   | "unreachable"
   /** It reaches no server of the service either. */
   | "cut_off"
+  /** It has found no server for the request. */
+  | "not_able"
   | "stopping"
   | "busy"
   | "configuration_behind";
--- a/packages/gateway/src/handoff/request_handoff.ts
+++ b/packages/gateway/src/handoff/request_handoff.ts
@@ -29,7 +29,11 @@
 
 /** Instances that are asked for one request, one after the other. */
 const MAX_HELPERS = 4;
-/** Refusals after which another instance is asked. */
+/**
+ * What follows from the reason of a refusal: another instance is asked, or the
+ * refusal is final, as all instances share the memory and the limits of servers.
+ */
+const FINAL_REASON = /^(no_room|refused_\d+)$/;
 const HELPER_FAILURES: ReadonlySet<string> = new Set<HelperFailure>([
   "cut_off",
   "stopping",
@@ -138,9 +142,11 @@
     if (metadata.isSigned || !NOT_RUN_STATUSES.has(answer.status))
       return { kind: "answer", answer };
     const reason = await readReason(answer);
-    if (HELPER_FAILURES.has(reason)) return reason as HelperFailure;
     const { retryAfterSeconds } = metadata;
-    return { kind: "refused", reason, retryAfterSeconds };
+    if (FINAL_REASON.test(reason))
+      return { kind: "refused", reason, retryAfterSeconds };
+    const isKnown = HELPER_FAILURES.has(reason);
+    return isKnown ? (reason as HelperFailure) : "not_able";
   }
 
   function handoffHeaders(call: CallerCall, request: HandoffRequest): string[] {
--- a/packages/gateway/src/streams/forward_stream.ts
+++ b/packages/gateway/src/streams/forward_stream.ts
@@ -31,6 +31,8 @@
  * even while engines fail one after the other.
  */
 const MAX_LOST_RUNS = 3;
+/** Time after which a call asks again whether another instance can serve it. */
+const HELPER_RETRY_MS = 300;
 /**
  * Range of the retry delay. The loss of an engine is detected within one second
  * and other engines hold its layers one to two seconds later. A random delay in
@@ -71,94 +73,103 @@
     wasSent: false,
   };
   let hasPipeline = true;
-  let mayHaveHelper = true;
+  let helperAskedAt = -Infinity;
   let retryAfterSeconds: number | null = null;
   const size = estimateSize(call);
   const admission = createAdmission(call, router, {
     size,
     avoided,
-    isOutOfReach: () =>
-      mayHaveHelper &&
-      call.handedOff === null &&
-      fleet.reachability.isCutOff(service),
+    isOutOfReach: () => mayAskHelper() && fleet.reachability.isCutOff(service),
   });
   while (!call.signal.aborted) {
-    if (mayHaveHelper && (await handoff.isNeeded(call))) {
-      if (sentAttempts > 0 && !budget.takeRetry(service)) break;
-      const helperAttempts = attemptsForHelper(
-        maxAttempts - (runs - lostRuns),
-        resumable,
-      );
-      const end = await runOnHelper(call, {
-        progress,
-        parts,
-        maxAttempts: helperAttempts,
-      });
-      if (end.kind === "unavailable") {
-        mayHaveHelper = false;
-        continue;
-      }
-      attempts += 1;
-      if (end.kind === "refused") {
-        lastEnd = { kind: "not_run", detail: end.reason, wasSent: false };
-        retryAfterSeconds = end.retryAfterSeconds;
-        break;
-      }
-      lastEnd = end;
-      sentAttempts += 1;
-      runs += helperAttempts;
-      if (end.kind !== "broken" || !resumable) break;
-      if (runs - lostRuns >= maxAttempts) break;
-      continue;
+    const usesHelper =
+      mayAskHelper() && (!hasPipeline || (await handoff.isNeeded(call)));
+    const isOver = await (usesHelper ? runThroughHelper() : runDirectly());
+    if (isOver) break;
+  }
+  return endCall(call, {
+    lastEnd,
+    progress,
+    attempts,
+    runs,
+    codec: parts.codec,
+    backoffMs: hasPipeline ? 0 : soonestBackoffEndMs(fleet, service),
+    retryAfterSeconds,
+  });
+
+  /** Number of runs that the route still allows. */
+  function runsLeft(): number {
+    // Runs lost with their first engine don't count as the route's attempts.
+    return maxAttempts - (runs - lostRuns);
+  }
+
+  function mayAskHelper(): boolean {
+    if (call.handedOff) return false;
+    return performance.now() - helperAskedAt >= HELPER_RETRY_MS;
+  }
+
+  /** Hands the call off to another instance; resolves to whether it is over. */
+  async function runThroughHelper(): Promise<boolean> {
+    helperAskedAt = performance.now();
+    if (sentAttempts > 0 && !budget.takeRetry(service)) return true;
+    const helperAttempts = attemptsForHelper(runsLeft(), resumable);
+    const end = await runOnHelper(call, {
+      progress,
+      parts,
+      maxAttempts: helperAttempts,
+    });
+    if (end.kind === "unavailable") return false;
+    attempts += 1;
+    if (end.kind === "refused") {
+      retryAfterSeconds = end.retryAfterSeconds;
+      lastEnd = { kind: "not_run", detail: end.reason, wasSent: false };
+      // A begun answer waits, since cutting it is the last resort.
+      return !progress.hasBegun;
     }
-    const admitted = await admission.admit({ hasBegun: progress.hasBegun });
-    if (admitted.kind === "out_of_reach") continue;
+    lastEnd = end;
+    sentAttempts += 1;
+    runs += helperAttempts;
+    helperAskedAt = -Infinity;
+    return end.kind !== "broken" || !resumable || runsLeft() <= 0;
+  }
+
+  /** Runs the call on a pipeline; resolves to whether it is over. */
+  async function runDirectly(): Promise<boolean> {
+    const { hasBegun } = progress;
+    const admitted = await admission.admit({ hasBegun });
+    if (admitted.kind === "out_of_reach") return false;
     if (admitted.kind === "refused") {
       hasPipeline = admitted.reason !== "no_pipeline";
-      // Engines that were lost one by one may all be out of reach by now.
-      if (!hasPipeline && mayHaveHelper) {
-        fleet.reachability.check(service);
-        if (await handoff.isNeeded(call)) continue;
-      }
       if (attempts === 0)
         lastEnd = { kind: "not_run", detail: admitted.reason, wasSent: false };
-      break;
+      // Others may still reach engines that failed here.
+      const { avoided } = router.countEngines(call.service);
+      return hasPipeline || avoided === 0 || !mayAskHelper();
     }
     const { pipeline } = admitted;
     if (sentAttempts > 0 && !budget.takeRetry(service)) {
       pipeline.release();
-      break;
+      return true;
     }
     attempts += 1;
     const run = {
       pipeline,
       size,
       avoided,
-      canResumeElsewhere: resumable && runs - lostRuns + 1 < maxAttempts,
+      canResumeElsewhere: resumable && runsLeft() > 1,
       stop: new AbortController(),
     };
     lastEnd = await runStream(call, run, { progress, parts });
-    if (lastEnd.kind === "complete") break;
-    if (lastEnd.kind !== "not_run" || lastEnd.wasSent) sentAttempts += 1;
+    if (lastEnd.kind === "complete") return true;
     if (lastEnd.kind === "not_run") {
-      if (attempts - runs > MAX_REFUSALS) break;
-      continue;
+      if (lastEnd.wasSent) sentAttempts += 1;
+      return attempts - runs > MAX_REFUSALS;
     }
+    sentAttempts += 1;
     runs += 1;
-    // Runs lost with their first engine don't count as the route's attempts.
     if (lastEnd.kind === "broken" && lastEnd.isFirstEngineLost) lostRuns += 1;
-    if (!resumable) break;
-    if (runs - lostRuns >= maxAttempts || lostRuns > MAX_LOST_RUNS) break;
+    return !resumable || runsLeft() <= 0 || lostRuns > MAX_LOST_RUNS;
   }
-  return endCall(call, {
-    lastEnd,
-    progress,
-    attempts,
-    runs,
-    codec: parts.codec,
-    backoffMs: hasPipeline ? 0 : soonestBackoffEndMs(fleet, service),
-    retryAfterSeconds,
-  });
 }
 
 /** Estimates the tokens of a call's prompt and answer. */
