Placement: an instance that reaches no engine gives up its lease and orders nothing

An instance that reaches no engine doesn't compete for leases, releases those it has, and orders nothing, also without the store; while a check of its reach is in progress it keeps the lease and orders nothing. It says so with its heartbeat, at once, so that instances behind it in the order of candidates, and those of other failure domains, take over.

--- a/packages/gateway/src/backends/failure_detector.ts
+++ b/packages/gateway/src/backends/failure_detector.ts
@@ -71,7 +71,7 @@
 export interface FailureDetectorOptions {
   /** Resolves to whether a server answered, `null` if it can't be probed. */
   readonly probe: (id: string) => Promise<boolean | null>;
-  /** Called with each failure of a server. */
+  /** Called with each failure and each missed probe of a server. */
   readonly onFailure?: (id: string) => void;
   /** Called when a server that was not suspected stops answering. */
   readonly onSilent?: (id: string) => void;
@@ -116,6 +116,7 @@
         return;
       }
       suspicion.missedProbes += 1;
+      onFailure?.(id);
       onSuspected?.(id);
       if (suspicion.missedProbes === MISSES_UNTIL_DEAD) {
         log.warn("server_not_answering", {
--- a/packages/gateway/src/backends/reachability.ts
+++ b/packages/gateway/src/backends/reachability.ts
@@ -78,19 +78,33 @@
     return state;
   }
 
-  /** Share of a random sample of servers that accept a connection. */
-  async function reachedShare(service: string): Promise<number> {
+  /** Connects to a random sample of servers; empty if the list has none. */
+  function connectToSample(service: string): Promise<boolean>[] {
     const servers = serversOf(service).filter(({ leaving }) => !leaving);
-    if (servers.length === 0) return 1;
-    const sample = drawSample(servers, SAMPLE_SIZE);
-    const isReached = await Promise.all(
-      sample.map(({ address }) => canConnect(address, CONNECT_TIMEOUT_MS)),
+    return drawSample(servers, SAMPLE_SIZE).map(({ address }) =>
+      canConnect(address, CONNECT_TIMEOUT_MS),
     );
-    return isReached.filter(Boolean).length / sample.length;
+  }
+
+  /** Resolves with the first server that is reached, or with the last one. */
+  async function reachesAny(service: string): Promise<boolean> {
+    const attempts = connectToSample(service);
+    if (attempts.length === 0) return true;
+    return new Promise((resolve) => {
+      for (const attempt of attempts)
+        void attempt.then((isReached) => isReached && resolve(true));
+      void Promise.all(attempts).then(() => resolve(false));
+    });
+  }
+
+  async function reachesEnough(service: string): Promise<boolean> {
+    const isReached = await Promise.all(connectToSample(service));
+    const reachedCount = isReached.filter(Boolean).length;
+    return reachedCount >= MIN_REACHED_SHARE * isReached.length;
   }
 
   async function runCheck(service: string, state: ServiceState): Promise<void> {
-    const isReachable = (await reachedShare(service)) > 0;
+    const isReachable = await reachesAny(service);
     state.checkedAt = performance.now();
     state.checking = null;
     if (isReachable) return;
@@ -112,8 +126,7 @@
     while (successes < CHECKS_UNTIL_REACHABLE) {
       await pause(RECHECK_INTERVAL_MS, signal);
       if (signal.aborted) return;
-      const isReachable = (await reachedShare(service)) >= MIN_REACHED_SHARE;
-      successes = isReachable ? successes + 1 : 0;
+      successes = (await reachesEnough(service)) ? successes + 1 : 0;
     }
     await onReconnected(service);
     state.isCutOff = false;
--- a/packages/gateway/src/following/presence.ts
+++ b/packages/gateway/src/following/presence.ts
@@ -65,11 +65,11 @@
   countPossiblyLive(failureDomain: string | null): number;
   /** Names of other instances in a failure domain that may send requests. */
   possibleSendersOf(failureDomain: string): readonly string[];
-  /** Whether a failure domain has another live instance. */
+  /** Whether a failure domain has another live instance that reaches engines. */
   hasOtherLiveIn(failureDomain: string): boolean;
   /**
-   * Number of live instances whose name sorts before this one's, in one failure
-   * domain or, with `null`, in all.
+   * Number of live instances that reach engines and whose name sorts before this
+   * one's, in one failure domain or, with `null`, in all.
    */
   countLiveBefore(failureDomain: string | null): number;
   /** All other instances, live or not, whose object exists. */
@@ -241,9 +241,10 @@
       .map(([key]) => key.slice(PRESENCE_PREFIX.length));
   }
 
-  function countLiveIn(domain: string): number {
+  function countReachingIn(domain: string): number {
     return livePresences().filter(
-      (presence) => presence.failureDomain === domain,
+      ({ failureDomain, reachesEngines }) =>
+        failureDomain === domain && reachesEngines,
     ).length;
   }
 
@@ -258,11 +259,12 @@
       return isUnknown ? Math.max(INITIAL_INSTANCE_COUNT, count) : count;
     },
     possibleSendersOf: possibleSendersIn,
-    hasOtherLiveIn: (domain) => countLiveIn(domain) > 0,
+    hasOtherLiveIn: (domain) => countReachingIn(domain) > 0,
     countLiveBefore: (domain) =>
       liveEntries().filter(
         ([key, { presence }]) =>
           key < ownKey &&
+          presence.reachesEngines &&
           (domain === null || presence.failureDomain === domain),
       ).length,
     others: () =>
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -36,7 +36,11 @@
   createReadinessServer,
   createReleaseHistory,
 } from "./operators/mod.ts";
-import { createPlacementLeases, startPlacement } from "./placement/mod.ts";
+import {
+  createPlacementLeases,
+  type EngineReach,
+  startPlacement,
+} from "./placement/mod.ts";
 import { createServerChoice, forwardPlain } from "./plain/mod.ts";
 import type { Platform } from "./platform.ts";
 import type { GatewaySettings, ListenAddress } from "./settings.ts";
@@ -112,12 +116,16 @@
     instance,
     failureDomain,
     presence,
+    engineReach,
     storeOutageMs: () =>
       Math.min(
         configurationMirror.unavailableMs(),
         serverMirror.unavailableMs(),
       ),
   });
+  fleet.reachability.onChanged(() =>
+    presence.setReachesEngines(engineReach() !== "cut_off"),
+  );
   const budget = createRetryBudget(settings.retryBudget, () =>
     presence.countPossiblyLive(null),
   );
@@ -200,6 +208,15 @@
     if (configuration) keeper.offer(configuration);
   }
 
+  function engineReach(): EngineReach {
+    const { isCutOff, mayBeCutOff } = fleet.reachability;
+    const services = [...(keeper.applied()?.services.values() ?? [])]
+      .filter(({ engine }) => engine)
+      .map(({ name }) => name);
+    if (services.length === 0 || !services.every(mayBeCutOff)) return "reached";
+    return services.every(isCutOff) ? "cut_off" : "checking";
+  }
+
   function applyServer({ key, value }: StoredObject): void {
     const id = key.slice(keys.servers.length);
     const server = platform.decodeServer(id, value);
--- a/packages/gateway/src/placement/placement_leases.ts
+++ b/packages/gateway/src/placement/placement_leases.ts
@@ -32,6 +32,12 @@
  */
 const FOREIGN_TAKEOVER_DELAY_MS = 3_000;
 
+/**
+ * Whether this instance reaches engines; `checking` while a check is in progress
+ * after failures.
+ */
+export type EngineReach = "reached" | "checking" | "cut_off";
+
 export interface PlacementLeases {
   /**
    * Fencing number for orders to the domain's engines, or `null` while this
@@ -51,6 +57,7 @@
   readonly instance: string;
   readonly failureDomain: string;
   readonly presence: Presence;
+  readonly engineReach: () => EngineReach;
   /** Milliseconds since store calls began to fail; 0 while they succeed. */
   readonly storeOutageMs: () => number;
 }): PlacementLeases {
@@ -61,6 +68,7 @@
 
   function isCandidateFor(domain: string): boolean {
     const { failureDomain, presence } = options;
+    if (options.engineReach() === "cut_off") return false;
     if (domain === failureDomain)
       return presence.countLiveBefore(domain) < MAX_CANDIDATES_PER_LEASE;
     const hasJustStarted =
@@ -88,6 +96,8 @@
   return {
     fencingNumberFor(domain) {
       const held = leaseFor(domain).held();
+      // Engines that can't be reached look dead from here, and are not.
+      if (options.engineReach() !== "reached") return null;
       if (held) lastFencingNumbers.set(domain, held.fencingNumber);
       if (held) return held.fencingNumber;
       const isOwnDomain = domain === options.failureDomain;
--- a/packages/gateway/src/placement/placement_leases_test.ts
+++ b/packages/gateway/src/placement/placement_leases_test.ts
@@ -1,7 +1,7 @@
 import { createMemoryStore } from "@rosemarypin/fakes";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 import { startPresence } from "../following/mod.ts";
-import { createPlacementLeases } from "./placement_leases.ts";
+import { createPlacementLeases, type EngineReach } from "./placement_leases.ts";
 
 beforeEach(() => {
   vi.useFakeTimers();
@@ -23,17 +23,36 @@
       peer: null,
       signal,
     });
+    const state = { engineReach: "reached" as EngineReach, storeOutageMs: 0 };
     const leases = createPlacementLeases({
       store,
       instance,
       failureDomain,
       presence,
-      storeOutageMs: () => 0,
+      engineReach: () => state.engineReach,
+      storeOutageMs: () => state.storeOutageMs,
     });
     const domains = ["a", "b", "c"];
     const orderableDomains = () =>
       domains.filter((name) => leases.fencingNumberFor(name) !== null);
-    return { presence, leases, orderableDomains, faults };
+    /** Cuts it off from all engines, or ends that. */
+    const setReachesEngines = (reachesEngines: boolean) => {
+      state.engineReach = reachesEngines ? "reached" : "cut_off";
+      presence.setReachesEngines(reachesEngines);
+    };
+    const loseStore = () => {
+      faults.down = true;
+      state.storeOutageMs = 10_000;
+    };
+    return {
+      presence,
+      state,
+      leases,
+      orderableDomains,
+      faults,
+      setReachesEngines,
+      loseStore,
+    };
   };
   return [start("a-1", "a"), start("b-1", "b"), start("c-1", "c")] as const;
 }
@@ -89,6 +108,45 @@
   });
 });
 
+describe("placement leases of an instance that reaches no engine", () => {
+  // Guards against layers of lost engines that stay unserved, because the holder
+  // of the lease reaches no engine and keeps it.
+  it("are given up, and taken over within 6.5 s by an instance that does", async () => {
+    const instances = setUp();
+    await settle(instances);
+    const [, cutOff] = instances;
+    cutOff.setReachesEngines(false);
+    expect(cutOff.orderableDomains()).toEqual([]);
+    expect(await msUntilTakenOver(instances)).toBeLessThanOrEqual(6_500);
+    cutOff.setReachesEngines(true);
+    await settle(instances);
+  });
+
+  // Guards against a lease that changes hands with each failure of an engine.
+  it("are kept while a check is in progress, and no orders are sent", async () => {
+    const instances = setUp();
+    await settle(instances);
+    const [, checking] = instances;
+    checking.state.engineReach = "checking";
+    await vi.advanceTimersByTimeAsync(5_000);
+    expect(checking.orderableDomains()).toEqual([]);
+    checking.state.engineReach = "reached";
+    expect(checking.orderableDomains()).toEqual(["b"]);
+  });
+
+  // Guards against orders by an instance that takes all engines for dead.
+  it("have no substitute in an outage of the store", async () => {
+    const instances = setUp();
+    await settle(instances);
+    const [, cutOff] = instances;
+    cutOff.loseStore();
+    await vi.advanceTimersByTimeAsync(5_000);
+    expect(cutOff.orderableDomains()).toEqual(["b"]);
+    cutOff.setReachesEngines(false);
+    expect(cutOff.orderableDomains()).toEqual([]);
+  });
+});
+
 describe("presence of an instance whose store calls fail", () => {
   it("keeps it among the users of its domain's engines for 10 s", async () => {
     // The store refuses one instance for 8 s while it continues to serve. If
