Readiness: an instance that reaches neither servers nor instances isn't ready

Callers were sent to an instance that could not serve them for as long as the cut lasted, and kept their connections to it. While no server of any service can be reached, and none of the other live instances answers a ping, it says that it isn't ready and closes connections with its refusals. One that is served through others, or is the only one, stays ready.

--- a/packages/gateway/src/callers/caller_listener.ts
+++ b/packages/gateway/src/callers/caller_listener.ts
@@ -63,6 +63,8 @@
   readonly warmUp: WarmUp;
   /** Milliseconds since the signal to stop; `null` before it. */
   readonly stoppingForMs: () => number | null;
+  /** Whether this instance can serve no request, while others may. */
+  readonly isIsolated: () => boolean;
   readonly onEnded: (call: CallerCall, end: CallEnd) => void;
 }
 
@@ -109,7 +111,8 @@
     handedOff: HandoffTerms | null,
   ): Promise<void> {
     inProgress += 1;
-    if (isStopping()) response.setHeader("Connection", "close");
+    if (isStopping() || options.isIsolated())
+      response.setHeader("Connection", "close");
     try {
       await handle(request, response, handedOff);
     } catch (error) {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -19,6 +19,7 @@
   endWithRefusal,
   HANDOFF_HEADER,
 } from "./callers/mod.ts";
+import type { Service } from "./configuration.ts";
 import {
   createConfigurationKeeper,
   startStoreFollowing,
@@ -123,9 +124,14 @@
         serverMirror.unavailableMs(),
       ),
   });
-  fleet.reachability.onChanged(() =>
-    presence.setReachesEngines(engineReach() !== "cut_off"),
-  );
+  fleet.reachability.onChanged(() => {
+    presence.setReachesEngines(engineReach() !== "cut_off");
+    const isAnyCutOff = () => fleet.reachability.cutOffServices().length > 0;
+    if (!isAnyCutOff()) return;
+    helpers.watchIsolation(isAnyCutOff);
+    // Links to the servers of other services are often lost together.
+    for (const { name } of services()) fleet.reachability.check(name);
+  });
   const budget = createRetryBudget(settings.retryBudget, () =>
     presence.countPossiblyLive(null),
   );
@@ -181,12 +187,7 @@
     serverListAgeSeconds: () => serverMirror.ageMs() / 1_000,
     cutOffServices: fleet.reachability.cutOffServices,
     servers: () =>
-      new Map(
-        [...(keeper.applied()?.services.keys() ?? [])].map((service) => [
-          service,
-          fleet.countServers(service),
-        ]),
-      ),
+      new Map(services().map(({ name }) => [name, fleet.countServers(name)])),
   });
   const listener = createCallerListener({
     keeper,
@@ -199,6 +200,7 @@
     ),
     stoppingForMs: () =>
       stoppedAt === null ? null : performance.now() - stoppedAt,
+    isIsolated,
     onEnded: metrics.countEnd,
   });
 
@@ -208,13 +210,25 @@
     if (configuration) keeper.offer(configuration);
   }
 
+  function services(): readonly Service[] {
+    return [...(keeper.applied()?.services.values() ?? [])];
+  }
+
+  /** Whether no request can be served, neither from here nor through others. */
+  function isIsolated(): boolean {
+    const { isCutOff } = fleet.reachability;
+    return (
+      helpers.isIsolated() && services().every(({ name }) => isCutOff(name))
+    );
+  }
+
   function engineReach(): EngineReach {
     const { isCutOff, mayBeCutOff } = fleet.reachability;
-    const services = [...(keeper.applied()?.services.values() ?? [])]
+    const names = services()
       .filter(({ engine }) => engine)
       .map(({ name }) => name);
-    if (services.length === 0 || !services.every(mayBeCutOff)) return "reached";
-    return services.every(isCutOff) ? "cut_off" : "checking";
+    if (names.length === 0 || !names.every(mayBeCutOff)) return "reached";
+    return names.every(isCutOff) ? "cut_off" : "checking";
   }
 
   function applyServer({ key, value }: StoredObject): void {
@@ -257,7 +271,8 @@
 
   const readiness = createReadinessServer({
     path: platform.readyPath,
-    isReady: () => stoppedAt === null && keeper.applied() !== null,
+    isReady: () =>
+      stoppedAt === null && keeper.applied() !== null && !isIsolated(),
   });
   await listen(readiness, settings.readiness);
   await listen(listener.server, settings.callers);
