--- a/packages/gateway/src/handoff/request_handoff.ts
+++ b/packages/gateway/src/handoff/request_handoff.ts
@@ -53,10 +53,20 @@
       readonly retryAfterSeconds: number | null;
     }
   /** No other instance can take the request over; it was not run. */
-  | { readonly kind: "unavailable" }
+  | {
+      readonly kind: "unavailable";
+      /** When servers want requests again, as other instances say. */
+      readonly retryAfterSeconds: number | null;
+    }
   /** The request may have run; no answer arrived. */
   | { readonly kind: "broken"; readonly detail: string };
 
+interface Declined {
+  readonly kind: "declined";
+  readonly failure: HelperFailure;
+  readonly retryAfterSeconds: number | null;
+}
+
 export interface HandoffRequest {
   /** Event after which a stream continues; `null` for its beginning. */
   readonly lastEventId: string | null;
@@ -64,6 +74,11 @@
   readonly maxAttempts: number;
   /** Whether the request can be sent again after it may have run. */
   readonly isRepeatable: boolean;
+  /**
+   * Instances to which the call was handed off before; they are asked again only
+   * if there is no other. Those that take it over are added.
+   */
+  readonly usedHelpers: Set<string>;
 }
 
 export interface RequestHandoff {
@@ -105,7 +120,7 @@
     helper: Helper,
     call: CallerCall,
     request: HandoffRequest,
-  ): Promise<HandoffResult | HelperFailure> {
+  ): Promise<HandoffResult | Declined> {
     const lost = new AbortController();
     const use = helpers.use(helper, () => {
       // A request that may run only once is left to its deadline.
@@ -133,7 +148,7 @@
     );
     if (result.kind !== "answer") {
       use.end();
-      if (result.kind === "not_sent") return "unreachable";
+      if (result.kind === "not_sent") return declined("unreachable", null);
       return { kind: "broken", detail: `helper_${result.detail}` };
     }
     use.heard();
@@ -145,8 +160,9 @@
     const { retryAfterSeconds } = metadata;
     if (FINAL_REASON.test(reason))
       return { kind: "refused", reason, retryAfterSeconds };
-    const isKnown = HELPER_FAILURES.has(reason);
-    return isKnown ? (reason as HelperFailure) : "not_able";
+    return HELPER_FAILURES.has(reason)
+      ? declined(reason as HelperFailure, null)
+      : declined("not_able", retryAfterSeconds);
   }
 
   function handoffHeaders(call: CallerCall, request: HandoffRequest): string[] {
@@ -171,24 +187,45 @@
       (await reachability.settled(call.service.name)),
     async send(call, request) {
       const asked = new Set<string>();
+      let soonestSeconds = Number.POSITIVE_INFINITY;
       while (asked.size < MAX_HELPERS && !call.signal.aborted) {
-        const helper = helpers.choose(asked);
+        const { usedHelpers } = request;
+        const helper =
+          helpers.choose(new Set([...asked, ...usedHelpers])) ??
+          helpers.choose(asked);
         if (!helper) break;
         asked.add(helper.instance);
         const result = await sendTo(helper, call, request);
-        if (typeof result !== "string") return result;
-        helpers.recordFailure(helper.instance, result);
+        if (result.kind !== "declined") {
+          usedHelpers.add(helper.instance);
+          return result;
+        }
+        const { failure, retryAfterSeconds } = result;
+        helpers.recordFailure(helper.instance, failure);
+        soonestSeconds = Math.min(
+          soonestSeconds,
+          retryAfterSeconds ?? Infinity,
+        );
         log.info("handoff_declined", {
           request: call.id,
           to: helper.instance,
-          reason: result,
+          reason: failure,
         });
       }
-      return { kind: "unavailable" };
+      const isKnown = soonestSeconds < Number.POSITIVE_INFINITY;
+      const retryAfterSeconds = isKnown ? soonestSeconds : null;
+      return { kind: "unavailable", retryAfterSeconds };
     },
   };
 }
 
+function declined(
+  failure: HelperFailure,
+  retryAfterSeconds: number | null,
+): Declined {
+  return { kind: "declined", failure, retryAfterSeconds };
+}
+
 /** Headers that a caller may not set for another instance. */
 const OWN_HEADERS: ReadonlySet<string> = new Set([HANDOFF_HEADER]);
 
--- a/packages/gateway/src/plain/forward_plain.ts
+++ b/packages/gateway/src/plain/forward_plain.ts
@@ -22,6 +22,7 @@
 } from "../forwarding/mod.ts";
 import {
   attemptsForHelper,
+  type HandoffRequest,
   type HandoffResult,
   type RequestHandoff,
 } from "../handoff/mod.ts";
@@ -75,6 +76,7 @@
   let attempts = 0;
   let sentAttempts = 0;
   let possibleRuns = 0;
+  const usedHelpers = new Set<string>();
   let mayHaveHelper = true;
   let retryAfterSeconds: number | null = null;
   let lastAttempt: Attempt = {
@@ -97,9 +99,11 @@
       const attempt = await attemptOnHelper(call, {
         ...parts,
         maxAttempts: helperAttempts,
+        usedHelpers,
       });
       if (attempt.kind === "unavailable") {
         mayHaveHelper = false;
+        retryAfterSeconds = attempt.retryAfterSeconds;
         continue;
       }
       attempts += 1;
@@ -157,13 +161,14 @@
 /** Hands the call off to another instance and reads its whole answer. */
 async function attemptOnHelper(
   call: CallerCall,
-  options: ForwardParts & { readonly maxAttempts: number },
+  options: ForwardParts & Pick<HandoffRequest, "maxAttempts" | "usedHelpers">,
 ): Promise<HelperAttempt> {
-  const { codec, handoff, maxAttempts } = options;
+  const { codec, handoff, maxAttempts, usedHelpers } = options;
   const result = await handoff.send(call, {
     lastEventId: null,
     maxAttempts,
     isRepeatable: call.route.kind === "idempotent",
+    usedHelpers,
   });
   if (result.kind === "broken")
     return { kind: "unknown", detail: result.detail };
--- a/packages/gateway/src/streams/forward_stream.ts
+++ b/packages/gateway/src/streams/forward_stream.ts
@@ -73,6 +73,7 @@
     wasSent: false,
   };
   let hasPipeline = true;
+  const usedHelpers = new Set<string>();
   let helperAskedAt = -Infinity;
   let retryAfterSeconds: number | null = null;
   const size = estimateSize(call);
@@ -117,8 +118,12 @@
       progress,
       parts,
       maxAttempts: helperAttempts,
+      usedHelpers,
     });
-    if (end.kind === "unavailable") return false;
+    if (end.kind === "unavailable") {
+      retryAfterSeconds = end.retryAfterSeconds;
+      return false;
+    }
     attempts += 1;
     if (end.kind === "refused") {
       retryAfterSeconds = end.retryAfterSeconds;
--- a/packages/gateway/src/streams/helper_run.ts
+++ b/packages/gateway/src/streams/helper_run.ts
@@ -1,7 +1,7 @@
 /** Runs a streamed answer through another instance. */
 import type { CallerCall } from "../callers/mod.ts";
 import { isOwnAnswer, readBody } from "../forwarding/mod.ts";
-import type { HandoffResult } from "../handoff/mod.ts";
+import type { HandoffRequest, HandoffResult } from "../handoff/mod.ts";
 import {
   forwardEvents,
   type RunEnd,
@@ -22,16 +22,15 @@
   options: {
     readonly progress: StreamProgress;
     readonly parts: Pick<StreamParts, "codec" | "handoff">;
-    /** Servers that may run the call. */
-    readonly maxAttempts: number;
-  },
+  } & Pick<HandoffRequest, "maxAttempts" | "usedHelpers">,
 ): Promise<HelperRunEnd> {
-  const { progress, parts, maxAttempts } = options;
+  const { progress, parts, maxAttempts, usedHelpers } = options;
   const { codec, handoff } = parts;
   const result = await handoff.send(call, {
     lastEventId: progress.lastEventId,
     maxAttempts,
     isRepeatable: call.route.resumable,
+    usedHelpers,
   });
   if (result.kind === "broken") return brokenRun(result.detail);
   if (result.kind !== "answer") return result;
