--- a/packages/gateway/src/callers/handoff_terms.ts
+++ b/packages/gateway/src/callers/handoff_terms.ts
@@ -17,6 +17,11 @@
   maxAttempts: z.number().int().positive(),
   /** Event after which a stream continues; `null` for its beginning. */
   lastEventId: z.string().nullable(),
+  /**
+   * Whether the receiver takes a retry from its budget, since the request may
+   * have been sent before and the sender's budget is used up.
+   */
+  takesRetry: z.boolean(),
 });
 
 export type HandoffTerms = z.infer<typeof handoffTermsSchema>;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -248,10 +248,20 @@
     else response.writeHead(503).end();
   }
 
+  /** Why a request that was handed off can't be sent; `null` if it can. */
+  async function reasonToDecline({
+    service,
+    handedOff,
+  }: CallerCall): Promise<string | null> {
+    if (await fleet.reachability.settled(service.name)) return "cut_off";
+    const lacksRetry = handedOff?.takesRetry && !budget.takeRetry(service.name);
+    return lacksRetry ? "no_retry_left" : null;
+  }
+
   async function forward(call: CallerCall): Promise<CallEnd> {
     const { name: service } = call.service;
-    if (call.handedOff && (await fleet.reachability.settled(service))) {
-      const reason = "cut_off";
+    const reason = call.handedOff && (await reasonToDecline(call));
+    if (reason) {
       const outcome = "not_run";
       return endWithRefusal(codec, call, { outcome, reason, attempts: 0 });
     }
--- a/packages/gateway/src/handoff/request_handoff.ts
+++ b/packages/gateway/src/handoff/request_handoff.ts
@@ -68,6 +68,8 @@
 }
 
 export interface HandoffRequest {
+  /** Whether the other instance takes a retry from its budget for the call. */
+  readonly takesRetry: boolean;
   /** Event after which a stream continues; `null` for its beginning. */
   readonly lastEventId: string | null;
   /** Servers that may run the request. */
@@ -143,7 +145,9 @@
       },
       {
         signal: AbortSignal.any([call.signal, lost.signal]),
-        freshConnection: !request.isRepeatable,
+        // An open connection may have become silent for good since its last
+        // use, which the pings of the instance don't show.
+        freshConnection: true,
       },
     );
     if (result.kind !== "answer") {
@@ -173,6 +177,7 @@
       deadlineMs: Math.max(1, timeLeftMs(call)),
       maxAttempts: request.maxAttempts,
       lastEventId: request.lastEventId,
+      takesRetry: request.takesRetry,
     });
     return [
       ...withoutConnectionHeaders(call.rawHeaders, OWN_HEADERS),
--- a/packages/gateway/src/plain/forward_plain.ts
+++ b/packages/gateway/src/plain/forward_plain.ts
@@ -90,16 +90,19 @@
       ? null
       : choice.choose(call.service.name, triedIds);
     if (!usesHelper && !server) break;
-    if (sentAttempts > 0 && !budget.takeRetry(call.service.name)) break;
+    const lacksRetry = sentAttempts > 0 && !budget.takeRetry(call.service.name);
+    if (lacksRetry && server) break;
     if (!server) {
       const helperAttempts = attemptsForHelper(
         maxAttempts - possibleRuns,
         isRetryable,
       );
       const attempt = await attemptOnHelper(call, {
-        ...parts,
+        codec,
+        handoff,
         maxAttempts: helperAttempts,
         usedHelpers,
+        takesRetry: lacksRetry,
       });
       if (attempt.kind === "unavailable") {
         mayHaveHelper = false;
@@ -161,14 +164,14 @@
 /** Hands the call off to another instance and reads its whole answer. */
 async function attemptOnHelper(
   call: CallerCall,
-  options: ForwardParts & Pick<HandoffRequest, "maxAttempts" | "usedHelpers">,
+  options: Pick<ForwardParts, "codec" | "handoff"> &
+    Omit<HandoffRequest, "lastEventId" | "isRepeatable">,
 ): Promise<HelperAttempt> {
-  const { codec, handoff, maxAttempts, usedHelpers } = options;
+  const { codec, handoff, ...request } = options;
   const result = await handoff.send(call, {
+    ...request,
     lastEventId: null,
-    maxAttempts,
     isRepeatable: call.route.kind === "idempotent",
-    usedHelpers,
   });
   if (result.kind === "broken")
     return { kind: "unknown", detail: result.detail };
--- a/packages/gateway/src/streams/forward_stream.ts
+++ b/packages/gateway/src/streams/forward_stream.ts
@@ -112,13 +112,14 @@
   /** Hands the call off to another instance; resolves to whether it is over. */
   async function runThroughHelper(): Promise<boolean> {
     helperAskedAt = performance.now();
-    if (sentAttempts > 0 && !budget.takeRetry(service)) return true;
+    const takesRetry = sentAttempts > 0 && !budget.takeRetry(service);
     const helperAttempts = attemptsForHelper(runsLeft(), resumable);
     const end = await runOnHelper(call, {
       progress,
       parts,
       maxAttempts: helperAttempts,
       usedHelpers,
+      takesRetry,
     });
     if (end.kind === "unavailable") {
       retryAfterSeconds = end.retryAfterSeconds;
--- a/packages/gateway/src/streams/helper_run.ts
+++ b/packages/gateway/src/streams/helper_run.ts
@@ -22,15 +22,14 @@
   options: {
     readonly progress: StreamProgress;
     readonly parts: Pick<StreamParts, "codec" | "handoff">;
-  } & Pick<HandoffRequest, "maxAttempts" | "usedHelpers">,
+  } & Omit<HandoffRequest, "lastEventId" | "isRepeatable">,
 ): Promise<HelperRunEnd> {
-  const { progress, parts, maxAttempts, usedHelpers } = options;
+  const { progress, parts, ...request } = options;
   const { codec, handoff } = parts;
   const result = await handoff.send(call, {
+    ...request,
     lastEventId: progress.lastEventId,
-    maxAttempts,
     isRepeatable: call.route.resumable,
-    usedHelpers,
   });
   if (result.kind === "broken") return brokenRun(result.detail);
   if (result.kind !== "answer") return result;
