Hand-off: an error answer through another instance may be followed by another attempt

It is used for that error now, as in direct forwarding; streams alike.

A plain request without an answer in its time also starts a check of the reach, since kept connections to all servers may hang.

--- a/packages/gateway/src/plain/forward_plain.ts
+++ b/packages/gateway/src/plain/forward_plain.ts
@@ -70,6 +70,7 @@
   parts: ForwardParts,
 ): Promise<CallEnd> {
   const { codec, budget, choice, handoff } = parts;
+  const { name: service } = call.service;
   const isRetryable = call.route.kind === "idempotent";
   const maxAttempts = maxAttemptsOf(call);
   const triedIds = new Set<string>();
@@ -79,68 +80,11 @@
   const usedHelpers = new Set<string>();
   let mayHaveHelper = true;
   let retryAfterSeconds: number | null = null;
-  let lastAttempt: Attempt = {
-    kind: "not_run",
-    detail: "no_server",
-    wasSent: false,
-  };
+  let lastAttempt = unsentAttempt("no_server");
   while (!call.signal.aborted) {
     const usesHelper = mayHaveHelper && (await handoff.isNeeded(call));
-    const server = usesHelper
-      ? null
-      : choice.choose(call.service.name, triedIds);
-    if (!usesHelper && !server) break;
-    const lacksRetry = sentAttempts > 0 && !budget.takeRetry(call.service.name);
-    if (lacksRetry && server) break;
-    if (!server) {
-      const helperAttempts = attemptsForHelper(
-        maxAttempts - possibleRuns,
-        isRetryable,
-      );
-      const attempt = await attemptOnHelper(call, {
-        codec,
-        handoff,
-        maxAttempts: helperAttempts,
-        usedHelpers,
-        takesRetry: lacksRetry,
-      });
-      if (attempt.kind === "unavailable") {
-        mayHaveHelper = false;
-        retryAfterSeconds = attempt.retryAfterSeconds;
-        continue;
-      }
-      attempts += 1;
-      if (attempt.kind === "refused") {
-        const { reason: detail } = attempt;
-        lastAttempt = { kind: "not_run", detail, wasSent: false };
-        retryAfterSeconds = attempt.retryAfterSeconds;
-        break;
-      }
-      lastAttempt = attempt;
-      sentAttempts += 1;
-      possibleRuns += helperAttempts;
-      if (attempt.kind === "answer" || !isRetryable) break;
-      if (possibleRuns >= maxAttempts) break;
-      continue;
-    }
-    attempts += 1;
-    triedIds.add(server.id);
-    const isLast = !isRetryable || possibleRuns + 1 >= maxAttempts;
-    lastAttempt = await attemptOnce(call, server, {
-      ...parts,
-      timeoutMs: isLast ? null : tryTimeoutOf(call),
-    });
-    if (lastAttempt.kind !== "not_run" || lastAttempt.wasSent)
-      sentAttempts += 1;
-    if (lastAttempt.kind === "not_run") {
-      if (attempts - possibleRuns > MAX_REFUSALS) break;
-      continue;
-    }
-    possibleRuns += 1;
-    const isFinal =
-      lastAttempt.kind === "answer" &&
-      lastAttempt.answer.status < MIN_SERVER_ERROR_STATUS;
-    if (isFinal || !isRetryable || possibleRuns >= maxAttempts) break;
+    const isOver = await (usesHelper ? tryHelper() : tryServer());
+    if (isOver) break;
   }
   if (call.hasCallerLeft()) {
     const reason = "caller_left";
@@ -156,9 +100,71 @@
     outcome,
     reason,
     attempts,
-    backoffMs: commonBackoffMs(parts.fleet, call.service.name),
+    backoffMs: commonBackoffMs(parts.fleet, service),
     retryAfterSeconds,
   });
+
+  /** Hands the call off to another instance; resolves to whether it is over. */
+  async function tryHelper(): Promise<boolean> {
+    const helperAttempts = attemptsForHelper(
+      maxAttempts - possibleRuns,
+      isRetryable,
+    );
+    const attempt = await attemptOnHelper(call, {
+      codec,
+      handoff,
+      maxAttempts: helperAttempts,
+      usedHelpers,
+      takesRetry: sentAttempts > 0 && !budget.takeRetry(service),
+    });
+    if (attempt.kind === "unavailable") {
+      mayHaveHelper = false;
+      retryAfterSeconds = attempt.retryAfterSeconds;
+      return false;
+    }
+    attempts += 1;
+    if (attempt.kind === "refused") {
+      lastAttempt = unsentAttempt(attempt.reason);
+      retryAfterSeconds = attempt.retryAfterSeconds;
+      return true;
+    }
+    lastAttempt = attempt;
+    sentAttempts += 1;
+    possibleRuns += helperAttempts;
+    return isFinal(attempt) || !isRetryable || possibleRuns >= maxAttempts;
+  }
+
+  /** Sends the call to the best server; resolves to whether it is over. */
+  async function tryServer(): Promise<boolean> {
+    const server = choice.choose(service, triedIds);
+    if (!server) return true;
+    if (sentAttempts > 0 && !budget.takeRetry(service)) return true;
+    attempts += 1;
+    triedIds.add(server.id);
+    const isLast = !isRetryable || possibleRuns + 1 >= maxAttempts;
+    lastAttempt = await attemptOnce(call, server, {
+      ...parts,
+      timeoutMs: isLast ? null : tryTimeoutOf(call),
+    });
+    if (lastAttempt.kind === "not_run") {
+      if (lastAttempt.wasSent) sentAttempts += 1;
+      return attempts - possibleRuns > MAX_REFUSALS;
+    }
+    sentAttempts += 1;
+    possibleRuns += 1;
+    return isFinal(lastAttempt) || !isRetryable || possibleRuns >= maxAttempts;
+  }
+}
+
+function unsentAttempt(detail: string): Attempt {
+  return { kind: "not_run", detail, wasSent: false };
+}
+
+/** Whether another attempt can't give a better answer. */
+function isFinal(attempt: Attempt): boolean {
+  return (
+    attempt.kind === "answer" && attempt.answer.status < MIN_SERVER_ERROR_STATUS
+  );
 }
 
 /** Hands the call off to another instance and reads its whole answer. */
@@ -241,15 +247,15 @@
     );
     if (result.kind === "not_sent") {
       fleet.detector.reportFailure(server.id, suspicionReasonOf(result.detail));
-      return { kind: "not_run", detail: result.detail, wasSent: false };
+      return unsentAttempt(result.detail);
     }
     if (result.kind === "broken") {
+      // Kept connections to all servers may hang since the same moment.
+      if (!call.signal.aborted) fleet.reachability.check(server.service);
       return { kind: "unknown", detail: result.detail };
     }
     const attempt = await readAnswer(call, result, { codec, fleet, server });
-    succeeded =
-      attempt.kind === "answer" &&
-      attempt.answer.status < MIN_SERVER_ERROR_STATUS;
+    succeeded = isFinal(attempt);
     if (succeeded) fleet.detector.reportSuccess(server.id);
     return attempt;
   } finally {
--- a/packages/gateway/src/streams/forward_stream.ts
+++ b/packages/gateway/src/streams/forward_stream.ts
@@ -136,7 +136,7 @@
     sentAttempts += 1;
     runs += helperAttempts;
     helperAskedAt = -Infinity;
-    return end.kind !== "broken" || !resumable || runsLeft() <= 0;
+    return end.kind === "complete" || !resumable || runsLeft() <= 0;
   }
 
   /** Runs the call on a pipeline; resolves to whether it is over. */
