Hand-off: not to instances of an older version; counted at the caller's instance

An instance of a version without hand-offs would answer the call of an unknown method, which reads as an outcome that nobody knows. Instances of this version say with their heartbeat whether they reach engines, older ones don't.

Requests of others have a counter of their own, so that the sum of requests over all instances is that of callers.

--- a/packages/gateway/src/following/presence.ts
+++ b/packages/gateway/src/following/presence.ts
@@ -14,6 +14,8 @@
   readonly failureDomain: string;
   /** Whether it reaches model engines, by its latest renewal. */
   readonly reachesEngines: boolean;
+  /** Whether it takes requests over that are handed off to it. */
+  readonly takesHandoffs: boolean;
 }
 
 /** Prefix of the keys of presence objects in the store. */
@@ -50,8 +52,11 @@
   /** Address for calls from other instances; `null` if it has none. */
   peer: z.object({ host: z.string(), port: z.number() }).nullable(),
   leaving: z.boolean(),
-  /** Whether it reaches model engines, and may order them. */
-  reachesEngines: z.boolean().default(true),
+  /**
+   * Whether it reaches model engines, and may order them; `null` for instances
+   * of a version that takes no requests over.
+   */
+  reachesEngines: z.boolean().nullable().default(null),
 });
 
 export type PresenceObject = z.infer<typeof presenceSchema>;
@@ -221,7 +226,8 @@
       instance: key.slice(PRESENCE_PREFIX.length),
       failureDomain: presence.failureDomain,
       peer: presence.peer,
-      reachesEngines: presence.reachesEngines,
+      reachesEngines: presence.reachesEngines !== false,
+      takesHandoffs: presence.reachesEngines !== null,
     }));
   }
 
@@ -244,7 +250,7 @@
   function countReachingIn(domain: string): number {
     return livePresences().filter(
       ({ failureDomain, reachesEngines }) =>
-        failureDomain === domain && reachesEngines,
+        failureDomain === domain && reachesEngines !== false,
     ).length;
   }
 
@@ -264,7 +270,7 @@
       liveEntries().filter(
         ([key, { presence }]) =>
           key < ownKey &&
-          presence.reachesEngines &&
+          presence.reachesEngines !== false &&
           (domain === null || presence.failureDomain === domain),
       ).length,
     others: () =>
--- a/packages/gateway/src/handoff/helper_instances.ts
+++ b/packages/gateway/src/handoff/helper_instances.ts
@@ -116,7 +116,9 @@
   /** Helpers from which one is drawn. */
   function candidates(excluded: ReadonlySet<string>): LiveInstance[] {
     const now = performance.now();
-    const others = liveOthers().filter(({ peer }) => peer !== null);
+    const others = liveOthers().filter(
+      ({ peer, takesHandoffs }) => peer !== null && takesHandoffs,
+    );
     const usable = others.filter(
       ({ instance }) =>
         !excluded.has(instance) && now >= stateOf(instance).avoidedUntil,
--- a/packages/gateway/src/handoff/helper_instances_test.ts
+++ b/packages/gateway/src/handoff/helper_instances_test.ts
@@ -18,6 +18,7 @@
     failureDomain: instance.slice(0, 1),
     peer: { host: instance, port: 1 },
     reachesEngines,
+    takesHandoffs: true,
   };
 }
 
@@ -78,6 +79,12 @@
     expect(chosen(made)).toEqual(new Set(["b-1", "c-1"]));
   });
 
+  it("leaves out instances of a version that takes nothing over", () => {
+    // Guards against requests that are lost at older instances in an update.
+    const older = { ...live("a-2"), takesHandoffs: false };
+    expect(chosen(setUp([older, live("b-1")]))).toEqual(new Set(["b-1"]));
+  });
+
   it("spreads requests in progress evenly", () => {
     const { helpers } = setUp(
       ["b-1", "c-1", "d-1", "e-1"].map((id) => live(id)),
--- a/packages/gateway/src/handoff/request_handoff.ts
+++ b/packages/gateway/src/handoff/request_handoff.ts
@@ -30,10 +30,11 @@
 /** Instances that are asked for one request, one after the other. */
 const MAX_HELPERS = 4;
 /**
- * What follows from the reason of a refusal: another instance is asked, or the
- * refusal is final, as all instances share the memory and the limits of servers.
+ * Reasons of refusals that are final, since they come from servers, whose memory
+ * and limits all instances share.
  */
 const FINAL_REASON = /^(no_room|refused_\d+)$/;
+/** Reasons that say why the other instance itself can't take a request over. */
 const HELPER_FAILURES: ReadonlySet<string> = new Set<HelperFailure>([
   "cut_off",
   "stopping",
--- a/packages/gateway/src/operators/gateway_metrics.ts
+++ b/packages/gateway/src/operators/gateway_metrics.ts
@@ -33,6 +33,12 @@
     labelNames: ["kind", "outcome"] as const,
     registers,
   });
+  const requestsOfOthers = new Counter({
+    name: "rosemarypin_requests_of_others_total",
+    help: "Requests that other instances handed off to this one",
+    labelNames: ["kind", "outcome"] as const,
+    registers,
+  });
   const attempts = new Counter({
     name: "rosemarypin_attempts_total",
     help: "Requests sent to backend servers, repeats included",
@@ -114,9 +120,11 @@
 
   return {
     registry,
-    countEnd({ route, startedAt }, end) {
+    countEnd({ route, startedAt, handedOff }, end) {
       const { kind } = route;
       const { outcome, firstByteMs } = end;
+      // The instance that handed it off counts it among its requests.
+      if (handedOff) return requestsOfOthers.inc({ kind, outcome });
       requests.inc({ kind, outcome });
       attempts.inc({ kind }, end.attempts);
       if (firstByteMs !== null)
--- a/packages/gateway/src/streams/usage_destinations_test.ts
+++ b/packages/gateway/src/streams/usage_destinations_test.ts
@@ -7,7 +7,8 @@
     Array.from({ length: size }, (_, at) => {
       const instance = `${failureDomain}-${at}`;
       const peer = { host: instance, port: 1 };
-      return { instance, failureDomain, peer, reachesEngines: true };
+      const state = { reachesEngines: true, takesHandoffs: true };
+      return { instance, failureDomain, peer, ...state };
     }),
   );
 }
