Hand-off: a backoff that servers asked for isn't passed through other instances

Refusals counted as failures of engines in the condition for asking. Only failures do now, and none while a server of the service wants no requests.

--- a/packages/gateway/src/backends/backend_fleet.ts
+++ b/packages/gateway/src/backends/backend_fleet.ts
@@ -328,7 +328,7 @@
     ofService,
     countServers(service) {
       const listed = ofService(service).filter(({ leaving }) => !leaving);
-      const avoided = listed.filter(({ id }) => detector.isAvoided(id));
+      const avoided = listed.filter(({ id }) => detector.hasFailed(id));
       return { listed: listed.length, avoided: avoided.length };
     },
     isUsable: (server) =>
--- a/packages/gateway/src/backends/failure_detector.ts
+++ b/packages/gateway/src/backends/failure_detector.ts
@@ -51,6 +51,8 @@
   reportSuccess(id: string): void;
   /** Whether the server gets no new requests at present. */
   isAvoided(id: string): boolean;
+  /** Whether it gets none because of a failure, which a refusal isn't. */
+  hasFailed(id: string): boolean;
   /**
    * Whether the server has missed a probe, so that engines without layers may
    * load its layers in advance.
@@ -160,6 +162,13 @@
     await probeUntilRecovered(id, suspicion);
   }
 
+  function hasFailed(id: string): boolean {
+    const suspicion = suspicions.get(id);
+    return (
+      suspicion !== undefined && performance.now() < suspicion.avoidedUntil
+    );
+  }
+
   return {
     reportFailure(id, reason) {
       onFailure?.(id);
@@ -187,12 +196,9 @@
       suspicions.delete(id);
       refusals.delete(id);
     },
-    isAvoided(id) {
-      const now = performance.now();
-      if (now < (refusals.get(id) ?? 0)) return true;
-      const suspicion = suspicions.get(id);
-      return suspicion !== undefined && now < suspicion.avoidedUntil;
-    },
+    isAvoided: (id) =>
+      performance.now() < (refusals.get(id) ?? 0) || hasFailed(id),
+    hasFailed,
     isSuspected(id) {
       const suspicion = suspicions.get(id);
       return suspicion?.isProbed === true && suspicion.missedProbes > 0;
--- a/packages/gateway/src/streams/forward_stream.ts
+++ b/packages/gateway/src/streams/forward_stream.ts
@@ -139,6 +139,15 @@
     return end.kind === "complete" || !resumable || runsLeft() <= 0;
   }
 
+  /**
+   * Whether others may reach engines that failed here. Engines that want no
+   * requests are no reason to ask: they would get them through others.
+   */
+  function mayOthersHavePipeline(): boolean {
+    const { avoided } = router.countEngines(call.service);
+    return avoided > 0 && soonestBackoffEndMs(fleet, service) === 0;
+  }
+
   /** Runs the call on a pipeline; resolves to whether it is over. */
   async function runDirectly(): Promise<boolean> {
     const { hasBegun } = progress;
@@ -148,9 +157,7 @@
       hasPipeline = admitted.reason !== "no_pipeline";
       if (attempts === 0)
         lastEnd = { kind: "not_run", detail: admitted.reason, wasSent: false };
-      // Others may still reach engines that failed here.
-      const { avoided } = router.countEngines(call.service);
-      return hasPipeline || avoided === 0 || !mayAskHelper();
+      return hasPipeline || !mayOthersHavePipeline() || !mayAskHelper();
     }
     const { pipeline } = admitted;
     if (sentAttempts > 0 && !budget.takeRetry(service)) {
