--- a/packages/gateway/src/streams/forward_stream.ts
+++ b/packages/gateway/src/streams/forward_stream.ts
@@ -67,6 +67,8 @@
   let runs = 0;
   let lostRuns = 0;
   let sentAttempts = 0;
+  /** Whether a retry was taken from the budget and not used so far. */
+  let hasRetry = false;
   let lastEnd: RunEnd = {
     kind: "not_run",
     detail: "no_pipeline",
@@ -109,10 +111,21 @@
     return performance.now() - helperAskedAt >= HELPER_RETRY_MS;
   }
 
+  /** Whether the call may be sent, or sent once more within the budget. */
+  function maySend(): boolean {
+    hasRetry ||= sentAttempts > 0 && budget.takeRetry(service);
+    return sentAttempts === 0 || hasRetry;
+  }
+
+  function countSent(): void {
+    sentAttempts += 1;
+    hasRetry = false;
+  }
+
   /** Hands the call off to another instance; resolves to whether it is over. */
   async function runThroughHelper(): Promise<boolean> {
     helperAskedAt = performance.now();
-    const takesRetry = sentAttempts > 0 && !budget.takeRetry(service);
+    const takesRetry = !maySend();
     const helperAttempts = attemptsForHelper(runsLeft(), resumable);
     const end = await runOnHelper(call, {
       progress,
@@ -133,7 +146,7 @@
       return !progress.hasBegun;
     }
     lastEnd = end;
-    sentAttempts += 1;
+    countSent();
     runs += helperAttempts;
     helperAskedAt = -Infinity;
     return end.kind === "complete" || !resumable || runsLeft() <= 0;
@@ -160,7 +173,7 @@
       return hasPipeline || !mayOthersHavePipeline() || !mayAskHelper();
     }
     const { pipeline } = admitted;
-    if (sentAttempts > 0 && !budget.takeRetry(service)) {
+    if (!maySend()) {
       pipeline.release();
       return true;
     }
@@ -175,10 +188,10 @@
     lastEnd = await runStream(call, run, { progress, parts });
     if (lastEnd.kind === "complete") return true;
     if (lastEnd.kind === "not_run") {
-      if (lastEnd.wasSent) sentAttempts += 1;
+      if (lastEnd.wasSent) countSent();
       return attempts - runs > MAX_REFUSALS;
     }
-    sentAttempts += 1;
+    countSent();
     runs += 1;
     if (lastEnd.kind === "broken" && lastEnd.isFirstEngineLost) lostRuns += 1;
     return !resumable || runsLeft() <= 0 || lostRuns > MAX_LOST_RUNS;
