--- a/packages/gateway/src/handoff/helper_instances.ts
+++ b/packages/gateway/src/handoff/helper_instances.ts
@@ -180,11 +180,11 @@
     choose(excluded) {
       const [first, second] = drawTwo(candidates(excluded));
       if (!first?.peer) return null;
-      const isSecondIdler =
+      const isSecondLessUsed =
         second !== undefined &&
         stateOf(second.instance).lostCallbacks.size <
           stateOf(first.instance).lostCallbacks.size;
-      const { instance, peer } = isSecondIdler ? second : first;
+      const { instance, peer } = isSecondLessUsed ? second : first;
       return peer && { instance, address: peer };
     },
     use(helper, onLost) {
