--- a/packages/gateway/src/backends/reachability.ts
+++ b/packages/gateway/src/backends/reachability.ts
@@ -33,7 +33,7 @@
 export interface Reachability {
   /** Starts a check of the service, unless there was one just now. */
   check(service: string): void;
-  /** Whether the last check found no server of the service reachable. */
+  /** Whether no server of the service could be reached since a check. */
   isCutOff(service: string): boolean;
   /** Whether `isCutOff` holds, or a check is in progress. */
   mayBeCutOff(service: string): boolean;
