Plain services: the timeout of an attempt isn't lost to garbage collection

What callers saw: an idempotent request whose first server hangs waited until its deadline and got 504, although another server answers at once.

Cause: the attempt's signal was AbortSignal.any([call, AbortSignal.timeout(ms)]). Node.js 20 holds the sources of such a signal weakly, so a collection before the timeout takes the timeout along and nothing ends the attempt but the deadline. A script of six lines with one forced collection shows it: the combined signal never fires. A timeout that has listeners of its own, and signals of controllers that something holds, are not affected (same script, four cases).

--- a/packages/gateway/src/plain/forward_plain.ts
+++ b/packages/gateway/src/plain/forward_plain.ts
@@ -1,5 +1,6 @@
 /** Forwards requests of plain services, with a bounded number of retries. */
 import { createLogger } from "@rosemarypin/telemetry";
+import { withTimeout } from "@rosemarypin/timing";
 import type { BackendServer } from "../backend_server.ts";
 import {
   type BackendFleet,
@@ -219,7 +220,7 @@
   server: BackendServer,
   options: ForwardParts & { readonly timeoutMs: number | null },
 ): Promise<Attempt> {
-  const { codec, exchange, fleet, choice, timeoutMs } = options;
+  const { choice, timeoutMs } = options;
   const sentAt = performance.now();
   log.info("request_sent", {
     request: call.id,
@@ -228,35 +229,14 @@
     left_ms: timeLeftMs(call).toFixed(0),
   });
   choice.requestStarted(server.id);
+  const send = (signal: AbortSignal) =>
+    sendToServer(call, server, { ...options, signal });
   let succeeded = false;
   try {
-    const result = await exchange.send(
-      server,
-      createOutgoingRequest(codec, call, {
-        backendId: server.id,
-        pipeline: null,
-        lastEventId: null,
-      }),
-      {
-        signal:
-          timeoutMs === null
-            ? call.signal
-            : AbortSignal.any([call.signal, AbortSignal.timeout(timeoutMs)]),
-        freshConnection: call.route.kind !== "idempotent",
-      },
-    );
-    if (result.kind === "not_sent") {
-      fleet.detector.reportFailure(server.id, suspicionReasonOf(result.detail));
-      return unsentAttempt(result.detail);
-    }
-    if (result.kind === "broken") {
-      // Kept connections to all servers may hang since the same moment.
-      if (!call.signal.aborted) fleet.reachability.check(server.service);
-      return { kind: "unknown", detail: result.detail };
-    }
-    const attempt = await readAnswer(call, result, { codec, fleet, server });
+    const attempt = await (timeoutMs === null
+      ? send(call.signal)
+      : withTimeout({ timeoutMs, signal: call.signal }, send));
     succeeded = isFinal(attempt);
-    if (succeeded) fleet.detector.reportSuccess(server.id);
     return attempt;
   } finally {
     choice.requestEnded(server.id, {
@@ -266,6 +246,39 @@
   }
 }
 
+/** Sends the call to the server and reads its whole answer. */
+async function sendToServer(
+  call: CallerCall,
+  server: BackendServer,
+  options: Pick<ForwardParts, "codec" | "exchange" | "fleet"> & {
+    readonly signal: AbortSignal;
+  },
+): Promise<Attempt> {
+  const { codec, exchange, fleet, signal } = options;
+  const request = createOutgoingRequest(codec, call, {
+    backendId: server.id,
+    pipeline: null,
+    lastEventId: null,
+  });
+  const freshConnection = call.route.kind !== "idempotent";
+  const result = await exchange.send(server, request, {
+    signal,
+    freshConnection,
+  });
+  if (result.kind === "not_sent") {
+    fleet.detector.reportFailure(server.id, suspicionReasonOf(result.detail));
+    return unsentAttempt(result.detail);
+  }
+  if (result.kind === "broken") {
+    // Kept connections to all servers may hang since the same moment.
+    if (!call.signal.aborted) fleet.reachability.check(server.service);
+    return { kind: "unknown", detail: result.detail };
+  }
+  const attempt = await readAnswer(call, result, { codec, fleet, server });
+  if (isFinal(attempt)) fleet.detector.reportSuccess(server.id);
+  return attempt;
+}
+
 async function readAnswer(
   call: CallerCall,
   answer: OpenAnswer,
--- a/packages/timing/src/mod.ts
+++ b/packages/timing/src/mod.ts
@@ -1,3 +1,4 @@
 /** Delays based on the runtime's timers. */
 export * from "./interruptible_timer.ts";
 export * from "./pause.ts";
+export * from "./with_timeout.ts";
--- /dev/null
+++ b/packages/timing/src/with_timeout.ts
@@ -0,0 +1,29 @@
+/** Timeout of a task, based on `setTimeout` so that tests can fake it. */
+
+export interface TimeoutOptions {
+  readonly timeoutMs: number;
+  /** Aborts the task before its timeout. */
+  readonly signal: AbortSignal;
+}
+
+/**
+ * Runs a task with a signal that is aborted with `options.signal`, or with a
+ * `TimeoutError` after the timeout. The task decides what it does then.
+ */
+export async function withTimeout<Result>(
+  { timeoutMs, signal }: TimeoutOptions,
+  task: (signal: AbortSignal) => Promise<Result>,
+): Promise<Result> {
+  // `AbortSignal.timeout` can't be used here: a signal that is only a source of
+  // `AbortSignal.any` may be collected as garbage before it fires.
+  const timeout = new AbortController();
+  const timer = setTimeout(() => {
+    const detail = `timed out after ${timeoutMs} ms`;
+    timeout.abort(new DOMException(detail, "TimeoutError"));
+  }, timeoutMs);
+  try {
+    return await task(AbortSignal.any([signal, timeout.signal]));
+  } finally {
+    clearTimeout(timer);
+  }
+}
