Weight store: the timeout of a load isn't lost to garbage collection

The store's client of the users' platform combines signals too, but reads the timeout again when the call fails, which keeps it.

--- a/packages/store/src/weight_store.ts
+++ b/packages/store/src/weight_store.ts
@@ -1,5 +1,6 @@
 /** Client of the platform's weight store, which has a rate limit. */
 import type { WeightRequest } from "@rosemarypin/schemas";
+import { withTimeout } from "@rosemarypin/timing";
 import { request } from "undici";
 
 /** Lower limit of the timeout of a request. */
@@ -32,27 +33,35 @@
 }): WeightStore {
   const { url, megabytesPerSecond } = options;
 
-  function timeoutFor(megabytes: number): AbortSignal {
+  function timeoutMsFor(megabytes: number): number {
     const transferMs = (megabytes / megabytesPerSecond) * 1_000;
-    return AbortSignal.timeout(
-      MIN_TIMEOUT_MS + MAX_REQUESTS_AHEAD * transferMs,
-    );
+    return MIN_TIMEOUT_MS + MAX_REQUESTS_AHEAD * transferMs;
+  }
+
+  async function send(
+    wanted: WeightRequest,
+    signal: AbortSignal,
+  ): Promise<WeightResult> {
+    const response = await request(`${url}/loads`, {
+      method: "POST",
+      headers: { "content-type": "application/json" },
+      body: JSON.stringify(wanted),
+      signal,
+      // The store replies only after it has served the weights; the signal
+      // limits the time.
+      headersTimeout: 0,
+    });
+    await response.body.dump();
+    return resultOf(response.statusCode);
   }
 
   return {
     async load(wanted, signal) {
+      const timeoutMs = timeoutMsFor(wanted.megabytes);
       try {
-        const response = await request(`${url}/loads`, {
-          method: "POST",
-          headers: { "content-type": "application/json" },
-          body: JSON.stringify(wanted),
-          signal: AbortSignal.any([signal, timeoutFor(wanted.megabytes)]),
-          // The store replies only after it has served the weights; the
-          // signal above limits the time.
-          headersTimeout: 0,
-        });
-        await response.body.dump();
-        return resultOf(response.statusCode);
+        return await withTimeout({ timeoutMs, signal }, (taskSignal) =>
+          send(wanted, taskSignal),
+        );
       } catch (error) {
         const detail = error instanceof Error ? error.message : String(error);
         return { kind: "unavailable", detail };
--- a/packages/store/src/weight_store_test.ts
+++ b/packages/store/src/weight_store_test.ts
@@ -1,9 +1,14 @@
 import { once } from "node:events";
 import { createServer, type Server, type ServerResponse } from "node:http";
+import { setFlagsFromString } from "node:v8";
+import { runInNewContext } from "node:vm";
 import { startWeightStore, type WeightLoad } from "@rosemarypin/stand_ins";
 import { afterEach, describe, expect, it } from "vitest";
 import { createHttpWeightStore } from "./weight_store.ts";
 
+setFlagsFromString("--expose-gc");
+const collectGarbage: () => void = runInNewContext("gc");
+
 const HOST = "127.0.0.1";
 const wanted = {
   engine: "engine-1",
@@ -65,6 +70,18 @@
     expect((await load(urlOf(server))).kind).toBe(kind);
   });
 
+  // Guards against a timeout that is collected as garbage before it fires, so
+  // that an engine waits for its weights for ever.
+  it("gives up a hanging load although garbage is collected meanwhile", async () => {
+    const server = createServer(() => {});
+    servers.push(server);
+    server.listen(0, HOST);
+    await once(server, "listening");
+    const collecting = setInterval(collectGarbage, 100);
+    expect((await load(urlOf(server))).kind).toBe("unavailable");
+    clearInterval(collecting);
+  });
+
   it("reports a refused connection as unavailable", async () => {
     expect((await load(`http://${HOST}:1`)).kind).toBe("unavailable");
   });
