Hand-off: the next attempt avoids servers that answered with errors

An instance that helps now names the servers that answered with errors in a header of its answer, which is not passed on, and a request that is handed off again names them too; whoever sends excludes them, as for attempts of its own.

--- a/packages/gateway/src/callers/caller_answer.ts
+++ b/packages/gateway/src/callers/caller_answer.ts
@@ -3,6 +3,7 @@
 import type { OpenAnswer } from "../backends/mod.ts";
 import type { RequestCodec } from "../protocol.ts";
 import type { CallEnd, CallerCall, CallOutcome } from "./caller_call.ts";
+import { encodeHandoffHeader, HANDOFF_REPORT_HEADER } from "./handoff_terms.ts";
 
 /** Statuses that guarantee that the request did not and will not run. */
 export const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([
@@ -74,6 +75,19 @@
   response.writeHead(status, codec.encodeAnswer(headers));
 }
 
+/**
+ * Tells the instance that handed the call off which servers have answered it
+ * with errors. Does nothing for other calls, and once the answer has begun.
+ */
+export function reportFailedServers(
+  { handedOff, response }: CallerCall,
+  failedServers: ReadonlySet<string>,
+): void {
+  if (!handedOff || failedServers.size === 0 || response.headersSent) return;
+  const report = { failedServers: [...failedServers] };
+  response.setHeader(HANDOFF_REPORT_HEADER, encodeHandoffHeader(report));
+}
+
 /** Ends a call with an error answer and returns its end. */
 export function endWithRefusal(
   codec: RequestCodec,
--- a/packages/gateway/src/callers/handoff_terms.ts
+++ b/packages/gateway/src/callers/handoff_terms.ts
@@ -1,8 +1,13 @@
-/** Terms of a request that one instance hands off to another. */
+/**
+ * Headers between two instances: the terms of a request that one hands off, and
+ * what the other one reports with its answer.
+ */
 import { z } from "zod";
 
 /** Name of the header that carries the terms, as Node.js gives it. */
 export const HANDOFF_HEADER = "rosemarypin-handoff";
+/** Name of the header that carries the report, as Node.js gives it. */
+export const HANDOFF_REPORT_HEADER = "rosemarypin-handoff-report";
 
 const handoffTermsSchema = z.object({
   /** Instance that hands the request off. */
@@ -22,25 +27,47 @@
    * have been sent before and the sender's budget is used up.
    */
   takesRetry: z.boolean(),
+  /** IDs of servers that have answered the request with errors. */
+  failedServers: z.array(z.string()),
 });
 
+const handoffReportSchema = handoffTermsSchema.pick({ failedServers: true });
+
 export type HandoffTerms = z.infer<typeof handoffTermsSchema>;
 
-export function encodeHandoffTerms(terms: HandoffTerms): string {
-  return encodeURIComponent(JSON.stringify(terms));
+export type HandoffReport = z.infer<typeof handoffReportSchema>;
+
+export function encodeHandoffHeader(
+  content: HandoffTerms | HandoffReport,
+): string {
+  return encodeURIComponent(JSON.stringify(content));
 }
 
 /** Returns `null` for a header that isn't valid. */
 export function decodeHandoffTerms(
   header: string | string[] | undefined,
 ): HandoffTerms | null {
+  return decodeHeader(handoffTermsSchema, header);
+}
+
+/** Returns `null` for a header that is absent or not valid. */
+export function decodeHandoffReport(
+  header: string | string[] | undefined,
+): HandoffReport | null {
+  return decodeHeader(handoffReportSchema, header);
+}
+
+function decodeHeader<Content>(
+  schema: z.ZodType<Content>,
+  header: string | string[] | undefined,
+): Content | null {
   if (typeof header !== "string") return null;
   try {
     const content = JSON.parse(decodeURIComponent(header));
-    const parsed = handoffTermsSchema.safeParse(content);
+    const parsed = schema.safeParse(content);
     return parsed.success ? parsed.data : null;
   } catch {
-    // Not JSON; the receiver logs and rejects the request.
+    // Not JSON. Terms are rejected with a log line; a report is optional.
     return null;
   }
 }
--- a/packages/gateway/src/handoff/request_handoff.ts
+++ b/packages/gateway/src/handoff/request_handoff.ts
@@ -12,8 +12,10 @@
 } from "../backends/mod.ts";
 import {
   type CallerCall,
-  encodeHandoffTerms,
+  decodeHandoffReport,
+  encodeHandoffHeader,
   HANDOFF_HEADER,
+  HANDOFF_REPORT_HEADER,
   NOT_RUN_STATUSES,
   timeLeftMs,
 } from "../callers/mod.ts";
@@ -82,6 +84,11 @@
    * if there is no other. Those that take it over are added.
    */
   readonly usedHelpers: Set<string>;
+  /**
+   * IDs of servers that have answered the call with errors, and are avoided.
+   * Those that another instance reports are added.
+   */
+  readonly failedServers: Set<string>;
 }
 
 export interface RequestHandoff {
@@ -157,7 +164,7 @@
       return { kind: "broken", detail: `helper_${result.detail}` };
     }
     use.heard();
-    const answer = trackedAnswer(result, use);
+    const answer = trackedAnswer(takeReport(result, request), use);
     const metadata = codec.decodeAnswer(answer.status, answer.headers);
     if (metadata.isSigned || !NOT_RUN_STATUSES.has(answer.status))
       return { kind: "answer", answer };
@@ -171,7 +178,7 @@
   }
 
   function handoffHeaders(call: CallerCall, request: HandoffRequest): string[] {
-    const terms = encodeHandoffTerms({
+    const terms = encodeHandoffHeader({
       from: options.instance,
       configurationVersion: options.configurationVersion(),
       service: call.service.name,
@@ -179,6 +186,7 @@
       maxAttempts: request.maxAttempts,
       lastEventId: request.lastEventId,
       takesRetry: request.takesRetry,
+      failedServers: [...request.failedServers],
     });
     return [
       ...withoutConnectionHeaders(call.rawHeaders, OWN_HEADERS),
@@ -235,6 +243,17 @@
 /** Headers that a caller may not set for another instance. */
 const OWN_HEADERS: ReadonlySet<string> = new Set([HANDOFF_HEADER]);
 
+/** Reads the report of the other instance, and removes it from the answer. */
+function takeReport(
+  answer: OpenAnswer,
+  { failedServers }: HandoffRequest,
+): OpenAnswer {
+  const { [HANDOFF_REPORT_HEADER]: header, ...headers } = answer.headers;
+  const report = decodeHandoffReport(header);
+  for (const id of report?.failedServers ?? []) failedServers.add(id);
+  return { ...answer, headers };
+}
+
 /** Ends the use of the helper with the answer. */
 function trackedAnswer(answer: OpenAnswer, use: HelperUse): OpenAnswer {
   return {
--- a/packages/gateway/src/plain/forward_plain.ts
+++ b/packages/gateway/src/plain/forward_plain.ts
@@ -13,6 +13,7 @@
   type CallerCall,
   endWithRefusal,
   maxAttemptsOf,
+  reportFailedServers,
   timeLeftMs,
 } from "../callers/mod.ts";
 import {
@@ -74,6 +75,8 @@
   const { name: service } = call.service;
   const isRetryable = call.route.kind === "idempotent";
   const maxAttempts = maxAttemptsOf(call);
+  /** Servers that have answered with errors, to this or another instance. */
+  const failedServers = new Set(call.handedOff?.failedServers);
   const triedIds = new Set<string>();
   let attempts = 0;
   let sentAttempts = 0;
@@ -87,6 +90,7 @@
     const isOver = await (usesHelper ? tryHelper() : tryServer());
     if (isOver) break;
   }
+  reportFailedServers(call, failedServers);
   if (call.hasCallerLeft()) {
     const reason = "caller_left";
     return { status: 0, outcome: reason, reason, attempts, firstByteMs: null };
@@ -116,6 +120,7 @@
       handoff,
       maxAttempts: helperAttempts,
       usedHelpers,
+      failedServers,
       takesRetry: sentAttempts > 0 && !budget.takeRetry(service),
     });
     if (attempt.kind === "unavailable") {
@@ -137,7 +142,8 @@
 
   /** Sends the call to the best server; resolves to whether it is over. */
   async function tryServer(): Promise<boolean> {
-    const server = choice.choose(service, triedIds);
+    const excluded = new Set([...triedIds, ...failedServers]);
+    const server = choice.choose(service, excluded);
     if (!server) return true;
     if (sentAttempts > 0 && !budget.takeRetry(service)) return true;
     attempts += 1;
@@ -153,6 +159,8 @@
     }
     sentAttempts += 1;
     possibleRuns += 1;
+    const hasFailed = lastAttempt.kind === "answer" && !isFinal(lastAttempt);
+    if (hasFailed) failedServers.add(server.id);
     return isFinal(lastAttempt) || !isRetryable || possibleRuns >= maxAttempts;
   }
 }
--- a/packages/gateway/src/streams/forward_stream.ts
+++ b/packages/gateway/src/streams/forward_stream.ts
@@ -11,6 +11,7 @@
   endWithRefusal,
   maxAttemptsOf,
   type RetryDelayRange,
+  reportFailedServers,
 } from "../callers/mod.ts";
 import { attemptsForHelper } from "../handoff/mod.ts";
 import type { RequestCodec } from "../protocol.ts";
@@ -62,7 +63,9 @@
     lastEventId: call.metadata.lastEventId,
     pace: createStreamPace(call.startedAt),
   };
-  const avoided = new Set<string>();
+  /** Engines that have answered with errors, to this or another instance. */
+  const failedServers = new Set(call.handedOff?.failedServers);
+  const avoided = new Set(failedServers);
   let attempts = 0;
   let runs = 0;
   let lostRuns = 0;
@@ -90,6 +93,7 @@
     const isOver = await (usesHelper ? runThroughHelper() : runDirectly());
     if (isOver) break;
   }
+  reportFailedServers(call, failedServers);
   return endCall(call, {
     lastEnd,
     progress,
@@ -132,8 +136,10 @@
       parts,
       maxAttempts: helperAttempts,
       usedHelpers,
+      failedServers,
       takesRetry,
     });
+    for (const id of failedServers) avoided.add(id);
     if (end.kind === "unavailable") {
       retryAfterSeconds = end.retryAfterSeconds;
       return false;
@@ -193,6 +199,7 @@
     }
     countSent();
     runs += 1;
+    if (lastEnd.kind === "failed") failedServers.add(pipeline.first.id);
     if (lastEnd.kind === "broken" && lastEnd.isFirstEngineLost) lostRuns += 1;
     return !resumable || runsLeft() <= 0 || lostRuns > MAX_LOST_RUNS;
   }
