Backends: an entry of an earlier start doesn't mark the next start as leaving

An engine or server that announced its end and started again got no requests until its next renewal when the entry of the earlier start arrived last, as it does from peers and stale reads. An older entry of the same start still marks it.

--- a/packages/gateway/src/backends/backend_fleet.ts
+++ b/packages/gateway/src/backends/backend_fleet.ts
@@ -250,8 +250,8 @@
     const last = servers.get(server.id);
     const isSameIncarnation = last?.startedAt === server.startedAt;
     if (last && isOlder(server, last)) {
-      // An older entry can still add that the server is leaving.
-      if (!server.leaving || last.leaving) return;
+      // An older entry of the same start can add that the server is leaving.
+      if (!isSameIncarnation || !server.leaving || last.leaving) return;
       servers.set(server.id, { ...last, leaving: true });
     } else if (last && isSameIncarnation) {
       const hasNewerReport = isNewerThanEntries(reportedAt.get(server.id));
--- a/packages/gateway/src/backends/backend_fleet_test.ts
+++ b/packages/gateway/src/backends/backend_fleet_test.ts
@@ -142,6 +142,27 @@
   return server !== null && fleet.isUsable(server);
 }
 
+describe("an entry that arrives late", () => {
+  it("marks the engine as leaving if it is of the current start", () => {
+    const { fleet, end } = setUp(new Set());
+    fleet.put({ ...engine("a1", "a"), renewal: 3 });
+    fleet.put({ ...engine("a1", "a"), renewal: 2, leaving: true });
+    expect(fleet.get("a1")).toMatchObject({ renewal: 3, leaving: true });
+    end();
+  });
+
+  // Guards against a restarted engine that gets no requests until its next renewal,
+  // because its previous start had announced its end.
+  it("changes nothing if it is of an earlier start", () => {
+    const { fleet, end } = setUp(new Set());
+    const current = { ...engine("a1", "a"), startedAt: 2 };
+    fleet.put(current);
+    fleet.put({ ...engine("a1", "a"), renewal: 9, leaving: true });
+    expect(fleet.get("a1")).toEqual(current);
+    end();
+  });
+});
+
 describe("a backoff that an engine asks for", () => {
   // Guards against requests to an engine in the time for which it wants none,
   // because its probes are answered or its entry is renewed.
