Soak: instances that are cut off from all servers

The faults of the soak on the real program could not cut one instance off from the servers, so hand-offs met no other fault there. Each instance has links of its own to all servers now, since its address of the store names these in place of the servers; one to all instances lose them for up to 4 s (refused, reset, hanging), beside what else goes on.

--- a/packages/checks/src/platform_soak/soak_run.ts
+++ b/packages/checks/src/platform_soak/soak_run.ts
@@ -8,7 +8,10 @@
   type Deployment,
   drawSettings,
   type EngineStandIn,
+  type LinkState,
+  openServerLinks,
   type PlainBehaviour,
+  type ServerLinks,
   startDeployment,
   streamHeaders,
   until,
@@ -40,6 +43,8 @@
   readonly folder: string;
   readonly faults: readonly string[];
   readonly calls: readonly SoakCall[];
+  /** Requests that an instance handed off to another one. */
+  readonly handedOff: number;
   readonly broken: readonly string[];
 }
 
@@ -47,6 +52,7 @@
 export async function runPlatformSoak(
   random: SeededRandom,
   durationMs: number,
+  kinds: readonly [Fault, ...Fault[]] = FAULTS,
 ): Promise<SoakResult> {
   const folder = mkdtempSync(join(tmpdir(), "rosemarypin-soak-"));
   const world = await startWorld(folder);
@@ -57,6 +63,8 @@
   let unplannedAt = -Infinity;
   /** Instances that are being stopped, killed or frozen now. */
   const hurt = new Set<InstanceProcess>();
+  /** Links of instances that are cut off from all servers now. */
+  const cutLinks = new Set<ServerLinks>();
   await waitUntilServed(world);
   const endsAt = performance.now() + durationMs;
   const isOver = () => performance.now() >= endsAt;
@@ -67,11 +75,15 @@
   await Promise.all([...callers, ...breakers]);
   await sleep(SETTLE_MS);
   await world.stop();
-  const read = requestsInLogs(folder);
+  const logs = readLogs(folder);
+  const read = new Set(valuesIn(logs, / request=(\S+)/g));
+  const handedOff = new Set(
+    valuesIn(logs, / event=request_handed_off request=(\S+)/g),
+  );
   const broken = judgeCalls(calls, (id) => {
     return { runs: world.runsOf(id), wasRead: read.has(id) };
   });
-  return { folder, faults, calls, broken };
+  return { folder, faults, calls, handedOff: handedOff.size, broken };
 
   async function keepBreaking(): Promise<void> {
     while (!isOver()) await breakSomething();
@@ -114,11 +126,11 @@
   }
 
   async function breakSomething(): Promise<void> {
-    const fault = random.pick(FAULTS);
+    const fault = random.pick(kinds);
     const isPlanned = fault === "stop_instance" || fault === "configure";
     faults.push(fault);
     if (!isPlanned) unplanned += 1;
-    await carryOut(fault, { world, random, hurt });
+    await carryOut(fault, { world, random, hurt, cutLinks });
     if (!isPlanned) {
       unplanned -= 1;
       unplannedAt = performance.now();
@@ -144,14 +156,18 @@
   await Promise.all(checks);
 }
 
-/** Ids of the requests that the logs of instances name. */
-function requestsInLogs(folder: string): ReadonlySet<string> {
-  const logs = readdirSync(folder).filter((name) => name.endsWith(".log"));
-  const ids = logs.flatMap((name) => {
-    const text = readFileSync(join(folder, name), "utf8");
-    return [...text.matchAll(/ request=(\S+)/g)].map(([, id = ""]) => id);
-  });
-  return new Set(ids);
+/** Texts of the logs of all instances. */
+function readLogs(folder: string): string[] {
+  return readdirSync(folder)
+    .filter((name) => name.endsWith(".log"))
+    .map((name) => readFileSync(join(folder, name), "utf8"));
+}
+
+/** Values of the first group of each match. */
+function valuesIn(texts: readonly string[], pattern: RegExp): string[] {
+  return texts.flatMap((text) =>
+    [...text.matchAll(pattern)].map(([, value = ""]) => value),
+  );
 }
 
 const FAULTS = [
@@ -170,14 +186,17 @@
   "connections_reset",
   "connections_harmed",
   "server_misbehaves",
+  "instances_cut_off",
 ] as const;
-type Fault = (typeof FAULTS)[number];
+export type Fault = (typeof FAULTS)[number];
 
 interface World {
   readonly deployment: Deployment;
   readonly instances: readonly InstanceProcess[];
   readonly proxies: readonly FaultProxy[];
   readonly doors: readonly { closed: boolean }[];
+  /** Links of each instance to all servers. */
+  readonly links: readonly ServerLinks[];
   runsOf(id: string): number;
   stop(): Promise<void>;
 }
@@ -189,16 +208,17 @@
     instances: [],
     eventMs: 15,
   });
+  const servers = [...deployment.engines, ...deployment.plainServers];
   const proxies: FaultProxy[] = [];
   const behind = new Map<string, string>();
-  for (const server of [...deployment.engines, ...deployment.plainServers]) {
+  for (const server of servers) {
     const proxy = await startFaultProxy(server.address);
     proxies.push(proxy);
     behind.set(server.id, proxy.address);
     if ("held" in server) deployment.registry.set(proxy.address, server);
   }
   const enterAll = () => {
-    for (const server of [...deployment.engines, ...deployment.plainServers]) {
+    for (const server of servers) {
       if (server.isUp()) {
         deployment.enter(server, { address: behind.get(server.id) });
       } else deployment.store.remove("servers", server.id);
@@ -206,10 +226,15 @@
   };
   enterAll();
   const heartbeat = setInterval(enterAll, 600);
+  const links: ServerLinks[] = [];
   const doors: { closed: boolean }[] = [];
   const instances: InstanceProcess[] = [];
   for (const [index, domain] of ["a", "a", "b"].entries()) {
-    const door = await deployment.store.openDoor();
+    const ownLinks = await openLinks();
+    links.push(ownLinks);
+    const door = await deployment.store.openDoor((text) =>
+      throughLinks(text, ownLinks, proxies),
+    );
     doors.push(door);
     const settings = await drawSettings(`i-${index}`, {
       domain,
@@ -227,33 +252,60 @@
     instance.start();
     instances.push(instance);
   }
+
+  /** Opens links to all servers; engines know each other by them too. */
+  async function openLinks(): Promise<ServerLinks> {
+    const opened = await openServerLinks(proxies.map(({ address }) => address));
+    for (const engine of deployment.engines) {
+      const address = behind.get(engine.id);
+      if (address) deployment.registry.set(opened.addressOf(address), engine);
+    }
+    return opened;
+  }
+
   return {
     deployment,
     instances,
     proxies,
     doors,
+    links,
     runsOf: (id) =>
-      [...deployment.plainServers, ...deployment.engines]
+      servers
         .flatMap<{ readonly requestId: string }>(({ runs }) => runs)
         .filter((run) => run.requestId === id).length,
     async stop() {
       clearInterval(heartbeat);
       await Promise.all(instances.map((instance) => instance.kill()));
+      await Promise.all(links.map((each) => each.stop()));
       await Promise.all(proxies.map((proxy) => proxy.stop()));
       await deployment.stop();
     },
   };
 }
 
+/** Replaces the servers' addresses by those of an instance's links to them. */
+function throughLinks(
+  text: string,
+  links: ServerLinks,
+  proxies: readonly FaultProxy[],
+): string {
+  return proxies.reduce(
+    (rewritten, { address }) =>
+      rewritten.replaceAll(`"${address}"`, `"${links.addressOf(address)}"`),
+    text,
+  );
+}
+
 async function carryOut(
   fault: Fault,
   options: {
     readonly world: World;
     readonly random: SeededRandom;
     readonly hurt: Set<InstanceProcess>;
+    readonly cutLinks: Set<ServerLinks>;
   },
 ): Promise<void> {
-  const { world, random, hurt } = options;
+  const { world, random, hurt, cutLinks } = options;
   const { deployment, instances, proxies, doors } = world;
   const { store, engines, plainServers } = deployment;
   const lastsMs = random.between(200, 2_500);
@@ -329,9 +381,32 @@
       ]);
       await sleep(lastsMs);
       server.behaviour = "answers";
+      return;
+    case "instances_cut_off":
+      return cutOff(world.links, random, cutLinks);
   }
 }
 
+/** Cuts one to all of the instances off, except those that are cut off now. */
+async function cutOff(
+  links: readonly ServerLinks[],
+  random: SeededRandom,
+  cutLinks: Set<ServerLinks>,
+): Promise<void> {
+  const count = random.between(1, links.length);
+  const state = random.pick<LinkState>(["refused", "reset", "hanging"]);
+  const lastsMs = random.between(300, 4_000);
+  const first = random.between(0, links.length - 1);
+  const chosen = [...links, ...links]
+    .slice(first, first + count)
+    .filter((each) => !cutLinks.has(each));
+  for (const each of chosen) cutLinks.add(each);
+  await Promise.all(chosen.map((each) => each.set(state)));
+  await sleep(lastsMs);
+  await Promise.all(chosen.map((each) => each.set("open")));
+  for (const each of chosen) cutLinks.delete(each);
+}
+
 async function hurtInstance(
   instance: InstanceProcess,
   fault: "stop_instance" | "kill_instance" | "freeze_instance",
--- a/packages/checks/src/platform_soak/soak_run_test.ts
+++ b/packages/checks/src/platform_soak/soak_run_test.ts
@@ -17,4 +17,20 @@
     expect(result.calls.some(({ answer }) => answer.status === 200)).toBe(true);
     rmSync(result.folder, { recursive: true });
   });
+
+  // Guards against orders that run twice and streams that lose events when an
+  // instance that serves requests of a cut-off one ends.
+  it("holds every promise while instances are cut off and end", async () => {
+    const random = createSeededRandom(1);
+    const result = await runPlatformSoak(random, 2 * DURATION_MS, [
+      "instances_cut_off",
+      "kill_instance",
+      "freeze_instance",
+      "stop_instance",
+    ]);
+    expect(result.broken).toEqual([]);
+    expect(result.handedOff).toBeGreaterThan(0);
+    expect(result.calls.some(({ answer }) => answer.status === 200)).toBe(true);
+    rmSync(result.folder, { recursive: true });
+  });
 });
--- a/packages/checks/src/platform_soak_main.ts
+++ b/packages/checks/src/platform_soak_main.ts
@@ -37,7 +37,8 @@
   const isShown = kinds.every((kind) => answered(kind) > 0);
   console.log(
     `seed ${seed}: ${result.faults.length} faults, ${result.calls.length} ` +
-      `calls, answered ${counts}, broken ${result.broken.length}`,
+      `calls, answered ${counts}, handed off ${result.handedOff}, ` +
+      `broken ${result.broken.length}`,
   );
   if (result.broken.length === 0 && isShown) {
     rmSync(result.folder, { recursive: true });
