--- a/packages/checks/src/platform_soak/soak_run.ts
+++ b/packages/checks/src/platform_soak/soak_run.ts
@@ -12,6 +12,7 @@
   openServerLinks,
   type PlainBehaviour,
   type ServerLinks,
+  START_TIMEOUT_MS,
   startDeployment,
   streamHeaders,
   until,
@@ -36,8 +37,6 @@
 const DEADLINE_MS = 3_000;
 /** Requests in flight at the end may take until their deadline. */
 const SETTLE_MS = DEADLINE_MS + 500;
-/** Bound on the start of the processes and the placement of layers. */
-const START_WITHIN_MS = 45_000;
 
 export interface SoakResult {
   readonly folder: string;
@@ -150,7 +149,7 @@
       until(async () => {
         const answer = await call(url, requestOf(kind, 2));
         return answer.status === 200;
-      }, START_WITHIN_MS),
+      }, START_TIMEOUT_MS),
     ),
   );
   await Promise.all(checks);
--- a/packages/gateway/src/placement/placement_leases_test.ts
+++ b/packages/gateway/src/placement/placement_leases_test.ts
@@ -85,6 +85,18 @@
 }
 
 describe("placement leases", () => {
+  // Guards against engines that stay without layers after a start.
+  it("are held by the instances of their domains within 2 s of a start", async () => {
+    const instances = setUp();
+    for (let elapsedMs = 0; elapsedMs <= 2_000; elapsedMs += 50) {
+      for (const { orderableDomains } of instances) orderableDomains();
+      await vi.advanceTimersByTimeAsync(50);
+    }
+    expect(instances.map(({ orderableDomains }) => orderableDomains())).toEqual(
+      [["a"], ["b"], ["c"]],
+    );
+  });
+
   it("are taken over within 2.5 s when a domain's only instance stops", async () => {
     // The only instance of a domain stops for an update and restarts 8 s later.
     // If no other instance took over its lease, layers of engines that crash
