--- a/packages/gateway/src/callers/caller_answer.ts
+++ b/packages/gateway/src/callers/caller_answer.ts
@@ -3,7 +3,10 @@
 import type { OpenAnswer } from "../backends/mod.ts";
 import type { RequestCodec } from "../protocol.ts";
 import type { CallEnd, CallerCall, CallOutcome } from "./caller_call.ts";
-import { encodeHandoffHeader, HANDOFF_REPORT_HEADER } from "./handoff_terms.ts";
+import {
+  encodeHandoffHeader,
+  HANDOFF_REPORT_HEADER,
+} from "./handoff_headers.ts";
 
 /** Statuses that guarantee that the request did not and will not run. */
 export const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([
--- a/packages/gateway/src/callers/caller_call.ts
+++ b/packages/gateway/src/callers/caller_call.ts
@@ -2,7 +2,7 @@
 import type { ServerResponse } from "node:http";
 import type { Organisation, Route, Service } from "../configuration.ts";
 import type { RequestMetadata } from "../protocol.ts";
-import type { HandoffTerms } from "./handoff_terms.ts";
+import type { HandoffTerms } from "./handoff_headers.ts";
 import type { PaceSummary } from "./stream_pace.ts";
 
 export interface CallerCall {
--- a/packages/gateway/src/callers/caller_listener.ts
+++ b/packages/gateway/src/callers/caller_listener.ts
@@ -24,7 +24,7 @@
   HANDOFF_HEADER,
   type HandoffTerms,
   withoutHandoffTerms,
-} from "./handoff_terms.ts";
+} from "./handoff_headers.ts";
 import type { WarmUp } from "./warm_up.ts";
 
 /** Limits that apply until the first configuration is in force. */
--- a/packages/gateway/src/callers/mod.ts
+++ b/packages/gateway/src/callers/mod.ts
@@ -2,6 +2,6 @@
 export * from "./caller_answer.ts";
 export * from "./caller_call.ts";
 export * from "./caller_listener.ts";
-export * from "./handoff_terms.ts";
+export * from "./handoff_headers.ts";
 export * from "./stream_pace.ts";
 export * from "./warm_up.ts";
