--- a/packages/gateway/src/placement/placement_loop.ts
+++ b/packages/gateway/src/placement/placement_loop.ts
@@ -185,6 +185,7 @@
       answer: answer.kind,
       detail: "detail" in answer ? answer.detail : undefined,
     });
+    if (answer.kind === "unknown") fleet.reachability.check(server.service);
     order.acknowledged = answer.kind === "accepted";
     if (answer.kind === "accepted" || answer.kind === "unknown") return;
     // The order was refused, or had nothing to change. The next plan needs the
--- a/packages/gateway/src/placement/placement_loop_test.ts
+++ b/packages/gateway/src/placement/placement_loop_test.ts
@@ -45,24 +45,26 @@
 } as unknown as BackendServer;
 
 /** Starts the placement loop with a fake engine and all leases held. */
-function setUp() {
+function setUp({ canConnect = true } = {}) {
   const controller = new AbortController();
   const { signal } = controller;
   const report = { startedAt: 1, orderCount: 3, busy: false, held: null };
   const orders: PlaceOrder[] = [];
   let orderDurationMs = 0;
+  let isAnswering = true;
   const engines = {
     report: async () => ({ ...report }) as unknown as EngineReport,
     async place(_: BackendServer, order: PlaceOrder): Promise<OrderOutcome> {
       orders.push(order);
       if (orderDurationMs > 0) await pause(orderDurationMs);
+      if (!isAnswering) return { kind: "unknown", detail: "timed out" };
       if (report.busy) return { kind: "conflict", detail: "busy" };
       return { kind: "accepted" };
     },
   } as unknown as EngineCalls;
   const fleet = createBackendFleet({
     engines,
-    canConnect: async () => true,
+    canConnect: async () => canConnect,
     countInstances: () => 1,
     failureDomain: "a",
     signal,
@@ -79,6 +81,9 @@
     setOrderDuration(ms: number) {
       orderDurationMs = ms;
     },
+    loseAnswers() {
+      isAnswering = false;
+    },
     end: () => controller.abort(),
   };
 }
@@ -133,4 +138,15 @@
     expect(orders).toHaveLength(1);
     end();
   });
+
+  // Guards against a lease that stays with an instance that reaches no engine,
+  // and has no requests by whose failures it would notice.
+  it("checks whether engines can be reached after an order without an answer", async () => {
+    const { fleet, loseAnswers, end } = setUp({ canConnect: false });
+    loseAnswers();
+    fleet.put(ENGINE);
+    await vi.advanceTimersByTimeAsync(2_000);
+    expect(fleet.reachability.isCutOff("model")).toBe(true);
+    end();
+  });
 });
