--- a/packages/checks/src/platform_soak/soak_run.ts
+++ b/packages/checks/src/platform_soak/soak_run.ts
@@ -232,7 +232,7 @@
     const ownLinks = await openLinks();
     links.push(ownLinks);
     const door = await deployment.store.openDoor((text) =>
-      throughLinks(text, ownLinks, proxies),
+      withLinkAddresses(text, ownLinks, proxies),
     );
     doors.push(door);
     const settings = await drawSettings(`i-${index}`, {
@@ -283,7 +283,7 @@
 }
 
 /** Replaces the servers' addresses by those of an instance's links to them. */
-function throughLinks(
+function withLinkAddresses(
   text: string,
   links: ServerLinks,
   proxies: readonly FaultProxy[],
