--- /dev/null
+++ b/packages/admission/src/class_demand.ts
@@ -0,0 +1,21 @@
+/** Demand of the requests of one priority class, as far as it is known. */
+
+/** Costs are in tokens, summed over the instances that share the engines. */
+export interface ClassDemand {
+  readonly arrivingPerSecond: number;
+  readonly waiting: number;
+  readonly held: number;
+}
+
+/** By priority; 0 is the most urgent. */
+export type DemandByClass = ReadonlyMap<number, ClassDemand>;
+
+/** By service. */
+export type Demand = ReadonlyMap<string, DemandByClass>;
+
+/** Receives the changes of demand that an instance observes itself. */
+export interface DemandRecorder {
+  arrived(service: string, priority: number, cost: number): void;
+  waitingChanged(service: string, priority: number, difference: number): void;
+  heldChanged(service: string, priority: number, difference: number): void;
+}
