Gateway: retry delays from the schedule, and calls that carry their arrival

Refusals of streams and plain requests drew their Retry-After from fixed ranges, also beyond the time that the caller had left. All delays now come from the retry schedule of the service, in caller_answer.ts; the ranges stay for queues whose rate is not known, which are all until the admission queue tells its rate. A time for which servers want no requests stays a lower bound, and a delay that another instance named goes first.

A call carries its arrival and its first attempt. A request that was handed off keeps those of its first instance in an optional field of the terms, which older versions ignore; without the field it counts as a first attempt. Log lines and two metrics show class, arrival and delay.

--- a/packages/gateway/src/callers/caller_answer.ts
+++ b/packages/gateway/src/callers/caller_answer.ts
@@ -1,36 +1,44 @@
 /** Writes answers to callers: relayed ones and the gateway's own. */
 import type { ServerResponse } from "node:http";
+import type { RetryDelayRange, RetryRefusal } from "@rosemarypin/admission";
 import type { OpenAnswer } from "../backends/mod.ts";
 import type { RequestCodec } from "../protocol.ts";
-import type { CallEnd, CallerCall, CallOutcome } from "./caller_call.ts";
+import {
+  type CallEnd,
+  type CallerCall,
+  type CallOutcome,
+  priorityOf,
+  timeLeftMs,
+} from "./caller_call.ts";
 import {
   encodeHandoffHeader,
   HANDOFF_REPORT_HEADER,
 } from "./handoff_headers.ts";
+import type { RetrySchedules } from "./retry_schedules.ts";
 
 /** Statuses that guarantee that the request did not and will not run. */
 export const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([
   408, 421, 429, 503,
 ]);
 
-/** Range in seconds from which a retry delay for a caller is drawn. */
-export interface RetryDelayRange {
-  readonly minSeconds: number;
-  readonly maxSeconds: number;
-}
-
 /** Full servers of plain services have capacity again after this time. */
 const FULL_SERVER_RETRY_AFTER: RetryDelayRange = {
   minSeconds: 0.4,
   maxSeconds: 1.6,
 };
 
+/** What refusals are made with. */
+export interface RefusalParts {
+  readonly codec: RequestCodec;
+  readonly retrySchedules: RetrySchedules;
+}
+
 export interface RefusalOptions {
   readonly status: number;
   readonly reason: string;
   readonly requestId: string | null;
-  /** Delay before a retry; drawn at random if omitted. */
-  readonly retryAfterSeconds?: number;
+  /** Delay before a retry; `null` for statuses that don't have one. */
+  readonly retryAfterSeconds: number | null;
 }
 
 /** Writes an error answer; does nothing if an answer has begun. */
@@ -42,24 +50,37 @@
   if (response.headersSent || response.destroyed) return;
   const body = `${JSON.stringify({ error: reason })}\n`;
   response.writeHead(status, {
-    ...codec.encodeRefusal({
-      requestId,
-      retryAfterSeconds: NOT_RUN_STATUSES.has(status)
-        ? (retryAfterSeconds ?? drawRetrySeconds(FULL_SERVER_RETRY_AFTER))
-        : null,
-    }),
+    ...codec.encodeRefusal({ requestId, retryAfterSeconds }),
     "Content-Type": "application/json",
     "Content-Length": Buffer.byteLength(body),
   });
   response.end(body);
 }
 
-/** Draws a delay in seconds; randomness spreads the retries of callers. */
-export function drawRetrySeconds({
-  minSeconds,
-  maxSeconds,
-}: RetryDelayRange): number {
-  return minSeconds + Math.random() * (maxSeconds - minSeconds);
+/**
+ * Seconds after which the caller of a refused request should return; `null` for
+ * statuses that don't have a delay.
+ */
+export function retryDelayOf(
+  { retrySchedules }: RefusalParts,
+  status: number,
+  {
+    service,
+    ...refusal
+  }: Pick<RetryRefusal, "priority" | "leftMs"> &
+    Partial<RetryRefusal> & {
+      /** `null` if none was chosen. */
+      readonly service: string | null;
+    },
+): number | null {
+  if (!NOT_RUN_STATUSES.has(status)) return null;
+  return retrySchedules.of(service ?? "").delayFor({
+    cost: 0,
+    expectedWaitMs: 0,
+    costPerSecond: 0,
+    fallback: FULL_SERVER_RETRY_AFTER,
+    ...refusal,
+  });
 }
 
 /**
@@ -91,34 +112,56 @@
   response.setHeader(HANDOFF_REPORT_HEADER, encodeHandoffHeader(report));
 }
 
+/** What the admission queue knows of a call that it has refused. */
+export interface QueueOutlook {
+  /** Expected work in tokens. */
+  readonly cost?: number;
+  /** Expected wait of a further call of the class. */
+  readonly expectedWaitMs?: number;
+  /** Cost that is granted per second while calls wait. */
+  readonly costPerSecond?: number;
+}
+
 /** Ends a call with an error answer and returns its end. */
 export function endWithRefusal(
-  codec: RequestCodec,
+  parts: RefusalParts,
   call: CallerCall,
   options: {
     readonly outcome: CallOutcome;
     readonly reason: string;
     readonly attempts: number;
-    /** Range of the delay before a retry. */
+    /** Range of the delay before a retry, where no rate is known. */
     readonly retryDelay?: RetryDelayRange;
     /** Milliseconds until servers want requests again, before that delay. */
     readonly backoffMs?: number;
-    /** Delay before a retry, in place of one from the range. */
+    /** Delay that another instance named, in place of one of this instance. */
     readonly retryAfterSeconds?: number | null;
-  },
+  } & QueueOutlook,
 ): CallEnd {
-  const { outcome, reason, attempts, backoffMs = 0 } = options;
-  const retryDelay = options.retryDelay ?? FULL_SERVER_RETRY_AFTER;
+  const { outcome, reason, attempts } = options;
   const status = outcome === "not_run" ? 503 : isPastDeadline(call) ? 504 : 502;
-  refuse(codec, call.response, {
+  const retryAfterSeconds = NOT_RUN_STATUSES.has(status)
+    ? (options.retryAfterSeconds ??
+      retryDelayOf(parts, status, {
+        service: call.service.name,
+        priority: priorityOf(call),
+        arrival: call.arrival,
+        leftMs: timeLeftMs(call),
+        notBeforeMs: options.backoffMs ?? 0,
+        cost: options.cost ?? 0,
+        expectedWaitMs: options.expectedWaitMs ?? 0,
+        costPerSecond: options.costPerSecond ?? 0,
+        fallback: options.retryDelay ?? FULL_SERVER_RETRY_AFTER,
+      }))
+    : null;
+  refuse(parts.codec, call.response, {
     status,
     reason,
     requestId: call.metadata.requestId,
-    retryAfterSeconds:
-      options.retryAfterSeconds ??
-      backoffMs / 1_000 + drawRetrySeconds(retryDelay),
+    retryAfterSeconds,
   });
-  return { status, outcome, reason, attempts, firstByteMs: null };
+  const end = { status, outcome, reason, attempts, firstByteMs: null };
+  return retryAfterSeconds === null ? end : { ...end, retryAfterSeconds };
 }
 
 function isPastDeadline(call: CallerCall): boolean {
--- a/packages/gateway/src/callers/caller_call.ts
+++ b/packages/gateway/src/callers/caller_call.ts
@@ -1,5 +1,6 @@
 /** A caller's request in progress, and its end. */
 import type { ServerResponse } from "node:http";
+import type { Arrival } from "@rosemarypin/admission";
 import type { Organisation, Route, Service } from "../configuration.ts";
 import type { RequestMetadata } from "../protocol.ts";
 import type { HandoffTerms } from "./handoff_headers.ts";
@@ -25,6 +26,10 @@
   readonly handedOff: HandoffTerms | null;
   /** By the monotonic clock, in milliseconds. */
   readonly startedAt: number;
+  /** Whether the caller returns after a refusal, as far as is known. */
+  readonly arrival: Arrival;
+  /** First attempt of the caller, by the same clock. */
+  readonly firstAttemptAt: number;
   /** Deadline of the caller or the route, by the same clock. */
   readonly deadlineAt: number;
   /** Aborted when the caller disconnects or the deadline passes. */
@@ -45,6 +50,8 @@
   readonly firstByteMs: number | null;
   /** Event timing of a stream; absent for plain and refused calls. */
   readonly pace?: PaceSummary;
+  /** Retry delay that the caller was given; absent without one. */
+  readonly retryAfterSeconds?: number;
 }
 
 /**
@@ -70,6 +77,9 @@
 }
 
 /** Priority of the call's organisation, or of its route if that has none. */
-export function priorityOf({ organisation, route }: CallerCall): number {
+export function priorityOf({
+  organisation,
+  route,
+}: Pick<CallerCall, "organisation" | "route">): number {
   return organisation?.priority ?? route.priority;
 }
--- a/packages/gateway/src/callers/caller_listener.ts
+++ b/packages/gateway/src/callers/caller_listener.ts
@@ -5,6 +5,12 @@
   type Server,
   type ServerResponse,
 } from "node:http";
+import {
+  type Arrival,
+  type CallerArrival,
+  FIRST_ARRIVAL,
+  type ReturningCallers,
+} from "@rosemarypin/admission";
 import { createLogger } from "@rosemarypin/telemetry";
 import type {
   CallerLimits,
@@ -16,15 +22,17 @@
   AppliedConfiguration,
   ConfigurationKeeper,
 } from "../following/mod.ts";
-import type { RequestCodec, RequestMetadata } from "../protocol.ts";
-import { refuse } from "./caller_answer.ts";
-import type { CallEnd, CallerCall } from "./caller_call.ts";
+import type { RequestMetadata } from "../protocol.ts";
+import { logEnd } from "./call_log.ts";
+import { type RefusalParts, refuse, retryDelayOf } from "./caller_answer.ts";
+import { type CallEnd, type CallerCall, priorityOf } from "./caller_call.ts";
 import {
   decodeHandoffTerms,
   HANDOFF_HEADER,
   type HandoffTerms,
   withoutHandoffTerms,
 } from "./handoff_headers.ts";
+import { readRequestBody } from "./request_body.ts";
 import type { WarmUp } from "./warm_up.ts";
 
 /** Limits that apply until the first configuration is in force. */
@@ -55,9 +63,9 @@
 
 const log = createLogger("callers");
 
-export interface CallerListenerOptions {
+export interface CallerListenerOptions extends RefusalParts {
   readonly keeper: ConfigurationKeeper;
-  readonly codec: RequestCodec;
+  readonly returningCallers: ReturningCallers;
   readonly forward: (call: CallerCall) => Promise<CallEnd>;
   /** Awaited before each request is admitted. */
   readonly warmUp: WarmUp;
@@ -66,6 +74,10 @@
   /** Whether this instance can serve no request, while others may. */
   readonly isIsolated: () => boolean;
   readonly onEnded: (call: CallerCall, end: CallEnd) => void;
+  /** Called for a refusal before the request became a call. */
+  readonly onRefused: (refusal: {
+    readonly retryAfterSeconds: number | null;
+  }) => void;
 }
 
 export interface CallerListener {
@@ -87,6 +99,17 @@
   readonly reason: string;
 }
 
+/** What is known of a request that is refused. */
+interface RefusedRequest {
+  readonly metadata: RequestMetadata;
+  readonly refusal: Refusal;
+  readonly startedAt: number;
+  readonly handedOff: HandoffTerms | null;
+  /** Absent while the route of the request isn't known. */
+  readonly priority?: number;
+  readonly arrival?: Arrival;
+}
+
 /** Creates the listener; the caller binds it to an address. */
 export function createCallerListener(
   options: CallerListenerOptions,
@@ -136,7 +159,9 @@
     if (!terms) {
       const refusal = { status: 400, reason: "unreadable_handoff" };
       const metadata = codec.decodeRequest(request.headers);
-      return refuseRequest(request, response, { metadata, refusal });
+      const startedAt = performance.now();
+      const refused = { metadata, refusal, startedAt, handedOff: null };
+      return refuseRequest(request, response, refused);
     }
     handedOffInProgress += 1;
     await handleTracked(request, response, terms);
@@ -182,17 +207,22 @@
       : handedOff && refuseHandedOff(handedOff, applied);
     const admitted =
       refusal ?? admit(request, { rawHeaders, metadata, applied, handedOff });
+    const received = { metadata, startedAt, handedOff };
     if ("status" in admitted) {
-      return refuseRequest(request, response, {
-        metadata,
-        refusal: admitted,
-      });
+      const refused = { ...received, refusal: admitted };
+      return refuseRequest(request, response, refused);
     }
-    const body = await readBody(request, applied?.limits ?? DEFAULT_LIMITS);
+    const { arrival, elapsedMs } = classify(admitted.route, received);
+    const body = await readRequestBody(
+      request,
+      applied?.limits ?? DEFAULT_LIMITS,
+    );
     if (body === "too_large") {
       const refusal = { status: 413, reason: "body_too_large" };
       response.setHeader("Connection", "close");
-      return refuseRequest(request, response, { metadata, refusal });
+      const priority = priorityOf(admitted);
+      const refused = { ...received, refusal, priority, arrival };
+      return refuseRequest(request, response, refused);
     }
     if (body === "broken") {
       log.info("request_broken", { request: metadata.requestId ?? "" });
@@ -224,6 +254,8 @@
       response,
       handedOff,
       startedAt,
+      arrival,
+      firstAttemptAt: startedAt - elapsedMs,
       deadlineAt: startedAt + callTimeoutMs,
       signal: callAbort.signal,
       hasCallerLeft: () => callerLeft,
@@ -237,13 +269,32 @@
     }
   }
 
+  /**
+   * How a request has arrived. The deadline of one that was handed off is what
+   * is left of its caller's, so its first instance classifies it.
+   */
+  function classify(
+    route: Route,
+    { metadata, handedOff }: Pick<RefusedRequest, "metadata" | "handedOff">,
+  ): CallerArrival {
+    return handedOff
+      ? (handedOff.arrival ?? FIRST_ARRIVAL)
+      : options.returningCallers.classify(route.name, metadata.deadlineMs);
+  }
+
   function refuseRequest(
     request: IncomingMessage,
     response: ServerResponse,
-    options: { readonly metadata: RequestMetadata; readonly refusal: Refusal },
+    refused: RefusedRequest,
   ): void {
-    const { metadata, refusal } = options;
+    const { metadata, refusal, startedAt, handedOff, priority } = refused;
     const { status, reason } = refusal;
+    const deadlineMs = metadata.deadlineMs ?? DEFAULT_DEADLINE_MS;
+    const retryAfterSeconds = retryDelayOf(options, status, {
+      service: null,
+      priority: priority ?? 0,
+      leftMs: startedAt + deadlineMs - performance.now(),
+    });
     log.info("request_refused", {
       request: metadata.requestId ?? "",
       status,
@@ -251,9 +302,15 @@
       host: request.headers.host,
       path: request.url,
       version: keeper.applied()?.version ?? 0,
+      priority,
+      arrival: refused.arrival,
+      retry_after_s: retryAfterSeconds ?? undefined,
     });
     request.resume();
-    refuse(codec, response, { status, reason, requestId: metadata.requestId });
+    const { requestId } = metadata;
+    refuse(codec, response, { status, reason, requestId, retryAfterSeconds });
+    // The instance that handed it off counts the refusals of its callers.
+    if (!handedOff) options.onRefused({ retryAfterSeconds });
   }
 
   return {
@@ -335,61 +392,7 @@
   return rawHeaders.reduce((sum, text) => sum + text.length + 2, 0);
 }
 
-async function readBody(
-  request: IncomingMessage,
-  { bodyBytes }: CallerLimits,
-): Promise<Buffer | null | "too_large" | "broken"> {
-  const declared = Number(request.headers["content-length"] ?? 0);
-  if (declared > bodyBytes) return "too_large";
-  const chunks: Buffer[] = [];
-  let bytes = 0;
-  try {
-    for await (const chunk of request) {
-      bytes += (chunk as Buffer).length;
-      if (bytes > bodyBytes) return "too_large";
-      chunks.push(chunk as Buffer);
-    }
-  } catch {
-    return "broken";
-  }
-  return bytes === 0 ? null : Buffer.concat(chunks);
-}
-
 function applyLimits(server: Server, limits: CallerLimits): void {
   server.headersTimeout = limits.headerTimeoutMs;
   server.keepAliveTimeout = limits.idleTimeoutMs;
 }
-
-/** Returns which objective of its route a complete answer missed, if any. */
-function missedObjectiveOf(
-  { route, startedAt }: CallerCall,
-  { outcome, firstByteMs, pace }: CallEnd,
-): "first" | "pause" | undefined {
-  if (outcome !== "answered") return undefined;
-  const firstMs = firstByteMs ?? performance.now() - startedAt;
-  if (firstMs > route.objectiveMs) return "first";
-  const pauseMs = route.kind === "stream" ? (pace?.pauseMs ?? 0) : 0;
-  return pauseMs > route.pauseObjectiveMs ? "pause" : undefined;
-}
-
-function logEnd(call: CallerCall, end: CallEnd): void {
-  const fields = {
-    request: call.id,
-    route: call.route.name,
-    service: call.service.name,
-    organisation: call.organisation?.name,
-    from: call.handedOff?.from,
-    status: end.status,
-    outcome: end.outcome,
-    reason: end.reason,
-    attempts: end.attempts,
-    first_ms: end.firstByteMs === null ? undefined : end.firstByteMs.toFixed(0),
-    total_ms: (performance.now() - call.startedAt).toFixed(0),
-    late: missedObjectiveOf(call, end),
-    events: end.pace?.events,
-    pause_ms: end.pace?.pauseMs.toFixed(0),
-    pause_at_ms: end.pace?.pauseAtMs.toFixed(0),
-  };
-  if (end.outcome === "answered") log.info("request_ended", fields);
-  else log.warn("request_ended", fields);
-}
--- a/packages/gateway/src/callers/handoff_headers.ts
+++ b/packages/gateway/src/callers/handoff_headers.ts
@@ -9,6 +9,9 @@
 /** Name of the header that carries the report, as Node.js gives it. */
 export const HANDOFF_REPORT_HEADER = "rosemarypin-handoff-report";
 
+/** Bound on the time since a first attempt, above that of any deadline. */
+const MAX_ELAPSED_MS = 3_600_000;
+
 const handoffTermsSchema = z.object({
   /** Instance that hands the request off. */
   from: z.string(),
@@ -29,6 +32,18 @@
   takesRetry: z.boolean(),
   /** IDs of servers that have answered the request with errors. */
   failedServers: z.array(z.string()),
+  /**
+   * How the request arrived at its first instance, and the time since its
+   * caller's first attempt. Instances of older versions neither send nor read
+   * it. An invalid one counts as absent, since the request can be served.
+   */
+  arrival: z
+    .object({
+      arrival: z.enum(["first", "returning", "hurried"]),
+      elapsedMs: z.number().min(0).max(MAX_ELAPSED_MS),
+    })
+    .optional()
+    .catch(undefined),
 });
 
 const handoffReportSchema = handoffTermsSchema.pick({ failedServers: true });
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,6 +1,7 @@
 /** Assembles, starts and stops one gateway instance. */
 import { once, setMaxListeners } from "node:events";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import { createReturningCallers } from "@rosemarypin/admission";
 import { createPeerCaller, createUdpTransport } from "@rosemarypin/membership";
 import type { StoredObject } from "@rosemarypin/store";
 import { createLogger } from "@rosemarypin/telemetry";
@@ -15,6 +16,7 @@
   type CallEnd,
   type CallerCall,
   createCallerListener,
+  createRetrySchedules,
   createWarmUp,
   endWithRefusal,
   HANDOFF_HEADER,
@@ -189,9 +191,11 @@
     servers: () =>
       new Map(services().map(({ name }) => [name, fleet.countServers(name)])),
   });
+  const refusalParts = { codec, retrySchedules: createRetrySchedules() };
   const listener = createCallerListener({
+    ...refusalParts,
     keeper,
-    codec,
+    returningCallers: createReturningCallers(),
     forward,
     warmUp: createWarmUp(
       () =>
@@ -202,6 +206,7 @@
       stoppedAt === null ? null : performance.now() - stoppedAt,
     isIsolated,
     onEnded: metrics.countEnd,
+    onRefused: metrics.countRefusal,
   });
 
   function applyConfiguration({ key, value }: StoredObject): void {
@@ -263,11 +268,15 @@
     const reason = call.handedOff && (await reasonToDecline(call));
     if (reason) {
       const outcome = "not_run";
-      return endWithRefusal(codec, call, { outcome, reason, attempts: 0 });
+      return endWithRefusal(refusalParts, call, {
+        outcome,
+        reason,
+        attempts: 0,
+      });
     }
     // The instance that handed it off has counted the request.
     if (!call.handedOff) budget.countRequest(service);
-    const dependencies = { codec, exchange, fleet, budget, handoff };
+    const dependencies = { ...refusalParts, exchange, fleet, budget, handoff };
     if (call.service.engine) {
       return forwardStream(call, {
         ...dependencies,
--- a/packages/gateway/src/handoff/request_handoff.ts
+++ b/packages/gateway/src/handoff/request_handoff.ts
@@ -187,6 +187,10 @@
       lastEventId: request.lastEventId,
       takesRetry: request.takesRetry,
       failedServers: [...request.failedServers],
+      arrival: {
+        arrival: call.arrival,
+        elapsedMs: performance.now() - call.firstAttemptAt,
+      },
     });
     return [
       ...withoutConnectionHeaders(call.rawHeaders, OWN_HEADERS),
--- a/packages/gateway/src/operators/gateway_metrics.ts
+++ b/packages/gateway/src/operators/gateway_metrics.ts
@@ -1,15 +1,19 @@
 /** Prometheus metrics of one gateway. */
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import type { ServerCounts } from "../backends/mod.ts";
-import type { CallEnd, CallerCall } from "../callers/mod.ts";
+import { type CallEnd, type CallerCall, priorityOf } from "../callers/mod.ts";
 
 const SECONDS_BUCKETS = [
   0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.83, 1.5, 3, 6, 15, 30,
 ];
 
+const RETRY_DELAY_BUCKETS = [0.1, 0.2, 0.3, 0.5, 0.75, 1, 1.5, 2, 3, 5, 10];
+
 export interface GatewayMetrics {
   readonly registry: Registry;
   countEnd(call: CallerCall, end: CallEnd): void;
+  /** Counts a refusal before the request became a call. */
+  countRefusal(refusal: { readonly retryAfterSeconds: number | null }): void;
 }
 
 export interface GatewayGauges {
@@ -59,6 +63,18 @@
     buckets: SECONDS_BUCKETS,
     registers,
   });
+  const returned = new Counter({
+    name: "rosemarypin_returned_requests_total",
+    help: "Requests of callers that returned after a refusal, by how they ended",
+    labelNames: ["priority", "arrival", "outcome"] as const,
+    registers,
+  });
+  const retryDelay = new Histogram({
+    name: "rosemarypin_retry_delay_seconds",
+    help: "Time after which refused callers were told to return",
+    buckets: RETRY_DELAY_BUCKETS,
+    registers,
+  });
   const pause = new Histogram({
     name: "rosemarypin_longest_pause_seconds",
     help: "The longest time between two events of a stream",
@@ -120,7 +136,11 @@
 
   return {
     registry,
-    countEnd({ route, startedAt, handedOff }, end) {
+    countRefusal({ retryAfterSeconds }) {
+      if (retryAfterSeconds !== null) retryDelay.observe(retryAfterSeconds);
+    },
+    countEnd(call, end) {
+      const { route, startedAt, handedOff, arrival } = call;
       const { kind } = route;
       const { outcome, firstByteMs } = end;
       // The instance that handed it off counts it among its requests.
@@ -132,6 +152,10 @@
       if (end.pace) pause.observe(end.pace.pauseMs / 1_000);
       const seconds = (performance.now() - startedAt) / 1_000;
       duration.observe({ kind, outcome }, seconds);
+      if (end.retryAfterSeconds !== undefined)
+        retryDelay.observe(end.retryAfterSeconds);
+      if (arrival === "first") return;
+      returned.inc({ priority: priorityOf(call), arrival, outcome });
     },
   };
 }
--- a/packages/gateway/src/plain/forward_plain.ts
+++ b/packages/gateway/src/plain/forward_plain.ts
@@ -101,7 +101,7 @@
   // make the whole call safe to retry.
   const outcome = possibleRuns > 0 ? "unknown" : "not_run";
   const reason = lastAttempt.detail;
-  return endWithRefusal(codec, call, {
+  return endWithRefusal(parts, call, {
     outcome,
     reason,
     attempts,
--- a/packages/gateway/src/streams/forward_stream.ts
+++ b/packages/gateway/src/streams/forward_stream.ts
@@ -2,6 +2,7 @@
  * Forwards answers that are streams of events. A broken answer is resumed on
  * another pipeline after the last event that the caller has received.
  */
+import type { RetryDelayRange } from "@rosemarypin/admission";
 import type { BackendFleet } from "../backends/mod.ts";
 import {
   beginAnswer,
@@ -10,11 +11,10 @@
   createStreamPace,
   endWithRefusal,
   maxAttemptsOf,
-  type RetryDelayRange,
+  type QueueOutlook,
   reportFailedServers,
 } from "../callers/mod.ts";
 import { attemptsForHelper } from "../handoff/mod.ts";
-import type { RequestCodec } from "../protocol.ts";
 import { createAdmission } from "./admission.ts";
 import { runOnHelper } from "./helper_run.ts";
 import type { AnswerSize } from "./pipeline_router.ts";
@@ -35,7 +35,7 @@
 /** Time after which a call asks again whether another instance can serve it. */
 const HELPER_RETRY_MS = 300;
 /**
- * Range of the retry delay. The loss of an engine is detected within one second
+ * Range of the retry delay where no rate is known. The loss of an engine is detected within one second
  * and other engines hold its layers one to two seconds later. A random delay in
  * the range spreads the retries of callers that were refused together.
  */
@@ -99,7 +99,8 @@
     progress,
     attempts,
     runs,
-    codec: parts.codec,
+    parts,
+    outlook: { cost: size.promptTokens + size.answerTokens },
     backoffMs: hasPipeline ? 0 : soonestBackoffEndMs(fleet, service),
     retryAfterSeconds,
   });
@@ -222,14 +223,16 @@
     readonly progress: StreamProgress;
     readonly attempts: number;
     readonly runs: number;
-    readonly codec: RequestCodec;
+    readonly parts: StreamParts;
+    /** What is known of the wait for engines, for the time to come back. */
+    readonly outlook: QueueOutlook;
     /** Milliseconds until engines want requests again, if they don't now. */
     readonly backoffMs: number;
     /** Time to come back that another instance named. */
     readonly retryAfterSeconds: number | null;
   },
 ): CallEnd {
-  const { lastEnd, progress, attempts, runs, codec, backoffMs } = state;
+  const { lastEnd, progress, attempts, runs, parts, backoffMs } = state;
   const pace = progress.pace.summary();
   const firstByteMs = pace.firstMs;
   if (lastEnd.kind === "complete") {
@@ -249,14 +252,15 @@
   }
   if (lastEnd.kind === "failed") {
     const { status } = lastEnd.answer;
-    beginAnswer(codec, call.response, lastEnd.answer);
+    beginAnswer(parts.codec, call.response, lastEnd.answer);
     call.response.end(lastEnd.body);
     const reason = `status_${status}`;
     return { status, outcome: "answered", reason, attempts, firstByteMs, pace };
   }
   const outcome = runs > 0 ? "unknown" : "not_run";
   const isFull = lastEnd.detail === "no_room";
-  return endWithRefusal(codec, call, {
+  return endWithRefusal(parts, call, {
+    ...state.outlook,
     outcome,
     reason: lastEnd.detail,
     attempts,
