Account: tables by class, route and organisation

The account tells how answers were lost and what began it, but not who lost them in a shortage. Three tables give for each class, route and organisation the requests, the lost answers, how many were refused, and the requests of callers that returned. Lines of older versions have no class and stand in their own row.

--- a/packages/cli/src/commands/account.ts
+++ b/packages/cli/src/commands/account.ts
@@ -8,6 +8,7 @@
 import {
   type AccountRow,
   accountForLosses,
+  type GroupRow,
   LATE_SHARE,
   type LossAccount,
 } from "../loss_account.ts";
@@ -34,8 +35,10 @@
   help: `Usage: rosemarypin account FILE... [--outcomes REPORT]
 
 Reads logs of all instances and adds up the answers that came late or not at
-all: by the way they were lost, by what began it (an engine, an instance), and
-by second. A late answer counts as ${1 - LATE_SHARE} of a lost one. With --outcomes, the
+all: by the way they were lost, by what began it (an engine, an instance), by
+class (priority), route and organisation, and by second. In the tables of these
+three, requests counts all that came in, and returned those of callers that came
+back after a refusal. A late answer counts as ${1 - LATE_SHARE} of a lost one. With --outcomes, the
 report of what callers saw, the difference is shown too: requests that reached
 no instance, less those that a second try saved.`,
   async run({ output, words, flags }) {
@@ -93,6 +96,9 @@
     renderTable("how", full.byKind),
     renderTable("begun by", full.byOrigin),
     renderTable("at", full.bySubject.slice(0, MOST_SUBJECTS)),
+    renderGroups("class", full.byPriority),
+    renderGroups("route", full.byRoute),
+    renderGroups("organisation", full.byOrganisation),
     renderTable("second", full.bySecond),
   ];
   return parts.join("\n\n");
@@ -106,3 +112,19 @@
   );
   return [`${title.padEnd(width)}  answers     lost`, ...lines].join("\n");
 }
+
+function renderGroups(title: string, rows: readonly GroupRow[]): string {
+  const header = ["requests", "answers", "lost", "refused", "returned"];
+  const width = Math.max(title.length, ...rows.map(({ name }) => name.length));
+  const lines = rows.map((row) => {
+    const { requests, answers, lost, refused, returned } = row;
+    const cells = [requests, answers, lost.toFixed(1), refused, returned];
+    return [row.name.padEnd(width), ...cells.map(padCell)].join("  ");
+  });
+  const titles = [title.padEnd(width), ...header.map(padCell)];
+  return [titles.join("  "), ...lines].join("\n");
+}
+
+function padCell(cell: string | number): string {
+  return String(cell).padStart(8);
+}
--- a/packages/cli/src/loss_account.ts
+++ b/packages/cli/src/loss_account.ts
@@ -1,7 +1,8 @@
 /**
  * Adds up from logs what callers lost: answers that came late or not at all,
- * by the way they were lost, by the engine or instance that began it, and by
- * second. Every answer that was lost stands in one row of each table.
+ * by the way they were lost, by the engine or instance that began it, by class,
+ * route and organisation, and by second. Every answer that was lost stands in
+ * one row of each table.
  */
 import type { LogLine } from "./log_story.ts";
 
@@ -43,6 +44,16 @@
   readonly lost: number;
 }
 
+/** What the requests of one class, route or organisation lost. */
+export interface GroupRow extends AccountRow {
+  /** Requests that came in, the lost ones too. */
+  readonly requests: number;
+  /** Lost answers that were refused. */
+  readonly refused: number;
+  /** Requests of callers that returned, whether or not after the delay. */
+  readonly returned: number;
+}
+
 export interface LossAccount {
   /** Requests that came in, the lost ones too. */
   readonly answers: number;
@@ -50,6 +61,11 @@
   readonly byKind: readonly AccountRow[];
   readonly byOrigin: readonly AccountRow[];
   readonly bySubject: readonly AccountRow[];
+  /** Names are priorities, the most urgent ones first. */
+  readonly byPriority: readonly GroupRow[];
+  readonly byRoute: readonly GroupRow[];
+  /** The name is `none` for requests without an organisation. */
+  readonly byOrganisation: readonly GroupRow[];
   /** Names are seconds of the day, as in the log. */
   readonly bySecond: readonly AccountRow[];
 }
@@ -99,6 +115,21 @@
     byKind: table(losses, ({ kind }) => kind),
     byOrigin: table(losses, ({ origin }) => origin.event),
     bySubject: table(losses, ({ origin }) => origin.subject),
+    byPriority: groupTable(
+      requests,
+      losses,
+      ({ end }) => end?.fields.priority,
+    ).sort((one, other) => rankOf(one.name) - rankOf(other.name)),
+    byRoute: groupTable(
+      requests,
+      losses,
+      ({ end, route }) => end?.fields.route ?? route,
+    ),
+    byOrganisation: groupTable(
+      requests,
+      losses,
+      ({ end }) => end && (end.fields.organisation ?? "none"),
+    ),
     bySecond: table(losses, ({ at }) =>
       new Date(at).toISOString().slice(11, 19),
     ).sort((one, other) => (one.name < other.name ? -1 : 1)),
@@ -109,6 +140,8 @@
 interface LoggedRequest {
   readonly id: string;
   readonly source: string;
+  /** As in its first line. */
+  readonly route: string | undefined;
   at: number;
   /** Engines or servers that it was sent to. */
   readonly servers: Set<string>;
@@ -142,9 +175,10 @@
   return requests;
 }
 
-function begin(id: string, { source, at }: LogLine): LoggedRequest {
+function begin(id: string, { source, at, fields }: LogLine): LoggedRequest {
   const servers = new Set<string>();
-  return { id, source, at, servers, end: null, instanceEndedAt: null };
+  const { route } = fields;
+  return { id, source, route, at, servers, end: null, instanceEndedAt: null };
 }
 
 function endOpen(open: Set<LoggedRequest> | undefined, at: number): void {
@@ -237,3 +271,45 @@
     }))
     .sort((one, other) => other.lost - one.lost);
 }
+
+/** Name of a group whose requests' lines don't tell it. */
+const UNKNOWN = "unknown";
+
+/** One row for each name, the one that lost most first. */
+function groupTable(
+  requests: ReadonlyMap<string, LoggedRequest>,
+  losses: readonly Loss[],
+  nameOf: (request: LoggedRequest) => string | null | undefined,
+): GroupRow[] {
+  const lossOf = new Map(losses.map((loss) => [loss.request, loss]));
+  const groups = new Map<string, LoggedRequest[]>();
+  for (const request of requests.values()) {
+    const name = nameOf(request) ?? UNKNOWN;
+    const group = groups.get(name) ?? [];
+    groups.set(name, group);
+    group.push(request);
+  }
+  return [...groups]
+    .map(([name, group]) => {
+      const lost = group.flatMap(({ id }) => lossOf.get(id) ?? []);
+      return {
+        name,
+        requests: group.length,
+        answers: lost.length,
+        lost: sum(lost),
+        refused: lost.filter(({ kind }) => kind === "refused").length,
+        returned: group.filter(hasReturned).length,
+      };
+    })
+    .sort((one, other) => other.lost - one.lost);
+}
+
+/** Rank of a priority; one that isn't known comes last. */
+function rankOf(priority: string): number {
+  return priority === UNKNOWN ? Number.MAX_VALUE : Number(priority);
+}
+
+function hasReturned({ end }: LoggedRequest): boolean {
+  const { arrival = "first" } = end?.fields ?? {};
+  return arrival !== "first";
+}
--- a/packages/cli/src/loss_account_test.ts
+++ b/packages/cli/src/loss_account_test.ts
@@ -62,6 +62,9 @@
       account.byKind,
       account.byOrigin,
       account.bySubject,
+      account.byPriority,
+      account.byRoute,
+      account.byOrganisation,
       account.bySecond,
     ];
     for (const rows of tables) {
@@ -70,6 +73,60 @@
     }
   });
 
+  // Guards against tables that hide which class, route or organisation pays for a
+  // shortage, and against logs of older versions that end the command.
+  it("tells what each class, route and organisation lost", () => {
+    const account = accountForLosses([
+      ...LINES,
+      ...logOf("three", [
+        [0, "event=request_sent request=r8 route=ask id=e1"],
+        [
+          100,
+          ended(
+            "r8",
+            "route=ask organisation=farm priority=0 arrival=first outcome=answered total_ms=100",
+          ),
+        ],
+        [
+          200,
+          "event=request_ended request=r9 status=503 route=ask organisation=farm priority=0 arrival=first outcome=not_run total_ms=1",
+        ],
+        [
+          900,
+          "event=request_ended request=r10 status=503 route=say priority=10 arrival=returning outcome=not_run total_ms=1",
+        ],
+        [
+          950,
+          ended(
+            "r11",
+            "route=say priority=2 arrival=hurried outcome=answered late=first total_ms=1",
+          ),
+        ],
+      ]),
+    ]);
+    const summary = (rows: typeof account.byRoute) =>
+      rows.map(
+        ({ name, requests, answers, lost, refused, returned }) =>
+          `${name}: ${requests} ${answers} ${lost} ${refused} ${returned}`,
+      );
+    expect(summary(account.byPriority)).toEqual([
+      "0: 2 1 1 1 0",
+      "2: 1 1 0.75 0 1",
+      "10: 1 1 1 1 1",
+      "unknown: 7 5 4.5 1 0",
+    ]);
+    expect(summary(account.byRoute)).toEqual([
+      "unknown: 7 5 4.5 1 0",
+      "say: 2 2 1.75 1 2",
+      "ask: 2 1 1 1 0",
+    ]);
+    expect(summary(account.byOrganisation)).toEqual([
+      "none: 7 6 5.25 2 2",
+      "farm: 2 1 1 1 0",
+      "unknown: 2 1 1 0 0",
+    ]);
+  });
+
   it("counts late answers by the share that they lose", () => {
     const { byKind } = accountForLosses(LINES, { lateShare: 0.6 });
     const late = byKind.find(({ name }) => name === "late_pause");
