Gateway: keep the table of engines between choices of a pipeline

Each choice listed all engines anew, summed the reports of all peers for each of them by id, asked for their condition, and searched among new objects. Instances answer a few requests a second on a part of a core, so this code stays cold.

The router keeps one table of engines for each service. The fleet says which engines changed (onChanged) and whose condition did (onCondition: refusals, ejections, backoffs, suspicions, reports); the condition of these is read before each search until nothing special is left. EngineUsage keeps totals by engine in place and takes expired reports out of them; loads are computed again only after a change. Instances are listed only in failure domains without a sum. hasPipeline tests coverage without a search. It differs from a search only where covering ranges exist and the cheapest way to some layer takes more than 32 stages.

The fake fleet of pipeline_router_test tells the router of a slowdown, as the fleet does with each report.

--- a/packages/gateway/src/backends/backend_fleet.ts
+++ b/packages/gateway/src/backends/backend_fleet.ts
@@ -96,6 +96,12 @@
   handleRefusal(id: string): void;
   /** Registers a callback for added, changed, suspected and removed servers. */
   onChanged(callback: (id: string) => void): void;
+  /**
+   * Registers a callback for servers that may no longer be usable or that have
+   * reported their load or speed. All return to normal without a call: the
+   * owner has to ask again as long as a server differs from that.
+   */
+  onCondition(callback: (id: string) => void): void;
 }
 
 /** Servers of one service that aren't leaving. */
@@ -143,9 +149,13 @@
     onFailure: checkReachability,
     onSilent: probeDomainIfSuspected,
     onSuspected: notifyChanged,
+    onAvoided: notifyCondition,
     signal,
   });
-  const outliers = createOutlierEjection({ countServers: () => servers.size });
+  const outliers = createOutlierEjection({
+    countServers: () => servers.size,
+    onEjected: notifyCondition,
+  });
   const limits = createRequestLimits({ failureDomain, countInstances });
   const backoffs = createRequestedBackoffs();
   const slowEngines = createSlowEngines({ probe, signal });
@@ -156,6 +166,7 @@
     signal,
   });
   const changeCallbacks: ((id: string) => void)[] = [];
+  const conditionCallbacks: ((id: string) => void)[] = [];
   const replacedEntries = new Map<string, BackendServer>();
   const reportedAt = new Map<string, number>();
   const reportedLoads = new Map<string, number>();
@@ -226,6 +237,10 @@
     for (const callback of changeCallbacks) callback(id);
   }
 
+  function notifyCondition(id: string): void {
+    for (const callback of conditionCallbacks) callback(id);
+  }
+
   function putReport(id: string, report: EngineReport): void {
     const last = servers.get(id);
     if (!last) return;
@@ -238,6 +253,7 @@
     slowEngines.record(id, report.slowdown);
     reportedLoads.set(id, usedTokenLayers / Math.max(1, totalTokenLayers));
     servers.set(id, { ...last, orderCount, held });
+    notifyCondition(id);
     if (!isSameRange(held, last.held)) notifyChanged(id);
   }
 
@@ -272,6 +288,11 @@
     notifyChanged(server.id);
   }
 
+  function recordBackoff(server: BackendServer, seconds: number): void {
+    backoffs.record(server, seconds);
+    notifyCondition(server.id);
+  }
+
   function recordAnswer(
     server: BackendServer,
     status: number,
@@ -294,7 +315,7 @@
     }
     const isRejected = answer.notRun || status === UNAVAILABLE;
     if (isRejected && retryAfterSeconds !== null)
-      backoffs.record(server, retryAfterSeconds);
+      recordBackoff(server, retryAfterSeconds);
     // Answers of intermediaries name no limit and don't lift one.
     const { requestLimitPerSecond, isSigned } = answer;
     if (requestLimitPerSecond !== null || isSigned)
@@ -368,6 +389,9 @@
     onChanged(callback) {
       changeCallbacks.push(callback);
     },
+    onCondition(callback) {
+      conditionCallbacks.push(callback);
+    },
   };
 }
 
--- a/packages/gateway/src/backends/failure_detector.ts
+++ b/packages/gateway/src/backends/failure_detector.ts
@@ -79,6 +79,8 @@
   readonly onSilent?: (id: string) => void;
   /** Called with each missed probe or failure of a suspected server. */
   readonly onSuspected?: (id: string) => void;
+  /** Called when a server begins to get no new requests. */
+  readonly onAvoided?: (id: string) => void;
   readonly signal: AbortSignal;
 }
 
@@ -88,6 +90,7 @@
   onFailure,
   onSilent,
   onSuspected,
+  onAvoided,
   signal,
 }: FailureDetectorOptions): FailureDetector {
   const suspicions = new Map<string, Suspicion>();
@@ -130,10 +133,11 @@
     }
   }
 
-  function startBackoff(suspicion: Suspicion): void {
+  function startBackoff(id: string, suspicion: Suspicion): void {
     const backoffMs = INITIAL_BACKOFF_MS * 2 ** (suspicion.failures - 1);
     suspicion.avoidedUntil =
       performance.now() + Math.min(MAX_BACKOFF_MS, backoffMs);
+    onAvoided?.(id);
   }
 
   async function startSuspicion(
@@ -150,13 +154,14 @@
       avoidedUntil: Number.POSITIVE_INFINITY,
     };
     suspicions.set(id, suspicion);
+    onAvoided?.(id);
     log.warn("server_suspected", { id, reason });
     if (reason !== "ended") onSilent?.(id);
     if (misses > 0) onSuspected?.(id);
     if ((await probe(id)) === null) {
       suspicions.set(id, { ...suspicion, isProbed: false, missedProbes: 0 });
       const unprobed = suspicions.get(id);
-      if (unprobed) startBackoff(unprobed);
+      if (unprobed) startBackoff(id, unprobed);
       return;
     }
     await probeUntilRecovered(id, suspicion);
@@ -187,10 +192,11 @@
       if (now < last.avoidedUntil) return;
       const isRecent = now - last.avoidedUntil < RESET_BACKOFF_AFTER_MS;
       last.failures = isRecent ? last.failures + 1 : 1;
-      startBackoff(last);
+      startBackoff(id, last);
     },
     reportRefusal(id) {
       refusals.set(id, performance.now() + REFUSAL_COOLDOWN_MS);
+      onAvoided?.(id);
     },
     reportSuccess(id) {
       suspicions.delete(id);
--- a/packages/gateway/src/backends/outlier_ejection.ts
+++ b/packages/gateway/src/backends/outlier_ejection.ts
@@ -48,6 +48,8 @@
 /** Creates the ejection without any history. */
 export function createOutlierEjection(options: {
   readonly countServers: () => number;
+  /** Called when an engine is ejected. */
+  readonly onEjected?: (id: string) => void;
 }): OutlierEjection {
   const histories = new Map<string, FailureHistory>();
 
@@ -82,6 +84,7 @@
     history.failures += 1;
     history.breaks = 0;
     history.ejectedUntil = now + ejectionMs;
+    options.onEjected?.(id);
     log.warn("engine_ejected", { id, for_ms: ejectionMs });
   }
 
--- a/packages/gateway/src/streams/engine_usage.ts
+++ b/packages/gateway/src/streams/engine_usage.ts
@@ -1,6 +1,8 @@
 /** Tracks how much of each engine the answers of all instances use. */
 import { layersIn } from "@rosemarypin/pipelines";
 import type { AddressedStage } from "../protocol.ts";
+import { createEngineTotals, type EngineTotals } from "./engine_totals.ts";
+import { createReceivedLoads } from "./received_loads.ts";
 
 /**
  * Time for which the loads that a peer reported are valid, a multiple of the
@@ -61,22 +63,31 @@
   hasDomainLoads(failureDomain: string): boolean;
   /** Sum of the valid loads of other failure domains on one engine. */
   domainLoadOf(engineId: string): EngineLoad;
+  /**
+   * Totals of an engine, kept current until `forget`; `dropExpired` removes the
+   * reports from them that are no longer valid.
+   */
+  totalsOf(engineId: string): EngineTotals;
+  /** Ends the totals of an engine that is gone. */
+  forget(engineId: string): void;
+  dropExpired(): void;
+  /** Increases with each change of any totals. */
+  revision(): number;
   /** Registers a callback for changes of this instance's loads. */
   onChanged(callback: () => void): void;
 }
 
-interface ReceivedLoads {
-  readonly loads: LoadByEngine;
-  readonly receivedAt: number;
-}
-
 export const NO_LOAD: EngineLoad = { held: 0, unread: 0 };
 
 /** Creates a record without answers and without reports of peers. */
 export function createEngineUsage(): EngineUsage {
   const localLoads = new Map<string, EngineLoad>();
-  const loadsByPeer = new Map<string, ReceivedLoads>();
-  const loadsByDomain = new Map<string, ReceivedLoads>();
+  const totals = createEngineTotals();
+  const loadsByPeer = createReceivedLoads(totals.peers, PEER_LOADS_VALID_MS);
+  const loadsByDomain = createReceivedLoads(
+    totals.domains,
+    DOMAIN_LOADS_VALID_MS,
+  );
   const callbacks: (() => void)[] = [];
   let localTokens = 0;
 
@@ -91,6 +102,7 @@
       const unread = load.unread + perLayer.unread * layers;
       if (held === 0 && unread === 0) localLoads.delete(engineId);
       else localLoads.set(engineId, { held, unread });
+      totals.setLocal(engineId, held, unread);
     }
     for (const callback of callbacks) callback();
   }
@@ -122,64 +134,39 @@
     },
     localLoads: () => localLoads,
     localTokens: () => localTokens,
-    recordPeerLoads(instance, loads) {
-      loadsByPeer.set(instance, { loads, receivedAt: performance.now() });
-    },
-    peerLoadOf: (engineId) => sumOn(engineId, loadsByPeer, PEER_LOADS_VALID_MS),
-    peerLoads(instance) {
-      const peer = loadsByPeer.get(instance);
-      return peer && isFresh(peer, PEER_LOADS_VALID_MS) ? peer.loads : null;
+    recordPeerLoads: loadsByPeer.record,
+    peerLoadOf(engineId) {
+      loadsByPeer.dropExpired();
+      const { peerHeld, peerUnread } = totals.get(engineId);
+      return { held: peerHeld, unread: peerUnread };
     },
+    peerLoads: loadsByPeer.get,
     domainLoads(instanceCount) {
-      const fresh = [...loadsByPeer.values()].filter((peer) =>
-        isFresh(peer, PEER_LOADS_VALID_MS),
-      );
-      const reports = [localLoads, ...fresh.map(({ loads }) => loads)];
+      const reports = [localLoads, ...loadsByPeer.all()];
       const scale = Math.max(1, instanceCount / reports.length);
       return sumAll(reports, scale);
     },
-    recordDomainLoads(failureDomain, loads) {
-      loadsByDomain.set(failureDomain, {
-        loads,
-        receivedAt: performance.now(),
-      });
+    recordDomainLoads: loadsByDomain.record,
+    hasDomainLoads: (failureDomain) =>
+      loadsByDomain.get(failureDomain) !== null,
+    domainLoadOf(engineId) {
+      loadsByDomain.dropExpired();
+      const { domainHeld, domainUnread } = totals.get(engineId);
+      return { held: domainHeld, unread: domainUnread };
     },
-    hasDomainLoads(failureDomain) {
-      const domain = loadsByDomain.get(failureDomain);
-      return domain !== undefined && isFresh(domain, DOMAIN_LOADS_VALID_MS);
+    totalsOf: totals.watch,
+    forget: totals.forget,
+    dropExpired() {
+      loadsByPeer.dropExpired();
+      loadsByDomain.dropExpired();
     },
-    domainLoadOf: (engineId) =>
-      sumOn(engineId, loadsByDomain, DOMAIN_LOADS_VALID_MS),
+    revision: totals.revision,
     onChanged(callback) {
       callbacks.push(callback);
     },
   };
 }
 
-function isFresh({ receivedAt }: ReceivedLoads, validMs: number): boolean {
-  return performance.now() - receivedAt < validMs;
-}
-
-/** Sums the loads on one engine, and removes those that have expired. */
-function sumOn(
-  engineId: string,
-  received: Map<string, ReceivedLoads>,
-  validMs: number,
-): EngineLoad {
-  let held = 0;
-  let unread = 0;
-  for (const [sender, entry] of received) {
-    if (!isFresh(entry, validMs)) {
-      received.delete(sender);
-      continue;
-    }
-    const load = entry.loads.get(engineId) ?? NO_LOAD;
-    held += load.held;
-    unread += load.unread;
-  }
-  return { held, unread };
-}
-
 /** Sums the loads by engine and multiplies them by `scale`. */
 function sumAll(reports: readonly LoadByEngine[], scale: number): LoadByEngine {
   const sums = new Map<string, EngineLoad>();
--- a/packages/gateway/src/streams/pipeline_router.ts
+++ b/packages/gateway/src/streams/pipeline_router.ts
@@ -1,24 +1,16 @@
 /** Chooses pipelines for answers and reserves their share of the engines. */
-import {
-  findPipeline,
-  kvCapacityTokens,
-  type LayerRange,
-  layersIn,
-  prefillMs,
-  type Stage,
-  type StageCandidate,
-} from "@rosemarypin/pipelines";
+import type { LayerRange, Stage } from "@rosemarypin/pipelines";
 import type { BackendServer } from "../backend_server.ts";
 import type { BackendFleet, ServerCounts } from "../backends/mod.ts";
 import type { EngineShape, Service } from "../configuration.ts";
 import type { AddressedStage } from "../protocol.ts";
 import {
-  type EngineLoad,
-  type EngineReservation,
-  type EngineUsage,
-  type LoadByEngine,
-  NO_LOAD,
-} from "./engine_usage.ts";
+  createEngineTable,
+  type EngineRow,
+  type EngineTable,
+} from "./engine_table.ts";
+import type { EngineReservation, EngineUsage } from "./engine_usage.ts";
+import { createUnreportedUsage } from "./unreported_usage.ts";
 
 /**
  * Upper bound on the used share of an engine's memory in a failure domain whose
@@ -106,171 +98,110 @@
   usage,
   possibleSendersOf,
 }: PipelineRouterOptions): PipelineRouter {
-  function listCandidates(
-    service: Service,
-    engine: EngineShape,
-    avoided: ReadonlySet<string>,
-  ): StageCandidate[] {
-    const usageOfDomain = createDomainUsageLookup();
-    return fleet.ofService(service.name).flatMap((server) => {
-      const kind = engine.kinds.get(server.kind ?? "");
-      const { id, held, failureDomain } = server;
-      if (!kind || !held || avoided.has(id)) return [];
-      if (!fleet.isUsable(server)) return [];
-      const { memoryMb } = kind;
-      const slowdown = fleet.slowdownOf(id);
-      const stepFactor = kind.stepFactor * slowdown;
-      const prefillFactor = kind.prefillFactor * slowdown;
-      const { model } = engine;
-      const layers = layersIn(held);
-      const capacityTokenLayers =
-        kvCapacityTokens(model, { memoryMb, layers }) * layers;
-      const load = estimateLoad(
-        server,
-        layers,
-        usageOfDomain(server.failureDomain),
-      );
-      // The estimate can be too low, since it includes guesses for other
-      // instances. A recent report of the engine itself, which the fleet
-      // requests after a refusal, is used if it is higher.
-      const reportedLoad = fleet.reportedLoad(id) ?? 0;
-      return [
-        {
-          id,
-          failureDomain,
-          memoryMb,
-          stepFactor,
-          prefillFactor,
-          held,
-          load: Math.max(
-            load.held / Math.max(1, capacityTokenLayers),
-            reportedLoad,
-          ),
-          backlogMs: prefillMs(model, {
-            prefillFactor,
-            tokenLayers: load.unread,
-          }),
-        },
-      ];
-    });
-  }
-
-  /**
-   * Estimates the load of all instances' answers on an engine. Callers are
-   * spread over the instances, so one without a current report is assumed to
-   * use the average of the other instances in its failure domain.
-   */
-  function estimateLoad(
-    { id }: BackendServer,
-    layers: number,
-    domainUsage: DomainUsage,
-  ): EngineLoad {
-    const localLoad = usage.localLoads().get(id) ?? NO_LOAD;
-    const peerLoad = usage.peerLoadOf(id);
-    const domainLoad = usage.domainLoadOf(id);
-    const held =
-      localLoad.held +
-      peerLoad.held +
-      domainLoad.held +
-      estimateUnreportedHeld(id, layers, domainUsage);
-    const unread = localLoad.unread + peerLoad.unread + domainLoad.unread;
-    return { held, unread };
-  }
-
-  function estimateUnreportedHeld(
-    id: string,
-    layers: number,
-    { unreportedCount, sampledLoads }: DomainUsage,
-  ): number {
-    if (unreportedCount === 0) return 0;
-    // Without any report from that domain, each of its instances is assumed to
-    // have as many tokens on this engine as this instance has in total.
-    if (sampledLoads.length === 0)
-      return unreportedCount * usage.localTokens() * layers;
-    const heldByReporting = sampledLoads.map(
-      (loads) => loads.get(id)?.held ?? 0,
-    );
-    return unreportedCount * (sum(heldByReporting) / sampledLoads.length);
-  }
+  const unreported = createUnreportedUsage({
+    failureDomain,
+    usage,
+    possibleSendersOf,
+  });
+  const tables = new Map<string, ServiceTable>();
+  fleet.onChanged((id) => {
+    const server = fleet.get(id);
+    if (!server) usage.forget(id);
+    for (const [service, { table }] of tables) {
+      if (server && table.matches(server)) table.watch(id);
+      else if (server?.service === service || table.rowOf(id))
+        tables.delete(service);
+    }
+  });
+  fleet.onCondition((id) => {
+    for (const { table } of tables.values()) table.watch(id);
+  });
 
-  /** Caches the usage of each failure domain during one search. */
-  function createDomainUsageLookup(): (domain: string) => DomainUsage {
-    const usageByDomain = new Map<string, DomainUsage>();
-    return (domain) => {
-      const cached = usageByDomain.get(domain);
-      if (cached) return cached;
-      const instances = possibleSendersOf(domain);
-      const reportedLoads = instances.flatMap(
-        (instance) => usage.peerLoads(instance) ?? [],
-      );
-      const localLoads = domain === failureDomain ? [usage.localLoads()] : [];
-      // The sum over a domain already covers all its instances.
-      const hasSum = usage.hasDomainLoads(domain);
-      const domainUsage = {
-        unreportedCount: hasSum ? 0 : instances.length - reportedLoads.length,
-        sampledLoads: [...reportedLoads, ...localLoads],
-      };
-      usageByDomain.set(domain, domainUsage);
-      return domainUsage;
-    };
+  /** Returns the current table of a service's engines. */
+  function tableOf({ name }: Service, engine: EngineShape): EngineTable {
+    let entry = tables.get(name);
+    if (entry?.engine !== engine) {
+      const options = { fleet, failureDomain, usage, unreported };
+      entry = { engine, table: createEngineTable(name, engine, options) };
+      tables.set(name, entry);
+    }
+    entry.table.refresh();
+    return entry.table;
   }
 
-  function findStages(
+  /** Marks the engines that may serve the request, for the next search. */
+  function markUsable(
+    table: EngineTable,
     request: PipelineRequest,
-    constraints: {
-      readonly range?: LayerRange;
-      readonly onlyDomain?: string | undefined;
-      /** Whether engines may start a pipeline in spite of their limits. */
-      readonly ignoresLimits?: boolean;
-    } = {},
-  ): AddressedStage[] | null {
-    const { service, avoided, maxLoad } = request;
-    const { engine } = service;
-    if (!engine) return null;
+    constraints: SearchConstraints,
+  ): void {
     const {
       range,
       onlyDomain,
       ignoresLimits = range !== undefined,
     } = constraints;
-    const usable = listCandidates(service, engine, avoided).filter(
-      (candidate) =>
-        (onlyDomain === undefined || candidate.failureDomain === onlyDomain) &&
-        (maxLoad === undefined || hasRoomFor(candidate, request, engine)) &&
-        (ignoresLimits || mayReceiveRequest(candidate)),
-    );
-    const found = findPipeline(usable, {
-      model: engine.model,
-      failureDomain,
-      ...(range ? { range } : {}),
-    });
-    return found ? withAddresses(found.stages) : null;
+    const { size, avoided, maxLoad } = request;
+    const { rows, isInUse, search } = table;
+    const { isUsable, loads } = search;
+    isUsable.set(isInUse);
+    for (const id of avoided) {
+      const row = table.rowOf(id);
+      if (row) isUsable[row.index] = 0;
+    }
+    const tokens = totalTokens(size);
+    let limitedDomain: string | null = null;
+    let limit = Number.POSITIVE_INFINITY;
+    for (let index = 0; index < rows.length; index += 1) {
+      if (isUsable[index] === 0) continue;
+      const row = rows[index] as EngineRow;
+      const { server } = row;
+      const domain = server.failureDomain;
+      if (maxLoad !== undefined) {
+        if (domain !== limitedDomain) {
+          limitedDomain = domain;
+          limit = loadLimitIn(domain, maxLoad);
+        }
+        const added = tokens / Math.max(1, row.capacityTokens);
+        if ((loads[index] as number) + added > limit) {
+          isUsable[index] = 0;
+          continue;
+        }
+      }
+      const mayServe =
+        (onlyDomain === undefined || domain === onlyDomain) &&
+        (ignoresLimits || mayReceiveRequest(server));
+      if (!mayServe) isUsable[index] = 0;
+    }
   }
 
-  function hasRoomFor(
-    candidate: StageCandidate,
-    { size, maxLoad = 1 }: PipelineRequest,
-    { model }: EngineShape,
-  ): boolean {
-    const { memoryMb, held, load } = candidate;
-    const isSummed = usage.hasDomainLoads(candidate.failureDomain);
-    const limit = isSummed ? Math.min(maxLoad, MAX_SUMMED_LOAD) : maxLoad;
-    const capacityTokens = kvCapacityTokens(model, {
-      memoryMb,
-      layers: layersIn(held),
-    });
-    return load + totalTokens(size) / Math.max(1, capacityTokens) <= limit;
+  function loadLimitIn(domain: string, maxLoad: number): number {
+    return unreported.isSummed(domain)
+      ? Math.min(maxLoad, MAX_SUMMED_LOAD)
+      : maxLoad;
   }
 
   /**
    * Whether the limit of an engine with the first layer allows a request. Later
    * stages receive none from instances.
    */
-  function mayReceiveRequest({ id, held }: StageCandidate): boolean {
-    if (held.from > 0) return true;
+  function mayReceiveRequest({ id, held }: BackendServer): boolean {
+    if (held && held.from > 0) return true;
     const server = fleet.get(id);
     return server !== null && fleet.limits.allows(server);
   }
 
+  function findStages(
+    request: PipelineRequest,
+    constraints: SearchConstraints = {},
+  ): AddressedStage[] | null {
+    const { engine } = request.service;
+    if (!engine) return null;
+    const table = tableOf(request.service, engine);
+    markUsable(table, request, constraints);
+    const found = table.search.find(constraints.range);
+    return found ? withAddresses(found.stages) : null;
+  }
+
   /** Finds a pipeline whose first engine's limit has counted the request. */
   function findAndCount(request: PipelineRequest): AddressedStage[] | null {
     for (;;) {
@@ -312,9 +243,14 @@
       const stages = findAndCount(request);
       return stages ? reserve(stages, request, stages) : null;
     },
-    hasPipeline: (request) =>
-      findStages(request, { ignoresLimits: request.maxLoad === undefined }) !==
-      null,
+    hasPipeline(request) {
+      const { engine } = request.service;
+      if (!engine) return false;
+      const table = tableOf(request.service, engine);
+      const ignoresLimits = request.maxLoad === undefined;
+      markUsable(table, request, { ignoresLimits });
+      return table.search.covers();
+    },
     replaceStage({ stages }, request) {
       const lostIndex = stages.findIndex(
         ({ address }) => address === request.address,
@@ -342,8 +278,11 @@
     missingLayers({ service, avoided }) {
       const { engine } = service;
       if (!engine) return "";
-      const ranges = listCandidates(service, engine, avoided).map(
-        ({ held }) => held,
+      const { rows, isInUse } = tableOf(service, engine);
+      const ranges = rows.flatMap(({ index, id, server }) =>
+        server.held && isInUse[index] === 1 && !avoided.has(id)
+          ? [server.held]
+          : [],
       );
       return describeGaps(ranges, engine.model.layerCount);
     },
@@ -351,12 +290,16 @@
   };
 }
 
-/** Reports of the instances in one failure domain. */
-interface DomainUsage {
-  /** Number of other instances without a current report. */
-  readonly unreportedCount: number;
-  /** Current reports, and the local loads if this is the local domain. */
-  readonly sampledLoads: readonly LoadByEngine[];
+interface ServiceTable {
+  readonly engine: EngineShape;
+  readonly table: EngineTable;
+}
+
+interface SearchConstraints {
+  readonly range?: LayerRange;
+  readonly onlyDomain?: string | undefined;
+  /** Whether engines may start a pipeline in spite of their limits. */
+  readonly ignoresLimits?: boolean;
 }
 
 /** Tokens that an answer holds in memory once it is complete. */
@@ -364,10 +307,6 @@
   return promptTokens + answerTokens;
 }
 
-function sum(values: readonly number[]): number {
-  return values.reduce((total, value) => total + value, 0);
-}
-
 /**
  * Layers that none of the ranges covers, such as `20-31,70-80`; the upper ends
  * are exclusive.
--- a/packages/gateway/src/streams/pipeline_router_test.ts
+++ b/packages/gateway/src/streams/pipeline_router_test.ts
@@ -62,7 +62,10 @@
 function setUp() {
   const servers = [engine("near", "a"), engine("far", "b")];
   const slowdowns = new Map<string, number>();
+  const onCondition: ((id: string) => void)[] = [];
   const fleet = {
+    onChanged: () => {},
+    onCondition: (callback: (id: string) => void) => onCondition.push(callback),
     ofService: () => servers,
     get: (id: string) => servers.find((server) => server.id === id) ?? null,
     isUsable: () => true,
@@ -84,7 +87,13 @@
   const size = { promptTokens: 700, answerTokens: 200 };
   const request = { service, size, avoided: new Set<string>(), maxLoad: 1 };
   const choose = () => router.choose(request)?.first.id ?? null;
-  return { fleet, servers, usage, slowdowns, router, request, choose };
+  /** Applies a report of an engine, as the fleet does. */
+  function reportSlowdown(id: string, slowdown: number): void {
+    slowdowns.set(id, slowdown);
+    for (const callback of onCondition) callback(id);
+  }
+  const parts = { fleet, servers, usage, slowdowns, router };
+  return { ...parts, request, choose, reportSlowdown };
 }
 
 /** Loads of one engine that holds answers of `tokens` tokens. */
@@ -152,9 +161,12 @@
   });
 
   it("avoids an engine that is slower than its kind", () => {
-    const { usage, slowdowns, choose } = setUp();
+    const { usage, slowdowns, router, request, choose, reportSlowdown } =
+      setUp();
     usage.recordDomainLoads("b", new Map());
-    slowdowns.set("near", 3);
+    // The engines were known before the report.
+    expect(router.hasPipeline(request)).toBe(true);
+    reportSlowdown("near", 3);
     expect(choose()).toBe("far");
     slowdowns.delete("near");
     expect(choose()).toBe("near");
