Admission: one queue for the daemon and the gateway; the daemon uses it

Cause: the daemon's queue and the gateway's polling decided differently which waiting request gets freed capacity.

Change: createAdmissionQueue in packages/admission, with lanes by class and timeliness, order by startBy within an organisation, bounds with eviction, the expected wait, refusals on arrival and merged pumps. fair_queue and service_rate move there from packages/routing; routing's model_queue keeps only what is the daemon's own. Classes are numbers now, so the tests of fair_queue name them by number; their expectations are unchanged. The rate of service no longer counts the time after the last waiting request has left as time without service. The three guards of the moved lines follow them.

An organisation is still charged for a request that it withdraws.

--- a/packages/routing/src/fair_queue_test.ts
+++ b/packages/admission/src/fair_queue_test.ts
@@ -1,13 +1,19 @@
-import type { Priority } from "@rosemarypin/schemas";
 import { describe, expect, it } from "vitest";
 import { createFairQueue, type FairQueue } from "./fair_queue.ts";
 
+/** Classes by their numeric priority. */
+const priorities = { interactive: 0, standard: 1, batch: 2 };
+
 function attributes(
   organisation: string,
-  options: { priority?: Priority; cost?: number; weight?: number } = {},
+  options: {
+    priority?: keyof typeof priorities;
+    cost?: number;
+    weight?: number;
+  } = {},
 ) {
   const { priority = "standard", cost = 10, weight = 1 } = options;
-  return { organisation, priority, cost, weight };
+  return { organisation, priority: priorities[priority], cost, weight };
 }
 
 function serveAll(queue: FairQueue<string>, count = 100): string[] {
@@ -25,7 +31,7 @@
   it("serves a small organisation between the requests of a large one", () => {
     // A large organisation has filled the queue. In order of arrival, the
     // single request of a small one would wait behind all of them.
-    const queue = createFairQueue<string>();
+    const queue = createFairQueue<string>({ priorities: [0, 1, 2] });
     for (let index = 0; index < 5; index++) {
       queue.push(`large-${index}`, attributes("large"));
     }
@@ -34,7 +40,7 @@
   });
 
   it("serves organisations in proportion to their weights", () => {
-    const queue = createFairQueue<string>();
+    const queue = createFairQueue<string>({ priorities: [0, 1, 2] });
     for (let index = 0; index < 30; index++) {
       queue.push("heavy", attributes("heavy", { weight: 3 }));
       queue.push("light", attributes("light", { weight: 1 }));
@@ -46,7 +52,7 @@
   });
 
   it("charges long requests more than short ones", () => {
-    const queue = createFairQueue<string>();
+    const queue = createFairQueue<string>({ priorities: [0, 1, 2] });
     for (let index = 0; index < 20; index++) {
       queue.push("long", attributes("long", { cost: 40 }));
       queue.push("short", attributes("short", { cost: 10 }));
@@ -59,7 +65,7 @@
   it("prefers urgent classes without starving the others", () => {
     // Interactive requests arrive without a break. Batch requests must still
     // progress, or hours of overload would be an outage for their callers.
-    const queue = createFairQueue<string>();
+    const queue = createFairQueue<string>({ priorities: [0, 1, 2] });
     for (let index = 0; index < 60; index++) {
       queue.push("interactive", attributes("one", { priority: "interactive" }));
       queue.push("batch", attributes("two", { priority: "batch" }));
@@ -72,7 +78,7 @@
   it("gives a class no credit for the time it was idle", () => {
     // Only batch requests were served before interactive ones arrive. The
     // interactive class must not catch up on all of that time at once.
-    const queue = createFairQueue<string>();
+    const queue = createFairQueue<string>({ priorities: [0, 1, 2] });
     for (let index = 0; index < 50; index++) {
       queue.push("batch", attributes("two", { priority: "batch" }));
     }
@@ -87,7 +93,7 @@
   });
 
   it("forgets organisations without queued requests", () => {
-    const queue = createFairQueue<string>();
+    const queue = createFairQueue<string>({ priorities: [0, 1, 2] });
     for (let index = 0; index < 6_400; index++) {
       queue.push("one", attributes(`organisation-${index}`));
     }
@@ -97,7 +103,7 @@
   });
 
   it("reports how much work is ahead of a request", () => {
-    const queue = createFairQueue<string>();
+    const queue = createFairQueue<string>({ priorities: [0, 1, 2] });
     for (let index = 0; index < 5; index++) {
       queue.push("large", attributes("large"));
     }
--- a/packages/admission/src/mod.ts
+++ b/packages/admission/src/mod.ts
@@ -1,3 +1,8 @@
 /** Queueing and admission of requests that compete for capacity on engines. */
+export * from "./admission_queue.ts";
+export * from "./admission_queue_types.ts";
 export * from "./admission_request.ts";
 export * from "./class_demand.ts";
+export * from "./fair_lane.ts";
+export * from "./fair_queue.ts";
+export * from "./service_rate.ts";
--- a/packages/bench/src/capacity/slopes.ts
+++ b/packages/bench/src/capacity/slopes.ts
@@ -1,9 +1,6 @@
 /** Each cost that grows with the size of a deployment, measured. */
-import {
-  choosePipeline,
-  createFairQueue,
-  type QueueAttributes,
-} from "@rosemarypin/routing";
+import { createFairQueue, type QueueAttributes } from "@rosemarypin/admission";
+import { choosePipeline } from "@rosemarypin/routing";
 import { noteRecordSchema } from "@rosemarypin/schemas";
 import {
   fleetBytes,
@@ -163,7 +160,7 @@
 
 function factsOf(index: number): QueueAttributes {
   const organisation = `organisation-${index % 6_400}`;
-  return { organisation, weight: 1, priority: "standard", cost: 100 };
+  return { organisation, weight: 1, priority: 1, cost: 100 };
 }
 
 function queueMicros(count: number): number {
--- a/packages/routing/src/admission.ts
+++ b/packages/routing/src/admission.ts
@@ -1,6 +1,6 @@
 /**
- * Admission control: on arrival, a request is queued only if its first token
- * is predicted to be in time. A refusal includes a retry delay.
+ * Admission control: how long a request may wait so that its first token is
+ * still in time, and when a refused caller should retry.
  */
 import type { Priority } from "@rosemarypin/schemas";
 
@@ -18,42 +18,26 @@
 const MIN_RETRY_SECONDS = 1;
 const MAX_RETRY_SECONDS = 60;
 
-export interface AdmissionRequest {
-  readonly priority: Priority;
-  /** Deadline of the caller, in milliseconds since the epoch. */
-  readonly deadlineAt: number;
-  /** Predicted time until the request is granted engines. */
-  readonly predictedWaitMs: number;
-  /** Recent average of the time from grant to first token. */
-  readonly firstTokenMs: number;
-}
-
-export type Admission =
-  | {
-      readonly kind: "admitted";
-      /** End of the maximum wait, in milliseconds since the epoch. */
-      readonly until: number;
-    }
-  | { readonly kind: "refused"; readonly retryAfterSeconds: number };
-
-/** Compares the predicted first token with the deadline and objective. */
-export function admit(
-  request: AdmissionRequest,
+/** Returns the longest useful wait for engines in milliseconds, 0 or more. */
+export function maxWaitMs(
+  request: {
+    readonly priority: Priority;
+    /** Deadline of the caller, in milliseconds since the epoch. */
+    readonly deadlineAt: number;
+    /** Recent average of the time from grant to first token. */
+    readonly firstTokenMs: number;
+  },
   options: { readonly firstTokenObjectiveMs: number },
-): Admission {
+): number {
   const maxFirstTokenMs =
     options.firstTokenObjectiveMs *
     OBJECTIVE_MULTIPLES[request.priority] *
     OBJECTIVE_SHARE;
   const untilDeadlineMs = request.deadlineAt - Date.now();
-  const maxWaitMs =
-    Math.min(maxFirstTokenMs, untilDeadlineMs) - request.firstTokenMs;
-  const hasNoTimeToWait = maxWaitMs <= 0 && request.predictedWaitMs > 0;
-  if (hasNoTimeToWait || request.predictedWaitMs > Math.max(0, maxWaitMs)) {
-    const excessMs = request.predictedWaitMs - Math.max(0, maxWaitMs);
-    return { kind: "refused", retryAfterSeconds: retryAfter(excessMs) };
-  }
-  return { kind: "admitted", until: Date.now() + Math.max(0, maxWaitMs) };
+  return Math.max(
+    0,
+    Math.min(maxFirstTokenMs, untilDeadlineMs) - request.firstTokenMs,
+  );
 }
 
 /** Returns the seconds until the excess wait has passed, within bounds. */
--- a/packages/routing/src/router.ts
+++ b/packages/routing/src/router.ts
@@ -1,4 +1,5 @@
 /** Admits requests, queues them in fair order, and grants pipelines. */
+import type { Shortage } from "@rosemarypin/admission";
 import type { EngineFleet } from "@rosemarypin/backends";
 import type {
   AnswerRequest,
@@ -10,15 +11,9 @@
 import { uniformInt } from "pure-rand/distribution/uniformInt";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { createEngineWindows } from "./engine_windows.ts";
-import {
-  createModelQueue,
-  type ModelQueue,
-  type Shortage,
-} from "./model_queue.ts";
+import { createModelQueue, type ModelQueue } from "./model_queue.ts";
 import { choosePipeline } from "./pipeline_choice.ts";
 
-/** Interval at which queued requests are matched with recovered engines. */
-const PUMP_INTERVAL_MS = 20;
 const RANDOM_RANGE = 1 << 20;
 
 /** Pipeline granted to one attempt. */
@@ -67,6 +62,7 @@
   acquire(grantRequest: GrantRequest): Promise<GrantResult>;
   /** Whether usable engines hold all layers, including busy engines. */
   covers(coverRequest: CoverRequest): boolean;
+  /** Refuses the waiting requests, and every request from now on. */
   stop(): void;
 }
 
@@ -93,7 +89,6 @@
   });
   const random = createRandom(options.seed);
   let waiting = 0;
-  let timer: NodeJS.Timeout | null = null;
 
   function tryGrant(grantRequest: GrantRequest): Grant | Shortage {
     const { model, adapter } = grantRequest.request;
@@ -105,7 +100,8 @@
       avoid,
       ...(prefer ? { prefer } : {}),
     });
-    if (choice.kind !== "chosen") return choice.kind;
+    if (choice.kind === "busy") return "full";
+    if (choice.kind === "uncovered") return "uncovered";
     return createGrant(choice.stages, queueOf(model));
   }
 
@@ -164,21 +160,9 @@
     return created;
   }
 
-  /** Runs the timer only while requests are queued. */
   function updateWaiting(change: 1 | -1): void {
     waiting += change;
     metrics?.queued.set(waiting);
-    if (waiting > 0 && !timer) timer = setInterval(pumpAll, PUMP_INTERVAL_MS);
-    if (waiting === 0) stop();
-  }
-
-  function pumpAll(): void {
-    for (const queue of queues.values()) queue.pump();
-  }
-
-  function stop(): void {
-    if (timer) clearInterval(timer);
-    timer = null;
   }
 
   return {
@@ -186,7 +170,9 @@
       queueOf(grantRequest.request.model).acquire(grantRequest),
     covers: (coverRequest) =>
       findPipeline({ ...coverRequest, avoid: new Set() }).kind !== "uncovered",
-    stop,
+    stop() {
+      for (const queue of queues.values()) queue.stop();
+    },
   };
 }
 
