Gateway: waiting answers share one admission queue for each service

Cause: each waiting answer polled for a pipeline every 20 or 100 ms. Whichever polled first got freed memory, whatever its priority and deadline, and each poll cost a search.

Change: streams/admission_queues keeps a queue for each service. It is woken when an answer of this instance ends, when a peer reports less use of an engine, when the fleet changes, and every 100 ms while something waits. Load limits by class, the recorder of demand and the arrival of a call are optional inputs. Metrics and the lines no_room and no_pipeline show priority, reason, expected wait and the cost ahead.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -47,6 +47,7 @@
 import type { GatewaySettings, ListenAddress } from "./settings.ts";
 import {
   chooseUsageDestinations,
+  createAdmissionQueues,
   createEngineUsage,
   createPipelineRouter,
   createStallDetector,
@@ -57,6 +58,8 @@
 /** Time reserved at the end of the grace period, to exit before being killed. */
 const SHUTDOWN_MARGIN_MS = 400;
 const SHUTDOWN_POLL_MS = 50;
+/** Time before the end of the grace period in which refusals are written. */
+const REFUSAL_MARGIN_MS = 200;
 /** Extra time for open connections on which a request may be in transit. */
 const CONNECTION_DRAIN_MS = 300;
 
@@ -158,6 +161,9 @@
     usage: engineUsage,
     possibleSendersOf: presence.possibleSendersOf,
   });
+  const queues = createAdmissionQueues({ router });
+  engineUsage.onFreed(queues.pump);
+  fleet.onChanged(queues.fleetChanged);
   if (settings.peers) {
     startUsageExchange({
       transport: await createUdpTransport(settings.peers),
@@ -182,6 +188,7 @@
   });
   const metrics = createGatewayMetrics({
     inProgress: () => listener.inProgress(),
+    waitingRequests: queues.waitingRequests,
     configurationVersion: () => keeper.applied()?.version ?? 0,
     configurationAgeSeconds: () => configurationMirror.ageMs() / 1_000,
     serverListAgeSeconds: () => serverMirror.ageMs() / 1_000,
@@ -272,6 +279,8 @@
       return forwardStream(call, {
         ...dependencies,
         router,
+        queues,
+        observer: metrics.admissions,
         stallDetector,
         engines,
       });
@@ -319,6 +328,10 @@
     void presence.leave();
     void placementLeases.release();
     const drainLimitMs = settings.graceMs - SHUTDOWN_MARGIN_MS;
+    const refusalTimer = setTimeout(
+      queues.stop,
+      Math.max(0, drainLimitMs - REFUSAL_MARGIN_MS),
+    );
     const isIdle = () => listener.inProgress() === 0;
     // Idle connections stay open meanwhile, and the next response on each asks
     // the caller to close it. Closing one here could drop a request in transit.
@@ -337,6 +350,7 @@
     }
     while (elapsedMs() < drainLimitMs && !isIdle())
       await pause(SHUTDOWN_POLL_MS);
+    clearTimeout(refusalTimer);
     const cut = listener.inProgress();
     // No request may be accepted while the last log lines are written.
     listener.server.closeAllConnections();
--- a/packages/gateway/src/operators/gateway_metrics.ts
+++ b/packages/gateway/src/operators/gateway_metrics.ts
@@ -2,6 +2,7 @@
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import type { ServerCounts } from "../backends/mod.ts";
 import type { CallEnd, CallerCall } from "../callers/mod.ts";
+import type { AdmissionObserver } from "../streams/mod.ts";
 
 const SECONDS_BUCKETS = [
   0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.83, 1.5, 3, 6, 15, 30,
@@ -10,10 +11,14 @@
 export interface GatewayMetrics {
   readonly registry: Registry;
   countEnd(call: CallerCall, end: CallEnd): void;
+  /** Counts the decisions on requests that want capacity on engines. */
+  readonly admissions: AdmissionObserver;
 }
 
 export interface GatewayGauges {
   readonly inProgress: () => number;
+  /** Requests that wait for capacity on engines, by priority. */
+  readonly waitingRequests: () => ReadonlyMap<number, number>;
   readonly configurationVersion: () => number;
   readonly configurationAgeSeconds: () => number;
   readonly serverListAgeSeconds: () => number;
@@ -65,6 +70,25 @@
     buckets: SECONDS_BUCKETS,
     registers,
   });
+  const admitted = new Counter({
+    name: "rosemarypin_admitted_total",
+    help: "Requests that got capacity on engines",
+    labelNames: ["priority", "arrival"] as const,
+    registers,
+  });
+  const refused = new Counter({
+    name: "rosemarypin_refused_total",
+    help: "Requests that got no capacity on engines, by reason",
+    labelNames: ["priority", "reason"] as const,
+    registers,
+  });
+  const admissionWait = new Histogram({
+    name: "rosemarypin_admission_wait_seconds",
+    help: "Time that admitted requests waited for capacity on engines",
+    labelNames: ["priority"] as const,
+    buckets: SECONDS_BUCKETS,
+    registers,
+  });
   addGauge("rosemarypin_in_flight", "Requests in progress", gauges.inProgress);
   addGauge(
     "rosemarypin_configuration_version",
@@ -96,6 +120,18 @@
     },
   });
 
+  new Gauge({
+    name: "rosemarypin_waiting_requests",
+    help: "Requests that wait for capacity on engines",
+    labelNames: ["priority"] as const,
+    registers,
+    collect() {
+      this.reset();
+      for (const [priority, count] of gauges.waitingRequests())
+        this.set({ priority }, count);
+    },
+  });
+
   new Gauge({
     name: "rosemarypin_service_cut_off",
     help: "1 for each service of which no server accepts connections",
@@ -120,6 +156,13 @@
 
   return {
     registry,
+    admissions: {
+      admitted(priority, arrival, waitedMs) {
+        admitted.inc({ priority, arrival });
+        admissionWait.observe({ priority }, waitedMs / 1_000);
+      },
+      refused: (priority, reason) => refused.inc({ priority, reason }),
+    },
     countEnd({ route, startedAt, handedOff }, end) {
       const { kind } = route;
       const { outcome, firstByteMs } = end;
--- a/packages/gateway/src/streams/admission.ts
+++ b/packages/gateway/src/streams/admission.ts
@@ -1,49 +1,71 @@
 /** Admits answers to pipelines: at once, after a wait, or not at all. */
+import type {
+  AdmissionRefusal,
+  Arrival,
+  RefusalReason,
+} from "@rosemarypin/admission";
 import { createLogger } from "@rosemarypin/telemetry";
-import { pause } from "@rosemarypin/timing";
-import type { CallerCall } from "../callers/mod.ts";
+import { type CallerCall, priorityOf, timeLeftMs } from "../callers/mod.ts";
+import type {
+  AdmissionQueues,
+  StreamAdmissionRequest,
+} from "./admission_queues.ts";
 import type {
+  AnswerSize,
   ChosenPipeline,
   PipelineRequest,
   PipelineRouter,
 } from "./pipeline_router.ts";
 
 /**
- * Share of an engine's memory up to which answers are admitted. Beyond it an
- * engine preempts its newest answers and later recomputes them. That work
- * delays the other answers, which then hold their memory for longer, until
- * most answers miss their objective.
+ * Longest wait of a new answer after the latest start in time, in objectives.
+ * An answer that is later than this is worth little to its caller.
  */
-const MAX_LOAD = 1;
+const MAX_LATE_OBJECTIVES = 3;
 /**
- * Longest wait of a new answer for free memory, as a share of the route's
- * objective for the first event. Answers that end free memory every few
- * milliseconds.
+ * Longest wait of a new answer, as a share of the time that its caller has
+ * left. The rest is for a retry and for the answer itself.
  */
 const NEW_ANSWER_WAIT_SHARE = 0.25;
-const NEW_ANSWER_RETRY_MS = 20;
 /**
  * Longest wait of a partly delivered answer for a pipeline. Other engines load
  * the layers of a lost engine within one to two seconds. A new answer is
  * refused instead, since its caller can retry.
  */
 const BEGUN_ANSWER_MAX_WAIT_MS = 4_000;
-const BEGUN_ANSWER_RETRY_MS = 100;
+/** Memory of a waiting call beside its headers and body. */
+const CALL_BYTES = 4_096;
 
 const log = createLogger("streams");
 
+export interface RefusedAdmission {
+  readonly kind: "refused";
+  /**
+   * `no_pipeline`: some layer isn't held by any usable engine. `no_room`:
+   * there are pipelines, but their engines are full.
+   */
+  readonly reason: "no_pipeline" | "no_room";
+  /** Why the queue refused the call. */
+  readonly cause: RefusalReason;
+  readonly priority: number;
+  readonly cost: number;
+  /** Expected wait of the call if it had stayed in the queue. */
+  readonly expectedWaitMs: number;
+  /** Cost granted per second while calls waited; 0 if not observed. */
+  readonly costPerSecond: number;
+}
+
 export type AdmissionDecision =
   | { readonly kind: "admitted"; readonly pipeline: ChosenPipeline }
   /** While it waited, all engines went out of this instance's reach. */
   | { readonly kind: "out_of_reach" }
-  | {
-      readonly kind: "refused";
-      /**
-       * `no_pipeline`: some layer isn't held by any usable engine. `no_room`:
-       * there are pipelines, but their engines are full.
-       */
-      readonly reason: "no_pipeline" | "no_room";
-    };
+  | RefusedAdmission;
+
+/** Receives the decisions on calls, for the metrics. */
+export interface AdmissionObserver {
+  admitted(priority: number, arrival: Arrival, waitedMs: number): void;
+  refused(priority: number, cause: RefusalReason): void;
+}
 
 export interface CallAdmission {
   /**
@@ -53,80 +75,147 @@
   admit(options: { readonly hasBegun: boolean }): Promise<AdmissionDecision>;
 }
 
+/** When and how the caller's request arrived, as far as it is known. */
+export interface CallArrival {
+  readonly arrival: Arrival;
+  /** Milliseconds since the caller's first attempt. */
+  readonly elapsedMs: number;
+}
+
+export interface AdmissionParts {
+  readonly router: PipelineRouter;
+  readonly queues: AdmissionQueues;
+  readonly observer?: AdmissionObserver;
+}
+
 /** Creates the admission of one call; its runs share the time to wait. */
 export function createAdmission(
   call: CallerCall,
-  router: PipelineRouter,
-  request: Omit<PipelineRequest, "service" | "avoided"> & {
+  parts: AdmissionParts,
+  request: Omit<PipelineRequest, "service" | "avoided" | "maxLoad"> & {
     /** Engines that the call avoids; emptied while a begun answer waits. */
     readonly avoided: Set<string>;
     /** Whether the call should go through another instance instead. */
     readonly isOutOfReach: () => boolean;
+    /** A first attempt at the start of the call if left out. */
+    readonly arrival?: CallArrival;
   },
 ): CallAdmission {
-  const { isOutOfReach, ...pipelineOptions } = request;
+  const { router, queues, observer } = parts;
+  const { isOutOfReach, arrival: callArrival, ...pipelineOptions } = request;
+  const { arrival, elapsedMs } = callArrival ?? {
+    arrival: "first",
+    elapsedMs: 0,
+  };
   const pipelineRequest = { ...pipelineOptions, service: call.service };
-  let waitedMs = 0;
+  const { name: service } = call.service;
+  const queue = queues.ofService(service);
+  const priority = priorityOf(call);
+  const cost = costOf(request.size);
+  const bytes = CALL_BYTES + bytesOf(call);
+  let begunWaitedMs = 0;
+  /** Set at the first attempt, so that later ones don't prolong the wait. */
+  let newWaitUntil: number | null = null;
+  queues.recorder.arrived(service, priority, cost);
 
-  async function waitBeforeRetry(stepMs: number): Promise<void> {
-    await pause(stepMs, call.signal);
-    waitedMs += stepMs;
+  function startBy(): number {
+    const firstAttemptAt = call.startedAt - elapsedMs;
+    const expectedMs = queues.expectedFirstEventMs(service);
+    return firstAttemptAt + call.route.objectiveMs - expectedMs;
   }
 
-  /**
-   * Cutting an answer that the caller has begun to receive is the last resort:
-   * after the wait, full engines are accepted too.
-   */
-  async function admitBegunAnswer(): Promise<ChosenPipeline | null> {
-    while (!call.signal.aborted && waitedMs < BEGUN_ANSWER_MAX_WAIT_MS) {
-      if (isOutOfReach()) return null;
-      const pipeline = router.choose({
-        ...pipelineRequest,
-        maxLoad: MAX_LOAD,
-      });
-      if (pipeline) return pipeline;
-      // Engines that this call avoided may have recovered.
-      request.avoided.clear();
-      await waitBeforeRetry(BEGUN_ANSWER_RETRY_MS);
-    }
-    return router.choose(pipelineRequest);
+  function waitUntil(hasBegun: boolean): number {
+    const now = performance.now();
+    if (hasBegun) return now + BEGUN_ANSWER_MAX_WAIT_MS - begunWaitedMs;
+    newWaitUntil ??= Math.min(
+      startBy() + MAX_LATE_OBJECTIVES * call.route.objectiveMs,
+      now + NEW_ANSWER_WAIT_SHARE * timeLeftMs(call),
+    );
+    return newWaitUntil;
   }
 
-  async function admitNewAnswer(): Promise<ChosenPipeline | null> {
-    const maxWaitMs = call.route.objectiveMs * NEW_ANSWER_WAIT_SHARE;
-    let hasPipeline = false;
-    for (;;) {
-      const pipeline = router.choose({
-        ...pipelineRequest,
-        maxLoad: MAX_LOAD,
-      });
-      if (pipeline) return pipeline;
-      if (call.signal.aborted || waitedMs >= maxWaitMs) return null;
-      // Searched once: with hundreds of engines it takes milliseconds.
-      hasPipeline ||= router.hasPipeline(pipelineRequest);
-      if (!hasPipeline) return null;
-      await waitBeforeRetry(NEW_ANSWER_RETRY_MS);
+  async function admit(hasBegun: boolean): Promise<AdmissionDecision> {
+    const outOfReach = new AbortController();
+    const admissionRequest: StreamAdmissionRequest = {
+      pipelineRequest,
+      priority,
+      organisation: call.organisation?.name ?? "",
+      weight: 1,
+      cost,
+      bytes,
+      startBy: startBy(),
+      waitUntil: waitUntil(hasBegun),
+      arrival,
+      hasBegun,
+      signal: AbortSignal.any([call.signal, outOfReach.signal]),
+      onPump() {
+        if (isOutOfReach()) outOfReach.abort();
+      },
+    };
+    const result = await queue.acquire(admissionRequest);
+    if (hasBegun) begunWaitedMs += result.waitedMs;
+    if (result.kind === "granted") {
+      observer?.admitted(priority, arrival, result.waitedMs);
+      return { kind: "admitted", pipeline: result.grant };
     }
+    if (outOfReach.signal.aborted || isOutOfReach())
+      return { kind: "out_of_reach" };
+    // Cutting an answer that the caller has begun to receive is the last
+    // resort: after the wait, full engines are accepted too.
+    const pipeline =
+      hasBegun && result.reason !== "stopped" && !call.signal.aborted
+        ? router.choose(pipelineRequest)
+        : null;
+    if (pipeline) {
+      observer?.admitted(priority, arrival, result.waitedMs);
+      return { kind: "admitted", pipeline };
+    }
+    return refuse(admissionRequest, result);
   }
 
-  return {
-    async admit({ hasBegun }) {
-      const pipeline = await (hasBegun ? admitBegunAnswer() : admitNewAnswer());
-      if (pipeline) return { kind: "admitted", pipeline };
-      if (isOutOfReach()) return { kind: "out_of_reach" };
-      const reason = router.hasPipeline(pipelineRequest)
-        ? "no_room"
-        : "no_pipeline";
-      const engines = router.countEngines(call.service);
-      log.warn(reason, {
-        request: call.id,
-        missing_layers: router.missingLayers(pipelineRequest) || undefined,
-        engines: engines.listed,
-        engines_avoided: engines.avoided || undefined,
-        avoided: [...request.avoided].join(",") || undefined,
-        waited_ms: waitedMs,
-      });
-      return { kind: "refused", reason };
-    },
-  };
+  function refuse(
+    admissionRequest: StreamAdmissionRequest,
+    { reason: cause, waitedMs, expectedWaitMs, costAhead }: AdmissionRefusal,
+  ): RefusedAdmission {
+    const isUncovered =
+      cause === "uncovered" || !queues.isCovered(admissionRequest);
+    const reason = isUncovered ? "no_pipeline" : "no_room";
+    const engines = router.countEngines(call.service);
+    observer?.refused(priority, cause);
+    log.warn(reason, {
+      request: call.id,
+      reason: cause,
+      priority,
+      missing_layers: isUncovered
+        ? router.missingLayers(pipelineRequest) || undefined
+        : undefined,
+      engines: engines.listed,
+      engines_avoided: engines.avoided || undefined,
+      avoided: [...request.avoided].join(",") || undefined,
+      waited_ms: waitedMs.toFixed(0),
+      expected_wait_ms: expectedWaitMs.toFixed(0),
+      cost_ahead: costAhead.toFixed(0),
+    });
+    return {
+      kind: "refused",
+      reason,
+      cause,
+      priority,
+      cost,
+      expectedWaitMs,
+      costPerSecond: queue.costPerSecond(),
+    };
+  }
+
+  return { admit: ({ hasBegun }) => admit(hasBegun) };
+}
+
+/** Expected work of an answer, in tokens that it holds once it is complete. */
+export function costOf({ promptTokens, answerTokens }: AnswerSize): number {
+  return Math.max(1, promptTokens + answerTokens);
+}
+
+function bytesOf({ body, rawHeaders }: CallerCall): number {
+  const headerBytes = rawHeaders.reduce((sum, text) => sum + text.length, 0);
+  return (body?.length ?? 0) + headerBytes;
 }
--- a/packages/gateway/src/streams/engine_usage.ts
+++ b/packages/gateway/src/streams/engine_usage.ts
@@ -63,6 +63,12 @@
   domainLoadOf(engineId: string): EngineLoad;
   /** Registers a callback for changes of this instance's loads. */
   onChanged(callback: () => void): void;
+  /**
+   * Registers a callback for memory that becomes free: an answer of this
+   * instance has ended, or a report names less use of some engine than the one
+   * before.
+   */
+  onFreed(callback: () => void): void;
 }
 
 interface ReceivedLoads {
@@ -78,6 +84,7 @@
   const loadsByPeer = new Map<string, ReceivedLoads>();
   const loadsByDomain = new Map<string, ReceivedLoads>();
   const callbacks: (() => void)[] = [];
+  const freedCallbacks: (() => void)[] = [];
   let localTokens = 0;
 
   function addLoad(
@@ -95,6 +102,10 @@
     for (const callback of callbacks) callback();
   }
 
+  function notifyFreed(): void {
+    for (const callback of freedCallbacks) callback();
+  }
+
   return {
     reserve({ stages, tokens, unreadTokens, unreadStages }) {
       let isReserved = true;
@@ -117,13 +128,16 @@
           markPromptRead();
           localTokens -= tokens;
           addLoad(stages, { held: -tokens, unread: 0 });
+          notifyFreed();
         },
       };
     },
     localLoads: () => localLoads,
     localTokens: () => localTokens,
     recordPeerLoads(instance, loads) {
+      const last = loadsByPeer.get(instance)?.loads;
       loadsByPeer.set(instance, { loads, receivedAt: performance.now() });
+      if (frees(loads, last)) notifyFreed();
     },
     peerLoadOf: (engineId) => sumOn(engineId, loadsByPeer, PEER_LOADS_VALID_MS),
     peerLoads(instance) {
@@ -139,10 +153,12 @@
       return sumAll(reports, scale);
     },
     recordDomainLoads(failureDomain, loads) {
+      const last = loadsByDomain.get(failureDomain)?.loads;
       loadsByDomain.set(failureDomain, {
         loads,
         receivedAt: performance.now(),
       });
+      if (frees(loads, last)) notifyFreed();
     },
     hasDomainLoads(failureDomain) {
       const domain = loadsByDomain.get(failureDomain);
@@ -153,9 +169,21 @@
     onChanged(callback) {
       callbacks.push(callback);
     },
+    onFreed(callback) {
+      freedCallbacks.push(callback);
+    },
   };
 }
 
+/**
+ * Whether loads name less use of some engine than the last ones. The first
+ * report of a sender may also replace a higher estimate.
+ */
+function frees(loads: LoadByEngine, last: LoadByEngine | undefined): boolean {
+  if (!last) return true;
+  return [...last].some(([id, { held }]) => (loads.get(id)?.held ?? 0) < held);
+}
+
 function isFresh({ receivedAt }: ReceivedLoads, validMs: number): boolean {
   return performance.now() - receivedAt < validMs;
 }
--- a/packages/gateway/src/streams/forward_stream.ts
+++ b/packages/gateway/src/streams/forward_stream.ts
@@ -10,14 +10,16 @@
   createStreamPace,
   endWithRefusal,
   maxAttemptsOf,
+  priorityOf,
   type RetryDelayRange,
   reportFailedServers,
 } from "../callers/mod.ts";
 import { attemptsForHelper } from "../handoff/mod.ts";
 import type { RequestCodec } from "../protocol.ts";
-import { createAdmission } from "./admission.ts";
+import { costOf, createAdmission } from "./admission.ts";
 import { runOnHelper } from "./helper_run.ts";
 import type { AnswerSize } from "./pipeline_router.ts";
+import type { StreamRun } from "./stage_recovery.ts";
 import {
   type RunEnd,
   runStream,
@@ -54,7 +56,7 @@
   call: CallerCall,
   parts: StreamParts,
 ): Promise<CallEnd> {
-  const { budget, router, handoff, fleet } = parts;
+  const { budget, router, queues, handoff, fleet } = parts;
   const { name: service } = call.service;
   const { resumable } = call.route;
   const maxAttempts = maxAttemptsOf(call);
@@ -82,9 +84,11 @@
   let helperAskedAt = -Infinity;
   let retryAfterSeconds: number | null = null;
   const size = estimateSize(call);
-  const admission = createAdmission(call, router, {
+  const arrival = parts.arrivalOf?.(call);
+  const admission = createAdmission(call, parts, {
     size,
     avoided,
+    ...(arrival ? { arrival } : {}),
     isOutOfReach: () => mayAskHelper() && fleet.reachability.isCutOff(service),
   });
   while (!call.signal.aborted) {
@@ -191,7 +195,7 @@
       canResumeElsewhere: resumable && runsLeft() > 1,
       stop: new AbortController(),
     };
-    lastEnd = await runStream(call, run, { progress, parts });
+    lastEnd = await runAndMeasure(run);
     if (lastEnd.kind === "complete") return true;
     if (lastEnd.kind === "not_run") {
       if (lastEnd.wasSent) countSent();
@@ -203,6 +207,24 @@
     if (lastEnd.kind === "broken" && lastEnd.isFirstEngineLost) lostRuns += 1;
     return !resumable || runsLeft() <= 0 || lostRuns > MAX_LOST_RUNS;
   }
+
+  /** Runs the call and records what it holds and when its answer begins. */
+  async function runAndMeasure(run: StreamRun): Promise<RunEnd> {
+    const { hasBegun } = progress;
+    const grantedAt = performance.now();
+    const onFirstEvent = () =>
+      queues.observeFirstEvent(service, performance.now() - grantedAt);
+    const priority = priorityOf(call);
+    const cost = costOf(size);
+    queues.recorder.heldChanged(service, priority, cost);
+    try {
+      // A resumed run has to read the whole answer so far as well.
+      const measure = hasBegun ? {} : { onFirstEvent };
+      return await runStream(call, run, { progress, parts, ...measure });
+    } finally {
+      queues.recorder.heldChanged(service, priority, -cost);
+    }
+  }
 }
 
 /** Estimates the tokens of a call's prompt and answer. */
--- a/packages/gateway/src/streams/mod.ts
+++ b/packages/gateway/src/streams/mod.ts
@@ -1,4 +1,6 @@
 /** Forwards streams over pipelines of engines and recovers broken ones. */
+export * from "./admission.ts";
+export * from "./admission_queues.ts";
 export * from "./engine_usage.ts";
 export * from "./forward_stream.ts";
 export * from "./pipeline_router.ts";
--- a/packages/gateway/src/streams/stream_run.ts
+++ b/packages/gateway/src/streams/stream_run.ts
@@ -20,8 +20,8 @@
 } from "../forwarding/mod.ts";
 import type { RequestHandoff } from "../handoff/mod.ts";
 import type { AnswerMetadata, EngineCalls, RequestCodec } from "../protocol.ts";
+import type { AdmissionParts, CallArrival } from "./admission.ts";
 import { createEventSplitter } from "./event_splitter.ts";
-import type { PipelineRouter } from "./pipeline_router.ts";
 import {
   createStageRecovery,
   type StageRecovery,
@@ -29,8 +29,9 @@
 } from "./stage_recovery.ts";
 import type { StallDetector } from "./stall_detector.ts";
 
-export interface StreamParts extends ForwardingParts {
-  readonly router: PipelineRouter;
+export interface StreamParts extends ForwardingParts, AdmissionParts {
+  /** How a call arrived; as its caller's first attempt if left out. */
+  readonly arrivalOf?: (call: CallerCall) => CallArrival;
   readonly stallDetector: StallDetector;
   readonly engines: EngineCalls;
   readonly handoff: RequestHandoff;
@@ -77,9 +78,15 @@
 export async function runStream(
   call: CallerCall,
   run: StreamRun,
-  options: { readonly progress: StreamProgress; readonly parts: StreamParts },
+  options: {
+    readonly progress: StreamProgress;
+    readonly parts: StreamParts;
+    /** Called when the first part of the run's answer arrives. */
+    readonly onFirstEvent?: () => void;
+  },
 ): Promise<RunEnd> {
   const { progress, parts } = options;
+  let hasEvents = false;
   const { first, stages } = run.pipeline;
   log.info("request_sent", {
     request: call.id,
@@ -128,6 +135,8 @@
       progress,
       codec,
       onChunk() {
+        if (!hasEvents) options.onFirstEvent?.();
+        hasEvents = true;
         run.pipeline.markPromptRead();
         tracker.onEvent();
         recovery.onEvent();
