--- a/packages/gateway/src/streams/engine_usage.ts
+++ b/packages/gateway/src/streams/engine_usage.ts
@@ -75,6 +75,12 @@
   revision(): number;
   /** Registers a callback for changes of this instance's loads. */
   onChanged(callback: () => void): void;
+  /**
+   * Registers a callback for memory that becomes free: an answer of this
+   * instance has ended, or a report names less use of some engine than the one
+   * before.
+   */
+  onFreed(callback: () => void): void;
 }
 
 export const NO_LOAD: EngineLoad = { held: 0, unread: 0 };
@@ -89,6 +95,7 @@
     DOMAIN_LOADS_VALID_MS,
   );
   const callbacks: (() => void)[] = [];
+  const freedCallbacks: (() => void)[] = [];
   let localTokens = 0;
 
   function addLoad(
@@ -107,6 +114,10 @@
     for (const callback of callbacks) callback();
   }
 
+  function notifyFreed(): void {
+    for (const callback of freedCallbacks) callback();
+  }
+
   return {
     reserve({ stages, tokens, unreadTokens, unreadStages }) {
       let isReserved = true;
@@ -129,12 +140,17 @@
           markPromptRead();
           localTokens -= tokens;
           addLoad(stages, { held: -tokens, unread: 0 });
+          notifyFreed();
         },
       };
     },
     localLoads: () => localLoads,
     localTokens: () => localTokens,
-    recordPeerLoads: loadsByPeer.record,
+    recordPeerLoads(instance, loads) {
+      const last = loadsByPeer.get(instance);
+      loadsByPeer.record(instance, loads);
+      if (frees(loads, last)) notifyFreed();
+    },
     peerLoadOf(engineId) {
       loadsByPeer.dropExpired();
       const { peerHeld, peerUnread } = totals.get(engineId);
@@ -146,7 +162,11 @@
       const scale = Math.max(1, instanceCount / reports.length);
       return sumAll(reports, scale);
     },
-    recordDomainLoads: loadsByDomain.record,
+    recordDomainLoads(failureDomain, loads) {
+      const last = loadsByDomain.get(failureDomain);
+      loadsByDomain.record(failureDomain, loads);
+      if (frees(loads, last)) notifyFreed();
+    },
     hasDomainLoads: (failureDomain) =>
       loadsByDomain.get(failureDomain) !== null,
     domainLoadOf(engineId) {
@@ -164,9 +184,21 @@
     onChanged(callback) {
       callbacks.push(callback);
     },
+    onFreed(callback) {
+      freedCallbacks.push(callback);
+    },
   };
 }
 
+/**
+ * Whether loads name less use of some engine than the last ones. The first
+ * report of a sender may also replace a higher estimate.
+ */
+function frees(loads: LoadByEngine, last: LoadByEngine | null): boolean {
+  if (!last) return true;
+  return [...last].some(([id, { held }]) => (loads.get(id)?.held ?? 0) < held);
+}
+
 /** Sums the loads by engine and multiplies them by `scale`. */
 function sumAll(reports: readonly LoadByEngine[], scale: number): LoadByEngine {
   const sums = new Map<string, EngineLoad>();
--- a/packages/gateway/src/streams/forward_stream.ts
+++ b/packages/gateway/src/streams/forward_stream.ts
@@ -11,13 +11,15 @@
   createStreamPace,
   endWithRefusal,
   maxAttemptsOf,
+  priorityOf,
   type QueueOutlook,
   reportFailedServers,
 } from "../callers/mod.ts";
 import { attemptsForHelper } from "../handoff/mod.ts";
-import { createAdmission } from "./admission.ts";
+import { costOf, createAdmission } from "./admission.ts";
 import { runOnHelper } from "./helper_run.ts";
 import type { AnswerSize } from "./pipeline_router.ts";
+import type { StreamRun } from "./stage_recovery.ts";
 import {
   type RunEnd,
   runStream,
@@ -35,9 +37,10 @@
 /** Time after which a call asks again whether another instance can serve it. */
 const HELPER_RETRY_MS = 300;
 /**
- * Range of the retry delay where no rate is known. The loss of an engine is detected within one second
- * and other engines hold its layers one to two seconds later. A random delay in
- * the range spreads the retries of callers that were refused together.
+ * Range of the retry delay where no rate is known. The loss of an engine is
+ * detected within one second and other engines hold its layers one to two
+ * seconds later. A random delay in the range spreads the retries of callers that
+ * were refused together.
  */
 const RETRY_AFTER_LOSS_SECONDS: RetryDelayRange = {
   minSeconds: 1.2,
@@ -54,7 +57,7 @@
   call: CallerCall,
   parts: StreamParts,
 ): Promise<CallEnd> {
-  const { budget, router, handoff, fleet } = parts;
+  const { budget, router, queues, handoff, fleet } = parts;
   const { name: service } = call.service;
   const { resumable } = call.route;
   const maxAttempts = maxAttemptsOf(call);
@@ -82,7 +85,8 @@
   let helperAskedAt = -Infinity;
   let retryAfterSeconds: number | null = null;
   const size = estimateSize(call);
-  const admission = createAdmission(call, router, {
+  let outlook: QueueOutlook = { cost: costOf(size) };
+  const admission = createAdmission(call, parts, {
     size,
     avoided,
     isOutOfReach: () => mayAskHelper() && fleet.reachability.isCutOff(service),
@@ -100,7 +104,7 @@
     attempts,
     runs,
     parts,
-    outlook: { cost: size.promptTokens + size.answerTokens },
+    outlook,
     backoffMs: hasPipeline ? 0 : soonestBackoffEndMs(fleet, service),
     retryAfterSeconds,
   });
@@ -175,6 +179,8 @@
     if (admitted.kind === "out_of_reach") return false;
     if (admitted.kind === "refused") {
       hasPipeline = admitted.reason !== "no_pipeline";
+      // The rate at which capacity is freed says nothing about missing layers.
+      if (hasPipeline) outlook = admitted;
       if (attempts === 0)
         lastEnd = { kind: "not_run", detail: admitted.reason, wasSent: false };
       return hasPipeline || !mayOthersHavePipeline() || !mayAskHelper();
@@ -192,7 +198,7 @@
       canResumeElsewhere: resumable && runsLeft() > 1,
       stop: new AbortController(),
     };
-    lastEnd = await runStream(call, run, { progress, parts });
+    lastEnd = await runAndMeasure(run);
     if (lastEnd.kind === "complete") return true;
     if (lastEnd.kind === "not_run") {
       if (lastEnd.wasSent) countSent();
@@ -204,6 +210,24 @@
     if (lastEnd.kind === "broken" && lastEnd.isFirstEngineLost) lostRuns += 1;
     return !resumable || runsLeft() <= 0 || lostRuns > MAX_LOST_RUNS;
   }
+
+  /** Runs the call and records what it holds and when its answer begins. */
+  async function runAndMeasure(run: StreamRun): Promise<RunEnd> {
+    const { hasBegun } = progress;
+    const grantedAt = performance.now();
+    const onFirstEvent = () =>
+      queues.observeFirstEvent(service, performance.now() - grantedAt);
+    const priority = priorityOf(call);
+    const cost = costOf(size);
+    queues.recorder.heldChanged(service, priority, cost);
+    try {
+      // A resumed run has to read the whole answer so far as well.
+      const measure = hasBegun ? {} : { onFirstEvent };
+      return await runStream(call, run, { progress, parts, ...measure });
+    } finally {
+      queues.recorder.heldChanged(service, priority, -cost);
+    }
+  }
 }
 
 /** Estimates the tokens of a call's prompt and answer. */
