--- a/packages/admission/src/class_demand.ts
+++ b/packages/admission/src/class_demand.ts
@@ -19,3 +19,14 @@
   waitingChanged(service: string, priority: number, difference: number): void;
   heldChanged(service: string, priority: number, difference: number): void;
 }
+
+/** Least urgent class; the reports of instances count classes 0 to this one. */
+export const LEAST_URGENT_CLASS = 15;
+
+/**
+ * Class of a priority. Priorities are any numbers in the configuration; those
+ * outside the classes count as the nearest one.
+ */
+export function classOf(priority: number): number {
+  return Math.min(LEAST_URGENT_CLASS, Math.max(0, Math.round(priority)));
+}
