Status: optional levels and demand of classes

Operators could not see which load limit is in force for a class and what waits for it. The status answer gets two optional fields, which `rosemarypin status` prints as tables if they are present; answers without them print as before.

--- a/packages/cli/src/commands/status.ts
+++ b/packages/cli/src/commands/status.ts
@@ -1,10 +1,10 @@
 /** Commands that show the deployment. */
-import { statusSchema } from "@rosemarypin/schemas";
+import { type Status, statusSchema } from "@rosemarypin/schemas";
 import { z } from "zod";
 import type { Command } from "../command.ts";
 import { usageError } from "../command_error.ts";
 import { exitCodes } from "../exit_codes.ts";
-import { paintState, show, table } from "../output.ts";
+import { type Output, paintState, show, table } from "../output.ts";
 
 const status: Command = {
   name: "status",
@@ -13,11 +13,13 @@
   async run({ admin, output }) {
     const value = await admin.get("/v1/status", statusSchema);
     show(output, value, {
-      render: ({ deployment, note, phase, instances, backends }) =>
+      render: ({ deployment, note, phase, instances, backends, ...more }) =>
         [
           `deployment ${deployment}, note ${note} (${paintState(output, phase)})`,
           `instances  ${count(instances, "alive")} of ${instances.length} alive`,
           `backends   ${count(backends, "ready")} of ${backends.length} ready`,
+          ...renderClassLevels(output, more),
+          ...renderDemand(output, more),
         ].join("\n"),
     });
     return exitCodes.ok;
@@ -117,6 +119,40 @@
   drain,
 ];
 
+/** Returns nothing if no model has requests of several classes. */
+function renderClassLevels(
+  output: Output,
+  { classLevels = [] }: Pick<Status, "classLevels">,
+): string[] {
+  if (classLevels.length === 0) return [];
+  const titles = ["service", "class", "load limit", "reserve"];
+  const rows = classLevels.map((row) => [
+    row.service,
+    row.priority,
+    row.loadLimit.toFixed(2),
+    row.reserve.toFixed(2),
+  ]);
+  return ["", table(output, { titles, rows })];
+}
+
+/** Returns nothing if no demand is known. */
+function renderDemand(
+  output: Output,
+  { demand = [] }: Pick<Status, "demand">,
+): string[] {
+  if (demand.length === 0) return [];
+  const titles = ["service", "domain", "class", "tokens/s", "waiting", "held"];
+  const rows = demand.map((row) => [
+    row.service,
+    row.failureDomain,
+    row.priority,
+    Math.round(row.arrivingPerSecond),
+    Math.round(row.waiting),
+    Math.round(row.held),
+  ]);
+  return ["", table(output, { titles, rows })];
+}
+
 function count(
   rows: readonly { readonly state: string }[],
   state: string,
--- a/packages/schemas/src/admin.ts
+++ b/packages/schemas/src/admin.ts
@@ -96,6 +96,29 @@
 });
 export type BackendView = z.infer<typeof backendViewSchema>;
 
+/** Limit of one class of a model's requests. */
+export const classLevelViewSchema = z.object({
+  service: nameSchema,
+  /** 0 is the most urgent. */
+  priority: z.number(),
+  /** Share of each engine's memory up to which requests are admitted. */
+  loadLimit: z.number(),
+  /** Share of the capacity that is reserved for more urgent classes. */
+  reserve: z.number(),
+});
+export type ClassLevelView = z.infer<typeof classLevelViewSchema>;
+
+/** Demand of one class in a failure domain, in tokens. */
+export const classDemandViewSchema = z.object({
+  service: nameSchema,
+  failureDomain: nameSchema,
+  priority: z.number(),
+  arrivingPerSecond: z.number(),
+  waiting: z.number(),
+  held: z.number(),
+});
+export type ClassDemandView = z.infer<typeof classDemandViewSchema>;
+
 /** Status of a deployment as one instance sees it. */
 export const statusSchema = z.object({
   deployment: nameSchema,
@@ -106,6 +129,10 @@
   phase: notePhaseSchema.or(z.literal("none")),
   instances: z.array(instanceViewSchema),
   backends: z.array(backendViewSchema),
+  /** Absent if no model has requests of at least two classes. */
+  classLevels: z.array(classLevelViewSchema).optional(),
+  /** Failure domains of which the demand isn't known are left out. */
+  demand: z.array(classDemandViewSchema).optional(),
 });
 export type Status = z.infer<typeof statusSchema>;
 
