Gateway: demand by class in the reports of usage, and levels from it

An instance did not know that urgent requests wait or are refused at others. A board keeps what arrives, waits and is held by service and class, and the reports carry it in the optional field `demand`; senders of the previous version leave it out, and their demand is estimated from the other instances of their failure domain. Reports with negative, huge or unknown figures, and those from an earlier start of the sender, change nothing and give one log line in 5 s. Levels of classes follow the board, merged to one update in 50 ms, where a model has at least two classes; log, metrics and status show them. Nothing records demand yet: the admission queue will.

Reader and writer of records move to a module that both kinds share, and the index of engines serves any list of ids by its new name.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -47,7 +47,9 @@
 import type { GatewaySettings, ListenAddress } from "./settings.ts";
 import {
   chooseUsageDestinations,
+  createDemandBoard,
   createEngineUsage,
+  createModelClassLevels,
   createPipelineRouter,
   createStallDetector,
   forwardStream,
@@ -152,6 +154,16 @@
   });
   const serverChoice = createServerChoice({ fleet, failureDomain });
   const engineUsage = createEngineUsage();
+  const demandBoard = createDemandBoard({
+    failureDomain,
+    liveOthers: presence.liveOthers,
+  });
+  const classLevels = createModelClassLevels({
+    board: demandBoard,
+    fleet,
+    configuration: keeper.applied,
+    signal,
+  });
   const router = createPipelineRouter({
     fleet,
     failureDomain,
@@ -164,9 +176,11 @@
       instance,
       failureDomain,
       usage: engineUsage,
+      demand: demandBoard,
       destinations: () =>
         chooseUsageDestinations(failureDomain, presence.liveOthers()),
       engineIds: fleet.ids,
+      serviceNames: () => services().map(({ name }) => name),
       countDomainInstances: () =>
         1 + presence.possibleSendersOf(failureDomain).length,
       signal,
@@ -186,6 +200,7 @@
     configurationAgeSeconds: () => configurationMirror.ageMs() / 1_000,
     serverListAgeSeconds: () => serverMirror.ageMs() / 1_000,
     cutOffServices: fleet.reachability.cutOffServices,
+    classLevels: classLevels.levels,
     servers: () =>
       new Map(services().map(({ name }) => [name, fleet.countServers(name)])),
   });
@@ -295,6 +310,8 @@
       history,
       fleet,
       presence,
+      demandBoard,
+      classLevels,
       inProgress: () => listener.inProgress(),
       isDraining: () => stoppedAt !== null,
     });
--- a/packages/gateway/src/operators/administration.ts
+++ b/packages/gateway/src/operators/administration.ts
@@ -1,6 +1,8 @@
 /** Read-only administration API: release notes, status and explanations. */
 import type {
   BackendView,
+  ClassDemandView,
+  ClassLevelView,
   Explain,
   FailureBody,
   InstanceView,
@@ -9,6 +11,7 @@
 import type { BackendServer } from "../backend_server.ts";
 import type { BackendFleet } from "../backends/mod.ts";
 import type { ConfigurationKeeper, Presence } from "../following/mod.ts";
+import type { DemandBoard, ModelClassLevels } from "../streams/mod.ts";
 import type { ReleaseHistory } from "./release_history.ts";
 
 export interface AdministrationOptions {
@@ -18,6 +21,8 @@
   readonly history: ReleaseHistory;
   readonly fleet: BackendFleet;
   readonly presence: Presence;
+  readonly demandBoard: Pick<DemandBoard, "ofDomain">;
+  readonly classLevels: Pick<ModelClassLevels, "levels">;
   readonly inProgress: () => number;
   readonly isDraining: () => boolean;
 }
@@ -41,6 +46,8 @@
   function status(): Status {
     const note = keeper.applied()?.version ?? 0;
     const services = [...(keeper.applied()?.services.keys() ?? [])];
+    const classLevels = classLevelViews();
+    const demand = services.flatMap(demandViews);
     return {
       deployment: "platform",
       instance: options.instance,
@@ -51,6 +58,8 @@
       backends: services.flatMap((name) =>
         fleet.ofService(name).map(backendView),
       ),
+      ...(classLevels.length > 0 ? { classLevels } : {}),
+      ...(demand.length > 0 ? { demand } : {}),
     };
   }
 
@@ -82,6 +91,29 @@
     }));
   }
 
+  function classLevelViews(): ClassLevelView[] {
+    return [...options.classLevels.levels()].flatMap(([service, levels]) =>
+      levels.map((level) => ({ service, ...level })),
+    );
+  }
+
+  function demandViews(service: string): ClassDemandView[] {
+    const failureDomains = new Set([
+      options.failureDomain,
+      ...options.presence.others().map((other) => other.failureDomain),
+    ]);
+    return [...failureDomains].flatMap((failureDomain) =>
+      [...(options.demandBoard.ofDomain(service, failureDomain) ?? [])].map(
+        ([priority, demand]) => ({
+          service,
+          failureDomain,
+          priority,
+          ...demand,
+        }),
+      ),
+    );
+  }
+
   function backendView(server: BackendServer): BackendView {
     const { id, service, kind, failureDomain, held } = server;
     const isAvoided = fleet.detector.isAvoided(id);
--- a/packages/gateway/src/operators/gateway_metrics.ts
+++ b/packages/gateway/src/operators/gateway_metrics.ts
@@ -1,4 +1,5 @@
 /** Prometheus metrics of one gateway. */
+import type { ClassLevel } from "@rosemarypin/admission";
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import type { ServerCounts } from "../backends/mod.ts";
 import type { CallEnd, CallerCall } from "../callers/mod.ts";
@@ -21,6 +22,8 @@
   readonly servers: () => ReadonlyMap<string, ServerCounts>;
   /** Services of which this instance reaches no server. */
   readonly cutOffServices: () => readonly string[];
+  /** Levels of classes, by service. */
+  readonly classLevels: () => ReadonlyMap<string, readonly ClassLevel[]>;
 }
 
 /** Creates the metrics in a new registry. */
@@ -107,6 +110,18 @@
     },
   });
 
+  new Gauge({
+    name: "rosemarypin_class_load_limit",
+    help: "Share of each engine's memory up to which requests of a class are admitted; the lowest of all models",
+    labelNames: ["priority"] as const,
+    registers,
+    collect() {
+      this.reset();
+      for (const [priority, limit] of lowestLimits(gauges.classLevels()))
+        this.set({ priority }, limit);
+    },
+  });
+
   function addGauge(name: string, help: string, read: () => number): void {
     new Gauge({
       name,
@@ -135,3 +150,15 @@
     },
   };
 }
+
+/** The lowest limit of each class over all services. */
+function lowestLimits(
+  levelsByService: ReadonlyMap<string, readonly ClassLevel[]>,
+): ReadonlyMap<number, number> {
+  const limits = new Map<number, number>();
+  for (const levels of levelsByService.values()) {
+    for (const { priority, loadLimit } of levels)
+      limits.set(priority, Math.min(limits.get(priority) ?? 1, loadLimit));
+  }
+  return limits;
+}
--- a/packages/gateway/src/streams/mod.ts
+++ b/packages/gateway/src/streams/mod.ts
@@ -1,6 +1,8 @@
 /** Forwards streams over pipelines of engines and recovers broken ones. */
+export * from "./demand_board.ts";
 export * from "./engine_usage.ts";
 export * from "./forward_stream.ts";
+export * from "./model_class_levels.ts";
 export * from "./pipeline_router.ts";
 export * from "./stall_detector.ts";
 export * from "./usage_destinations.ts";
--- a/packages/gateway/src/streams/usage_exchange.ts
+++ b/packages/gateway/src/streams/usage_exchange.ts
@@ -1,8 +1,9 @@
 /**
- * Exchanges the engine usage of instances in datagrams. Each carries the
- * current usage of its sender or its failure domain and not a change, so a lost
- * one isn't resent.
+ * Exchanges the engine usage and the demand of instances in datagrams. Each
+ * carries the current state of its sender or its failure domain and not a
+ * change, so a lost one isn't resent.
  */
+import type { Demand } from "@rosemarypin/admission";
 import {
   createByteBudget,
   type DatagramTransport,
@@ -11,6 +12,8 @@
 import { type Address, formatAddress } from "@rosemarypin/schemas";
 import { createLogger } from "@rosemarypin/telemetry";
 import { createInterruptibleTimer, pause } from "@rosemarypin/timing";
+import type { DemandBoard } from "./demand_board.ts";
+import { hasSignificantDemandChange } from "./demand_sums.ts";
 import type { EngineUsage, LoadByEngine } from "./engine_usage.ts";
 import {
   decodeUsageReport,
@@ -18,7 +21,7 @@
   type UsageReport,
 } from "./usage_datagram.ts";
 import type { UsageDestinations } from "./usage_destinations.ts";
-import { createEngineIndex } from "./usage_records.ts";
+import { createHashIndex } from "./usage_records.ts";
 
 /** Budget of an instance for the reports of its own usage to all peers. */
 const MAX_BYTES_PER_SECOND = 1_600;
@@ -41,7 +44,7 @@
 const MIN_DOMAIN_SEND_INTERVAL_MS = 250;
 /** Interval at which an instance without peers elsewhere looks for them. */
 const NO_DOMAIN_PEERS_INTERVAL_MS = 2_000;
-/** Rate limit for log lines about unreadable datagrams. */
+/** Rate limit for log lines about datagrams that are ignored. */
 const MIN_LOG_INTERVAL_MS = 5_000;
 
 const log = createLogger("peers");
@@ -50,10 +53,13 @@
   readonly transport: DatagramTransport;
   readonly instance: string;
   readonly usage: EngineUsage;
+  readonly demand: DemandBoard;
   readonly failureDomain: string;
   readonly destinations: () => UsageDestinations;
   /** Ids of all engines whose loads are reported. */
   readonly engineIds: () => Iterable<string>;
+  /** Names of all services whose demand is reported. */
+  readonly serviceNames: () => Iterable<string>;
   /** Number of instances in this failure domain, including this one. */
   readonly countDomainInstances: () => number;
   readonly signal: AbortSignal;
@@ -61,9 +67,12 @@
 
 /** Sends and receives reports until the signal aborts. */
 export function startUsageExchange(options: UsageExchangeOptions): void {
-  const { transport, instance, usage, destinations, signal } = options;
+  const { transport, instance, usage, demand, destinations, signal } = options;
   const startedAt = Date.now();
-  const index = createEngineIndex(options.engineIds);
+  const indexes = {
+    engines: createHashIndex(options.engineIds),
+    services: createHashIndex(options.serviceNames),
+  };
   const sequenceFilter = createSequenceFilter();
   const budget = createByteBudget({
     bytesPerSecond: MAX_BYTES_PER_SECOND,
@@ -75,12 +84,16 @@
    */
   const sentAtByAddress = new Map<string, number>();
   let loadsAtLastChange: LoadByEngine = new Map();
+  let demandAtLastChange: Demand = new Map();
   let lastChangeAt = -Infinity;
   let sequence = 0;
-  let unreadableLoggedAt = -Infinity;
+  let ignoredLoggedAt = -Infinity;
   const localChange = createInterruptibleTimer();
   transport.onDatagram(receive);
   usage.onChanged(localChange.interrupt);
+  demand.onChanged((kind) => {
+    if (kind === "own") localChange.interrupt();
+  });
   void Promise.all([runSendLoop(), runDomainSendLoop()]).then(() =>
     transport.close(),
   );
@@ -89,7 +102,7 @@
     while (!signal.aborted) {
       const missingBytes = sendToDuePeers();
       const refillMs = (missingBytes / MAX_BYTES_PER_SECOND) * 1_000;
-      // Ends early when the local loads change.
+      // Ends early when the local loads or demand change.
       const idleMs = MAX_SEND_INTERVAL_MS - MIN_SEND_INTERVAL_MS;
       if (missingBytes === 0) await localChange.wait(idleMs, signal);
       await pause(Math.max(MIN_SEND_INTERVAL_MS, refillMs), signal);
@@ -117,9 +130,11 @@
 
   /** Returns the bytes sent. */
   function sendDomainUsage(target: Address): number {
+    const instanceCount = options.countDomainInstances();
     const datagram = encodeReport({
       domain: options.failureDomain,
-      loads: usage.domainLoads(options.countDomainInstances()),
+      loads: usage.domainLoads(instanceCount),
+      demand: demand.ownDomain(instanceCount),
     });
     transport.send(datagram, target);
     return datagram.length + HEADER_BYTES;
@@ -130,13 +145,21 @@
    * that the budget did not allow, or 0 when all were sent.
    */
   function sendToDuePeers(): number {
-    if (hasSignificantChange(usage.localLoads(), loadsAtLastChange)) {
+    const ownDemand = demand.own();
+    const hasChanged =
+      hasSignificantChange(usage.localLoads(), loadsAtLastChange) ||
+      hasSignificantDemandChange(ownDemand, demandAtLastChange);
+    if (hasChanged) {
       loadsAtLastChange = new Map(usage.localLoads());
+      demandAtLastChange = ownDemand;
       lastChangeAt = performance.now();
     }
     const dueTargets = findDuePeers();
     if (dueTargets.length === 0) return 0;
-    const datagram = encodeReport({ loads: usage.localLoads() });
+    const datagram = encodeReport({
+      loads: usage.localLoads(),
+      demand: ownDemand,
+    });
     const bytes = datagram.length + HEADER_BYTES;
     for (const { target, key } of dueTargets) {
       if (!budget.take(bytes)) return bytes;
@@ -165,27 +188,37 @@
   }
 
   function encodeReport(
-    content: Pick<UsageReport, "domain" | "loads">,
+    content: Pick<UsageReport, "domain" | "loads" | "demand">,
   ): Buffer {
     sequence += 1;
     const header = { from: instance, sequence, startedAt };
-    return encodeUsageReport({ ...header, ...content }, index);
+    return encodeUsageReport({ ...header, ...content }, indexes);
   }
 
   function receive(datagram: Uint8Array): void {
-    const report = decodeUsageReport(datagram, index);
-    if (!report) return logUnreadableDatagram(datagram.length);
-    if (report.from === instance || !sequenceFilter.accept(report)) return;
+    const bytes = datagram.length;
+    const report = decodeUsageReport(datagram, indexes);
+    if (!report) return logIgnored("peer_datagram_unreadable", bytes);
+    if (report.from === instance) return;
+    const order = sequenceFilter.check(report);
+    if (order === "earlier_start") logIgnored("peer_datagram_outdated", bytes);
+    if (order !== "newest") return;
     const { from, domain, loads } = report;
     if (domain === undefined) usage.recordPeerLoads(from, loads);
     else usage.recordDomainLoads(domain, loads);
+    if (report.demand === undefined) return;
+    if (domain === undefined) demand.recordPeer(from, report.demand);
+    else demand.recordDomain(domain, report.demand);
   }
 
-  function logUnreadableDatagram(bytes: number): void {
+  function logIgnored(
+    event: "peer_datagram_unreadable" | "peer_datagram_outdated",
+    bytes: number,
+  ): void {
     const now = performance.now();
-    if (now - unreadableLoggedAt < MIN_LOG_INTERVAL_MS) return;
-    unreadableLoggedAt = now;
-    log.warn("peer_datagram_unreadable", { bytes });
+    if (now - ignoredLoggedAt < MIN_LOG_INTERVAL_MS) return;
+    ignoredLoggedAt = now;
+    log.warn(event, { bytes });
   }
 }
 
@@ -203,19 +236,25 @@
   return false;
 }
 
-/** Creates a filter that rejects duplicate and reordered datagrams. */
+/** Creates a filter that finds duplicate, reordered and outdated datagrams. */
 function createSequenceFilter() {
-  const newestByInstance = new Map<string, UsageReport>();
+  const newestByInstance = new Map<
+    string,
+    Pick<UsageReport, "startedAt" | "sequence">
+  >();
   return {
-    accept(report: UsageReport): boolean {
-      const newest = newestByInstance.get(report.from);
-      const isOlder =
-        newest !== undefined &&
-        (report.startedAt < newest.startedAt ||
-          (report.startedAt === newest.startedAt &&
-            report.sequence <= newest.sequence));
-      if (!isOlder) newestByInstance.set(report.from, report);
-      return !isOlder;
+    check({
+      from,
+      startedAt,
+      sequence,
+    }: UsageReport): "newest" | "out_of_order" | "earlier_start" {
+      const newest = newestByInstance.get(from);
+      if (newest && startedAt < newest.startedAt) return "earlier_start";
+      const isOutOfOrder =
+        newest?.startedAt === startedAt && sequence <= newest.sequence;
+      if (isOutOfOrder) return "out_of_order";
+      newestByInstance.set(from, { startedAt, sequence });
+      return "newest";
     },
   };
 }
--- a/packages/gateway/src/streams/usage_exchange_test.ts
+++ b/packages/gateway/src/streams/usage_exchange_test.ts
@@ -1,9 +1,10 @@
 import type { DatagramTransport } from "@rosemarypin/membership";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import { createDemandBoard } from "./demand_board.ts";
 import { createEngineUsage, type EngineUsage } from "./engine_usage.ts";
 import { encodeUsageReport } from "./usage_datagram.ts";
 import { startUsageExchange } from "./usage_exchange.ts";
-import { createEngineIndex } from "./usage_records.ts";
+import { createHashIndex } from "./usage_records.ts";
 
 const abortController = new AbortController();
 
@@ -65,11 +66,16 @@
       instance,
       failureDomain: domainOf(instance),
       usage,
+      demand: createDemandBoard({
+        failureDomain: domainOf(instance),
+        liveOthers: () => [],
+      }),
       destinations: () => ({
         ownUsage: addresses(true),
         domainUsage: addresses(false),
       }),
       engineIds: () => ENGINE_IDS,
+      serviceNames: () => [],
       countDomainInstances: () =>
         hosts.filter((host) => domainOf(host) === domainOf(instance)).length,
       signal: abortController.signal,
@@ -195,7 +201,10 @@
           startedAt,
           loads: new Map([["e-1", { held: tokens, unread: 0 }]]),
         },
-        createEngineIndex(() => ENGINE_IDS),
+        {
+          engines: createHashIndex(() => ENGINE_IDS),
+          services: createHashIndex(() => []),
+        },
       );
     network.deliver("a", usageDatagram(2, 20));
     network.deliver("a", usageDatagram(1, 10));
--- a/packages/gateway/src/streams/usage_records.ts
+++ b/packages/gateway/src/streams/usage_records.ts
@@ -6,25 +6,20 @@
  */
 import { createHash } from "node:crypto";
 import type { EngineLoad, LoadByEngine } from "./engine_usage.ts";
+import { createByteReader, pushHash, pushInteger } from "./record_bytes.ts";
 
-const HASH_BYTES = 4;
-/** Bits of a variable-length integer in one byte; the highest marks the end. */
-const BITS_PER_BYTE = 7;
-const CONTINUES = 1 << BITS_PER_BYTE;
 /** Bound on a decoded value, in tokens times layers. */
 const MAX_VALUE = 2 ** 40;
 
-/** Finds engine ids by their hash. */
-export interface EngineIndex {
-  /** Id of a known engine; `undefined` if there is none with this hash. */
+/** Finds ids of engines or names of services by their hash. */
+export interface HashIndex {
+  /** A known id; `undefined` if there is none with this hash. */
   idOf(hash: number): string | undefined;
   hashOf(id: string): number;
 }
 
-/** Creates an index of the engines that `listIds` returns. */
-export function createEngineIndex(
-  listIds: () => Iterable<string>,
-): EngineIndex {
+/** Creates an index of the ids that `listIds` returns. */
+export function createHashIndex(listIds: () => Iterable<string>): HashIndex {
   const hashes = new Map<string, number>();
   const ids = new Map<number, string>();
 
@@ -37,7 +32,7 @@
     return hash;
   }
 
-  /** Adds new engines, and removes hashes of those that are gone. */
+  /** Adds new ids, and removes hashes of those that are gone. */
   function refresh(): void {
     const listed = new Set(listIds());
     for (const id of listed) hashOf(id);
@@ -60,13 +55,11 @@
 /** Encodes loads as base64 text. */
 export function encodeLoads(
   loads: Iterable<readonly [string, EngineLoad]>,
-  { hashOf }: EngineIndex,
+  { hashOf }: HashIndex,
 ): string {
   const bytes: number[] = [];
   for (const [id, { held, unread }] of loads) {
-    const hash = hashOf(id);
-    for (let at = HASH_BYTES - 1; at >= 0; at -= 1)
-      bytes.push((hash >>> (at * 8)) & 0xff);
+    pushHash(bytes, hashOf(id));
     pushInteger(bytes, held);
     pushInteger(bytes, unread);
   }
@@ -79,40 +72,18 @@
  */
 export function decodeLoads(
   text: string,
-  { idOf }: EngineIndex,
+  { idOf }: HashIndex,
 ): LoadByEngine | null {
-  const bytes = Buffer.from(text, "base64");
+  const reader = createByteReader(Buffer.from(text, "base64"));
   const loads = new Map<string, EngineLoad>();
-  let at = 0;
-
-  function readInteger(): number {
-    let value = 0;
-    for (let factor = 1; factor < MAX_VALUE; factor *= CONTINUES) {
-      const byte = bytes[at] ?? Number.NaN;
-      at += 1;
-      value += (byte % CONTINUES) * factor;
-      if (!(byte >= CONTINUES)) return value;
-    }
-    return Number.NaN;
-  }
-
-  while (at < bytes.length) {
-    if (at + HASH_BYTES > bytes.length) return null;
-    const id = idOf(bytes.readUInt32BE(at));
-    at += HASH_BYTES;
-    const held = readInteger();
-    const unread = readInteger();
+  while (!reader.isAtEnd()) {
+    const hash = reader.readHash();
+    const held = reader.readInteger();
+    const unread = reader.readInteger();
+    // A part that is cut off is read as NaN, which is not within the bounds.
     if (!(held <= MAX_VALUE && unread <= MAX_VALUE)) return null;
+    const id = idOf(hash);
     if (id !== undefined) loads.set(id, { held, unread });
   }
   return loads;
 }
-
-function pushInteger(bytes: number[], value: number): void {
-  let rest = Math.round(Math.max(0, value));
-  while (rest >= CONTINUES) {
-    bytes.push((rest % CONTINUES) + CONTINUES);
-    rest = Math.floor(rest / CONTINUES);
-  }
-  bytes.push(rest);
-}
--- a/packages/gateway/src/streams/usage_records_test.ts
+++ b/packages/gateway/src/streams/usage_records_test.ts
@@ -1,11 +1,7 @@
 import fc from "fast-check";
 import { describe, expect, it } from "vitest";
 import type { EngineLoad } from "./engine_usage.ts";
-import {
-  createEngineIndex,
-  decodeLoads,
-  encodeLoads,
-} from "./usage_records.ts";
+import { createHashIndex, decodeLoads, encodeLoads } from "./usage_records.ts";
 
 const IDS = Array.from({ length: 200 }, (_, at) => `i-engine-${at}`);
 
@@ -15,7 +11,7 @@
 });
 
 function newIndex(ids: readonly string[] = IDS) {
-  return createEngineIndex(() => ids);
+  return createHashIndex(() => ids);
 }
 
 describe("compact loads", () => {
--- a/packages/telemetry/src/event_catalogue.ts
+++ b/packages/telemetry/src/event_catalogue.ts
@@ -132,6 +132,17 @@
       says: "a later stage of an answer's pipeline does not answer",
       fields: ["id", "address", "request"],
     },
+    class_level: {
+      says: "requests of a class are admitted up to another share of the engines' memory, since `reserve` of the capacity is kept for more urgent classes; `waiting` and `held` are the class's tokens at all instances",
+      fields: [
+        "service",
+        "priority",
+        "load_limit",
+        "reserve",
+        "waiting",
+        "held",
+      ],
+    },
     limited: {
       says: "a request was refused because its organisation reached its limit",
       fields: ["request", "organisation"],
@@ -427,6 +438,10 @@
       says: "a datagram that is not a valid message between instances was ignored",
       fields: ["bytes"],
     },
+    peer_datagram_outdated: {
+      says: "a datagram from an earlier start of a peer was ignored; if they continue, the peer's clock was set back",
+      fields: ["bytes"],
+    },
     instance_forgotten: {
       says: "an instance's object that had stopped changing was removed",
       fields: ["key"],
