--- a/packages/admission/src/class_levels.ts
+++ b/packages/admission/src/class_levels.ts
@@ -22,6 +22,11 @@
 const URGENT_WAIT_MEMORY_MS = 1_000;
 /** A class with less than this share of what is held is not limited. */
 const MIN_HELD_SHARE = 0.05;
+/**
+ * Share from which it is limited again. With one bound for both, a class that
+ * is limited each time that it reaches its minimum holds less than it.
+ */
+const LIMITED_AGAIN_SHARE = 0.075;
 /**
  * Time for which a limit has to be too low before it rises. Pressure often
  * comes and goes within some 300 ms, as responses end in groups.
@@ -55,7 +60,13 @@
   levels(): readonly ClassLevel[];
 }
 
-interface LevelState extends ClassLevel {
+/** A level that the demand calls for. */
+interface Target extends ClassLevel {
+  /** Whether the class holds so little that it is not limited. */
+  readonly isExempt: boolean;
+}
+
+interface LevelState extends Target {
   /** Since when the limit is too low; `null` if it isn't. */
   readonly tooLowSince: number | null;
 }
@@ -91,33 +102,60 @@
 
   /** Lowers a limit at once, and raises it late and in small steps. */
   function approach(
-    { priority, loadLimit: target, reserve }: ClassLevel,
-    now: number,
+    target: Target,
+    mostUrgent: Target | undefined,
   ): LevelState {
-    const last = states.find((state) => state.priority === priority);
+    const now = performance.now();
+    const last = stateOf(target.priority);
     const lastLimit = last?.loadLimit ?? 1;
-    if (!isUnderPressure || target <= lastLimit)
-      return { priority, reserve, loadLimit: target, tooLowSince: null };
+    const isMostUrgent = target === mostUrgent;
+    if (!isUnderPressure || isMostUrgent || target.loadLimit <= lastLimit)
+      return { ...target, tooLowSince: null };
     const tooLowSince = last?.tooLowSince ?? now;
     const risingMs = Math.min(
       RISE_INTERVAL_MS,
       now - Math.max(updatedAt, tooLowSince + RISE_DELAY_MS),
     );
     const rise = (Math.max(0, risingMs) / RISE_INTERVAL_MS) * MAX_RISE;
-    const loadLimit = Math.min(target, lastLimit + rise);
-    return { priority, reserve, loadLimit, tooLowSince };
+    const loadLimit = Math.min(target.loadLimit, lastLimit + rise);
+    return { ...target, loadLimit, tooLowSince };
+  }
+
+  function stateOf(priority: number): LevelState | undefined {
+    return states.find((state) => state.priority === priority);
+  }
+
+  /** The levels that the demand calls for. */
+  function decideTargets(
+    classes: readonly ListedClass[],
+    { capacity, held }: { readonly capacity: number; readonly held: number },
+  ): Target[] {
+    let reserve = 0;
+    return classes.map(({ priority, demand }) => {
+      const isExempt = isExemptAt(demand.held / held, stateOf(priority));
+      const isLimited = isUnderPressure && !isExempt;
+      const target = {
+        priority,
+        loadLimit: isLimited ? 1 - reserve : 1,
+        reserve: isUnderPressure ? reserve : 0,
+        isExempt,
+      };
+      // The bound is used up in order of urgency, so that a burst of a less
+      // urgent class doesn't reduce the reserve of a more urgent one.
+      reserve = Math.min(MAX_RESERVE, reserve + neededShare(demand, capacity));
+      return target;
+    });
   }
 
   return {
     update(demand, capacity) {
-      const now = performance.now();
       const classes = listClasses(demand);
       const held = classes.reduce((sum, { demand }) => sum + demand.held, 0);
       updatePressure(classes, capacity > 0 ? held / capacity : 0);
-      const targets = decideLevels(classes, { capacity, isUnderPressure });
+      const targets = decideTargets(classes, { capacity, held });
       const previous = states;
-      states = targets.map((target) => approach(target, now));
-      updatedAt = now;
+      states = targets.map((target) => approach(target, targets[0]));
+      updatedAt = performance.now();
       if (haveLimitsChanged(previous, states)) options.onChanged?.(states);
     },
     loadLimitOf(priority) {
@@ -146,27 +184,10 @@
     .sort((a, b) => a.priority - b.priority);
 }
 
-/** The levels that the demand calls for. */
-function decideLevels(
-  classes: readonly ListedClass[],
-  state: { readonly capacity: number; readonly isUnderPressure: boolean },
-): ClassLevel[] {
-  const { capacity, isUnderPressure } = state;
-  const held = classes.reduce((sum, { demand }) => sum + demand.held, 0);
-  let reserve = 0;
-  return classes.map(({ priority, demand }) => {
-    const hasMinimumShare = demand.held >= MIN_HELD_SHARE * held;
-    const isLimited = isUnderPressure && hasMinimumShare;
-    const level = {
-      priority,
-      loadLimit: isLimited ? 1 - reserve : 1,
-      reserve: isUnderPressure ? reserve : 0,
-    };
-    // The bound is used up in order of urgency, so that a burst of a less
-    // urgent class doesn't reduce the reserve of a more urgent one.
-    reserve = Math.min(MAX_RESERVE, reserve + neededShare(demand, capacity));
-    return level;
-  });
+/** `heldShare` is not a number if nothing is held. */
+function isExemptAt(heldShare: number, last: Target | undefined): boolean {
+  if (heldShare < MIN_HELD_SHARE) return true;
+  return heldShare < LIMITED_AGAIN_SHARE && last?.isExempt === true;
 }
 
 /** Share of the capacity that a class is about to need. */
