Gateway: reports to peers in an order of each instance's own

Peers whose last reports went out together are now ordered at random. A failure domain of which no sum is valid counts in the total with the mean of the others, since sums arrive 2 s apart on average and expire after 3 s.

--- a/packages/gateway/src/streams/demand_board.ts
+++ b/packages/gateway/src/streams/demand_board.ts
@@ -32,7 +32,12 @@
    * reported by peers in it, scaled up to `instanceCount` instances.
    */
   ownDomain(instanceCount: number): Demand;
-  /** Demand of all failure domains of which it is known; for class levels. */
+  /**
+   * Demand of all instances, for class levels. Failure domains whose demand is
+   * not known are assumed to have as much for each instance as the others: with
+   * many instances, the sums of a domain arrive some seconds apart. Without any
+   * valid report it is what this instance observes itself.
+   */
   total(service: string): DemandByClass;
   /** `null` where the failure domain's demand is not known. */
   ofDomain(service: string, failureDomain: string): DemandByClass | null;
@@ -183,13 +188,22 @@
     },
     total(service) {
       const sums = validSums();
-      const summed = [...sums.values()].map(
+      const domains = groupReports();
+      const isAlone = sums.size === 0 && demandByPeer.size === 0;
+      if (isAlone) return own().get(service) ?? NO_CLASSES;
+      const known: DemandByClass[] = [...sums.values()].map(
         ({ demand }) => demand.get(service) ?? NO_CLASSES,
       );
-      const reported = [...groupReports()]
-        .filter(([domain]) => !sums.has(domain))
-        .map(([, reports]) => sumReports(reports, service));
-      return sumClasses([...summed, ...reported]);
+      let instanceCount = 0;
+      let knownCount = 0;
+      for (const [failureDomain, domain] of domains) {
+        const hasSum = sums.has(failureDomain);
+        const hasReports = domain.reports.length > 0;
+        instanceCount += domain.instanceCount;
+        if (hasSum || hasReports) knownCount += domain.instanceCount;
+        if (!hasSum && hasReports) known.push(sumReports(domain, service));
+      }
+      return sumClasses(known, instanceCount / knownCount);
     },
     ofDomain(service, failureDomain) {
       const sum = validSums().get(failureDomain);
--- a/packages/gateway/src/streams/usage_exchange.ts
+++ b/packages/gateway/src/streams/usage_exchange.ts
@@ -65,6 +65,19 @@
   readonly signal: AbortSignal;
 }
 
+/** A peer that receives reports of this instance's own usage. */
+interface Receiver {
+  /** Time of the last report. */
+  sentAt: number;
+  /**
+   * Order among peers whose last reports went out together. It is random, since
+   * instances that start together would otherwise all report to the same peers
+   * at the same time: with many peers, each would hear all others at once and
+   * then none until those reports have expired.
+   */
+  readonly order: number;
+}
+
 /** Sends and receives reports until the signal aborts. */
 export function startUsageExchange(options: UsageExchangeOptions): void {
   const { transport, instance, usage, demand, destinations, signal } = options;
@@ -78,11 +91,8 @@
     bytesPerSecond: MAX_BYTES_PER_SECOND,
     burstBytes: MAX_BURST_BYTES,
   });
-  /**
-   * Time of the last report to each address. Not pruned, since the instances of
-   * a deployment have few addresses.
-   */
-  const sentAtByAddress = new Map<string, number>();
+  /** Not pruned, since the instances of a deployment have few addresses. */
+  const receivers = new Map<string, Receiver>();
   let loadsAtLastChange: LoadByEngine = new Map();
   let demandAtLastChange: Demand = new Map();
   let lastChangeAt = -Infinity;
@@ -161,9 +171,9 @@
       demand: ownDemand,
     });
     const bytes = datagram.length + HEADER_BYTES;
-    for (const { target, key } of dueTargets) {
+    for (const { target, receiver } of dueTargets) {
       if (!budget.take(bytes)) return bytes;
-      sentAtByAddress.set(key, performance.now());
+      receiver.sentAt = performance.now();
       transport.send(datagram, target);
     }
     return 0;
@@ -176,15 +186,25 @@
   function findDuePeers() {
     const now = performance.now();
     return destinations()
-      .ownUsage.map((target) => {
-        const key = formatAddress(target);
-        return { target, key, sentAt: sentAtByAddress.get(key) ?? -Infinity };
-      })
+      .ownUsage.map((target) => ({ target, receiver: receiverAt(target) }))
       .filter(
-        ({ sentAt }) =>
+        ({ receiver: { sentAt } }) =>
           sentAt < lastChangeAt || now - sentAt >= MAX_SEND_INTERVAL_MS,
       )
-      .sort((a, b) => a.sentAt - b.sentAt);
+      .sort(
+        ({ receiver: a }, { receiver: b }) =>
+          a.sentAt - b.sentAt || a.order - b.order,
+      );
+  }
+
+  function receiverAt(target: Address): Receiver {
+    const key = formatAddress(target);
+    const receiver = receivers.get(key) ?? {
+      sentAt: Number.MIN_SAFE_INTEGER,
+      order: Math.random(),
+    };
+    receivers.set(key, receiver);
+    return receiver;
   }
 
   function encodeReport(
