--- a/packages/cli/src/run_command_test.ts
+++ b/packages/cli/src/run_command_test.ts
@@ -339,6 +339,24 @@
     expect(output).toMatchSnapshot();
   });
 
+  it("of 'status' with levels and demand of classes", async () => {
+    const classLevels = [
+      { service: "assist", priority: 0, loadLimit: 1, reserve: 0 },
+      { service: "assist", priority: 2, loadLimit: 0.8125, reserve: 0.1875 },
+    ];
+    const figures = { arrivingPerSecond: 1_234.5, waiting: 0, held: 56_789 };
+    const demand = [
+      { service: "assist", failureDomain: "a", priority: 0, ...figures },
+    ];
+    const body = { ...status, classLevels, demand };
+    replies = new Map([...replies, ["GET /v1/status", ok(body)]]);
+    const { output, errors } = await run("status");
+    expect(errors).toBe("");
+    expect(output).toMatchSnapshot();
+    const { output: json } = await run("status", { json: true });
+    expect(JSON.parse(json)).toEqual(body);
+  });
+
   it("have colour where it is wanted only", async () => {
     const escapeCode = String.fromCharCode(27);
     const plain = await run("instances");
