--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -50,7 +50,9 @@
 import {
   chooseUsageDestinations,
   createAdmissionQueues,
+  createDemandBoard,
   createEngineUsage,
+  createModelClassLevels,
   createPipelineRouter,
   createStallDetector,
   forwardStream,
@@ -157,14 +159,29 @@
   });
   const serverChoice = createServerChoice({ fleet, failureDomain });
   const engineUsage = createEngineUsage();
+  const demandBoard = createDemandBoard({
+    failureDomain,
+    liveOthers: presence.liveOthers,
+  });
+  const classLevels = createModelClassLevels({
+    board: demandBoard,
+    fleet,
+    configuration: keeper.applied,
+    signal,
+  });
   const router = createPipelineRouter({
     fleet,
     failureDomain,
     usage: engineUsage,
     possibleSendersOf: presence.possibleSendersOf,
   });
-  const queues = createAdmissionQueues({ router });
+  const queues = createAdmissionQueues({
+    router,
+    loadLimitOf: classLevels.loadLimitOf,
+    recorder: demandBoard,
+  });
   engineUsage.onFreed(queues.pump);
+  classLevels.onChanged(queues.pump);
   fleet.onChanged(queues.fleetChanged);
   if (settings.peers) {
     startUsageExchange({
@@ -172,9 +189,11 @@
       instance,
       failureDomain,
       usage: engineUsage,
+      demand: demandBoard,
       destinations: () =>
         chooseUsageDestinations(failureDomain, presence.liveOthers()),
       engineIds: fleet.ids,
+      serviceNames: () => services().map(({ name }) => name),
       countDomainInstances: () =>
         1 + presence.possibleSendersOf(failureDomain).length,
       signal,
@@ -195,6 +214,7 @@
     configurationAgeSeconds: () => configurationMirror.ageMs() / 1_000,
     serverListAgeSeconds: () => serverMirror.ageMs() / 1_000,
     cutOffServices: fleet.reachability.cutOffServices,
+    classLevels: classLevels.levels,
     servers: () =>
       new Map(services().map(({ name }) => [name, fleet.countServers(name)])),
   });
@@ -313,6 +333,8 @@
       history,
       fleet,
       presence,
+      demandBoard,
+      classLevels,
       inProgress: () => listener.inProgress(),
       isDraining: () => stoppedAt !== null,
     });
--- a/packages/gateway/src/streams/mod.ts
+++ b/packages/gateway/src/streams/mod.ts
@@ -1,8 +1,10 @@
 /** Forwards streams over pipelines of engines and recovers broken ones. */
 export * from "./admission.ts";
 export * from "./admission_queues.ts";
+export * from "./demand_board.ts";
 export * from "./engine_usage.ts";
 export * from "./forward_stream.ts";
+export * from "./model_class_levels.ts";
 export * from "./pipeline_router.ts";
 export * from "./stall_detector.ts";
 export * from "./usage_destinations.ts";
