Soak: a run that hangs names the steps in progress

A run whose faults or calls don't end was cut by the test runner after 60 s, without a hint at what it waited for, and left its instances running. It now fails 25 s after its planned end, names the faults and calls in progress, and ends the instances.

--- a/packages/checks/src/platform_soak/soak_run.ts
+++ b/packages/checks/src/platform_soak/soak_run.ts
@@ -29,6 +29,7 @@
   type InstanceProcess,
 } from "./instance_process.ts";
 import { judgeCalls, type SoakCall, type SoakKind } from "./judges.ts";
+import { createStepLog } from "./step_log.ts";
 
 const GRACE_MS = 5_000;
 const CALLERS = 6;
@@ -37,6 +38,8 @@
 const DEADLINE_MS = 3_000;
 /** Requests in flight at the end may take until their deadline. */
 const SETTLE_MS = DEADLINE_MS + 500;
+/** Bound on what is in progress at the end, for a step that hangs. */
+const END_TIMEOUT_MS = 25_000;
 
 export interface SoakResult {
   readonly folder: string;
@@ -64,6 +67,7 @@
   const hurt = new Set<InstanceProcess>();
   /** Links of instances that are cut off from all servers now. */
   const cutLinks = new Set<ServerLinks>();
+  const steps = createStepLog();
   await waitUntilServed(world);
   const endsAt = performance.now() + durationMs;
   const isOver = () => performance.now() >= endsAt;
@@ -71,7 +75,15 @@
     keepCalling(index),
   );
   const breakers = Array.from({ length: FAULTS_AT_ONCE }, keepBreaking);
-  await Promise.all([...callers, ...breakers]);
+  try {
+    await steps.waitFor(
+      Promise.all([...callers, ...breakers]),
+      durationMs + END_TIMEOUT_MS,
+    );
+  } catch (error) {
+    await Promise.all(world.instances.map((instance) => instance.kill()));
+    throw error;
+  }
   await sleep(SETTLE_MS);
   await world.stop();
   const logs = readLogs(folder);
@@ -112,12 +124,13 @@
         continue;
       }
       const startedAt = performance.now();
-      const answer = await call(instance.url, {
+      const answering = call(instance.url, {
         id,
         deadlineMs: DEADLINE_MS,
         ...(keeps ? { agent } : {}),
         ...requestOf(kind, events),
       });
+      const answer = await steps.during(`${kind} ${id}`, answering);
       const isCalm = unplannedAt < startedAt - SETTLE_MS;
       const onlyPlanned = unplanned === 0 && isCalm;
       calls.push({ id, kind, events, answer, onlyPlanned });
@@ -129,7 +142,8 @@
     const isPlanned = fault === "stop_instance" || fault === "configure";
     faults.push(fault);
     if (!isPlanned) unplanned += 1;
-    await carryOut(fault, { world, random, hurt, cutLinks });
+    const done = carryOut(fault, { world, random, hurt, cutLinks });
+    await steps.during(fault, done);
     if (!isPlanned) {
       unplanned -= 1;
       unplannedAt = performance.now();
