Stops: a failed test names its waits; a missed claim fails at once

The test of a planned stop in an outage of the store waited for ever for the claim when the order was refused, or was recorded between two reads of the store. It now fails with what became of the order.

A test of this file that fails now prints the waits in progress and the last lines of the instances' logs, to tell the step the next time. All assertions and bounds are as they were.

--- a/packages/launcher/src/stops_test.ts
+++ b/packages/launcher/src/stops_test.ts
@@ -1,3 +1,5 @@
+import { readFileSync } from "node:fs";
+import { join } from "node:path";
 import { claimPorts } from "@rosemarypin/ports";
 import { formatAddress } from "@rosemarypin/schemas";
 import {
@@ -21,7 +23,11 @@
 const SHORT_ANSWER = 40;
 /** Takes longer than an instance waits for the balancer to turn away. */
 const LONG_ANSWER = 250;
+/** Lines of each instance's log that a failed test shows. */
+const SHOWN_LOG_LINES = 40;
 
+/** Waits in progress; a test that times out names them. */
+const waits = new Set<{ readonly step: string }>();
 let deployment: Deployment;
 let balancer: string;
 
@@ -47,7 +53,9 @@
 afterAll(() => deployment?.stop());
 
 /** Ends the faults of a test, also of one that has failed. */
-afterEach(async () => {
+afterEach(async ({ task }) => {
+  if (task.result?.state === "fail") console.error(describeState());
+  waits.clear();
   const { daemons, objectApi } = deployment.plan;
   await postJson(`${objectApi}/faults`, { down: false, delayMs: 0 });
   await setServices({ delayMs: 0, leaving: false });
@@ -60,6 +68,17 @@
     await waitUntilReady(`${urlOf(instance.addresses.admin)}/readyz`);
 });
 
+/** What the tests wait for, and what the instances logged last. */
+function describeState(): string {
+  const steps = [...waits].map(({ step }) => `waits for ${step}`);
+  const logs = deployment.plan.daemons.map(({ instance: { id } }) => {
+    const text = readFileSync(join(deployment.folder, `${id}.log`), "utf8");
+    const lines = text.trim().split("\n").slice(-SHOWN_LOG_LINES);
+    return `log of ${id}:\n${lines.join("\n")}`;
+  });
+  return [...steps, ...logs].join("\n");
+}
+
 describe("a planned stop under load", () => {
   it("loses no stream and no call when all instances restart", {
     timeout: FOUR_RESTARTS_TIMEOUT_MS,
@@ -71,7 +90,7 @@
     const load = startLoad();
     for (const { instance } of deployment.plan.daemons) {
       deployment.processes.signal(instance.id, "SIGTERM");
-      expect(await deployment.processes.waitForExit(instance.id)).toBe(0);
+      expect(await waitForExit(instance.id)).toBe(0);
       deployment.startInstance(instance.id);
       await waitUntilReady(`${urlOf(instance.addresses.admin)}/readyz`);
     }
@@ -113,13 +132,29 @@
     const { objectApi } = deployment.plan;
     await setServices({ delayMs: 800, leaving: false });
     const order = placeOrder(1, key);
-    await waitFor(async () => (await readLastClaim()) === "claimed");
+    // An order that was refused, or that was recorded between two reads of
+    // the store, is never seen as claimed.
+    let hasEnded = false;
+    const setEnded = () => {
+      hasEnded = true;
+    };
+    void order.then(setEnded, setEnded);
+    await waitFor(
+      "the claim",
+      async () => (await readLastClaim()) === "claimed" || hasEnded,
+    );
+    if (hasEnded)
+      expect.fail(`ended before the outage: ${JSON.stringify(await order)}`);
     await postJson(`${objectApi}/faults`, { down: true });
-    expect(await order).toMatchObject({ number: expect.any(Number) });
+    const answer = await during("the order", order);
+    expect(answer).toMatchObject({ number: expect.any(Number) });
     deployment.processes.signal("entry-2", "SIGTERM");
-    expect(await deployment.processes.waitForExit("entry-2")).toBe(0);
+    expect(await waitForExit("entry-2")).toBe(0);
     await postJson(`${objectApi}/faults`, { down: false });
-    await waitFor(async () => (await readLastClaim()) === "answered");
+    await waitFor(
+      "the record of the answer",
+      async () => (await readLastClaim()) === "answered",
+    );
   });
 });
 
@@ -154,7 +189,7 @@
     await sleep(500);
     deployment.processes.signal("entry-4", "SIGKILL");
     expect(await first).toBe("broken");
-    await waitFor(async () => (await countRuns(key)) > 0);
+    await waitFor("the run", async () => (await countRuns(key)) > 0);
     await setServices({ delayMs: 0 });
     expect(await placeOrder(1, key)).toMatchObject({
       number: expect.any(Number),
@@ -322,14 +357,14 @@
     changed: [],
     withdrawn: [],
   });
-  await waitFor(async () => {
+  await waitFor("the first note", async () => {
     const status = await readJson<{ phase: string }>(`${admin}/v1/status`);
     return status.phase === "in_force";
   });
   await waitUntilReady(`${balancer}/v1/models`);
   for (const { instance } of plan.daemons) {
     const baseUrl = urlOf(instance.addresses.callers);
-    await waitFor(() => canAnswer(baseUrl));
+    await waitFor(`an answer of ${baseUrl}`, () => canAnswer(baseUrl));
   }
 }
 
@@ -387,17 +422,40 @@
 
 function waitUntilReady(url: string): Promise<void> {
   const headers = { authorization: `Bearer ${KEY}` };
-  return waitFor(async () => {
+  return waitFor(`readiness at ${url}`, async () => {
     const response = await request(url, { headers });
     await response.body.dump();
     return response.statusCode === 200;
   });
 }
 
-async function waitFor(isDone: () => Promise<boolean>): Promise<void> {
+function waitForExit(instance: string): Promise<number | null> {
+  const exit = deployment.processes.waitForExit(instance);
+  return during(`the end of ${instance}`, exit);
+}
+
+async function waitFor(
+  step: string,
+  isDone: () => Promise<boolean>,
+): Promise<void> {
+  await during(step, poll(isDone));
+}
+
+async function poll(isDone: () => Promise<boolean>): Promise<void> {
   while (!(await isDone().catch(() => false))) await sleep(50);
 }
 
+/** Counts `step` among the waits in progress until `work` has ended. */
+async function during<T>(step: string, work: Promise<T>): Promise<T> {
+  const wait = { step };
+  waits.add(wait);
+  try {
+    return await work;
+  } finally {
+    waits.delete(wait);
+  }
+}
+
 function urlOf(address: { host: string; port: number }): string {
   return `http://${formatAddress(address)}`;
 }
