Admission: time since the last grant lowers the observed rate, and is forgotten

Change: cost and time decay alike, and the time since the last grant counts when a wait is predicted. Requests are refused on arrival during the pause, and a pause counts for no more than its share of the decay.

--- a/packages/admission/src/service_rate.ts
+++ b/packages/admission/src/service_rate.ts
@@ -26,13 +26,23 @@
   let timeSumMs = 0;
   let intervalStartedAt: number | null = null;
 
-  /** Adds the time since the start of the interval to the observations. */
-  function addInterval(now: number): void {
-    if (intervalStartedAt === null) return;
-    const elapsedMs = now - intervalStartedAt;
+  /**
+   * Sums up to now, the time since the last grant included. Both cost and time
+   * decay, so that a pause of the grants is forgotten as fast as it was learnt.
+   */
+  function sumsAt(now: number): { cost: number; timeMs: number } {
+    const elapsedMs = intervalStartedAt === null ? 0 : now - intervalStartedAt;
     const decay = Math.exp(-elapsedMs / DECAY_TIME_MS);
-    costSum *= decay;
-    timeSumMs = timeSumMs * decay + elapsedMs;
+    return {
+      cost: costSum * decay,
+      timeMs: timeSumMs * decay + DECAY_TIME_MS * (1 - decay),
+    };
+  }
+
+  function addInterval(now: number): void {
+    const { cost, timeMs } = sumsAt(now);
+    costSum = cost;
+    timeSumMs = timeMs;
   }
 
   return {
@@ -52,11 +62,12 @@
       intervalStartedAt = isBacklogged ? now : null;
     },
     predictWaitMs(work) {
-      if (costSum === 0 || timeSumMs === 0) return 0;
-      return (work * timeSumMs) / costSum;
+      const { cost, timeMs } = sumsAt(performance.now());
+      return cost === 0 || timeMs === 0 ? 0 : (work * timeMs) / cost;
     },
     costPerSecond() {
-      return timeSumMs === 0 ? 0 : (costSum / timeSumMs) * 1_000;
+      const { cost, timeMs } = sumsAt(performance.now());
+      return timeMs === 0 ? 0 : (cost / timeMs) * 1_000;
     },
   };
 }
