--- a/packages/gateway/src/streams/engine_usage_test.ts
+++ b/packages/gateway/src/streams/engine_usage_test.ts
@@ -101,3 +101,32 @@
     expect(usage.hasDomainLoads("b")).toBe(false);
   });
 });
+
+describe("memory that becomes free", () => {
+  // Guards against requests that wait while a peer has reported free memory,
+  // and against a search for each report that names more use.
+  it("is announced for answers that end and reports of less use", () => {
+    const usage = createEngineUsage();
+    const onFreed = vi.fn();
+    usage.onFreed(onFreed);
+    const reservation = usage.reserve({
+      stages: [],
+      tokens: 10,
+      unreadTokens: 0,
+      unreadStages: [],
+    });
+    expect(onFreed).toHaveBeenCalledTimes(0);
+    reservation.release();
+    reservation.release();
+    expect(onFreed).toHaveBeenCalledTimes(1);
+    const loads = (held: number) => new Map([["e", { held, unread: 0 }]]);
+    usage.recordPeerLoads("peer", loads(10));
+    expect(onFreed).toHaveBeenCalledTimes(2);
+    usage.recordPeerLoads("peer", loads(20));
+    expect(onFreed).toHaveBeenCalledTimes(2);
+    usage.recordPeerLoads("peer", loads(5));
+    usage.recordDomainLoads("b", loads(50));
+    usage.recordDomainLoads("b", new Map());
+    expect(onFreed).toHaveBeenCalledTimes(5);
+  });
+});
