--- a/packages/gateway/src/operators/class_views_test.ts
+++ b/packages/gateway/src/operators/class_views_test.ts
@@ -88,7 +88,7 @@
       serverListAgeSeconds: () => 0,
       servers: () => new Map(),
       cutOffServices: () => [],
-    waitingRequests: () => new Map(),
+      waitingRequests: () => new Map(),
       classLevels: () => levels,
     });
     const text = await registry.metrics();
--- a/packages/gateway/src/streams/admission.ts
+++ b/packages/gateway/src/streams/admission.ts
@@ -19,9 +19,10 @@
 
 /**
  * Longest wait of a new answer after the latest start in time, in objectives.
- * An answer that is later than this is worth little to its caller.
+ * Callers give up on an answer without an event after some four objectives, so
+ * that a later start would waste the engines' work.
  */
-const MAX_LATE_OBJECTIVES = 3;
+const MAX_LATE_OBJECTIVES = 2;
 /**
  * Longest wait of a new answer, as a share of the time that its caller has
  * left. The rest is for a retry and for the answer itself.
--- a/packages/gateway/src/streams/admission_test.ts
+++ b/packages/gateway/src/streams/admission_test.ts
@@ -18,7 +18,7 @@
 
 type EngineState = "free" | "full" | "missing";
 
-function setUp(first: EngineState, deadlineMs = 20_000) {
+function setUp(first: EngineState, deadlineMs = 20_000, elapsedMs = 0) {
   let engines = first;
   let isCutOff = false;
   const caller = new AbortController();
@@ -39,8 +39,8 @@
     route: { objectiveMs: 500, priority: 0 },
     rawHeaders: [],
     startedAt: performance.now(),
-    firstAttemptAt: performance.now(),
-    arrival: "first",
+    firstAttemptAt: performance.now() - elapsedMs,
+    arrival: elapsedMs > 0 ? "returning" : "first",
     deadlineAt: performance.now() + deadlineMs,
     signal: caller.signal,
   } as unknown as CallerCall;
@@ -113,12 +113,21 @@
   // Guards against a refusal that leaves its caller no time for a retry.
   it.each([
     ["a quarter of the time that is left", 2_000, 500],
-    ["three objectives after the latest start in time", 20_000, 2_000],
+    ["two objectives after the latest start in time", 20_000, 1_500],
   ])("refuses after %s", async (_, deadlineMs, afterMs) => {
     const { next } = setUp("full", deadlineMs);
     expect(await next(false)).toEqual({ result: "no_room", afterMs });
   });
 
+  // Guards against returning callers that are refused whenever engines are full,
+  // since the time for a start within the objective has passed.
+  it("lets a returning caller wait from its arrival on", async () => {
+    const { next } = setUp("full", 17_000, 3_000);
+    const admitted = await next(false, [[700, "free"]]);
+    expect(admitted.result).toBe("admitted");
+    expect(admitted.afterMs).toBeLessThanOrEqual(800);
+  });
+
   it("shares one wait among the runs of a call", async () => {
     const { next } = setUp("full", 2_000);
     await next(false);
