Gateway: load limits of failure domains by their demand

Engines of a failure domain whose instances report only their sum could be used by others up to a fixed half of their memory, whatever the domain's own callers needed: callers were refused in one domain while engines of others were idle.

The router asks for the limit of a domain in place of the constant, which stays where a need is unknown or the own domain lacks nothing. The demand comes through the interface DomainDemand; until instances report it, all needs are unknown and all limits are the constant. Event domain_flow, and gauges of the limits and needs.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -47,6 +47,7 @@
 import type { GatewaySettings, ListenAddress } from "./settings.ts";
 import {
   chooseUsageDestinations,
+  createDomainLoadLimits,
   createEngineUsage,
   createPipelineRouter,
   createStallDetector,
@@ -152,11 +153,18 @@
   });
   const serverChoice = createServerChoice({ fleet, failureDomain });
   const engineUsage = createEngineUsage();
+  const domainLimits = createDomainLoadLimits({
+    fleet,
+    failureDomain,
+    // Instances don't report their demand yet.
+    demand: { ofDomain: () => null },
+  });
   const router = createPipelineRouter({
     fleet,
     failureDomain,
     usage: engineUsage,
     possibleSendersOf: presence.possibleSendersOf,
+    domainLoadLimit: (domain, service) => domainLimits.limitOf(service, domain),
   });
   if (settings.peers) {
     startUsageExchange({
@@ -186,6 +194,7 @@
     configurationAgeSeconds: () => configurationMirror.ageMs() / 1_000,
     serverListAgeSeconds: () => serverMirror.ageMs() / 1_000,
     cutOffServices: fleet.reachability.cutOffServices,
+    domains: domainLimits.readings,
     servers: () =>
       new Map(services().map(({ name }) => [name, fleet.countServers(name)])),
   });
--- a/packages/gateway/src/operators/gateway_metrics.ts
+++ b/packages/gateway/src/operators/gateway_metrics.ts
@@ -21,6 +21,11 @@
   readonly servers: () => ReadonlyMap<string, ServerCounts>;
   /** Services of which this instance reaches no server. */
   readonly cutOffServices: () => readonly string[];
+  /** Load limits and needs by failure domain; `null` where there is none. */
+  readonly domains: () => ReadonlyMap<
+    string,
+    { readonly loadLimit: number | null; readonly needTokens: number | null }
+  >;
 }
 
 /** Creates the metrics in a new registry. */
@@ -107,6 +112,37 @@
     },
   });
 
+  addDomainGauge(
+    "rosemarypin_domain_load_limit",
+    "Load up to which this instance uses the engines of another domain",
+    "loadLimit",
+  );
+  addDomainGauge(
+    "rosemarypin_domain_need_tokens",
+    "Tokens of answers that the callers of a failure domain need",
+    "needTokens",
+  );
+
+  function addDomainGauge(
+    name: string,
+    help: string,
+    value: "loadLimit" | "needTokens",
+  ): void {
+    new Gauge({
+      name,
+      help,
+      labelNames: ["domain"] as const,
+      registers,
+      collect() {
+        this.reset();
+        for (const [domain, reading] of gauges.domains()) {
+          const current = reading[value];
+          if (current !== null) this.set({ domain }, current);
+        }
+      },
+    });
+  }
+
   function addGauge(name: string, help: string, read: () => number): void {
     new Gauge({
       name,
--- a/packages/gateway/src/streams/mod.ts
+++ b/packages/gateway/src/streams/mod.ts
@@ -1,4 +1,5 @@
 /** Forwards streams over pipelines of engines and recovers broken ones. */
+export * from "./domain_load_limits.ts";
 export * from "./engine_usage.ts";
 export * from "./forward_stream.ts";
 export * from "./pipeline_router.ts";
--- a/packages/gateway/src/streams/pipeline_router.ts
+++ b/packages/gateway/src/streams/pipeline_router.ts
@@ -4,6 +4,7 @@
 import type { BackendFleet, ServerCounts } from "../backends/mod.ts";
 import type { EngineShape, Service } from "../configuration.ts";
 import type { AddressedStage } from "../protocol.ts";
+import { DEFAULT_DOMAIN_LIMIT } from "./domain_flow.ts";
 import {
   createEngineTable,
   type EngineRow,
@@ -12,15 +13,6 @@
 import type { EngineReservation, EngineUsage } from "./engine_usage.ts";
 import { createUnreportedUsage } from "./unreported_usage.ts";
 
-/**
- * Upper bound on the used share of an engine's memory in a failure domain whose
- * instances report only their sum. That is known with a delay of seconds, in
- * which the domain itself and others may fill the engine. When all domains are
- * short of engines, more use of each other's would delay the answers of every
- * domain, instead of refusing some in one.
- */
-const MAX_SUMMED_LOAD = 0.5;
-
 /** Tokens for which an answer takes memory on each engine of its pipeline. */
 export interface AnswerSize {
   readonly promptTokens: number;
@@ -90,6 +82,14 @@
   readonly usage: EngineUsage;
   /** Names of other instances in a failure domain that may send requests. */
   readonly possibleSendersOf: (failureDomain: string) => readonly string[];
+  /**
+   * Load limit of the engines in a failure domain whose instances report only
+   * their sum; `null` for the default. Engines serve one service each.
+   */
+  readonly domainLoadLimit?: (
+    failureDomain: string,
+    service: Service,
+  ) => number | null;
 }
 
 export function createPipelineRouter({
@@ -97,6 +97,7 @@
   failureDomain,
   usage,
   possibleSendersOf,
+  domainLoadLimit,
 }: PipelineRouterOptions): PipelineRouter {
   const unreported = createUnreportedUsage({
     failureDomain,
@@ -140,7 +141,7 @@
       onlyDomain,
       ignoresLimits = range !== undefined,
     } = constraints;
-    const { size, avoided, maxLoad } = request;
+    const { service, size, avoided, maxLoad } = request;
     const { rows, isInUse, search } = table;
     const { isUsable, loads } = search;
     isUsable.set(isInUse);
@@ -159,7 +160,7 @@
       if (maxLoad !== undefined) {
         if (domain !== limitedDomain) {
           limitedDomain = domain;
-          limit = loadLimitIn(domain, maxLoad);
+          limit = loadLimitIn(domain, service, maxLoad);
         }
         const added = tokens / Math.max(1, row.capacityTokens);
         if ((loads[index] as number) + added > limit) {
@@ -174,10 +175,14 @@
     }
   }
 
-  function loadLimitIn(domain: string, maxLoad: number): number {
-    return unreported.isSummed(domain)
-      ? Math.min(maxLoad, MAX_SUMMED_LOAD)
-      : maxLoad;
+  function loadLimitIn(
+    domain: string,
+    service: Service,
+    maxLoad: number,
+  ): number {
+    if (!unreported.isSummed(domain)) return maxLoad;
+    const limit = domainLoadLimit?.(domain, service) ?? DEFAULT_DOMAIN_LIMIT;
+    return Math.min(maxLoad, limit);
   }
 
   /**
--- a/packages/telemetry/src/event_catalogue.ts
+++ b/packages/telemetry/src/event_catalogue.ts
@@ -116,6 +116,10 @@
         "waited_ms",
       ],
     },
+    domain_flow: {
+      says: "the load limit of another failure domain's engines changed; `need` and `capacity` are that domain's, in tokens of complete answers",
+      fields: ["domain", "load_limit", "need", "capacity"],
+    },
     pipeline_changed: {
       says: "the replacement of a lost stage was requested; `answer` is the outcome",
       fields: ["request", "lost", "stages", "answer", "detail"],
