--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -51,6 +51,7 @@
   chooseUsageDestinations,
   createAdmissionQueues,
   createDemandBoard,
+  createDomainLoadLimits,
   createEngineUsage,
   createModelClassLevels,
   createPipelineRouter,
@@ -169,11 +170,17 @@
     configuration: keeper.applied,
     signal,
   });
+  const domainLimits = createDomainLoadLimits({
+    fleet,
+    failureDomain,
+    demand: demandBoard,
+  });
   const router = createPipelineRouter({
     fleet,
     failureDomain,
     usage: engineUsage,
     possibleSendersOf: presence.possibleSendersOf,
+    domainLoadLimit: (domain, service) => domainLimits.limitOf(service, domain),
   });
   const queues = createAdmissionQueues({
     router,
@@ -215,6 +222,7 @@
     serverListAgeSeconds: () => serverMirror.ageMs() / 1_000,
     cutOffServices: fleet.reachability.cutOffServices,
     classLevels: classLevels.levels,
+    domains: domainLimits.readings,
     servers: () =>
       new Map(services().map(({ name }) => [name, fleet.countServers(name)])),
   });
--- a/packages/gateway/src/operators/class_views_test.ts
+++ b/packages/gateway/src/operators/class_views_test.ts
@@ -88,6 +88,7 @@
       serverListAgeSeconds: () => 0,
       servers: () => new Map(),
       cutOffServices: () => [],
+      domains: () => new Map(),
       waitingRequests: () => new Map(),
       classLevels: () => levels,
     });
--- a/packages/gateway/src/operators/gateway_metrics.ts
+++ b/packages/gateway/src/operators/gateway_metrics.ts
@@ -33,6 +33,11 @@
   readonly cutOffServices: () => readonly string[];
   /** Levels of classes, by service. */
   readonly classLevels: () => ReadonlyMap<string, readonly ClassLevel[]>;
+  /** Load limits and needs by failure domain; `null` where there is none. */
+  readonly domains: () => ReadonlyMap<
+    string,
+    { readonly loadLimit: number | null; readonly needTokens: number | null }
+  >;
 }
 
 /** Creates the metrics in a new registry. */
@@ -173,6 +178,36 @@
         this.set({ priority }, limit);
     },
   });
+  addDomainGauge(
+    "rosemarypin_domain_load_limit",
+    "Load up to which this instance uses the engines of another domain",
+    "loadLimit",
+  );
+  addDomainGauge(
+    "rosemarypin_domain_need_tokens",
+    "Tokens of answers that the callers of a failure domain need",
+    "needTokens",
+  );
+
+  function addDomainGauge(
+    name: string,
+    help: string,
+    value: "loadLimit" | "needTokens",
+  ): void {
+    new Gauge({
+      name,
+      help,
+      labelNames: ["domain"] as const,
+      registers,
+      collect() {
+        this.reset();
+        for (const [domain, reading] of gauges.domains()) {
+          const current = reading[value];
+          if (current !== null) this.set({ domain }, current);
+        }
+      },
+    });
+  }
 
   function addGauge(name: string, help: string, read: () => number): void {
     new Gauge({
--- a/packages/gateway/src/operators/gateway_metrics_test.ts
+++ b/packages/gateway/src/operators/gateway_metrics_test.ts
@@ -1,28 +1,52 @@
-import { expect, it } from "vitest";
-import { createGatewayMetrics } from "./gateway_metrics.ts";
+import { describe, expect, it } from "vitest";
+import { createGatewayMetrics, type GatewayGauges } from "./gateway_metrics.ts";
 
-// Guards against an overload of which operators see no class: which one waits,
-// which one is admitted, and why another one is refused.
-it("shows waiting, admitted and refused requests by priority", async () => {
-  const { registry, admissions } = createGatewayMetrics({
-    inProgress: () => 0,
-    waitingRequests: () => new Map([[2, 7]]),
-    configurationVersion: () => 1,
-    configurationAgeSeconds: () => 0,
-    serverListAgeSeconds: () => 0,
-    servers: () => new Map(),
-    cutOffServices: () => [],
-    classLevels: () => new Map(),
+const GAUGES: GatewayGauges = {
+  inProgress: () => 0,
+  waitingRequests: () => new Map(),
+  configurationVersion: () => 1,
+  configurationAgeSeconds: () => 0,
+  serverListAgeSeconds: () => 0,
+  servers: () => new Map(),
+  cutOffServices: () => [],
+  classLevels: () => new Map(),
+  domains: () => new Map(),
+};
+
+describe("metrics of the gateway", () => {
+  // Guards against an overload of which operators see no class: which one
+  // waits, which one is admitted, and why another one is refused.
+  it("show waiting, admitted and refused requests by priority", async () => {
+    const { registry, admissions } = createGatewayMetrics({
+      ...GAUGES,
+      waitingRequests: () => new Map([[2, 7]]),
+    });
+    admissions.admitted(0, "returning", 150);
+    admissions.refused(2, "too_late");
+    const page = await registry.metrics();
+    for (const line of [
+      'rosemarypin_waiting_requests{priority="2"} 7',
+      'rosemarypin_admitted_total{priority="0",arrival="returning"} 1',
+      'rosemarypin_refused_total{priority="2",reason="too_late"} 1',
+      'rosemarypin_admission_wait_seconds_bucket{le="0.1",priority="0"} 0',
+      'rosemarypin_admission_wait_seconds_bucket{le="0.2",priority="0"} 1',
+    ])
+      expect(page).toContain(`${line}\n`);
+  });
+
+  it("show limits and needs of failure domains as far as they are known", async () => {
+    const { registry } = createGatewayMetrics({
+      ...GAUGES,
+      domains: () =>
+        new Map([
+          ["a", { loadLimit: null, needTokens: 6_000 }],
+          ["b", { loadLimit: 0.6, needTokens: null }],
+        ]),
+    });
+    const page = await registry.metrics();
+    expect(page.match(/^rosemarypin_domain_.*$/gm)).toEqual([
+      'rosemarypin_domain_load_limit{domain="b"} 0.6',
+      'rosemarypin_domain_need_tokens{domain="a"} 6000',
+    ]);
   });
-  admissions.admitted(0, "returning", 150);
-  admissions.refused(2, "too_late");
-  const page = await registry.metrics();
-  for (const line of [
-    'rosemarypin_waiting_requests{priority="2"} 7',
-    'rosemarypin_admitted_total{priority="0",arrival="returning"} 1',
-    'rosemarypin_refused_total{priority="2",reason="too_late"} 1',
-    'rosemarypin_admission_wait_seconds_bucket{le="0.1",priority="0"} 0',
-    'rosemarypin_admission_wait_seconds_bucket{le="0.2",priority="0"} 1',
-  ])
-    expect(page).toContain(`${line}\n`);
 });
--- a/packages/gateway/src/streams/mod.ts
+++ b/packages/gateway/src/streams/mod.ts
@@ -2,6 +2,7 @@
 export * from "./admission.ts";
 export * from "./admission_queues.ts";
 export * from "./demand_board.ts";
+export * from "./domain_load_limits.ts";
 export * from "./engine_usage.ts";
 export * from "./forward_stream.ts";
 export * from "./model_class_levels.ts";
