--- a/packages/gateway/src/streams/admission.ts
+++ b/packages/gateway/src/streams/admission.ts
@@ -18,11 +18,12 @@
 } from "./pipeline_router.ts";
 
 /**
- * Longest wait of a new answer after the latest start in time, in objectives.
- * Callers give up on an answer without an event after some four objectives, so
- * that a later start would waste the engines' work.
+ * Latest first event of a new answer that is worth a start, in objectives since
+ * this attempt. Callers give up on an answer without an event after some four
+ * objectives, and engines that are full read prompts late, so that a later start
+ * would often waste their work.
  */
-const MAX_LATE_OBJECTIVES = 2;
+const MAX_FIRST_EVENT_OBJECTIVES = 2;
 /**
  * Longest wait of a new answer, as a share of the time that its caller has
  * left. The rest is for a retry and for the answer itself.
@@ -115,10 +116,10 @@
   function waitUntil(hasBegun: boolean): number {
     const now = performance.now();
     if (hasBegun) return now + BEGUN_ANSWER_MAX_WAIT_MS - begunWaitedMs;
-    // For a returning caller the time to start may have passed long ago.
-    const lateFrom = Math.max(startBy(), call.startedAt);
+    const latestFirstEventAt =
+      call.startedAt + MAX_FIRST_EVENT_OBJECTIVES * call.route.objectiveMs;
     newWaitUntil ??= Math.min(
-      lateFrom + MAX_LATE_OBJECTIVES * call.route.objectiveMs,
+      latestFirstEventAt - queues.expectedFirstEventMs(service),
       now + NEW_ANSWER_WAIT_SHARE * timeLeftMs(call),
     );
     return newWaitUntil;
--- a/packages/gateway/src/streams/admission_queues_test.ts
+++ b/packages/gateway/src/streams/admission_queues_test.ts
@@ -124,9 +124,9 @@
   });
 
   it.each([
-    // 500 - 280 and two objectives.
-    ["counts the time to the first event", 0, 1_220],
-    ["counts a returning caller's wait from its arrival", 1_000, 1_000],
+    // Two objectives less 280.
+    ["counts the time to the first event", 0, 720],
+    ["counts a returning caller's wait from its arrival", 1_000, 720],
   ])("%s", async (_, elapsedMs, waitMs) => {
     const { queues, admit, refused } = setUp();
     queues.observeFirstEvent("model", 300);
--- a/packages/gateway/src/streams/admission_test.ts
+++ b/packages/gateway/src/streams/admission_test.ts
@@ -113,7 +113,7 @@
   // Guards against a refusal that leaves its caller no time for a retry.
   it.each([
     ["a quarter of the time that is left", 2_000, 500],
-    ["two objectives after the latest start in time", 20_000, 1_500],
+    ["two objectives", 20_000, 1_000],
   ])("refuses after %s", async (_, deadlineMs, afterMs) => {
     const { next } = setUp("full", deadlineMs);
     expect(await next(false)).toEqual({ result: "no_room", afterMs });
