Gateway: counts of store calls by kind, and instances that follow a relay

Operators can't see what the calls to the store are for. All calls of an instance pass one counting client now; rosemarypin_store_calls_total{call} tells them by kind, and rosemarypin_relay_followers the calls that wait for changes at this instance. The transport between instances is an option of store following, so that a test runs many of them in one process.

--- a/packages/fakes/src/memory_store.ts
+++ b/packages/fakes/src/memory_store.ts
@@ -34,9 +34,23 @@
 const UNAVAILABLE: StoreFailure = { kind: "unavailable", detail: "down" };
 const REPLY_LOST: StoreFailure = { kind: "reply_lost", detail: "lost" };
 
+export interface MemoryStoreOptions {
+  /**
+   * How long a watch without changes is held. If set, watches answer as those
+   * of the platform's object API: from 0 with all objects at once, otherwise
+   * with changes and removals, and with nothing after this time. Without it, a
+   * watch waits for an object without limit.
+   */
+  readonly watchHoldMs?: number;
+}
+
 /** Creates an empty store. */
-export function createMemoryStore(): MemoryStore {
+export function createMemoryStore({
+  watchHoldMs,
+}: MemoryStoreOptions = {}): MemoryStore {
   const objects = new Map<string, StoredObject>();
+  /** Revision at which each key without an object lost it. */
+  const removals = new Map<string, number>();
   const watchers = new Set<() => void>();
   const counts: Record<string, number> = {};
   let revision = 0;
@@ -59,6 +73,7 @@
     revision += 1;
     const stored = structuredClone(value);
     objects.set(key, { key, value: stored, version: revision });
+    removals.delete(key);
     for (const wake of [...watchers]) wake();
     return { kind: "ok", value: revision };
   }
@@ -106,10 +121,15 @@
           return { kind: "conflict", actual };
         }
         objects.delete(key);
+        revision += 1;
+        removals.set(key, revision);
+        for (const wake of [...watchers]) wake();
         return { kind: "ok", value: null };
       },
       async watch(prefix, { since, signal }) {
-        if (!(await enter("watch"))) return UNAVAILABLE;
+        if (!(await enter(since === 0 ? "full_read" : "watch")))
+          return UNAVAILABLE;
+        if (watchHoldMs !== undefined) return heldWatch(prefix, since, signal);
         while (below(prefix, since).length === 0) {
           if (signal?.aborted || faults.down) return UNAVAILABLE;
           await nextChange(signal);
@@ -118,12 +138,41 @@
         return { kind: "ok", value: batch };
       },
     };
+    async function heldWatch(
+      prefix: string,
+      since: number,
+      signal: AbortSignal | undefined,
+    ): Promise<StoreResult<WatchBatch>> {
+      const holdEndsAt = performance.now() + (watchHoldMs ?? 0);
+      const isWhole = since === 0;
+      for (;;) {
+        if (signal?.aborted || faults.down) return UNAVAILABLE;
+        const changed = below(prefix, since);
+        const removed = [...removals].flatMap(([key, removedAt]) =>
+          key.startsWith(prefix) && removedAt > since ? [key] : [],
+        );
+        const leftMs = holdEndsAt - performance.now();
+        const isDue = changed.length + removed.length > 0 || leftMs <= 0;
+        if (isWhole || isDue) {
+          const value = { objects: changed, removed, revision, isWhole };
+          return { kind: "ok", value };
+        }
+        await nextChange(signal, leftMs);
+      }
+    }
+
     return { store, faults };
   }
 
-  function nextChange(signal: AbortSignal | undefined): Promise<void> {
+  function nextChange(
+    signal: AbortSignal | undefined,
+    withinMs?: number,
+  ): Promise<void> {
     return new Promise((resolve) => {
+      const timer =
+        withinMs === undefined ? undefined : setTimeout(() => wake(), withinMs);
       const wake = () => {
+        clearTimeout(timer);
         watchers.delete(wake);
         signal?.removeEventListener("abort", wake);
         resolve();
--- a/packages/gateway/src/following/change_relay.ts
+++ b/packages/gateway/src/following/change_relay.ts
@@ -21,6 +21,8 @@
 
 export interface ChangeRelay {
   readonly methods: PeerMethods;
+  /** Number of instances that follow this one: calls that wait for changes. */
+  countFollowers(): number;
 }
 
 export interface ChangeRelayOptions {
@@ -43,6 +45,7 @@
   let lastRequestAt = -Infinity;
   let lastAnsweredProbeAt = -Infinity;
   let isProbing = false;
+  let waitingCalls = 0;
 
   async function probeWhileFollowed(): Promise<void> {
     if (isProbing) return;
@@ -104,6 +107,7 @@
   }
 
   return {
+    countFollowers: () => waitingCalls,
     methods: {
       async [FOLLOW_METHOD](params): Promise<FollowResponse> {
         const request = followRequestSchema.parse(params);
@@ -111,7 +115,9 @@
         void probeWhileFollowed();
         let changes = changesAfter(request);
         if (changes.length === 0 && request.holdMs > 0) {
+          waitingCalls += 1;
           await waitForChange(request.holdMs);
+          waitingCalls -= 1;
           changes = changesAfter(request);
         }
         return { ageMs: storeAgeMs(), changes };
--- a/packages/gateway/src/following/store_following.ts
+++ b/packages/gateway/src/following/store_following.ts
@@ -1,6 +1,7 @@
 /** Keeps mirrors of store prefixes current by watches, relays and peers. */
 import {
   createPeerCaller,
+  type PeerCaller,
   type PeerMethods,
   type PeerRequests,
   startPeerServer,
@@ -28,6 +29,14 @@
   readonly presence: Presence;
   /** One for each prefix, in the order of `prefixes`. */
   readonly mirrors: readonly ObjectMirror[];
+  /** Number of instances that follow the store through this one. */
+  countFollowers(): number;
+}
+
+/** Calls to other instances, and the server for theirs. */
+export interface PeerTransport {
+  readonly caller: PeerCaller;
+  serve(methods: PeerMethods, requests: PeerRequests): Promise<unknown>;
 }
 
 export interface StoreFollowingOptions {
@@ -44,6 +53,8 @@
   /** Requests of other instances that aren't calls of a method. */
   readonly peerRequests: PeerRequests;
   readonly prefixes: readonly FollowedPrefix[];
+  /** JSON-RPC over HTTP by default; not used without `peers`. */
+  readonly peerTransport?: PeerTransport;
   readonly signal: AbortSignal;
 }
 
@@ -60,6 +71,7 @@
   peerMethods,
   peerRequests,
   prefixes,
+  peerTransport = peers ? createHttpTransport(peers) : undefined,
   signal,
 }: StoreFollowingOptions): Promise<StoreFollowing> {
   const presence = startPresence({
@@ -70,7 +82,7 @@
     signal,
   });
   const mirrors: ObjectMirror[] = [];
-  const caller = peers ? createPeerCaller(peers.host) : null;
+  const caller = peers && peerTransport ? peerTransport.caller : null;
   const relayFollower =
     caller &&
     startRelayFollower({
@@ -83,19 +95,26 @@
     const source = relayFollower ? { ...prefix, relayFollower } : prefix;
     mirrors.push(startObjectMirror({ ...source, store, signal }));
   }
-  if (peers && caller) {
-    const changeRelay = createChangeRelay({
-      mirrors: () => mirrors,
-      probeStore: presence.probeStore,
-      signal,
-    });
+  const changeRelay = createChangeRelay({
+    mirrors: () => mirrors,
+    probeStore: presence.probeStore,
+    signal,
+  });
+  if (caller && peerTransport) {
     const methods = {
       ...peerMethods,
       ...createSnapshotMethods(mirrors),
       ...changeRelay.methods,
     };
-    await startPeerServer(peers, methods, peerRequests);
+    await peerTransport.serve(methods, peerRequests);
     startPeerSnapshots({ mirrors, caller, peers: presence.peers, signal });
   }
-  return { presence, mirrors };
+  return { presence, mirrors, countFollowers: changeRelay.countFollowers };
+}
+
+function createHttpTransport(address: ListenAddress): PeerTransport {
+  return {
+    caller: createPeerCaller(address.host),
+    serve: (methods, requests) => startPeerServer(address, methods, requests),
+  };
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -2,7 +2,7 @@
 import { once, setMaxListeners } from "node:events";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { createPeerCaller, createUdpTransport } from "@rosemarypin/membership";
-import type { StoredObject } from "@rosemarypin/store";
+import { countStoreCalls, type StoredObject } from "@rosemarypin/store";
 import { createLogger } from "@rosemarypin/telemetry";
 import { pause } from "@rosemarypin/timing";
 import {
@@ -73,7 +73,8 @@
   platform: Platform,
 ): Promise<Gateway> {
   const { instance, failureDomain } = settings;
-  const { store, keys, codec, engines } = platform;
+  const { keys, codec, engines } = platform;
+  const { store, counts: storeCalls } = countStoreCalls(platform.store);
   const abortController = new AbortController();
   const { signal } = abortController;
   // Each pending wait adds a listener, among others one per suspected server,
@@ -92,7 +93,7 @@
     countInstances: (domain) => presence.countPossiblyLive(domain),
     signal,
   });
-  const { presence, mirrors } = await startStoreFollowing({
+  const { presence, mirrors, countFollowers } = await startStoreFollowing({
     store,
     instance,
     failureDomain,
@@ -186,6 +187,8 @@
     configurationAgeSeconds: () => configurationMirror.ageMs() / 1_000,
     serverListAgeSeconds: () => serverMirror.ageMs() / 1_000,
     cutOffServices: fleet.reachability.cutOffServices,
+    storeCalls,
+    relayFollowers: countFollowers,
     servers: () =>
       new Map(services().map(({ name }) => [name, fleet.countServers(name)])),
   });
--- a/packages/gateway/src/operators/gateway_metrics.ts
+++ b/packages/gateway/src/operators/gateway_metrics.ts
@@ -21,6 +21,10 @@
   readonly servers: () => ReadonlyMap<string, ServerCounts>;
   /** Services of which this instance reaches no server. */
   readonly cutOffServices: () => readonly string[];
+  /** Calls to the store since the start, by kind. */
+  readonly storeCalls: () => Readonly<Record<string, number>>;
+  /** Instances that receive changes of the store through this one. */
+  readonly relayFollowers: () => number;
 }
 
 /** Creates the metrics in a new registry. */
@@ -81,6 +85,23 @@
     "Time since the store last answered about backend servers",
     gauges.serverListAgeSeconds,
   );
+  addGauge(
+    "rosemarypin_relay_followers",
+    "Instances that receive changes of the store through this one",
+    gauges.relayFollowers,
+  );
+
+  new Counter({
+    name: "rosemarypin_store_calls_total",
+    help: "Calls to the store, whatever their outcome",
+    labelNames: ["call"] as const,
+    registers,
+    collect() {
+      this.reset();
+      for (const [call, count] of Object.entries(gauges.storeCalls()))
+        this.inc({ call }, count);
+    },
+  });
 
   new Gauge({
     name: "rosemarypin_servers",
