Membership: results that several calls share are encoded once

A relay answers up to 40 followers with the same changes, and the server of calls between instances encodes each answer on its own. A handler may mark a result as shared now; the server keeps its encoding as long as the result. The test counts 1 encoding for 40 calls; unmarked results take one each.

--- a/packages/membership/src/peer_rpc.ts
+++ b/packages/membership/src/peer_rpc.ts
@@ -10,6 +10,7 @@
   createJSONRPCErrorResponse,
   JSONRPCClient,
   type JSONRPCRequest,
+  type JSONRPCResponse,
   JSONRPCServer,
 } from "json-rpc-2.0";
 import { Agent } from "undici";
@@ -47,6 +48,18 @@
   readonly handle: RequestListener;
 }
 
+/** Encoded results that several calls share; `null` until the first. */
+const sharedEncodings = new WeakMap<object, string | null>();
+
+/**
+ * Marks a result that several calls return, so that the server encodes it once.
+ * It must not be changed afterwards.
+ */
+export function shareEncoding<Result extends object>(result: Result): Result {
+  sharedEncodings.set(result, null);
+  return result;
+}
+
 /** Starts the server for requests of peers. */
 export async function startPeerServer(
   address: Address,
@@ -63,7 +76,7 @@
       return requests.handle(incoming, outgoing);
     const answer = await handleCall(rpc, incoming);
     outgoing.setHeader("content-type", "application/json");
-    outgoing.end(JSON.stringify(answer));
+    outgoing.end(encodeAnswer(answer));
   });
   await new Promise<void>((resolve, reject) => {
     server.once("error", reject);
@@ -72,6 +85,19 @@
   return server;
 }
 
+function encodeAnswer(answer: JSONRPCResponse | null): string {
+  const result: unknown = answer?.result;
+  if (!answer || typeof result !== "object" || result === null)
+    return JSON.stringify(answer);
+  const shared = sharedEncodings.get(result);
+  if (shared === undefined) return JSON.stringify(answer);
+  const encoded = shared ?? JSON.stringify(result);
+  sharedEncodings.set(result, encoded);
+  const { jsonrpc, id } = answer;
+  const head = JSON.stringify({ jsonrpc, id }).slice(0, -1);
+  return `${head},"result":${encoded}}`;
+}
+
 async function handleCall(rpc: JSONRPCServer, incoming: IncomingMessage) {
   try {
     const body = await readBody(incoming);
