--- a/packages/gateway/src/following/store_following.ts
+++ b/packages/gateway/src/following/store_following.ts
@@ -1,6 +1,7 @@
 /** Keeps mirrors of store prefixes current by watches, relays and peers. */
 import {
   createPeerCaller,
+  type PeerCaller,
   type PeerMethods,
   type PeerRequests,
   startPeerServer,
@@ -28,12 +29,22 @@
   readonly presence: Presence;
   /** One for each prefix, in the order of `prefixes`. */
   readonly mirrors: readonly ObjectMirror[];
+  /** Number of instances that follow the store through this one. */
+  countFollowers(): number;
+}
+
+/** Calls to other instances, and the server for theirs. */
+export interface PeerTransport {
+  readonly caller: PeerCaller;
+  serve(methods: PeerMethods, requests: PeerRequests): Promise<unknown>;
 }
 
 export interface StoreFollowingOptions {
   readonly store: ObjectStore;
   readonly instance: string;
   readonly failureDomain: string;
+  /** Relative processor share, 0 to 1,000; absent if it is unknown. */
+  readonly ability?: number;
   /**
    * Address for calls from other instances; `null` disables relays and updates
    * from peers.
@@ -44,6 +55,8 @@
   /** Requests of other instances that aren't calls of a method. */
   readonly peerRequests: PeerRequests;
   readonly prefixes: readonly FollowedPrefix[];
+  /** JSON-RPC over HTTP by default; not used without `peers`. */
+  readonly peerTransport?: PeerTransport;
   readonly signal: AbortSignal;
 }
 
@@ -56,46 +69,66 @@
   store,
   instance,
   failureDomain,
+  ability,
   peers,
   peerMethods,
   peerRequests,
   prefixes,
+  peerTransport = peers ? createHttpTransport(peers) : undefined,
   signal,
 }: StoreFollowingOptions): Promise<StoreFollowing> {
+  const knownAbility = ability === undefined ? {} : { ability };
   const presence = startPresence({
     store,
     instance,
     failureDomain,
     peer: peers,
+    ...knownAbility,
     signal,
   });
   const mirrors: ObjectMirror[] = [];
-  const caller = peers ? createPeerCaller(peers.host) : null;
+  const changeRelay = createChangeRelay({
+    mirrors: () => mirrors,
+    probeStore: presence.probeStore,
+    isFollowing: () => relayFollower?.isFollowing() === true,
+    presence,
+    signal,
+  });
+  const caller = peers && peerTransport ? peerTransport.caller : null;
   const relayFollower =
     caller &&
     startRelayFollower({
       mirrors: () => mirrors,
       caller,
-      relays: () => chooseRelays(instance, presence.liveDomainPeers()),
+      relays(isPassedOver) {
+        if (changeRelay.servesOlderVersion()) return [];
+        const own = { instance, ...knownAbility };
+        const others = presence.liveDomainPeers();
+        return chooseRelays({ own, others, isPassedOver }).relays;
+      },
+      instance,
+      presence,
       signal,
     });
   for (const prefix of prefixes) {
     const source = relayFollower ? { ...prefix, relayFollower } : prefix;
     mirrors.push(startObjectMirror({ ...source, store, signal }));
   }
-  if (peers && caller) {
-    const changeRelay = createChangeRelay({
-      mirrors: () => mirrors,
-      probeStore: presence.probeStore,
-      signal,
-    });
+  if (caller && peerTransport) {
     const methods = {
       ...peerMethods,
       ...createSnapshotMethods(mirrors),
       ...changeRelay.methods,
     };
-    await startPeerServer(peers, methods, peerRequests);
+    await peerTransport.serve(methods, peerRequests);
     startPeerSnapshots({ mirrors, caller, peers: presence.peers, signal });
   }
-  return { presence, mirrors };
+  return { presence, mirrors, countFollowers: changeRelay.countFollowers };
+}
+
+function createHttpTransport(address: ListenAddress): PeerTransport {
+  return {
+    caller: createPeerCaller(address.host),
+    serve: (methods, requests) => startPeerServer(address, methods, requests),
+  };
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -3,7 +3,7 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { createReturningCallers } from "@rosemarypin/admission";
 import { createPeerCaller, createUdpTransport } from "@rosemarypin/membership";
-import type { StoredObject } from "@rosemarypin/store";
+import { countStoreCalls, type StoredObject } from "@rosemarypin/store";
 import { createLogger } from "@rosemarypin/telemetry";
 import { pause } from "@rosemarypin/timing";
 import {
@@ -81,7 +81,8 @@
   platform: Platform,
 ): Promise<Gateway> {
   const { instance, failureDomain } = settings;
-  const { store, keys, codec, engines } = platform;
+  const { keys, codec, engines } = platform;
+  const { store, counts: storeCalls } = countStoreCalls(platform.store);
   const abortController = new AbortController();
   const { signal } = abortController;
   // Each pending wait adds a listener, among others one per suspected server,
@@ -100,10 +101,11 @@
     countInstances: (domain) => presence.countPossiblyLive(domain),
     signal,
   });
-  const { presence, mirrors } = await startStoreFollowing({
+  const { presence, mirrors, countFollowers } = await startStoreFollowing({
     store,
     instance,
     failureDomain,
+    ...(settings.ability === undefined ? {} : { ability: settings.ability }),
     peers: settings.peers,
     peerMethods: { [PING_METHOD]: () => true },
     peerRequests: { header: HANDOFF_HEADER, handle: receiveHandedOff },
@@ -223,6 +225,8 @@
     cutOffServices: fleet.reachability.cutOffServices,
     classLevels: classLevels.levels,
     domains: domainLimits.readings,
+    storeCalls,
+    relayFollowers: countFollowers,
     servers: () =>
       new Map(services().map(({ name }) => [name, fleet.countServers(name)])),
   });
--- a/packages/gateway/src/operators/class_views_test.ts
+++ b/packages/gateway/src/operators/class_views_test.ts
@@ -89,6 +89,8 @@
       servers: () => new Map(),
       cutOffServices: () => [],
       domains: () => new Map(),
+      storeCalls: () => ({}),
+      relayFollowers: () => 0,
       waitingRequests: () => new Map(),
       classLevels: () => levels,
     });
--- a/packages/gateway/src/operators/gateway_metrics_test.ts
+++ b/packages/gateway/src/operators/gateway_metrics_test.ts
@@ -11,6 +11,8 @@
   cutOffServices: () => [],
   classLevels: () => new Map(),
   domains: () => new Map(),
+  storeCalls: () => ({}),
+  relayFollowers: () => 0,
 };
 
 describe("metrics of the gateway", () => {
