--- a/packages/fakes/src/peer_links.ts
+++ b/packages/fakes/src/peer_links.ts
@@ -133,6 +133,16 @@
   };
 }
 
+/** A filter that takes fields out of an object, as if it were never sent. */
+export function withoutFields(...fields: string[]): MessageFilter {
+  return (message) =>
+    Object.fromEntries(
+      Object.entries(message as object).filter(
+        ([key]) => !fields.includes(key),
+      ),
+    );
+}
+
 function asMessage(value: unknown): unknown {
   return value === undefined ? null : JSON.parse(JSON.stringify(value));
 }
--- a/packages/gateway/src/following/change_relay_test.ts
+++ b/packages/gateway/src/following/change_relay_test.ts
@@ -105,6 +105,8 @@
     mirrors: () => [mirror],
     probeStore: async () => false,
     isFollowing: () => isFollowing,
+    // The store answers an instance that follows, whatever its relay's copy.
+    ...(isFollowing ? { presence: createRecentPresence() } : {}),
     signal: abortController.signal,
   });
   return {
@@ -118,6 +120,20 @@
   };
 }
 
+/** Presence without others, whose list the store has just answered. */
+function createRecentPresence() {
+  return {
+    list: {
+      update: () => {},
+      newerThan: () => null,
+      version: () => 1,
+      onChange: () => () => {},
+    },
+    lastListedAt: () => performance.now(),
+    recordFollower: () => {},
+  };
+}
+
 function setUp() {
   const store = createStore();
   const frozenRelays = new Set<string>();
--- a/packages/gateway/src/following/store_following_test.ts
+++ b/packages/gateway/src/following/store_following_test.ts
@@ -1,5 +1,5 @@
 import { setMaxListeners } from "node:events";
-import { createInstanceDomain, type MessageFilter } from "@rosemarypin/fakes";
+import { createInstanceDomain, withoutFields } from "@rosemarypin/fakes";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 import { startStoreFollowing } from "./store_following.ts";
 
@@ -104,22 +104,14 @@
   );
 }
 
-const without =
-  (...fields: string[]): MessageFilter =>
-  (message) =>
-    Object.fromEntries(
-      Object.entries(message as object).filter(
-        ([key]) => !fields.includes(key),
-      ),
-    );
-
 /** Makes calls from and to an instance those of the version before. */
 function downgrade(name: string): void {
   domain.links.filterCalls(name, {
-    params: without("from", "presence"),
+    params: withoutFields("from", "presence"),
     result: (message) => {
-      const old = without("presence")(message) as { changes?: object[] };
-      if (old.changes) old.changes = old.changes.map(without("revision")) as [];
+      const old = withoutFields("presence")(message) as { changes?: object[] };
+      if (old.changes)
+        old.changes = old.changes.map(withoutFields("revision")) as [];
       return old;
     },
   });
