Gateway: a report changes only the sums that differ from the last one

A report was taken back from the sums and added again, engine by engine, and compared once more to find freed memory. Now each engine is looked up once, and equal loads change nothing.

--- a/packages/gateway/src/streams/engine_totals.ts
+++ b/packages/gateway/src/streams/engine_totals.ts
@@ -18,6 +18,8 @@
 /** Sums of the reports of one kind of sender. */
 export interface ReportedSums {
   add(engineId: string, load: EngineLoad): void;
+  /** Replaces a load that was added by another one. */
+  replace(engineId: string, last: EngineLoad, next: EngineLoad): void;
   /** Takes back a load that was added. */
   subtract(engineId: string, load: EngineLoad): void;
 }
@@ -65,6 +67,16 @@
       totals.peerHeld += held;
       totals.peerUnread += unread;
     },
+    replace(engineId, last, next) {
+      const totals = change(engineId);
+      // The sum of a single load is that load, without rounding errors.
+      const isOnly = totals.peers === 1;
+      const { peerHeld, peerUnread } = totals;
+      totals.peerHeld = isOnly ? next.held : peerHeld - last.held + next.held;
+      totals.peerUnread = isOnly
+        ? next.unread
+        : peerUnread - last.unread + next.unread;
+    },
     subtract(engineId, { held, unread }) {
       const totals = change(engineId);
       totals.peers -= 1;
@@ -82,6 +94,18 @@
       totals.domainHeld += held;
       totals.domainUnread += unread;
     },
+    replace(engineId, last, next) {
+      const totals = change(engineId);
+      // The sum of a single load is that load, without rounding errors.
+      const isOnly = totals.domains === 1;
+      const { domainHeld, domainUnread } = totals;
+      totals.domainHeld = isOnly
+        ? next.held
+        : domainHeld - last.held + next.held;
+      totals.domainUnread = isOnly
+        ? next.unread
+        : domainUnread - last.unread + next.unread;
+    },
     subtract(engineId, { held, unread }) {
       const totals = change(engineId);
       totals.domains -= 1;
--- a/packages/gateway/src/streams/engine_usage.ts
+++ b/packages/gateway/src/streams/engine_usage.ts
@@ -147,9 +147,7 @@
     localLoads: () => localLoads,
     localTokens: () => localTokens,
     recordPeerLoads(instance, loads) {
-      const last = loadsByPeer.get(instance);
-      loadsByPeer.record(instance, loads);
-      if (frees(loads, last)) notifyFreed();
+      if (loadsByPeer.record(instance, loads)) notifyFreed();
     },
     peerLoadOf(engineId) {
       loadsByPeer.dropExpired();
@@ -163,9 +161,7 @@
       return sumAll(reports, scale);
     },
     recordDomainLoads(failureDomain, loads) {
-      const last = loadsByDomain.get(failureDomain);
-      loadsByDomain.record(failureDomain, loads);
-      if (frees(loads, last)) notifyFreed();
+      if (loadsByDomain.record(failureDomain, loads)) notifyFreed();
     },
     hasDomainLoads: (failureDomain) =>
       loadsByDomain.get(failureDomain) !== null,
@@ -190,15 +186,6 @@
   };
 }
 
-/**
- * Whether loads name less use of some engine than the last ones. The first
- * report of a sender may also replace a higher estimate.
- */
-function frees(loads: LoadByEngine, last: LoadByEngine | null): boolean {
-  if (!last) return true;
-  return [...last].some(([id, { held }]) => (loads.get(id)?.held ?? 0) < held);
-}
-
 /** Sums the loads by engine and multiplies them by `scale`. */
 function sumAll(reports: readonly LoadByEngine[], scale: number): LoadByEngine {
   const sums = new Map<string, EngineLoad>();
--- a/packages/gateway/src/streams/received_loads.ts
+++ b/packages/gateway/src/streams/received_loads.ts
@@ -8,8 +8,12 @@
 }
 
 export interface ReceivedLoads {
-  /** Replaces the loads that the sender reported before. */
-  record(sender: string, loads: LoadByEngine): void;
+  /**
+   * Replaces the loads that the sender reported before. Returns whether memory
+   * becomes free: the loads name less use of some engine than the valid ones
+   * before. The first report of a sender may also replace a higher estimate.
+   */
+  record(sender: string, loads: LoadByEngine): boolean;
   /** Loads of a sender; `null` without any or when they expired. */
   get(sender: string): LoadByEngine | null;
   /** Unexpired loads of all senders. */
@@ -18,6 +22,8 @@
   dropExpired(): void;
 }
 
+const NO_LOADS: LoadByEngine = new Map();
+
 /** Keeps reports that are valid for `validMs`, and adds them to the sums. */
 export function createReceivedLoads(
   sums: ReportedSums,
@@ -27,6 +33,34 @@
   /** No report expires before this time. */
   let nextExpiry = Number.POSITIVE_INFINITY;
 
+  /**
+   * Replaces loads of one sender in the sums; returns whether some engine is
+   * used less. Most engines are in both, and many with the same load: each is
+   * looked up once, and only what differs is changed.
+   */
+  function exchangeLoads(last: LoadByEngine, next: LoadByEngine): boolean {
+    let frees = false;
+    let inBoth = 0;
+    for (const [engineId, load] of next) {
+      const before = last.get(engineId);
+      if (!before) {
+        sums.add(engineId, load);
+        continue;
+      }
+      inBoth += 1;
+      if (load.held < before.held) frees = true;
+      if (load.held !== before.held || load.unread !== before.unread)
+        sums.replace(engineId, before, load);
+    }
+    if (inBoth === last.size) return frees;
+    for (const [engineId, load] of last) {
+      if (next.has(engineId)) continue;
+      sums.subtract(engineId, load);
+      if (load.held > 0) frees = true;
+    }
+    return frees;
+  }
+
   function takeBack({ loads }: ReceivedReport): void {
     for (const [engineId, load] of loads) sums.subtract(engineId, load);
   }
@@ -47,11 +81,12 @@
   return {
     record(sender, loads) {
       const last = reports.get(sender);
-      if (last) takeBack(last);
       const receivedAt = performance.now();
+      const isLastValid = last && receivedAt - last.receivedAt < validMs;
       reports.set(sender, { loads, receivedAt });
-      for (const [engineId, load] of loads) sums.add(engineId, load);
       nextExpiry = Math.min(nextExpiry, receivedAt + validMs);
+      const frees = exchangeLoads(last?.loads ?? NO_LOADS, loads);
+      return frees || !isLastValid;
     },
     get(sender) {
       const report = reports.get(sender);
