Gateway: server entries are compared field by field

Each renewal of an entry went through util.isDeepStrictEqual and a copy, 4.8% of the processor time of an idle instance in a profile.

--- a/packages/gateway/src/backends/backend_fleet.ts
+++ b/packages/gateway/src/backends/backend_fleet.ts
@@ -1,5 +1,4 @@
 /** Current state of all backend servers, from the list and from reports. */
-import { isDeepStrictEqual } from "node:util";
 import type { LayerRange } from "@rosemarypin/pipelines";
 import { createLogger } from "@rosemarypin/telemetry";
 import type { BackendServer, EngineReport } from "../backend_server.ts";
@@ -419,7 +418,13 @@
 
 /** Whether an entry differs from the last one only in its renewal number. */
 function isOnlyRenewal(entry: BackendServer, last: BackendServer): boolean {
-  return isDeepStrictEqual({ ...entry, renewal: last.renewal }, last);
+  // With `util`'s deep comparison, this took a twentieth of the processor time
+  // of an idle instance.
+  for (const key of Object.keys(entry) as (keyof BackendServer)[]) {
+    if (key === "renewal" || entry[key] === last[key]) continue;
+    if (key !== "held" || !isSameRange(entry.held, last.held)) return false;
+  }
+  return true;
 }
 
 function logChange(server: BackendServer, last: BackendServer | undefined) {
