--- a/packages/checks/src/seeded_random.ts
+++ b/packages/checks/src/seeded_random.ts
@@ -2,6 +2,9 @@
 import { uniformInt } from "pure-rand/distribution/uniformInt";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 
+/** Largest seed that is drawn for another generator. */
+export const HIGHEST_SEED = 2 ** 31 - 1;
+
 /** Choices of one run. */
 export interface SeededRandom {
   /** A whole number from `low` to `high`, both included. */
