Refusals: a delay that another instance named is at most a third of the time left

A delay of more than a third of the whole time still passes unchanged, since only a backoff of servers is that long.

--- a/packages/gateway/src/callers/caller_answer.ts
+++ b/packages/gateway/src/callers/caller_answer.ts
@@ -141,7 +141,7 @@
   const { outcome, reason, attempts } = options;
   const status = outcome === "not_run" ? 503 : isPastDeadline(call) ? 504 : 502;
   const retryAfterSeconds = NOT_RUN_STATUSES.has(status)
-    ? (options.retryAfterSeconds ??
+    ? (passedOnDelay(call, options.retryAfterSeconds ?? null) ??
       retryDelayOf(parts, status, {
         service: call.service.name,
         priority: priorityOf(call),
@@ -164,6 +164,22 @@
   return retryAfterSeconds === null ? end : { ...end, retryAfterSeconds };
 }
 
+/**
+ * Delay that another instance named, at most a third of the time left: some time
+ * has passed since. A delay of more than a third of the whole time is a backoff
+ * that servers have asked for, before which a retry would only be refused.
+ */
+function passedOnDelay(
+  call: CallerCall,
+  namedSeconds: number | null,
+): number | null {
+  if (namedSeconds === null) return null;
+  const wholeMs = call.deadlineAt - call.startedAt;
+  if (3_000 * namedSeconds > wholeMs) return namedSeconds;
+  const limitSeconds = Math.max(0, timeLeftMs(call)) / 3_000;
+  return Math.min(namedSeconds, Math.floor(100 * limitSeconds) / 100);
+}
+
 function isPastDeadline(call: CallerCall): boolean {
   return performance.now() >= call.deadlineAt;
 }
--- a/packages/gateway/src/callers/caller_answer_test.ts
+++ b/packages/gateway/src/callers/caller_answer_test.ts
@@ -26,13 +26,18 @@
   const response = { writeHead: vi.fn(), end: vi.fn() };
 
   /** Refuses a call; returns its end and the delay that its caller reads. */
-  function refuseCall(options: RefusalOptions, service = "model") {
+  function refuseCall(
+    options: RefusalOptions,
+    service = "model",
+    elapsedMs = 0,
+  ) {
     const call = {
       service: { name: service },
       route: { priority: 1 },
       organisation: null,
       arrival: "first",
-      deadlineAt: performance.now() + DEADLINE_MS,
+      startedAt: performance.now() - elapsedMs,
+      deadlineAt: performance.now() + DEADLINE_MS - elapsedMs,
       metadata: { requestId: null },
       response,
     } as unknown as CallerCall;
@@ -87,6 +92,22 @@
     expect(own.told).toBeLessThanOrEqual(0.38);
   });
 
+  // Guards against a delay that was a third of the time left at the instance that
+  // named it, and is more than that when its refusal arrives.
+  it("is at most a third of the time left when another instance named it", () => {
+    const { refuseCall } = setUp();
+    const named = { ...NOT_RUN, ...QUEUE, retryAfterSeconds: 6 };
+    expect(refuseCall(named, "model", 5_000).told).toBe(5);
+    expect(refuseCall(named, "model", 1_000).told).toBe(6);
+  });
+
+  // Guards against callers that return while servers want no requests.
+  it("is the whole backoff of servers that another instance named", () => {
+    const { refuseCall } = setUp();
+    const named = { ...NOT_RUN, ...QUEUE, retryAfterSeconds: 8 };
+    expect(refuseCall(named, "model", 15_000).told).toBe(8);
+  });
+
   it("is not shorter than servers want no requests", () => {
     const { refuseCall } = setUp();
     const { told } = refuseCall({ ...NOT_RUN, backoffMs: 3_000 });
