Streams: sums of peers' and of domains' reports are one piece of code

The same add, replace and subtract stood twice, for the fields of peers and for those of failure domains. The totals of an engine now hold two sums of one type, and one factory makes both. No behaviour changes; the test reads the sum under its new name.

--- a/packages/gateway/src/streams/engine_table.ts
+++ b/packages/gateway/src/streams/engine_table.ts
@@ -113,10 +113,11 @@
     const { index, totals, layers } = row;
     const held =
       totals.localHeld +
-      totals.peerHeld +
-      totals.domainHeld +
+      totals.peers.held +
+      totals.domains.held +
       unreported.heldOn(row.server, layers);
-    const unread = totals.localUnread + totals.peerUnread + totals.domainUnread;
+    const unread =
+      totals.localUnread + totals.peers.unread + totals.domains.unread;
     const load = held / Math.max(1, row.capacityTokens * layers);
     // The estimate can be too low, since it includes guesses for other
     // instances. A recent report of the engine itself, which the fleet
--- a/packages/gateway/src/streams/engine_totals.ts
+++ b/packages/gateway/src/streams/engine_totals.ts
@@ -9,10 +9,8 @@
 export interface EngineTotals {
   readonly localHeld: number;
   readonly localUnread: number;
-  readonly peerHeld: number;
-  readonly peerUnread: number;
-  readonly domainHeld: number;
-  readonly domainUnread: number;
+  readonly peers: EngineLoad;
+  readonly domains: EngineLoad;
 }
 
 /** Sums of the reports of one kind of sender. */
@@ -24,15 +22,18 @@
   subtract(engineId: string, load: EngineLoad): void;
 }
 
+/** Sums over the reports that are counted. */
+interface MutableSums {
+  count: number;
+  held: number;
+  unread: number;
+}
+
 interface MutableTotals {
   localHeld: number;
   localUnread: number;
-  peerHeld: number;
-  peerUnread: number;
-  domainHeld: number;
-  domainUnread: number;
-  peers: number;
-  domains: number;
+  readonly peers: MutableSums;
+  readonly domains: MutableSums;
   isWatched: boolean;
 }
 
@@ -56,65 +57,45 @@
   /** Engines come and go under new ids, so totals without use are dropped. */
   function dropUnused(engineId: string, totals: MutableTotals): void {
     const { isWatched, peers, domains, localHeld, localUnread } = totals;
-    if (isWatched || peers > 0 || domains > 0) return;
+    if (isWatched || peers.count > 0 || domains.count > 0) return;
     if (localHeld === 0 && localUnread === 0) byEngine.delete(engineId);
   }
 
-  const peers: ReportedSums = {
-    add(engineId, { held, unread }) {
-      const totals = change(engineId);
-      totals.peers += 1;
-      totals.peerHeld += held;
-      totals.peerUnread += unread;
-    },
-    replace(engineId, last, next) {
-      const totals = change(engineId);
-      // The sum of a single load is that load, without rounding errors.
-      const isOnly = totals.peers === 1;
-      const { peerHeld, peerUnread } = totals;
-      totals.peerHeld = isOnly ? next.held : peerHeld - last.held + next.held;
-      totals.peerUnread = isOnly
-        ? next.unread
-        : peerUnread - last.unread + next.unread;
-    },
-    subtract(engineId, { held, unread }) {
-      const totals = change(engineId);
-      totals.peers -= 1;
-      // Sums of fractions would not return to zero by themselves.
-      const isLast = totals.peers === 0;
-      totals.peerHeld = isLast ? 0 : totals.peerHeld - held;
-      totals.peerUnread = isLast ? 0 : totals.peerUnread - unread;
-      if (isLast) dropUnused(engineId, totals);
-    },
-  };
-  const domains: ReportedSums = {
-    add(engineId, { held, unread }) {
-      const totals = change(engineId);
-      totals.domains += 1;
-      totals.domainHeld += held;
-      totals.domainUnread += unread;
-    },
-    replace(engineId, last, next) {
-      const totals = change(engineId);
-      // The sum of a single load is that load, without rounding errors.
-      const isOnly = totals.domains === 1;
-      const { domainHeld, domainUnread } = totals;
-      totals.domainHeld = isOnly
-        ? next.held
-        : domainHeld - last.held + next.held;
-      totals.domainUnread = isOnly
-        ? next.unread
-        : domainUnread - last.unread + next.unread;
-    },
-    subtract(engineId, { held, unread }) {
-      const totals = change(engineId);
-      totals.domains -= 1;
-      const isLast = totals.domains === 0;
-      totals.domainHeld = isLast ? 0 : totals.domainHeld - held;
-      totals.domainUnread = isLast ? 0 : totals.domainUnread - unread;
-      if (isLast) dropUnused(engineId, totals);
-    },
-  };
+  /** Sums of one kind of reports, which `sumsOf` finds in the totals. */
+  function createReportedSums(
+    sumsOf: (totals: MutableTotals) => MutableSums,
+  ): ReportedSums {
+    return {
+      add(engineId, { held, unread }) {
+        const sums = sumsOf(change(engineId));
+        sums.count += 1;
+        sums.held += held;
+        sums.unread += unread;
+      },
+      replace(engineId, last, next) {
+        const sums = sumsOf(change(engineId));
+        // The sum of a single load is that load, without rounding errors.
+        const isOnly = sums.count === 1;
+        sums.held = isOnly ? next.held : sums.held - last.held + next.held;
+        sums.unread = isOnly
+          ? next.unread
+          : sums.unread - last.unread + next.unread;
+      },
+      subtract(engineId, { held, unread }) {
+        const totals = change(engineId);
+        const sums = sumsOf(totals);
+        sums.count -= 1;
+        // Sums of fractions would not return to zero by themselves.
+        const isLast = sums.count === 0;
+        sums.held = isLast ? 0 : sums.held - held;
+        sums.unread = isLast ? 0 : sums.unread - unread;
+        if (isLast) dropUnused(engineId, totals);
+      },
+    };
+  }
+
+  const peers = createReportedSums((totals) => totals.peers);
+  const domains = createReportedSums((totals) => totals.domains);
 
   return {
     peers,
@@ -148,12 +129,8 @@
   return {
     localHeld: 0,
     localUnread: 0,
-    peerHeld: 0,
-    peerUnread: 0,
-    domainHeld: 0,
-    domainUnread: 0,
-    peers: 0,
-    domains: 0,
+    peers: { count: 0, held: 0, unread: 0 },
+    domains: { count: 0, held: 0, unread: 0 },
     isWatched: false,
   };
 }
--- a/packages/gateway/src/streams/engine_usage.ts
+++ b/packages/gateway/src/streams/engine_usage.ts
@@ -151,8 +151,8 @@
     },
     peerLoadOf(engineId) {
       loadsByPeer.dropExpired();
-      const { peerHeld, peerUnread } = totals.get(engineId);
-      return { held: peerHeld, unread: peerUnread };
+      const { held, unread } = totals.get(engineId).peers;
+      return { held, unread };
     },
     peerLoads: loadsByPeer.get,
     domainLoads(instanceCount) {
@@ -167,8 +167,8 @@
       loadsByDomain.get(failureDomain) !== null,
     domainLoadOf(engineId) {
       loadsByDomain.dropExpired();
-      const { domainHeld, domainUnread } = totals.get(engineId);
-      return { held: domainHeld, unread: domainUnread };
+      const { held, unread } = totals.get(engineId).domains;
+      return { held, unread };
     },
     totalsOf: totals.watch,
     forget: totals.forget,
--- a/packages/gateway/src/streams/received_loads_test.ts
+++ b/packages/gateway/src/streams/received_loads_test.ts
@@ -56,8 +56,8 @@
         expect(received.record(sender, loads)).toBe(frees(loads, last));
         const valid = received.all();
         for (const engineId of ENGINES) {
-          const { peerHeld, peerUnread } = totals.get(engineId);
-          const sum = { held: peerHeld, unread: peerUnread };
+          const { held, unread } = totals.get(engineId).peers;
+          const sum = { held, unread };
           expect(sum).toEqual(sumOn(engineId, valid));
         }
       }
