Gateway: log lines say which prompt parts were in progress when an engine ended

Cause: when engines end one after the other, our logs couldn't tell prompts that end them from the load that moves to the next engine: no line named the parts of a prompt, and none said that an engine had ended with which requests on it.

Change: the codec decodes the parts that a prompt shares with other requests; request_sent names them. An engine that broke off answers and then refuses connections has ended: engine_ended lists the parts of the prompts that it had only begun to answer, and rosemarypin_engine_ends_total counts. An answer with several events for 300 ms, or a complete one, shows that its prompt is sound. Nothing is decided by it yet.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -8,6 +8,7 @@
 import { pause } from "@rosemarypin/timing";
 import {
   checkConnection,
+  checkRefusal,
   createBackendExchange,
   createBackendFleet,
 } from "./backends/mod.ts";
@@ -46,6 +47,7 @@
 } from "./placement/mod.ts";
 import { createServerChoice, forwardPlain } from "./plain/mod.ts";
 import type { Platform } from "./platform.ts";
+import { createRunningPrompts } from "./prompts/mod.ts";
 import type { GatewaySettings, ListenAddress } from "./settings.ts";
 import {
   chooseUsageDestinations,
@@ -65,6 +67,8 @@
 const SHUTDOWN_POLL_MS = 50;
 /** Time before the end of the grace period in which refusals are written. */
 const REFUSAL_MARGIN_MS = 200;
+/** Time in which a machine that can be reached refuses a connection. */
+const REFUSAL_CHECK_MS = 100;
 /** Extra time for open connections on which a request may be in transit. */
 const CONNECTION_DRAIN_MS = 300;
 
@@ -209,6 +213,15 @@
     });
   }
   const stallDetector = createStallDetector({ fleet, engines });
+  const prompts = createRunningPrompts({
+    refusesConnections: (address) => checkRefusal(address, REFUSAL_CHECK_MS),
+    isCutOff(service) {
+      fleet.reachability.check(service);
+      return fleet.reachability.settled(service);
+    },
+    onSound: () => {},
+    onEngineEnd: () => metrics.countEngineEnd(),
+  });
   startPlacement({
     keeper,
     fleet,
@@ -324,6 +337,7 @@
         observer: metrics.admissions,
         stallDetector,
         engines,
+        prompts,
       });
     }
     return forwardPlain(call, { ...dependencies, choice: serverChoice });
--- a/packages/gateway/src/import_order_test.ts
+++ b/packages/gateway/src/import_order_test.ts
@@ -9,6 +9,7 @@
   "callers",
   "forwarding",
   "handoff",
+  "prompts",
   "plain",
   "streams",
   "placement",
--- a/packages/gateway/src/operators/gateway_metrics.ts
+++ b/packages/gateway/src/operators/gateway_metrics.ts
@@ -16,6 +16,8 @@
   countEnd(call: CallerCall, end: CallEnd): void;
   /** Counts a refusal before the request became a call. */
   countRefusal(refusal: { readonly retryAfterSeconds: number | null }): void;
+  /** Counts an engine that ended with answers in progress on it. */
+  countEngineEnd(): void;
   /** Counts the decisions on requests that want capacity on engines. */
   readonly admissions: AdmissionObserver;
 }
@@ -117,6 +119,11 @@
     buckets: SECONDS_BUCKETS,
     registers,
   });
+  const engineEnds = new Counter({
+    name: "rosemarypin_engine_ends_total",
+    help: "Engines that ended while answers of this instance were in progress",
+    registers,
+  });
   addGauge("rosemarypin_in_flight", "Requests in progress", gauges.inProgress);
   addGauge(
     "rosemarypin_configuration_version",
@@ -243,6 +250,7 @@
 
   return {
     registry,
+    countEngineEnd: () => engineEnds.inc(),
     countRefusal({ retryAfterSeconds }) {
       if (retryAfterSeconds !== null) retryDelay.observe(retryAfterSeconds);
     },
--- a/packages/gateway/src/protocol.ts
+++ b/packages/gateway/src/protocol.ts
@@ -19,6 +19,11 @@
   readonly expectedAnswerTokens: number | null;
   /** ID of the event after which the stream should resume. */
   readonly lastEventId: string | null;
+  /**
+   * IDs of the parts of the prompt that other requests may have as well, from
+   * the most general one to the most specific one.
+   */
+  readonly sharedPromptParts: readonly string[];
 }
 
 /** A stage with the address of its engine. */
--- a/packages/gateway/src/streams/forward_stream.ts
+++ b/packages/gateway/src/streams/forward_stream.ts
@@ -57,7 +57,7 @@
   call: CallerCall,
   parts: StreamParts,
 ): Promise<CallEnd> {
-  const { budget, router, queues, handoff, fleet } = parts;
+  const { budget, router, queues, handoff, fleet, prompts } = parts;
   const { name: service } = call.service;
   const { resumable } = call.route;
   const maxAttempts = maxAttemptsOf(call);
@@ -82,6 +82,7 @@
   };
   let hasPipeline = true;
   const usedHelpers = new Set<string>();
+  const prompt = prompts.track(call);
   let helperAskedAt = -Infinity;
   let retryAfterSeconds: number | null = null;
   const size = estimateSize(call);
@@ -223,7 +224,12 @@
     try {
       // A resumed run has to read the whole answer so far as well.
       const measure = hasBegun ? {} : { onFirstEvent };
-      return await runStream(call, run, { progress, parts, ...measure });
+      return await runStream(call, run, {
+        progress,
+        parts,
+        prompt,
+        ...measure,
+      });
     } finally {
       queues.recorder.heldChanged(service, priority, -cost);
     }
--- a/packages/gateway/src/streams/stream_run.ts
+++ b/packages/gateway/src/streams/stream_run.ts
@@ -19,6 +19,7 @@
   readBody,
 } from "../forwarding/mod.ts";
 import type { RequestHandoff } from "../handoff/mod.ts";
+import type { RunningPrompt, RunningPrompts } from "../prompts/mod.ts";
 import type { AnswerMetadata, EngineCalls, RequestCodec } from "../protocol.ts";
 import type { AdmissionParts } from "./admission.ts";
 import { createEventSplitter } from "./event_splitter.ts";
@@ -33,6 +34,7 @@
   readonly stallDetector: StallDetector;
   readonly engines: EngineCalls;
   readonly handoff: RequestHandoff;
+  readonly prompts: RunningPrompts;
 }
 
 const MIN_SERVER_ERROR_STATUS = 500;
@@ -79,18 +81,21 @@
   options: {
     readonly progress: StreamProgress;
     readonly parts: StreamParts;
+    readonly prompt: RunningPrompt;
     /** Called when the first part of the run's answer arrives. */
     readonly onFirstEvent?: () => void;
   },
 ): Promise<RunEnd> {
-  const { progress, parts } = options;
+  const { progress, parts, prompt } = options;
   let hasEvents = false;
+  let isComplete = false;
   const { first, stages } = run.pipeline;
   log.info("request_sent", {
     request: call.id,
     route: call.route.name,
     id: first.id,
     stages: stages.map(({ engineId }) => engineId).join(","),
+    prompt_parts: call.metadata.sharedPromptParts.join(",") || undefined,
     after_event: progress.lastEventId ?? undefined,
     left_ms: timeLeftMs(call).toFixed(0),
   });
@@ -103,6 +108,9 @@
     pipeline: () => run.pipeline,
     onStall: recovery.onStall,
   });
+  const promptRun = prompt.startRun(() =>
+    run.pipeline.stages.map(({ engineId }) => engineId),
+  );
   try {
     const result = await send(call, run, options);
     if (result.kind === "not_sent") {
@@ -113,6 +121,7 @@
     if (result.kind === "broken") {
       const wasStopped = call.signal.aborted || run.stop.signal.aborted;
       if (!wasStopped) recordFailure(run, "broken", parts);
+      await checkFirstEngine();
       return brokenRun(recovery, result.detail);
     }
     const facts = parts.codec.decodeAnswer(result.status, result.headers);
@@ -129,7 +138,7 @@
     }
     const { codec, fleet } = parts;
     fleet.outliers.record(run.pipeline.first.id, "good");
-    return await forwardEvents(call, result, {
+    const end = await forwardEvents(call, result, {
       progress,
       codec,
       onChunk() {
@@ -138,9 +147,13 @@
         run.pipeline.markPromptRead();
         tracker.onEvent();
         recovery.onEvent();
+        promptRun.onEvent();
       },
     });
+    isComplete = true;
+    return end;
   } catch (error) {
+    await checkFirstEngine();
     return brokenRun(
       recovery,
       error instanceof Error ? error.message : String(error),
@@ -148,8 +161,17 @@
   } finally {
     recovery.end();
     tracker.end();
+    promptRun.end({ isComplete });
     run.pipeline.release();
   }
+
+  /** Finds out whether the prompt may have ended its engine. */
+  async function checkFirstEngine(): Promise<void> {
+    if (call.signal.aborted) return;
+    const check = parts.prompts.checkEnd(run.pipeline.first);
+    // Only the answer to a prompt that isn't known to be sound has to wait.
+    if (!prompt.isSound()) await check;
+  }
 }
 
 /** Records that the first engine failed, and keeps the call away from it. */
--- a/packages/telemetry/src/event_catalogue.ts
+++ b/packages/telemetry/src/event_catalogue.ts
@@ -43,8 +43,20 @@
   },
   Requests: {
     request_sent: {
-      says: "an attempt is sent to a backend server; `stages` lists its engines, and events up to `after_event` were already received",
-      fields: ["request", "route", "id", "stages", "after_event", "left_ms"],
+      says: "an attempt is sent to a backend server; `stages` lists its engines, `prompt_parts` the parts of its prompt that other requests may share, and events up to `after_event` were already received",
+      fields: [
+        "request",
+        "route",
+        "id",
+        "stages",
+        "prompt_parts",
+        "after_event",
+        "left_ms",
+      ],
+    },
+    engine_ended: {
+      says: "an engine ended with answers in progress; `prompts` counts those of them that it had only begun, and `prompt_parts` lists the parts of their prompts that other requests may share",
+      fields: ["id", "service", "prompts", "prompt_parts"],
     },
     request_handed_off: {
       says: "no server can be reached from here, so a request is sent to the instance `to`",
