Prompts: a part under which engines end is refused by all instances

Cause: the end of an engine was taken for a fault of that engine alone. The request went to the next one, together with all others of the ended engine, and nothing remembered the prompt: a request that ends its server.

Change: each instance keeps which prompts its engines had only begun when they ended, and reports them to three instances that rendezvous hashing names. A part is to blame after three ends of different causes under it, with no answer on it begun since; parts that were answered before, or that a more specific part explains, are not. Ends within 300 ms count once. The part is stored and told to all instances, which refuse its requests (503) and stop those that were just sent. A part that an instance has answered since is released. One request of one instance tries the part after two minutes, and once more after ten; then an operator has to release it. After two ends under a part its requests aren't repeated.

--- a/packages/gateway/src/callers/caller_answer.ts
+++ b/packages/gateway/src/callers/caller_answer.ts
@@ -136,11 +136,14 @@
     readonly backoffMs?: number;
     /** Delay that another instance named, in place of one of this instance. */
     readonly retryAfterSeconds?: number | null;
+    /** Whether the caller would only be refused again. */
+    readonly isFinal?: boolean;
   } & QueueOutlook,
 ): CallEnd {
   const { outcome, reason, attempts } = options;
   const status = outcome === "not_run" ? 503 : isPastDeadline(call) ? 504 : 502;
-  const retryAfterSeconds = NOT_RUN_STATUSES.has(status)
+  const mayReturn = NOT_RUN_STATUSES.has(status) && !options.isFinal;
+  const retryAfterSeconds = mayReturn
     ? (passedOnDelay(call, options.retryAfterSeconds ?? null) ??
       retryDelayOf(parts, status, {
         service: call.service.name,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -47,7 +47,11 @@
 } from "./placement/mod.ts";
 import { createServerChoice, forwardPlain } from "./plain/mod.ts";
 import type { Platform } from "./platform.ts";
-import { createRunningPrompts } from "./prompts/mod.ts";
+import {
+  createPromptQuarantine,
+  createQuarantinePeers,
+  createRunningPrompts,
+} from "./prompts/mod.ts";
 import type { GatewaySettings, ListenAddress } from "./settings.ts";
 import {
   chooseUsageDestinations,
@@ -105,13 +109,26 @@
     countInstances: (domain) => presence.countPossiblyLive(domain),
     signal,
   });
+  const caller = createPeerCaller(
+    settings.peers?.host ?? settings.callers.host,
+  );
+  const quarantine = createPromptQuarantine({
+    store,
+    peers: createQuarantinePeers({
+      instance,
+      liveOthers: () => presence.liveOthers(),
+      caller,
+      signal,
+    }),
+    signal,
+  });
   const { presence, mirrors, countFollowers } = await startStoreFollowing({
     store,
     instance,
     failureDomain,
     ...(settings.ability === undefined ? {} : { ability: settings.ability }),
     peers: settings.peers,
-    peerMethods: { [PING_METHOD]: () => true },
+    peerMethods: { [PING_METHOD]: () => true, ...quarantine.methods },
     peerRequests: { header: HANDOFF_HEADER, handle: receiveHandedOff },
     prefixes: [
       { prefix: keys.configurations, onObject: applyConfiguration },
@@ -120,11 +137,12 @@
         onObject: applyServer,
         onRemoved: (key) => fleet.remove(key.slice(keys.servers.length)),
       },
+      quarantine.prefix,
     ],
     signal,
   });
-  const [configurationMirror, serverMirror] = mirrors;
-  if (!configurationMirror || !serverMirror)
+  const [configurationMirror, serverMirror, quarantineMirror] = mirrors;
+  if (!configurationMirror || !serverMirror || !quarantineMirror)
     throw new Error("no mirror for a store prefix");
   const placementLeases = createPlacementLeases({
     store,
@@ -153,7 +171,7 @@
   const helpers = createHelperInstances({
     failureDomain,
     liveOthers: presence.liveOthers,
-    caller: createPeerCaller(settings.peers?.host ?? settings.callers.host),
+    caller,
     signal,
   });
   const handoff = createRequestHandoff({
@@ -219,9 +237,13 @@
       fleet.reachability.check(service);
       return fleet.reachability.settled(service);
     },
-    onSound: () => {},
-    onEngineEnd: () => metrics.countEngineEnd(),
+    onSound: quarantine.recordAnswer,
+    onEngineEnd(end) {
+      metrics.countEngineEnd();
+      quarantine.recordEnd(end);
+    },
   });
+  quarantine.onQuarantined(prompts.stopRuns);
   startPlacement({
     keeper,
     fleet,
@@ -236,6 +258,7 @@
     configurationAgeSeconds: () => configurationMirror.ageMs() / 1_000,
     serverListAgeSeconds: () => serverMirror.ageMs() / 1_000,
     cutOffServices: fleet.reachability.cutOffServices,
+    quarantinedPromptParts: () => quarantine.parts().length,
     classLevels: classLevels.levels,
     domains: domainLimits.readings,
     storeCalls,
@@ -252,7 +275,8 @@
     warmUp: createWarmUp(
       () =>
         keeper.applied() !== null &&
-        serverMirror.ageMs() < Number.POSITIVE_INFINITY,
+        serverMirror.ageMs() < Number.POSITIVE_INFINITY &&
+        quarantineMirror.ageMs() < Number.POSITIVE_INFINITY,
     ),
     stoppingForMs: () =>
       stoppedAt === null ? null : performance.now() - stoppedAt,
@@ -338,6 +362,7 @@
         stallDetector,
         engines,
         prompts,
+        quarantine,
       });
     }
     return forwardPlain(call, { ...dependencies, choice: serverChoice });
--- a/packages/gateway/src/handoff/request_handoff.ts
+++ b/packages/gateway/src/handoff/request_handoff.ts
@@ -33,9 +33,9 @@
 const MAX_HELPERS = 4;
 /**
  * Reasons of refusals that are final, since they come from servers, whose memory
- * and limits all instances share.
+ * and limits all instances share, or from all instances.
  */
-const FINAL_REASON = /^(no_room|refused_\d+)$/;
+const FINAL_REASON = /^(no_room|prompt_quarantined|refused_\d+)$/;
 /** Reasons that say why the other instance itself can't take a request over. */
 const HELPER_FAILURES: ReadonlySet<string> = new Set<HelperFailure>([
   "cut_off",
--- a/packages/gateway/src/operators/class_views_test.ts
+++ b/packages/gateway/src/operators/class_views_test.ts
@@ -88,6 +88,7 @@
       serverListAgeSeconds: () => 0,
       servers: () => new Map(),
       cutOffServices: () => [],
+      quarantinedPromptParts: () => 0,
       domains: () => new Map(),
       storeCalls: () => ({}),
       relayFollowers: () => 0,
--- a/packages/gateway/src/operators/gateway_metrics.ts
+++ b/packages/gateway/src/operators/gateway_metrics.ts
@@ -3,6 +3,7 @@
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import type { ServerCounts } from "../backends/mod.ts";
 import { type CallEnd, type CallerCall, priorityOf } from "../callers/mod.ts";
+import { PROMPT_QUARANTINED } from "../prompts/mod.ts";
 import type { AdmissionObserver } from "../streams/mod.ts";
 
 const SECONDS_BUCKETS = [
@@ -33,6 +34,7 @@
   readonly servers: () => ReadonlyMap<string, ServerCounts>;
   /** Services of which this instance reaches no server. */
   readonly cutOffServices: () => readonly string[];
+  readonly quarantinedPromptParts: () => number;
   /** Levels of classes, by service. */
   readonly classLevels: () => ReadonlyMap<string, readonly ClassLevel[]>;
   /** Load limits and needs by failure domain; `null` where there is none. */
@@ -146,6 +148,17 @@
     gauges.relayFollowers,
   );
 
+  addGauge(
+    "rosemarypin_quarantined_prompt_parts",
+    "Parts of prompts that end engines, and whose requests are refused",
+    gauges.quarantinedPromptParts,
+  );
+  const quarantineRefusals = new Counter({
+    name: "rosemarypin_quarantine_refusals_total",
+    help: "Requests refused because a part of their prompts ends engines",
+    registers,
+  });
+
   new Counter({
     name: "rosemarypin_store_calls_total",
     help: "Calls to the store, whatever their outcome",
@@ -268,6 +281,7 @@
       // The instance that handed it off counts it among its requests.
       if (handedOff) return requestsOfOthers.inc({ kind, outcome });
       requests.inc({ kind, outcome });
+      if (end.reason === PROMPT_QUARANTINED) quarantineRefusals.inc();
       attempts.inc({ kind }, end.attempts);
       if (firstByteMs !== null)
         firstByte.observe({ kind }, firstByteMs / 1_000);
--- a/packages/gateway/src/operators/gateway_metrics_test.ts
+++ b/packages/gateway/src/operators/gateway_metrics_test.ts
@@ -9,6 +9,7 @@
   serverListAgeSeconds: () => 0,
   servers: () => new Map(),
   cutOffServices: () => [],
+  quarantinedPromptParts: () => 0,
   classLevels: () => new Map(),
   domains: () => new Map(),
   storeCalls: () => ({}),
--- a/packages/gateway/src/prompts/running_prompts.ts
+++ b/packages/gateway/src/prompts/running_prompts.ts
@@ -5,6 +5,8 @@
 import { createLogger } from "@rosemarypin/telemetry";
 import type { BackendServer } from "../backend_server.ts";
 import type { CallerCall } from "../callers/mod.ts";
+import type { PromptPart } from "./crash_ledger.ts";
+import { type SharedPrompt, sharedPromptOf } from "./shared_prompt.ts";
 
 /**
  * Events and time from which on an answer shows that its prompt is sound. An
@@ -34,12 +36,22 @@
   readonly prompts: readonly (readonly string[])[];
 }
 
+/** An answer that has shown that its prompt is sound. */
+export interface BegunAnswer extends SharedPrompt {
+  /** Time of its first event, by the monotonic clock. */
+  readonly begunAt: number;
+}
+
 /** One call's prompt; what a run shows of it holds for the later ones. */
 export interface RunningPrompt {
   /** Whether an answer to the prompt has been written. */
   isSound(): boolean;
-  /** `engineIds` returns the engines of the run's current pipeline. */
-  startRun(engineIds: () => readonly string[]): PromptRun;
+  startRun(run: {
+    /** Returns the engines of the run's current pipeline. */
+    readonly engineIds: () => readonly string[];
+    /** Ends the run before its engine is lost to it. */
+    readonly stop: () => void;
+  }): PromptRun;
 }
 
 /** One attempt to answer a prompt. */
@@ -55,6 +67,8 @@
    * it once.
    */
   checkEnd(engine: BackendServer): Promise<boolean>;
+  /** Stops runs of prompts with the part that aren't known to be sound. */
+  stopRuns(part: PromptPart): void;
 }
 
 export interface RunningPromptsOptions {
@@ -63,20 +77,14 @@
   /** Resolves to whether this instance reaches no server of a service. */
   readonly isCutOff: (service: string) => Promise<boolean>;
   /** Called when an answer shows that its prompt is sound. */
-  readonly onSound: (answer: {
-    readonly service: string;
-    readonly parts: readonly string[];
-    /** Time of its first event, by the monotonic clock. */
-    readonly begunAt: number;
-  }) => void;
+  readonly onSound: (answer: BegunAnswer) => void;
   readonly onEngineEnd: (end: EngineEnd) => void;
 }
 
-interface RunState {
-  readonly service: string;
-  readonly parts: readonly string[];
+interface RunState extends SharedPrompt {
   readonly isSound: () => boolean;
   readonly engineIds: () => readonly string[];
+  readonly stop: () => void;
 }
 
 /** Creates the record without answers in progress. */
@@ -89,22 +97,22 @@
   const runs = new Set<RunState>();
   const checks = new Map<string, Promise<boolean>>();
 
-  function track({
-    service: { name: service },
-    metadata: { sharedPromptParts: parts },
-  }: Pick<CallerCall, "service" | "metadata">): RunningPrompt {
+  function track(
+    call: Pick<CallerCall, "service" | "metadata">,
+  ): RunningPrompt {
+    const shared = sharedPromptOf(call);
     let hasBeenSound = false;
     const isSound = () => hasBeenSound;
 
     function recordSound(begunAt: number): void {
       hasBeenSound = true;
-      onSound({ service, parts, begunAt });
+      onSound({ ...shared, begunAt });
     }
 
     return {
       isSound,
-      startRun(engineIds) {
-        const run: RunState = { service, parts, isSound, engineIds };
+      startRun(options) {
+        const run: RunState = { ...shared, ...options, isSound };
         let events = 0;
         let begunAt = 0;
         let isRecorded = false;
@@ -161,6 +169,12 @@
 
   return {
     track,
+    stopRuns({ service, part }) {
+      for (const run of runs) {
+        if (run.service !== service || run.isSound()) continue;
+        if (run.parts.includes(part)) run.stop();
+      }
+    },
     checkEnd(engine) {
       const key = `${engine.id} ${engine.startedAt}`;
       const existing = checks.get(key);
--- a/packages/gateway/src/prompts/running_prompts_test.ts
+++ b/packages/gateway/src/prompts/running_prompts_test.ts
@@ -13,6 +13,10 @@
   return { id, address: id, service: "model", startedAt: 1 } as BackendServer;
 }
 
+function runOn(engineIds: readonly string[]) {
+  return { engineIds: () => engineIds, stop: () => {} };
+}
+
 function setUp({ listening = [] as string[], isCutOff = false } = {}) {
   const ends: EngineEnd[] = [];
   const sound: string[] = [];
@@ -35,9 +39,9 @@
 describe("prompts in progress", () => {
   it("are reported with the end of an engine of their pipelines", async () => {
     const { prompts, ends, track } = setUp();
-    track("common", "first").startRun(() => ["e-1", "e-2"]);
-    track("common", "second").startRun(() => ["e-3", "e-1"]);
-    track("common", "elsewhere").startRun(() => ["e-3"]);
+    track("common", "first").startRun(runOn(["e-1", "e-2"]));
+    track("common", "second").startRun(runOn(["e-3", "e-1"]));
+    track("common", "elsewhere").startRun(runOn(["e-3"]));
     expect(await prompts.checkEnd(engine("e-1"))).toBe(true);
     expect(ends).toMatchInlineSnapshot(`
       [
@@ -62,7 +66,7 @@
 
   it("include those whose connections closed just before", async () => {
     const { prompts, ends, track } = setUp();
-    const run = track("p").startRun(() => ["e-1"]);
+    const run = track("p").startRun(runOn(["e-1"]));
     run.end({ isComplete: false });
     await prompts.checkEnd(engine("e-1"));
     expect(ends[0]?.prompts).toEqual([["p"]]);
@@ -70,7 +74,7 @@
 
   it("are forgotten once their answers broke off for another reason", async () => {
     const { prompts, ends, track } = setUp();
-    const run = track("p").startRun(() => ["e-1"]);
+    const run = track("p").startRun(runOn(["e-1"]));
     run.end({ isComplete: false });
     vi.advanceTimersByTime(1_001);
     await prompts.checkEnd(engine("e-1"));
@@ -80,7 +84,7 @@
   // Guards against an engine's end that is counted once for each of its answers.
   it("are reported once for each end", async () => {
     const { prompts, ends, track } = setUp();
-    track("p").startRun(() => ["e-1"]);
+    track("p").startRun(runOn(["e-1"]));
     const checks = [1, 2, 3].map(() => prompts.checkEnd(engine("e-1")));
     expect(await Promise.all(checks)).toEqual([true, true, true]);
     expect(ends).toHaveLength(1);
@@ -89,7 +93,7 @@
   // Guards against blame for answers that only their connections have broken.
   it("are not reported while the engine accepts connections", async () => {
     const { prompts, ends, track } = setUp({ listening: ["e-1"] });
-    track("p").startRun(() => ["e-1"]);
+    track("p").startRun(runOn(["e-1"]));
     expect(await prompts.checkEnd(engine("e-1"))).toBe(false);
     expect(ends).toEqual([]);
   });
@@ -97,7 +101,7 @@
   // Guards against blame for engines to which this instance has lost its links.
   it("are not reported while the instance is cut off", async () => {
     const { prompts, ends, track } = setUp({ isCutOff: true });
-    track("p").startRun(() => ["e-1"]);
+    track("p").startRun(runOn(["e-1"]));
     expect(await prompts.checkEnd(engine("e-1"))).toBe(false);
     expect(ends).toEqual([]);
   });
@@ -107,7 +111,7 @@
   it("is sound once its answer has had several events for a time", () => {
     const { sound, track } = setUp();
     const prompt = track("p");
-    const run = prompt.startRun(() => ["e-1"]);
+    const run = prompt.startRun(runOn(["e-1"]));
     for (let event = 0; event < 10; event += 1) run.onEvent();
     expect(prompt.isSound()).toBe(false);
     vi.advanceTimersByTime(300);
@@ -120,7 +124,7 @@
   it("is not sound after two events, however far apart", () => {
     const { track } = setUp();
     const prompt = track("p");
-    const run = prompt.startRun(() => ["e-1"]);
+    const run = prompt.startRun(runOn(["e-1"]));
     run.onEvent();
     vi.advanceTimersByTime(5_000);
     run.onEvent();
@@ -129,7 +133,7 @@
 
   it("is sound once a short answer is complete", () => {
     const { sound, track } = setUp();
-    const run = track("p").startRun(() => ["e-1"]);
+    const run = track("p").startRun(runOn(["e-1"]));
     run.onEvent();
     run.end({ isComplete: true });
     expect(sound).toEqual(["p"]);
@@ -138,10 +142,10 @@
   it("that has been answered is no reason of a later run's end", async () => {
     const { prompts, ends, track } = setUp();
     const prompt = track("p");
-    const first = prompt.startRun(() => ["e-1"]);
+    const first = prompt.startRun(runOn(["e-1"]));
     first.onEvent();
     first.end({ isComplete: true });
-    prompt.startRun(() => ["e-2"]);
+    prompt.startRun(runOn(["e-2"]));
     await prompts.checkEnd(engine("e-2"));
     expect(ends[0]?.prompts).toEqual([]);
   });
--- a/packages/gateway/src/streams/forward_stream.ts
+++ b/packages/gateway/src/streams/forward_stream.ts
@@ -16,6 +16,7 @@
   reportFailedServers,
 } from "../callers/mod.ts";
 import { attemptsForHelper } from "../handoff/mod.ts";
+import { PROMPT_QUARANTINED, sharedPromptOf } from "../prompts/mod.ts";
 import { costOf, createAdmission } from "./admission.ts";
 import { runOnHelper } from "./helper_run.ts";
 import type { AnswerSize } from "./pipeline_router.ts";
@@ -57,7 +58,8 @@
   call: CallerCall,
   parts: StreamParts,
 ): Promise<CallEnd> {
-  const { budget, router, queues, handoff, fleet, prompts } = parts;
+  const { budget, router, queues, handoff, fleet } = parts;
+  const { prompts, quarantine } = parts;
   const { name: service } = call.service;
   const { resumable } = call.route;
   const maxAttempts = maxAttemptsOf(call);
@@ -83,6 +85,9 @@
   let hasPipeline = true;
   const usedHelpers = new Set<string>();
   const prompt = prompts.track(call);
+  const sharedPrompt = sharedPromptOf(call);
+  /** Whether this call finds out if its prompt still ends engines. */
+  let isTrial = false;
   let helperAskedAt = -Infinity;
   let retryAfterSeconds: number | null = null;
   const size = estimateSize(call);
@@ -90,9 +95,15 @@
   const admission = createAdmission(call, parts, {
     size,
     avoided,
-    isOutOfReach: () => mayAskHelper() && fleet.reachability.isCutOff(service),
+    isOutOfReach: () =>
+      isQuarantined() ||
+      (mayAskHelper() && fleet.reachability.isCutOff(service)),
   });
   while (!call.signal.aborted) {
+    if (isQuarantined()) {
+      lastEnd = quarantinedEnd();
+      break;
+    }
     const usesHelper =
       mayAskHelper() && (!hasPipeline || (await handoff.isNeeded(call)));
     const isOver = await (usesHelper ? runThroughHelper() : runDirectly());
@@ -110,6 +121,26 @@
     retryAfterSeconds,
   });
 
+  function isQuarantined(): boolean {
+    return !isTrial && quarantine.decide(sharedPrompt).kind === "refused";
+  }
+
+  function quarantinedEnd(): RunEnd {
+    const decision = quarantine.decide(sharedPrompt);
+    retryAfterSeconds =
+      decision.kind === "refused" ? decision.retryAfterSeconds : null;
+    return { kind: "not_run", detail: PROMPT_QUARANTINED, wasSent: false };
+  }
+
+  /** Whether the prompt may be sent now that there is a pipeline for it. */
+  async function mayRunPrompt(): Promise<boolean> {
+    const { kind } = quarantine.decide(sharedPrompt);
+    if (isTrial || kind === "accepted") return true;
+    isTrial =
+      kind === "trial_due" && (await quarantine.takeTrial(sharedPrompt));
+    return isTrial;
+  }
+
   /** Number of runs that the route still allows. */
   function runsLeft(): number {
     // Runs lost with their first engine don't count as the route's attempts.
@@ -187,6 +218,11 @@
       return hasPipeline || !mayOthersHavePipeline() || !mayAskHelper();
     }
     const { pipeline } = admitted;
+    if (!(await mayRunPrompt())) {
+      pipeline.release();
+      lastEnd = quarantinedEnd();
+      return true;
+    }
     if (!maySend()) {
       pipeline.release();
       return true;
@@ -209,6 +245,7 @@
     runs += 1;
     if (lastEnd.kind === "failed") failedServers.add(pipeline.first.id);
     if (lastEnd.kind === "broken" && lastEnd.isFirstEngineLost) lostRuns += 1;
+    if (!prompt.isSound() && !quarantine.mayRepeat(sharedPrompt)) return true;
     return !resumable || runsLeft() <= 0 || lostRuns > MAX_LOST_RUNS;
   }
 
@@ -289,6 +326,7 @@
   }
   const outcome = runs > 0 ? "unknown" : "not_run";
   const isFull = lastEnd.detail === "no_room";
+  const { retryAfterSeconds } = state;
   return endWithRefusal(parts, call, {
     ...state.outlook,
     outcome,
@@ -296,7 +334,9 @@
     attempts,
     retryDelay: isFull ? RETRY_WHEN_FULL_SECONDS : RETRY_AFTER_LOSS_SECONDS,
     backoffMs,
-    retryAfterSeconds: state.retryAfterSeconds,
+    retryAfterSeconds,
+    isFinal:
+      lastEnd.detail === PROMPT_QUARANTINED && retryAfterSeconds === null,
   });
 }
 
--- a/packages/gateway/src/streams/stage_recovery.ts
+++ b/packages/gateway/src/streams/stage_recovery.ts
@@ -75,10 +75,13 @@
   run: StreamRun,
   options: {
     readonly parts: RecoveryParts;
+    /** Resolves to whether another engine may take a lost one's place. */
+    readonly mayReplace?: (engineId: string) => Promise<boolean>;
     readonly onPipelineChanged: () => void;
   },
 ): StageRecovery {
   const { router, engines, fleet } = options.parts;
+  const mayReplace = options.mayReplace ?? (async () => true);
   let cause: RecoveryCause | null = null;
   let hasEnded = false;
   let changeCount = 0;
@@ -111,6 +114,7 @@
     if (lostStage) run.avoided.add(lostStage.engineId);
     const isReplaced =
       changeCount < MAX_PIPELINE_CHANGES &&
+      (!lostStage || (await mayReplace(lostStage.engineId))) &&
       (await replaceBeforeDeadline(address));
     if (!isReplaced && isRecoveryNeeded()) stop("stage_away");
   }
--- a/packages/gateway/src/streams/stream_run.ts
+++ b/packages/gateway/src/streams/stream_run.ts
@@ -19,7 +19,12 @@
   readBody,
 } from "../forwarding/mod.ts";
 import type { RequestHandoff } from "../handoff/mod.ts";
-import type { RunningPrompt, RunningPrompts } from "../prompts/mod.ts";
+import {
+  type PromptQuarantine,
+  type RunningPrompt,
+  type RunningPrompts,
+  sharedPromptOf,
+} from "../prompts/mod.ts";
 import type { AnswerMetadata, EngineCalls, RequestCodec } from "../protocol.ts";
 import type { AdmissionParts } from "./admission.ts";
 import { createEventSplitter } from "./event_splitter.ts";
@@ -35,6 +40,7 @@
   readonly engines: EngineCalls;
   readonly handoff: RequestHandoff;
   readonly prompts: RunningPrompts;
+  readonly quarantine: PromptQuarantine;
 }
 
 const MIN_SERVER_ERROR_STATUS = 500;
@@ -101,6 +107,7 @@
   });
   const recovery = createStageRecovery(call, run, {
     parts,
+    mayReplace: (engineId) => mayReplaceStage(engineId),
     onPipelineChanged: () => tracker.onPipelineChanged(),
   });
   const tracker = parts.stallDetector.track({
@@ -108,9 +115,10 @@
     pipeline: () => run.pipeline,
     onStall: recovery.onStall,
   });
-  const promptRun = prompt.startRun(() =>
-    run.pipeline.stages.map(({ engineId }) => engineId),
-  );
+  const promptRun = prompt.startRun({
+    engineIds: () => run.pipeline.stages.map(({ engineId }) => engineId),
+    stop: () => run.stop.abort(),
+  });
   try {
     const result = await send(call, run, options);
     if (result.kind === "not_sent") {
@@ -172,6 +180,15 @@
     // Only the answer to a prompt that isn't known to be sound has to wait.
     if (!prompt.isSound()) await check;
   }
+
+  /** Whether the run may go on with another engine in place of a lost one. */
+  async function mayReplaceStage(engineId: string): Promise<boolean> {
+    const { fleet, prompts, quarantine } = parts;
+    const engine = fleet.get(engineId);
+    if (prompt.isSound() || !engine) return true;
+    const hasEnded = await prompts.checkEnd(engine);
+    return !hasEnded || quarantine.mayRepeat(sharedPromptOf(call));
+  }
 }
 
 /** Records that the first engine failed, and keeps the call away from it. */
--- a/packages/telemetry/src/event_catalogue.ts
+++ b/packages/telemetry/src/event_catalogue.ts
@@ -58,6 +58,22 @@
       says: "an engine ended with answers in progress; `prompts` counts those of them that it had only begun, and `prompt_parts` lists the parts of their prompts that other requests may share",
       fields: ["id", "service", "prompts", "prompt_parts"],
     },
+    prompt_part_quarantined: {
+      says: "engines have ended under prompts with the part, so that requests with it are refused; one is sent after `next_trial_s`, or an operator has to release the part",
+      fields: ["service", "part", "engines", "trials", "next_trial_s"],
+    },
+    prompt_part_tried: {
+      says: "this instance sends one request with the part, to find out whether it still ends engines",
+      fields: ["service", "part", "trials"],
+    },
+    prompt_part_released: {
+      says: "requests with the part are sent again; `reason` is `answered`, `operator`, `released_elsewhere` or `table_full`",
+      fields: ["service", "part", "reason", "after_s"],
+    },
+    quarantine_unreadable: {
+      says: "an object of the quarantine in the store is malformed and was ignored",
+      fields: ["reason"],
+    },
     request_handed_off: {
       says: "no server can be reached from here, so a request is sent to the instance `to`",
       fields: ["request", "route", "to", "after_event", "left_ms"],
