Streams: an answer that ends inside an event has been broken off

Callers could take a part of an answer for the whole: an answer without a length or chunks ends with its connection, and the bytes of an incomplete event at its end were forwarded and the answer ended as complete. And where the gateway broke off such an answer itself, it closed the connection, which says that the answer is complete.

Change: an event stream with bytes of an incomplete event at its end is broken off, and resumed after its last complete event where its route allows it. An answer without a length or chunks that can't be completed is ended by a reset of its connection.

Eight of ten new tests failed before: unframed answers that are closed, ended or reset inside an event, the same where they can't be resumed, also between events, and answers in chunks that end inside an event.

--- a/packages/gateway/src/callers/caller_answer.ts
+++ b/packages/gateway/src/callers/caller_answer.ts
@@ -99,6 +99,18 @@
   response.writeHead(status, codec.encodeAnswer(headers));
 }
 
+/**
+ * Ends an answer that has begun and can't be completed, so that it doesn't look
+ * complete. If it has neither a length nor chunks, only a reset shows that.
+ */
+export function breakAnswerOff(response: ServerResponse): void {
+  const isFramed =
+    response.useChunkedEncodingByDefault ||
+    response.hasHeader("content-length");
+  if (!isFramed) response.socket?.resetAndDestroy();
+  response.destroy();
+}
+
 /**
  * Tells the instance that handed the call off which servers have answered it
  * with errors. Does nothing for other calls, and once the answer has begun.
--- a/packages/gateway/src/streams/forward_stream.ts
+++ b/packages/gateway/src/streams/forward_stream.ts
@@ -6,6 +6,7 @@
 import type { BackendFleet } from "../backends/mod.ts";
 import {
   beginAnswer,
+  breakAnswerOff,
   type CallEnd,
   type CallerCall,
   createStreamPace,
@@ -312,8 +313,7 @@
     return { status: 0, outcome: reason, reason, attempts, firstByteMs, pace };
   }
   if (progress.hasBegun) {
-    // Destroyed, so that the partial answer doesn't look complete.
-    call.response.destroy();
+    breakAnswerOff(call.response);
     const reason = lastEnd.kind === "failed" ? "failed_midway" : lastEnd.detail;
     return { status: 0, outcome: "cut", reason, attempts, firstByteMs, pace };
   }
--- a/packages/gateway/src/streams/stream_run.ts
+++ b/packages/gateway/src/streams/stream_run.ts
@@ -44,6 +44,9 @@
 }
 
 const MIN_SERVER_ERROR_STATUS = 500;
+const EVENT_STREAM = "text/event-stream";
+/** Line feed and carriage return. */
+const LINE_ENDS: ReadonlySet<number> = new Set([0x0a, 0x0d]);
 
 const log = createLogger("streams");
 
@@ -290,11 +293,26 @@
     }
   }
   const trailingBytes = splitter.rest();
+  if (endsInsideEvent(answer, trailingBytes))
+    throw new Error("answer_ended_inside_event");
   if (trailingBytes.length > 0) response.write(trailingBytes);
   response.end();
   return { kind: "complete", status: answer.status };
 }
 
+/**
+ * Whether the bytes behind the last event are a part of one. An answer without
+ * a length ends with its connection, also when its engine fails.
+ */
+function endsInsideEvent(
+  { headers }: OpenAnswer,
+  trailingBytes: Buffer,
+): boolean {
+  const type = String(headers["content-type"] ?? EVENT_STREAM);
+  if (!type.startsWith(EVENT_STREAM)) return false;
+  return trailingBytes.some((byte) => !LINE_ENDS.has(byte));
+}
+
 /** A resumed run may start with events that the caller already has. */
 function isRepeated(id: string, lastEventId: string | null): boolean {
   return lastEventId !== null && Number(id) <= Number(lastEventId);
