Operators: prompt parts in quarantine in the status, and their release

'rosemarypin status' lists the parts of prompts that end engines, with how many have ended and when the next request is tried; 'rosemarypin quarantine release SERVICE PART' sends their requests again at all instances.

--- a/packages/cli/src/commands/status.ts
+++ b/packages/cli/src/commands/status.ts
@@ -20,6 +20,7 @@
           `backends   ${count(backends, "ready")} of ${backends.length} ready`,
           ...renderClassLevels(output, more),
           ...renderDemand(output, more),
+          ...renderQuarantine(output, more),
         ].join("\n"),
     });
     return exitCodes.ok;
@@ -111,12 +112,34 @@
   },
 };
 
-/** Commands that show or drain. */
+const releasePart: Command = {
+  name: "quarantine release",
+  summary: "send requests with a prompt part again that ended engines",
+  help: `Usage: rosemarypin quarantine release SERVICE PART --admin URL
+
+Requests with a part in their prompts under which engines have ended are
+refused by all instances; 'rosemarypin status' lists these parts. This sends
+them again everywhere at once. If engines end under the part again, it goes back
+into quarantine.`,
+  words: 2,
+  async run({ admin, output, words: [service, part] }) {
+    if (!service || !part) throw usageError("name the service and the part");
+    const value = await admin.post("/v1/quarantine/release", {
+      body: { service, part },
+      schema: z.object({ released: z.boolean() }),
+    });
+    show(output, value, { render: () => `part ${part} is released` });
+    return exitCodes.ok;
+  },
+};
+
+/** Commands that show, drain or release. */
 export const statusCommands: readonly Command[] = [
   status,
   instances,
   backends,
   drain,
+  releasePart,
 ];
 
 /** Returns nothing if no model has requests of several classes. */
@@ -153,6 +176,25 @@
   return ["", table(output, { titles, rows })];
 }
 
+/** Returns nothing if no part of prompts is in quarantine. */
+function renderQuarantine(
+  output: Output,
+  { quarantine = [] }: Pick<Status, "quarantine">,
+): string[] {
+  if (quarantine.length === 0) return [];
+  const titles = ["service", "prompt part", "engines", "since", "next trial"];
+  const rows = quarantine.map((row) => [
+    row.service,
+    row.part,
+    row.engines.length,
+    new Date(row.since).toISOString(),
+    row.nextTrialAt === null
+      ? "none: release it"
+      : new Date(row.nextTrialAt).toISOString(),
+  ]);
+  return ["", table(output, { titles, rows })];
+}
+
 function count(
   rows: readonly { readonly state: string }[],
   state: string,
--- a/packages/cli/src/run_command_test.ts
+++ b/packages/cli/src/run_command_test.ts
@@ -324,6 +324,16 @@
       new Map([[`GET /v1/requests/${REQUEST_ID}`, ok(requestTrace)]]),
     ],
     ["report burn", {}, new Map([["GET /v1/service-levels", ok(levels)]])],
+    [
+      "quarantine release assist 91bd3f06",
+      {},
+      new Map([
+        [
+          "POST /v1/quarantine/release",
+          { status: 200, body: { released: true } },
+        ],
+      ]),
+    ],
     [
       "drain",
       {},
@@ -357,6 +367,23 @@
     expect(JSON.parse(json)).toEqual(body);
   });
 
+  it("of 'status' with prompt parts in quarantine", async () => {
+    const part = {
+      service: "assist",
+      part: "91bd3f06",
+      engines: ["e-1@5", "e-2@7", "e-3@6"],
+      since: Date.UTC(2030, 0, 1),
+      trials: 0,
+      nextTrialAt: Date.UTC(2030, 0, 1, 0, 2),
+    };
+    const final = { ...part, part: "0d4a6c11", trials: 2, nextTrialAt: null };
+    const body = { ...status, quarantine: [part, final] };
+    replies = new Map([...replies, ["GET /v1/status", ok(body)]]);
+    const { output, errors } = await run("status");
+    expect(errors).toBe("");
+    expect(output).toMatchSnapshot();
+  });
+
   it("have colour where it is wanted only", async () => {
     const escapeCode = String.fromCharCode(27);
     const plain = await run("instances");
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -395,6 +395,7 @@
       presence,
       demandBoard,
       classLevels,
+      quarantine,
       inProgress: () => listener.inProgress(),
       isDraining: () => stoppedAt !== null,
     });
--- a/packages/gateway/src/operators/administration.ts
+++ b/packages/gateway/src/operators/administration.ts
@@ -1,16 +1,22 @@
-/** Read-only administration API: release notes, status and explanations. */
-import type {
-  BackendView,
-  ClassDemandView,
-  ClassLevelView,
-  Explain,
-  FailureBody,
-  InstanceView,
-  Status,
+/**
+ * Administration API: release notes, status and explanations to read, and the
+ * release of prompt parts from quarantine.
+ */
+import {
+  type BackendView,
+  type ClassDemandView,
+  type ClassLevelView,
+  type Explain,
+  type FailureBody,
+  type InstanceView,
+  releasePartSchema,
+  type Status,
 } from "@rosemarypin/schemas";
+import { z } from "zod";
 import type { BackendServer } from "../backend_server.ts";
 import type { BackendFleet } from "../backends/mod.ts";
 import type { ConfigurationKeeper, Presence } from "../following/mod.ts";
+import type { PromptQuarantine } from "../prompts/mod.ts";
 import type { DemandBoard, ModelClassLevels } from "../streams/mod.ts";
 import type { ReleaseHistory } from "./release_history.ts";
 
@@ -23,6 +29,7 @@
   readonly presence: Presence;
   readonly demandBoard: Pick<DemandBoard, "ofDomain">;
   readonly classLevels: Pick<ModelClassLevels, "levels">;
+  readonly quarantine: Pick<PromptQuarantine, "parts" | "release">;
   readonly inProgress: () => number;
   readonly isDraining: () => boolean;
 }
@@ -33,10 +40,14 @@
   readonly body: unknown;
 }
 
-/** Answers a `GET` of the URL; `null` for an unknown path. */
-export type Administration = (url: URL) => AdministrationAnswer | null;
+export interface Administration {
+  /** Answers a `GET` of the URL; `null` for an unknown path. */
+  get(url: URL): AdministrationAnswer | null;
+  /** Answers a `POST` with a JSON body; `null` for an unknown path. */
+  post(url: URL, body: unknown): AdministrationAnswer | null;
+}
 
-/** Creates the read-only administration API of one instance. */
+/** Creates the administration API of one instance. */
 export function createAdministration(
   options: AdministrationOptions,
 ): Administration {
@@ -48,6 +59,7 @@
     const services = [...(keeper.applied()?.services.keys() ?? [])];
     const classLevels = classLevelViews();
     const demand = services.flatMap(demandViews);
+    const quarantine = [...options.quarantine.parts()];
     return {
       deployment: "platform",
       instance: options.instance,
@@ -60,6 +72,7 @@
       ),
       ...(classLevels.length > 0 ? { classLevels } : {}),
       ...(demand.length > 0 ? { demand } : {}),
+      ...(quarantine.length > 0 ? { quarantine } : {}),
     };
   }
 
@@ -164,7 +177,15 @@
     return errorAnswer(404, `note ${number} is not in this instance's history`);
   }
 
-  return function answer({ pathname, searchParams }) {
+  function releasePart(body: unknown): AdministrationAnswer {
+    const parsed = releasePartSchema.safeParse(body);
+    if (!parsed.success) return errorAnswer(400, z.prettifyError(parsed.error));
+    if (options.quarantine.release(parsed.data))
+      return { status: 200, body: { released: true } };
+    return errorAnswer(404, "the part is not in quarantine");
+  }
+
+  function get({ pathname, searchParams }: URL): AdministrationAnswer | null {
     if (pathname === "/v1/notes") {
       return { status: 200, body: { notes: history.notes() } };
     }
@@ -179,6 +200,12 @@
     }
     const number = /^\/v1\/notes\/(\d{1,15})$/.exec(pathname)?.[1];
     return number === undefined ? null : showNote(Number(number));
+  }
+
+  return {
+    get,
+    post: ({ pathname }, body) =>
+      pathname === "/v1/quarantine/release" ? releasePart(body) : null,
   };
 }
 
--- a/packages/gateway/src/operators/class_views_test.ts
+++ b/packages/gateway/src/operators/class_views_test.ts
@@ -45,10 +45,11 @@
     demandBoard: {
       ofDomain: (_: string, domain: string) => (domain === "a" ? demand : null),
     },
+    quarantine: { parts: () => [], release: () => false },
     inProgress: () => 0,
     isDraining: () => false,
   } as unknown as Parameters<typeof createAdministration>[0]);
-  return administration(new URL("http://x/v1/status"))?.body;
+  return administration.get(new URL("http://x/v1/status"))?.body;
 }
 
 describe("status", () => {
--- a/packages/gateway/src/operators/control_listener.ts
+++ b/packages/gateway/src/operators/control_listener.ts
@@ -1,7 +1,9 @@
 /** HTTP servers for the load balancer's readiness checks and for operators. */
-import { createServer, type Server } from "node:http";
+import { createServer, type IncomingMessage, type Server } from "node:http";
 import type { Registry } from "prom-client";
-import type { Administration } from "./administration.ts";
+import type { Administration, AdministrationAnswer } from "./administration.ts";
+
+const MAX_BODY_BYTES = 4_096;
 
 /** Answers `path` with 200 if ready, else 503; other paths with 404. */
 export function createReadinessServer(options: {
@@ -20,6 +22,15 @@
   registry: Registry,
   administration: Administration,
 ): Server {
+  async function administer(
+    request: IncomingMessage,
+    url: URL,
+  ): Promise<AdministrationAnswer | null> {
+    if (request.method === "GET") return administration.get(url);
+    if (request.method !== "POST") return null;
+    return administration.post(url, await readJson(request));
+  }
+
   return createServer(async (request, response) => {
     const url = parseUrl(request.url ?? "/");
     if (url?.pathname === "/metrics") {
@@ -28,8 +39,7 @@
       response.writeHead(200, headers).end(text);
       return;
     }
-    const isGetRequest = url !== null && request.method === "GET";
-    const answer = isGetRequest ? administration(url) : null;
+    const answer = url && (await administer(request, url));
     if (!answer) {
       response.writeHead(404).end();
       return;
@@ -39,6 +49,23 @@
   });
 }
 
+/** Reads a JSON body; `null` if there is none or it is too long. */
+async function readJson(request: IncomingMessage): Promise<unknown> {
+  const chunks: Buffer[] = [];
+  let size = 0;
+  for await (const chunk of request) {
+    size += (chunk as Buffer).length;
+    if (size > MAX_BODY_BYTES) return null;
+    chunks.push(chunk as Buffer);
+  }
+  try {
+    return JSON.parse(Buffer.concat(chunks).toString());
+  } catch {
+    // Not JSON, which the handler rejects like any other wrong body.
+    return null;
+  }
+}
+
 /** Returns `null` for an invalid path; an exception would end the process. */
 function parseUrl(path: string): URL | null {
   const base = "http://instance";
--- a/packages/schemas/src/admin.ts
+++ b/packages/schemas/src/admin.ts
@@ -119,6 +119,30 @@
 });
 export type ClassDemandView = z.infer<typeof classDemandViewSchema>;
 
+/** A part of prompts that ends engines, and whose requests are refused. */
+export const quarantinedPartSchema = z.object({
+  service: nameSchema,
+  part: z.string(),
+  /** Engines that have ended under it. */
+  engines: z.array(z.string()),
+  /** In milliseconds since the epoch. */
+  since: z.number(),
+  /** Requests that were sent since, to find out whether it still holds. */
+  trials: z.number(),
+  /**
+   * When the next one may be sent, in milliseconds since the epoch; `null` if
+   * an operator has to release the part.
+   */
+  nextTrialAt: z.number().nullable(),
+});
+export type QuarantinedPart = z.infer<typeof quarantinedPartSchema>;
+
+/** Body of the call that releases a part. */
+export const releasePartSchema = z.object({
+  service: nameSchema,
+  part: z.string().min(1),
+});
+
 /** Status of a deployment as one instance sees it. */
 export const statusSchema = z.object({
   deployment: nameSchema,
@@ -133,6 +157,8 @@
   classLevels: z.array(classLevelViewSchema).optional(),
   /** Failure domains of which the demand isn't known are left out. */
   demand: z.array(classDemandViewSchema).optional(),
+  /** Absent if no part of prompts is in quarantine. */
+  quarantine: z.array(quarantinedPartSchema).optional(),
 });
 export type Status = z.infer<typeof statusSchema>;
 
