Launcher: the test of a failed start judges only its own folder

The test listed all folders rosemarypin-* of the temporary folder.

Change: startDeployment takes the parent of its folder, and the test gives it one of its own, sees the deployment's folder in it, and that nothing is left.

Also looked at: readers of the temporary folder (platform bundle, settings, cli, guards, log pipe and soak each use a folder of their own by mkdtemp); ports (claimed by the worker's process until it ends, so no other worker can be given the freed ones).

--- a/packages/launcher/src/deployment.ts
+++ b/packages/launcher/src/deployment.ts
@@ -54,6 +54,8 @@
 /** What a measurement may run in the place of `rosemarypind`. */
 export interface DeploymentOptions {
   readonly daemonScript?: string;
+  /** Folder for that of the deployment; the system's temporary one if absent. */
+  readonly parentFolder?: string;
   readonly daemonArgs?: readonly string[];
   /** Keeps what each engine runs in files, which costs it some time. */
   readonly engineJournals?: boolean;
@@ -78,7 +80,9 @@
   direct: DeploymentPlan,
   options: DeploymentOptions = {},
 ): Promise<Deployment> {
-  const folder = mkdtempSync(join(tmpdir(), "rosemarypin-"));
+  const folder = mkdtempSync(
+    join(options.parentFolder ?? tmpdir(), "rosemarypin-"),
+  );
   const links = options.relays ? createLinks() : null;
   const relayed = relayPlan(direct);
   const relays = links && (await startRelays(relayed, links));
--- a/packages/launcher/src/deployment_test.ts
+++ b/packages/launcher/src/deployment_test.ts
@@ -1,7 +1,8 @@
 import { once } from "node:events";
-import { readdirSync } from "node:fs";
+import { mkdtempSync, readdirSync, rmSync } from "node:fs";
 import { createServer, type Server } from "node:net";
 import { tmpdir } from "node:os";
+import { join } from "node:path";
 import { afterEach, describe, expect, it } from "vitest";
 import { startDeployment } from "./deployment.ts";
 import { type DeploymentPlan, planDeployment } from "./deployment_plan.ts";
@@ -23,12 +24,6 @@
   return plan;
 }
 
-function listFolders(): string[] {
-  return readdirSync(tmpdir()).filter((name) =>
-    name.startsWith("rosemarypin-"),
-  );
-}
-
 describe("a deployment of which a process ends at its start", () => {
   // Guards against a set-up that waits for a process that is gone, and whose
   // error hides why it ended.
@@ -44,9 +39,12 @@
   // Guards against processes and folders that a failed set-up leaves behind.
   it("stops what was started and removes its folder", async () => {
     const plan = await planWithTakenPort();
-    const before = listFolders();
-    await expect(startDeployment(plan)).rejects.toThrow();
-    expect(listFolders().filter((name) => !before.includes(name))).toEqual([]);
+    const parentFolder = mkdtempSync(join(tmpdir(), "launcher-test-"));
+    const started = startDeployment(plan, { parentFolder });
+    expect(readdirSync(parentFolder)).toHaveLength(1);
+    await expect(started).rejects.toThrow();
+    expect(readdirSync(parentFolder)).toEqual([]);
+    rmSync(parentFolder, { recursive: true });
     const addresses = plan.standIns.map(({ settings }) => settings.address);
     const servers = addresses.map((address) => createServer().listen(address));
     await Promise.all(servers.map((server) => once(server, "listening")));
