Callers: a process that lags closes some connections of a surge unread

Change: while new connections come at three times the usual rate of the last 30 s and the process's timers fire over 80 ms late, those beyond twice the usual rate are closed before anything is read, if other instances live. Some are always accepted. A hand-off that broke off isn't repeated for a prompt that may have ended more than one engine.

--- a/packages/gateway/src/callers/caller_listener.ts
+++ b/packages/gateway/src/callers/caller_listener.ts
@@ -26,6 +26,7 @@
 import { logEnd } from "./call_log.ts";
 import { type RefusalParts, refuse, retryDelayOf } from "./caller_answer.ts";
 import { type CallEnd, type CallerCall, priorityOf } from "./caller_call.ts";
+import { createConnectionSurge } from "./connection_surge.ts";
 import {
   decodeHandoffTerms,
   HANDOFF_HEADER,
@@ -71,6 +72,8 @@
   readonly warmUp: WarmUp;
   /** Milliseconds since the signal to stop; `null` before it. */
   readonly stoppingForMs: () => number | null;
+  /** Whether callers may reach another instance instead. */
+  readonly hasOtherInstances: () => boolean;
   /** Whether this instance can serve no request, while others may. */
   readonly isIsolated: () => boolean;
   readonly onEnded: (call: CallerCall, end: CallEnd) => void;
@@ -121,6 +124,12 @@
     { maxHeaderSize: PARSER_HEADER_BYTES, requestTimeout: REQUEST_TIMEOUT_MS },
     (request, response) => void handleTracked(request, response, null),
   );
+  const surge = createConnectionSurge();
+  server.prependListener("connection", (socket) => {
+    if (!surge.mayAccept() && options.hasOtherInstances())
+      socket.resetAndDestroy();
+  });
+  server.once("close", surge.stop);
   applyLimits(server, DEFAULT_LIMITS);
   keeper.onChanged(({ limits }) => applyLimits(server, limits));
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -282,6 +282,7 @@
     ),
     stoppingForMs: () =>
       stoppedAt === null ? null : performance.now() - stoppedAt,
+    hasOtherInstances: () => presence.liveOthers().length > 0,
     isIsolated,
     onEnded: metrics.countEnd,
     onRefused: metrics.countRefusal,
--- a/packages/gateway/src/streams/forward_stream.ts
+++ b/packages/gateway/src/streams/forward_stream.ts
@@ -148,6 +148,12 @@
     return maxAttempts - (runs - lostRuns);
   }
 
+  /** Whether the call may be sent once more after a run that broke off. */
+  function mayRunAgain(): boolean {
+    if (!resumable || runsLeft() <= 0) return false;
+    return prompt.isSound() || quarantine.mayRepeat(sharedPrompt);
+  }
+
   function mayAskHelper(): boolean {
     if (call.handedOff) return false;
     return performance.now() - helperAskedAt >= HELPER_RETRY_MS;
@@ -193,7 +199,7 @@
     countSent();
     runs += helperAttempts;
     helperAskedAt = -Infinity;
-    return end.kind === "complete" || !resumable || runsLeft() <= 0;
+    return end.kind === "complete" || !mayRunAgain();
   }
 
   /**
@@ -246,8 +252,7 @@
     runs += 1;
     if (lastEnd.kind === "failed") failedServers.add(pipeline.first.id);
     if (lastEnd.kind === "broken" && lastEnd.isFirstEngineLost) lostRuns += 1;
-    if (!prompt.isSound() && !quarantine.mayRepeat(sharedPrompt)) return true;
-    return !resumable || runsLeft() <= 0 || lostRuns > MAX_LOST_RUNS;
+    return lostRuns > MAX_LOST_RUNS || !mayRunAgain();
   }
 
   /** Runs the call and records what it holds and when its answer begins. */
--- a/packages/telemetry/src/event_catalogue.ts
+++ b/packages/telemetry/src/event_catalogue.ts
@@ -58,6 +58,14 @@
       says: "an engine ended with answers in progress; `prompts` counts those of them that it had only begun, and `prompt_parts` lists the parts of their prompts that other requests may share",
       fields: ["id", "service", "prompts", "prompt_parts"],
     },
+    connection_surge: {
+      says: "many more new connections than usual come to this instance, which lags, so that some are closed unread and their callers try another one",
+      fields: ["per_second", "usual_per_second"],
+    },
+    connection_surge_over: {
+      says: "all new connections are accepted again; `closed` counts those that were not",
+      fields: ["closed"],
+    },
     prompt_part_quarantined: {
       says: "engines have ended under prompts with the part, so that requests with it are refused; one is sent after `next_trial_s`, or an operator has to release the part",
       fields: ["service", "part", "engines", "trials", "next_trial_s"],
