--- a/packages/calls/src/answer.ts
+++ b/packages/calls/src/answer.ts
@@ -34,8 +34,13 @@
 import { chooseVersion } from "./answer_version.ts";
 import type { CallFailure } from "./call_failure.ts";
 
-/** Consecutive attempts without a new token after which an answer fails. */
-const MAX_ATTEMPTS_WITHOUT_TOKEN = 8;
+/** Consecutive attempts with few new tokens after which an answer fails. */
+const MAX_SHORT_ATTEMPTS = 8;
+/**
+ * Tokens from which on an attempt isn't a short one. A prompt that ends its
+ * engines gets a token or two from each.
+ */
+const MIN_TOKENS_OF_ATTEMPT = 4;
 
 const log = createLogger("answer");
 
@@ -91,12 +96,13 @@
   const pace = createTokenPace(options.liveness ?? defaultLiveness);
   const linkSpeeds = options.linkSpeeds ?? createLinkSpeeds();
   let migration: Migration | null = null;
+  let shortAttempts = 0;
   try {
     while (!options.signal.aborted) {
       const record = await options.keeper.fresh();
       const failure = chooseVersion(request, { ...options, record });
       if (failure) return yield { type: "failed", failure };
-      if (progress.attemptsSinceToken >= MAX_ATTEMPTS_WITHOUT_TOKEN) {
+      if (shortAttempts >= MAX_SHORT_ATTEMPTS) {
         const exhausted = createGiveUpFailure("attempts_used_up", progress);
         return yield { type: "failed", failure: exhausted };
       }
@@ -108,6 +114,8 @@
         migration,
       };
       migration = null;
+      const tokensBefore = progress.deliveredTokens.length;
+      const attemptsBefore = progress.attemptNumber;
       const end: NextAttemptEnd = yield* runNextAttempt(
         request,
         attemptOptions,
@@ -115,6 +123,10 @@
       const finalEvent = toFinalEvent(end, progress);
       if (finalEvent) return yield finalEvent;
       if (end.kind === "migrated") migration = end.migration;
+      const newTokens = progress.deliveredTokens.length - tokensBefore;
+      if (newTokens >= MIN_TOKENS_OF_ATTEMPT) shortAttempts = 0;
+      else if (end.kind !== "migrated")
+        shortAttempts += progress.attemptNumber - attemptsBefore;
       log.info("attempt_ended", {
         request: request.requestId,
         attempt: progress.attemptNumber,
--- a/packages/calls/src/answer_test.ts
+++ b/packages/calls/src/answer_test.ts
@@ -232,6 +232,23 @@
       const { end } = await run([first, ...later]);
       expect(end).toBe("failed/attempts_used_up");
     });
+
+    // Guards against a prompt that ends one engine after the other, each after
+    // it has written a token.
+    it("a token of each engine before it ends: failed", async () => {
+      const scripts = Array.from(
+        { length: 20 },
+        (_, index): AttemptScript =>
+          ({ attempt }) =>
+            giveEvents([
+              token(attempt, index),
+              lost(attempt, 0, "unreachable"),
+            ]),
+      );
+      const { end, attempts } = await run(scripts);
+      expect(end).toBe("failed/attempts_used_up");
+      expect(attempts).toHaveLength(8);
+    });
   });
 
   /**
