--- a/packages/gateway/src/prompts/prompt_quarantine.ts
+++ b/packages/gateway/src/prompts/prompt_quarantine.ts
@@ -76,7 +76,7 @@
 export type QuarantineDecision =
   | { readonly kind: "accepted" }
   /** One request may find out whether the part still ends engines. */
-  | { readonly kind: "trial_due" }
+  | { readonly kind: "trial_due"; readonly retryAfterSeconds: number }
   | {
       readonly kind: "refused";
       /** `null` if the caller should not return. */
@@ -270,13 +270,13 @@
     for (const entry of matching) entry.refusedAt = performance.now();
     const delays = matching.map(({ object }) => secondsUntilTrial(object));
     const longestSeconds = Math.max(...delays);
-    if (longestSeconds === 0 && matching.length === 1)
-      return { kind: "trial_due" };
-    const isFinal = longestSeconds === Number.POSITIVE_INFINITY;
-    const retryAfterSeconds = isFinal
-      ? null
-      : Math.max(TRIAL_IN_PROGRESS_SECONDS, longestSeconds);
-    return { kind: "refused", retryAfterSeconds };
+    if (longestSeconds === Number.POSITIVE_INFINITY)
+      return { kind: "refused", retryAfterSeconds: null };
+    const isTrialDue = longestSeconds === 0 && matching.length === 1;
+    return {
+      kind: isTrialDue ? "trial_due" : "refused",
+      retryAfterSeconds: Math.max(TRIAL_IN_PROGRESS_SECONDS, longestSeconds),
+    };
   }
 
   async function takeTrial(prompt: SharedPrompt): Promise<boolean> {
--- a/packages/gateway/src/prompts/quarantine_peers.ts
+++ b/packages/gateway/src/prompts/quarantine_peers.ts
@@ -99,6 +99,8 @@
 
   return {
     async reportEnd({ service, engine, at, prompts }) {
+      // Nothing is to blame for an end without such prompts.
+      if (prompts.length === 0) return;
       const params = {
         service,
         engine,
--- a/packages/gateway/src/streams/forward_stream.ts
+++ b/packages/gateway/src/streams/forward_stream.ts
@@ -87,7 +87,7 @@
   const usedHelpers = new Set<string>();
   const prompt = prompts.track(call);
   const sharedPrompt = sharedPromptOf(call);
-  /** Whether this call finds out if its prompt still ends engines. */
+  /** Whether this call was chosen to find out if its prompt ends engines. */
   let isTrial = false;
   let helperAskedAt = -Infinity;
   let retryAfterSeconds: number | null = null;
@@ -129,7 +129,7 @@
   function quarantinedEnd(): RunEnd {
     const decision = quarantine.decide(sharedPrompt);
     retryAfterSeconds =
-      decision.kind === "refused" ? decision.retryAfterSeconds : null;
+      decision.kind === "accepted" ? null : decision.retryAfterSeconds;
     return { kind: "not_run", detail: PROMPT_QUARANTINED, wasSent: false };
   }
 
