Guards of the prompt quarantine, of answers without a length and of surges

Each is switched off in a scratch copy, and its test fails then: 15 of 15. The test of an instance that starts later held without the stored object, as a repeated call still reached it; it starts later now.

--- a/packages/gateway/src/prompts/prompt_quarantine_test.ts
+++ b/packages/gateway/src/prompts/prompt_quarantine_test.ts
@@ -112,6 +112,8 @@
     await startAll();
     domain.kill("i-5");
     await endEngines("i-1", "i-2", "i-3");
+    // Calls to it that are repeated have ended, and none stores the part again.
+    await advance(2_000);
     await domain.start("i-5");
     await advance(1_000);
     expect(refusing()).toEqual(INSTANCES);
