Prompts: a general part is to blame only by ends that no specific one explains

Found by reading: where an engine had ended once more under a part of many prompts, for another reason, that part had one end more than the one that ends engines, and was put into quarantine in its place. Now the ends that a more specific part with enough ends explains don't count for it. The new test failed before ('common' was blamed for 'bad').

--- a/packages/gateway/src/prompts/crash_ledger.ts
+++ b/packages/gateway/src/prompts/crash_ledger.ts
@@ -91,7 +91,7 @@
     );
   }
 
-  /** Parts with the most ends, but at least `minCount`. */
+  /** Parts with at least `minCount` ends. */
   function contenders(service: string, minCount: number): Contender[] {
     const endsByPart = new Map<string, EngineEnd[]>();
     for (const end of countingEnds(service)) {
@@ -108,20 +108,27 @@
       ends,
       count: countCauses(ends),
     }));
-    const most = Math.max(minCount, ...all.map(({ count }) => count));
-    return all.filter(({ count }) => count === most);
+    return all.filter(({ count }) => count >= minCount);
   }
 
-  /** Leaves out parts that another contender explains better. */
-  function mostLikely(service: string, all: Contender[]): Contender[] {
+  /** Of the parts with at least `minCount` ends, those to blame first. */
+  function mostLikely(service: string, minCount: number): Contender[] {
+    const all = contenders(service, minCount);
     const unanswered = all.filter(
       ({ part }) => answeredAt({ service, part }) === -Infinity,
     );
     const likely = unanswered.length > 0 ? unanswered : all;
-    return likely.filter(
+    // What a more specific part explains isn't held against a general one.
+    const independent = likely.filter(
       (general) =>
-        !likely.some((specific) => isMoreSpecific(specific, general)),
+        !likely.some(
+          (specific) =>
+            specific !== general &&
+            countCauses(endsWithout(specific, general)) < minCount,
+        ),
     );
+    const most = Math.max(...independent.map(({ count }) => count));
+    return independent.filter(({ count }) => count === most);
   }
 
   return {
@@ -150,8 +157,7 @@
       }
     },
     blame(service) {
-      const all = contenders(service, ENDS_UNTIL_BLAME);
-      const likely = mostLikely(service, all);
+      const likely = mostLikely(service, ENDS_UNTIL_BLAME);
       const isJoint = likely.some(
         ({ count }) => count >= ENDS_UNTIL_JOINT_BLAME,
       );
@@ -164,10 +170,7 @@
       }));
     },
     isSuspect(service, parts) {
-      const suspects = mostLikely(
-        service,
-        contenders(service, ENDS_UNTIL_SUSPECT),
-      );
+      const suspects = mostLikely(service, ENDS_UNTIL_SUSPECT);
       return suspects.some(({ part }) => parts.includes(part));
     },
     answeredAt,
@@ -191,16 +194,16 @@
 }
 
 /**
- * Whether each end under the general part had a prompt in which the specific
- * one follows it, so that the general part explains nothing more.
+ * Ends under the general part without a prompt in which the specific one follows
+ * it. Where it never does, these are all of them.
  */
-function isMoreSpecific(specific: Contender, general: Contender): boolean {
-  if (specific === general) return false;
-  return general.ends.every(({ prompts }) =>
-    prompts.some((parts) => {
-      const at = parts.indexOf(general.part);
-      return at >= 0 && parts.indexOf(specific.part) > at;
-    }),
+function endsWithout(specific: Contender, general: Contender): EngineEnd[] {
+  return general.ends.filter(
+    ({ prompts }) =>
+      !prompts.some((parts) => {
+        const at = parts.indexOf(general.part);
+        return at >= 0 && parts.indexOf(specific.part) > at;
+      }),
   );
 }
 
--- a/packages/gateway/src/prompts/crash_ledger_test.ts
+++ b/packages/gateway/src/prompts/crash_ledger_test.ts
@@ -85,6 +85,27 @@
     expect(blamed()).toEqual(["bad"]);
   });
 
+  // Guards against blame for a part of many prompts that an engine had ended
+  // under once more, for another reason.
+  it("is to blame rather than a general one with an end of its own", () => {
+    const { end, wait, blamed } = setUp();
+    end("common sound");
+    for (let engine = 0; engine < 3; engine += 1) {
+      wait();
+      end("common bad");
+    }
+    expect(blamed()).toEqual(["bad"]);
+  });
+
+  it("that is general is to blame once three ends lack the specific one", () => {
+    const { end, wait, blamed } = setUp();
+    for (const other of ["a", "b", "often", "often", "c"]) {
+      end(`bad ${other}`);
+      wait();
+    }
+    expect(blamed()).toEqual(["bad"]);
+  });
+
   it("that was answered before is to blame if all others have fewer ends", () => {
     const { end, answer, wait, blamed } = setUp();
     answer("bad");
