Operators: a call that breaks off in its body is ignored

The listener read bodies by a loop of its own, which rejected inside the handler when the client broke off, and would have ended the process. It calls readRequestBody of the callers' listener now.

--- a/packages/gateway/src/callers/request_body.ts
+++ b/packages/gateway/src/callers/request_body.ts
@@ -5,7 +5,7 @@
 /** Resolves to `null` for a request without a body. */
 export async function readRequestBody(
   request: IncomingMessage,
-  { bodyBytes }: CallerLimits,
+  { bodyBytes }: Pick<CallerLimits, "bodyBytes">,
 ): Promise<Buffer | null | "too_large" | "broken"> {
   const declared = Number(request.headers["content-length"] ?? 0);
   if (declared > bodyBytes) return "too_large";
--- a/packages/gateway/src/operators/control_listener.ts
+++ b/packages/gateway/src/operators/control_listener.ts
@@ -1,6 +1,7 @@
 /** HTTP servers for the load balancer's readiness checks and for operators. */
 import { createServer, type IncomingMessage, type Server } from "node:http";
 import type { Registry } from "prom-client";
+import { readRequestBody } from "../callers/mod.ts";
 import type { Administration, AdministrationAnswer } from "./administration.ts";
 
 const MAX_BODY_BYTES = 4_096;
@@ -49,17 +50,12 @@
   });
 }
 
-/** Reads a JSON body; `null` if there is none or it is too long. */
+/** Reads a JSON body; `null` if there is none that can be read. */
 async function readJson(request: IncomingMessage): Promise<unknown> {
-  const chunks: Buffer[] = [];
-  let size = 0;
-  for await (const chunk of request) {
-    size += (chunk as Buffer).length;
-    if (size > MAX_BODY_BYTES) return null;
-    chunks.push(chunk as Buffer);
-  }
+  const body = await readRequestBody(request, { bodyBytes: MAX_BODY_BYTES });
+  if (!Buffer.isBuffer(body)) return null;
   try {
-    return JSON.parse(Buffer.concat(chunks).toString());
+    return JSON.parse(body.toString());
   } catch {
     // Not JSON, which the handler rejects like any other wrong body.
     return null;
