Callers: each close of a connection is counted and logged with its cause

`connection_closed` names the cause, the latest request and those without a whole answer; `rosemarypin_caller_connections_closed_total` counts them; `stopped` names the requests that it cut. Closes that an answer has announced are counted and not logged.

--- a/packages/gateway/src/callers/caller_listener.ts
+++ b/packages/gateway/src/callers/caller_listener.ts
@@ -26,6 +26,10 @@
 import { logEnd } from "./call_log.ts";
 import { type RefusalParts, refuse, retryDelayOf } from "./caller_answer.ts";
 import { type CallEnd, type CallerCall, priorityOf } from "./caller_call.ts";
+import {
+  type ClosedConnection,
+  createCallerConnections,
+} from "./caller_connections.ts";
 import { createConnectionSurge } from "./connection_surge.ts";
 import {
   decodeHandoffTerms,
@@ -81,6 +85,8 @@
   readonly onRefused: (refusal: {
     readonly retryAfterSeconds: number | null;
   }) => void;
+  /** Called for each connection that this instance closes. */
+  readonly onClosed: (connection: ClosedConnection) => void;
 }
 
 export interface CallerListener {
@@ -89,6 +95,12 @@
   handleHandedOff(request: IncomingMessage, response: ServerResponse): void;
   /** Requests in progress. */
   inProgress(): number;
+  /** IDs of this instance's callers' requests without a whole answer. */
+  unanswered(): readonly string[];
+  /** Closes all connections of callers, for a stop. */
+  closeAll(): void;
+  /** Closes those without a request in progress, for a stop. */
+  closeIdle(): void;
 }
 
 interface Admission {
@@ -126,9 +138,11 @@
   );
   const surge = createConnectionSurge();
   server.prependListener("connection", (socket) => {
-    if (!surge.mayAccept() && options.hasOtherInstances())
-      socket.resetAndDestroy();
+    if (surge.mayAccept() || !options.hasOtherInstances()) return;
+    connections.closing(socket, "surge");
+    socket.resetAndDestroy();
   });
+  const connections = createCallerConnections(server, options.onClosed);
   server.once("close", surge.stop);
   applyLimits(server, DEFAULT_LIMITS);
   keeper.onChanged(({ limits }) => applyLimits(server, limits));
@@ -150,6 +164,7 @@
     } catch (error) {
       const reason = error instanceof Error ? error.message : String(error);
       log.warn("request_failed", { reason });
+      connections.closing(response.socket, "exception");
       response.destroy();
     } finally {
       inProgress -= 1;
@@ -200,6 +215,7 @@
       ? withoutHandoffTerms(request.rawHeaders)
       : request.rawHeaders;
     const decoded = codec.decodeRequest(request.headers);
+    connections.track(request, response, decoded.requestId ?? "");
     const metadata = handedOff
       ? {
           ...decoded,
@@ -271,6 +287,8 @@
     };
     try {
       const end = await options.forward(call);
+      if (end.outcome === "cut")
+        connections.closing(response.socket, "answer_cut");
       logEnd(call, end);
       options.onEnded(call, end);
     } finally {
@@ -327,6 +345,15 @@
     handleHandedOff: (request, response) =>
       void handleHandedOff(request, response),
     inProgress: () => inProgress,
+    unanswered: connections.unanswered,
+    closeAll() {
+      connections.closingAll("stop");
+      server.closeAllConnections();
+    },
+    closeIdle() {
+      connections.closingAll("stop", { onlyIdle: true });
+      server.closeIdleConnections();
+    },
   };
 }
 
--- a/packages/gateway/src/callers/mod.ts
+++ b/packages/gateway/src/callers/mod.ts
@@ -1,6 +1,7 @@
 /** Accepts callers' requests and writes their answers. */
 export * from "./caller_answer.ts";
 export * from "./caller_call.ts";
+export type { ClosedConnection } from "./caller_connections.ts";
 export * from "./caller_listener.ts";
 export * from "./handoff_headers.ts";
 export * from "./request_body.ts";
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -286,6 +286,7 @@
     isIsolated,
     onEnded: metrics.countEnd,
     onRefused: metrics.countRefusal,
+    onClosed: metrics.countClose,
   });
 
   function applyConfiguration({ key, value }: StoredObject): void {
@@ -432,23 +433,29 @@
       if (isIdle() && elapsedMs() > ACCEPT_AFTER_STOP_MS) break;
       await pause(SHUTDOWN_POLL_MS);
     }
+    listener.closeIdle();
     listener.server.close();
     const connectionLimitMs = Math.min(
       elapsedMs() + CONNECTION_DRAIN_MS,
       drainLimitMs,
     );
     while (elapsedMs() < connectionLimitMs && (await countConnections()) > 0) {
-      listener.server.closeIdleConnections();
+      listener.closeIdle();
       await pause(SHUTDOWN_POLL_MS);
     }
     while (elapsedMs() < drainLimitMs && !isIdle())
       await pause(SHUTDOWN_POLL_MS);
     clearTimeout(refusalTimer);
     const cut = listener.inProgress();
+    const requests = listener.unanswered().join(",");
     // No request may be accepted while the last log lines are written.
-    listener.server.closeAllConnections();
+    listener.closeAll();
     abortController.abort();
-    log.info("stopped", { cut, after_ms: elapsedMs().toFixed(0) });
+    log.info("stopped", {
+      cut,
+      requests: requests || undefined,
+      after_ms: elapsedMs().toFixed(0),
+    });
   }
 
   function countConnections(): Promise<number> {
--- a/packages/gateway/src/operators/gateway_metrics.ts
+++ b/packages/gateway/src/operators/gateway_metrics.ts
@@ -2,7 +2,12 @@
 import type { ClassLevel } from "@rosemarypin/admission";
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import type { ServerCounts } from "../backends/mod.ts";
-import { type CallEnd, type CallerCall, priorityOf } from "../callers/mod.ts";
+import {
+  type CallEnd,
+  type CallerCall,
+  type ClosedConnection,
+  priorityOf,
+} from "../callers/mod.ts";
 import { PROMPT_QUARANTINED } from "../prompts/mod.ts";
 import type { AdmissionObserver } from "../streams/mod.ts";
 
@@ -17,6 +22,8 @@
   countEnd(call: CallerCall, end: CallEnd): void;
   /** Counts a refusal before the request became a call. */
   countRefusal(refusal: { readonly retryAfterSeconds: number | null }): void;
+  /** Counts a caller's connection that this instance has closed. */
+  countClose(connection: ClosedConnection): void;
   /** Counts an engine that ended with answers in progress on it. */
   countEngineEnd(): void;
   /** Counts the decisions on requests that want capacity on engines. */
@@ -121,6 +128,12 @@
     buckets: SECONDS_BUCKETS,
     registers,
   });
+  const closes = new Counter({
+    name: "rosemarypin_caller_connections_closed_total",
+    help: "Connections of callers that this instance closed, by cause and whether a request had no whole answer",
+    labelNames: ["cause", "unanswered"] as const,
+    registers,
+  });
   const engineEnds = new Counter({
     name: "rosemarypin_engine_ends_total",
     help: "Engines that ended while answers of this instance were in progress",
@@ -263,6 +276,8 @@
 
   return {
     registry,
+    countClose: ({ cause, isUnanswered }) =>
+      closes.inc({ cause, unanswered: String(isUnanswered) }),
     countEngineEnd: () => engineEnds.inc(),
     countRefusal({ retryAfterSeconds }) {
       if (retryAfterSeconds !== null) retryDelay.observe(retryAfterSeconds);
--- a/packages/telemetry/src/event_catalogue.ts
+++ b/packages/telemetry/src/event_catalogue.ts
@@ -26,7 +26,7 @@
     },
     stopped: {
       says: "the process has shut down; `cut` counts requests that were still in progress",
-      fields: ["instance", "all_work_ended", "cut", "after_ms"],
+      fields: ["instance", "all_work_ended", "cut", "requests", "after_ms"],
     },
     settings_reloaded: {
       says: "a check on SIGHUP found the settings file valid; changes apply after the next restart",
@@ -127,6 +127,10 @@
         "retry_after_s",
       ],
     },
+    connection_closed: {
+      says: "this instance closed a caller's connection; `request` is its latest request, `unanswered` names those without a whole answer",
+      fields: ["cause", "request", "answered", "unanswered"],
+    },
     request_broken: {
       says: "the caller disconnected before its request was complete",
       fields: ["request"],
