Runs: one is given up only once another can take over

Callers saw streams cut, and calls answered 502, half a second to a second after their server had fallen silent, although it was sound and went on. Resumable streams only: those that can't be resumed were left open.

Cause: a suspicion ended the run first, and looked for what follows afterwards. Without a retry in the budget, a run, a pipeline or another server, the answer was lost. The same for plain calls, whose attempt ended at its time limit before the next server and the retry were known.

Now the successor is reserved first (pipeline, retry, attempt), and a run without one stays open. Its load isn't counted meanwhile, so that it can't keep its successor waiting. A process that refuses connections has ended; its runs are stopped as before. An engine that accepts connections counts as one of the route's attempts, also if its run was given up.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -73,6 +73,8 @@
 const REFUSAL_MARGIN_MS = 200;
 /** Time in which a machine that can be reached refuses a connection. */
 const REFUSAL_CHECK_MS = 100;
+/** Time in which a server that runs accepts a connection. */
+const CONNECTION_CHECK_MS = 200;
 /** Extra time for open connections on which a request may be in transit. */
 const CONNECTION_DRAIN_MS = 300;
 
@@ -374,6 +376,7 @@
         engines,
         prompts,
         quarantine,
+        canConnect: (address) => checkConnection(address, CONNECTION_CHECK_MS),
       });
     }
     return forwardPlain(call, { ...dependencies, choice: serverChoice });
--- a/packages/gateway/src/plain/forward_plain.ts
+++ b/packages/gateway/src/plain/forward_plain.ts
@@ -85,6 +85,9 @@
   let mayHaveHelper = true;
   let retryAfterSeconds: number | null = null;
   let lastAttempt = unsentAttempt("no_server");
+  /** Server and retry of the attempt after the present one. */
+  let nextServer: BackendServer | null = null;
+  let hasRetry = false;
   while (!call.signal.aborted) {
     const usesHelper = mayHaveHelper && (await handoff.isNeeded(call));
     const isOver = await (usesHelper ? tryHelper() : tryServer());
@@ -142,16 +145,18 @@
 
   /** Sends the call to the best server; resolves to whether it is over. */
   async function tryServer(): Promise<boolean> {
-    const excluded = new Set([...triedIds, ...failedServers]);
-    const server = choice.choose(service, excluded);
+    const server = nextServer ?? chooseServer();
+    nextServer = null;
     if (!server) return true;
-    if (sentAttempts > 0 && !budget.takeRetry(service)) return true;
+    if (sentAttempts > 0 && !takeRetry()) return true;
+    hasRetry = false;
     attempts += 1;
     triedIds.add(server.id);
     const isLast = !isRetryable || possibleRuns + 1 >= maxAttempts;
     lastAttempt = await attemptOnce(call, server, {
       ...parts,
       timeoutMs: isLast ? null : tryTimeoutOf(call),
+      mayAbort: reserveNext,
     });
     if (lastAttempt.kind === "not_run") {
       if (lastAttempt.wasSent) sentAttempts += 1;
@@ -163,6 +168,22 @@
     if (hasFailed) failedServers.add(server.id);
     return isFinal(lastAttempt) || !isRetryable || possibleRuns >= maxAttempts;
   }
+
+  function chooseServer(): BackendServer | null {
+    return choice.choose(service, new Set([...triedIds, ...failedServers]));
+  }
+
+  function takeRetry(): boolean {
+    hasRetry ||= budget.takeRetry(service);
+    return hasRetry;
+  }
+
+  /** Whether another attempt can follow a server that is silent. */
+  function reserveNext(): boolean {
+    if (!takeRetry()) return false;
+    nextServer ??= chooseServer();
+    return nextServer !== null;
+  }
 }
 
 function unsentAttempt(detail: string): Attempt {
@@ -226,9 +247,13 @@
 async function attemptOnce(
   call: CallerCall,
   server: BackendServer,
-  options: ForwardParts & { readonly timeoutMs: number | null },
+  options: ForwardParts & {
+    /** Time after which another attempt may take its place. */
+    readonly timeoutMs: number | null;
+    readonly mayAbort: () => boolean;
+  },
 ): Promise<Attempt> {
-  const { choice, timeoutMs } = options;
+  const { choice, timeoutMs, mayAbort } = options;
   const sentAt = performance.now();
   log.info("request_sent", {
     request: call.id,
@@ -243,7 +268,7 @@
   try {
     const attempt = await (timeoutMs === null
       ? send(call.signal)
-      : withTimeout({ timeoutMs, signal: call.signal }, send));
+      : withTimeout({ timeoutMs, signal: call.signal, mayAbort }, send));
     succeeded = isFinal(attempt);
     return attempt;
   } finally {
--- a/packages/gateway/src/streams/admission.ts
+++ b/packages/gateway/src/streams/admission.ts
@@ -61,6 +61,8 @@
   | { readonly kind: "admitted"; readonly pipeline: ChosenPipeline }
   /** While it waited, all engines went out of this instance's reach. */
   | { readonly kind: "out_of_reach" }
+  /** The signal was aborted while it waited. */
+  | { readonly kind: "withdrawn" }
   | RefusedAdmission;
 
 /** Receives the decisions on calls, for the metrics. */
@@ -72,9 +74,13 @@
 export interface CallAdmission {
   /**
    * Waits for a pipeline for the next run of the call and reserves it.
-   * `hasBegun`: whether the answer to the caller has begun.
+   * `hasBegun`: whether the answer to the caller has begun. `signal`: ends the
+   * wait before that of the call does.
    */
-  admit(options: { readonly hasBegun: boolean }): Promise<AdmissionDecision>;
+  admit(options: {
+    readonly hasBegun: boolean;
+    readonly signal?: AbortSignal;
+  }): Promise<AdmissionDecision>;
 }
 
 export interface AdmissionParts {
@@ -125,7 +131,10 @@
     return newWaitUntil;
   }
 
-  async function admit(hasBegun: boolean): Promise<AdmissionDecision> {
+  async function admit(
+    hasBegun: boolean,
+    signal: AbortSignal,
+  ): Promise<AdmissionDecision> {
     const outOfReach = new AbortController();
     const admissionRequest: StreamAdmissionRequest = {
       pipelineRequest,
@@ -138,7 +147,7 @@
       waitUntil: waitUntil(hasBegun),
       arrival,
       hasBegun,
-      signal: AbortSignal.any([call.signal, outOfReach.signal]),
+      signal: AbortSignal.any([signal, outOfReach.signal]),
       onPump() {
         if (isOutOfReach()) outOfReach.abort();
       },
@@ -151,6 +160,7 @@
     }
     if (outOfReach.signal.aborted || isOutOfReach())
       return { kind: "out_of_reach" };
+    if (signal.aborted && !call.signal.aborted) return { kind: "withdrawn" };
     // Cutting an answer that the caller has begun to receive is the last
     // resort: after the wait, full engines are accepted too.
     const pipeline =
@@ -198,7 +208,9 @@
     };
   }
 
-  return { admit: ({ hasBegun }) => admit(hasBegun) };
+  return {
+    admit: ({ hasBegun, signal = call.signal }) => admit(hasBegun, signal),
+  };
 }
 
 /** Expected work of an answer, in tokens that it holds once it is complete. */
--- a/packages/gateway/src/streams/engine_usage.ts
+++ b/packages/gateway/src/streams/engine_usage.ts
@@ -32,6 +32,8 @@
   markPromptRead(): void;
   /** Removes the whole load; idempotent. */
   release(): void;
+  /** Counts the load again after a release, with its prompt read. */
+  restore(): void;
 }
 
 export interface EngineUsage {
@@ -142,6 +144,12 @@
           addLoad(stages, { held: -tokens, unread: 0 });
           notifyFreed();
         },
+        restore() {
+          if (isReserved) return;
+          isReserved = true;
+          localTokens += tokens;
+          addLoad(stages, { held: tokens, unread: 0 });
+        },
       };
     },
     localLoads: () => localLoads,
--- a/packages/gateway/src/streams/forward_stream.ts
+++ b/packages/gateway/src/streams/forward_stream.ts
@@ -3,6 +3,7 @@
  * another pipeline after the last event that the caller has received.
  */
 import type { RetryDelayRange } from "@rosemarypin/admission";
+import type { BackendServer } from "../backend_server.ts";
 import type { BackendFleet } from "../backends/mod.ts";
 import {
   beginAnswer,
@@ -18,10 +19,14 @@
 } from "../callers/mod.ts";
 import { attemptsForHelper } from "../handoff/mod.ts";
 import { PROMPT_QUARANTINED, sharedPromptOf } from "../prompts/mod.ts";
-import { costOf, createAdmission } from "./admission.ts";
+import {
+  type AdmissionDecision,
+  costOf,
+  createAdmission,
+} from "./admission.ts";
 import { runOnHelper } from "./helper_run.ts";
-import type { AnswerSize } from "./pipeline_router.ts";
-import type { StreamRun } from "./stage_recovery.ts";
+import type { AnswerSize, ChosenPipeline } from "./pipeline_router.ts";
+import type { RecoveryCause, StreamRun } from "./stage_recovery.ts";
 import {
   type RunEnd,
   runStream,
@@ -36,6 +41,11 @@
  * even while engines fail one after the other.
  */
 const MAX_LOST_RUNS = 3;
+/**
+ * Silence before the first event after which a run that can be repeated ends,
+ * also if no other run can follow. Sound engines are silent for less.
+ */
+const MAX_UNBEGUN_SILENCE_MS = 2_500;
 /** Time after which a call asks again whether another instance can serve it. */
 const HELPER_RETRY_MS = 300;
 /**
@@ -78,6 +88,10 @@
   let sentAttempts = 0;
   /** Whether a retry was taken from the budget and not used so far. */
   let hasRetry = false;
+  /** Whether another one was taken for the run after the present one. */
+  let hasSpareRetry = false;
+  /** The pipeline of the run after the present one. */
+  let reserved: ChosenPipeline | null = null;
   let lastEnd: RunEnd = {
     kind: "not_run",
     detail: "no_pipeline",
@@ -110,6 +124,7 @@
     const isOver = await (usesHelper ? runThroughHelper() : runDirectly());
     if (isOver) break;
   }
+  releaseReserved();
   reportFailedServers(call, failedServers);
   return endCall(call, {
     lastEnd,
@@ -161,10 +176,68 @@
 
   /** Whether the call may be sent, or sent once more within the budget. */
   function maySend(): boolean {
-    hasRetry ||= sentAttempts > 0 && budget.takeRetry(service);
+    hasRetry ||= sentAttempts > 0 && takeRetry();
     return sentAttempts === 0 || hasRetry;
   }
 
+  function takeRetry(): boolean {
+    const isTaken = hasSpareRetry || budget.takeRetry(service);
+    hasSpareRetry = false;
+    return isTaken;
+  }
+
+  function releaseReserved(): void {
+    reserved?.release();
+    reserved = null;
+  }
+
+  /** What follows a run whose engines are silent. */
+  function successorOf(first: BackendServer): StreamRun["successor"] {
+    const startedAt = performance.now();
+    /** An engine that can't be connected to doesn't count as an attempt. */
+    let lost: Promise<boolean> | null = null;
+    const isLost = () => {
+      lost ??= parts.canConnect(first.address).then((isUp) => !isUp);
+      return lost;
+    };
+
+    function isAllowed(cause: RecoveryCause): boolean {
+      if (!resumable) return false;
+      const mayBeLost = cause === "first_engine_away";
+      if (mayBeLost && lostRuns >= MAX_LOST_RUNS) return false;
+      if (runsLeft() <= (mayBeLost ? 0 : 1)) return false;
+      return prompt.isSound() || quarantine.mayRepeat(sharedPrompt);
+    }
+
+    return {
+      isAllowed,
+      hasEnded: parts.refusesConnections,
+      cancel: releaseReserved,
+      async reserve(cause, signal) {
+        const { hasBegun } = progress;
+        const silentMs = performance.now() - startedAt;
+        if (resumable && !hasBegun && silentMs > MAX_UNBEGUN_SILENCE_MS)
+          return true;
+        if (!isAllowed(cause)) return false;
+        if (runsLeft() <= 1 && !(await isLost())) return false;
+        if (await handoff.isNeeded(call)) return mayAskHelper();
+        const admitted = await admission.admit({ hasBegun, signal });
+        if (admitted.kind === "out_of_reach") return true;
+        if (admitted.kind !== "admitted") return false;
+        reserved = admitted.pipeline;
+        hasSpareRetry ||= budget.takeRetry(service);
+        const isReady = hasSpareRetry && (await mayRunPrompt());
+        if (!isReady) releaseReserved();
+        else if (cause === "first_engine_away") {
+          void isLost().then((isEngineLost) => {
+            if (isEngineLost) lostRuns += 1;
+          });
+        }
+        return isReady;
+      },
+    };
+  }
+
   function countSent(): void {
     sentAttempts += 1;
     hasRetry = false;
@@ -214,8 +287,12 @@
   /** Runs the call on a pipeline; resolves to whether it is over. */
   async function runDirectly(): Promise<boolean> {
     const { hasBegun } = progress;
-    const admitted = await admission.admit({ hasBegun });
+    const admitted: AdmissionDecision = reserved
+      ? { kind: "admitted", pipeline: reserved }
+      : await admission.admit({ hasBegun });
+    reserved = null;
     if (admitted.kind === "out_of_reach") return false;
+    if (admitted.kind === "withdrawn") return true;
     if (admitted.kind === "refused") {
       hasPipeline = admitted.reason !== "no_pipeline";
       // The rate at which capacity is freed says nothing about missing layers.
@@ -239,7 +316,7 @@
       pipeline,
       size,
       avoided,
-      canResumeElsewhere: resumable && runsLeft() > 1,
+      successor: successorOf(pipeline.first),
       stop: new AbortController(),
     };
     lastEnd = await runAndMeasure(run);
@@ -251,6 +328,7 @@
     countSent();
     runs += 1;
     if (lastEnd.kind === "failed") failedServers.add(pipeline.first.id);
+    if (reserved) return false;
     if (lastEnd.kind === "broken" && lastEnd.isFirstEngineLost) lostRuns += 1;
     return lostRuns > MAX_LOST_RUNS || !mayRunAgain();
   }
--- a/packages/gateway/src/streams/stage_recovery.ts
+++ b/packages/gateway/src/streams/stage_recovery.ts
@@ -1,4 +1,7 @@
-/** Replaces a lost stage in the pipeline of an answer, or stops the run. */
+/**
+ * Replaces a lost stage in the pipeline of an answer, or gives the run up once
+ * another one can take over.
+ */
 import { createLogger } from "@rosemarypin/telemetry";
 import { pause } from "@rosemarypin/timing";
 import type { BackendFleet } from "../backends/mod.ts";
@@ -41,11 +44,25 @@
   readonly size: AnswerSize;
   /** Ids of engines that the call avoids; lost engines are added. */
   readonly avoided: Set<string>;
-  /** Whether the call may be resumed by another run if this one is stopped. */
-  readonly canResumeElsewhere: boolean;
+  readonly successor: RunSuccessor;
   readonly stop: AbortController;
 }
 
+/** The run that would take over the answer from one that is given up. */
+export interface RunSuccessor {
+  /** Whether the call may have another run at all. */
+  isAllowed(cause: RecoveryCause): boolean;
+  /**
+   * Resolves to whether all that another run needs is reserved for it. Without
+   * that, a run isn't given up: its engine may only be silent for a moment.
+   */
+  reserve(cause: RecoveryCause, signal: AbortSignal): Promise<boolean>;
+  /** Resolves to whether the process of an engine has ended. */
+  hasEnded(address: string): Promise<boolean>;
+  /** Returns what was reserved, since the run goes on. */
+  cancel(): void;
+}
+
 export interface RecoveryParts {
   readonly router: PipelineRouter;
   readonly engines: EngineCalls;
@@ -57,7 +74,7 @@
   onStall(stall: Stall): void;
   /** Reports an event of the answer, which cancels a recovery in progress. */
   onEvent(): void;
-  /** Why the run was given up; `null` if it was not. */
+  /** Why the run was given up, or its engines are suspected; else `null`. */
   cause(): RecoveryCause | null;
   end(): void;
 }
@@ -91,32 +108,55 @@
   async function recover(stall: Stall): Promise<void> {
     if (stall.kind === "first_engine") {
       const { id } = run.pipeline.first;
-      log.warn("first_engine_away", { id, request: call.id });
+      if (!cause) log.warn("first_engine_away", { id, request: call.id });
       run.avoided.add(id);
-      return stop("first_engine_away");
+      return giveUp("first_engine_away", run.pipeline.first.address);
     }
     if (stall.kind === "dropped") {
       const { id } = run.pipeline.first;
-      log.warn("request_dropped", { id, request: call.id });
+      if (!cause) {
+        log.warn("request_dropped", { id, request: call.id });
+        fleet.outliers.record(id, "broken");
+      }
       run.avoided.add(id);
-      fleet.outliers.record(id, "broken");
-      return stop("dropped");
+      return giveUp("dropped", run.pipeline.first.address);
     }
     const { address } = stall;
     const lostStage = run.pipeline.stages.find(
       (stage) => stage.address === address,
     );
-    log.warn("stage_away", {
-      id: lostStage?.engineId,
-      address,
-      request: call.id,
-    });
+    if (!cause) {
+      log.warn("stage_away", {
+        id: lostStage?.engineId,
+        address,
+        request: call.id,
+      });
+    }
     if (lostStage) run.avoided.add(lostStage.engineId);
     const isReplaced =
       changeCount < MAX_PIPELINE_CHANGES &&
       (!lostStage || (await mayReplace(lostStage.engineId))) &&
       (await replaceBeforeDeadline(address));
-    if (!isReplaced && isRecoveryNeeded()) stop("stage_away");
+    if (!isReplaced) await giveUp("stage_away", address);
+  }
+
+  /**
+   * Stops the run if another one can take over, or if the engine has ended;
+   * leaves it open otherwise.
+   */
+  async function giveUp(reason: RecoveryCause, address: string): Promise<void> {
+    const signal = recovering?.signal;
+    if (!signal || !isRecoveryNeeded()) return;
+    cause = reason;
+    // The load of a run that may be lost must not keep its successor waiting.
+    run.pipeline.release();
+    const { successor } = run;
+    const mayStop =
+      (await successor.reserve(reason, signal)) ||
+      (call.route.resumable && (await successor.hasEnded(address)));
+    if (!mayStop) return;
+    if (isRecoveryNeeded()) run.stop.abort();
+    else successor.cancel();
   }
 
   function isRecoveryNeeded(): boolean {
@@ -134,7 +174,8 @@
     while (isRecoveryNeeded()) {
       if (await replace(address, true)) return true;
       if (!isRecoveryNeeded()) return false;
-      if (run.canResumeElsewhere && hasRoomElsewhere()) return false;
+      if (run.successor.isAllowed("stage_away") && hasRoomElsewhere())
+        return false;
       if (performance.now() > deadlineAt) break;
       await pause(REPLACEMENT_RETRY_MS, call.signal);
     }
@@ -218,24 +259,24 @@
     return "full";
   }
 
-  function stop(reason: RecoveryCause): void {
-    cause = reason;
-    // A stream that can't be resumed is left open, in case it recovers.
-    if (call.route.resumable) run.stop.abort();
-  }
-
   return {
     onStall(stall) {
-      if (recovering || hasEnded || cause) return;
+      if (recovering || hasEnded || run.stop.signal.aborted) return;
       recovering = new AbortController();
       void recover(stall).finally(() => {
         recovering = null;
       });
     },
-    onEvent: () => recovering?.abort(),
+    onEvent() {
+      recovering?.abort();
+      if (run.stop.signal.aborted || hasEnded || cause === null) return;
+      cause = null;
+      run.pipeline.restore();
+    },
     cause: () => cause,
     end() {
       hasEnded = true;
+      recovering?.abort();
     },
   };
 }
--- a/packages/gateway/src/streams/stage_recovery_test.ts
+++ b/packages/gateway/src/streams/stage_recovery_test.ts
@@ -24,7 +24,11 @@
 
 function pipeline(...stages: AddressedStage[]): ChosenPipeline {
   const first = { id: "first", address: "first:1" };
-  const reservation = { markPromptRead: vi.fn(), release: vi.fn() };
+  const reservation = {
+    markPromptRead: vi.fn(),
+    release: vi.fn(),
+    restore: vi.fn(),
+  };
   return { stages, first, ...reservation } as unknown as ChosenPipeline;
 }
 
@@ -36,6 +40,10 @@
   /** Engines in other domains that hold its layers. */
   readonly otherDomainEngines?: readonly string[];
   readonly hasRoomElsewhere?: boolean;
+  /** Whether another run can take over. */
+  readonly hasSuccessor?: boolean;
+  /** Whether the processes of lost engines have ended. */
+  readonly hasEnded?: boolean;
 }
 
 /** Sets up a run whose second stage is dead. */
@@ -44,13 +52,20 @@
   sameDomainEngines = () => ["s1", "s2", "s3", "s4"],
   otherDomainEngines = [],
   hasRoomElsewhere = false,
+  hasSuccessor = true,
+  hasEnded = false,
 }: RecoveryScenario = {}) {
   const keptStage = stage("first", 0, 4);
   const run: StreamRun = {
     pipeline: pipeline(keptStage, stage("dead", 4, 8)),
     size: { promptTokens: 80, answerTokens: 20 },
     avoided: new Set<string>(),
-    canResumeElsewhere: true,
+    successor: {
+      isAllowed: () => true,
+      reserve: vi.fn(async () => hasSuccessor),
+      hasEnded: async () => hasEnded,
+      cancel: vi.fn(),
+    },
     stop: new AbortController(),
   };
   const requestedEngines: string[] = [];
@@ -213,17 +228,56 @@
   });
 });
 
-it("recovery stops a run at once when its first engine is lost", () => {
-  const { run, recovery } = setUp();
-  recovery.onStall({ kind: "first_engine" });
-  expect(run.stop.signal.aborted).toBe(true);
-  expect(recovery.cause()).toBe("first_engine_away");
-  expect(run.avoided.has("first")).toBe(true);
+describe("recovery of a run whose first engine is silent", () => {
+  it("stops the run at once when another one can take over", async () => {
+    const { run, recovery, settle } = setUp();
+    recovery.onStall({ kind: "first_engine" });
+    await settle();
+    expect(run.stop.signal.aborted).toBe(true);
+    expect(recovery.cause()).toBe("first_engine_away");
+    expect(run.avoided.has("first")).toBe(true);
+  });
+
+  // Guards against an answer that is cut although its engine goes on.
+  it("leaves the run open when no other one can, and asks again", async () => {
+    const { run, recovery, settle } = setUp({ hasSuccessor: false });
+    recovery.onStall({ kind: "first_engine" });
+    await settle(500);
+    expect(run.stop.signal.aborted).toBe(false);
+    recovery.onStall({ kind: "first_engine" });
+    await settle();
+    expect(run.successor.reserve).toHaveBeenCalledTimes(2);
+    expect(run.pipeline.release).toHaveBeenCalled();
+    expect(run.pipeline.restore).not.toHaveBeenCalled();
+    recovery.onEvent();
+    expect(run.pipeline.restore).toHaveBeenCalledOnce();
+    expect(recovery.cause()).toBeNull();
+  });
+
+  it("stops the run when its engine has ended, with or without another one", async () => {
+    const { run, recovery, settle } = setUp({
+      hasSuccessor: false,
+      hasEnded: true,
+    });
+    recovery.onStall({ kind: "first_engine" });
+    await settle();
+    expect(run.stop.signal.aborted).toBe(true);
+  });
+
+  it("goes on with the run when an event arrives during the search", async () => {
+    const { run, recovery, settle } = setUp();
+    recovery.onStall({ kind: "first_engine" });
+    recovery.onEvent();
+    await settle();
+    expect(run.stop.signal.aborted).toBe(false);
+    expect(run.successor.cancel).toHaveBeenCalledOnce();
+  });
 });
 
-it("recovery sends a request that its engine dropped to another engine", () => {
-  const { run, outliers, recovery } = setUp();
+it("recovery sends a request that its engine dropped to another engine", async () => {
+  const { run, outliers, recovery, settle } = setUp();
   recovery.onStall({ kind: "dropped" });
+  await settle();
   expect(run.stop.signal.aborted).toBe(true);
   expect(recovery.cause()).toBe("dropped");
   expect(run.avoided.has("first")).toBe(true);
--- a/packages/gateway/src/streams/stream_run.ts
+++ b/packages/gateway/src/streams/stream_run.ts
@@ -41,6 +41,8 @@
   readonly handoff: RequestHandoff;
   readonly prompts: RunningPrompts;
   readonly quarantine: PromptQuarantine;
+  /** Resolves to whether the address accepts connections. */
+  readonly canConnect: (address: string) => Promise<boolean>;
 }
 
 const MIN_SERVER_ERROR_STATUS = 500;
--- a/packages/timing/src/with_timeout_test.ts
+++ b/packages/timing/src/with_timeout_test.ts
@@ -24,6 +24,20 @@
     expect(await reason).toMatchObject({ name: "TimeoutError" });
   });
 
+  it("goes on after its timeout until it may be aborted", async () => {
+    const { signal } = new AbortController();
+    let mayAbort = false;
+    const reason = withTimeout(
+      { timeoutMs: 100, signal, mayAbort: () => mayAbort },
+      reasonOfAbort,
+    );
+    await vi.advanceTimersByTimeAsync(250);
+    expect(vi.getTimerCount()).toBe(2);
+    mayAbort = true;
+    await vi.advanceTimersByTimeAsync(50);
+    expect(await reason).toMatchObject({ name: "TimeoutError" });
+  });
+
   it("is aborted with its signal", async () => {
     const stop = new AbortController();
     const { signal } = stop;
