Following: late copies bring no removed object back

An instance that the store turned away keeps removed entries for its grace period; instances that began to follow it took its whole copy, and with it entries that they had removed. Nothing remembered a removal.

A mirror is complete as of its revision, so what a copy behind it still has, and it lacks, was removed: this needs no record of each removal and no limit of time or number. Copies that are ahead name the entries that they keep for a grace period only; a mirror that removed these leaves them out, and one that has them removes them after a grace period of its own. A removal told late no longer takes an entry that was written since, and a late copy no longer ends a grace period. If a copy behind holds what this mirror lacks, one full read follows, in case this mirror missed a change.

--- a/packages/gateway/src/following/change_relay.ts
+++ b/packages/gateway/src/following/change_relay.ts
@@ -5,7 +5,7 @@
  */
 import { type PeerMethods, shareEncoding } from "@rosemarypin/membership";
 import { createInterruptibleTimer, pause } from "@rosemarypin/timing";
-import type { ObjectMirror } from "./object_mirror.ts";
+import { expiringKeysOf, type ObjectMirror } from "./object_mirror.ts";
 import type { Presence } from "./presence.ts";
 import {
   FOLLOW_METHOD,
@@ -153,6 +153,7 @@
         changes.position.sequence === position.sequence;
       if (isUnchanged) return [];
       const { objects, removed } = changes;
+      const expiring = expiringKeysOf(mirror, objects);
       return [
         {
           ...changes,
@@ -160,6 +161,7 @@
           objects: [...objects],
           removed: [...removed],
           revision: mirror.revision(),
+          ...(expiring.length > 0 ? { expiring } : {}),
         },
       ];
     });
--- a/packages/gateway/src/following/change_relay_test.ts
+++ b/packages/gateway/src/following/change_relay_test.ts
@@ -97,6 +97,7 @@
   const mirror = {
     prefix: PREFIX,
     changeLog,
+    isExpiring: () => false,
     revision: () => 1,
     ageMs: () => ageMs,
     unavailableMs: () => 0,
@@ -220,6 +221,7 @@
     const mirror = {
       prefix: PREFIX,
       changeLog: countingLog,
+      isExpiring: () => false,
       ageMs: () => 0,
       unavailableMs: () => 0,
     } as unknown as ObjectMirror;
--- a/packages/gateway/src/following/object_mirror.ts
+++ b/packages/gateway/src/following/object_mirror.ts
@@ -60,8 +60,13 @@
    * before.
    */
   readonly revision?: number | undefined;
+  /** Keys of sent objects that the relay keeps for a grace period only. */
+  readonly expiring?: readonly string[] | undefined;
 }
 
+/** How current a copy of the objects is, or changes of it. */
+type CopyState = Pick<RelayChanges, "revision" | "expiring">;
+
 export interface ObjectMirrorOptions {
   readonly store: ObjectStore;
   readonly prefix: string;
@@ -81,10 +86,13 @@
   /** Store revision that the mirror reflects. */
   revision(): number;
   objects(): readonly StoredObject[];
+  /** Whether the store no longer has the object; its grace period runs. */
+  isExpiring(key: string): boolean;
   /** Replaces the contents with a peer's; ignored unless it is newer. */
   applyPeerSnapshot(snapshot: {
     readonly revision: number;
     readonly objects: readonly StoredObject[];
+    readonly expiring?: readonly string[] | undefined;
   }): void;
   /**
    * Records a response of a relay, with or without changes. `ageMs` is the time
@@ -101,6 +109,14 @@
   unavailableMs(): number;
 }
 
+/** Keys of the objects that the mirror keeps for a grace period only. */
+export function expiringKeysOf(
+  mirror: Pick<ObjectMirror, "isExpiring">,
+  objects: readonly StoredObject[],
+): string[] {
+  return objects.map(({ key }) => key).filter(mirror.isExpiring);
+}
+
 /** Starts to mirror the prefix; stops when the signal aborts. */
 export function startObjectMirror(options: ObjectMirrorOptions): ObjectMirror {
   const { store, prefix, signal, relayFollower } = options;
@@ -115,10 +131,16 @@
   let lastAnswerAt = -Infinity;
   let lastChangeAt = -Infinity;
   let failures = 0;
+  /** Whether a single call failed, by a timeout. */
+  let isOnlyUnanswered = false;
   let firstFailureAt = -Infinity;
   let recoveredAt = -Infinity;
-  /** Whether a relay sent all objects, and the revision that they reflect. */
+  /** Whether the relay states the revisions of its changes. */
+  let hasRelayRevisions = false;
+  /** Whether the relay's changes continue a copy of all objects. */
   let isWholeFromRelay = false;
+  /** Whether the mirror has had all objects, as of some revision. */
+  let isComplete = false;
   let mustWaitToRead = true;
   void follow();
 
@@ -150,12 +172,11 @@
       endOutage();
       lastAnswerAt = now;
       const { objects, removed = [], revision, isWhole } = result.value;
-      if (isWhole) lastFullReadAt = now;
-      // A lagging replica of the store may answer with an older revision.
-      currentRevision = Math.max(currentRevision, revision);
-      for (const object of objects) applyObject(object);
-      for (const key of removed) scheduleRemoval(key);
-      if (isWhole) scheduleRemovalOfOthers(objects);
+      if (isWhole) {
+        lastFullReadAt = now;
+        isWholeFromRelay = hasRelayRevisions;
+      }
+      applyChanges({ revision, objects, removed, isWhole: isWhole === true });
       if (objects.length + removed.length > 0) await delayDuringBurst(now);
     }
   }
@@ -190,19 +211,24 @@
     if (follower.isFollowing()) return;
     // The relay may have failed before it forwarded its latest changes.
     lastFullReadAt = -Infinity;
+    hasRelayRevisions = false;
     isWholeFromRelay = false;
     mustWaitToRead = true;
   }
 
   function endOutage(): void {
     if (failures === 0) return;
-    recoveredAt = performance.now();
+    // A timeout alone shows a silent connection rather than an outage, and is
+    // too short for entries to have expired in the store.
+    if (!isOnlyUnanswered) recoveredAt = performance.now();
     log.info("store_back", { prefix, failures });
     failures = 0;
   }
 
   async function backOff(failure: StoreFailure): Promise<void> {
     failures += 1;
+    const isUnanswered = "isUnanswered" in failure;
+    isOnlyUnanswered = failures === 1 && isUnanswered;
     // Changes may have been missed while the watch failed.
     lastFullReadAt = -Infinity;
     if (failures === 1) {
@@ -210,17 +236,67 @@
       const detail = "detail" in failure ? failure.detail : "";
       log.warn("store_away", { prefix, kind: failure.kind, detail });
     }
+    if (isOnlyUnanswered) return;
     await pause(fullJitterMs(failures, RETRY_BACKOFF), signal);
   }
 
-  function applyObject(object: StoredObject): void {
+  /**
+   * Applies objects and removals of the store, a relay or a peer. Copies arrive
+   * in any order, so what one says counts as of its revision. Returns whether
+   * objects were left out because this mirror, which is ahead, lacks them.
+   */
+  function applyChanges({
+    revision,
+    expiring = [],
+    isWhole,
+    objects,
+    removed,
+  }: CopyState & Omit<Changes, "position">): boolean {
+    const isBehind = revision !== undefined && revision < currentRevision;
+    const expiringKeys = new Set(expiring);
+    let hasLeftOut = false;
+    for (const object of objects) {
+      const mayBeRemoved = isBehind && object.version <= currentRevision;
+      const isDoubtful = mayBeRemoved || expiringKeys.has(object.key);
+      const isLeftOut = !applyObject(object, { isDoubtful });
+      if (isLeftOut && isBehind) hasLeftOut = true;
+    }
+    for (const key of removed) {
+      const heldVersion = objectsByKey.get(key)?.version ?? -Infinity;
+      const isWrittenSince = isBehind && heldVersion > revision;
+      if (!isWrittenSince) scheduleRemoval(key);
+    }
+    if (!isBehind)
+      for (const key of expiring) scheduleRemoval(key, { startsGrace: true });
+    // Objects that a copy behind this one lacks may be new.
+    if (isWhole && !isBehind) scheduleRemovalOfOthers(objects);
+    if (isWhole) isComplete = true;
+    currentRevision = Math.max(currentRevision, revision ?? 0);
+    return hasLeftOut;
+  }
+
+  /**
+   * Applies an object. If it comes from a copy behind this one, or from one that
+   * is about to remove it, it doesn't show that the store still has the object.
+   * Returns `false` if the object was removed since.
+   */
+  function applyObject(
+    object: StoredObject,
+    { isDoubtful }: { readonly isDoubtful: boolean },
+  ): boolean {
+    const held = objectsByKey.get(object.key);
+    if (isDoubtful && !held && isComplete) return false;
+    const isExpiring = removalTimers.has(object.key);
+    if (isDoubtful && isExpiring) return true;
+    const lastVersion = held?.version ?? -Infinity;
+    if (object.version < lastVersion) return true;
     clearTimeout(removalTimers.get(object.key));
     removalTimers.delete(object.key);
-    const lastVersion = objectsByKey.get(object.key)?.version ?? -Infinity;
-    if (object.version <= lastVersion) return;
+    if (object.version === lastVersion) return true;
     objectsByKey.set(object.key, object);
     changeLog.recordChange(object.key);
     options.onObject(object);
+    return true;
   }
 
   function scheduleRemovalOfOthers(objects: readonly StoredObject[]): void {
@@ -229,14 +305,19 @@
       if (!presentKeys.has(key)) scheduleRemoval(key);
   }
 
-  function scheduleRemoval(key: string): void {
-    if (!objectsByKey.has(key) || removalTimers.has(key)) return;
+  function scheduleRemoval(
+    key: string,
+    { startsGrace = false }: { readonly startsGrace?: boolean } = {},
+  ): void {
+    if (!objectsByKey.has(key)) return;
     // During an outage only a peer reports missing entries. They may have
     // expired because of the same partition that cuts this instance off, so
     // the grace period starts now rather than at the last recovery.
-    const graceStartsAt = failures > 0 ? performance.now() : recoveredAt;
+    const startsNow = startsGrace || failures > 0;
+    const graceStartsAt = startsNow ? performance.now() : recoveredAt;
     const graceMs = graceStartsAt + REMOVAL_GRACE_MS - performance.now();
     if (graceMs <= 0) return removeObject(key);
+    if (removalTimers.has(key)) return;
     removalTimers.set(
       key,
       setTimeout(() => removeObject(key), graceMs),
@@ -244,6 +325,7 @@
   }
 
   function removeObject(key: string): void {
+    clearTimeout(removalTimers.get(key));
     removalTimers.delete(key);
     objectsByKey.delete(key);
     changeLog.recordChange(key);
@@ -255,24 +337,21 @@
     changeLog,
     revision: () => currentRevision,
     objects: () => [...objectsByKey.values()],
-    applyPeerSnapshot({ revision, objects }) {
-      if (revision <= currentRevision) return;
-      currentRevision = revision;
-      for (const object of objects) applyObject(object);
-      scheduleRemovalOfOthers(objects);
+    isExpiring: (key) => removalTimers.has(key),
+    applyPeerSnapshot(snapshot) {
+      if (snapshot.revision <= currentRevision) return;
+      applyChanges({ ...snapshot, isWhole: true, removed: [] });
     },
     recordRelayResponse(ageMs) {
       endOutage();
       lastAnswerAt = Math.max(lastAnswerAt, performance.now() - ageMs);
     },
-    applyRelayChanges({ isWhole, objects, removed, revision }) {
-      // Objects that a relay behind this copy lacks may be new.
-      const isBehind = revision !== undefined && revision < currentRevision;
-      if (isWhole) isWholeFromRelay = revision !== undefined;
-      currentRevision = Math.max(currentRevision, revision ?? 0);
-      for (const object of objects) applyObject(object);
-      for (const key of removed) scheduleRemoval(key);
-      if (isWhole && !isBehind) scheduleRemovalOfOthers(objects);
+    applyRelayChanges(changes) {
+      const hasLeftOut = applyChanges(changes);
+      if (!changes.isWhole) return;
+      hasRelayRevisions = changes.revision !== undefined;
+      // If this mirror is the one that missed a change, a full read repairs it.
+      isWholeFromRelay = hasRelayRevisions && !hasLeftOut;
     },
     ageMs: () => performance.now() - lastAnswerAt,
     unavailableMs: () =>
--- a/packages/gateway/src/following/peer_snapshots.ts
+++ b/packages/gateway/src/following/peer_snapshots.ts
@@ -8,7 +8,7 @@
 import { pause } from "@rosemarypin/timing";
 import { z } from "zod";
 import { storedObjectsSchema } from "./change_log.ts";
-import type { ObjectMirror } from "./object_mirror.ts";
+import { expiringKeysOf, type ObjectMirror } from "./object_mirror.ts";
 
 const SNAPSHOT_METHOD = "objects.since";
 /**
@@ -33,6 +33,8 @@
 const snapshotSchema = z.object({
   revision: z.number(),
   objects: storedObjectsSchema,
+  /** Keys of objects that the peer removes after a grace period. */
+  expiring: z.array(z.string()).optional().catch(undefined),
 });
 
 /** Creates the RPC methods that serve this instance's mirrors to peers. */
@@ -44,7 +46,9 @@
       const { prefix, revision } = snapshotRequestSchema.parse(params);
       const mirror = mirrors.find((mirror) => mirror.prefix === prefix);
       if (!mirror || mirror.revision() <= revision) return null;
-      return { revision: mirror.revision(), objects: mirror.objects() };
+      const objects = mirror.objects();
+      const expiring = expiringKeysOf(mirror, objects);
+      return { revision: mirror.revision(), objects, expiring };
     },
   };
 }
--- a/packages/gateway/src/following/relay_protocol.ts
+++ b/packages/gateway/src/following/relay_protocol.ts
@@ -45,6 +45,8 @@
       removed: z.array(z.string()),
       /** Store revision of the relay's copy; absent from the version before. */
       revision: z.number().optional().catch(undefined),
+      /** Keys of `objects` that the relay removes after a grace period. */
+      expiring: z.array(z.string()).optional().catch(undefined),
     }),
   ),
   /** Decoded on its own, so that a malformed list doesn't cost the changes. */
