Store: silent connections are replaced within 2.5 s

Behind silent connections to the store, orders ran for 3.3 s at a service that a version had moved them from, and a withdrawn key and a removed server were used as long. A silent connection shows by a timeout alone, and a watch's was 3.8 s, while instances are in touch again 3.0 s after the silence. The read that followed could go to an idle connection that was as silent, and cost 1 s more; and what the store no longer had was kept 2.5 s longer, as after an outage.

- A watch is held for 2.0 s and waits 0.5 s more.

--- a/packages/fakes/src/instance_domain.ts
+++ b/packages/fakes/src/instance_domain.ts
@@ -1,6 +1,6 @@
 /** Many instances of one failure domain in one process, with their store. */
 import type { Address } from "@rosemarypin/schemas";
-import type { ObjectStore } from "@rosemarypin/store";
+import { type ObjectStore, SHORT_WATCH_TIMEOUTS } from "@rosemarypin/store";
 import {
   createMemoryStore,
   type MemoryStore,
@@ -38,8 +38,6 @@
   end(): void;
 }
 
-/** Time after which the platform's store answers a watch without changes. */
-const WATCH_HOLD_MS = 3_000;
 /** Time that the store takes for a call. */
 const STORE_DELAY_MS = 2;
 
@@ -47,7 +45,9 @@
 export function createInstanceDomain<Instance>(
   launch: (parts: InstanceParts) => Promise<Instance>,
 ): InstanceDomain<Instance> {
-  const memory = createMemoryStore({ watchHoldMs: WATCH_HOLD_MS });
+  const memory = createMemoryStore({
+    watchHoldMs: SHORT_WATCH_TIMEOUTS.watchHoldMs,
+  });
   const links = createPeerLinks();
   const running = new Map<
     string,
--- a/packages/store/src/object_store.ts
+++ b/packages/store/src/object_store.ts
@@ -17,6 +17,11 @@
    * caller aborted the call or set a very short timeout.
    */
   readonly isInconclusive?: true;
+  /**
+   * Set if nothing came back in time, though the call was sent or may have
+   * been. The connection may have gone silent while the store works.
+   */
+  readonly isUnanswered?: true;
 }
 
 /** Why a call failed. */
--- a/packages/store/src/store_times.ts
+++ b/packages/store/src/store_times.ts
@@ -11,14 +11,15 @@
 }
 
 /**
- * For clients that receive changes only from the store. Changes must be seen
- * within two seconds of their acknowledgement, but a connection can stop
- * delivering without being closed. Short holds detect such a connection early.
+ * For clients that receive changes only from the store. A connection can stop
+ * delivering without being closed, and instances must have the newest changes
+ * three seconds later. Hold and margin leave time for a read on a new
+ * connection and for a watch that begins late, after a burst of changes.
  */
 export const SHORT_WATCH_TIMEOUTS: StoreTimeouts = {
   callMs: 1_000,
-  watchHoldMs: 3_000,
-  watchMarginMs: 800,
+  watchHoldMs: 2_000,
+  watchMarginMs: 500,
 };
 
 /**
