--- a/packages/gateway/src/following/store_calls_test.ts
+++ b/packages/gateway/src/following/store_calls_test.ts
@@ -5,6 +5,8 @@
 
 const INSTANCES = Array.from({ length: 48 }, (_, index) => `i-${index + 10}`);
 const SERVERS = 93;
+/** Instances that are alone in their failure domains, and so without relays. */
+const LONE_INSTANCES = ["i-1", "i-2", "i-3", "i-4"];
 
 let domain: ReturnType<typeof createDomain>;
 
@@ -23,7 +25,7 @@
     return startStoreFollowing({
       store,
       instance: name,
-      failureDomain: "a",
+      failureDomain: LONE_INSTANCES.includes(name) ? name : "a",
       peers: address,
       peerMethods: {},
       peerRequests: { header: "handed-off", handle: () => {} },
@@ -76,12 +78,12 @@
   return { ...calls, total };
 }
 
-async function setUp(): Promise<void> {
+async function setUp(start = startAll): Promise<void> {
   writer = domain.memory.client();
   for (let index = 0; index < SERVERS; index += 1) await writeServer(index);
   const configuration = { expectedVersion: null };
   await writer.store.write("configurations/current", {}, configuration);
-  await startAll();
+  await start();
   await advance(30_000);
 }
 
@@ -113,3 +115,11 @@
     expect(total).toBeLessThan(800);
   });
 });
+
+describe("calls of four instances without relays to the store", () => {
+  it("while nothing changes", async () => {
+    await setUp(() => Promise.all(LONE_INSTANCES.map(domain.start)));
+    const { total } = await callsDuring("alone", () => advance(60_000));
+    expect(total).toBeLessThan(540);
+  });
+});
