Membership: a timeout replaces the connections to a peer

A connection between instances may go silent for good. The call on it timed out, and so did the next one on each idle connection beside it. Each peer has a pool of its own now, which a timeout replaces.

Failures of the transport were reported as answers of the peer ("rejected", since the JSON-RPC client replaces the error by one with code 0), so calls of the quarantine were not repeated after a silent connection, and the daemon's question for a claim's owner never learnt that its process had ended.

--- a/packages/membership/src/peer_rpc.ts
+++ b/packages/membership/src/peer_rpc.ts
@@ -128,35 +128,66 @@
 }
 
 /**
- * Creates a caller with one connection pool for all peers. Its connections use
+ * Creates a caller with a connection pool for each peer. Its connections use
  * `host` as local address, as the datagrams of this instance do, so that
  * network filters see the instance at one address.
  */
 export function createPeerCaller(host: string): PeerCaller {
-  const agent = new Agent({
-    connect: { timeout: CALL_TIMEOUT_MS },
-    ...(WILDCARD_HOSTS.has(host) ? {} : { localAddress: host }),
-  });
+  const agents = new Map<string, Agent>();
+
+  function agentOf(origin: string): Agent {
+    const existing = agents.get(origin);
+    if (existing) return existing;
+    const agent = new Agent({
+      connect: { timeout: CALL_TIMEOUT_MS },
+      ...(WILDCARD_HOSTS.has(host) ? {} : { localAddress: host }),
+    });
+    agents.set(origin, agent);
+    return agent;
+  }
+
+  /**
+   * A timeout may be due to connections that went silent without being closed,
+   * and the idle ones beside it would fail the next calls as well.
+   */
+  function replaceConnections(origin: string, agent: Agent): void {
+    if (agents.get(origin) !== agent) return;
+    agents.delete(origin);
+    // Calls in progress end as usual.
+    void agent.close();
+  }
 
   return {
     async call(address, method, options = {}) {
       const timeoutMs = options.timeoutMs ?? CALL_TIMEOUT_MS;
+      const origin = `http://${formatAddress(address)}`;
+      const agent = agentOf(origin);
+      let transportError: unknown;
       const client: JSONRPCClient = new JSONRPCClient(async (payload) => {
-        const response = await agent.request({
-          origin: `http://${formatAddress(address)}`,
-          path: "/",
-          method: "POST",
-          headers: { "content-type": "application/json" },
-          body: JSON.stringify(payload),
-          signal: AbortSignal.timeout(timeoutMs),
-        });
-        client.receive((await response.body.json()) as never);
+        try {
+          const response = await agent.request({
+            origin,
+            path: "/",
+            method: "POST",
+            headers: { "content-type": "application/json" },
+            body: JSON.stringify(payload),
+            signal: AbortSignal.timeout(timeoutMs),
+          });
+          client.receive((await response.body.json()) as never);
+        } catch (error) {
+          // The client replaces the error by one of its own.
+          transportError = error;
+          throw error;
+        }
       });
       try {
         const value = await client.request(method, options.params ?? {});
         return { kind: "ok", value };
       } catch (error) {
-        return classify(error);
+        const failure = classify(transportError ?? error);
+        // Also drops the pools of peers that have ended.
+        if (failure.kind !== "rejected") replaceConnections(origin, agent);
+        return failure;
       }
     },
   };
--- a/packages/membership/src/peer_rpc_test.ts
+++ b/packages/membership/src/peer_rpc_test.ts
@@ -1,4 +1,5 @@
-import type { AddressInfo } from "node:net";
+import { once } from "node:events";
+import { type AddressInfo, connect, createServer, type Socket } from "node:net";
 import { expect, it } from "vitest";
 import {
   createPeerCaller,
@@ -37,3 +38,57 @@
   server.closeAllConnections();
   await new Promise((resolve) => server.close(resolve));
 });
+
+/** A way to a port on which open connections can go silent. */
+async function openSilenceableLink(target: number) {
+  const sockets: Socket[] = [];
+  const server = createServer((near) => {
+    const far = connect(target, "127.0.0.1");
+    for (const socket of [near, far]) {
+      sockets.push(socket);
+      // A failed socket also closes.
+      socket.on("error", () => {});
+    }
+    near.on("data", (bytes) => far.write(bytes));
+    far.on("data", (bytes) => near.write(bytes));
+  });
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  return {
+    port: (server.address() as AddressInfo).port,
+    countOpened: () => sockets.length / 2,
+    silence() {
+      for (const socket of sockets) socket.pause();
+    },
+    stop() {
+      for (const socket of sockets) socket.destroy();
+      server.close();
+    },
+  };
+}
+
+// Guards against a peer that seems lost as often as it has idle connections,
+// although new ones work.
+it("uses a new connection after a timeout on a silent one", async () => {
+  const server = await startPeerServer(
+    { host: "127.0.0.1", port: 0 },
+    { wait: () => new Promise((resolve) => setTimeout(resolve, 50, "done")) },
+  );
+  const link = await openSilenceableLink(
+    (server.address() as AddressInfo).port,
+  );
+  const caller = createPeerCaller("127.0.0.1");
+  const address = { host: "127.0.0.1", port: link.port };
+  const call = () => caller.call(address, "wait", { timeoutMs: 250 });
+  await Promise.all([call(), call(), call()]);
+  expect(link.countOpened()).toBe(3);
+  // The connections become idle a moment later than the calls end.
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  link.silence();
+  expect(await call()).toMatchObject({ kind: "unreachable" });
+  expect(await call()).toEqual({ kind: "ok", value: "done" });
+  link.stop();
+  expect(await call()).toEqual({ kind: "refused" });
+  server.closeAllConnections();
+  await new Promise((resolve) => server.close(resolve));
+});
