Gateway: answers without framing get chunks or a length towards callers

Callers of a killed instance took streams that their engine had framed by its connection's end for whole: the kernel closes the sockets of a killed process in order, and the instance relayed such answers without framing. It now sends streams in chunks, so that only a whole one has the final chunk, and answers of plain services, which it has read whole, with a length.

With chunks it can't, and the first instance goes on elsewhere or breaks the answer off.

--- a/packages/gateway/src/callers/caller_answer.ts
+++ b/packages/gateway/src/callers/caller_answer.ts
@@ -83,22 +83,40 @@
   });
 }
 
+/** Statuses whose answers never have a body. */
+const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
+
 /**
- * Writes status and headers of a backend server's answer to the caller. An
- * answer without a length ends when its connection closes, also if it breaks
- * off. It is relayed without chunked encoding, since the final chunk would make
- * a truncated answer look complete.
+ * Writes status and headers of a backend server's answer to the caller. Without
+ * a length it is sent in chunks: only a whole answer gets the final chunk, also
+ * when this process is killed. To a caller of HTTP/1.0 it ends with its
+ * connection.
  */
 export function beginAnswer(
   codec: RequestCodec,
   response: ServerResponse,
   { status, headers }: Pick<OpenAnswer, "status" | "headers">,
 ): void {
-  const { isFramed } = codec.decodeAnswer(status, headers);
-  if (!isFramed) response.useChunkedEncodingByDefault = false;
   response.writeHead(status, codec.encodeAnswer(headers));
 }
 
+/** Writes an answer that was read whole, which thus has a known length. */
+export function sendWholeAnswer(
+  codec: RequestCodec,
+  response: ServerResponse,
+  answer: Pick<OpenAnswer, "status" | "headers"> & { readonly body: Buffer },
+): void {
+  const { status, headers, body } = answer;
+  const encoded = codec.encodeAnswer(headers);
+  const hasLength = headers["content-length"] !== undefined;
+  const hasBody =
+    response.req.method !== "HEAD" && !BODILESS_STATUSES.has(status);
+  if (!hasLength && hasBody)
+    encoded.push("Content-Length", String(body.length));
+  response.writeHead(status, encoded);
+  response.end(body);
+}
+
 /**
  * Ends an answer that has begun and can't be completed, so that it doesn't look
  * complete. If it has neither a length nor chunks, only a reset shows that.
--- a/packages/gateway/src/plain/forward_plain.ts
+++ b/packages/gateway/src/plain/forward_plain.ts
@@ -8,12 +8,12 @@
   suspicionReasonOf,
 } from "../backends/mod.ts";
 import {
-  beginAnswer,
   type CallEnd,
   type CallerCall,
   endWithRefusal,
   maxAttemptsOf,
   reportFailedServers,
+  sendWholeAnswer,
   timeLeftMs,
 } from "../callers/mod.ts";
 import {
@@ -344,8 +344,7 @@
   }: { readonly codec: RequestCodec; readonly attempts: number },
 ): CallEnd {
   const firstByteMs = performance.now() - call.startedAt;
-  beginAnswer(codec, call.response, answer);
-  call.response.end(body);
+  sendWholeAnswer(codec, call.response, { ...answer, body });
   return {
     status: answer.status,
     outcome: "answered",
--- a/packages/gateway/src/streams/forward_stream.ts
+++ b/packages/gateway/src/streams/forward_stream.ts
@@ -5,7 +5,6 @@
 import type { RetryDelayRange } from "@rosemarypin/admission";
 import type { BackendFleet } from "../backends/mod.ts";
 import {
-  beginAnswer,
   breakAnswerOff,
   type CallEnd,
   type CallerCall,
@@ -15,6 +14,7 @@
   priorityOf,
   type QueueOutlook,
   reportFailedServers,
+  sendWholeAnswer,
 } from "../callers/mod.ts";
 import { attemptsForHelper } from "../handoff/mod.ts";
 import { PROMPT_QUARANTINED, sharedPromptOf } from "../prompts/mod.ts";
@@ -323,9 +323,9 @@
     return { status: 0, outcome: "cut", reason, attempts, firstByteMs, pace };
   }
   if (lastEnd.kind === "failed") {
-    const { status } = lastEnd.answer;
-    beginAnswer(parts.codec, call.response, lastEnd.answer);
-    call.response.end(lastEnd.body);
+    const { answer, body } = lastEnd;
+    const { status } = answer;
+    sendWholeAnswer(parts.codec, call.response, { ...answer, body });
     const reason = `status_${status}`;
     return { status, outcome: "answered", reason, attempts, firstByteMs, pace };
   }
