Program: signals during the start and a second SIGTERM cut nothing

A second SIGTERM ended a stopping instance by the default action, with 8 orders and 8 streams in progress, since the handler was set for one signal only. It stays now, and further signals change nothing.

SIGHUP and SIGTERM ended a process that was still loading, as the handlers were set when the start was over. The program's first line sets them now. Node.js delivers signals between turns of the event loop, so what arrives while the script is evaluated reaches the handlers in main.ts. A SIGTERM before the instance listens for callers gives the start up, with exit code 0; before it listens, the start yields one turn of the event loop, for signals that came meanwhile. A later one stops the instance in order. What Node.js needs before the first line can't be covered: it resets what it inherits (docs).

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,6 +1,7 @@
 /** Assembles, starts and stops one gateway instance. */
 import { once, setMaxListeners } from "node:events";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import { setImmediate as nextTurn } from "node:timers/promises";
 import { createReturningCallers } from "@rosemarypin/admission";
 import { createPeerCaller, createUdpTransport } from "@rosemarypin/membership";
 import { countStoreCalls, type StoredObject } from "@rosemarypin/store";
@@ -83,10 +84,19 @@
   stop(): Promise<void>;
 }
 
-/** Starts an instance; resolves once it listens on all addresses. */
+export interface StartOptions {
+  /** A start that doesn't listen for callers yet is given up when it aborts. */
+  readonly stopSignal?: AbortSignal;
+}
+
+/**
+ * Starts an instance; resolves once it listens on all addresses. Rejects if the
+ * start is given up.
+ */
 export async function startGateway(
   settings: GatewaySettings,
   platform: Platform,
+  { stopSignal }: StartOptions = {},
 ): Promise<Gateway> {
   const { instance, failureDomain } = settings;
   const { keys, codec, engines } = platform;
@@ -384,6 +394,14 @@
       stoppedAt === null && keeper.applied() !== null && !isIsolated(),
   });
   await listen(readiness, settings.readiness);
+  // Signals to the process are delivered between turns of the event loop.
+  await nextTurn();
+  if (stopSignal?.aborted) {
+    readiness.close();
+    await presence.leave();
+    abortController.abort();
+    throw new Error("stopped before the start was complete");
+  }
   await listen(listener.server, settings.callers);
   isListening = true;
   if (settings.metrics) {
--- a/tools/cached_start.cjs
+++ b/tools/cached_start.cjs
@@ -2,6 +2,10 @@
  * Starts the daemon from its script and the cache of its compiled code. A
  * cache of another version of Node.js, or made with other flags, is rejected.
  */
+// Until the daemon has set its own handlers, a signal would end the process. One
+// that arrives meanwhile is delivered to those handlers, once the script has run.
+for (const signal of ["SIGTERM", "SIGHUP"]) process.on(signal, () => {});
+
 const { existsSync, readFileSync, writeFileSync } = require("node:fs");
 const { join } = require("node:path");
 const { constants, Script } = require("node:vm");
