Gateway: stops wait for answers to be flushed; bounded memory for bodies

Answers of 4 MB and more to a caller that reads slowly were cut by a planned stop: an answer counted as ended when it was handed to the socket, and Node.js closes the connection of a finished answer as idle while its bytes still wait in the process. A request is now in progress until its answer has left the process or its connection is closed, within the grace period, and idle connections are closed only while no answer is being written. What the end of the grace period cuts is broken off so that it doesn't look complete, also to callers of HTTP/1.0.

Bodies of requests in progress had no bound in sum: 100 orders of 4 MB brought an instance to 624 MB, where the smallest machine has 610.

A body in chunks over the limit ended its `for await` early, which destroyed the request and its connection, and refusals with "Connection: close" closed it with bytes unread, which resets it: callers that still sent lost the 413.

--- a/packages/gateway/src/callers/caller_answer.ts
+++ b/packages/gateway/src/callers/caller_answer.ts
@@ -14,6 +14,7 @@
   encodeHandoffHeader,
   HANDOFF_REPORT_HEADER,
 } from "./handoff_headers.ts";
+import { endAfterRequest } from "./lingering_end.ts";
 import type { RetrySchedules } from "./retry_schedules.ts";
 
 /** Statuses that guarantee that the request did not and will not run. */
@@ -54,7 +55,7 @@
     "Content-Type": "application/json",
     "Content-Length": Buffer.byteLength(body),
   });
-  response.end(body);
+  endAfterRequest(response, body);
 }
 
 /**
--- a/packages/gateway/src/callers/caller_listener.ts
+++ b/packages/gateway/src/callers/caller_listener.ts
@@ -23,6 +23,7 @@
   ConfigurationKeeper,
 } from "../following/mod.ts";
 import type { RequestMetadata } from "../protocol.ts";
+import type { BodyBudget, BodyRoom } from "./body_budget.ts";
 import { logEnd } from "./call_log.ts";
 import { type RefusalParts, refuse, retryDelayOf } from "./caller_answer.ts";
 import { type CallEnd, type CallerCall, priorityOf } from "./caller_call.ts";
@@ -33,6 +34,7 @@
   type HandoffTerms,
   withoutHandoffTerms,
 } from "./handoff_headers.ts";
+import { createOpenAnswers } from "./open_answers.ts";
 import { readRequestBody } from "./request_body.ts";
 import type { WarmUp } from "./warm_up.ts";
 
@@ -62,11 +64,17 @@
  */
 const MAX_HANDED_OFF_REQUESTS = 256;
 
+const BODY_REFUSALS = {
+  too_large: { status: 413, reason: "body_too_large" },
+  no_room: { status: 503, reason: "bodies_memory_full" },
+} as const;
+
 const log = createLogger("callers");
 
 export interface CallerListenerOptions extends RefusalParts {
   readonly keeper: ConfigurationKeeper;
   readonly returningCallers: ReturningCallers;
+  readonly bodyBudget: BodyBudget;
   readonly forward: (call: CallerCall) => Promise<CallEnd>;
   /** Awaited before each request is admitted. */
   readonly warmUp: WarmUp;
@@ -87,8 +95,10 @@
   readonly server: Server;
   /** Handles a request that another instance hands off to this one. */
   handleHandedOff(request: IncomingMessage, response: ServerResponse): void;
-  /** Requests in progress. */
+  /** Requests in progress, until their answers have left this process. */
   inProgress(): number;
+  /** Breaks off the answers in progress, so that none looks complete. */
+  breakAnswersOff(): void;
 }
 
 interface Admission {
@@ -118,7 +128,7 @@
   options: CallerListenerOptions,
 ): CallerListener {
   const { keeper, codec } = options;
-  let inProgress = 0;
+  const answers = createOpenAnswers();
   let handedOffInProgress = 0;
   const server = createServer(
     { maxHeaderSize: PARSER_HEADER_BYTES, requestTimeout: REQUEST_TIMEOUT_MS },
@@ -142,17 +152,19 @@
     response: ServerResponse,
     handedOff: HandoffTerms | null,
   ): Promise<void> {
-    inProgress += 1;
+    answers.add(response);
+    const room = options.bodyBudget.open();
     if (isStopping() || options.isIsolated())
       response.setHeader("Connection", "close");
     try {
-      await handle(request, response, handedOff);
+      await handle(request, response, { handedOff, room });
     } catch (error) {
       const reason = error instanceof Error ? error.message : String(error);
       log.warn("request_failed", { reason });
       response.destroy();
     } finally {
-      inProgress -= 1;
+      room.release();
+      await answers.settled(response);
     }
   }
 
@@ -193,7 +205,10 @@
   async function handle(
     request: IncomingMessage,
     response: ServerResponse,
-    handedOff: HandoffTerms | null,
+    {
+      handedOff,
+      room,
+    }: { readonly handedOff: HandoffTerms | null; readonly room: BodyRoom },
   ): Promise<void> {
     const startedAt = performance.now();
     const rawHeaders = handedOff
@@ -222,12 +237,10 @@
       return refuseRequest(request, response, refused);
     }
     const { arrival, elapsedMs } = classify(admitted.route, received);
-    const body = await readRequestBody(
-      request,
-      applied?.limits ?? DEFAULT_LIMITS,
-    );
-    if (body === "too_large") {
-      const refusal = { status: 413, reason: "body_too_large" };
+    const { bodyBytes } = applied?.limits ?? DEFAULT_LIMITS;
+    const body = await readRequestBody(request, { bodyBytes, room });
+    if (body === "too_large" || body === "no_room") {
+      const refusal = BODY_REFUSALS[body];
       response.setHeader("Connection", "close");
       const priority = priorityOf(admitted);
       const refused = { ...received, refusal, priority, arrival };
@@ -326,7 +339,8 @@
     server,
     handleHandedOff: (request, response) =>
       void handleHandedOff(request, response),
-    inProgress: () => inProgress,
+    inProgress: answers.count,
+    breakAnswersOff: answers.breakOff,
   };
 }
 
--- a/packages/gateway/src/callers/request_body.ts
+++ b/packages/gateway/src/callers/request_body.ts
@@ -1,24 +1,81 @@
 /** Reads the bodies of callers' requests. */
 import type { IncomingMessage } from "node:http";
 import type { CallerLimits } from "../configuration.ts";
+import type { BodyRoom } from "./body_budget.ts";
 
-/** Resolves to `null` for a request without a body. */
+/** The body, `null` if there is none, or why it was not read to its end. */
+export type RequestBody =
+  | Buffer
+  | null
+  | "too_large"
+  /** The bodies of other requests take all memory that there is for them. */
+  | "no_room"
+  | "broken";
+
+export interface ReadBodyOptions extends Pick<CallerLimits, "bodyBytes"> {
+  /** Bounds the memory; the reader of the body releases it. */
+  readonly room?: BodyRoom;
+}
+
+/**
+ * Reads a whole body. The rest of one that is refused stays unread, and its
+ * connection open for an answer.
+ */
 export async function readRequestBody(
   request: IncomingMessage,
-  { bodyBytes }: Pick<CallerLimits, "bodyBytes">,
-): Promise<Buffer | null | "too_large" | "broken"> {
-  const declared = Number(request.headers["content-length"] ?? 0);
-  if (declared > bodyBytes) return "too_large";
+  { bodyBytes, room }: ReadBodyOptions,
+): Promise<RequestBody> {
+  const length = Number(request.headers["content-length"] ?? 0);
+  if (length > bodyBytes) return "too_large";
+  // Several bodies that each have a part of the room they need would all wait.
+  const hasRoom = !room || room.tryTake(length) || (await room.waitFor(length));
+  if (!hasRoom) return request.destroyed ? "broken" : "no_room";
+  if (request.destroyed) return "broken";
+  return collect(request, {
+    bodyBytes,
+    ...(room && length === 0 ? { room } : {}),
+  });
+}
+
+/** Listens by hand: a `for await` that ends early destroys the connection. */
+function collect(
+  request: IncomingMessage,
+  { bodyBytes, room }: ReadBodyOptions,
+): Promise<RequestBody> {
   const chunks: Buffer[] = [];
   let bytes = 0;
-  try {
-    for await (const chunk of request) {
-      bytes += (chunk as Buffer).length;
-      if (bytes > bodyBytes) return "too_large";
-      chunks.push(chunk as Buffer);
+  return new Promise((resolve) => {
+    request.on("data", take);
+    request.once("end", end);
+    request.once("error", fail);
+    request.once("close", fail);
+
+    function finish(result: RequestBody): void {
+      request.off("data", take);
+      request.off("end", end);
+      request.off("error", fail);
+      request.off("close", fail);
+      resolve(result);
+    }
+
+    function take(chunk: Buffer): void {
+      bytes += chunk.length;
+      if (bytes > bodyBytes) return finish("too_large");
+      chunks.push(chunk);
+      if (!room || room.tryTake(chunk.length)) return;
+      request.pause();
+      void room.waitFor(chunk.length).then((hasRoom) => {
+        if (hasRoom) request.resume();
+        else finish("no_room");
+      });
+    }
+
+    function end(): void {
+      finish(bytes === 0 ? null : Buffer.concat(chunks));
+    }
+
+    function fail(): void {
+      finish("broken");
     }
-  } catch {
-    return "broken";
-  }
-  return bytes === 0 ? null : Buffer.concat(chunks);
+  });
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -17,6 +17,7 @@
   ACCEPT_AFTER_STOP_MS,
   type CallEnd,
   type CallerCall,
+  createBodyBudget,
   createCallerListener,
   createRetrySchedules,
   createWarmUp,
@@ -77,6 +78,9 @@
 /** Extra time for open connections on which a request may be in transit. */
 const CONNECTION_DRAIN_MS = 300;
 
+/** Memory for the bodies of requests in progress, if the settings name none. */
+const DEFAULT_BODY_BUDGET_BYTES = 128 * 2 ** 20;
+
 const log = createLogger("gateway");
 
 export interface Gateway {
@@ -265,6 +269,8 @@
   });
   const metrics = createGatewayMetrics({
     inProgress: () => listener.inProgress(),
+    bodyBytes: () => bodyBudget.heldBytes(),
+    bodyBudgetBytes: () => bodyBudget.limitBytes,
     waitingRequests: queues.waitingRequests,
     configurationVersion: () => keeper.applied()?.version ?? 0,
     configurationAgeSeconds: () => configurationMirror.ageMs() / 1_000,
@@ -278,11 +284,15 @@
     servers: () =>
       new Map(services().map(({ name }) => [name, fleet.countServers(name)])),
   });
+  const bodyBudget = createBodyBudget(
+    settings.bodyBudgetBytes ?? DEFAULT_BODY_BUDGET_BYTES,
+  );
   const refusalParts = { codec, retrySchedules: createRetrySchedules() };
   const listener = createCallerListener({
     ...refusalParts,
     keeper,
     returningCallers: createReturningCallers(),
+    bodyBudget,
     forward,
     warmUp: createWarmUp(
       () =>
@@ -456,13 +466,15 @@
       drainLimitMs,
     );
     while (elapsedMs() < connectionLimitMs && (await countConnections()) > 0) {
-      listener.server.closeIdleConnections();
+      // A connection counts as idle while the end of its answer is written.
+      if (isIdle()) listener.server.closeIdleConnections();
       await pause(SHUTDOWN_POLL_MS);
     }
     while (elapsedMs() < drainLimitMs && !isIdle())
       await pause(SHUTDOWN_POLL_MS);
     clearTimeout(refusalTimer);
     const cut = listener.inProgress();
+    listener.breakAnswersOff();
     // No request may be accepted while the last log lines are written.
     listener.server.closeAllConnections();
     abortController.abort();
--- a/packages/gateway/src/operators/gateway_metrics.ts
+++ b/packages/gateway/src/operators/gateway_metrics.ts
@@ -25,6 +25,10 @@
 
 export interface GatewayGauges {
   readonly inProgress: () => number;
+  /** Bytes that the bodies of requests in progress take. */
+  readonly bodyBytes: () => number;
+  /** Bytes that they may take in all. */
+  readonly bodyBudgetBytes: () => number;
   /** Requests that wait for capacity on engines, by priority. */
   readonly waitingRequests: () => ReadonlyMap<number, number>;
   readonly configurationVersion: () => number;
@@ -127,6 +131,16 @@
     registers,
   });
   addGauge("rosemarypin_in_flight", "Requests in progress", gauges.inProgress);
+  addGauge(
+    "rosemarypin_request_body_bytes",
+    "Memory that the bodies of requests in progress take",
+    gauges.bodyBytes,
+  );
+  addGauge(
+    "rosemarypin_request_body_budget_bytes",
+    "Memory that the bodies of requests in progress may take",
+    gauges.bodyBudgetBytes,
+  );
   addGauge(
     "rosemarypin_configuration_version",
     "Version of the configuration in force",
--- a/packages/gateway/src/operators/gateway_metrics_test.ts
+++ b/packages/gateway/src/operators/gateway_metrics_test.ts
@@ -3,6 +3,8 @@
 
 const GAUGES: GatewayGauges = {
   inProgress: () => 0,
+  bodyBytes: () => 0,
+  bodyBudgetBytes: () => 0,
   waitingRequests: () => new Map(),
   configurationVersion: () => 1,
   configurationAgeSeconds: () => 0,
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -22,6 +22,8 @@
    * it is unknown.
    */
   readonly ability?: number;
+  /** Bytes that the bodies of all requests in progress may take. */
+  readonly bodyBudgetBytes?: number;
   readonly callers: ListenAddress;
   readonly readiness: ListenAddress;
   /** Address of the operators' server; `null` disables it. */
