--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,6 +1,7 @@
 /** Assembles, starts and stops one gateway instance. */
 import { once, setMaxListeners } from "node:events";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import { setImmediate as nextTurn } from "node:timers/promises";
 import { createReturningCallers } from "@rosemarypin/admission";
 import { createPeerCaller, createUdpTransport } from "@rosemarypin/membership";
 import { countStoreCalls, type StoredObject } from "@rosemarypin/store";
@@ -16,6 +17,7 @@
   ACCEPT_AFTER_STOP_MS,
   type CallEnd,
   type CallerCall,
+  createBodyBudget,
   createCallerListener,
   createRetrySchedules,
   createWarmUp,
@@ -78,6 +80,9 @@
 /** Extra time for open connections on which a request may be in transit. */
 const CONNECTION_DRAIN_MS = 300;
 
+/** Memory for the bodies of requests in progress, if the settings name none. */
+const DEFAULT_BODY_BUDGET_BYTES = 128 * 2 ** 20;
+
 const log = createLogger("gateway");
 
 export interface Gateway {
@@ -85,10 +90,19 @@
   stop(): Promise<void>;
 }
 
-/** Starts an instance; resolves once it listens on all addresses. */
+export interface StartOptions {
+  /** A start that doesn't listen for callers yet is given up when it aborts. */
+  readonly stopSignal?: AbortSignal;
+}
+
+/**
+ * Starts an instance; resolves once it listens on all addresses. Rejects if the
+ * start is given up.
+ */
 export async function startGateway(
   settings: GatewaySettings,
   platform: Platform,
+  { stopSignal }: StartOptions = {},
 ): Promise<Gateway> {
   const { instance, failureDomain } = settings;
   const { keys, codec, engines } = platform;
@@ -257,6 +271,8 @@
   });
   const metrics = createGatewayMetrics({
     inProgress: () => listener.inProgress(),
+    bodyBytes: () => bodyBudget.heldBytes(),
+    bodyBudgetBytes: () => bodyBudget.limitBytes,
     waitingRequests: queues.waitingRequests,
     configurationVersion: () => keeper.applied()?.version ?? 0,
     configurationAgeSeconds: () => configurationMirror.ageMs() / 1_000,
@@ -270,11 +286,15 @@
     servers: () =>
       new Map(services().map(({ name }) => [name, fleet.countServers(name)])),
   });
+  const bodyBudget = createBodyBudget(
+    settings.bodyBudgetBytes ?? DEFAULT_BODY_BUDGET_BYTES,
+  );
   const refusalParts = { codec, retrySchedules: createRetrySchedules() };
   const listener = createCallerListener({
     ...refusalParts,
     keeper,
     returningCallers: createReturningCallers(),
+    bodyBudget,
     forward,
     warmUp: createWarmUp(
       () =>
@@ -388,6 +408,14 @@
       stoppedAt === null && keeper.applied() !== null && !isIsolated(),
   });
   await listen(readiness, settings.readiness);
+  // Signals to the process are delivered between turns of the event loop.
+  await nextTurn();
+  if (stopSignal?.aborted) {
+    readiness.close();
+    await presence.leave();
+    abortController.abort();
+    throw new Error("stopped before the start was complete");
+  }
   await listen(listener.server, settings.callers);
   isListening = true;
   if (settings.metrics) {
@@ -443,7 +471,8 @@
       drainLimitMs,
     );
     while (elapsedMs() < connectionLimitMs && (await countConnections()) > 0) {
-      listener.closeIdle();
+      // A connection counts as idle while the end of its answer is written.
+      if (isIdle()) listener.closeIdle();
       await pause(SHUTDOWN_POLL_MS);
     }
     while (elapsedMs() < drainLimitMs && !isIdle())
--- a/packages/gateway/src/streams/forward_stream.ts
+++ b/packages/gateway/src/streams/forward_stream.ts
@@ -6,7 +6,6 @@
 import type { BackendServer } from "../backend_server.ts";
 import type { BackendFleet } from "../backends/mod.ts";
 import {
-  beginAnswer,
   breakAnswerOff,
   type CallEnd,
   type CallerCall,
@@ -16,6 +15,7 @@
   priorityOf,
   type QueueOutlook,
   reportFailedServers,
+  sendWholeAnswer,
 } from "../callers/mod.ts";
 import { attemptsForHelper } from "../handoff/mod.ts";
 import { PROMPT_QUARANTINED, sharedPromptOf } from "../prompts/mod.ts";
@@ -401,9 +401,9 @@
     return { status: 0, outcome: "cut", reason, attempts, firstByteMs, pace };
   }
   if (lastEnd.kind === "failed") {
-    const { status } = lastEnd.answer;
-    beginAnswer(parts.codec, call.response, lastEnd.answer);
-    call.response.end(lastEnd.body);
+    const { answer, body } = lastEnd;
+    const { status } = answer;
+    sendWholeAnswer(parts.codec, call.response, { ...answer, body });
     const reason = `status_${status}`;
     return { status, outcome: "answered", reason, attempts, firstByteMs, pace };
   }
