Entries of other writers: unusable ones are left out, and no error ends a process

Both instances of its zone ended with 'TypeError: Invalid URL' seven or eight times in 12 s; with layers up to 1e9 all four ended for lack of memory.

Cause: the decoder gave missing fields default values and accepted addresses, layers and names that can't be used, which threw later, in a timer's callback or a promise that nothing awaits, or made lists as long as the layers.

What can't be used is logged once for each ID, counted in rosemarypin_unusable_inputs_total, and the server is not used. Layers beyond those of the model count as those of another model.

An error that no code expects is logged with its stack, counted, and the process goes on; a request that it ended gets an answer (503 before it was forwarded, 502 or 504 after) or is broken off.

--- a/packages/gateway/src/backend_server.ts
+++ b/packages/gateway/src/backend_server.ts
@@ -1,5 +1,5 @@
 /** Backend servers as registered with the platform, and engine reports. */
-import type { LayerRange } from "@rosemarypin/pipelines";
+import type { LayerRange, ModelShape } from "@rosemarypin/pipelines";
 
 /**
  * One process of a backend server. `startedAt` and `renewal` order entries with
@@ -28,6 +28,14 @@
   readonly held: LayerRange | null;
 }
 
+/** Layers of the model that a server holds; `null` for those of another model. */
+export function heldOf(
+  { held }: Pick<BackendServer, "held">,
+  { layerCount }: Pick<ModelShape, "layerCount">,
+): LayerRange | null {
+  return held && held.to <= layerCount ? held : null;
+}
+
 /** Response of an engine to a report call. */
 export interface EngineReport {
   /** Start of the process in Unix milliseconds; `null` if not reported. */
--- a/packages/gateway/src/backends/mod.ts
+++ b/packages/gateway/src/backends/mod.ts
@@ -5,4 +5,5 @@
 export type { Reachability } from "./reachability.ts";
 export * from "./request_limits.ts";
 export * from "./requested_backoffs.ts";
+export * from "./server_entries.ts";
 export * from "./timed_connector.ts";
--- a/packages/gateway/src/callers/caller_listener.ts
+++ b/packages/gateway/src/callers/caller_listener.ts
@@ -23,8 +23,14 @@
   ConfigurationKeeper,
 } from "../following/mod.ts";
 import type { RequestMetadata } from "../protocol.ts";
+import { endAfterError, type UnexpectedErrors } from "../unexpected_errors.ts";
 import { logEnd } from "./call_log.ts";
-import { type RefusalParts, refuse, retryDelayOf } from "./caller_answer.ts";
+import {
+  endWithRefusal,
+  type RefusalParts,
+  refuse,
+  retryDelayOf,
+} from "./caller_answer.ts";
 import { type CallEnd, type CallerCall, priorityOf } from "./caller_call.ts";
 import { createConnectionSurge } from "./connection_surge.ts";
 import {
@@ -62,6 +68,9 @@
  */
 const MAX_HANDED_OFF_REQUESTS = 256;
 
+/** Refusal after an error of this instance before the request was sent. */
+const FAILED = { status: 503, reason: "internal_error" };
+
 const log = createLogger("callers");
 
 export interface CallerListenerOptions extends RefusalParts {
@@ -77,6 +86,7 @@
   /** Whether this instance can serve no request, while others may. */
   readonly isIsolated: () => boolean;
   readonly onEnded: (call: CallerCall, end: CallEnd) => void;
+  readonly unexpectedErrors: UnexpectedErrors;
   /** Called for a refusal before the request became a call. */
   readonly onRefused: (refusal: {
     readonly retryAfterSeconds: number | null;
@@ -148,14 +158,48 @@
     try {
       await handle(request, response, handedOff);
     } catch (error) {
-      const reason = error instanceof Error ? error.message : String(error);
-      log.warn("request_failed", { reason });
-      response.destroy();
+      endUnforwarded(request, response, error);
     } finally {
       inProgress -= 1;
     }
   }
 
+  /** Ends a request that failed here before it was sent to any server. */
+  function endUnforwarded(
+    request: IncomingMessage,
+    response: ServerResponse,
+    error: unknown,
+  ): void {
+    options.unexpectedErrors.record("request", error);
+    request.resume();
+    const { requestId } = codec.decodeRequest(request.headers);
+    const retryAfterSeconds = null;
+    endAfterError(response, () =>
+      refuse(codec, response, { ...FAILED, requestId, retryAfterSeconds }),
+    );
+  }
+
+  /**
+   * Forwards a call. After an unexpected error it may have run, and the caller
+   * gets an answer that promises nothing.
+   */
+  async function forward(call: CallerCall): Promise<CallEnd> {
+    try {
+      return await options.forward(call);
+    } catch (error) {
+      options.unexpectedErrors.record("request", error);
+      const { response } = call;
+      const { reason } = FAILED;
+      const begun = { status: 0, outcome: "cut" as const };
+      let end = { ...begun, reason, attempts: 0, firstByteMs: null } as CallEnd;
+      endAfterError(response, () => {
+        const outcome = "unknown";
+        end = endWithRefusal(options, call, { outcome, reason, attempts: 0 });
+      });
+      return end;
+    }
+  }
+
   /**
    * Handles a request that passes the same checks as one of this instance's own
    * callers, in particular that of its key.
@@ -270,7 +314,7 @@
       hasCallerLeft: () => callerLeft,
     };
     try {
-      const end = await options.forward(call);
+      const end = await forward(call);
       logEnd(call, end);
       options.onEnded(call, end);
     } finally {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -11,6 +11,7 @@
   checkRefusal,
   createBackendExchange,
   createBackendFleet,
+  createServerEntries,
 } from "./backends/mod.ts";
 import {
   ACCEPT_AFTER_STOP_MS,
@@ -36,6 +37,7 @@
 import {
   createAdministration,
   createGatewayMetrics,
+  createInputCounts,
   createOperatorsServer,
   createReadinessServer,
   createReleaseHistory,
@@ -65,6 +67,10 @@
   forwardStream,
   startUsageExchange,
 } from "./streams/mod.ts";
+import {
+  createUnexpectedErrors,
+  type UnexpectedErrors,
+} from "./unexpected_errors.ts";
 
 /** Time reserved at the end of the grace period, to exit before being killed. */
 const SHUTDOWN_MARGIN_MS = 400;
@@ -87,7 +93,9 @@
 export async function startGateway(
   settings: GatewaySettings,
   platform: Platform,
+  options: { readonly unexpectedErrors?: UnexpectedErrors } = {},
 ): Promise<Gateway> {
+  const unexpectedErrors = options.unexpectedErrors ?? createUnexpectedErrors();
   const { instance, failureDomain } = settings;
   const { keys, codec, engines } = platform;
   const { store, counts: storeCalls } = countStoreCalls(platform.store);
@@ -109,6 +117,12 @@
     countInstances: (domain) => presence.countPossiblyLive(domain),
     signal,
   });
+  const unusableInputs = createInputCounts();
+  const entries = createServerEntries({
+    fleet,
+    decode: platform.decodeServer,
+    onUnusable: () => unusableInputs.count("server_entry"),
+  });
   const caller = createPeerCaller(
     settings.peers?.host ?? settings.callers.host,
   );
@@ -135,7 +149,7 @@
       {
         prefix: keys.servers,
         onObject: applyServer,
-        onRemoved: (key) => fleet.remove(key.slice(keys.servers.length)),
+        onRemoved: (key) => entries.remove(key.slice(keys.servers.length)),
       },
       quarantine.prefix,
     ],
@@ -264,6 +278,8 @@
     classLevels: classLevels.levels,
     domains: domainLimits.readings,
     storeCalls,
+    unusableInputs: unusableInputs.totals,
+    unexpectedErrors: unexpectedErrors.total,
     relayFollowers: countFollowers,
     servers: () =>
       new Map(services().map(({ name }) => [name, fleet.countServers(name)])),
@@ -284,6 +300,7 @@
       stoppedAt === null ? null : performance.now() - stoppedAt,
     hasOtherInstances: () => presence.liveOthers().length > 0,
     isIsolated,
+    unexpectedErrors,
     onEnded: metrics.countEnd,
     onRefused: metrics.countRefusal,
   });
@@ -292,6 +309,7 @@
     if (key !== keys.configuration) return;
     const configuration = platform.decodeConfiguration(value);
     if (configuration) keeper.offer(configuration);
+    else unusableInputs.count("configuration");
   }
 
   function services(): readonly Service[] {
@@ -316,11 +334,7 @@
   }
 
   function applyServer({ key, value }: StoredObject): void {
-    const id = key.slice(keys.servers.length);
-    const server = platform.decodeServer(id, value);
-    if (typeof server === "string") {
-      log.warn("server_entry_unreadable", { id, reason: server });
-    } else fleet.put(server);
+    entries.apply(key.slice(keys.servers.length), value);
   }
 
   /** Handles a request that another instance can't forward to servers. */
@@ -401,7 +415,10 @@
       isDraining: () => stoppedAt !== null,
     });
     await listen(
-      createOperatorsServer(metrics.registry, administration),
+      createOperatorsServer(metrics.registry, {
+        administration,
+        unexpectedErrors,
+      }),
       settings.metrics,
     );
   }
--- a/packages/gateway/src/mod.ts
+++ b/packages/gateway/src/mod.ts
@@ -7,3 +7,8 @@
 export * from "./platform.ts";
 export * from "./protocol.ts";
 export * from "./settings.ts";
+export {
+  createUnexpectedErrors,
+  surviveUnexpectedErrors,
+  type UnexpectedErrors,
+} from "./unexpected_errors.ts";
--- a/packages/gateway/src/operators/class_views_test.ts
+++ b/packages/gateway/src/operators/class_views_test.ts
@@ -93,6 +93,8 @@
       domains: () => new Map(),
       storeCalls: () => ({}),
       relayFollowers: () => 0,
+      unusableInputs: () => new Map(),
+      unexpectedErrors: () => 0,
       waitingRequests: () => new Map(),
       classLevels: () => levels,
     });
--- a/packages/gateway/src/operators/control_listener.ts
+++ b/packages/gateway/src/operators/control_listener.ts
@@ -1,7 +1,13 @@
 /** HTTP servers for the load balancer's readiness checks and for operators. */
-import { createServer, type IncomingMessage, type Server } from "node:http";
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
 import type { Registry } from "prom-client";
 import { readRequestBody } from "../callers/mod.ts";
+import { endAfterError, type UnexpectedErrors } from "../unexpected_errors.ts";
 import type { Administration, AdministrationAnswer } from "./administration.ts";
 
 const MAX_BODY_BYTES = 4_096;
@@ -21,7 +27,13 @@
 /** Serves metrics as text at `/metrics`, and the administration API. */
 export function createOperatorsServer(
   registry: Registry,
-  administration: Administration,
+  {
+    administration,
+    unexpectedErrors,
+  }: {
+    readonly administration: Administration;
+    readonly unexpectedErrors: UnexpectedErrors;
+  },
 ): Server {
   async function administer(
     request: IncomingMessage,
@@ -32,7 +44,10 @@
     return administration.post(url, await readJson(request));
   }
 
-  return createServer(async (request, response) => {
+  async function handle(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
     const url = parseUrl(request.url ?? "/");
     if (url?.pathname === "/metrics") {
       const text = await registry.metrics();
@@ -47,6 +62,13 @@
     }
     response.writeHead(answer.status, { "Content-Type": "application/json" });
     response.end(JSON.stringify(answer.body));
+  }
+
+  return createServer((request, response) => {
+    handle(request, response).catch((error: unknown) => {
+      unexpectedErrors.record("operators", error);
+      endAfterError(response, () => response.writeHead(500).end());
+    });
   });
 }
 
--- a/packages/gateway/src/operators/control_listener_test.ts
+++ b/packages/gateway/src/operators/control_listener_test.ts
@@ -3,12 +3,16 @@
 import type { AddressInfo } from "node:net";
 import { Registry } from "prom-client";
 import { afterEach, expect, it, vi } from "vitest";
+import { createUnexpectedErrors } from "../unexpected_errors.ts";
 import { createOperatorsServer } from "./control_listener.ts";
 
 const posted = vi.fn((_body: unknown) => ({ status: 200, body: {} }));
 const server = createOperatorsServer(new Registry(), {
-  get: () => ({ status: 200, body: {} }),
-  post: (_url, body) => posted(body),
+  administration: {
+    get: () => ({ status: 200, body: {} }),
+    post: (_url, body) => posted(body),
+  },
+  unexpectedErrors: createUnexpectedErrors(),
 });
 
 afterEach(() => {
@@ -49,3 +53,12 @@
   await post(await listen(), "{");
   expect(posted).toHaveBeenLastCalledWith(null);
 });
+
+// Guards against a connection that stays silent after an unexpected error, and
+// against an error that ends the process.
+it("a call that fails unexpectedly is answered with 500", async () => {
+  posted.mockImplementationOnce(() => {
+    throw new Error("unexpected");
+  });
+  expect((await post(await listen(), "{}")).status).toBe(500);
+});
--- a/packages/gateway/src/operators/gateway_metrics.ts
+++ b/packages/gateway/src/operators/gateway_metrics.ts
@@ -44,6 +44,10 @@
   >;
   /** Calls to the store since the start, by kind. */
   readonly storeCalls: () => Readonly<Record<string, number>>;
+  /** What was received and can't be used, since the start. */
+  readonly unusableInputs: () => ReadonlyMap<string, number>;
+  /** Errors that no code expects, since the start. */
+  readonly unexpectedErrors: () => number;
   /** Instances that receive changes of the store through this one. */
   readonly relayFollowers: () => number;
 }
@@ -171,6 +175,28 @@
     },
   });
 
+  new Counter({
+    name: "rosemarypin_unusable_inputs_total",
+    help: "Entries of servers and configurations that can't be used",
+    labelNames: ["input"] as const,
+    registers,
+    collect() {
+      this.reset();
+      for (const [input, count] of gauges.unusableInputs())
+        this.inc({ input }, count);
+    },
+  });
+
+  new Counter({
+    name: "rosemarypin_unexpected_errors_total",
+    help: "Errors that no code expects, in requests or anywhere else",
+    registers,
+    collect() {
+      this.reset();
+      this.inc(gauges.unexpectedErrors());
+    },
+  });
+
   new Gauge({
     name: "rosemarypin_servers",
     help: "Backend servers in the list, and those avoided after failures",
--- a/packages/gateway/src/operators/gateway_metrics_test.ts
+++ b/packages/gateway/src/operators/gateway_metrics_test.ts
@@ -14,6 +14,8 @@
   domains: () => new Map(),
   storeCalls: () => ({}),
   relayFollowers: () => 0,
+  unusableInputs: () => new Map(),
+  unexpectedErrors: () => 0,
 };
 
 describe("metrics of the gateway", () => {
--- a/packages/gateway/src/operators/mod.ts
+++ b/packages/gateway/src/operators/mod.ts
@@ -2,4 +2,5 @@
 export * from "./administration.ts";
 export * from "./control_listener.ts";
 export * from "./gateway_metrics.ts";
+export * from "./input_counts.ts";
 export * from "./release_history.ts";
--- a/packages/gateway/src/placement/placement_loop.ts
+++ b/packages/gateway/src/placement/placement_loop.ts
@@ -4,13 +4,14 @@
   type LayerOrder,
   type LayerPlanner,
   type LayerRange,
+  type ModelShape,
   type PlannedEngine,
 } from "@rosemarypin/pipelines";
 import { createLogger } from "@rosemarypin/telemetry";
 import { createInterruptibleTimer, pause } from "@rosemarypin/timing";
-import type { BackendServer } from "../backend_server.ts";
+import { type BackendServer, heldOf } from "../backend_server.ts";
 import type { BackendFleet } from "../backends/mod.ts";
-import type { EngineShape, Service } from "../configuration.ts";
+import type { EngineKind, EngineShape, Service } from "../configuration.ts";
 import type { ConfigurationKeeper } from "../following/mod.ts";
 import type { EngineCalls } from "../protocol.ts";
 
@@ -123,7 +124,7 @@
   ): readonly LayerOrder[] {
     const plannedEngines = servers.flatMap((server) => {
       const kind = engine.kinds.get(server.kind ?? "");
-      return kind ? [plannedEngine(server, kind)] : [];
+      return kind ? [plannedEngine(server, { kind, model: engine.model })] : [];
     });
     if (!plannedEngines.some(({ acceptsOrders }) => acceptsOrders)) return [];
     const planner = planners.get(service) ?? createLayerPlanner();
@@ -133,21 +134,18 @@
 
   function plannedEngine(
     server: BackendServer,
-    kind: {
-      readonly memoryMb: number;
-      readonly stepFactor: number;
-      readonly prefillFactor: number;
-    },
+    { kind, model }: { readonly kind: EngineKind; readonly model: ModelShape },
   ): PlannedEngine {
     const order = pending.get(server.id);
+    const held = heldOf(server, model);
     return {
       id: server.id,
       failureDomain: server.failureDomain,
       memoryMb: kind.memoryMb,
       stepFactor: kind.stepFactor,
       prefillFactor: kind.prefillFactor,
-      held: order?.range ?? server.held,
-      serving: server.held,
+      held: order?.range ?? held,
+      serving: held,
       acceptsOrders:
         !order &&
         fleet.backoffs.remainingMs(server) === 0 &&
--- a/packages/gateway/src/streams/engine_table.ts
+++ b/packages/gateway/src/streams/engine_table.ts
@@ -10,7 +10,7 @@
   type PipelineSearch,
   prefillMs,
 } from "@rosemarypin/pipelines";
-import type { BackendServer } from "../backend_server.ts";
+import { type BackendServer, heldOf } from "../backend_server.ts";
 import type { BackendFleet } from "../backends/mod.ts";
 import type { EngineKind, EngineShape } from "../configuration.ts";
 import type { EngineTotals } from "./engine_totals.ts";
@@ -61,8 +61,9 @@
   const rowById = new Map<string, EngineRow>();
   for (const server of fleet.ofService(service)) {
     const kind = kinds.get(server.kind ?? "");
-    if (!kind || !server.held) continue;
-    const layers = layersIn(server.held);
+    const held = heldOf(server, model);
+    if (!kind || !held) continue;
+    const layers = layersIn(held);
     const { memoryMb } = kind;
     const row = {
       index: rows.length,
--- a/packages/telemetry/src/event_catalogue.ts
+++ b/packages/telemetry/src/event_catalogue.ts
@@ -36,6 +36,10 @@
       says: "a check on SIGHUP found the settings file invalid; the running process is not affected",
       fields: ["reason"],
     },
+    unexpected_error: {
+      says: "an error that no code expects, with its stack; a request that it ended is answered or broken off, and the process goes on",
+      fields: ["origin", "reason", "total"],
+    },
     internal_error: {
       says: "an unhandled error ended a request",
       fields: ["request", "reason"],
@@ -131,10 +135,6 @@
       says: "the caller disconnected before its request was complete",
       fields: ["request"],
     },
-    request_failed: {
-      says: "an unhandled error ended a request; its connection is closed",
-      fields: ["reason"],
-    },
     unparsed_request: {
       says: "the HTTP parser rejected a request, or its connection failed or timed out",
       fields: ["code"],
