Headers with extreme numbers no longer end an instance

One request with 'X-Token-Count: 1e308,1e308' ended its instance for lack of memory: its cost made the demand infinite, and the encoding of an infinite value for the reports to other instances never came to its last byte.

--- a/packages/gateway/src/streams/demand_records.ts
+++ b/packages/gateway/src/streams/demand_records.ts
@@ -31,9 +31,9 @@
   for (const { service, priority, value } of records) {
     pushHash(bytes, hashOf(service));
     bytes.push(priority);
-    pushInteger(bytes, value.arrivingPerSecond);
-    pushInteger(bytes, value.waiting);
-    pushInteger(bytes, value.held);
+    pushInteger(bytes, value.arrivingPerSecond, MAX_TOKENS);
+    pushInteger(bytes, value.waiting, MAX_TOKENS);
+    pushInteger(bytes, value.held, MAX_TOKENS);
   }
   return Buffer.from(bytes).toString("base64");
 }
--- a/packages/gateway/src/streams/record_bytes.ts
+++ b/packages/gateway/src/streams/record_bytes.ts
@@ -50,9 +50,10 @@
     bytes.push((hash >>> (at * 8)) & 0xff);
 }
 
-/** Appends a value, rounded and at least 0. */
-export function pushInteger(bytes: number[], value: number): void {
-  let rest = Math.round(Math.max(0, value));
+/** Appends a value, rounded and between 0 and `max`; NaN as 0. */
+export function pushInteger(bytes: number[], value: number, max: number): void {
+  // An infinite value would never come to its last byte.
+  let rest = Math.round(Math.min(max, Math.max(0, value || 0)));
   while (rest >= CONTINUES) {
     bytes.push((rest % CONTINUES) + CONTINUES);
     rest = Math.floor(rest / CONTINUES);
--- a/packages/gateway/src/streams/usage_records.ts
+++ b/packages/gateway/src/streams/usage_records.ts
@@ -60,8 +60,8 @@
   const bytes: number[] = [];
   for (const [id, { held, unread }] of loads) {
     pushHash(bytes, hashOf(id));
-    pushInteger(bytes, held);
-    pushInteger(bytes, unread);
+    pushInteger(bytes, held, MAX_VALUE);
+    pushInteger(bytes, unread, MAX_VALUE);
   }
   return Buffer.from(bytes).toString("base64");
 }
