Answers of the store and of peers: what can't be read harms nothing else

A presence object of another writer with a port that is none ended all instances: sending a datagram there throws. A call to a peer whose address now belongs to something else waited for good when that answered with other JSON.

Leases of others block a domain for a minute at most, and event IDs and hand-off terms that fit in no header aren't sent in one.

--- a/packages/gateway/src/callers/handoff_headers.ts
+++ b/packages/gateway/src/callers/handoff_headers.ts
@@ -24,7 +24,10 @@
   /** Servers that may still run the request. */
   maxAttempts: z.number().int().positive(),
   /** Event after which a stream continues; `null` for its beginning. */
-  lastEventId: z.string().nullable(),
+  lastEventId: z
+    .string()
+    .regex(/^[\t\x20-\x7e\x80-\xff]*$/)
+    .nullable(),
   /**
    * Whether the receiver takes a retry from its budget, since the request may
    * have been sent before and the sender's budget is used up.
--- a/packages/gateway/src/following/presence_table.ts
+++ b/packages/gateway/src/following/presence_table.ts
@@ -41,13 +41,19 @@
 const log = createLogger("presence");
 const warnUnreadable = createOccasionalWarning(log, "presence_unreadable");
 
+/** Calls and datagrams to any other address would throw. */
+const peerSchema = z.object({
+  host: z.string().regex(/^[\w.:-]{1,253}$/),
+  port: z.int().min(1).max(65_535),
+});
+
 const presenceSchema = z.object({
   failureDomain: z.string(),
   /** Start of the process in Unix milliseconds. */
   startedAt: z.number(),
   renewal: z.number(),
   /** Address for calls from other instances; `null` if it has none. */
-  peer: z.object({ host: z.string(), port: z.number() }).nullable(),
+  peer: peerSchema.nullable(),
   leaving: z.boolean(),
   /**
    * Whether it reaches model engines, and may order them; `null` for instances
--- a/packages/gateway/src/streams/event_splitter.ts
+++ b/packages/gateway/src/streams/event_splitter.ts
@@ -1,6 +1,8 @@
 /** Splits a byte stream of server-sent events into complete events. */
 
 const LINE_FEED = 0x0a;
+/** IDs are sent back in a header, so they must not hold what headers can't. */
+const ID_PATTERN = /^[\x20-\x7e\x80-\xff]{0,256}$/;
 const ID_FIELD = Buffer.from("id:");
 
 /** The unmodified bytes of one event, including its final blank line. */
@@ -65,5 +67,6 @@
   }
   if (fieldIndex < 0) return null;
   const end = event.indexOf(LINE_FEED, fieldIndex);
-  return event.toString("latin1", fieldIndex + ID_FIELD.length, end).trim();
+  const id = event.toString("latin1", fieldIndex + ID_FIELD.length, end).trim();
+  return ID_PATTERN.test(id) ? id : null;
 }
--- a/packages/membership/src/datagram_transport.ts
+++ b/packages/membership/src/datagram_transport.ts
@@ -31,10 +31,16 @@
   /** Resolves once the datagram is sent or has failed. */
   function sendOne(datagram: Uint8Array, target: Address): Promise<void> {
     return new Promise((resolve) => {
-      socket.send(datagram, target.port, target.host, (error) => {
+      const end = (error: Error | null) => {
         if (error) log.detail("send_failed", { reason: error.message });
         resolve();
-      });
+      };
+      try {
+        socket.send(datagram, target.port, target.host, end);
+      } catch (error) {
+        // `send` throws for a port that is none.
+        end(error as Error);
+      }
     });
   }
 
--- a/packages/membership/src/peer_rpc.ts
+++ b/packages/membership/src/peer_rpc.ts
@@ -74,9 +74,9 @@
   const server = createServer(options, async (incoming, outgoing) => {
     if (requests && incoming.headers[requests.header] !== undefined)
       return requests.handle(incoming, outgoing);
-    const answer = await handleCall(rpc, incoming);
+    const text = await answerCall(rpc, incoming);
     outgoing.setHeader("content-type", "application/json");
-    outgoing.end(encodeAnswer(answer));
+    outgoing.end(text);
   });
   await new Promise<void>((resolve, reject) => {
     server.once("error", reject);
@@ -98,12 +98,17 @@
   return `${head},"result":${encoded}}`;
 }
 
-async function handleCall(rpc: JSONRPCServer, incoming: IncomingMessage) {
+async function answerCall(
+  rpc: JSONRPCServer,
+  incoming: IncomingMessage,
+): Promise<string> {
   try {
     const body = await readBody(incoming);
-    return await rpc.receive(JSON.parse(body) as JSONRPCRequest);
+    return encodeAnswer(await rpc.receive(JSON.parse(body) as JSONRPCRequest));
   } catch {
-    return createJSONRPCErrorResponse(null, PARSE_ERROR, "Parse error");
+    return JSON.stringify(
+      createJSONRPCErrorResponse(null, PARSE_ERROR, "Parse error"),
+    );
   }
 }
 
@@ -151,6 +156,8 @@
           signal: AbortSignal.timeout(timeoutMs),
         });
         client.receive((await response.body.json()) as never);
+        // An answer to another call would leave this one waiting for good.
+        client.rejectAllPendingRequests("no answer to the call");
       });
       try {
         const value = await client.request(method, options.params ?? {});
--- a/packages/membership/src/peer_rpc_test.ts
+++ b/packages/membership/src/peer_rpc_test.ts
@@ -1,3 +1,5 @@
+import { once } from "node:events";
+import { createServer } from "node:http";
 import type { AddressInfo } from "node:net";
 import { expect, it } from "vitest";
 import {
@@ -37,3 +39,52 @@
   server.closeAllConnections();
   await new Promise((resolve) => server.close(resolve));
 });
+
+// Guards against a loop that waits for good, since another process answers at
+// the address of a peer.
+it.each([
+  "{}",
+  "null",
+  "[]",
+  "5",
+  '{"jsonrpc":"2.0","id":99,"result":1}',
+  '{"jsonrpc":"2.0","id":1}',
+  '{"id":1,"error":null}',
+  "not JSON",
+])("a call that is answered with %s ends in time", async (text) => {
+  const server = createServer((request, response) => {
+    request.resume();
+    response.end(text);
+  });
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  const { port } = server.address() as AddressInfo;
+  const address = { host: "127.0.0.1", port };
+  const options = { timeoutMs: 500 };
+  const result = createPeerCaller("127.0.0.1").call(address, "m", options);
+  const hangs = new Promise((resolve) => setTimeout(resolve, 2_000, "hangs"));
+  expect(await Promise.race([result, hangs])).not.toBe("hangs");
+  server.closeAllConnections();
+  server.close();
+});
+
+// Guards against a result that can't be encoded and leaves its caller waiting,
+// with a rejection that ends the process.
+it("a result that can't be encoded is answered with an error", async () => {
+  const circular: Record<string, unknown> = {};
+  circular.self = circular;
+  const address = { host: "127.0.0.1", port: 0 };
+  const server = await startPeerServer(address, { circular: () => circular });
+  const { port } = server.address() as AddressInfo;
+  const result = await createPeerCaller("127.0.0.1").call(
+    { host: "127.0.0.1", port },
+    "circular",
+    { timeoutMs: 500 },
+  );
+  expect(result).toEqual({
+    kind: "rejected",
+    detail: "no answer to the call",
+  });
+  server.closeAllConnections();
+  await new Promise((resolve) => server.close(resolve));
+});
--- a/packages/placement/src/control_lease.ts
+++ b/packages/placement/src/control_lease.ts
@@ -28,6 +28,8 @@
  * flight takes up to 1 s, and clock rates may differ by up to 1 %.
  */
 const SAFETY_MARGIN_MS = 1_500;
+/** Bound on the duration of others' leases, which would block a domain. */
+const MAX_DURATION_MS = 60_000;
 /** A lost reply or a conflict is resolved by reading the lease once more. */
 const MAX_ATTEMPTS_PER_STEP = 2;
 
@@ -137,7 +139,8 @@
     }
     // Clocks of instances are not compared: a lease has lapsed when its version
     // has not changed for its whole duration by the local clock.
-    if (surelyElapsedMs(observed.firstReadAt) < lease.durationMs) return true;
+    const durationMs = Math.min(lease.durationMs, MAX_DURATION_MS);
+    if (surelyElapsedMs(observed.firstReadAt) < durationMs) return true;
     return acquire(lease.fencingNumber + 1, version);
   }
 
--- a/packages/telemetry/src/event_catalogue.ts
+++ b/packages/telemetry/src/event_catalogue.ts
@@ -357,6 +357,10 @@
       says: "a suspected server answered a probe",
       fields: ["id", "after_ms"],
     },
+    store_objects_unreadable: {
+      says: "objects in an answer of the store are no objects and were ignored",
+      fields: ["unreadable"],
+    },
     server_entry_unreadable: {
       says: "a server's entry is invalid and was ignored",
       fields: ["id", "reason"],
