--- a/packages/gateway/src/callers/caller_listener.ts
+++ b/packages/gateway/src/callers/caller_listener.ts
@@ -23,9 +23,15 @@
   ConfigurationKeeper,
 } from "../following/mod.ts";
 import type { RequestMetadata } from "../protocol.ts";
+import { endAfterError, type UnexpectedErrors } from "../unexpected_errors.ts";
 import type { BodyBudget, BodyRoom } from "./body_budget.ts";
 import { logEnd } from "./call_log.ts";
-import { type RefusalParts, refuse, retryDelayOf } from "./caller_answer.ts";
+import {
+  endWithRefusal,
+  type RefusalParts,
+  refuse,
+  retryDelayOf,
+} from "./caller_answer.ts";
 import { type CallEnd, type CallerCall, priorityOf } from "./caller_call.ts";
 import {
   type ClosedConnection,
@@ -72,6 +78,8 @@
   too_large: { status: 413, reason: "body_too_large" },
   no_room: { status: 503, reason: "bodies_memory_full" },
 } as const;
+/** Refusal after an error of this instance before the request was sent. */
+const FAILED = { status: 503, reason: "internal_error" };
 
 const log = createLogger("callers");
 
@@ -89,6 +97,7 @@
   /** Whether this instance can serve no request, while others may. */
   readonly isIsolated: () => boolean;
   readonly onEnded: (call: CallerCall, end: CallEnd) => void;
+  readonly unexpectedErrors: UnexpectedErrors;
   /** Called for a refusal before the request became a call. */
   readonly onRefused: (refusal: {
     readonly retryAfterSeconds: number | null;
@@ -174,16 +183,50 @@
     try {
       await handle(request, response, { handedOff, room });
     } catch (error) {
-      const reason = error instanceof Error ? error.message : String(error);
-      log.warn("request_failed", { reason });
-      connections.closing(response.socket, "exception");
-      response.destroy();
+      endUnforwarded(request, response, error);
     } finally {
       room.release();
       await answers.settled(response);
     }
   }
 
+  /** Ends a request that failed here before it was sent to any server. */
+  function endUnforwarded(
+    request: IncomingMessage,
+    response: ServerResponse,
+    error: unknown,
+  ): void {
+    options.unexpectedErrors.record("request", error);
+    if (response.headersSent) connections.closing(response.socket, "exception");
+    request.resume();
+    const { requestId } = codec.decodeRequest(request.headers);
+    const retryAfterSeconds = null;
+    endAfterError(response, () =>
+      refuse(codec, response, { ...FAILED, requestId, retryAfterSeconds }),
+    );
+  }
+
+  /**
+   * Forwards a call. After an unexpected error it may have run, and the caller
+   * gets an answer that promises nothing.
+   */
+  async function forward(call: CallerCall): Promise<CallEnd> {
+    try {
+      return await options.forward(call);
+    } catch (error) {
+      options.unexpectedErrors.record("request", error);
+      const { response } = call;
+      const { reason } = FAILED;
+      const begun = { status: 0, outcome: "cut" as const };
+      let end = { ...begun, reason, attempts: 0, firstByteMs: null } as CallEnd;
+      endAfterError(response, () => {
+        const outcome = "unknown";
+        end = endWithRefusal(options, call, { outcome, reason, attempts: 0 });
+      });
+      return end;
+    }
+  }
+
   /**
    * Handles a request that passes the same checks as one of this instance's own
    * callers, in particular that of its key.
@@ -300,9 +343,12 @@
       hasCallerLeft: () => callerLeft,
     };
     try {
-      const end = await options.forward(call);
-      if (end.outcome === "cut")
-        connections.closing(response.socket, "answer_cut");
+      const end = await forward(call);
+      if (end.outcome === "cut") {
+        const isError = end.reason === FAILED.reason;
+        const cause = isError ? "exception" : "answer_cut";
+        connections.closing(response.socket, cause);
+      }
       logEnd(call, end);
       options.onEnded(call, end);
     } finally {
--- a/packages/telemetry/src/event_catalogue.ts
+++ b/packages/telemetry/src/event_catalogue.ts
@@ -36,6 +36,10 @@
       says: "a check on SIGHUP found the settings file invalid; the running process is not affected",
       fields: ["reason"],
     },
+    unexpected_error: {
+      says: "an error that no code expects, with its stack; a request that it ended is answered or broken off, and the process goes on",
+      fields: ["origin", "reason", "total"],
+    },
     internal_error: {
       says: "an unhandled error ended a request",
       fields: ["request", "reason"],
@@ -135,10 +139,6 @@
       says: "the caller disconnected before its request was complete",
       fields: ["request"],
     },
-    request_failed: {
-      says: "an unhandled error ended a request; its connection is closed",
-      fields: ["reason"],
-    },
     unparsed_request: {
       says: "the HTTP parser rejected a request, or its connection failed or timed out",
       fields: ["code"],
@@ -361,6 +361,10 @@
       says: "a suspected server answered a probe",
       fields: ["id", "after_ms"],
     },
+    store_objects_unreadable: {
+      says: "objects in an answer of the store are no objects and were ignored",
+      fields: ["unreadable"],
+    },
     server_entry_unreadable: {
       says: "a server's entry is invalid and was ignored",
       fields: ["id", "reason"],
