--- a/packages/gateway/src/unexpected_errors_test.ts
+++ b/packages/gateway/src/unexpected_errors_test.ts
@@ -9,6 +9,7 @@
 import { afterEach, expect, it } from "vitest";
 import {
   type CallerListener,
+  createBodyBudget,
   createCallerListener,
   createRetrySchedules,
 } from "./callers/mod.ts";
@@ -79,8 +80,10 @@
     hasOtherInstances: () => false,
     isIsolated: () => false,
     unexpectedErrors,
+    bodyBudget: createBodyBudget(1e6),
     onEnded: (_call, end) => ends.push(end),
     onRefused: () => {},
+    onClosed: () => {},
   });
   listener.server.listen(0, "127.0.0.1");
   await once(listener.server, "listening");
