--- a/packages/gateway/src/callers/caller_answer_test.ts
+++ b/packages/gateway/src/callers/caller_answer_test.ts
@@ -23,7 +23,8 @@
   const encodeRefusal = vi.fn<RequestCodec["encodeRefusal"]>(() => ({}));
   const codec = { encodeRefusal } as unknown as RequestCodec;
   const parts = { codec, retrySchedules: createRetrySchedules() };
-  const response = { writeHead: vi.fn(), end: vi.fn() };
+  const req = { complete: true };
+  const response = { req, writeHead: vi.fn(), end: vi.fn() };
 
   /** Refuses a call; returns its end and the delay that its caller reads. */
   function refuseCall(
