--- a/packages/gateway/src/following/peer_snapshots.ts
+++ b/packages/gateway/src/following/peer_snapshots.ts
@@ -31,7 +31,7 @@
   revision: z.number(),
 });
 const snapshotSchema = z.object({
-  revision: z.number(),
+  revision: z.int().nonnegative(),
   objects: storedObjectsSchema,
 });
 
--- a/packages/gateway/src/following/relay_protocol.ts
+++ b/packages/gateway/src/following/relay_protocol.ts
@@ -44,7 +44,7 @@
       objects: storedObjectsSchema,
       removed: z.array(z.string()),
       /** Store revision of the relay's copy; absent from the version before. */
-      revision: z.number().optional().catch(undefined),
+      revision: z.int().nonnegative().optional().catch(undefined),
     }),
   ),
   /** Decoded on its own, so that a malformed list doesn't cost the changes. */
--- a/packages/gateway/src/streams/usage_datagram.ts
+++ b/packages/gateway/src/streams/usage_datagram.ts
@@ -16,10 +16,13 @@
 
 const countSchema = z.int().nonnegative().max(MAX_COUNT);
 
+const MAX_NAME_LENGTH = 256;
+const nameSchema = z.string().max(MAX_NAME_LENGTH);
+
 const datagramSchema = z.object({
   method: z.literal(METHOD),
   params: z.object({
-    from: z.string(),
+    from: nameSchema,
     /** Increases with each datagram after the sender's start. */
     sequence: countSchema,
     /** Start of the sender, in Unix milliseconds. */
@@ -28,7 +31,7 @@
      * Failure domain over whose instances the loads are summed; absent if they
      * are those of the sender alone.
      */
-    domain: z.string().optional(),
+    domain: nameSchema.optional(),
     /** Loads of engines, in the form of `usage_records`. */
     use: z.string(),
     /**
--- a/packages/gateway/src/streams/usage_exchange.ts
+++ b/packages/gateway/src/streams/usage_exchange.ts
@@ -44,6 +44,8 @@
 const MIN_DOMAIN_SEND_INTERVAL_MS = 250;
 /** Interval at which an instance without peers elsewhere looks for them. */
 const NO_DOMAIN_PEERS_INTERVAL_MS = 2_000;
+/** Senders that are remembered; the one not heard for longest is forgotten. */
+const MAX_SENDERS = 4_096;
 /** Rate limit for log lines about datagrams that are ignored. */
 const MIN_LOG_INTERVAL_MS = 5_000;
 
@@ -273,7 +275,11 @@
       const isOutOfOrder =
         newest?.startedAt === startedAt && sequence <= newest.sequence;
       if (isOutOfOrder) return "out_of_order";
+      newestByInstance.delete(from);
       newestByInstance.set(from, { startedAt, sequence });
+      const [oldest] = newestByInstance.keys();
+      if (newestByInstance.size > MAX_SENDERS && oldest !== undefined)
+        newestByInstance.delete(oldest);
       return "newest";
     },
   };
--- a/packages/membership/src/peer_rpc.ts
+++ b/packages/membership/src/peer_rpc.ts
@@ -143,19 +143,35 @@
     ...(WILDCARD_HOSTS.has(host) ? {} : { localAddress: host }),
   });
 
+  async function send(
+    address: Address,
+    payload: unknown,
+    { timeoutMs }: { readonly timeoutMs: number },
+  ): Promise<unknown> {
+    const response = await agent.request({
+      origin: `http://${formatAddress(address)}`,
+      path: "/",
+      method: "POST",
+      headers: { "content-type": "application/json" },
+      body: JSON.stringify(payload),
+      signal: AbortSignal.timeout(timeoutMs),
+    });
+    return response.body.json();
+  }
+
   return {
     async call(address, method, options = {}) {
       const timeoutMs = options.timeoutMs ?? CALL_TIMEOUT_MS;
+      // The client replaces errors of its sender by an error answer.
+      let sendError: unknown = null;
       const client: JSONRPCClient = new JSONRPCClient(async (payload) => {
-        const response = await agent.request({
-          origin: `http://${formatAddress(address)}`,
-          path: "/",
-          method: "POST",
-          headers: { "content-type": "application/json" },
-          body: JSON.stringify(payload),
-          signal: AbortSignal.timeout(timeoutMs),
-        });
-        client.receive((await response.body.json()) as never);
+        try {
+          const answer = await send(address, payload, { timeoutMs });
+          client.receive(answer as never);
+        } catch (error) {
+          sendError = error;
+          throw error;
+        }
         // An answer to another call would leave this one waiting for good.
         client.rejectAllPendingRequests("no answer to the call");
       });
@@ -163,7 +179,7 @@
         const value = await client.request(method, options.params ?? {});
         return { kind: "ok", value };
       } catch (error) {
-        return classify(error);
+        return classify(sendError ?? error);
       }
     },
   };
--- a/packages/membership/src/peer_rpc_test.ts
+++ b/packages/membership/src/peer_rpc_test.ts
@@ -88,3 +88,19 @@
   server.closeAllConnections();
   await new Promise((resolve) => server.close(resolve));
 });
+
+// Guards against a peer that is taken for one that has answered with an error,
+// so that it isn't called again.
+it("a call that gets no answer says why", async () => {
+  const server = createServer(() => {});
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  const { port } = server.address() as AddressInfo;
+  const address = { host: "127.0.0.1", port };
+  const caller = createPeerCaller("127.0.0.1");
+  const call = () => caller.call(address, "m", { timeoutMs: 100 });
+  expect(await call()).toMatchObject({ kind: "unreachable" });
+  server.closeAllConnections();
+  await new Promise((resolve) => server.close(resolve));
+  expect(await call()).toEqual({ kind: "refused" });
+});
