--- a/packages/checks/src/platform_soak/burst.ts
+++ b/packages/checks/src/platform_soak/burst.ts
@@ -11,7 +11,7 @@
   type SoakRequest,
   STREAM_PRIORITIES,
 } from "./soak_request.ts";
-import { sleep } from "./soak_world.ts";
+import { sleep } from "./timing.ts";
 
 /** About twice the answers for which the engines have memory. */
 const BURST_CALLERS = 24;
--- a/packages/checks/src/platform_soak/ending_prompts.ts
+++ b/packages/checks/src/platform_soak/ending_prompts.ts
@@ -7,7 +7,7 @@
 import type { SeededRandom } from "../seeded_random.ts";
 import type { InstanceProcess } from "./instance_process.ts";
 import { COMMON_PART } from "./soak_request.ts";
-import { sleep } from "./soak_world.ts";
+import { sleep } from "./timing.ts";
 
 /** What the names of parts that end engines begin with. */
 export const ENDING_PREFIX = "ends-";
--- a/packages/checks/src/platform_soak/faults.ts
+++ b/packages/checks/src/platform_soak/faults.ts
@@ -9,7 +9,8 @@
 import type { SeededRandom } from "../seeded_random.ts";
 import type { ProxyFault } from "./fault_proxy.ts";
 import type { InstanceProcess } from "./instance_process.ts";
-import { sleep, type World } from "./soak_world.ts";
+import type { World } from "./soak_world.ts";
+import { sleep } from "./timing.ts";
 
 export const FAULTS = [
   "stop_instance",
@@ -69,7 +70,7 @@
       hurt.delete(instance);
       return;
     case "configure":
-      deployment.configure();
+      world.versions.publish();
       return;
     case "store_down":
       return during(lastsMs, (on) => {
--- a/packages/checks/src/platform_soak/instance_process.ts
+++ b/packages/checks/src/platform_soak/instance_process.ts
@@ -1,7 +1,7 @@
 /** An instance as a separate process, which signals stop, freeze and kill. */
 import { type ChildProcess, spawn } from "node:child_process";
 import { once } from "node:events";
-import { createWriteStream } from "node:fs";
+import { createWriteStream, readFileSync, writeFileSync } from "node:fs";
 import { PLATFORM_PROGRAM } from "../platform_program.ts";
 
 export interface InstanceProcess {
@@ -17,6 +17,10 @@
   kill(): Promise<void>;
   freeze(): void;
   thaw(): void;
+  /** Writes its settings file again, and tells it by SIGHUP. */
+  reload(): void;
+  /** How often its process ended without having been stopped or killed. */
+  ownEnds(): number;
 }
 
 /** Creates an instance that is not started yet. */
@@ -29,6 +33,7 @@
   const log = createWriteStream(options.logFile, { flags: "a" });
   let child: ChildProcess | null = null;
   let running = 0;
+  let ownEnds = 0;
 
   async function ended(signal: NodeJS.Signals): Promise<number | null> {
     const last = child;
@@ -46,17 +51,21 @@
     isUp: () => child !== null && child.exitCode === null,
     isGone: () => running === 0,
     start() {
-      child = spawn(
+      const started = spawn(
         process.execPath,
         [PLATFORM_PROGRAM, "--settings", options.settingsFile],
         { stdio: ["ignore", "pipe", "pipe"] },
       );
+      child = started;
       running += 1;
-      child.once("exit", () => {
+      started.once("exit", () => {
         running -= 1;
+        if (child !== started) return;
+        ownEnds += 1;
+        child = null;
       });
-      child.stdout?.pipe(log, { end: false });
-      child.stderr?.pipe(log, { end: false });
+      started.stdout?.pipe(log, { end: false });
+      started.stderr?.pipe(log, { end: false });
     },
     stop: () => ended("SIGTERM"),
     async kill() {
@@ -68,5 +77,13 @@
     thaw() {
       child?.kill("SIGCONT");
     },
+    reload() {
+      writeFileSync(
+        options.settingsFile,
+        readFileSync(options.settingsFile, "utf8"),
+      );
+      child?.kill("SIGHUP");
+    },
+    ownEnds: () => ownEnds,
   };
 }
--- a/packages/checks/src/platform_soak/soak_world.ts
+++ b/packages/checks/src/platform_soak/soak_world.ts
@@ -21,6 +21,12 @@
   type SoakKind,
   type SoakRequest,
 } from "./soak_request.ts";
+import {
+  createVersions,
+  SPARE_SERVERS,
+  SPARE_SERVICE,
+  type Versions,
+} from "./versions.ts";
 
 const GRACE_MS = 5_000;
 
@@ -31,6 +37,7 @@
   readonly doors: readonly { closed: boolean }[];
   /** Links of each instance to all servers. */
   readonly links: readonly ServerLinks[];
+  readonly versions: Versions;
   runsOf(id: string): number;
   stop(): Promise<void>;
 }
@@ -38,11 +45,12 @@
 export async function startWorld(folder: string): Promise<World> {
   const deployment = await startDeployment({
     engines: ["a", "a", "a", "a", "b", "b", "b", "b"],
-    plainServers: ["a", "b"],
+    plainServers: ["a", "b", "a", "b"],
     instances: [],
     eventMs: 15,
     hasCompetition: true,
   });
+  const versions = createVersions(deployment);
   const servers = [...deployment.engines, ...deployment.plainServers];
   const proxies: FaultProxy[] = [];
   const behind = new Map<string, string>();
@@ -55,7 +63,10 @@
   const enterAll = () => {
     for (const server of servers) {
       if (server.isUp()) {
-        deployment.enter(server, { address: behind.get(server.id) });
+        deployment.enter(server, {
+          address: behind.get(server.id),
+          ...(SPARE_SERVERS.has(server.id) ? { service: SPARE_SERVICE } : {}),
+        });
       } else deployment.store.remove("servers", server.id);
     }
   };
@@ -104,6 +115,7 @@
     proxies,
     doors,
     links,
+    versions,
     runsOf: (id) =>
       servers
         .flatMap<{ readonly requestId: string }>(({ runs }) => runs)
@@ -151,7 +163,3 @@
 function requestFor(kind: SoakKind): SoakRequest {
   return { kind, events: 2, priority: 1, organisation: "farm" };
 }
-
-export function sleep(durationMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, durationMs));
-}
--- /dev/null
+++ b/packages/checks/src/platform_soak/timing.ts
@@ -0,0 +1,3 @@
+export function sleep(durationMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, durationMs));
+}
