Soak: judges of versions, and a seeded run beside planned work alone

Callers may get 401 and 404 only for what some version that may be in force lacks, answers only for what some of them allows, and 502 or 504 beside planned work only at their deadline or timeout. The changes of configurations stand with the stand-ins, since their field names are the platform's.

--- a/packages/checks/src/platform_soak/soak_run_test.ts
+++ b/packages/checks/src/platform_soak/soak_run_test.ts
@@ -83,4 +83,21 @@
       rmSync(result.folder, { recursive: true });
     },
   );
+
+  // Guards against requests that get neither an answer nor a refusal while the
+  // configuration changes, settings are reloaded and sound servers are silent.
+  it("holds every promise beside planned work alone", async () => {
+    const random = createSeededRandom(2002);
+    const result = await runPlatformSoak(random, 2 * DURATION_MS, [
+      "versions",
+      "reload_instance",
+      "stop_instance",
+      "engine_pauses",
+      "server_pauses",
+    ]);
+    expect(result.broken).toEqual([]);
+    expect(result.faults).toContain("versions");
+    expect(result.calls.some(({ answer }) => answer.status === 200)).toBe(true);
+    rmSync(result.folder, { recursive: true });
+  });
 });
--- a/packages/checks/src/platform_soak/versions.ts
+++ b/packages/checks/src/platform_soak/versions.ts
@@ -1,5 +1,19 @@
 /** Versions of the configuration in a run, and what they allow a request. */
-import type { Deployment } from "@rosemarypin/platform/stand_in";
+import {
+  type ConfigurationContent,
+  type ContentChange,
+  type Deployment,
+  hasKey,
+  servicesOf,
+  withLimits,
+  withoutKeys,
+  withoutRoute,
+  withoutUnusedService,
+  withRouteMoved,
+  withRouteSplit,
+  withService,
+  withTimeout,
+} from "@rosemarypin/platform/stand_in";
 import type { SeededRandom } from "../seeded_random.ts";
 import {
   keyOf,
@@ -18,32 +32,7 @@
 const ROUTES = ["ask", "tell", "say", "order", "look"] as const;
 const PLAIN_ROUTES = ["order", "look"] as const;
 
-/** Parts of a version, in the platform's format. */
-interface Content {
-  readonly routes: readonly RouteContent[];
-  readonly services: readonly { readonly name: string }[];
-  readonly limits: Readonly<Record<string, number>>;
-  readonly tenants: readonly TenantContent[];
-}
-
-interface RouteContent {
-  readonly name: string;
-  readonly timeout_ms: number;
-  readonly service?: string;
-  readonly split?: readonly ServiceShare[];
-}
-
-interface ServiceShare {
-  readonly service: string;
-  readonly weight: number;
-}
-
-interface TenantContent {
-  readonly name: string;
-  readonly api_keys: readonly string[];
-}
-
-type Change = (content: Content) => Content;
+const WITHOUT_SPARE = withoutUnusedService(SPARE_SERVICE);
 
 /** In how many of the versions that may be in force something is. */
 type Presence = "all" | "some" | "none";
@@ -75,20 +64,22 @@
 
 /** Writes the first version; later ones build on the deployment's own. */
 export function createVersions(deployment: Deployment): Versions {
-  const stored = deployment.store.get("config", "main")?.spec as Content;
-  const base = {
-    ...stored,
-    services: [
-      ...stored.services,
-      { name: SPARE_SERVICE, health_path: "/health", max_conns: 100 },
-    ],
-  };
-  const changes = new Set<Change>();
-  const history: { readonly at: number; readonly content: Content }[] = [];
+  const base = withService(SPARE_SERVICE)(
+    deployment.store.get("config", "main")?.spec as ConfigurationContent,
+  );
+  const changes = new Set<ContentChange>();
+  const history: {
+    readonly at: number;
+    readonly content: ConfigurationContent;
+  }[] = [];
   publish();
 
   function publish(): void {
-    const content = [...changes].reduce<Content>(
+    // A service can be left out where no other change leads a route to it.
+    const ordered = [...changes].sort(
+      (a, b) => Number(a === WITHOUT_SPARE) - Number(b === WITHOUT_SPARE),
+    );
+    const content = ordered.reduce<ConfigurationContent>(
       (changed, change) => change(changed),
       base,
     );
@@ -96,7 +87,7 @@
     history.push({ at: performance.now(), content });
   }
 
-  async function play(change: Change, lastsMs: number): Promise<void> {
+  async function play(change: ContentChange, lastsMs: number): Promise<void> {
     changes.add(change);
     publish();
     await sleep(lastsMs);
@@ -104,7 +95,10 @@
     publish();
   }
 
-  function possibleContents(sentAt: number, wasInTouch: boolean): Content[] {
+  function possibleContents(
+    sentAt: number,
+    wasInTouch: boolean,
+  ): ConfigurationContent[] {
     return history
       .filter((_, index) => {
         const replacedAt = history[index + 1]?.at ?? Infinity;
@@ -134,11 +128,7 @@
       const timeouts = routes.flatMap((route) => route?.timeout_ms ?? []);
       return {
         route: presenceOf(routes.map((route) => route !== undefined)),
-        key: presenceOf(
-          contents.map(({ tenants }) =>
-            tenants.some(({ api_keys }) => api_keys.includes(key)),
-          ),
-        ),
+        key: presenceOf(contents.map((content) => hasKey(content, key))),
         services: routes.flatMap((route) => (route ? servicesOf(route) : [])),
         minTimeoutMs: Math.min(...timeouts),
         maxTimeoutMs: Math.max(0, ...timeouts),
@@ -147,79 +137,28 @@
   };
 }
 
-function drawChange(random: SeededRandom): Change {
+function drawChange(random: SeededRandom): ContentChange {
   const route = random.pick(ROUTES);
   const plainRoute = random.pick(PLAIN_ROUTES);
   const organisation = random.pick(ORGANISATIONS);
   const timeoutMs = random.pick([1_500, 2_500, 8_000]);
   const weight = random.between(1, 9);
   const limits = {
-    idle_timeout_ms: random.pick([1_000, 2_000, 30_000]),
-    header_timeout_ms: random.pick([1_000, 10_000]),
-    max_body_bytes: random.pick([1_000, 1_000_000]),
+    idleTimeoutMs: random.pick([1_000, 2_000, 30_000]),
+    headerTimeoutMs: random.pick([1_000, 10_000]),
+    bodyBytes: random.pick([1_000, 1_000_000]),
   };
-  return random.pick<Change>([
-    (content) => ({
-      ...content,
-      routes: content.routes.filter(({ name }) => name !== route),
-    }),
-    (content) =>
-      changeRoutes(content, ({ service, ...rest }) =>
-        rest.name === plainRoute
-          ? { ...rest, service: SPARE_SERVICE }
-          : { ...rest, ...(service === undefined ? {} : { service }) },
-      ),
-    (content) =>
-      changeRoutes(content, (changed) =>
-        changed.name === plainRoute ? withSplit(changed, weight) : changed,
-      ),
-    (content) => ({
-      ...content,
-      tenants: content.tenants.map((tenant) =>
-        tenant.name === organisation ? { ...tenant, api_keys: [] } : tenant,
-      ),
-    }),
-    (content) =>
-      changeRoutes(content, (changed) => ({
-        ...changed,
-        timeout_ms: timeoutMs,
-      })),
-    (content) => ({ ...content, limits: { ...content.limits, ...limits } }),
-    withoutSpareService,
+  return random.pick([
+    withoutRoute(route),
+    withRouteMoved(plainRoute, SPARE_SERVICE),
+    withRouteSplit(plainRoute, SPARE_SERVICE, { weight }),
+    withoutKeys(organisation),
+    withTimeout(timeoutMs),
+    withLimits(limits),
+    WITHOUT_SPARE,
   ]);
 }
 
-function changeRoutes(
-  content: Content,
-  change: (route: RouteContent) => RouteContent,
-): Content {
-  return { ...content, routes: content.routes.map(change) };
-}
-
-/** A route with shares of its services and the spare one. */
-function withSplit(route: RouteContent, weight: number): RouteContent {
-  const { service = SPARE_SERVICE, ...rest } = route;
-  const spare = { service: SPARE_SERVICE, weight };
-  return { ...rest, split: [{ service, weight: 10 - weight }, spare] };
-}
-
-/** Valid versions name the services of all routes. */
-function withoutSpareService(content: Content): Content {
-  const isUsed = content.routes.some((route) =>
-    servicesOf(route).includes(SPARE_SERVICE),
-  );
-  if (isUsed) return content;
-  return {
-    ...content,
-    services: content.services.filter(({ name }) => name !== SPARE_SERVICE),
-  };
-}
-
-function servicesOf({ service, split = [] }: RouteContent): string[] {
-  const shared = split.map((share) => share.service);
-  return service === undefined ? shared : [service, ...shared];
-}
-
 function presenceOf(present: readonly boolean[]): Presence {
   if (present.every(Boolean)) return "all";
   return present.some(Boolean) ? "some" : "none";
