--- a/packages/checks/src/platform_soak/caller_habits.ts
+++ b/packages/checks/src/platform_soak/caller_habits.ts
@@ -17,7 +17,7 @@
   { isSlowToReturn: true },
   { request: { isOnce: true } },
   { bodyPauseMs: 900 },
-  {},
+  { request: { events: 60 } },
 ];
 
 /** Callers use connections that were idle for up to this share of the limit. */
