--- a/packages/checks/src/platform_soak/planned_work.ts
+++ b/packages/checks/src/platform_soak/planned_work.ts
@@ -8,7 +8,13 @@
   "reload_instance",
   "engine_pauses",
   "server_pauses",
+  "engine_leaves",
 ] as const;
+/** Least time for which an engine that leaves serves on. */
+const DRAIN_MS = 2_000;
+/** Time until its entry says so, and until it is gone. */
+const HEARTBEAT_MS = 600;
+
 export type PlannedWork = (typeof PLANNED_WORK)[number];
 
 export function isPlannedWork(name: string): name is PlannedWork {
@@ -27,9 +33,26 @@
     if (instance?.isUp()) instance.reload();
     return;
   }
+  if (work === "engine_leaves") return replaceEngine(world, random);
   const servers = work === "engine_pauses" ? engines : plainServers;
   const server = servers[random.between(0, servers.length - 1)];
   const durationMs = random.between(1_000, 2_000);
   server?.pause.begin(durationMs);
   await sleep(durationMs);
 }
+
+/** Empties an engine, ends it and starts it again without layers. */
+async function replaceEngine(
+  { deployment, leaving }: World,
+  random: SeededRandom,
+): Promise<void> {
+  const { engines } = deployment;
+  const engine = engines[random.between(0, engines.length - 1)];
+  if (!engine?.isUp() || leaving.has(engine.id)) return;
+  leaving.add(engine.id);
+  await sleep(HEARTBEAT_MS + DRAIN_MS + random.between(0, 1_500));
+  await engine.stop();
+  await sleep(HEARTBEAT_MS + random.between(200, 800));
+  leaving.delete(engine.id);
+  await engine.restart();
+}
--- a/packages/checks/src/platform_soak/soak_world.ts
+++ b/packages/checks/src/platform_soak/soak_world.ts
@@ -38,6 +38,8 @@
   /** Links of each instance to all servers. */
   readonly links: readonly ServerLinks[];
   readonly versions: Versions;
+  /** Ids of the servers that say that they are about to stop. */
+  readonly leaving: Set<string>;
   runsOf(id: string): number;
   stop(): Promise<void>;
 }
@@ -60,11 +62,13 @@
     behind.set(server.id, proxy.address);
     if ("held" in server) deployment.registry.set(proxy.address, server);
   }
+  const leaving = new Set<string>();
   const enterAll = () => {
     for (const server of servers) {
       if (server.isUp()) {
         deployment.enter(server, {
           address: behind.get(server.id),
+          state: leaving.has(server.id) ? "draining" : "ready",
           ...(SPARE_SERVERS.has(server.id) ? { service: SPARE_SERVICE } : {}),
         });
       } else deployment.store.remove("servers", server.id);
@@ -116,6 +120,7 @@
     doors,
     links,
     versions,
+    leaving,
     runsOf: (id) =>
       servers
         .flatMap<{ readonly requestId: string }>(({ runs }) => runs)
