--- a/packages/gateway/src/callers/caller_listener.ts
+++ b/packages/gateway/src/callers/caller_listener.ts
@@ -23,8 +23,15 @@
   ConfigurationKeeper,
 } from "../following/mod.ts";
 import type { RequestMetadata } from "../protocol.ts";
+import { endAfterError, type UnexpectedErrors } from "../unexpected_errors.ts";
+import type { BodyBudget, BodyRoom } from "./body_budget.ts";
 import { logEnd } from "./call_log.ts";
-import { type RefusalParts, refuse, retryDelayOf } from "./caller_answer.ts";
+import {
+  endWithRefusal,
+  type RefusalParts,
+  refuse,
+  retryDelayOf,
+} from "./caller_answer.ts";
 import { type CallEnd, type CallerCall, priorityOf } from "./caller_call.ts";
 import {
   type ClosedConnection,
@@ -37,6 +44,7 @@
   type HandoffTerms,
   withoutHandoffTerms,
 } from "./handoff_headers.ts";
+import { createOpenAnswers } from "./open_answers.ts";
 import { readRequestBody } from "./request_body.ts";
 import type { WarmUp } from "./warm_up.ts";
 
@@ -66,11 +74,19 @@
  */
 const MAX_HANDED_OFF_REQUESTS = 256;
 
+const BODY_REFUSALS = {
+  too_large: { status: 413, reason: "body_too_large" },
+  no_room: { status: 503, reason: "bodies_memory_full" },
+} as const;
+/** Refusal after an error of this instance before the request was sent. */
+const FAILED = { status: 503, reason: "internal_error" };
+
 const log = createLogger("callers");
 
 export interface CallerListenerOptions extends RefusalParts {
   readonly keeper: ConfigurationKeeper;
   readonly returningCallers: ReturningCallers;
+  readonly bodyBudget: BodyBudget;
   readonly forward: (call: CallerCall) => Promise<CallEnd>;
   /** Awaited before each request is admitted. */
   readonly warmUp: WarmUp;
@@ -81,6 +97,7 @@
   /** Whether this instance can serve no request, while others may. */
   readonly isIsolated: () => boolean;
   readonly onEnded: (call: CallerCall, end: CallEnd) => void;
+  readonly unexpectedErrors: UnexpectedErrors;
   /** Called for a refusal before the request became a call. */
   readonly onRefused: (refusal: {
     readonly retryAfterSeconds: number | null;
@@ -93,11 +110,14 @@
   readonly server: Server;
   /** Handles a request that another instance hands off to this one. */
   handleHandedOff(request: IncomingMessage, response: ServerResponse): void;
-  /** Requests in progress. */
+  /** Requests in progress, until their answers have left this process. */
   inProgress(): number;
   /** IDs of this instance's callers' requests without a whole answer. */
   unanswered(): readonly string[];
-  /** Closes all connections of callers, for a stop. */
+  /**
+   * Closes all connections of callers, for a stop. Answers in progress are
+   * broken off, so that none looks complete.
+   */
   closeAll(): void;
   /** Closes those without a request in progress, for a stop. */
   closeIdle(): void;
@@ -130,7 +150,7 @@
   options: CallerListenerOptions,
 ): CallerListener {
   const { keeper, codec } = options;
-  let inProgress = 0;
+  const answers = createOpenAnswers();
   let handedOffInProgress = 0;
   const server = createServer(
     { maxHeaderSize: PARSER_HEADER_BYTES, requestTimeout: REQUEST_TIMEOUT_MS },
@@ -156,18 +176,54 @@
     response: ServerResponse,
     handedOff: HandoffTerms | null,
   ): Promise<void> {
-    inProgress += 1;
+    answers.add(response);
+    const room = options.bodyBudget.open();
     if (isStopping() || options.isIsolated())
       response.setHeader("Connection", "close");
     try {
-      await handle(request, response, handedOff);
+      await handle(request, response, { handedOff, room });
     } catch (error) {
-      const reason = error instanceof Error ? error.message : String(error);
-      log.warn("request_failed", { reason });
-      connections.closing(response.socket, "exception");
-      response.destroy();
+      endUnforwarded(request, response, error);
     } finally {
-      inProgress -= 1;
+      room.release();
+      await answers.settled(response);
+    }
+  }
+
+  /** Ends a request that failed here before it was sent to any server. */
+  function endUnforwarded(
+    request: IncomingMessage,
+    response: ServerResponse,
+    error: unknown,
+  ): void {
+    options.unexpectedErrors.record("request", error);
+    if (response.headersSent) connections.closing(response.socket, "exception");
+    request.resume();
+    const { requestId } = codec.decodeRequest(request.headers);
+    const retryAfterSeconds = null;
+    endAfterError(response, () =>
+      refuse(codec, response, { ...FAILED, requestId, retryAfterSeconds }),
+    );
+  }
+
+  /**
+   * Forwards a call. After an unexpected error it may have run, and the caller
+   * gets an answer that promises nothing.
+   */
+  async function forward(call: CallerCall): Promise<CallEnd> {
+    try {
+      return await options.forward(call);
+    } catch (error) {
+      options.unexpectedErrors.record("request", error);
+      const { response } = call;
+      const { reason } = FAILED;
+      const begun = { status: 0, outcome: "cut" as const };
+      let end = { ...begun, reason, attempts: 0, firstByteMs: null } as CallEnd;
+      endAfterError(response, () => {
+        const outcome = "unknown";
+        end = endWithRefusal(options, call, { outcome, reason, attempts: 0 });
+      });
+      return end;
     }
   }
 
@@ -208,7 +264,10 @@
   async function handle(
     request: IncomingMessage,
     response: ServerResponse,
-    handedOff: HandoffTerms | null,
+    {
+      handedOff,
+      room,
+    }: { readonly handedOff: HandoffTerms | null; readonly room: BodyRoom },
   ): Promise<void> {
     const startedAt = performance.now();
     const rawHeaders = handedOff
@@ -238,12 +297,10 @@
       return refuseRequest(request, response, refused);
     }
     const { arrival, elapsedMs } = classify(admitted.route, received);
-    const body = await readRequestBody(
-      request,
-      applied?.limits ?? DEFAULT_LIMITS,
-    );
-    if (body === "too_large") {
-      const refusal = { status: 413, reason: "body_too_large" };
+    const { bodyBytes } = applied?.limits ?? DEFAULT_LIMITS;
+    const body = await readRequestBody(request, { bodyBytes, room });
+    if (body === "too_large" || body === "no_room") {
+      const refusal = BODY_REFUSALS[body];
       response.setHeader("Connection", "close");
       const priority = priorityOf(admitted);
       const refused = { ...received, refusal, priority, arrival };
@@ -286,9 +343,12 @@
       hasCallerLeft: () => callerLeft,
     };
     try {
-      const end = await options.forward(call);
-      if (end.outcome === "cut")
-        connections.closing(response.socket, "answer_cut");
+      const end = await forward(call);
+      if (end.outcome === "cut") {
+        const isError = end.reason === FAILED.reason;
+        const cause = isError ? "exception" : "answer_cut";
+        connections.closing(response.socket, cause);
+      }
       logEnd(call, end);
       options.onEnded(call, end);
     } finally {
@@ -344,10 +404,11 @@
     server,
     handleHandedOff: (request, response) =>
       void handleHandedOff(request, response),
-    inProgress: () => inProgress,
+    inProgress: answers.count,
     unanswered: connections.unanswered,
     closeAll() {
       connections.closingAll("stop");
+      answers.breakOff();
       server.closeAllConnections();
     },
     closeIdle() {
--- a/packages/gateway/src/callers/mod.ts
+++ b/packages/gateway/src/callers/mod.ts
@@ -1,4 +1,5 @@
 /** Accepts callers' requests and writes their answers. */
+export * from "./body_budget.ts";
 export * from "./caller_answer.ts";
 export * from "./caller_call.ts";
 export type { ClosedConnection } from "./caller_connections.ts";
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,6 +1,7 @@
 /** Assembles, starts and stops one gateway instance. */
 import { once, setMaxListeners } from "node:events";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import { setImmediate as nextTurn } from "node:timers/promises";
 import { createReturningCallers } from "@rosemarypin/admission";
 import { createPeerCaller, createUdpTransport } from "@rosemarypin/membership";
 import { countStoreCalls, type StoredObject } from "@rosemarypin/store";
@@ -11,11 +12,13 @@
   checkRefusal,
   createBackendExchange,
   createBackendFleet,
+  createServerEntries,
 } from "./backends/mod.ts";
 import {
   ACCEPT_AFTER_STOP_MS,
   type CallEnd,
   type CallerCall,
+  createBodyBudget,
   createCallerListener,
   createRetrySchedules,
   createWarmUp,
@@ -36,6 +39,7 @@
 import {
   createAdministration,
   createGatewayMetrics,
+  createInputCounts,
   createOperatorsServer,
   createReadinessServer,
   createReleaseHistory,
@@ -65,6 +69,10 @@
   forwardStream,
   startUsageExchange,
 } from "./streams/mod.ts";
+import {
+  createUnexpectedErrors,
+  type UnexpectedErrors,
+} from "./unexpected_errors.ts";
 
 /** Time reserved at the end of the grace period, to exit before being killed. */
 const SHUTDOWN_MARGIN_MS = 400;
@@ -78,6 +86,9 @@
 /** Extra time for open connections on which a request may be in transit. */
 const CONNECTION_DRAIN_MS = 300;
 
+/** Memory for the bodies of requests in progress, if the settings name none. */
+const DEFAULT_BODY_BUDGET_BYTES = 128 * 2 ** 20;
+
 const log = createLogger("gateway");
 
 export interface Gateway {
@@ -85,10 +96,23 @@
   stop(): Promise<void>;
 }
 
-/** Starts an instance; resolves once it listens on all addresses. */
+export interface StartOptions {
+  /** A start that doesn't listen for callers yet is given up when it aborts. */
+  readonly stopSignal?: AbortSignal;
+  readonly unexpectedErrors?: UnexpectedErrors;
+}
+
+/**
+ * Starts an instance; resolves once it listens on all addresses. Rejects if the
+ * start is given up.
+ */
 export async function startGateway(
   settings: GatewaySettings,
   platform: Platform,
+  {
+    stopSignal,
+    unexpectedErrors = createUnexpectedErrors(),
+  }: StartOptions = {},
 ): Promise<Gateway> {
   const { instance, failureDomain } = settings;
   const { keys, codec, engines } = platform;
@@ -111,6 +135,12 @@
     countInstances: (domain) => presence.countPossiblyLive(domain),
     signal,
   });
+  const unusableInputs = createInputCounts();
+  const entries = createServerEntries({
+    fleet,
+    decode: platform.decodeServer,
+    onUnusable: () => unusableInputs.count("server_entry"),
+  });
   const caller = createPeerCaller(
     settings.peers?.host ?? settings.callers.host,
   );
@@ -137,7 +167,7 @@
       {
         prefix: keys.servers,
         onObject: applyServer,
-        onRemoved: (key) => fleet.remove(key.slice(keys.servers.length)),
+        onRemoved: (key) => entries.remove(key.slice(keys.servers.length)),
       },
       quarantine.prefix,
     ],
@@ -257,6 +287,8 @@
   });
   const metrics = createGatewayMetrics({
     inProgress: () => listener.inProgress(),
+    bodyBytes: () => bodyBudget.heldBytes(),
+    bodyBudgetBytes: () => bodyBudget.limitBytes,
     waitingRequests: queues.waitingRequests,
     configurationVersion: () => keeper.applied()?.version ?? 0,
     configurationAgeSeconds: () => configurationMirror.ageMs() / 1_000,
@@ -266,15 +298,21 @@
     classLevels: classLevels.levels,
     domains: domainLimits.readings,
     storeCalls,
+    unusableInputs: unusableInputs.totals,
+    unexpectedErrors: unexpectedErrors.total,
     relayFollowers: countFollowers,
     servers: () =>
       new Map(services().map(({ name }) => [name, fleet.countServers(name)])),
   });
+  const bodyBudget = createBodyBudget(
+    settings.bodyBudgetBytes ?? DEFAULT_BODY_BUDGET_BYTES,
+  );
   const refusalParts = { codec, retrySchedules: createRetrySchedules() };
   const listener = createCallerListener({
     ...refusalParts,
     keeper,
     returningCallers: createReturningCallers(),
+    bodyBudget,
     forward,
     warmUp: createWarmUp(
       () =>
@@ -286,6 +324,7 @@
       stoppedAt === null ? null : performance.now() - stoppedAt,
     hasOtherInstances: () => presence.liveOthers().length > 0,
     isIsolated,
+    unexpectedErrors,
     onEnded: metrics.countEnd,
     onRefused: metrics.countRefusal,
     onClosed: metrics.countClose,
@@ -295,6 +334,7 @@
     if (key !== keys.configuration) return;
     const configuration = platform.decodeConfiguration(value);
     if (configuration) keeper.offer(configuration);
+    else unusableInputs.count("configuration");
   }
 
   function services(): readonly Service[] {
@@ -319,11 +359,7 @@
   }
 
   function applyServer({ key, value }: StoredObject): void {
-    const id = key.slice(keys.servers.length);
-    const server = platform.decodeServer(id, value);
-    if (typeof server === "string") {
-      log.warn("server_entry_unreadable", { id, reason: server });
-    } else fleet.put(server);
+    entries.apply(key.slice(keys.servers.length), value);
   }
 
   /** Handles a request that another instance can't forward to servers. */
@@ -388,6 +424,14 @@
       stoppedAt === null && keeper.applied() !== null && !isIsolated(),
   });
   await listen(readiness, settings.readiness);
+  // Signals to the process are delivered between turns of the event loop.
+  await nextTurn();
+  if (stopSignal?.aborted) {
+    readiness.close();
+    await presence.leave();
+    abortController.abort();
+    throw new Error("stopped before the start was complete");
+  }
   await listen(listener.server, settings.callers);
   isListening = true;
   if (settings.metrics) {
@@ -405,7 +449,10 @@
       isDraining: () => stoppedAt !== null,
     });
     await listen(
-      createOperatorsServer(metrics.registry, administration),
+      createOperatorsServer(metrics.registry, {
+        administration,
+        unexpectedErrors,
+      }),
       settings.metrics,
     );
   }
@@ -443,7 +490,8 @@
       drainLimitMs,
     );
     while (elapsedMs() < connectionLimitMs && (await countConnections()) > 0) {
-      listener.closeIdle();
+      // A connection counts as idle while the end of its answer is written.
+      if (isIdle()) listener.closeIdle();
       await pause(SHUTDOWN_POLL_MS);
     }
     while (elapsedMs() < drainLimitMs && !isIdle())
--- a/packages/gateway/src/operators/class_views_test.ts
+++ b/packages/gateway/src/operators/class_views_test.ts
@@ -84,6 +84,8 @@
   it("show the lowest limit of each class over all models", async () => {
     const { registry } = createGatewayMetrics({
       inProgress: () => 0,
+      bodyBytes: () => 0,
+      bodyBudgetBytes: () => 0,
       configurationVersion: () => 0,
       configurationAgeSeconds: () => 0,
       serverListAgeSeconds: () => 0,
@@ -93,6 +95,8 @@
       domains: () => new Map(),
       storeCalls: () => ({}),
       relayFollowers: () => 0,
+      unusableInputs: () => new Map(),
+      unexpectedErrors: () => 0,
       waitingRequests: () => new Map(),
       classLevels: () => levels,
     });
--- a/packages/gateway/src/operators/gateway_metrics.ts
+++ b/packages/gateway/src/operators/gateway_metrics.ts
@@ -32,6 +32,10 @@
 
 export interface GatewayGauges {
   readonly inProgress: () => number;
+  /** Bytes that the bodies of requests in progress take. */
+  readonly bodyBytes: () => number;
+  /** Bytes that they may take in all. */
+  readonly bodyBudgetBytes: () => number;
   /** Requests that wait for capacity on engines, by priority. */
   readonly waitingRequests: () => ReadonlyMap<number, number>;
   readonly configurationVersion: () => number;
@@ -51,6 +55,10 @@
   >;
   /** Calls to the store since the start, by kind. */
   readonly storeCalls: () => Readonly<Record<string, number>>;
+  /** What was received and can't be used, since the start. */
+  readonly unusableInputs: () => ReadonlyMap<string, number>;
+  /** Errors that no code expects, since the start. */
+  readonly unexpectedErrors: () => number;
   /** Instances that receive changes of the store through this one. */
   readonly relayFollowers: () => number;
 }
@@ -140,6 +148,16 @@
     registers,
   });
   addGauge("rosemarypin_in_flight", "Requests in progress", gauges.inProgress);
+  addGauge(
+    "rosemarypin_request_body_bytes",
+    "Memory that the bodies of requests in progress take",
+    gauges.bodyBytes,
+  );
+  addGauge(
+    "rosemarypin_request_body_budget_bytes",
+    "Memory that the bodies of requests in progress may take",
+    gauges.bodyBudgetBytes,
+  );
   addGauge(
     "rosemarypin_configuration_version",
     "Version of the configuration in force",
@@ -184,6 +202,28 @@
     },
   });
 
+  new Counter({
+    name: "rosemarypin_unusable_inputs_total",
+    help: "Entries of servers and configurations that can't be used",
+    labelNames: ["input"] as const,
+    registers,
+    collect() {
+      this.reset();
+      for (const [input, count] of gauges.unusableInputs())
+        this.inc({ input }, count);
+    },
+  });
+
+  new Counter({
+    name: "rosemarypin_unexpected_errors_total",
+    help: "Errors that no code expects, in requests or anywhere else",
+    registers,
+    collect() {
+      this.reset();
+      this.inc(gauges.unexpectedErrors());
+    },
+  });
+
   new Gauge({
     name: "rosemarypin_servers",
     help: "Backend servers in the list, and those avoided after failures",
--- a/packages/gateway/src/operators/gateway_metrics_test.ts
+++ b/packages/gateway/src/operators/gateway_metrics_test.ts
@@ -3,6 +3,8 @@
 
 const GAUGES: GatewayGauges = {
   inProgress: () => 0,
+  bodyBytes: () => 0,
+  bodyBudgetBytes: () => 0,
   waitingRequests: () => new Map(),
   configurationVersion: () => 1,
   configurationAgeSeconds: () => 0,
@@ -14,6 +16,8 @@
   domains: () => new Map(),
   storeCalls: () => ({}),
   relayFollowers: () => 0,
+  unusableInputs: () => new Map(),
+  unexpectedErrors: () => 0,
 };
 
 describe("metrics of the gateway", () => {
