--- a/packages/checks/src/platform_soak/soak_world.ts
+++ b/packages/checks/src/platform_soak/soak_world.ts
@@ -21,6 +21,12 @@
   type SoakKind,
   type SoakRequest,
 } from "./soak_request.ts";
+import {
+  createVersions,
+  SPARE_SERVERS,
+  SPARE_SERVICE,
+  type Versions,
+} from "./versions.ts";
 
 const GRACE_MS = 5_000;
 
@@ -31,6 +37,9 @@
   readonly doors: readonly { closed: boolean }[];
   /** Links of each instance to all servers. */
   readonly links: readonly ServerLinks[];
+  readonly versions: Versions;
+  /** Ids of the servers that say that they are about to stop. */
+  readonly leaving: Set<string>;
   runsOf(id: string): number;
   stop(): Promise<void>;
 }
@@ -38,11 +47,12 @@
 export async function startWorld(folder: string): Promise<World> {
   const deployment = await startDeployment({
     engines: ["a", "a", "a", "a", "b", "b", "b", "b"],
-    plainServers: ["a", "b"],
+    plainServers: ["a", "b", "a", "b"],
     instances: [],
     eventMs: 15,
     hasCompetition: true,
   });
+  const versions = createVersions(deployment);
   const servers = [...deployment.engines, ...deployment.plainServers];
   const proxies: FaultProxy[] = [];
   const behind = new Map<string, string>();
@@ -52,10 +62,15 @@
     behind.set(server.id, proxy.address);
     if ("held" in server) deployment.registry.set(proxy.address, server);
   }
+  const leaving = new Set<string>();
   const enterAll = () => {
     for (const server of servers) {
       if (server.isUp()) {
-        deployment.enter(server, { address: behind.get(server.id) });
+        deployment.enter(server, {
+          address: behind.get(server.id),
+          state: leaving.has(server.id) ? "draining" : "ready",
+          ...(SPARE_SERVERS.has(server.id) ? { service: SPARE_SERVICE } : {}),
+        });
       } else deployment.store.remove("servers", server.id);
     }
   };
@@ -104,6 +119,8 @@
     proxies,
     doors,
     links,
+    versions,
+    leaving,
     runsOf: (id) =>
       servers
         .flatMap<{ readonly requestId: string }>(({ runs }) => runs)
@@ -151,7 +168,3 @@
 function requestFor(kind: SoakKind): SoakRequest {
   return { kind, events: 2, priority: 1, organisation: "farm" };
 }
-
-export function sleep(durationMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, durationMs));
-}
