Bound what a server may send that is no answer

Callers of orders saw 504 at their deadline (4 s in the test) where a server sent endless spaces behind a header's name, a reason phrase, interim answers, blank lines, a chunk extension, a chunk size or trailers of spaces, and the same trickling in; endless bodies of plain answers were collected in memory until then: four orders gained 2,242 MB with chunks and 237 MB with a huge Content-Length. The HTTP parser bounds header fields only, and readBody nothing.

- backends/answer_bounds.ts counts, per connection, the bytes and the time (without silence) since the last part of an answer, by the HTTP client's diagnostics channels; 64 KiB, 1 s or 32 interim answers close it.
Bytes behind a whole answer close it too.
All clients with the timed connector are bounded: servers, engines' reports and orders, and the store.
- forwarding/answer_buffers.ts bounds a plain answer to 16 MiB, and all that are held to 64 MiB, beyond which reading waits.
- An event without an end breaks the run off at 256 KiB; the splitter no longer copies and scans all pending bytes for each chunk.
- Such a server counts as an outlier; streams go on with another engine.

--- a/packages/gateway/src/backends/backend_exchange.ts
+++ b/packages/gateway/src/backends/backend_exchange.ts
@@ -2,6 +2,7 @@
 import { Agent, Client, type Dispatcher, errors } from "undici";
 import type { BackendServer } from "../backend_server.ts";
 import type { AnswerHeaders } from "../protocol.ts";
+import { isMalformedAnswer } from "./answer_bounds.ts";
 import type { SuspicionReason } from "./failure_detector.ts";
 import { createTimedConnector } from "./timed_connector.ts";
 
@@ -38,7 +39,12 @@
   /** No byte of the request was sent, so it did not run. */
   | { readonly kind: "not_sent"; readonly detail: string }
   /** The request may have been sent and run; no answer arrived. */
-  | { readonly kind: "broken"; readonly detail: string };
+  | {
+      readonly kind: "broken";
+      readonly detail: string;
+      /** Whether the server sent bytes that are no answer. */
+      readonly isMalformed: boolean;
+    };
 
 export interface ExchangeOptions {
   readonly signal: AbortSignal;
@@ -177,7 +183,8 @@
   if (connected === false || (connected === undefined && isConnectFailure)) {
     return { kind: "not_sent", detail: code || detail };
   }
-  return { kind: "broken", detail: code || detail };
+  const isMalformed = isMalformedAnswer(error);
+  return { kind: "broken", detail: code || detail, isMalformed };
 }
 
 function errorCodeOf(error: unknown): string {
--- a/packages/gateway/src/backends/mod.ts
+++ b/packages/gateway/src/backends/mod.ts
@@ -1,4 +1,5 @@
 /** State of the backend servers, and the connections to them. */
+export { endlessAnswerError, isMalformedAnswer } from "./answer_bounds.ts";
 export * from "./backend_exchange.ts";
 export * from "./backend_fleet.ts";
 export * from "./connection_check.ts";
--- a/packages/gateway/src/backends/timed_connector.ts
+++ b/packages/gateway/src/backends/timed_connector.ts
@@ -1,6 +1,7 @@
 /** Opens connections with a timeout that is exact to the millisecond. */
 import { connect } from "node:net";
 import { type buildConnector, errors } from "undici";
+import { boundAnswers } from "./answer_bounds.ts";
 
 /** Error code for a connection that was reset after it was established. */
 const RESET_AFTER_CONNECT = "ERR_CONNECTION_RESET";
@@ -8,7 +9,7 @@
 /**
  * Creates a connector for undici clients. The client's own connect timeout has
  * a resolution of up to a second, which is longer than a request may wait
- * before another server is tried.
+ * before another server is tried. Answers on the connections are bounded.
  */
 export function createTimedConnector(
   timeoutMs: number,
@@ -23,6 +24,7 @@
       clearTimeout(timer);
       socket.off("error", fail);
       socket.on("error", renameReset);
+      boundAnswers(socket);
       callback(null, socket);
     });
     socket.once("error", fail);
--- a/packages/gateway/src/forwarding/backend_request.ts
+++ b/packages/gateway/src/forwarding/backend_request.ts
@@ -1,12 +1,19 @@
 /** Requests to backend servers, for plain calls and streams. */
-import type { OpenAnswer, OutgoingRequest } from "../backends/mod.ts";
+import {
+  endlessAnswerError,
+  type OpenAnswer,
+  type OutgoingRequest,
+} from "../backends/mod.ts";
 import { type CallerCall, priorityOf, timeLeftMs } from "../callers/mod.ts";
+import { createGrowingBuffer } from "../growing_buffer.ts";
 import type {
   AnswerMetadata,
   AttemptMetadata,
   RequestCodec,
 } from "../protocol.ts";
 
+const MAX_SHORT_BODY_BYTES = 1_048_576;
+
 /** Creates the request to a backend server for one attempt of a call. */
 export function createOutgoingRequest(
   codec: RequestCodec,
@@ -39,9 +46,13 @@
   );
 }
 
-/** Reads the whole body; throws when it ends early. */
+/** Reads a short body, such as that of an error; throws when it ends early. */
 export async function readBody({ body }: OpenAnswer): Promise<Buffer> {
-  const chunks: Buffer[] = [];
-  for await (const chunk of body) chunks.push(chunk);
-  return Buffer.concat(chunks);
+  const buffer = createGrowingBuffer();
+  for await (const chunk of body) {
+    buffer.append(chunk);
+    if (buffer.bytes().length > MAX_SHORT_BODY_BYTES)
+      throw endlessAnswerError("body");
+  }
+  return buffer.bytes();
 }
--- a/packages/gateway/src/forwarding/mod.ts
+++ b/packages/gateway/src/forwarding/mod.ts
@@ -1,4 +1,5 @@
 /** Shared parts of forwarding plain calls and streams. */
+export * from "./answer_buffers.ts";
 export * from "./backend_request.ts";
 export * from "./forwarding_parts.ts";
 export * from "./retry_budget.ts";
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -27,7 +27,7 @@
   createConfigurationKeeper,
   startStoreFollowing,
 } from "./following/mod.ts";
-import { createRetryBudget } from "./forwarding/mod.ts";
+import { createAnswerBuffers, createRetryBudget } from "./forwarding/mod.ts";
 import {
   createHelperInstances,
   createRequestHandoff,
@@ -168,6 +168,7 @@
     presence.countPossiblyLive(null),
   );
   const exchange = createBackendExchange();
+  const answerBuffers = createAnswerBuffers();
   const helpers = createHelperInstances({
     failureDomain,
     liveOthers: presence.liveOthers,
@@ -362,6 +363,7 @@
       budget,
       handoff,
       refusesConnections,
+      answerBuffers,
     };
     if (call.service.engine) {
       return forwardStream(call, {
--- a/packages/gateway/src/plain/forward_plain.ts
+++ b/packages/gateway/src/plain/forward_plain.ts
@@ -4,6 +4,7 @@
 import type { BackendServer } from "../backend_server.ts";
 import {
   type BackendFleet,
+  isMalformedAnswer,
   type OpenAnswer,
   suspicionReasonOf,
 } from "../backends/mod.ts";
@@ -20,7 +21,6 @@
   createOutgoingRequest,
   type ForwardingParts,
   isOwnAnswer,
-  readBody,
 } from "../forwarding/mod.ts";
 import {
   attemptsForHelper,
@@ -55,7 +55,12 @@
       /** Whether the request reached a server, which refused it. */
       readonly wasSent: boolean;
     }
-  | { readonly kind: "unknown"; readonly detail: string };
+  | {
+      readonly kind: "unknown";
+      readonly detail: string;
+      /** Whether the server sent bytes that are no answer. */
+      readonly isMalformed?: boolean;
+    };
 
 /** An attempt through another instance, which chooses the servers. */
 type HelperAttempt =
@@ -118,6 +123,7 @@
     const attempt = await attemptOnHelper(call, {
       codec,
       handoff,
+      answerBuffers: parts.answerBuffers,
       maxAttempts: helperAttempts,
       usedHelpers,
       failedServers,
@@ -179,10 +185,10 @@
 /** Hands the call off to another instance and reads its whole answer. */
 async function attemptOnHelper(
   call: CallerCall,
-  options: Pick<ForwardParts, "codec" | "handoff"> &
+  options: Pick<ForwardParts, "codec" | "handoff" | "answerBuffers"> &
     Omit<HandoffRequest, "lastEventId" | "isRepeatable">,
 ): Promise<HelperAttempt> {
-  const { codec, handoff, ...request } = options;
+  const { codec, handoff, answerBuffers, ...request } = options;
   const result = await handoff.send(call, {
     ...request,
     lastEventId: null,
@@ -205,7 +211,7 @@
     answer.abandon();
     return { kind: "unknown", detail: `helper_${answer.status}` };
   }
-  return readWholeBody(answer);
+  return readWholeBody(call, answer, { answerBuffers, signal: call.signal });
 }
 
 /**
@@ -260,7 +266,7 @@
   server: BackendServer,
   options: Pick<
     ForwardParts,
-    "codec" | "exchange" | "fleet" | "refusesConnections"
+    "codec" | "exchange" | "fleet" | "refusesConnections" | "answerBuffers"
   > & {
     readonly signal: AbortSignal;
   },
@@ -283,9 +289,12 @@
   if (result.kind === "broken") {
     // Kept connections to all servers may hang since the same moment.
     if (!call.signal.aborted) fleet.reachability.check(server.service);
+    if (result.isMalformed) fleet.outliers.record(server.id, "error");
     return { kind: "unknown", detail: result.detail };
   }
   const attempt = await readAnswer(call, result, { ...options, server });
+  if (attempt.kind === "unknown" && attempt.isMalformed)
+    fleet.outliers.record(server.id, "error");
   if (isFinal(attempt)) fleet.detector.reportSuccess(server.id);
   return attempt;
 }
@@ -298,9 +307,9 @@
     fleet,
     refusesConnections,
     server,
-  }: Pick<ForwardingParts, "codec" | "fleet" | "refusesConnections"> & {
-    readonly server: BackendServer;
-  },
+    ...readOptions
+  }: Pick<ForwardingParts, "codec" | "fleet" | "refusesConnections"> &
+    ReadOptions & { readonly server: BackendServer },
 ): Promise<Attempt> {
   const metadata = codec.decodeAnswer(answer.status, answer.headers);
   if (!isOwnAnswer(call, metadata)) {
@@ -313,7 +322,7 @@
     answer.abandon();
     return { kind: "unknown", detail: "unsigned_answer" };
   }
-  const attempt = await readWholeBody(answer);
+  const attempt = await readWholeBody(call, answer, readOptions);
   if (attempt.kind === "answer" && metadata.notRun && !isSuccess) {
     const detail = `refused_${answer.status}`;
     return { kind: "not_run", detail, wasSent: true };
@@ -324,14 +333,22 @@
   return attempt;
 }
 
+interface ReadOptions extends Pick<ForwardingParts, "answerBuffers"> {
+  readonly signal: AbortSignal;
+}
+
 async function readWholeBody(
+  { response }: CallerCall,
   answer: OpenAnswer,
+  { answerBuffers, signal }: ReadOptions,
 ): Promise<Extract<Attempt, { readonly kind: "answer" | "unknown" }>> {
   try {
-    return { kind: "answer", answer, body: await readBody(answer) };
+    const body = await answerBuffers.read(answer, { response, signal });
+    return { kind: "answer", answer, body };
   } catch (error) {
     const reason = error instanceof Error ? error.message : String(error);
-    return { kind: "unknown", detail: `answer_broke_off: ${reason}` };
+    const detail = `answer_broke_off: ${reason}`;
+    return { kind: "unknown", detail, isMalformed: isMalformedAnswer(error) };
   }
 }
 
--- a/packages/gateway/src/streams/event_splitter.ts
+++ b/packages/gateway/src/streams/event_splitter.ts
@@ -1,6 +1,10 @@
 /** Splits a byte stream of server-sent events into complete events. */
+import { endlessAnswerError } from "../backends/mod.ts";
+import { createGrowingBuffer } from "../growing_buffer.ts";
 
 const LINE_FEED = 0x0a;
+/** Longest end of an event: a line feed and an empty line. */
+const EVENT_END_BYTES = 3;
 const ID_FIELD = Buffer.from("id:");
 
 /** The unmodified bytes of one event, including its final blank line. */
@@ -10,8 +14,15 @@
   readonly id: string | null;
 }
 
+export interface EventSplitterOptions {
+  readonly maxEventBytes?: number;
+}
+
 export interface EventSplitter {
-  /** Appends bytes and returns the events that they complete. */
+  /**
+   * Appends bytes and returns the events that they complete; throws when the
+   * event behind them is too long.
+   */
   push(chunk: Buffer): ServerSentEvent[];
   /** Bytes after the last complete event. */
   rest(): Buffer;
@@ -22,26 +33,34 @@
  * an event. Only complete events are forwarded, so that another server can
  * resume the stream after the last one.
  */
-export function createEventSplitter(): EventSplitter {
-  let pendingBytes: Buffer = Buffer.alloc(0);
+export function createEventSplitter({
+  maxEventBytes = Number.POSITIVE_INFINITY,
+}: EventSplitterOptions = {}): EventSplitter {
+  const pending = createGrowingBuffer();
+  /** Pending bytes that hold no end of an event. */
+  let scannedBytes = 0;
 
   return {
     push(chunk) {
-      pendingBytes =
-        pendingBytes.length > 0 ? Buffer.concat([pendingBytes, chunk]) : chunk;
+      pending.append(chunk);
+      const bytes = pending.bytes();
       const events: ServerSentEvent[] = [];
       let eventStart = 0;
       for (;;) {
-        const end = findEventEnd(pendingBytes, eventStart);
+        const end = findEventEnd(bytes, Math.max(eventStart, scannedBytes));
         if (end < 0) break;
-        const bytes = pendingBytes.subarray(eventStart, end);
-        events.push({ bytes, id: parseEventId(bytes) });
+        const event = bytes.subarray(eventStart, end);
+        events.push({ bytes: event, id: parseEventId(event) });
         eventStart = end;
+        scannedBytes = end;
       }
-      if (eventStart > 0) pendingBytes = pendingBytes.subarray(eventStart);
+      pending.dropFirst(eventStart);
+      const restBytes = bytes.length - eventStart;
+      scannedBytes = Math.max(0, restBytes - EVENT_END_BYTES + 1);
+      if (restBytes > maxEventBytes) throw endlessAnswerError("event");
       return events;
     },
-    rest: () => pendingBytes,
+    rest: pending.bytes,
   };
 }
 
--- a/packages/gateway/src/streams/stream_run.ts
+++ b/packages/gateway/src/streams/stream_run.ts
@@ -2,6 +2,7 @@
 import { once } from "node:events";
 import { createLogger } from "@rosemarypin/telemetry";
 import {
+  isMalformedAnswer,
   MISDIRECTED_REQUEST,
   type OpenAnswer,
   suspicionReasonOf,
@@ -45,6 +46,9 @@
 
 const MIN_SERVER_ERROR_STATUS = 500;
 const EVENT_STREAM = "text/event-stream";
+const MAX_EVENT_BYTES = 262_144;
+/** Bound on a body that is no event stream and is held until its end. */
+const MAX_BODY_BYTES = 4 * 1_048_576;
 /** Line feed and carriage return. */
 const LINE_ENDS: ReadonlySet<number> = new Set([0x0a, 0x0d]);
 
@@ -131,7 +135,8 @@
     }
     if (result.kind === "broken") {
       const wasStopped = call.signal.aborted || run.stop.signal.aborted;
-      if (!wasStopped) recordFailure(run, "broken", parts);
+      const quality = result.isMalformed ? "error" : "broken";
+      if (!wasStopped) recordFailure(run, quality, parts);
       await checkFirstEngine();
       return brokenRun(recovery, result.detail);
     }
@@ -165,6 +170,7 @@
     isComplete = true;
     return end;
   } catch (error) {
+    if (isMalformedAnswer(error)) recordFailure(run, "error", parts);
     await checkFirstEngine();
     return brokenRun(
       recovery,
@@ -279,7 +285,9 @@
   const { progress, codec, onChunk } = options;
   const { isFramed } = codec.decodeAnswer(answer.status, answer.headers);
   const { response } = call;
-  const splitter = createEventSplitter();
+  const splitter = createEventSplitter({
+    maxEventBytes: isEventStream(answer) ? MAX_EVENT_BYTES : MAX_BODY_BYTES,
+  });
   if (!progress.hasBegun) {
     progress.hasBegun = true;
     beginAnswer(codec, response, answer);
@@ -311,15 +319,16 @@
  * Whether the bytes behind the last event are a part of one. An answer without
  * a length ends with its connection, also when its engine fails.
  */
-function endsInsideEvent(
-  { headers }: OpenAnswer,
-  trailingBytes: Buffer,
-): boolean {
-  const type = String(headers["content-type"] ?? EVENT_STREAM);
-  if (!type.startsWith(EVENT_STREAM)) return false;
+function endsInsideEvent(answer: OpenAnswer, trailingBytes: Buffer): boolean {
+  if (!isEventStream(answer)) return false;
   return trailingBytes.some((byte) => !LINE_ENDS.has(byte));
 }
 
+function isEventStream({ headers }: OpenAnswer): boolean {
+  const type = String(headers["content-type"] ?? EVENT_STREAM);
+  return type.startsWith(EVENT_STREAM);
+}
+
 /** A resumed run may start with events that the caller already has. */
 function isRepeated(id: string, lastEventId: string | null): boolean {
   return lastEventId !== null && Number(id) <= Number(lastEventId);
