--- a/packages/membership/src/peer_rpc.ts
+++ b/packages/membership/src/peer_rpc.ts
@@ -17,6 +17,8 @@
 
 const CALL_TIMEOUT_MS = 1_000;
 const MAX_BODY_BYTES = 4 * 1024 * 1024;
+/** Size limit of a result, such as a copy of all objects of the store. */
+const MAX_ANSWER_BYTES = 64 * 1024 * 1024;
 /** Requests of callers, with headers of up to 64 KB, may come through peers. */
 const MAX_HEADER_BYTES = 72 * 1024;
 const PARSE_ERROR = -32_700;
@@ -135,6 +137,7 @@
 export function createPeerCaller(host: string): PeerCaller {
   const agent = new Agent({
     connect: { timeout: CALL_TIMEOUT_MS },
+    maxResponseSize: MAX_ANSWER_BYTES,
     ...(WILDCARD_HOSTS.has(host) ? {} : { localAddress: host }),
   });
 
