--- a/packages/gateway/src/callers/caller_listener.ts
+++ b/packages/gateway/src/callers/caller_listener.ts
@@ -44,6 +44,7 @@
   type HandoffTerms,
   withoutHandoffTerms,
 } from "./handoff_headers.ts";
+import { startHeadTimeouts } from "./head_timeouts.ts";
 import { createOpenAnswers } from "./open_answers.ts";
 import { readRequestBody } from "./request_body.ts";
 import type { WarmUp } from "./warm_up.ts";
@@ -164,6 +165,7 @@
   });
   const connections = createCallerConnections(server, options.onClosed);
   server.once("close", surge.stop);
+  startHeadTimeouts(server, () => server.headersTimeout);
   applyLimits(server, DEFAULT_LIMITS);
   keeper.onChanged(({ limits }) => applyLimits(server, limits));
 
--- a/packages/membership/src/peer_rpc_test.ts
+++ b/packages/membership/src/peer_rpc_test.ts
@@ -146,7 +146,7 @@
 // Guards against a peer that is taken for one that has answered with an error,
 // so that it isn't called again.
 it("a call that gets no answer says why", async () => {
-  const server = createServer(() => {});
+  const server = createHttpServer(() => {});
   server.listen(0, "127.0.0.1");
   await once(server, "listening");
   const { port } = server.address() as AddressInfo;
@@ -158,3 +158,34 @@
   await new Promise((resolve) => server.close(resolve));
   expect(await call()).toEqual({ kind: "refused" });
 });
+
+// Guards against a peer whose result fills the memory of its callers.
+it("fails a call whose result has no end, and closes its connection", async () => {
+  let openResults = 0;
+  const server = createHttpServer((_request, response) => {
+    openResults += 1;
+    response.once("close", () => {
+      openResults -= 1;
+    });
+    const bytes = Buffer.alloc(64 * 1024, "x");
+    function sendNext(): void {
+      if (response.destroyed) return;
+      if (response.write(bytes)) setImmediate(sendNext);
+      else response.once("drain", sendNext);
+    }
+    sendNext();
+  });
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  const { port } = server.address() as AddressInfo;
+  const startedAt = performance.now();
+  const result = await createPeerCaller("127.0.0.1").call(
+    { host: "127.0.0.1", port },
+    "any",
+    { timeoutMs: 20_000 },
+  );
+  expect(result.kind).not.toBe("ok");
+  expect(performance.now() - startedAt).toBeLessThan(10_000);
+  await expect.poll(() => openResults).toBe(0);
+  server.close();
+});
