--- a/packages/gateway/src/callers/caller_listener.ts
+++ b/packages/gateway/src/callers/caller_listener.ts
@@ -33,6 +33,7 @@
   type HandoffTerms,
   withoutHandoffTerms,
 } from "./handoff_headers.ts";
+import { startHeadTimeouts } from "./head_timeouts.ts";
 import { readRequestBody } from "./request_body.ts";
 import type { WarmUp } from "./warm_up.ts";
 
@@ -130,6 +131,7 @@
       socket.resetAndDestroy();
   });
   server.once("close", surge.stop);
+  startHeadTimeouts(server, () => server.headersTimeout);
   applyLimits(server, DEFAULT_LIMITS);
   keeper.onChanged(({ limits }) => applyLimits(server, limits));
 
