--- a/packages/gateway/src/unexpected_errors_test.ts
+++ b/packages/gateway/src/unexpected_errors_test.ts
@@ -147,7 +147,8 @@
 it("an error that nothing catches is logged in one line, and the process goes on", async () => {
   const modules = fileURLToPath(new URL("../dist/mod.js", import.meta.url));
   const program = `
-    import { createUnexpectedErrors, surviveUnexpectedErrors } from "${modules}";
+    const { createUnexpectedErrors, surviveUnexpectedErrors } =
+      await import(process.argv[1]);
     const errors = createUnexpectedErrors();
     surviveUnexpectedErrors(errors);
     setTimeout(() => { throw new Error("in a timer"); }, 1);
@@ -156,7 +157,7 @@
     setTimeout(() => console.log(errors.total()), 100);`;
   const { stdout, stderr } = await promisify(execFile)(
     process.execPath,
-    ["--input-type=module", "--eval", program],
+    ["--input-type=module", "--eval", program, modules],
     { env: { ...process.env, DEBUG: "rosemarypin:*" } },
   );
   expect(stdout).toBe("3\n");
