--- a/packages/gateway/src/callers/caller_listener.ts
+++ b/packages/gateway/src/callers/caller_listener.ts
@@ -320,7 +320,11 @@
     );
     const callAbort = new AbortController();
     let callerLeft = false;
-    const timer = setTimeout(() => callAbort.abort(), callTimeoutMs);
+    const deadlineAt = startedAt + callTimeoutMs;
+    const timer = setTimeout(
+      () => callAbort.abort(),
+      deadlineAt - performance.now(),
+    );
     response.once("close", () => {
       // After a complete answer, the close needs no abort.
       if (response.writableFinished) return;
@@ -340,7 +344,7 @@
       startedAt,
       arrival,
       firstAttemptAt: startedAt - elapsedMs,
-      deadlineAt: startedAt + callTimeoutMs,
+      deadlineAt,
       signal: callAbort.signal,
       hasCallerLeft: () => callerLeft,
     };
