--- a/packages/gateway/src/streams/stage_recovery_test.ts
+++ b/packages/gateway/src/streams/stage_recovery_test.ts
@@ -215,6 +215,25 @@
     expect(run.avoided.has("dead")).toBe(true);
   });
 
+  // Guards against an answer that is cut, or stays open until its deadline, for
+  // the lack of a successor that a replacement of the stage doesn't need.
+  it.each([{ hasEnded: false }, { hasEnded: true }])(
+    "uses another domain if no other run can take over, hasEnded: $hasEnded",
+    async ({ hasEnded }) => {
+      const { run, requestedEngines, recovery, settle } = setUp({
+        sameDomainEngines: () => [],
+        otherDomainEngines: ["f1"],
+        hasRoomElsewhere: true,
+        hasSuccessor: false,
+        hasEnded,
+      });
+      recovery.onStall(STAGE_LOST);
+      await settle(1_600);
+      expect(run.stop.signal.aborted).toBe(false);
+      expect(requestedEngines).toEqual(["f1"]);
+    },
+  );
+
   it("stops when an event of the answer arrives", async () => {
     const { run, requestedEngines, recovery, settle } = setUp({
       sameDomainEngines: () => [],
