--- a/packages/gateway/src/handoff/request_handoff.ts
+++ b/packages/gateway/src/handoff/request_handoff.ts
@@ -98,6 +98,8 @@
    * off only once, so that it can't pass between instances in a loop.
    */
   isNeeded(call: CallerCall): Promise<boolean>;
+  /** Whether there is another instance that may take a call over. */
+  hasHelper(): boolean;
   /** Sends the call to one other instance after another until one takes it. */
   send(call: CallerCall, request: HandoffRequest): Promise<HandoffResult>;
 }
@@ -203,6 +205,7 @@
     isNeeded: async (call) =>
       call.handedOff === null &&
       (await reachability.settled(call.service.name)),
+    hasHelper: () => helpers.choose(new Set()) !== null,
     async send(call, request) {
       const asked = new Set<string>();
       let soonestSeconds = Number.POSITIVE_INFINITY;
--- a/packages/gateway/src/plain/forward_plain.ts
+++ b/packages/gateway/src/plain/forward_plain.ts
@@ -76,7 +76,7 @@
   call: CallerCall,
   parts: ForwardParts,
 ): Promise<CallEnd> {
-  const { codec, budget, choice, handoff } = parts;
+  const { codec, budget, choice, fleet, handoff } = parts;
   const { name: service } = call.service;
   const isRetryable = call.route.kind === "idempotent";
   const maxAttempts = maxAttemptsOf(call);
@@ -186,6 +186,9 @@
 
   /** Whether another attempt can follow a server that is silent. */
   function reserveNext(): boolean {
+    // Kept connections may hang since this instance lost its links.
+    fleet.reachability.check(service);
+    if (mayHaveHelper && fleet.reachability.isCutOff(service)) return true;
     if (!takeRetry()) return false;
     nextServer ??= chooseServer();
     return nextServer !== null;
--- a/packages/gateway/src/streams/forward_stream.ts
+++ b/packages/gateway/src/streams/forward_stream.ts
@@ -45,7 +45,7 @@
  * Silence before the first event after which a run that can be repeated ends,
  * also if no other run can follow. Sound engines are silent for less.
  */
-const MAX_UNBEGUN_SILENCE_MS = 2_500;
+const MAX_UNBEGUN_SILENCE_MS = 4_000;
 /** Time after which a call asks again whether another instance can serve it. */
 const HELPER_RETRY_MS = 300;
 /**
@@ -195,11 +195,7 @@
   function successorOf(first: BackendServer): StreamRun["successor"] {
     const startedAt = performance.now();
     /** An engine that can't be connected to doesn't count as an attempt. */
-    let lost: Promise<boolean> | null = null;
-    const isLost = () => {
-      lost ??= parts.canConnect(first.address).then((isUp) => !isUp);
-      return lost;
-    };
+    const isLost = async () => !(await parts.canConnect(first.address));
 
     function isAllowed(cause: RecoveryCause): boolean {
       if (!resumable) return false;
@@ -211,7 +207,12 @@
 
     return {
       isAllowed,
-      hasEnded: parts.refusesConnections,
+      async hasEnded(address) {
+        if (!(await parts.refusesConnections(address))) return false;
+        // While this instance has lost its links, all engines look so.
+        fleet.reachability.check(service);
+        return !(await fleet.reachability.settled(service));
+      },
       cancel: releaseReserved,
       async reserve(cause, signal) {
         const { hasBegun } = progress;
@@ -220,13 +221,15 @@
           return true;
         if (!isAllowed(cause)) return false;
         if (runsLeft() <= 1 && !(await isLost())) return false;
-        if (await handoff.isNeeded(call)) return mayAskHelper();
+        if (await handoff.isNeeded(call))
+          return mayAskHelper() && handoff.hasHelper();
+        hasSpareRetry ||= budget.takeRetry(service);
+        if (!hasSpareRetry) return false;
         const admitted = await admission.admit({ hasBegun, signal });
-        if (admitted.kind === "out_of_reach") return true;
+        if (admitted.kind === "out_of_reach") return handoff.hasHelper();
         if (admitted.kind !== "admitted") return false;
         reserved = admitted.pipeline;
-        hasSpareRetry ||= budget.takeRetry(service);
-        const isReady = hasSpareRetry && (await mayRunPrompt());
+        const isReady = await mayRunPrompt();
         if (!isReady) releaseReserved();
         else if (cause === "first_engine_away") {
           void isLost().then((isEngineLost) => {
--- a/packages/gateway/src/streams/stage_recovery.ts
+++ b/packages/gateway/src/streams/stage_recovery.ts
@@ -151,8 +151,14 @@
     // The load of a run that may be lost must not keep its successor waiting.
     run.pipeline.release();
     const { successor } = run;
+    const isReserved = await successor.reserve(reason, signal);
+    // Another engine in the place of a lost stage needs no other run.
+    if (!isReserved && reason === "stage_away" && isRecoveryNeeded()) {
+      if (changeCount < MAX_PIPELINE_CHANGES && (await replace(address, false)))
+        return;
+    }
     const mayStop =
-      (await successor.reserve(reason, signal)) ||
+      isReserved ||
       (call.route.resumable && (await successor.hasEnded(address)));
     if (!mayStop) return;
     if (isRecoveryNeeded()) run.stop.abort();
