--- a/packages/gateway/src/forwarding/answer_buffers.ts
+++ b/packages/gateway/src/forwarding/answer_buffers.ts
@@ -5,7 +5,7 @@
 import { createGrowingBuffer } from "../growing_buffer.ts";
 
 const MEBIBYTE = 1_048_576;
-const MAX_ANSWER_BYTES = 32 * MEBIBYTE;
+const MAX_ANSWER_BYTES = 16 * MEBIBYTE;
 /** Above this sum, answers that have more than the free bytes wait. */
 const MAX_TOTAL_BYTES = 64 * MEBIBYTE;
 const FREE_BYTES = 65_536;
