Streams: one check of whether a prompt may be repeated; a bound named for what it measures

`mayRunAgain` and the successor's `isAllowed` each spelled out the same condition. MAX_UNBEGUN_SILENCE_MS compared the time since the run began, not the silence; its value and effect are unchanged. 202 tests of streams and of silent servers pass.

--- a/packages/gateway/src/streams/forward_stream.ts
+++ b/packages/gateway/src/streams/forward_stream.ts
@@ -42,10 +42,10 @@
  */
 const MAX_LOST_RUNS = 3;
 /**
- * Silence before the first event after which a run that can be repeated ends,
- * also if no other run can follow. Sound engines are silent for less.
+ * Time without a first event after which a run that can be repeated ends when
+ * its engine is silent, also if no other run can follow.
  */
-const MAX_UNBEGUN_SILENCE_MS = 4_000;
+const MAX_UNBEGUN_RUN_MS = 4_000;
 /** Time after which a call asks again whether another instance can serve it. */
 const HELPER_RETRY_MS = 300;
 /**
@@ -165,7 +165,11 @@
 
   /** Whether the call may be sent once more after a run that broke off. */
   function mayRunAgain(): boolean {
-    if (!resumable || runsLeft() <= 0) return false;
+    return resumable && runsLeft() > 0 && mayRepeatPrompt();
+  }
+
+  /** Whether no engine may have ended because of the prompt. */
+  function mayRepeatPrompt(): boolean {
     return prompt.isSound() || quarantine.mayRepeat(sharedPrompt);
   }
 
@@ -201,8 +205,7 @@
       if (!resumable) return false;
       const mayBeLost = cause === "first_engine_away";
       if (mayBeLost && lostRuns >= MAX_LOST_RUNS) return false;
-      if (runsLeft() <= (mayBeLost ? 0 : 1)) return false;
-      return prompt.isSound() || quarantine.mayRepeat(sharedPrompt);
+      return runsLeft() > (mayBeLost ? 0 : 1) && mayRepeatPrompt();
     }
 
     return {
@@ -216,8 +219,8 @@
       cancel: releaseReserved,
       async reserve(cause, signal) {
         const { hasBegun } = progress;
-        const silentMs = performance.now() - startedAt;
-        if (resumable && !hasBegun && silentMs > MAX_UNBEGUN_SILENCE_MS)
+        const elapsedMs = performance.now() - startedAt;
+        if (resumable && !hasBegun && elapsedMs > MAX_UNBEGUN_RUN_MS)
           return true;
         if (!isAllowed(cause)) return false;
         if (runsLeft() <= 1 && !(await isLost())) return false;
