--- /dev/null
+++ b/packages/checks/src/cold_start/servers_main.ts
@@ -0,0 +1,63 @@
+/** Process of all engines and plain servers; its plan is the only argument. */
+import {
+  type EngineRegistry,
+  type EngineStandIn,
+  type PlainStandIn,
+  startEngine,
+  startPlainServer,
+} from "@rosemarypin/platform/stand_in";
+import { entryOf } from "./server_entry.ts";
+import { createSharedLoads } from "./shared_loads.ts";
+import { type PlannedServer, serversPlanSchema } from "./site.ts";
+
+const plan = serversPlanSchema.parse(JSON.parse(process.argv[2] ?? ""));
+const registry: EngineRegistry = new Map();
+const loads = createSharedLoads(plan.loadsAtOnce);
+const servers: [PlannedServer, EngineStandIn | PlainStandIn][] = [];
+for (const server of plan.servers)
+  servers.push([server, await startServer(server)]);
+/** Writes of entries so far; each renews one. */
+let renewals = 0;
+for (const [index, each] of servers.entries()) {
+  const delayMs = (index / servers.length) * plan.heartbeatMs;
+  setTimeout(() => {
+    void enter(...each);
+    setInterval(() => void enter(...each), plan.heartbeatMs);
+  }, delayMs);
+}
+
+function startServer({ id, kind }: PlannedServer) {
+  // Each start is another life of the server, under a name of its own.
+  const name = `${id}.${Date.now().toString(36)}`;
+  if (kind === null) return startPlainServer(name);
+  return startEngine({
+    id: name,
+    registry,
+    hasEnginesElsewhere: true,
+    memoryMb: plan.kinds[kind]?.memoryMb ?? 0,
+    layerMb: plan.layerMb,
+    eventMs: plan.eventMs,
+    load: (layers) => loads.load((plan.loadMs * layers) / plan.layers),
+  });
+}
+
+async function enter(
+  { domain, kind }: PlannedServer,
+  server: EngineStandIn | PlainStandIn,
+): Promise<void> {
+  renewals += 1;
+  const spec = entryOf(server, { domain, kind, renewal: renewals });
+  const objects = `http://${plan.storeAddress}/-/objects/servers`;
+  const headers = { "content-type": "application/json" };
+  const send = (method: string, url: string, body: unknown) =>
+    fetch(url, { method, headers, body: JSON.stringify(body) });
+  try {
+    const put = await send("PUT", `${objects}/${server.id}`, { spec });
+    await put.arrayBuffer();
+    if (put.status !== 404) return;
+    const made = { metadata: { name: server.id }, spec };
+    await (await send("POST", objects, made)).arrayBuffer();
+  } catch {
+    // The next renewal follows; the store may be away.
+  }
+}
