Placement: one instance of a domain orders its engines while the store is away

Callers saw: after a cold start of 120 instances streams were refused for want of layers for 90 s, as long as was watched.

Cause: an instance whose calls to the store failed for 0.5 s ordered the engines of its own domain without a lease. In a cold start on few cores nearly all calls to the store are late, so nearly all instances did: 64 of them sent 5,764 orders, 5,400 without a lease, 1,276 accepted. Each plan moved the layers of another. Order counts make an engine refuse one of two concurrent orders; they don't stop two planners from undoing each other's work in turn.

Change: without a lease, only the first live instance of a domain by name orders, once none of the next two says that it holds the lease; the next one does when those before it don't answer. One that hasn't seen the others since its start never does.

--- a/packages/gateway/src/following/mod.ts
+++ b/packages/gateway/src/following/mod.ts
@@ -6,4 +6,5 @@
   type Presence,
   startPresence,
 } from "./presence.ts";
+export type { DomainInstance } from "./relay_choice.ts";
 export * from "./store_following.ts";
--- a/packages/gateway/src/following/presence.ts
+++ b/packages/gateway/src/following/presence.ts
@@ -90,6 +90,11 @@
    * and so reach the store.
    */
   liveDomainPeers(): DomainInstance[];
+  /**
+   * Whether the store or a relay has listed the others, when those that started
+   * together with this instance had announced themselves.
+   */
+  knowsOthers(): boolean;
   /** Resolves to whether the store answers a small read in time. */
   probeStore(timeoutMs: number): Promise<boolean>;
   /** Announces whether this instance reaches model engines. */
@@ -148,6 +153,7 @@
   let lastListAttemptAt = -Infinity;
   let lastListedAt = -Infinity;
   let hasListFailed = false;
+  let knowsOthers = false;
   const renewalTimer = createInterruptibleTimer();
   const listTimer = createInterruptibleTimer();
   const started = start();
@@ -161,6 +167,7 @@
   async function start(): Promise<void> {
     await readOthers();
     if (table.hasRead() && mayBeStartingDomain()) {
+      knowsOthers = false;
       await write();
       await readOthers();
     }
@@ -253,6 +260,7 @@
       return;
     }
     lastListedAt = requestedAt;
+    knowsOthers = true;
     table.applyList(result.value, { isRecovery: hasListFailed });
     hasListFailed = false;
     const own = result.value.find(({ key }) => key === ownKey);
@@ -334,6 +342,7 @@
       liveEntries()
         .filter(({ presence }) => presence.failureDomain === failureDomain)
         .map(describe),
+    knowsOthers: () => knowsOthers,
     async probeStore(timeoutMs) {
       const options = { mayBeStale: true, timeoutMs };
       return (await store.read(ownKey, options)).kind === "ok";
@@ -378,6 +387,7 @@
         return null;
       }
       table.applyRelayed(parsed.data);
+      knowsOthers = true;
       return parsed.data.version;
     },
   };
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -47,6 +47,7 @@
 import {
   createPlacementLeases,
   type EngineReach,
+  HOLDS_LEASE_METHOD,
   startPlacement,
 } from "./placement/mod.ts";
 import { createServerChoice, forwardPlain } from "./plain/mod.ts";
@@ -160,7 +161,13 @@
     failureDomain,
     ...(settings.ability === undefined ? {} : { ability: settings.ability }),
     peers: settings.peers,
-    peerMethods: { [PING_METHOD]: () => true, ...quarantine.methods },
+    peerMethods: {
+      [PING_METHOD]: () => true,
+      ...quarantine.methods,
+      [HOLDS_LEASE_METHOD]: (params) =>
+        isListening &&
+        placementLeases.peerMethods[HOLDS_LEASE_METHOD]?.(params),
+    },
     peerRequests: { header: HANDOFF_HEADER, handle: receiveHandedOff },
     prefixes: [
       { prefix: keys.configurations, onObject: applyConfiguration },
@@ -187,6 +194,7 @@
         configurationMirror.unavailableMs(),
         serverMirror.unavailableMs(),
       ),
+    callPeer: caller.call,
   });
   fleet.reachability.onChanged(() => {
     presence.setReachesEngines(engineReach() !== "cut_off");
--- a/packages/gateway/src/placement/placement_leases.ts
+++ b/packages/gateway/src/placement/placement_leases.ts
@@ -2,12 +2,19 @@
  * Leases that decide which instance may send layer orders to the engines of a
  * failure domain.
  */
+
+import type { PeerMethods } from "@rosemarypin/membership";
 import { type ControlLease, createControlLease } from "@rosemarypin/placement";
 import type { ObjectStore } from "@rosemarypin/store";
 import type { Presence } from "../following/mod.ts";
+import {
+  type CallPeer,
+  createOutageOrders,
+  HOLDS_LEASE_METHOD,
+} from "./outage_orders.ts";
 
 /**
- * Duration of a store outage after which an instance may order the engines of
+ * Duration of a store outage after which one instance may order the engines of
  * its own domain without a lease. Leases can't be renewed or acquired during
  * an outage, so if the holder has stopped, layers of lost engines would stay
  * unserved until the store recovers. Each order carries the order count that
@@ -44,6 +51,8 @@
    * instance may not send any.
    */
   fencingNumberFor(failureDomain: string): number | null;
+  /** Methods that other instances of the domain call. */
+  readonly peerMethods: PeerMethods;
   /** Releases all leases. */
   release(): Promise<void>;
 }
@@ -60,11 +69,13 @@
   readonly engineReach: () => EngineReach;
   /** Milliseconds since store calls began to fail; 0 while they succeed. */
   readonly storeOutageMs: () => number;
+  readonly callPeer: CallPeer;
 }): PlacementLeases {
   const startedAt = performance.now();
   /** Latest fencing number that this instance held, by domain. */
   const lastFencingNumbers = new Map<string, number>();
   const leases = new Map<string, ControlLease>();
+  const outageOrders = createOutageOrders(options);
 
   function isCandidateFor(domain: string): boolean {
     const { failureDomain, presence } = options;
@@ -102,10 +113,14 @@
       if (held) return held.fencingNumber;
       const isOwnDomain = domain === options.failureDomain;
       const isStoreDown = options.storeOutageMs() > STORE_OUTAGE_FALLBACK_MS;
-      return isOwnDomain && isStoreDown
+      return isOwnDomain && isStoreDown && outageOrders.mayOrder()
         ? (lastFencingNumbers.get(domain) ?? 0)
         : null;
     },
+    peerMethods: {
+      [HOLDS_LEASE_METHOD]: () =>
+        leases.get(options.failureDomain)?.held() != null,
+    },
     async release() {
       await Promise.all([...leases.values()].map((lease) => lease.release()));
     },
--- a/packages/gateway/src/placement/placement_leases_test.ts
+++ b/packages/gateway/src/placement/placement_leases_test.ts
@@ -31,6 +31,7 @@
       presence,
       engineReach: () => state.engineReach,
       storeOutageMs: () => state.storeOutageMs,
+      callPeer: async () => ({ kind: "refused" }),
     });
     const domains = ["a", "b", "c"];
     const orderableDomains = () =>
@@ -159,6 +160,99 @@
   });
 });
 
+/** Instances of one failure domain, which reach each other. */
+function setUpDomain(names: readonly string[]) {
+  const memory = createMemoryStore();
+  const ended = new Set<string>();
+  const running = new Map(names.map((name) => [name, start(name)]));
+
+  function start(instance: string) {
+    const { store, faults } = memory.client();
+    const { signal } = new AbortController();
+    const presence = startPresence({
+      store,
+      instance,
+      failureDomain: "a",
+      peer: { host: instance, port: 1 },
+      signal,
+    });
+    const state = { storeOutageMs: 0 };
+    const leases = createPlacementLeases({
+      store,
+      instance,
+      failureDomain: "a",
+      presence,
+      engineReach: () => "reached",
+      storeOutageMs: () => state.storeOutageMs,
+      callPeer: async ({ host }, method) => {
+        const peer = running.get(host);
+        if (!peer || ended.has(host)) return { kind: "refused" };
+        return { kind: "ok", value: peer.leases.peerMethods[method]?.(null) };
+      },
+    });
+    return { leases, faults, state };
+  }
+
+  /** Names of those that may order, once that has settled. */
+  async function ordering(): Promise<string[]> {
+    let names: string[] = [];
+    for (let at = 0; at < 100; at += 1) {
+      names = [...running]
+        .filter(([name]) => !ended.has(name))
+        .filter(([, { leases }]) => leases.fencingNumberFor("a") !== null)
+        .map(([name]) => name);
+      await vi.advanceTimersByTimeAsync(50);
+    }
+    return names;
+  }
+
+  return {
+    ended,
+    ordering,
+    loseStore() {
+      for (const { faults, state } of running.values()) {
+        faults.down = true;
+        state.storeOutageMs = 10_000;
+      }
+    },
+  };
+}
+
+describe("orders during an outage of the store", () => {
+  const NAMES = ["a-1", "a-2", "a-3", "a-4", "a-5"];
+
+  // Guards against layers that never rest, since all instances of a domain move
+  // them by plans of their own.
+  it("are sent by a single instance of a failure domain", async () => {
+    const domain = setUpDomain(NAMES);
+    const [holder, ...others] = await domain.ordering();
+    expect(others).toEqual([]);
+    domain.loseStore();
+    expect(await domain.ordering()).toHaveLength(1);
+    expect(NAMES).toContain(holder);
+  });
+
+  // Guards against layers of lost engines that stay unserved until the store is
+  // back, because the instance that ordered before has ended as well.
+  it("are sent by the next instance once the first ones have ended", async () => {
+    const domain = setUpDomain(NAMES);
+    await domain.ordering();
+    domain.loseStore();
+    domain.ended.add("a-1");
+    expect(await domain.ordering()).toEqual(["a-2"]);
+    domain.ended.add("a-2");
+    expect(await domain.ordering()).toEqual(["a-3"]);
+  });
+
+  // Guards against plans of instances that started in the outage, and each take
+  // themselves for the only one.
+  it("aren't sent by instances that know no other yet", async () => {
+    const domain = setUpDomain(NAMES);
+    domain.loseStore();
+    expect(await domain.ordering()).toEqual([]);
+  });
+});
+
 describe("presence of an instance whose store calls fail", () => {
   it("keeps it among the users of its domain's engines for 10 s", async () => {
     // The store refuses one instance for 8 s while it continues to serve. If
