Placement from nothing: leases before engines, and one pipeline after the other

Callers saw: when all instances and engines had ended, streams were refused for 12 to 14 s after the processes' return, of a bound of 15 s.

Causes, in the order of their waits: the lease was requested only once engines were known, and an acquired lease didn't wake the planner (6.3 s until it was held, 7.4 s until the first order, engines being listed from 3.6 s on); the wait for further engines had no bound; and all engines loaded at once, each slowed down by the others, so that no pipeline was whole before the last seconds.

Change: an instance competes for the lease of its own domain from the start, once it knows the others; an acquired lease wakes the planner; the wait for more engines ends after 3 s. Orders beyond twice the loads that the source delivers at full speed wait, and the pipeline whose engines have least to load comes first. The configuration's number of parallel loads is read for that.

The check of cold starts can limit instances to a share of a core.

--- a/packages/checks/src/cold_start/child.ts
+++ b/packages/checks/src/cold_start/child.ts
@@ -2,6 +2,7 @@
 import { type ChildProcess, spawn } from "node:child_process";
 import { once } from "node:events";
 import { closeSync, openSync, readFileSync } from "node:fs";
+import { setTimeout as pause } from "node:timers/promises";
 
 export interface Child {
   start(): void;
@@ -14,12 +15,33 @@
 const TICKS_PER_SECOND = 100;
 const USER_TICKS_FIELD = 13;
 
-/** Creates a process that is not started yet; it appends to the log file. */
+/** Length of the intervals of which a limited process runs a part. */
+const QUOTA_INTERVAL_MS = 100;
+
+/**
+ * Creates a process that is not started yet; it appends to the log file. With a
+ * `coreShare` below 1 it is stopped for the rest of each interval, like a process
+ * whose quota is used up.
+ */
 export function createChild(
   commandLine: readonly string[],
-  logFile: string,
+  { logFile, coreShare = 1 }: { logFile: string; coreShare?: number },
 ): Child {
   let child: ChildProcess | null = null;
+
+  async function limit(limited: ChildProcess): Promise<void> {
+    const isRunning = () =>
+      limited.exitCode === null && limited.signalCode === null;
+    await pause(Math.random() * QUOTA_INTERVAL_MS);
+    while (isRunning()) {
+      limited.kill("SIGSTOP");
+      await pause(QUOTA_INTERVAL_MS * (1 - coreShare));
+      if (!isRunning()) return;
+      limited.kill("SIGCONT");
+      await pause(QUOTA_INTERVAL_MS * coreShare);
+    }
+  }
+
   return {
     start() {
       const log = openSync(logFile, "a");
@@ -27,6 +49,7 @@
         stdio: ["ignore", log, log],
       });
       closeSync(log);
+      if (coreShare < 1) void limit(child);
     },
     async kill() {
       const last = child;
--- a/packages/checks/src/cold_start/cold_start_run.ts
+++ b/packages/checks/src/cold_start/cold_start_run.ts
@@ -68,6 +68,8 @@
   /** How long these last. */
   readonly storeFaultMs: number;
   readonly seed: number;
+  /** Share of a core that each instance has at most. */
+  readonly coreShare: number;
   /** Command line of an instance; the settings file follows. */
   readonly program: readonly string[];
 }
@@ -203,11 +205,15 @@
 function standIn(name: string, logFile: string, plan: object): Child {
   const path = join(dirname(fileURLToPath(import.meta.url)), `${name}.js`);
   const built = path.replace(/\/src\/cold_start\//, "/dist/cold_start/");
-  return createChild([built, JSON.stringify(plan)], logFile);
+  return createChild([built, JSON.stringify(plan)], { logFile });
 }
 
 async function prepareInstances(
-  { site, program }: Pick<ColdStartOptions, "site" | "program">,
+  {
+    site,
+    program,
+    coreShare,
+  }: Pick<ColdStartOptions, "site" | "program" | "coreShare">,
   {
     folder,
     storeAddress,
@@ -227,7 +233,8 @@
     const file = join(folder, `${name}.json`);
     writeSettings(file, { ...settings, ability });
     const commandLine = [...program, "--settings", file];
-    children.push(createChild(commandLine, join(folder, `${name}.log`)));
+    const logFile = join(folder, `${name}.log`);
+    children.push(createChild(commandLine, { logFile, coreShare }));
     const { callers, readiness } = settings;
     addresses.push({
       domain,
@@ -353,6 +360,7 @@
     read_per_s: 196_000,
     usual: { prompt: 760, answer: 240 },
     layers: MODEL.layers,
+    loads_at_once: LOADS_AT_ONCE,
     layer_mb: MODEL.layerMb,
     kinds,
   };
--- a/packages/checks/src/cold_start_main.ts
+++ b/packages/checks/src/cold_start_main.ts
@@ -26,7 +26,8 @@
     $ npm run check:cold-start -- --store slow --store-seconds 5
 
   Ends all instances (--loss instances), all servers (servers) or both at once,
-  and starts them again while callers go on. Prints a time line by phase and by
+  and starts them again while callers go on. With --core-share 0.25 an instance
+  runs a quarter of each tenth of a second. Prints a time line by phase and by
   second. --program is the command line of an instance, with its flags.
 
   Exit codes
@@ -57,6 +58,7 @@
       },
       storeSeconds: { type: "number", default: 5 },
       seed: { type: "number", default: 1 },
+      coreShare: { type: "number", default: 1 },
       program: { type: "string", default: PLATFORM_PROGRAM },
     },
   },
@@ -77,6 +79,7 @@
   storeFaults: STORES[flags.store as StoreState],
   storeFaultMs: flags.storeSeconds * 1_000,
   seed: flags.seed,
+  coreShare: flags.coreShare,
   program: flags.program.split(" "),
 });
 print(report);
--- a/packages/gateway/src/configuration.ts
+++ b/packages/gateway/src/configuration.ts
@@ -54,6 +54,11 @@
   readonly model: ModelShape;
   /** By name. */
   readonly kinds: ReadonlyMap<string, EngineKind>;
+  /**
+   * Number of loads from the source of the weights that don't slow each other
+   * down; absent if it is unknown.
+   */
+  readonly maxParallelLoads?: number;
 }
 
 /** A service that backend servers offer. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -293,6 +293,7 @@
     engines,
     signal,
     fencingNumberFor: (domain) => placementLeases.fencingNumberFor(domain),
+    onLeaseAcquired: placementLeases.onAcquired,
   });
   const metrics = createGatewayMetrics({
     inProgress: () => listener.inProgress(),
--- a/packages/gateway/src/placement/placement_leases.ts
+++ b/packages/gateway/src/placement/placement_leases.ts
@@ -51,6 +51,8 @@
    * instance may not send any.
    */
   fencingNumberFor(failureDomain: string): number | null;
+  /** Registers a callback for each lease that is acquired. */
+  onAcquired(callback: () => void): void;
   /** Methods that other instances of the domain call. */
   readonly peerMethods: PeerMethods;
   /** Releases all leases. */
@@ -58,8 +60,8 @@
 }
 
 /**
- * Creates the leases. Each is requested once `fencingNumberFor` is called for
- * its domain.
+ * Creates the leases. That of the own domain is requested at once, each other
+ * one when `fencingNumberFor` is called for its domain.
  */
 export function createPlacementLeases(options: {
   readonly store: ObjectStore;
@@ -76,10 +78,13 @@
   const lastFencingNumbers = new Map<string, number>();
   const leases = new Map<string, ControlLease>();
   const outageOrders = createOutageOrders(options);
+  const acquiredCallbacks: (() => void)[] = [];
 
   function isCandidateFor(domain: string): boolean {
     const { failureDomain, presence } = options;
     if (options.engineReach() === "cut_off") return false;
+    // Before the others are known, each instance would take itself for the first.
+    if (!presence.knowsOthers()) return false;
     if (domain === failureDomain)
       return presence.countLiveBefore(domain) < MAX_CANDIDATES_PER_LEASE;
     const hasJustStarted =
@@ -99,11 +104,17 @@
       store: options.store,
       isCandidate: () => isCandidateFor(domain),
       times: LEASE_TIMES,
+      onAcquired() {
+        for (const callback of acquiredCallbacks) callback();
+      },
     });
     leases.set(domain, lease);
     return lease;
   }
 
+  // Its engines can be ordered as soon as they are known.
+  leaseFor(options.failureDomain);
+
   return {
     fencingNumberFor(domain) {
       const held = leaseFor(domain).held();
@@ -117,6 +128,9 @@
         ? (lastFencingNumbers.get(domain) ?? 0)
         : null;
     },
+    onAcquired(callback) {
+      acquiredCallbacks.push(callback);
+    },
     peerMethods: {
       [HOLDS_LEASE_METHOD]: () =>
         leases.get(options.failureDomain)?.held() != null,
--- a/packages/gateway/src/placement/placement_loop.ts
+++ b/packages/gateway/src/placement/placement_loop.ts
@@ -27,6 +27,13 @@
  * at the start, engines appear one by one.
  */
 const STARTUP_SETTLE_MS = 400;
+/** Longest such wait, while engines keep appearing. */
+const MAX_STARTUP_SETTLE_MS = 3_000;
+/**
+ * Orders in progress for each load that runs at full speed. The end of a load is
+ * noticed at the next poll, and the source should be in use until then.
+ */
+const ORDERS_PER_PARALLEL_LOAD = 2;
 const ORDER_TIMEOUT_MS = 1_000;
 const REPORT_TIMEOUT_MS = 300;
 /** Interval at which engines with a pending order are polled. */
@@ -43,6 +50,14 @@
   readonly signal: AbortSignal;
   /** Fencing number for orders in a domain; `null` if none may be sent. */
   readonly fencingNumberFor: (failureDomain: string) => number | null;
+  /** Registers a callback for a lease that this instance has acquired. */
+  readonly onLeaseAcquired: (callback: () => void) => void;
+}
+
+/** A planned order that waits until fewer loads are in progress. */
+interface QueuedOrder {
+  readonly range: LayerRange;
+  readonly startedAt: number;
 }
 
 interface PendingOrder {
@@ -60,6 +75,10 @@
 export function startPlacement(options: PlacementOptions): void {
   const { keeper, fleet, engines, signal } = options;
   const pending = new Map<string, PendingOrder>();
+  /** In the order in which they are sent, by engine. */
+  const queued = new Map<string, QueuedOrder>();
+  /** When engines of a service without layers were first seen. */
+  const emptySince = new Map<string, number>();
   const planners = new Map<string, LayerPlanner>();
   const changeAlarm = createInterruptibleTimer();
   let changedAt = performance.now();
@@ -67,6 +86,7 @@
     changedAt = performance.now();
     changeAlarm.interrupt();
   });
+  options.onLeaseAcquired(changeAlarm.interrupt);
   void run();
 
   async function run(): Promise<void> {
@@ -86,7 +106,9 @@
    */
   async function waitForNextPlan(planStartedAt: number): Promise<void> {
     const intervalMs =
-      pending.size > 0 ? ORDER_POLL_INTERVAL_MS : REPLAN_INTERVAL_MS;
+      pending.size + queued.size > 0
+        ? ORDER_POLL_INTERVAL_MS
+        : REPLAN_INTERVAL_MS;
     if (changedAt <= planStartedAt) await changeAlarm.wait(intervalMs, signal);
     if (changedAt > planStartedAt) await pause(BATCHING_DELAY_MS, signal);
   }
@@ -96,9 +118,7 @@
     if (!engine) return;
     await pollOrders();
     const servers = fleet.ofService(service.name);
-    const noneHoldsLayers = servers.every(({ held }) => held === null);
-    if (noneHoldsLayers && performance.now() - changedAt < STARTUP_SETTLE_MS)
-      return;
+    if (isStartingUp(service.name, servers)) return;
     const usable = servers.filter(
       ({ id, leaving }) => !leaving && !fleet.detector.isDead(id),
     );
@@ -112,7 +132,68 @@
     const allowedOrders = noneSuspected
       ? orders
       : orders.filter(({ engineId }) => fleet.get(engineId)?.held === null);
-    await Promise.all(allowedOrders.map((order) => sendOrder(order)));
+    for (const { engineId, range } of allowedOrders) {
+      const startedAt = fleet.get(engineId)?.startedAt;
+      if (startedAt !== undefined) queued.set(engineId, { range, startedAt });
+    }
+    const due = takeQueued(servers, engine);
+    await Promise.all(due.map((order) => sendOrder(order)));
+  }
+
+  /** Whether engines without layers are still appearing one by one. */
+  function isStartingUp(
+    service: string,
+    servers: readonly BackendServer[],
+  ): boolean {
+    const noneHoldsLayers = servers.every(({ held }) => held === null);
+    if (servers.length === 0 || !noneHoldsLayers) {
+      emptySince.delete(service);
+      return false;
+    }
+    const now = performance.now();
+    const since = emptySince.get(service) ?? now;
+    emptySince.set(service, since);
+    return (
+      now - changedAt < STARTUP_SETTLE_MS && now - since < MAX_STARTUP_SETTLE_MS
+    );
+  }
+
+  /**
+   * Takes the orders that are to be sent now. Loads that run together slow each
+   * other down, so the rest wait, and the first pipelines are complete sooner.
+   */
+  function takeQueued(
+    servers: readonly BackendServer[],
+    { maxParallelLoads = Infinity }: EngineShape,
+  ): LayerOrder[] {
+    const domains = new Set(servers.map(({ failureDomain }) => failureDomain));
+    const share = Math.ceil(maxParallelLoads / Math.max(1, domains.size));
+    const limit = ORDERS_PER_PARALLEL_LOAD * share;
+    const inProgress = new Map<string, number>();
+    const countLoad = (domain: string) =>
+      inProgress.set(domain, (inProgress.get(domain) ?? 0) + 1);
+    for (const id of pending.keys()) {
+      const domain = fleet.get(id)?.failureDomain;
+      if (domain !== undefined) countLoad(domain);
+    }
+    const due: LayerOrder[] = [];
+    for (const { id, failureDomain } of servers) {
+      const isDropped = options.fencingNumberFor(failureDomain) === null;
+      if (isDropped || fleet.detector.isDead(id)) queued.delete(id);
+    }
+    for (const [engineId, { range, startedAt }] of queued) {
+      const server = fleet.get(engineId);
+      if (server?.startedAt !== startedAt || server.leaving) {
+        queued.delete(engineId);
+        continue;
+      }
+      const { failureDomain } = server;
+      if ((inProgress.get(failureDomain) ?? 0) >= limit) continue;
+      queued.delete(engineId);
+      countLoad(failureDomain);
+      due.push({ engineId, range });
+    }
+    return due;
   }
 
   function planOrders(
@@ -137,6 +218,7 @@
     { kind, model }: { readonly kind: EngineKind; readonly model: ModelShape },
   ): PlannedEngine {
     const order = pending.get(server.id);
+    const waiting = queued.get(server.id);
     const held = heldOf(server, model);
     return {
       id: server.id,
@@ -144,10 +226,11 @@
       memoryMb: kind.memoryMb,
       stepFactor: kind.stepFactor,
       prefillFactor: kind.prefillFactor,
-      held: order?.range ?? held,
+      held: order?.range ?? waiting?.range ?? held,
       serving: held,
       acceptsOrders:
         !order &&
+        !waiting &&
         fleet.backoffs.remainingMs(server) === 0 &&
         options.fencingNumberFor(server.failureDomain) !== null,
     };
--- a/packages/gateway/src/placement/placement_loop_test.ts
+++ b/packages/gateway/src/placement/placement_loop_test.ts
@@ -1,7 +1,9 @@
+import type { LayerRange } from "@rosemarypin/pipelines";
 import { pause } from "@rosemarypin/timing";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 import type { BackendServer, EngineReport } from "../backend_server.ts";
 import { createBackendFleet } from "../backends/mod.ts";
+import type { EngineShape } from "../configuration.ts";
 import type { ConfigurationKeeper } from "../following/mod.ts";
 import type { EngineCalls, OrderOutcome, PlaceOrder } from "../protocol.ts";
 import { startPlacement } from "./placement_loop.ts";
@@ -45,10 +47,19 @@
 } as unknown as BackendServer;
 
 /** Starts the placement loop with a fake engine and all leases held. */
-function setUp({ canConnect = true } = {}) {
+function setUp({
+  canConnect = true,
+  shape = SHAPE as EngineShape,
+  holdsLease = true,
+} = {}) {
   const controller = new AbortController();
   const { signal } = controller;
-  const report = { startedAt: 1, orderCount: 3, busy: false, held: null };
+  const report = {
+    startedAt: 1,
+    orderCount: 3,
+    busy: false,
+    held: null as LayerRange | null,
+  };
   const orders: PlaceOrder[] = [];
   let orderDurationMs = 0;
   let isAnswering = true;
@@ -69,13 +80,27 @@
     failureDomain: "a",
     signal,
   });
-  const service = { name: "model", engine: SHAPE };
+  const service = { name: "model", engine: shape };
   const keeper = {
     applied: () => ({ services: new Map([["model", service]]) }),
   } as unknown as ConfigurationKeeper;
-  startPlacement({ keeper, fleet, engines, signal, fencingNumberFor: () => 1 });
+  const lease = { isHeld: holdsLease, onAcquired: () => {} };
+  startPlacement({
+    keeper,
+    fleet,
+    engines,
+    signal,
+    fencingNumberFor: () => (lease.isHeld ? 1 : null),
+    onLeaseAcquired(callback) {
+      lease.onAcquired = callback;
+    },
+  });
   return {
     fleet,
+    acquireLease() {
+      lease.isHeld = true;
+      lease.onAcquired();
+    },
     report,
     orders,
     setOrderDuration(ms: number) {
@@ -97,6 +122,52 @@
     end();
   });
 
+  // Guards against a start in which all loads slow each other down, so that no
+  // pipeline is complete before the last load has ended.
+  it("orders the next layers when earlier loads have ended", async () => {
+    const shape = { ...SHAPE, maxParallelLoads: 1 };
+    const { fleet, report, orders, end } = setUp({ shape });
+    const half = { ...ENGINE, kind: "half", orderCount: 3 };
+    const ids = ["e-1", "e-2", "e-3", "e-4", "e-5", "e-6"];
+    for (const id of ids) fleet.put({ ...half, id });
+    await vi.advanceTimersByTimeAsync(500);
+    report.busy = true;
+    await vi.advanceTimersByTimeAsync(1_000);
+    expect(orders.map(({ range }) => range)).toEqual([
+      { from: 0, to: 4 },
+      { from: 4, to: 8 },
+    ]);
+    report.busy = false;
+    report.held = { from: 0, to: 4 };
+    await vi.advanceTimersByTimeAsync(300);
+    expect(orders[2]?.range).toEqual({ from: 0, to: 4 });
+    end();
+  });
+
+  // Guards against engines that appear one after the other for as long as none
+  // is ordered.
+  it("doesn't wait for more engines for longer than 3 s", async () => {
+    const { fleet, orders, end } = setUp();
+    for (let at = 0; at < 40; at += 1) {
+      fleet.put({ ...ENGINE, id: `e-${at}` });
+      await vi.advanceTimersByTimeAsync(100);
+    }
+    expect(orders.length).toBeGreaterThan(0);
+    end();
+  });
+
+  // Guards against layers that wait for the next interval after a takeover.
+  it("plans at once when a lease is acquired", async () => {
+    const { fleet, orders, acquireLease, end } = setUp({ holdsLease: false });
+    fleet.put(ENGINE);
+    await vi.advanceTimersByTimeAsync(1_700);
+    expect(orders).toEqual([]);
+    acquireLease();
+    await vi.advanceTimersByTimeAsync(50);
+    expect(orders).toHaveLength(1);
+    end();
+  });
+
   // Guards against a new lease holder that aborts a load in progress.
   it("sends no order to an engine that executes another instance's order", async () => {
     const { fleet, report, orders, end } = setUp();
--- a/packages/pipelines/src/group_plan.ts
+++ b/packages/pipelines/src/group_plan.ts
@@ -6,7 +6,7 @@
 import { fillGap } from "./gap_filling.ts";
 import { reserveCount, tokensForAnswers } from "./group_sizing.ts";
 import { firstGap } from "./layer_coverage.ts";
-import { chooseLayout } from "./layer_layout.ts";
+import { chooseLayout, type LayerLayout } from "./layer_layout.ts";
 import {
   createPlanDraft,
   type LayerOrder,
@@ -75,22 +75,34 @@
 /**
  * Creates as many pipelines as the idle engines beyond the reserve allow, the
  * fastest one first. Pipelines share no engines, so the loss of an engine
- * interrupts the answers of only one.
+ * interrupts the answers of only one. The pipeline whose engines have least to
+ * load is ordered first: it is the first one that can serve.
  */
 function layOutPipelines(draft: PlanDraft): void {
   const { group, model, minKvTokens } = draft;
+  const layouts: LayerLayout<PlannedEngine>[] = [];
+  let idle = draft.idleEngines();
   for (;;) {
-    const idle = draft.idleEngines();
     const layout = chooseLayout(idle, model, {
       maxEngines: idle.length - reserveCount(group),
       minKvTokens,
       maxKvTokens: tokensForAnswers(model, model.maxConcurrentAnswers),
     });
-    if (!layout) return;
+    if (!layout) break;
+    layouts.push(layout);
+    const used = new Set(layout.parts.map(({ engine }) => engine));
+    idle = idle.filter((engine) => !used.has(engine));
+  }
+  layouts.sort((a, b) => largestPart(a) - largestPart(b));
+  for (const { parts } of layouts) {
     let from = 0;
-    for (const { engine, layers } of layout.parts) {
+    for (const { engine, layers } of parts) {
       draft.assign(engine, { from, to: from + layers });
       from += layers;
     }
   }
 }
+
+function largestPart({ parts }: LayerLayout<PlannedEngine>): number {
+  return Math.max(...parts.map(({ layers }) => layers));
+}
--- a/packages/pipelines/src/layer_plan_test.ts
+++ b/packages/pipelines/src/layer_plan_test.ts
@@ -94,6 +94,22 @@
   );
 }
 
+describe("a plan for engines that all are empty", () => {
+  // Guards against a start in which no pipeline serves before the engines with
+  // most layers have loaded them.
+  it("orders the pipeline first whose engines have least to load", () => {
+    const orders = planLayers(fleet({ large: 3, tiny: 24 }), model);
+    const pipelines: number[][] = [];
+    for (const { range } of orders) {
+      if (range.from === 0) pipelines.push([]);
+      pipelines.at(-1)?.push(range.to - range.from);
+    }
+    const largest = pipelines.map((layers) => Math.max(...layers));
+    expect(largest).toEqual([...largest].sort((a, b) => a - b));
+    expect(new Set(largest).size).toBeGreaterThan(1);
+  });
+});
+
 describe("planLayers", () => {
   it("covers all layers in each domain that can hold the model", () => {
     const engines = ["a", "b"].flatMap((failureDomain) =>
