Timeouts leave out the time in which this process itself was late

Callers saw: a deployment whose instances start together on few cores stays down: requests end with 502, 503 and 504 while the processor is used up, long after all instances are ready. A metastable state: the same load was borne before.

Cause: a process that gets too little processor time took its own lag for the silence of engines, of other instances and of the store. Each reaction costs more than the work (probes of all engines on new connections, answers given up and sent anew, hand-offs, whole copies of the store's objects), on all instances at once, which keeps up the lag.

A check of reachability that was itself late decides nothing. Repeated probes run 16 at a time.

--- a/packages/gateway/src/backends/failure_detector.ts
+++ b/packages/gateway/src/backends/failure_detector.ts
@@ -14,6 +14,11 @@
 /** Delay before the first repeated probe; doubles with each missed probe. */
 const INITIAL_PROBE_DELAY_MS = 150;
 const MAX_PROBE_DELAY_MS = 1_200;
+/**
+ * Repeated probes in progress. When most servers are suspected, the processor time
+ * of the probes must not take that of the requests.
+ */
+const MAX_REPEATED_PROBES = 16;
 /** Consecutive missed probes after which a server counts as dead. */
 const MISSES_UNTIL_DEAD = 2;
 /** Number of missed probes that a suspicion starts with, by reason. */
@@ -94,6 +99,7 @@
   signal,
 }: FailureDetectorOptions): FailureDetector {
   const suspicions = new Map<string, Suspicion>();
+  const repeatedProbes = createSlots(MAX_REPEATED_PROBES);
   const refusals = new Map<string, number>();
 
   /**
@@ -108,7 +114,7 @@
     let waitMs = INITIAL_PROBE_DELAY_MS;
     while (!signal.aborted && suspicions.get(id) === suspicion) {
       await pause(waitMs, signal);
-      const works = await probe(id);
+      const works = await repeatedProbes.run(() => probe(id));
       if (suspicions.get(id) !== suspicion) return;
       if (works === null) {
         suspicions.delete(id);
@@ -218,3 +224,23 @@
     },
   };
 }
+
+/** Runs at most `size` tasks at a time; the others wait for their turn. */
+function createSlots(size: number) {
+  const waiting: (() => void)[] = [];
+  let used = 0;
+  return {
+    async run<Result>(task: () => Promise<Result>): Promise<Result> {
+      if (used >= size)
+        await new Promise<void>((resolve) => waiting.push(resolve));
+      else used += 1;
+      try {
+        return await task();
+      } finally {
+        const next = waiting.shift();
+        if (next) next();
+        else used -= 1;
+      }
+    },
+  };
+}
--- a/packages/gateway/src/backends/reachability.ts
+++ b/packages/gateway/src/backends/reachability.ts
@@ -12,6 +12,8 @@
 const SAMPLE_SIZE = 6;
 /** Servers that can be reached accept connections within milliseconds. */
 const CONNECT_TIMEOUT_MS = 200;
+/** Delay of a check that shows that this process itself was late. */
+const LATE_MS = 100;
 /** Pause between two checks of a service that was found reachable. */
 const MIN_CHECK_INTERVAL_MS = 500;
 /** Pause between two checks of a service that was found unreachable. */
@@ -104,10 +106,12 @@
   }
 
   async function runCheck(service: string, state: ServiceState): Promise<void> {
+    const startedAt = performance.now();
     const isReachable = await reachesAny(service);
     state.checkedAt = performance.now();
     state.checking = null;
-    if (isReachable) return;
+    const tookMs = state.checkedAt - startedAt;
+    if (isReachable || tookMs > CONNECT_TIMEOUT_MS + LATE_MS) return;
     state.isCutOff = true;
     log.warn("service_cut_off", {
       service,
--- a/packages/membership/src/peer_rpc.ts
+++ b/packages/membership/src/peer_rpc.ts
@@ -6,6 +6,7 @@
   type Server,
 } from "node:http";
 import { type Address, formatAddress } from "@rosemarypin/schemas";
+import { withPatientTimeout } from "@rosemarypin/timing";
 import {
   createJSONRPCErrorResponse,
   JSONRPCClient,
@@ -173,15 +174,21 @@
       let transportError: unknown;
       const client: JSONRPCClient = new JSONRPCClient(async (payload) => {
         try {
-          const response = await agent.request({
-            origin,
-            path: "/",
-            method: "POST",
-            headers: { "content-type": "application/json" },
-            body: JSON.stringify(payload),
-            signal: AbortSignal.timeout(timeoutMs),
-          });
-          client.receive((await response.body.json()) as never);
+          const answer = await withPatientTimeout(
+            { timeoutMs },
+            async (signal) => {
+              const response = await agent.request({
+                origin,
+                path: "/",
+                method: "POST",
+                headers: { "content-type": "application/json" },
+                body: JSON.stringify(payload),
+                signal,
+              });
+              return response.body.json();
+            },
+          );
+          client.receive(answer as never);
           // An answer to another call would leave this one waiting for good.
           client.rejectAllPendingRequests("no answer to the call");
         } catch (error) {
