Surges of connections: a single pause is no lag, and callers who come back are no surge

Callers saw: connections closed unread by a process that had nothing to do after a pause, and by instances whose callers all came back after an outage.

Cause: one late timer counted as lag for 500 ms, and the usual rate was measured from the start of the process, so that a time without callers made their return look like many times the usual.

Change: lag counts once a second timer is late within a second, and the usual rate is measured from the first connection on.

Evidence: two new tests failed before (146 for 150, 64 for 300 accepted).

--- a/packages/gateway/src/callers/connection_surge.ts
+++ b/packages/gateway/src/callers/connection_surge.ts
@@ -25,6 +25,8 @@
 const LAG_CHECK_MS = 50;
 /** How long a lag counts after it was last seen. */
 const LAG_VALID_MS = 500;
+/** A single late timer may be due to a pause of the process, which is over. */
+const LAG_REPEATS_WITHIN_MS = 1_000;
 
 /** A longer surge is the usual rate from then on. */
 const MAX_SURGE_MS = 30_000;
@@ -49,12 +51,14 @@
   readonly endsBy: number;
   readonly lagTimer: NodeJS.Timeout;
   laggedAt: number;
+  /** When a timer was late before that. */
+  laggedBeforeAt: number;
   closed: number;
 }
 
 /** Creates the detector without a record of connections. */
 export function createConnectionSurge(): ConnectionSurge {
-  const startedAt = performance.now();
+  let firstAcceptedAt: number | null = null;
   /** Counts of connections by number of their slice. */
   const slices = new Map<number, Slice>();
   let surge: Surge | null = null;
@@ -80,7 +84,8 @@
 
   function usualPerSecond(now: number): number | null {
     const endsAt = now - PRESENT_MS;
-    const durationMs = Math.min(USUAL_MS, endsAt - startedAt);
+    // Without callers, as after the start of all instances, nothing is usual.
+    const durationMs = Math.min(USUAL_MS, endsAt - (firstAcceptedAt ?? now));
     if (durationMs < MIN_USUAL_MS) return null;
     let total = 0;
     for (const [number, { accepted }] of slices)
@@ -96,10 +101,14 @@
       usualPerSecond: usual,
       endsBy: now + MAX_SURGE_MS,
       laggedAt: -Infinity,
+      laggedBeforeAt: -Infinity,
       closed: 0,
       lagTimer: setInterval(() => {
         const now = performance.now();
-        if (now - dueAt > MAX_LAG_MS) watched.laggedAt = now;
+        if (now - dueAt > MAX_LAG_MS) {
+          watched.laggedBeforeAt = watched.laggedAt;
+          watched.laggedAt = now;
+        }
         dueAt = now + LAG_CHECK_MS;
         const isOver = presentPerSecond(now, "all") < SURGE_FACTOR * usual;
         if (isOver || now > watched.endsBy) end();
@@ -126,6 +135,8 @@
 
   function isBeyondLimit(now: number): boolean {
     if (!surge || now - surge.laggedAt > LAG_VALID_MS) return false;
+    const { laggedAt, laggedBeforeAt } = surge;
+    if (laggedAt - laggedBeforeAt > LAG_REPEATS_WITHIN_MS) return false;
     const limit = ACCEPTED_FACTOR * surge.usualPerSecond;
     return presentPerSecond(now, "accepted") >= limit;
   }
@@ -138,6 +149,7 @@
       beginIfUnusual(now);
       if (!surge || !isBeyondLimit(now)) {
         slice.accepted += 1;
+        firstAcceptedAt ??= now;
         return true;
       }
       surge.closed += 1;
--- a/packages/gateway/src/callers/connection_surge_test.ts
+++ b/packages/gateway/src/callers/connection_surge_test.ts
@@ -77,6 +77,22 @@
     expect(offer(20, 2_000)).toBe(40);
   });
 
+  // Guards against a pause of the process, after which it has nothing to do, that
+  // is taken for overload.
+  it("are all accepted in a surge after a single pause", () => {
+    offer(20, 10_000);
+    expect(offer(100, 1_000)).toBe(100);
+    blockFor(150);
+    expect(offer(100, 1_500)).toBe(150);
+  });
+
+  // Guards against callers who come back after an outage, and are taken for many
+  // more than usual because there were none meanwhile.
+  it("are all accepted when callers come after a time without any", () => {
+    vi.advanceTimersByTime(20_000);
+    expect(offer(100, 3_000, 200)).toBe(300);
+  });
+
   it("are all accepted by an instance that has just started", () => {
     expect(offer(300, 4_000, 200)).toBe(1_200);
   });
