--- a/packages/checks/src/cold_start/callers.ts
+++ b/packages/checks/src/cold_start/callers.ts
@@ -115,6 +115,8 @@
 export function startCallers(options: {
   readonly choose: ChooseInstance;
   readonly random: SeededRandom;
+  /** Begins the IDs of their requests. */
+  readonly name: string;
   readonly requestsPerSecond: number;
   readonly events: number;
   readonly onOutcome: (outcome: CallerOutcome) => void;
@@ -122,6 +124,8 @@
   const { choose, random } = options;
   const open = new Set<Promise<void>>();
   let isStopped = false;
+  /** Requests so far. */
+  let sent = 0;
   const sending = sendSteadily();
 
   async function sendSteadily(): Promise<void> {
@@ -129,8 +133,8 @@
     while (!isStopped) {
       dueAt += 1_000 / options.requestsPerSecond;
       await pause(Math.max(0, dueAt - performance.now()));
-      const sent = send().finally(() => open.delete(sent));
-      open.add(sent);
+      const ended = send().finally(() => open.delete(ended));
+      open.add(ended);
     }
   }
 
@@ -150,7 +154,9 @@
       const { url } = choose(domain, tried);
       tried.add(url);
       const deadlineMs = Math.round(leftMs);
-      const answer = await call(url, { ...request, deadlineMs });
+      sent += 1;
+      const id = `${options.name}-${sent}`;
+      const answer = await call(url, { ...request, id, deadlineMs });
       statuses.push(statusOf(answer));
       if (statuses.at(-1) === 200) break;
       const mayRepeat =
--- a/packages/checks/src/cold_start/callers_main.ts
+++ b/packages/checks/src/cold_start/callers_main.ts
@@ -9,6 +9,7 @@
 const callers = startCallers({
   choose: createInstanceChoice(instances, (url) => ready.has(url)),
   random: createSeededRandom(plan.seed),
+  name: `c${plan.seed}`,
   requestsPerSecond,
   events,
   onOutcome: (outcome) => void process.send?.(outcome),
--- a/packages/checks/src/cold_start/cold_start_run.ts
+++ b/packages/checks/src/cold_start/cold_start_run.ts
@@ -8,9 +8,9 @@
 import { setTimeout as pause } from "node:timers/promises";
 import { fileURLToPath } from "node:url";
 import {
-  baseConfiguration,
+  configureSite,
+  createRemoteStore,
   drawSettings,
-  ENGINE_SERVICE,
   type StoreFaults,
   writeSettings,
 } from "@rosemarypin/platform/stand_in";
@@ -35,12 +35,6 @@
 const STORE_DELAY_MS = 4;
 const STORE_RATES = { writesPerSecond: 1_200, readsPerSecond: 6_000 } as const;
 const LOADS_AT_ONCE = 15;
-/**
- * Processes of servers and of callers: each gets processor time of its own, as
- * on machines of their own.
- */
-const SERVER_PROCESSES = 12;
-const CALLER_PROCESSES = 4;
 const EVENT_MS = 100;
 /** Time in which the stand-ins bind their ports. */
 const STAND_IN_START_MS = 1_500;
@@ -121,15 +115,15 @@
     delayMs: STORE_DELAY_MS,
     entryLifeMs: LOST_HEARTBEATS * HEARTBEAT_MS,
   } satisfies StorePlan);
-  const servers = Array.from({ length: SERVER_PROCESSES }, (_, process) =>
+  const servers = Array.from({ length: site.serverProcesses }, (_, process) =>
     standIn("servers_main", join(folder, `servers-${process}.log`), {
       storeAddress,
       servers: site.servers.filter(
-        (_, index) => index % SERVER_PROCESSES === process,
+        (_, index) => index % site.serverProcesses === process,
       ),
       kinds: KINDS,
       ...MODEL,
-      loadsAtOnce: LOADS_AT_ONCE / SERVER_PROCESSES,
+      loadsAtOnce: LOADS_AT_ONCE / site.serverProcesses,
       eventMs: EVENT_MS,
       heartbeatMs: HEARTBEAT_MS,
     } satisfies ServersPlan),
@@ -138,7 +132,12 @@
   await pause(STAND_IN_START_MS);
   for (const process of servers) process.start();
   await pause(STAND_IN_START_MS);
-  await writeConfiguration(storeAddress);
+  const storeClient = createRemoteStore(storeAddress);
+  await configureSite(storeClient, {
+    ...MODEL,
+    kinds: KINDS,
+    loadsAtOnce: LOADS_AT_ONCE,
+  });
   const { children: instances, addresses } = await prepareInstances(options, {
     folder,
     storeAddress,
@@ -146,7 +145,7 @@
   for (const instance of instances) instance.start();
   const balancer = startBalancer(addresses);
   const { requestsPerSecond, events } = site;
-  const callers = startCallerProcesses(CALLER_PROCESSES, {
+  const callers = startCallerProcesses(site.callerProcesses, {
     instances: addresses,
     seed: options.seed,
     requestsPerSecond,
@@ -158,11 +157,11 @@
   );
   try {
     await untilUp(callers.outcomes);
-    const callsBefore = await readCounts(storeAddress);
+    const callsBefore = await storeClient.counts();
     const ending = endingOf(options, { instances, servers });
-    await setStoreFaults(storeAddress, options.storeFaults);
+    await storeClient.setFaults(options.storeFaults);
     setTimeout(() => {
-      void setStoreFaults(storeAddress, withoutFaults(options.storeFaults));
+      void storeClient.setFaults(withoutFaults(options.storeFaults));
     }, options.storeFaultMs);
     await Promise.all(ending.map((child) => child.kill()));
     await pause(options.downMs);
@@ -177,7 +176,7 @@
       processorMs.push(sum);
       readyInstances.push(balancer.ready().length);
     }
-    const callsAfter = await readCounts(storeAddress);
+    const callsAfter = await storeClient.counts();
     await callers.stop();
     const { outcomes } = callers;
     return {
@@ -326,57 +325,6 @@
   );
 }
 
-async function writeConfiguration(storeAddress: string): Promise<void> {
-  const base = baseConfiguration(false) as {
-    readonly services: readonly { readonly name: string }[];
-  };
-  const services = base.services.map((service) =>
-    service.name === ENGINE_SERVICE
-      ? { ...service, max_conns: 2_000, engine: engineContent() }
-      : { ...service, max_conns: 900 },
-  );
-  const spec = { ...base, services, version: 3 };
-  await fetch(`http://${storeAddress}/-/objects/config`, {
-    method: "POST",
-    headers: { "content-type": "application/json" },
-    body: JSON.stringify({ metadata: { name: "main" }, spec }),
-  });
-}
-
-function engineContent(): object {
-  const kinds = Object.entries(KINDS).map(
-    ([name, { memoryMb, pace, readFactor }]) => ({
-      name,
-      mb: memoryMb,
-      pace,
-      read_x: readFactor,
-    }),
-  );
-  return {
-    slots: 192,
-    kv_bytes: 492_000,
-    models: [{ name: "m", pace: 1, load_s: MODEL.loadMs / 1_000, warm_s: 0 }],
-    step_ms: 1.02,
-    read_per_s: 196_000,
-    usual: { prompt: 760, answer: 240 },
-    layers: MODEL.layers,
-    loads_at_once: LOADS_AT_ONCE,
-    layer_mb: MODEL.layerMb,
-    kinds,
-  };
-}
-
-async function setStoreFaults(
-  storeAddress: string,
-  faults: Partial<StoreFaults>,
-): Promise<void> {
-  await fetch(`http://${storeAddress}/faults`, {
-    method: "POST",
-    headers: { "content-type": "application/json" },
-    body: JSON.stringify(faults),
-  });
-}
-
 /** The usual values of the faults that were set. */
 function withoutFaults(faults: Partial<StoreFaults>): Partial<StoreFaults> {
   const usual: Partial<StoreFaults> = {
@@ -393,11 +341,6 @@
 
 type Counts = Readonly<Record<string, number>>;
 
-async function readCounts(storeAddress: string): Promise<Counts> {
-  const response = await fetch(`http://${storeAddress}/counts`);
-  return (await response.json()) as Counts;
-}
-
 function differenceOf(after: Counts, before: Counts): Counts {
   return Object.fromEntries(
     Object.entries(after).map(([name, count]) => [
--- a/packages/checks/src/cold_start/servers_main.ts
+++ b/packages/checks/src/cold_start/servers_main.ts
@@ -1,16 +1,18 @@
 /** Process of all engines and plain servers; its plan is the only argument. */
 import {
+  createRemoteStore,
   type EngineRegistry,
   type EngineStandIn,
+  entryOf,
   type PlainStandIn,
   startEngine,
   startPlainServer,
 } from "@rosemarypin/platform/stand_in";
-import { entryOf } from "./server_entry.ts";
 import { createSharedLoads } from "./shared_loads.ts";
 import { type PlannedServer, serversPlanSchema } from "./site.ts";
 
 const plan = serversPlanSchema.parse(JSON.parse(process.argv[2] ?? ""));
+const store = createRemoteStore(plan.storeAddress);
 const registry: EngineRegistry = new Map();
 const loads = createSharedLoads(plan.loadsAtOnce);
 const servers: [PlannedServer, EngineStandIn | PlainStandIn][] = [];
@@ -47,16 +49,8 @@
 ): Promise<void> {
   renewals += 1;
   const spec = entryOf(server, { domain, kind, renewal: renewals });
-  const objects = `http://${plan.storeAddress}/-/objects/servers`;
-  const headers = { "content-type": "application/json" };
-  const send = (method: string, url: string, body: unknown) =>
-    fetch(url, { method, headers, body: JSON.stringify(body) });
   try {
-    const put = await send("PUT", `${objects}/${server.id}`, { spec });
-    await put.arrayBuffer();
-    if (put.status !== 404) return;
-    const made = { metadata: { name: server.id }, spec };
-    await (await send("POST", objects, made)).arrayBuffer();
+    await store.put("servers", server.id, spec);
   } catch {
     // The next renewal follows; the store may be away.
   }
--- a/packages/checks/src/cold_start/site.ts
+++ b/packages/checks/src/cold_start/site.ts
@@ -49,6 +49,12 @@
   readonly requestsPerSecond: number;
   /** Most events of an answer. */
   readonly events: number;
+  /**
+   * Processes of servers and of callers: each gets processor time of its own, as
+   * on machines of their own.
+   */
+  readonly serverProcesses: number;
+  readonly callerProcesses: number;
 }
 
 const DOMAINS = ["a", "b", "c"] as const;
@@ -77,6 +83,8 @@
   readonly engines: number;
   readonly requestsPerSecond: number;
   readonly events: number;
+  readonly serverProcesses: number;
+  readonly callerProcesses: number;
 }): Site {
   const domainOf = (index: number) => DOMAINS[index % DOMAINS.length] ?? "a";
   const instances = Array.from({ length: options.instances }, (_, index) => {
@@ -94,13 +102,7 @@
     domain: domainOf(index),
     kind: null,
   }));
-  const { requestsPerSecond, events } = options;
-  return {
-    instances,
-    servers: [...engines, ...plain],
-    requestsPerSecond,
-    events,
-  };
+  return { ...options, instances, servers: [...engines, ...plain] };
 }
 
 function kindOf(position: number): string {
--- a/packages/checks/src/cold_start_main.ts
+++ b/packages/checks/src/cold_start_main.ts
@@ -41,6 +41,8 @@
       engines: { type: "number", default: 30 },
       rate: { type: "number", default: 60 },
       events: { type: "number", default: 20 },
+      serverProcesses: { type: "number", default: 12 },
+      callerProcesses: { type: "number", default: 4 },
       loss: {
         type: "string",
         choices: ["instances", "servers", "both"],
@@ -71,6 +73,8 @@
     engines: flags.engines,
     requestsPerSecond: flags.rate,
     events: flags.events,
+    serverProcesses: flags.serverProcesses,
+    callerProcesses: flags.callerProcesses,
   }),
   loss: flags.loss as Loss,
   share: flags.share,
