--- a/packages/gateway/src/operators/gateway_metrics.ts
+++ b/packages/gateway/src/operators/gateway_metrics.ts
@@ -1,4 +1,5 @@
 /** Prometheus metrics of one gateway. */
+import { performance as runtime } from "node:perf_hooks";
 import type { ClassLevel } from "@rosemarypin/admission";
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import type { ServerCounts } from "../backends/mod.ts";
@@ -148,6 +149,16 @@
     registers,
   });
   addGauge("rosemarypin_in_flight", "Requests in progress", gauges.inProgress);
+  let measuredFrom = runtime.eventLoopUtilization();
+  addGauge(
+    "rosemarypin_event_loop_busy_ratio",
+    "Share of the time since the last reading in which the event loop was busy",
+    () => {
+      const { utilization } = runtime.eventLoopUtilization(measuredFrom);
+      measuredFrom = runtime.eventLoopUtilization();
+      return utilization;
+    },
+  );
   addGauge(
     "rosemarypin_request_body_bytes",
     "Memory that the bodies of requests in progress take",
--- a/packages/gateway/src/operators/gateway_metrics_test.ts
+++ b/packages/gateway/src/operators/gateway_metrics_test.ts
@@ -1,3 +1,4 @@
+import { setTimeout as pause } from "node:timers/promises";
 import { describe, expect, it } from "vitest";
 import { createGatewayMetrics, type GatewayGauges } from "./gateway_metrics.ts";
 
@@ -56,4 +57,22 @@
       'rosemarypin_domain_need_tokens{domain="a"} 6000',
     ]);
   });
+
+  // Guards against a process that lags, and doesn't show whether others or its own
+  // work make it late.
+  it("show how busy the event loop was since the last reading", async () => {
+    const { registry } = createGatewayMetrics(GAUGES);
+    const busyRatio = async () => {
+      const page = await registry.metrics();
+      const [, ratio] =
+        /^rosemarypin_event_loop_busy_ratio (\S+)$/m.exec(page) ?? [];
+      return Number(ratio);
+    };
+    await busyRatio();
+    await pause(100);
+    const whenIdle = await busyRatio();
+    const busyUntil = performance.now() + 100;
+    while (performance.now() < busyUntil);
+    expect(await busyRatio()).toBeGreaterThan(whenIdle);
+  });
 });
