--- a/packages/checks/src/cold_start/cold_start_run.ts
+++ b/packages/checks/src/cold_start/cold_start_run.ts
@@ -11,6 +11,7 @@
   configureSite,
   createRemoteStore,
   drawSettings,
+  readyUrlOf,
   type StoreFaults,
   writeSettings,
 } from "@rosemarypin/platform/stand_in";
@@ -234,11 +235,11 @@
     const commandLine = [...program, "--settings", file];
     const logFile = join(folder, `${name}.log`);
     children.push(createChild(commandLine, { logFile, coreShare }));
-    const { callers, readiness } = settings;
+    const { callers } = settings;
     addresses.push({
       domain,
       url: `http://${callers.host}:${callers.port}`,
-      readyUrl: `http://${readiness.host}:${readiness.port}/-/ready`,
+      readyUrl: readyUrlOf(settings),
     });
   }
   return { children, addresses };
