--- a/packages/gateway/src/placement/placement_leases.ts
+++ b/packages/gateway/src/placement/placement_leases.ts
@@ -2,7 +2,6 @@
  * Leases that decide which instance may send layer orders to the engines of a
  * failure domain.
  */
-
 import type { PeerMethods } from "@rosemarypin/membership";
 import { type ControlLease, createControlLease } from "@rosemarypin/placement";
 import type { ObjectStore } from "@rosemarypin/store";
@@ -133,7 +132,7 @@
     },
     peerMethods: {
       [HOLDS_LEASE_METHOD]: () =>
-        leases.get(options.failureDomain)?.held() != null,
+        Boolean(leases.get(options.failureDomain)?.held()),
     },
     async release() {
       await Promise.all([...leases.values()].map((lease) => lease.release()));
