--- a/packages/checks/src/cold_start/callers.ts
+++ b/packages/checks/src/cold_start/callers.ts
@@ -84,7 +84,8 @@
     return child;
   });
   const order = (child: ChildProcess, message: CallersOrder) => {
-    if (child.connected) child.send(message);
+    // A process that has just ended reads nothing more.
+    if (child.connected) child.send(message, () => {});
   };
   return {
     outcomes,
--- a/packages/checks/src/cold_start/cold_start_run.ts
+++ b/packages/checks/src/cold_start/cold_start_run.ts
@@ -11,6 +11,7 @@
   configureSite,
   createRemoteStore,
   drawSettings,
+  type RemoteStore,
   readyUrlOf,
   type StoreFaults,
   writeSettings,
@@ -37,8 +38,8 @@
 const STORE_RATES = { writesPerSecond: 1_200, readsPerSecond: 6_000 } as const;
 const LOADS_AT_ONCE = 15;
 const EVENT_MS = 100;
-/** Time in which the stand-ins bind their ports. */
-const STAND_IN_START_MS = 1_500;
+const STORE_START_LIMIT_MS = 30_000;
+const STORE_CHECK_MS = 100;
 const START_LIMIT_MS = 90_000;
 const SERVED_CHECK_MS = 500;
 const READY_INTERVAL_MS = 250;
@@ -129,11 +130,10 @@
       heartbeatMs: HEARTBEAT_MS,
     } satisfies ServersPlan),
   );
+  const storeClient = createRemoteStore(storeAddress);
   store.start();
-  await pause(STAND_IN_START_MS);
+  await untilAnswering(storeClient);
   for (const process of servers) process.start();
-  await pause(STAND_IN_START_MS);
-  const storeClient = createRemoteStore(storeAddress);
   await configureSite(storeClient, {
     ...MODEL,
     kinds: KINDS,
@@ -260,6 +260,20 @@
   return loss === "instances" ? ending : [...servers, ...ending];
 }
 
+async function untilAnswering(store: RemoteStore): Promise<void> {
+  const endsAt = performance.now() + STORE_START_LIMIT_MS;
+  for (;;) {
+    try {
+      await store.counts();
+      return;
+    } catch (error) {
+      // Its process may still be starting.
+      if (performance.now() > endsAt) throw error;
+    }
+    await pause(STORE_CHECK_MS);
+  }
+}
+
 /** Waits until nearly all requests of the last seconds were served. */
 async function untilUp(outcomes: readonly CallerOutcome[]): Promise<void> {
   const endsAt = performance.now() + START_LIMIT_MS;
