Checks of cold starts end their processes, however early they fail

All processes are recorded before they start and ended in one place now. One case (all servers end) was run: it passes and leaves no process; no assertion is changed.

--- a/packages/checks/src/cold_start/cold_start_run.ts
+++ b/packages/checks/src/cold_start/cold_start_run.ts
@@ -106,6 +106,19 @@
 /** Runs the deployment, ends its processes and starts them again. */
 export async function runColdStart(
   options: ColdStartOptions,
+): Promise<ColdStartReport> {
+  const children: Child[] = [];
+  try {
+    return await rehearse(options, children);
+  } finally {
+    await Promise.all(children.map((child) => child.kill()));
+  }
+}
+
+/** Adds each process to `children`, which the caller ends. */
+async function rehearse(
+  options: ColdStartOptions,
+  children: Child[],
 ): Promise<ColdStartReport> {
   const { site } = options;
   const folder = mkdtempSync(join(tmpdir(), "cold-start-"));
@@ -131,6 +144,7 @@
     } satisfies ServersPlan),
   );
   const storeClient = createRemoteStore(storeAddress);
+  children.push(store, ...servers);
   store.start();
   await untilAnswering(storeClient);
   for (const process of servers) process.start();
@@ -143,6 +157,7 @@
     folder,
     storeAddress,
   });
+  children.push(...instances);
   for (const instance of instances) instance.start();
   const balancer = startBalancer(addresses);
   const { requestsPerSecond, events } = site;
@@ -197,8 +212,6 @@
     clearInterval(telling);
     balancer.stop();
     callers.end();
-    const children = [...instances, ...servers, store];
-    await Promise.all(children.map((child) => child.kill()));
   }
 }
 
