Reachability: an instance whose failure domain is cut off still reaches its own servers

Callers of a failure domain that was cut off from the others got refusals and answers past their deadline from instances beside engines that worked. An instance decides that it is cut off from all servers by connecting to six random ones. With a third of the servers in its own domain, such a sample holds none of them in 8 to 13 of 100 checks, and there are two checks a second while requests fail. Once it was decided, nothing ended it before the domain was joined again: three of six random servers had to answer. Such an instance hands its requests off (to instances that are cut off like itself, or can't be reached), probes no server, gives its lease up and orders no layers.

Half of each sample is now of the own failure domain, a second sample must fail as well, 50 ms after the first, and half of the own domain's sample is enough to come back.

The two new tests failed before: 'expected true to be false' for isCutOff, in both.

--- a/packages/gateway/src/backends/backend_fleet.ts
+++ b/packages/gateway/src/backends/backend_fleet.ts
@@ -159,6 +159,7 @@
   const backoffs = createRequestedBackoffs();
   const slowEngines = createSlowEngines({ probe, signal });
   const reachability = createReachability({
+    failureDomain,
     serversOf: ofService,
     canConnect,
     onReconnected: probeAvoided,
--- a/packages/gateway/src/backends/reachability.ts
+++ b/packages/gateway/src/backends/reachability.ts
@@ -10,17 +10,26 @@
 
 /** Servers to which each check connects. */
 const SAMPLE_SIZE = 6;
+/**
+ * Servers of the own failure domain in each sample. While the domain is cut off
+ * from the others, only its own servers can be reached.
+ */
+const OWN_DOMAIN_SAMPLE_SIZE = 3;
 /** Servers that can be reached accept connections within milliseconds. */
 const CONNECT_TIMEOUT_MS = 200;
+/** Time without a connection after which more servers are tried. */
+const SECOND_SAMPLE_DELAY_MS = 50;
 /** Delay of a check that shows that this process itself was late. */
 const LATE_MS = 100;
+const MAX_CHECK_MS = SECOND_SAMPLE_DELAY_MS + CONNECT_TIMEOUT_MS + LATE_MS;
 /** Pause between two checks of a service that was found reachable. */
 const MIN_CHECK_INTERVAL_MS = 500;
 /** Pause between two checks of a service that was found unreachable. */
 const RECHECK_INTERVAL_MS = 250;
 /**
- * Share of a sample that makes a service reachable again. A few servers that
- * can be reached don't hold all layers.
+ * Share of a sample, or of its servers in the own failure domain, that makes a
+ * service reachable again. A few servers that can be reached don't hold all
+ * layers.
  */
 const MIN_REACHED_SHARE = 0.5;
 /**
@@ -48,6 +57,8 @@
 }
 
 export interface ReachabilityOptions {
+  /** Failure domain of this instance. */
+  readonly failureDomain: string;
   readonly serversOf: (service: string) => readonly BackendServer[];
   readonly canConnect: ConnectionCheck;
   /** Called before a service counts as reachable again. */
@@ -64,6 +75,7 @@
 
 /** Creates the detector; all services count as reachable. */
 export function createReachability({
+  failureDomain,
   serversOf,
   canConnect,
   onReconnected,
@@ -80,29 +92,57 @@
     return state;
   }
 
-  /** Connects to a random sample of servers; empty if the list has none. */
-  function connectToSample(service: string): Promise<boolean>[] {
-    const servers = serversOf(service).filter(({ leaving }) => !leaving);
-    return drawSample(servers, SAMPLE_SIZE).map(({ address }) =>
-      canConnect(address, CONNECT_TIMEOUT_MS),
+  /** Draws servers of the own failure domain and of the others at random. */
+  function drawServers(
+    service: string,
+    excluded: readonly BackendServer[] = [],
+  ): BackendServer[] {
+    const servers = serversOf(service).filter(
+      (server) => !server.leaving && !excluded.includes(server),
+    );
+    const own = drawSample(servers.filter(isInOwnDomain), SAMPLE_SIZE);
+    const others = drawSample(
+      servers.filter((server) => !isInOwnDomain(server)),
+      SAMPLE_SIZE,
     );
+    const ownSize = Math.max(
+      OWN_DOMAIN_SAMPLE_SIZE,
+      SAMPLE_SIZE - others.length,
+    );
+    return [...own.slice(0, ownSize), ...others].slice(0, SAMPLE_SIZE);
+  }
+
+  function isInOwnDomain(server: BackendServer): boolean {
+    return server.failureDomain === failureDomain;
+  }
+
+  function connectTo({ address }: BackendServer): Promise<boolean> {
+    return canConnect(address, CONNECT_TIMEOUT_MS);
   }
 
-  /** Resolves with the first server that is reached, or with the last one. */
   async function reachesAny(service: string): Promise<boolean> {
-    const attempts = connectToSample(service);
-    if (attempts.length === 0) return true;
-    return new Promise((resolve) => {
-      for (const attempt of attempts)
-        void attempt.then((isReached) => isReached && resolve(true));
-      void Promise.all(attempts).then(() => resolve(false));
-    });
+    const sample = drawServers(service);
+    if (sample.length === 0) return true;
+    const isReached = resolvesToAny(sample.map(connectTo));
+    const isReachedSoon = await Promise.race([
+      isReached,
+      pause(SECOND_SAMPLE_DELAY_MS, signal).then(() => false),
+    ]);
+    if (isReachedSoon) return true;
+    // The servers of one sample may all have failed.
+    const others = drawServers(service, sample);
+    return resolvesToAny([isReached, resolvesToAny(others.map(connectTo))]);
   }
 
   async function reachesEnough(service: string): Promise<boolean> {
-    const isReached = await Promise.all(connectToSample(service));
-    const reachedCount = isReached.filter(Boolean).length;
-    return reachedCount >= MIN_REACHED_SHARE * isReached.length;
+    const servers = drawServers(service);
+    const isReached = await Promise.all(servers.map(connectTo));
+    const isOwn = servers.map(isInOwnDomain);
+    const ownReached = isReached.filter((_, index) => isOwn[index]);
+    return (
+      isShareReached(isReached) ||
+      (ownReached.length > 0 && isShareReached(ownReached))
+    );
   }
 
   async function runCheck(service: string, state: ServiceState): Promise<void> {
@@ -111,7 +151,7 @@
     state.checkedAt = performance.now();
     state.checking = null;
     const tookMs = state.checkedAt - startedAt;
-    if (isReachable || tookMs > CONNECT_TIMEOUT_MS + LATE_MS) return;
+    if (isReachable || tookMs > MAX_CHECK_MS) return;
     state.isCutOff = true;
     log.warn("service_cut_off", {
       service,
@@ -174,6 +214,22 @@
   };
 }
 
+/** Resolves to true with the first attempt that does, else with the last. */
+function resolvesToAny(
+  attempts: readonly Promise<boolean>[],
+): Promise<boolean> {
+  return new Promise((resolve) => {
+    for (const attempt of attempts)
+      void attempt.then((isReached) => isReached && resolve(true));
+    void Promise.all(attempts).then(() => resolve(false));
+  });
+}
+
+function isShareReached(isReached: readonly boolean[]): boolean {
+  const reachedCount = isReached.filter(Boolean).length;
+  return reachedCount >= MIN_REACHED_SHARE * isReached.length;
+}
+
 /** Draws up to `size` elements at random, each at most once. */
 function drawSample<Element>(
   elements: readonly Element[],
--- a/packages/gateway/src/backends/reachability_test.ts
+++ b/packages/gateway/src/backends/reachability_test.ts
@@ -2,10 +2,17 @@
 import type { BackendServer } from "../backend_server.ts";
 import { createReachability } from "./reachability.ts";
 
+/** Every third server is in the own failure domain. */
 const DEPLOYED = Array.from(
-  { length: 20 },
-  (_, index) => ({ id: `e-${index}`, address: `e-${index}` }) as BackendServer,
+  { length: 30 },
+  (_, index) =>
+    ({
+      id: `e-${index}`,
+      address: `e-${index}`,
+      failureDomain: ["a", "b", "c"][index % 3],
+    }) as BackendServer,
 );
+const OWN = DEPLOYED.filter(({ failureDomain }) => failureDomain === "a");
 const CONNECT_MS = 2;
 
 beforeEach(() => {
@@ -21,6 +28,7 @@
   let connects = 0;
   let reconnects = 0;
   const reachability = createReachability({
+    failureDomain: "a",
     serversOf: () => DEPLOYED,
     canConnect: async (address, timeoutMs) => {
       connects += 1;
@@ -39,6 +47,10 @@
     cutAll() {
       for (const { address } of DEPLOYED) down.add(address);
     },
+    cutFromOthers() {
+      for (const server of DEPLOYED)
+        if (!OWN.includes(server)) down.add(server.address);
+    },
     heal: () => down.clear(),
     down,
     connects: () => connects,
@@ -68,6 +80,32 @@
     expect(await reachability.settled("model")).toBe(false);
   });
 
+  it("is not lost while the own failure domain is cut off from the others", async () => {
+    // Guards against an instance that hands its requests off, and stops to place
+    // layers, though it reaches the engines beside it.
+    const { reachability, cutFromOthers, down } = setUp();
+    cutFromOthers();
+    for (const { address } of OWN.slice(0, 3)) down.add(address);
+    for (let failure = 0; failure < 100; failure += 1) {
+      reachability.check("model");
+      await vi.advanceTimersByTimeAsync(600);
+      expect(reachability.isCutOff("model")).toBe(false);
+    }
+  });
+
+  it("is found again once the servers of the own failure domain are reached", async () => {
+    // Guards against an instance that stays cut off for as long as its failure
+    // domain does.
+    const { reachability, cutAll, down } = setUp();
+    cutAll();
+    reachability.check("model");
+    await vi.advanceTimersByTimeAsync(500);
+    expect(reachability.isCutOff("model")).toBe(true);
+    for (const { address } of OWN) down.delete(address);
+    await vi.advanceTimersByTimeAsync(3_000);
+    expect(reachability.isCutOff("model")).toBe(false);
+  });
+
   it("is found again within 1.5 s, after servers were probed", async () => {
     const { reachability, cutAll, heal, reconnects } = setUp();
     cutAll();
