Placement: engines that come after the first layout form further pipelines

Callers' first events waited for seconds while two engines in five had nothing to do. Pipelines were laid out only while no engine of a group held layers. Engines that registered after that moment, were added, or came back empty got layers only to fill a gap, so nearly all of them stayed empty for good.

Each plan now lays pipelines out on the empty engines beyond the reserve, after it has filled gaps.

The new test failed before: 'expected 3 to be 4', the smallest number of engines that hold a layer.

--- a/packages/pipelines/src/group_plan.ts
+++ b/packages/pipelines/src/group_plan.ts
@@ -34,6 +34,8 @@
   fillGaps(draft, options.servedElsewhere);
   replicateScarceLayers(draft);
   replicateLargestUnreplicatedRange(draft);
+  // Engines that appeared after the first layout, or lost their layers.
+  layOutPipelines(draft);
   if (draft.orders().length === 0) {
     for (const engine of lowestCapacityFirst(draft))
       rebalanceStage(draft, engine);
--- a/packages/pipelines/src/layer_plan_test.ts
+++ b/packages/pipelines/src/layer_plan_test.ts
@@ -1,6 +1,7 @@
 import fc from "fast-check";
 import { describe, expect, it } from "vitest";
 import { kvCapacityTokens, maxLayersWithCapacity } from "./engine_capacity.ts";
+import { countHolders } from "./layer_coverage.ts";
 import { planLayers } from "./layer_plan.ts";
 import type { PlannedEngine } from "./plan_draft.ts";
 import type { LayerRange, ModelShape } from "./types.ts";
@@ -94,6 +95,12 @@
   );
 }
 
+/** Number of engines that hold the layer with the fewest holders. */
+function minHolders(engines: readonly PlannedEngine[]): number {
+  const ranges = engines.flatMap(({ held }) => held ?? []);
+  return Math.min(...countHolders(ranges, model.layerCount));
+}
+
 describe("a plan for engines that all are empty", () => {
   // Guards against a start in which no pipeline serves before the engines with
   // most layers have loaded them.
@@ -273,6 +280,15 @@
     expect(layers).toBe(model.layerCount);
   });
 
+  it("lays further pipelines out on engines that appear after the first layout", () => {
+    // Guards against engines that stay without layers for good because they
+    // registered late, were added, or restarted without their layers.
+    const all = fleet({ large: 4, medium: 6, small: 30 });
+    const early = applyUntilStable(all.slice(0, 22));
+    const settled = applyUntilStable([...early, ...all.slice(22)]);
+    expect(minHolders(settled)).toBe(minHolders(applyUntilStable(all)));
+  });
+
   it("returns no order for an engine with an order in progress", () => {
     const engines = fleet({ medium: 1, small: 8, tiny: 3 }).map((engine) => ({
       ...engine,
