Placement: idle engines replicate the layers that limit the rate of all answers

After the loss of the fast engines of a pipeline, all answers of a failure domain passed the few slow engines that still held these layers, beside engines without layers: 'covered' was all that a plan asked for, besides KV cache memory. First events then wait for seconds.

A plan now compares the rates at which the engines of each layer pass answers on. Layers far below the median are replicated on idle engines, if these can hold all of them; the reserve is used if the rate is under half of the median.

The new test failed before: 'expected 0.84 to be greater than or equal to 1.69'.

--- a/packages/pipelines/src/group_plan.ts
+++ b/packages/pipelines/src/group_plan.ts
@@ -16,6 +16,7 @@
 import {
   replicateLargestUnreplicatedRange,
   replicateScarceLayers,
+  replicateSlowLayers,
 } from "./range_replication.ts";
 import { rebalanceStage } from "./stage_rebalancing.ts";
 import type { ModelShape } from "./types.ts";
@@ -36,6 +37,7 @@
   replicateLargestUnreplicatedRange(draft);
   // Engines that appeared after the first layout, or lost their layers.
   layOutPipelines(draft);
+  replicateSlowLayers(draft);
   if (draft.orders().length === 0) {
     for (const engine of lowestCapacityFirst(draft))
       rebalanceStage(draft, engine);
--- a/packages/pipelines/src/layer_plan_test.ts
+++ b/packages/pipelines/src/layer_plan_test.ts
@@ -3,7 +3,7 @@
 import { kvCapacityTokens, maxLayersWithCapacity } from "./engine_capacity.ts";
 import { countHolders } from "./layer_coverage.ts";
 import { planLayers } from "./layer_plan.ts";
-import type { PlannedEngine } from "./plan_draft.ts";
+import { createPlanDraft, type PlannedEngine } from "./plan_draft.ts";
 import type { LayerRange, ModelShape } from "./types.ts";
 
 const model: ModelShape = {
@@ -101,6 +101,11 @@
   return Math.min(...countHolders(ranges, model.layerCount));
 }
 
+/** Decode steps per millisecond of the engines with each layer. */
+function ratesByLayer(engines: readonly PlannedEngine[]): number[] {
+  return createPlanDraft(engines, model).rateByLayer();
+}
+
 describe("a plan for engines that all are empty", () => {
   // Guards against a start in which no pipeline serves before the engines with
   // most layers have loaded them.
@@ -289,6 +294,17 @@
     expect(minHolders(settled)).toBe(minHolders(applyUntilStable(all)));
   });
 
+  it("replicates layers on idle engines if mostly slow ones are left with them", () => {
+    // Guards against a bottleneck of all answers beside engines without layers.
+    const placed = applyUntilStable(fleet({ large: 2, medium: 6, small: 14 }));
+    const settled = applyUntilStable(
+      placed.filter(({ memoryMb }) => memoryMb !== KINDS.large.memoryMb),
+    );
+    const rates = ratesByLayer(settled).sort((a, b) => a - b);
+    const median = rates[rates.length / 2] ?? 0;
+    expect(rates[0]).toBeGreaterThanOrEqual(median / 2);
+  });
+
   it("returns no order for an engine with an order in progress", () => {
     const engines = fleet({ medium: 1, small: 8, tiny: 3 }).map((engine) => ({
       ...engine,
--- a/packages/pipelines/src/plan_draft.ts
+++ b/packages/pipelines/src/plan_draft.ts
@@ -2,6 +2,7 @@
 import { kvCapacityTokens, maxLayersWithCapacity } from "./engine_capacity.ts";
 import { minCapacityTokens, targetCapacityTokens } from "./group_sizing.ts";
 import { countHolders } from "./layer_coverage.ts";
+import { idleLayerMs } from "./stage_time.ts";
 import {
   type EngineInfo,
   type LayerRange,
@@ -55,6 +56,11 @@
   holderCounts(): number[];
   /** Total KV cache capacity of the engines with each layer, in tokens. */
   capacityByLayer(): number[];
+  /**
+   * Sum of the rates of the engines with each layer: answers that they can pass
+   * on per millisecond if each takes one decode step.
+   */
+  rateByLayer(): number[];
   /**
    * KV cache capacity of an engine, in tokens, if `addedLayers` are added to
    * the layers that it retains, or removed if the number is negative.
@@ -119,6 +125,17 @@
       }
       return capacities;
     },
+    rateByLayer() {
+      const rates = new Array<number>(model.layerCount).fill(0);
+      for (const engine of group) {
+        const range = heldRanges.get(engine.id);
+        if (!range) continue;
+        const rate = 1 / (layersIn(range) * idleLayerMs(model, engine));
+        for (let layer = range.from; layer < range.to; layer += 1)
+          rates[layer] = (rates[layer] ?? 0) + rate;
+      }
+      return rates;
+    },
     capacityWith({ engine, retained }, addedLayers) {
       const { memoryMb } = engine;
       return kvCapacityTokens(model, {
--- a/packages/pipelines/src/range_replication.ts
+++ b/packages/pipelines/src/range_replication.ts
@@ -5,6 +5,11 @@
 import { LOW_CAPACITY_SHARE } from "./stage_rebalancing.ts";
 import { type LayerRange, layersIn } from "./types.ts";
 
+/** Share of the median below which the rate of a layer is low. */
+const LOW_RATE_SHARE = 0.8;
+/** The same where most of the engines that held the layer are lost. */
+const VERY_LOW_RATE_SHARE = 0.5;
+
 /**
  * Replicates layers on idle engines, the smallest engine first, until every
  * layer has enough capacity.
@@ -77,6 +82,54 @@
   }
 }
 
+/**
+ * Replicates the layers that limit the rate of the whole group: all answers
+ * pass the few engines that hold them. If the idle engines can't hold all these
+ * layers, they stay empty, since the others would still limit the rate. The
+ * reserve is used only if the engines of a pipeline must have been lost.
+ */
+export function replicateSlowLayers(draft: PlanDraft): void {
+  const idle = draft.idleEngines();
+  replicateRanges(draft, slowRanges(draft, VERY_LOW_RATE_SHARE), idle);
+  const unreserved = draft.idleEngines().slice(reserveCount(draft.group));
+  replicateRanges(draft, slowRanges(draft, LOW_RATE_SHARE), unreserved);
+}
+
+/** Replicates all of the ranges, or nothing if the engines can't hold them. */
+function replicateRanges(
+  draft: PlanDraft,
+  ranges: readonly LayerRange[],
+  engines: readonly PlannedEngine[],
+): void {
+  const unused = engines.values();
+  const assignments: { engine: PlannedEngine; range: LayerRange }[] = [];
+  for (const { from, to } of ranges) {
+    for (let next = from; next < to; ) {
+      const { value: engine } = unused.next();
+      if (!engine) return;
+      const end = Math.min(to, next + draft.targetLayers(engine));
+      assignments.push({ engine, range: { from: next, to: end } });
+      next = end;
+    }
+  }
+  for (const { engine, range } of assignments) draft.assign(engine, range);
+}
+
+/** Returns the ranges of layers whose rate is below a share of the median. */
+function slowRanges(draft: PlanDraft, share: number): LayerRange[] {
+  const rates = draft.rateByLayer();
+  const sorted = rates.toSorted((a, b) => a - b);
+  const median = sorted[Math.floor(sorted.length / 2)] ?? 0;
+  const ranges: { from: number; to: number }[] = [];
+  for (const [layer, rate] of rates.entries()) {
+    if (rate >= median * share) continue;
+    const last = ranges.at(-1);
+    if (last?.to === layer) last.to = layer + 1;
+    else ranges.push({ from: layer, to: layer + 1 });
+  }
+  return ranges;
+}
+
 /** Returns the largest range of which no layer is replicated. */
 function largestUnreplicatedRange(draft: PlanDraft): LayerRange | undefined {
   const counts = draft.holderCounts();
