Placement: planners of one group of engines compute the same plan

Where no failure domain holds the whole model, the engines of several domains form one group, and the holder of each domain's lease plans it.

Each planner now plans the whole group, as the others do, and sends the orders to its own engines only. What others have ordered isn't known until it is loaded, but the same plan comes out of the same state, and the states meet.

--- a/packages/gateway/src/placement/placement_loop.ts
+++ b/packages/gateway/src/placement/placement_loop.ts
@@ -207,7 +207,10 @@
       const kind = engine.kinds.get(server.kind ?? "");
       return kind ? [plannedEngine(server, { kind, model: engine.model })] : [];
     });
-    if (!plannedEngines.some(({ acceptsOrders }) => acceptsOrders)) return [];
+    const isOrderable = plannedEngines.some(
+      ({ acceptsOrders, isOwn }) => acceptsOrders && isOwn,
+    );
+    if (!isOrderable) return [];
     const planner = planners.get(service) ?? createLayerPlanner();
     planners.set(service, planner);
     return planner(plannedEngines, engine.model);
@@ -231,8 +234,8 @@
       acceptsOrders:
         !order &&
         !waiting &&
-        fleet.backoffs.remainingMs(server) === 0 &&
-        options.fencingNumberFor(server.failureDomain) !== null,
+        fleet.backoffs.remainingMs(server) === 0,
+      isOwn: options.fencingNumberFor(server.failureDomain) !== null,
     };
   }
 
--- a/packages/pipelines/src/layer_plan.ts
+++ b/packages/pipelines/src/layer_plan.ts
@@ -10,7 +10,7 @@
 import type { ModelShape } from "./types.ts";
 
 /**
- * Returns the orders to engines that give each group of engines a complete and
+ * Returns the orders to own engines that give each group of engines a complete and
  * balanced set of layers. A failure domain with enough memory for the whole
  * model forms its own group, so that its pipelines need no other domain. The
  * engines of smaller domains form one group together, or join a complete group
@@ -21,13 +21,19 @@
   model: ModelShape,
 ): LayerOrder[] {
   return groupEngines(engines, model).flatMap((group) => {
-    if (!group.some(({ acceptsOrders }) => acceptsOrders)) return [];
+    const isOrderable = group.some(
+      ({ acceptsOrders, isOwn }) => acceptsOrders && isOwn,
+    );
+    if (!isOrderable) return [];
     const others = engines.filter((engine) => !group.includes(engine));
     const servedElsewhere = countHolders(
       others.flatMap(({ serving }) => serving ?? []),
       model.layerCount,
     );
-    return planGroup(group, { model, servedElsewhere });
+    const own = new Set(group.flatMap(({ id, isOwn }) => (isOwn ? id : [])));
+    return planGroup(group, { model, servedElsewhere }).filter(({ engineId }) =>
+      own.has(engineId),
+    );
   });
 }
 
--- a/packages/pipelines/src/layer_plan_test.ts
+++ b/packages/pipelines/src/layer_plan_test.ts
@@ -36,6 +36,7 @@
     held: null,
     serving: null,
     acceptsOrders: true,
+    isOwn: true,
     ...KINDS[kind],
     ...facts,
   };
@@ -413,6 +414,86 @@
   });
 });
 
+interface LoadingEngine {
+  readonly engine: PlannedEngine;
+  held: LayerRange | null;
+  loading: { readonly range: LayerRange; readonly until: number } | null;
+}
+
+/**
+ * Lets one planner for each failure domain order its own engines, of which it
+ * alone knows what they load, and returns the number of orders in each round.
+ */
+function runPlanners(states: readonly LoadingEngine[], rounds: number) {
+  const domains = new Set(states.map(({ engine }) => engine.failureDomain));
+  return Array.from({ length: rounds }, (_, round) => {
+    let orders = 0;
+    for (const domain of domains) {
+      const view = states.map(({ engine, held, loading }) => {
+        const isOwn = engine.failureDomain === domain;
+        const known = isOwn ? loading : null;
+        const acceptsOrders = known === null;
+        const planned = known?.range ?? held;
+        return {
+          ...engine,
+          held: planned,
+          serving: held,
+          acceptsOrders,
+          isOwn,
+        };
+      });
+      for (const { engineId, range } of planLayers(view, model)) {
+        const state = states.find(({ engine }) => engine.id === engineId);
+        if (!state) continue;
+        orders += 1;
+        state.loading = { range, until: round + 1 + (orders % 3) };
+      }
+    }
+    for (const state of states) {
+      if (state.loading === null || state.loading.until > round) continue;
+      state.held = state.loading.range;
+      state.loading = null;
+    }
+    return orders;
+  });
+}
+
+describe("planners of several failure domains that form one group", () => {
+  // Guards against planners that move layers against each other for good.
+  it("come to rest with all layers covered, also after a loss", () => {
+    const counts = fc.record({
+      small: fc.integer({ min: 2, max: 6 }),
+      tiny: fc.integer({ min: 0, max: 4 }),
+    });
+    const property = fc.property(
+      fc.tuple(counts, counts, counts),
+      fc.nat({ max: 20 }),
+      (domains, lostIndex) => {
+        const engines = domains.flatMap((count, index) =>
+          fleet(count).map((engine) => ({
+            ...engine,
+            id: `${index}-${engine.id}`,
+            failureDomain: `domain-${index}`,
+          })),
+        );
+        const remaining = engines.filter((_, index) => index !== lostIndex);
+        fc.pre(uncovered(applyUntilStable(remaining)).length === 0);
+        const all = engines.map(
+          (engine): LoadingEngine => ({ engine, held: null, loading: null }),
+        );
+        const left = all.filter((_, index) => index !== lostIndex);
+        for (const states of [all, left]) {
+          const orders = runPlanners(states, MAX_ROUNDS);
+          expect(orders.slice(-10)).toEqual(new Array(10).fill(0));
+        }
+        const placed = left.map(({ engine, held }) => ({ ...engine, held }));
+        expect(uncovered(placed)).toEqual([]);
+      },
+    );
+    fc.assert(property, { numRuns: 20, seed: 1 });
+  });
+});
+
 /** Whether the engines hold all layers of a range. */
 function rangesCover(
   engines: readonly PlannedEngine[],
--- a/packages/pipelines/src/layer_planner_test.ts
+++ b/packages/pipelines/src/layer_planner_test.ts
@@ -26,6 +26,7 @@
     held: null,
     serving: null,
     acceptsOrders: true,
+    isOwn: true,
     ...change,
   };
 }
--- a/packages/pipelines/src/plan_draft.ts
+++ b/packages/pipelines/src/plan_draft.ts
@@ -16,6 +16,12 @@
   readonly serving: LayerRange | null;
   /** Whether it accepts orders; false while an earlier one is in progress. */
   readonly acceptsOrders: boolean;
+  /**
+   * Whether this planner may order it. Engines of other planners in the group
+   * are planned as well: each planner computes the same plan and carries out
+   * its part.
+   */
+  readonly isOwn: boolean;
 }
 
 /** Instructs an engine to hold exactly the layers of a range. */
