Service client: an answer that was reset is no answer

undici takes ECONNRESET for the regular end of an answer with neither a length nor chunks. The gateway's connector renames the error; the daemon's client used undici's own connector, so a part of a body came back as `kind: "answer"`, pooled and on a new connection, and was relayed and recorded as the whole one.

The guard moves to packages/backends, which the gateway may import, and both connectors use it. The calls now end as `broken`: an idempotent one is tried on another server, one with a key is of unknown outcome.

--- /dev/null
+++ b/packages/backends/src/reset_guard.ts
@@ -0,0 +1,19 @@
+/** Keeps a reset connection from looking like the end of an answer. */
+import type { Socket } from "node:net";
+
+/** Error code of a connection that was reset after it was established. */
+const RESET_AFTER_CONNECT = "ERR_CONNECTION_RESET";
+
+/**
+ * Renames resets of an established connection of the HTTP client. undici treats
+ * `ECONNRESET` as the regular end of an answer without a content length, so
+ * that a truncated answer would look complete.
+ */
+export function guardAgainstResets(socket: Socket): void {
+  // Before the client's own listener.
+  socket.prependListener("error", renameReset);
+}
+
+function renameReset(error: NodeJS.ErrnoException): void {
+  if (error.code === "ECONNRESET") error.code = RESET_AFTER_CONNECT;
+}
--- a/packages/backends/src/service_client.ts
+++ b/packages/backends/src/service_client.ts
@@ -1,6 +1,7 @@
 /** HTTP client for the servers of plain services. */
 import { type Address, formatAddress } from "@rosemarypin/schemas";
 import { Agent, buildConnector, Client, type Dispatcher } from "undici";
+import { guardAgainstResets } from "./reset_guard.ts";
 import {
   classifyTransportError,
   type TransportFailure,
@@ -61,13 +62,23 @@
 
 /** Creates a client that never retries a call. */
 export function createServiceClient(): ServiceClient {
-  const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
+  const open = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
   const agent = new Agent({
     connect,
     pipelining: 1,
     maxResponseSize: MAX_RESPONSE_BYTES,
   });
 
+  function connect(
+    options: buildConnector.Options,
+    callback: buildConnector.Callback,
+  ): void {
+    open(options, (...result) => {
+      if (result[1]) guardAgainstResets(result[1]);
+      callback(...result);
+    });
+  }
+
   async function sendPooled(
     address: Address,
     call: ServiceRequest,
--- a/packages/gateway/src/backends/timed_connector.ts
+++ b/packages/gateway/src/backends/timed_connector.ts
@@ -1,11 +1,9 @@
 /** Opens connections with a timeout that is exact to the millisecond. */
 import { connect } from "node:net";
+import { guardAgainstResets } from "@rosemarypin/backends";
 import { type buildConnector, errors } from "undici";
 import { boundAnswers } from "./answer_bounds.ts";
 
-/** Error code for a connection that was reset after it was established. */
-const RESET_AFTER_CONNECT = "ERR_CONNECTION_RESET";
-
 /**
  * Creates a connector for undici clients. The client's own connect timeout has
  * a resolution of up to a second, which is longer than a request may wait
@@ -23,7 +21,7 @@
     socket.once("connect", () => {
       clearTimeout(timer);
       socket.off("error", fail);
-      socket.on("error", renameReset);
+      guardAgainstResets(socket);
       boundAnswers(socket);
       callback(null, socket);
     });
@@ -41,12 +39,3 @@
     }
   };
 }
-
-/**
- * Changes the error code of a reset. undici treats `ECONNRESET` as the regular
- * end of an answer without a content length, so that a truncated answer would
- * look complete. This listener is registered before the client's own.
- */
-function renameReset(error: NodeJS.ErrnoException): void {
-  if (error.code === "ECONNRESET") error.code = RESET_AFTER_CONNECT;
-}
