Services: an answer that doesn't mark its end is relayed, kept and replayed so

An answer with neither a length nor chunks ends with its connection, and a process that ends closes its connections as after a whole answer. Callers got what had come with chunks, the record of a call with a key kept it as whole, and each replay, also on other instances, framed it again.

ServiceAnswer and the claim's state say whether the answer marked its own end. What didn't is sent without a length and without chunks, with `connection: close`; what did has its length, also for callers of HTTP/1.0. Answers to HEAD and those of 204 and 304 end with their head. The state carries it through the record, the owner's word to peers and the hand-over at a stop; a record that doesn't say reads as open. Weighed in docs/design/004-bookings.md: the answer is kept rather than made outcome_unknown, since its status shows that the call ran. No call is repeated and no server counted as failed for it.

--- a/packages/backends/src/mod.ts
+++ b/packages/backends/src/mod.ts
@@ -1,4 +1,5 @@
 /** Clients of engines and plain services, and the health of both. */
+export * from "./answer_end.ts";
 export * from "./engine_client.ts";
 export * from "./engine_fleet.ts";
 export * from "./engine_subset.ts";
--- a/packages/backends/src/service_client.ts
+++ b/packages/backends/src/service_client.ts
@@ -1,6 +1,7 @@
 /** HTTP client for the servers of plain services. */
 import { type Address, formatAddress } from "@rosemarypin/schemas";
 import { Agent, buildConnector, Client, type Dispatcher } from "undici";
+import { marksItsEnd } from "./answer_end.ts";
 import { guardAgainstResets } from "./reset_guard.ts";
 import {
   classifyTransportError,
@@ -24,11 +25,16 @@
   readonly body: Buffer;
 }
 
-/** A complete response of a service. */
+/** A response of a service, read to its end. */
 export interface ServiceAnswer {
   readonly status: number;
   readonly contentType: string;
   readonly body: Buffer;
+  /**
+   * Whether the response marked its own end. Otherwise its connection ended,
+   * and nobody knows whether the body is whole.
+   */
+  readonly isDelimited: boolean;
 }
 
 export type ServiceResult =
@@ -168,7 +174,9 @@
   const contentType = String(
     headers["content-type"] ?? "application/octet-stream",
   );
-  return { kind: "answer", answer: { status, contentType, body }, leaving };
+  const isDelimited = marksItsEnd(call.method, { status, headers });
+  const answer = { status, contentType, body, isDelimited };
+  return { kind: "answer", answer, leaving };
 }
 
 function originOf(address: Address): string {
--- a/packages/backends/src/service_client_test.ts
+++ b/packages/backends/src/service_client_test.ts
@@ -5,10 +5,17 @@
   type Server,
   type Socket,
 } from "node:net";
+import {
+  type CutAnswer,
+  describeCut,
+  startCuttingServer,
+} from "@rosemarypin/fakes";
+import fc from "fast-check";
 import { afterEach, describe, expect, it } from "vitest";
 import { createServiceClient, type ServiceResult } from "./service_client.ts";
 
 const TIMEOUT_MS = 20_000;
+const RUNS = { seed: 58, numRuns: 400 };
 
 let server: Server | undefined;
 afterEach(() => {
@@ -59,3 +66,57 @@
     },
   );
 });
+
+describe("service client, answer that breaks off at any byte", () => {
+  const cuts: fc.Arbitrary<Omit<CutAnswer, "hasBody">> = fc.record({
+    version: fc.constantFrom("1.0", "1.1"),
+    framing: fc.constantFrom("length", "chunks", "connection", "connection"),
+    status: fc.constantFrom(200, 201, 204, 304, 404, 500),
+    body: fc.stringMatching(/^[a-z0-9]{0,40}$/),
+    missingBytes: fc.oneof(
+      fc.constant(0),
+      fc.nat({ max: 40 }),
+      fc.nat({ max: 150 }),
+    ),
+    end: fc.constantFrom("close", "reset"),
+  });
+  const calls = fc.record({
+    method: fc.constantFrom("GET", "POST", "HEAD"),
+    freshConnection: fc.boolean(),
+  });
+
+  it("claims no more than its server sent", async () => {
+    const kinds = { answer: 0, unmarked: 0, none: 0 };
+    let cut: CutAnswer;
+    const cutting = await startCuttingServer(() => cut);
+    const address = { host: "127.0.0.1", port: cutting.port };
+    const client = createServiceClient();
+    const property = fc.asyncProperty(cuts, calls, async (drawn, call) => {
+      const { method, freshConnection } = call;
+      const hasBody = method !== "HEAD" && ![204, 304].includes(drawn.status);
+      cut = { ...drawn, hasBody };
+      const sent = describeCut(cut);
+      const options = { timeoutMs: TIMEOUT_MS, freshConnection };
+      const result = await client.send(
+        address,
+        { ...request, method },
+        options,
+      );
+      if (result.kind !== "answer") {
+        kinds.none += 1;
+        // A reset may overtake what was sent before it.
+        if (cut.end === "close") expect(sent.isMarkedWhole).toBe(false);
+        return;
+      }
+      const { status, body, isDelimited } = result.answer;
+      kinds[isDelimited ? "answer" : "unmarked"] += 1;
+      expect(status).toBe(cut.status);
+      expect(isDelimited).toBe(sent.isMarkedWhole);
+      if (hasBody) expect(body.toString()).toBe(sent.body);
+      if (!isDelimited) expect(cut.end).toBe("close");
+    });
+    await fc.assert(property, RUNS);
+    cutting.close();
+    expect(Math.min(...Object.values(kinds))).toBeGreaterThan(10);
+  });
+});
--- a/packages/backends/src/service_fleet_test.ts
+++ b/packages/backends/src/service_fleet_test.ts
@@ -25,7 +25,8 @@
 function answer(status: number, leaving = false): ServiceResult {
   const body = Buffer.alloc(0);
   const contentType = "text/plain";
-  return { kind: "answer", answer: { status, contentType, body }, leaving };
+  const response = { status, contentType, body, isDelimited: true };
+  return { kind: "answer", answer: response, leaving };
 }
 
 const request = {
--- a/packages/bench/src/bookings/bookings_bench.ts
+++ b/packages/bench/src/bookings/bookings_bench.ts
@@ -35,6 +35,7 @@
   status: 201,
   contentType: "application/json",
   body: "x".repeat(400),
+  isDelimited: true,
 } as const;
 
 /** One instance's way to claim and to settle one booking. */
--- a/packages/calls/src/at_most_once_call.ts
+++ b/packages/calls/src/at_most_once_call.ts
@@ -7,7 +7,7 @@
 import { badCall, type CallFailure, notRun } from "./call_failure.ts";
 import { isExpiredKey } from "./claim_key.ts";
 import type { Claim, ClaimRequest, ClaimResult } from "./claim_store.ts";
-import { resolveExistingClaim } from "./duplicate_call.ts";
+import { recordOf, resolveExistingClaim } from "./duplicate_call.ts";
 import {
   answered,
   failed,
@@ -217,9 +217,7 @@
   if (answer.body.length > MAX_RECORDED_ANSWER_BYTES) {
     return unknownState("it was answered, but the answer is too large to keep");
   }
-  const { status, contentType } = answer;
-  const body = answer.body.toString("base64");
-  return { kind: "answered", status, contentType, body };
+  return recordOf(answer);
 }
 
 function unknownState(reason: string): ClaimState {
--- a/packages/calls/src/at_most_once_call_test.ts
+++ b/packages/calls/src/at_most_once_call_test.ts
@@ -5,6 +5,7 @@
 } from "@rosemarypin/backends";
 import { createMemoryStore, type MemoryStore } from "@rosemarypin/fakes";
 import {
+  claimObjectSchema,
   emptyCatalogue,
   type NoteRecord,
   type ServiceSettings,
@@ -50,7 +51,7 @@
 function answer(text: string): ServiceResult {
   const body = Buffer.from(text);
   const contentType = "text/plain";
-  const whole = { status: 201, contentType, body };
+  const whole = { status: 201, contentType, body, isDelimited: true };
   return { kind: "answer", answer: whole, leaving: false };
 }
 
@@ -437,6 +438,32 @@
   });
 });
 
+describe("an answer whose end is unknown", () => {
+  it("doesn't become whole in a record of the version before", async () => {
+    const memory = createMemoryStore();
+    const send = vi.fn(async () => answer("order 1"));
+    const instanceA = createInstance("one", { memory, send });
+    await instanceA.order("r1");
+    await instanceA.settled();
+    const [recorded] = memory.objects();
+    const value = claimObjectSchema.parse(recorded?.value);
+    const { isDelimited: _, ...state } = { isDelimited: true, ...value.state };
+    await memory
+      .client()
+      .store.write(
+        recorded?.key ?? "",
+        { ...value, state },
+        { expectedVersion: recorded?.version ?? null },
+      );
+    const instanceB = createInstance("two", { memory, send });
+    expect(await instanceB.order("r2")).toMatchObject({
+      answer: { isDelimited: false },
+      repeated: true,
+    });
+    expect(send).toHaveBeenCalledTimes(1);
+  });
+});
+
 describe("an idempotency key with a creation time", () => {
   const DAY_MS = 86_400_000;
   const keyCreatedNow = () => {
@@ -502,5 +529,6 @@
 
 function found(text: string, status = 200) {
   const body = Buffer.from(text);
-  return { answer: { status, contentType: "text/plain", body } };
+  const contentType = "text/plain";
+  return { answer: { status, contentType, body, isDelimited: true } };
 }
--- a/packages/calls/src/claim_registry_test.ts
+++ b/packages/calls/src/claim_registry_test.ts
@@ -5,7 +5,8 @@
 
 function answered(bytes: number) {
   const body = "x".repeat(bytes);
-  return { kind: "answered", status: 200, contentType: "x", body } as const;
+  const answer = { status: 200, contentType: "x", body, isDelimited: true };
+  return { kind: "answered", ...answer } as const;
 }
 
 describe("claim registry", () => {
--- a/packages/calls/src/duplicate_call.ts
+++ b/packages/calls/src/duplicate_call.ts
@@ -103,19 +103,20 @@
   if (recorded) return answered(recorded, { repeated: true });
   const lookedUpAnswer = await lookUpAnswer(call, context);
   if (!lookedUpAnswer) return failed(mayHaveRun());
-  context.resultRecorder.record(claim, {
-    kind: "answered",
-    status: lookedUpAnswer.status,
-    contentType: lookedUpAnswer.contentType,
-    body: lookedUpAnswer.body.toString("base64"),
-  });
+  context.resultRecorder.record(claim, recordOf(lookedUpAnswer));
   return answered(lookedUpAnswer, { repeated: true });
 }
 
+/** The state of a claim that keeps the answer. */
+export function recordOf(answer: ServiceAnswer): ClaimState {
+  const body = answer.body.toString("base64");
+  return { kind: "answered", ...answer, body };
+}
+
 function recordedAnswer(state: ClaimState): ServiceAnswer | null {
   if (state.kind !== "answered") return null;
-  const { status, contentType, body } = state;
-  return { status, contentType, body: Buffer.from(body, "base64") };
+  const { kind: _, body, ...answer } = state;
+  return { ...answer, body: Buffer.from(body, "base64") };
 }
 
 function endedWith(result: ServiceCallResult): ExistingClaimOutcome {
--- a/packages/calls/src/outcome_table_test.ts
+++ b/packages/calls/src/outcome_table_test.ts
@@ -76,6 +76,23 @@
     ),
     ...UNKNOWN_OUTCOME,
   },
+  {
+    fault: "a response without a length or chunks that is reset",
+    serve: afterRequest((socket) =>
+      socket.write("HTTP/1.1 201 Created\r\n\r\nhalf", () =>
+        setTimeout(() => socket.resetAndDestroy(), 5),
+      ),
+    ),
+    ...UNKNOWN_OUTCOME,
+  },
+  {
+    fault: "a response without a length or chunks that is closed",
+    serve: afterRequest((socket) =>
+      socket.end("HTTP/1.1 201 Created\r\n\r\nhalf"),
+    ),
+    atMostOnce: "answer 201 of unknown length",
+    idempotent: "answer 201 of unknown length",
+  },
   {
     fault: "something that is not HTTP",
     serve: afterRequest((socket) => socket.end("220 hello\r\n")),
@@ -266,9 +283,9 @@
 }
 
 function summaryOf(result: ServiceCallResult): string {
-  return result.kind === "answer"
-    ? `answer ${result.answer.status}`
-    : result.failure.outcome;
+  if (result.kind === "failed") return result.failure.outcome;
+  const { status, isDelimited } = result.answer;
+  return `answer ${status}${isDelimited ? "" : " of unknown length"}`;
 }
 
 const note = {
--- a/packages/checks/src/bookings/journaled_service.ts
+++ b/packages/checks/src/bookings/journaled_service.ts
@@ -114,6 +114,7 @@
     status: 404,
     contentType: "application/json",
     body: Buffer.from("{}"),
+    isDelimited: true,
   },
 };
 
@@ -122,7 +123,7 @@
   const contentType = "application/json";
   return {
     kind: "answer" as const,
-    answer: { status: 200, contentType, body },
+    answer: { status: 200, contentType, body, isDelimited: true },
     leaving: false,
   };
 }
--- a/packages/daemon/src/caller_server_test.ts
+++ b/packages/daemon/src/caller_server_test.ts
@@ -21,7 +21,12 @@
 const answer: ServiceCallResult = {
   kind: "answer",
   repeated: false,
-  answer: { status: 201, contentType: "text/plain", body: Buffer.from("ok") },
+  answer: {
+    status: 201,
+    contentType: "text/plain",
+    body: Buffer.from("ok"),
+    isDelimited: true,
+  },
 };
 
 let server: Server | null = null;
--- a/packages/daemon/src/contract/fake_parts.ts
+++ b/packages/daemon/src/contract/fake_parts.ts
@@ -179,6 +179,7 @@
         status: 201,
         contentType: "application/json",
         body: Buffer.from("{}"),
+        isDelimited: true,
       },
     }),
     /** Attempts that reached an engine. */
--- a/packages/daemon/src/service_endpoint.ts
+++ b/packages/daemon/src/service_endpoint.ts
@@ -1,4 +1,5 @@
 /** Calls of plain services: from the request to the whole answer. */
+import { isBodiless } from "@rosemarypin/backends";
 import type { ServiceCall, ServiceCallResult } from "@rosemarypin/calls";
 import type { SharedLimits } from "@rosemarypin/limits";
 import type { Settings } from "@rosemarypin/schemas";
@@ -153,10 +154,17 @@
   if (result.kind === "failed") {
     return sendFailure(response, result.failure, { requestId });
   }
-  response.writeHead(result.answer.status, {
-    "content-type": result.answer.contentType,
+  const { status, contentType, body, isDelimited } = result.answer;
+  const hasBody = !isBodiless(response.req.method ?? "", status);
+  // Only the connection's end marks the end of this one, as it was received.
+  const isUndelimited = hasBody && !isDelimited;
+  if (isUndelimited) response.useChunkedEncodingByDefault = false;
+  response.writeHead(status, {
+    "content-type": contentType,
     "x-request-id": requestId,
     ...(result.repeated ? { "idempotent-replayed": "true" } : {}),
+    ...(isUndelimited ? { connection: "close" } : {}),
+    ...(hasBody && isDelimited ? { "content-length": body.length } : {}),
   });
-  response.end(result.answer.body);
+  response.end(body);
 }
--- a/packages/fakes/src/mod.ts
+++ b/packages/fakes/src/mod.ts
@@ -1,4 +1,5 @@
 /** Fakes of narrow interfaces, in process, for tests. */
+export * from "./cut_answers.ts";
 export * from "./datagram_links.ts";
 export * from "./fixed_note.ts";
 export * from "./instance_domain.ts";
--- a/packages/schemas/src/stored.ts
+++ b/packages/schemas/src/stored.ts
@@ -65,6 +65,11 @@
     status: z.number().int(),
     contentType: z.string(),
     body: z.string(),
+    /**
+     * Whether the answer marked its own end. Records of the version before
+     * don't tell.
+     */
+    isDelimited: z.boolean().default(false),
   }),
   z.object({ kind: z.literal("unknown"), reason: z.string() }),
 ]);
