Engine client: a part of a refusal is no refusal

A refusal whose answer ended with its connection in the middle of its JSON was taken for a plain one. The part that was missing may have said that a later attempt runs the answer (`takenOver`), so the instance sent another attempt, which ends the one that was right. Such an answer is `broken` now, and the connections have the same guard against resets as those to services.

Before: engine_client_test.ts, closed and reset: expected 'refused' to be 'broken'.

The deterministic cases hold that a reset that is seen is no answer.

--- a/packages/backends/src/engine_client.ts
+++ b/packages/backends/src/engine_client.ts
@@ -13,6 +13,8 @@
   parkedAnswerSchema,
 } from "@rosemarypin/schemas";
 import { Agent, request } from "undici";
+import { marksItsEnd } from "./answer_end.ts";
+import { createGuardedConnector } from "./reset_guard.ts";
 import {
   classifyTransportError,
   type TransportFailure,
@@ -72,7 +74,7 @@
 /** Creates a client with one connection pool for each engine. */
 export function createEngineClient(): EngineClient & ParkedAnswers {
   const agent = new Agent({
-    connect: { timeout: CALL_TIMEOUT_MS },
+    connect: createGuardedConnector({ timeout: CALL_TIMEOUT_MS }),
     headersTimeout: 0,
     bodyTimeout: 0,
   });
@@ -99,7 +101,10 @@
           signal,
         });
         if (response.statusCode === REFUSED_STATUS) {
-          return readRefusal(await response.body.text());
+          const text = await response.body.text();
+          const { statusCode: status, headers } = response;
+          const isWhole = marksItsEnd("POST", { status, headers });
+          return readRefusal(text, { isWhole });
         }
         if (response.statusCode !== 200) {
           // An engine that failed during the start may have run part of it.
@@ -165,9 +170,16 @@
   };
 }
 
-function readRefusal(text: string): AttemptStart {
+function readRefusal(
+  text: string,
+  { isWhole }: { readonly isWhole: boolean },
+): AttemptStart {
   const parsed = attemptRefusalSchema.safeParse(parseJson(text));
-  if (!parsed.success) return { kind: "refused", reason: text };
+  if (!parsed.success) {
+    // The part that is missing may say that a later attempt runs the answer.
+    if (!isWhole) return { kind: "broken", detail: "part of a refusal" };
+    return { kind: "refused", reason: text };
+  }
   const { error: reason, takenOver } = parsed.data;
   return { kind: "refused", reason, takenOver };
 }
--- a/packages/backends/src/engine_client_test.ts
+++ b/packages/backends/src/engine_client_test.ts
@@ -1,5 +1,6 @@
 import { createServer, type Server } from "node:http";
-import type { AddressInfo } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
+import { afterBodyPart } from "@rosemarypin/fakes";
 import type { AttemptRequest } from "@rosemarypin/schemas";
 import { afterEach, describe, expect, test } from "vitest";
 import { createEngineClient } from "./engine_client.ts";
@@ -49,6 +50,23 @@
     expect(start.kind).toBe(kind);
   });
 
+  // Read as a plain refusal, it hides that a later attempt runs the answer.
+  test.each([
+    ["closed", (socket: Socket) => socket.end()],
+    ["reset", (socket: Socket) => socket.resetAndDestroy()],
+  ])("broken for a part of a refusal that was %s", async (_name, finish) => {
+    server = createServer(({ socket }) => {
+      afterBodyPart(() => finish(socket));
+      socket.write('HTTP/1.1 409 Conflict\r\n\r\n{"error":"a later');
+    });
+    const address = await listen(server);
+    const { signal } = new AbortController();
+    const start = await createEngineClient().start(address, attempt, {
+      signal,
+    });
+    expect(start.kind).toBe("broken");
+  });
+
   test("broken for a reset before the response", async () => {
     server = createServer((request) => request.socket.destroy());
     const address = await listen(server);
--- a/packages/backends/src/reset_guard.ts
+++ b/packages/backends/src/reset_guard.ts
@@ -1,5 +1,6 @@
 /** Keeps a reset connection from looking like the end of an answer. */
 import type { Socket } from "node:net";
+import { buildConnector } from "undici";
 
 /** Error code of a connection that was reset after it was established. */
 const RESET_AFTER_CONNECT = "ERR_CONNECTION_RESET";
@@ -14,6 +15,18 @@
   socket.prependListener("error", renameReset);
 }
 
+/** Creates a connector of the HTTP client whose connections are guarded. */
+export function createGuardedConnector(
+  options: buildConnector.BuildOptions,
+): buildConnector.connector {
+  const connect = buildConnector(options);
+  return (target, callback) =>
+    connect(target, (...result) => {
+      if (result[1]) guardAgainstResets(result[1]);
+      callback(...result);
+    });
+}
+
 function renameReset(error: NodeJS.ErrnoException): void {
   if (error.code === "ECONNRESET") error.code = RESET_AFTER_CONNECT;
 }
--- a/packages/backends/src/service_client.ts
+++ b/packages/backends/src/service_client.ts
@@ -1,8 +1,8 @@
 /** HTTP client for the servers of plain services. */
 import { type Address, formatAddress } from "@rosemarypin/schemas";
-import { Agent, buildConnector, Client, type Dispatcher } from "undici";
+import { Agent, Client, type Dispatcher } from "undici";
 import { marksItsEnd } from "./answer_end.ts";
-import { guardAgainstResets } from "./reset_guard.ts";
+import { createGuardedConnector } from "./reset_guard.ts";
 import {
   classifyTransportError,
   type TransportFailure,
@@ -68,23 +68,13 @@
 
 /** Creates a client that never retries a call. */
 export function createServiceClient(): ServiceClient {
-  const open = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
+  const connect = createGuardedConnector({ timeout: CONNECT_TIMEOUT_MS });
   const agent = new Agent({
     connect,
     pipelining: 1,
     maxResponseSize: MAX_RESPONSE_BYTES,
   });
 
-  function connect(
-    options: buildConnector.Options,
-    callback: buildConnector.Callback,
-  ): void {
-    open(options, (...result) => {
-      if (result[1]) guardAgainstResets(result[1]);
-      callback(...result);
-    });
-  }
-
   async function sendPooled(
     address: Address,
     call: ServiceRequest,
--- a/packages/fakes/src/cut_answers.ts
+++ b/packages/fakes/src/cut_answers.ts
@@ -1,4 +1,5 @@
 /** A server whose answers break off at any byte. */
+import { subscribe, unsubscribe } from "node:diagnostics_channel";
 import { once } from "node:events";
 import {
   type AddressInfo,
@@ -71,6 +72,18 @@
   };
 }
 
+/**
+ * Calls the listener once this process has read a part of an answer's body. A
+ * reset that arrives with the part may look like an ordinary end to its reader.
+ */
+export function afterBodyPart(listener: () => void): void {
+  const channel = "undici:request:bodyChunkReceived";
+  subscribe(channel, function onPart() {
+    unsubscribe(channel, onPart);
+    setImmediate(listener);
+  });
+}
+
 /** Starts a server that answers each request as `answerOf` says. */
 export async function startCuttingServer(
   answerOf: () => CutAnswer,
