Balancer stand-in: an answer that ends with its connection keeps no framing

The stand-in dropped the header `connection` and Node.js added chunks, so that a part of an answer looked whole to callers behind it. Before: balancer_test.ts: expected 'chunked' to be undefined.

--- a/packages/stand_ins/src/balancer.ts
+++ b/packages/stand_ins/src/balancer.ts
@@ -89,6 +89,10 @@
 
 function passBack(answer: IncomingMessage, outgoing: ServerResponse): void {
   const { connection: _connection, ...headers } = answer.headers;
+  const marksItsEnd =
+    headers["content-length"] !== undefined ||
+    headers["transfer-encoding"] !== undefined;
+  if (!marksItsEnd) outgoing.useChunkedEncodingByDefault = false;
   outgoing.writeHead(answer.statusCode ?? BAD_GATEWAY, headers);
   answer.on("aborted", () => outgoing.destroy());
   answer.pipe(outgoing);
