account: losses by failure domain, second and phase

What callers lost could not be split by the failure domain of their instance, and the log didn't tell what an instance believed of its engines when it chose them, nor which engine refused an attempt. request_sent names the believed memory and backlog; run_refused names the engine at fault. Callers that left before their first event are counted apart from those that left midway.

--- a/packages/cli/src/commands/account.ts
+++ b/packages/cli/src/commands/account.ts
@@ -9,9 +9,12 @@
   type AccountRow,
   accountForLosses,
   type GroupRow,
+  type KindsRow,
   LATE_SHARE,
   type LossAccount,
+  type SecondRow,
 } from "../loss_account.ts";
+import type { PhaseRow } from "../loss_phases.ts";
 import { show } from "../output.ts";
 
 /** Log files that one command reads. */
@@ -36,8 +39,10 @@
 
 Reads logs of all instances and adds up the answers that came late or not at
 all: by the way they were lost, by what began it (an engine, an instance), by
-class (priority), route and organisation, and by second. In the tables of these
-three, requests counts all that came in, and returned those of callers that came
+class (priority), route, organisation and failure domain, and by second. It also
+shows where late and broken answers spent their time: until they were sent, at
+engines, until a lost engine was noticed, until they had another one, and until
+the next event. In the tables of class, route and organisation, requests counts all that came in, and returned those of callers that came
 back after a refusal. A late answer counts as ${1 - LATE_SHARE} of a lost one. With --outcomes, the
 report of what callers saw, the difference is shown too: requests that reached
 no instance, less those that a second try saved.`,
@@ -99,7 +104,9 @@
     renderGroups("class", full.byPriority),
     renderGroups("route", full.byRoute),
     renderGroups("organisation", full.byOrganisation),
-    renderTable("second", full.bySecond),
+    renderKinds("domain", full.byDomain),
+    renderPhases(full.phases),
+    renderSeconds(full.bySecond),
   ];
   return parts.join("\n\n");
 }
@@ -125,6 +132,37 @@
   return [titles.join("  "), ...lines].join("\n");
 }
 
+function renderKinds(title: string, rows: readonly KindsRow[]): string {
+  const width = Math.max(title.length, ...rows.map(({ name }) => name.length));
+  const lines = rows.map(
+    ({ name, requests, answers, lost, byKind }) =>
+      `${name.padEnd(width)}  ${[requests, answers, lost.toFixed(1)].map(padCell).join("  ")}  ${listRows(byKind)}`,
+  );
+  const titles = ["requests", "answers", "lost"].map(padCell);
+  return [`${title.padEnd(width)}  ${titles.join("  ")}`, ...lines].join("\n");
+}
+
+function renderSeconds(rows: readonly SecondRow[]): string {
+  const parts = rows.map(({ byDomain, ...row }) => ({
+    ...row,
+    byKind: [...row.byKind, ...byDomain],
+  }));
+  return renderKinds("second", parts);
+}
+
+function listRows(rows: readonly AccountRow[]): string {
+  return rows.map(({ name, lost }) => `${name} ${lost.toFixed(1)}`).join(", ");
+}
+
+function renderPhases(rows: readonly PhaseRow[]): string {
+  const width = Math.max(5, ...rows.map(({ name }) => name.length));
+  const lines = rows.map(({ name, answers, p50, p95 }) =>
+    [name.padEnd(width), ...[answers, p50, p95].map(padCell)].join("  "),
+  );
+  const titles = ["answers", "ms, p50", "ms, p95"].map(padCell);
+  return [["phase".padEnd(width), ...titles].join("  "), ...lines].join("\n");
+}
+
 function padCell(cell: string | number): string {
   return String(cell).padStart(8);
 }
--- a/packages/cli/src/loss_account.ts
+++ b/packages/cli/src/loss_account.ts
@@ -1,10 +1,18 @@
 /**
  * Adds up from logs what callers lost: answers that came late or not at all,
  * by the way they were lost, by the engine or instance that began it, by class,
- * route and organisation, and by second. Every answer that was lost stands in
- * one row of each table.
+ * route, organisation and failure domain, and by second. Every answer that was
+ * lost stands in one row of each table.
  */
 import type { LogLine } from "./log_story.ts";
+import {
+  firstEventPhases,
+  type LoggedAnswer,
+  MOVES,
+  NOTICES,
+  type PhaseRow,
+  pausePhases,
+} from "./loss_phases.ts";
 
 /** How an answer was lost. */
 export type LossKind =
@@ -15,7 +23,10 @@
   | "refused"
   | "cut"
   | "failed"
-  | "caller_left"
+  /** Its caller left before its first event. */
+  | "left_waiting"
+  /** Its caller left after its first event. */
+  | "left_midway"
   /** The instance that worked on it ended. */
   | "instance_ended";
 
@@ -36,6 +47,8 @@
   /** Unix milliseconds of its request. */
   readonly at: number;
   readonly origin: LossOrigin;
+  /** Failure domain of its instance. */
+  readonly domain: string;
 }
 
 export interface AccountRow {
@@ -54,6 +67,17 @@
   readonly returned: number;
 }
 
+/** What was lost in one failure domain or second, by the way. */
+export interface KindsRow extends AccountRow {
+  readonly requests: number;
+  readonly byKind: readonly AccountRow[];
+}
+
+/** What was lost in one second. */
+export interface SecondRow extends KindsRow {
+  readonly byDomain: readonly AccountRow[];
+}
+
 export interface LossAccount {
   /** Requests that came in, the lost ones too. */
   readonly answers: number;
@@ -67,7 +91,11 @@
   /** The name is `none` for requests without an organisation. */
   readonly byOrganisation: readonly GroupRow[];
   /** Names are seconds of the day, as in the log. */
-  readonly bySecond: readonly AccountRow[];
+  readonly bySecond: readonly SecondRow[];
+  /** Names are the failure domains of the instances that callers reached. */
+  readonly byDomain: readonly KindsRow[];
+  /** Where late and broken answers spent their time. */
+  readonly phases: readonly PhaseRow[];
 }
 
 /** Share of its value that a late answer keeps, where nothing else is told. */
@@ -84,13 +112,14 @@
   "server_gone",
   "layers_ordered",
   "no_pipeline",
+  "run_refused",
+  "engine_slow",
 ];
 
 const KINDS_BY_OUTCOME: Readonly<Record<string, LossKind>> = {
   not_run: "refused",
   cut: "cut",
   unknown: "failed",
-  caller_left: "caller_left",
 };
 
 /** Adds the losses up that the lines tell of. */
@@ -99,6 +128,9 @@
   { lateShare = LATE_SHARE }: { readonly lateShare?: number } = {},
 ): LossAccount {
   const requests = gatherRequests(lines);
+  const domains = domainsBySource(lines);
+  const domainOf = ({ source }: LoggedRequest) =>
+    domains.get(source) ?? UNKNOWN;
   const originOf = createOriginFinder(lines);
   const losses = [...requests.values()].flatMap((request): Loss[] => {
     const kind = kindOf(request);
@@ -107,8 +139,13 @@
     const share = isLate ? 1 - lateShare : 1;
     const { id, at } = request;
     const origin = originOf(request, kind);
-    return [{ request: id, kind, share, at, origin }];
+    const domain = domainOf(request);
+    return [{ request: id, kind, share, at, origin, domain }];
   });
+  const lostAs = (...kinds: LossKind[]) =>
+    losses.flatMap(({ request, kind }) =>
+      kinds.includes(kind) ? (requests.get(request) ?? []) : [],
+    );
   return {
     answers: requests.size,
     lost: sum(losses),
@@ -130,19 +167,41 @@
       losses,
       ({ end }) => end && (end.fields.organisation ?? "none"),
     ),
-    bySecond: table(losses, ({ at }) =>
-      new Date(at).toISOString().slice(11, 19),
-    ).sort((one, other) => (one.name < other.name ? -1 : 1)),
+    bySecond: kindsTable(requests, losses, secondOf)
+      .map((row) => {
+        const own = losses.filter((loss) => secondOf(loss) === row.name);
+        return { ...row, byDomain: table(own, ({ domain }) => domain) };
+      })
+      .filter(({ answers }) => answers > 0)
+      .sort((one, other) => (one.name < other.name ? -1 : 1)),
+    byDomain: kindsTable(requests, losses, domainOf),
+    phases: [
+      ...firstEventPhases(lostAs("late_first", "left_waiting")),
+      ...pausePhases(lostAs("late_pause", "cut", "left_midway")),
+    ],
   };
 }
 
+function secondOf({ at }: { readonly at: number }): string {
+  return new Date(at).toISOString().slice(11, 19);
+}
+
+function domainsBySource(lines: readonly LogLine[]): Map<string, string> {
+  return new Map(
+    lines.flatMap(({ event, source, fields: { domain } }) =>
+      event === "started" && domain !== undefined ? [[source, domain]] : [],
+    ),
+  );
+}
+
 /** What the log says of one request. */
-interface LoggedRequest {
-  readonly id: string;
+interface LoggedRequest extends LoggedAnswer {
   readonly source: string;
   /** As in its first line. */
   readonly route: string | undefined;
   at: number;
+  readonly sent: LogLine[];
+  readonly recovery: LogLine[];
   /** Engines or servers that it was sent to. */
   readonly servers: Set<string>;
   end: LogLine | null;
@@ -161,9 +220,14 @@
       const request = requests.get(id) ?? begin(id, line);
       requests.set(id, request);
       for (const server of serversOf(line)) request.servers.add(server);
+      request.sent.push(line);
       const others = open.get(source) ?? new Set();
       open.set(source, others.add(request));
     }
+    if (id && event !== "request_sent") {
+      if (NOTICES.has(event) || MOVES.has(event))
+        requests.get(id)?.recovery.push(line);
+    }
     if (event === "request_ended" && id) {
       const request = requests.get(id) ?? begin(id, line);
       requests.set(id, request);
@@ -178,7 +242,17 @@
 function begin(id: string, { source, at, fields }: LogLine): LoggedRequest {
   const servers = new Set<string>();
   const { route } = fields;
-  return { id, source, route, at, servers, end: null, instanceEndedAt: null };
+  return {
+    id,
+    source,
+    route,
+    at,
+    sent: [],
+    recovery: [],
+    servers,
+    end: null,
+    instanceEndedAt: null,
+  };
 }
 
 function endOpen(open: Set<LoggedRequest> | undefined, at: number): void {
@@ -199,17 +273,33 @@
     if (late === "pause") return "late_pause";
     return Number(status) >= 400 ? "failed" : null;
   }
+  if (outcome === "caller_left")
+    return end.fields.first_ms === undefined ? "left_waiting" : "left_midway";
   return KINDS_BY_OUTCOME[outcome] ?? "failed";
 }
 
+/** An event that may begin losses, until some time. */
+interface OriginLine extends LogLine {
+  until: number;
+}
+
+function endSlowness(list: readonly OriginLine[], { at, fields }: LogLine) {
+  const line = list.findLast(
+    ({ event, fields: { id } }) => event === "engine_slow" && id === fields.id,
+  );
+  if (line) line.until = Math.min(line.until, at);
+}
+
 /** Finds what an instance logged of a request's servers when it was lost. */
 function createOriginFinder(lines: readonly LogLine[]) {
-  const bySource = new Map<string, LogLine[]>();
+  const bySource = new Map<string, OriginLine[]>();
   for (const line of lines) {
-    if (!ORIGIN_EVENTS.includes(line.event)) continue;
     const list = bySource.get(line.source) ?? [];
+    if (line.event === "engine_no_longer_slow") endSlowness(list, line);
+    if (!ORIGIN_EVENTS.includes(line.event)) continue;
     bySource.set(line.source, list);
-    list.push(line);
+    const until = line.event === "engine_slow" ? Infinity : line.at;
+    list.push({ ...line, until });
   }
 
   return (request: LoggedRequest, kind: LossKind): LossOrigin => {
@@ -218,7 +308,8 @@
     }
     const [from, to] = timeOfLoss(request);
     const near = (bySource.get(request.source) ?? []).filter(
-      ({ at }) => at >= from - ORIGIN_BEFORE_MS && at <= to + ORIGIN_AFTER_MS,
+      ({ at, until }) =>
+        until >= from - ORIGIN_BEFORE_MS && at <= to + ORIGIN_AFTER_MS,
     );
     for (const event of ORIGIN_EVENTS) {
       const found = near.find(
@@ -241,7 +332,7 @@
 }
 
 function concerns(line: LogLine, { id, servers }: LoggedRequest): boolean {
-  if (line.event === "no_pipeline") return line.fields.request === id;
+  if (line.fields.request !== undefined) return line.fields.request === id;
   const lost = (line.fields.lost ?? "").split(",");
   return [line.fields.id ?? "", ...lost].some((server) => servers.has(server));
 }
@@ -272,6 +363,34 @@
     .sort((one, other) => other.lost - one.lost);
 }
 
+/** Rows with the ways of loss, the row that lost most first. */
+function kindsTable(
+  requests: ReadonlyMap<string, LoggedRequest>,
+  losses: readonly Loss[],
+  nameOf: (request: LoggedRequest) => string,
+): KindsRow[] {
+  const lossOf = new Map(losses.map((loss) => [loss.request, loss]));
+  const groups = new Map<string, LoggedRequest[]>();
+  for (const request of requests.values()) {
+    const name = nameOf(request);
+    const group = groups.get(name) ?? [];
+    groups.set(name, group);
+    group.push(request);
+  }
+  return [...groups]
+    .map(([name, group]) => {
+      const lost = group.flatMap(({ id }) => lossOf.get(id) ?? []);
+      return {
+        name,
+        requests: group.length,
+        answers: lost.length,
+        lost: sum(lost),
+        byKind: table(lost, ({ kind }) => kind),
+      };
+    })
+    .sort((one, other) => other.lost - one.lost);
+}
+
 /** Name of a group whose requests' lines don't tell it. */
 const UNKNOWN = "unknown";
 
--- a/packages/cli/src/loss_account_test.ts
+++ b/packages/cli/src/loss_account_test.ts
@@ -66,6 +66,7 @@
       account.byRoute,
       account.byOrganisation,
       account.bySecond,
+      account.byDomain,
     ];
     for (const rows of tables) {
       const lost = rows.reduce((sum, row) => sum + row.lost, 0);
@@ -132,4 +133,56 @@
     const late = byKind.find(({ name }) => name === "late_pause");
     expect(late).toEqual({ name: "late_pause", answers: 1, lost: 0.4 });
   });
+
+  // Guards against losses whose failure domain, phase and cause stay unknown.
+  it("splits losses by failure domain and phase", () => {
+    const account = accountForLosses(
+      logOf("one", [
+        [0, "event=started instance=one domain=dc-1"],
+        [5, "event=engine_slow id=e3 slowdown=12"],
+        [100, "event=request_sent request=r1 id=e1 load=0.40 backlog_ms=700"],
+        [150, "event=request_sent request=r2 id=e2 stages=e2,e3"],
+        [1_300, "event=stage_away request=r2 id=e3"],
+        [1_320, "event=request_sent request=r2 id=e4"],
+        [
+          2_000,
+          "event=request_ended request=r1 outcome=caller_left total_ms=1950",
+        ],
+        [
+          2_500,
+          ended(
+            "r2",
+            "outcome=answered late=pause first_ms=90 total_ms=2400 pause_ms=600 pause_at_ms=1000",
+          ),
+        ],
+      ]),
+    );
+    expect(account.byDomain).toEqual([
+      {
+        name: "dc-1",
+        requests: 2,
+        answers: 2,
+        lost: 1.75,
+        byKind: [
+          { name: "left_waiting", answers: 1, lost: 1 },
+          { name: "late_pause", answers: 1, lost: 0.75 },
+        ],
+      },
+    ]);
+    expect(account.byOrigin.map(({ name }) => name)).toEqual([
+      "none",
+      "engine_slow",
+    ]);
+    const phases = account.phases.map(({ name, p50 }) => [name, p50]);
+    expect(Object.fromEntries(phases)).toEqual({
+      "first event: until sent": 50,
+      "first event: at earlier engines": 0,
+      "first event: at the last engines": 1_900,
+      "first event: backlog believed there": 700,
+      "first event: memory believed used, in 100": 40,
+      "pause: until noticed": 200,
+      "pause: until moved": 20,
+      "pause: until the next event": 380,
+    });
+  });
 });
--- a/packages/gateway/src/streams/pipeline_router.ts
+++ b/packages/gateway/src/streams/pipeline_router.ts
@@ -37,6 +37,16 @@
   readonly stages: readonly AddressedStage[];
   /** The engine that receives the request and streams the answer. */
   readonly first: BackendServer;
+  /** What was believed of its engines when it was chosen. */
+  readonly believed: PipelineLoad;
+}
+
+/** The highest values over the engines of a pipeline. */
+export interface PipelineLoad {
+  /** Used share of an engine's memory. */
+  readonly load: number;
+  /** Time that an engine needs to read the prompts before this one. */
+  readonly backlogMs: number;
 }
 
 export interface PipelineRouter {
@@ -233,14 +243,34 @@
   ): ChosenPipeline | null {
     const first = fleet.get(stages[0]?.engineId ?? "");
     if (!first) return null;
-    const { size } = request;
+    const { size, service } = request;
+    const believed = loadOf(stages, service);
     const reservation = usage.reserve({
       stages,
       tokens: totalTokens(size),
       unreadTokens: size.promptTokens,
       unreadStages,
     });
-    return { stages, first, ...reservation };
+    return { stages, first, believed, ...reservation };
+  }
+
+  function loadOf(
+    stages: readonly AddressedStage[],
+    { name }: Service,
+  ): PipelineLoad {
+    const table = tables.get(name)?.table;
+    let load = 0;
+    let backlogMs = 0;
+    for (const { engineId } of stages) {
+      const row = table?.rowOf(engineId);
+      if (!table || !row) continue;
+      load = Math.max(load, table.search.loads[row.index] as number);
+      backlogMs = Math.max(
+        backlogMs,
+        table.search.backlogsMs[row.index] as number,
+      );
+    }
+    return { load, backlogMs };
   }
 
   return {
--- a/packages/gateway/src/streams/stream_run.ts
+++ b/packages/gateway/src/streams/stream_run.ts
@@ -104,7 +104,7 @@
   const { progress, parts, prompt } = options;
   let hasEvents = false;
   let isComplete = false;
-  const { first, stages } = run.pipeline;
+  const { first, stages, believed } = run.pipeline;
   log.info("request_sent", {
     request: call.id,
     route: call.route.name,
@@ -113,6 +113,8 @@
     prompt_parts: call.metadata.sharedPromptParts.join(",") || undefined,
     after_event: progress.lastEventId ?? undefined,
     left_ms: timeLeftMs(call).toFixed(0),
+    load: believed.load.toFixed(2),
+    backlog_ms: believed.backlogMs.toFixed(0),
   });
   const recovery = createStageRecovery(call, run, {
     parts,
@@ -149,7 +151,7 @@
     }
     parts.fleet.recordAnswer(run.pipeline.first, result.status, facts);
     if (result.status >= 300)
-      return await readErrorAnswer(run, result, { facts, parts });
+      return await readErrorAnswer(call, run, result, { facts, parts });
     if (!facts.isSigned) {
       result.abandon();
       return brokenRun(recovery, "unsigned_answer");
@@ -242,6 +244,7 @@
 }
 
 async function readErrorAnswer(
+  call: CallerCall,
   run: StreamRun,
   answer: OpenAnswer,
   options: { readonly facts: AnswerMetadata; readonly parts: StreamParts },
@@ -256,6 +259,12 @@
   const faultyServer = facts.faultyStage
     ? parts.fleet.byAddress(facts.faultyStage)
     : run.pipeline.first;
+  log.info("run_refused", {
+    request: call.id,
+    id: run.pipeline.first.id,
+    faulty: faultyServer?.id,
+    status: answer.status,
+  });
   // A 421 that names no faulty stage means that another engine now has the
   // address of the first stage.
   if (
--- a/packages/telemetry/src/event_catalogue.ts
+++ b/packages/telemetry/src/event_catalogue.ts
@@ -47,7 +47,7 @@
   },
   Requests: {
     request_sent: {
-      says: "an attempt is sent to a backend server; `stages` lists its engines, `prompt_parts` the parts of its prompt that other requests may share, and events up to `after_event` were already received",
+      says: "an attempt is sent to a backend server; `stages` lists its engines, `prompt_parts` the parts of its prompt that other requests may share, and events up to `after_event` were already received; `load` and `backlog_ms` are the highest used memory and the longest backlog of prompts that the instance believed of its engines",
       fields: [
         "request",
         "route",
@@ -56,8 +56,14 @@
         "prompt_parts",
         "after_event",
         "left_ms",
+        "load",
+        "backlog_ms",
       ],
     },
+    run_refused: {
+      says: "the engine `id` did not run an attempt; `faulty` is the engine that the refusal names",
+      fields: ["request", "id", "faulty", "status"],
+    },
     engine_ended: {
       says: "an engine ended with answers in progress; `prompts` counts those of them that it had only begun, and `prompt_parts` lists the parts of their prompts that other requests may share",
       fields: ["id", "service", "prompts", "prompt_parts"],
