--- a/packages/cli/src/commands/account.ts
+++ b/packages/cli/src/commands/account.ts
@@ -42,9 +42,10 @@
 class (priority), route, organisation and failure domain, and by second. It also
 shows where late and broken answers spent their time: until they were sent, at
 engines, until a lost engine was noticed, until they had another one, and until
-the next event. In the tables of class, route and organisation, requests counts all that came in, and returned those of callers that came
-back after a refusal. A late answer counts as ${1 - LATE_SHARE} of a lost one. With --outcomes, the
-report of what callers saw, the difference is shown too: requests that reached
+the next event. In the tables of class, route and organisation, requests counts
+all that came in, and returned those of callers that came back after a refusal.
+A late answer counts as ${1 - LATE_SHARE} of a lost one. With --outcomes, the report of what
+callers saw, the difference is shown too: requests that reached
 no instance, less those that a second try saved.`,
   async run({ output, words, flags }) {
     if (words.length === 0) throw usageError("account needs a log file");
--- a/packages/cli/src/loss_account.ts
+++ b/packages/cli/src/loss_account.ts
@@ -363,23 +363,34 @@
     .sort((one, other) => other.lost - one.lost);
 }
 
-/** Rows with the ways of loss, the row that lost most first. */
-function kindsTable(
+/** Requests by name, with those of their losses. */
+function grouped(
   requests: ReadonlyMap<string, LoggedRequest>,
   losses: readonly Loss[],
-  nameOf: (request: LoggedRequest) => string,
-): KindsRow[] {
+  nameOf: (request: LoggedRequest) => string | null | undefined,
+) {
   const lossOf = new Map(losses.map((loss) => [loss.request, loss]));
   const groups = new Map<string, LoggedRequest[]>();
   for (const request of requests.values()) {
-    const name = nameOf(request);
+    const name = nameOf(request) ?? UNKNOWN;
     const group = groups.get(name) ?? [];
     groups.set(name, group);
     group.push(request);
   }
-  return [...groups]
-    .map(([name, group]) => {
-      const lost = group.flatMap(({ id }) => lossOf.get(id) ?? []);
+  return Array.from(groups, ([name, group]) => {
+    const lost = group.flatMap(({ id }) => lossOf.get(id) ?? []);
+    return { name, group, lost };
+  });
+}
+
+/** Rows with the ways of loss, the row that lost most first. */
+function kindsTable(
+  requests: ReadonlyMap<string, LoggedRequest>,
+  losses: readonly Loss[],
+  nameOf: (request: LoggedRequest) => string,
+): KindsRow[] {
+  return grouped(requests, losses, nameOf)
+    .map(({ name, group, lost }) => {
       return {
         name,
         requests: group.length,
@@ -400,17 +411,8 @@
   losses: readonly Loss[],
   nameOf: (request: LoggedRequest) => string | null | undefined,
 ): GroupRow[] {
-  const lossOf = new Map(losses.map((loss) => [loss.request, loss]));
-  const groups = new Map<string, LoggedRequest[]>();
-  for (const request of requests.values()) {
-    const name = nameOf(request) ?? UNKNOWN;
-    const group = groups.get(name) ?? [];
-    groups.set(name, group);
-    group.push(request);
-  }
-  return [...groups]
-    .map(([name, group]) => {
-      const lost = group.flatMap(({ id }) => lossOf.get(id) ?? []);
+  return grouped(requests, losses, nameOf)
+    .map(({ name, group, lost }) => {
       return {
         name,
         requests: group.length,
