Pipelines that cross failure domains keep within their link

Cause: when a domain has lost layers, or its engines are full, the search builds pipelines of several domains' engines, at a fixed cost per hop. The activations of each prompt token (42 kB) then pass the link between two domains, which all pipelines share and which passes them one after the other. The callers leave, their activations stay on the link, and they hold memory meanwhile, so that later answers find the whole pipelines full and cross too: the state keeps itself up.

Change: each instance counts how long its share of a link is busy with what it sent, until that has passed, whether or not callers have left. New answers don't use a link with a backlog (they use a slower pipeline, or wait at the instance); begun ones do so as the last resort. Links without backlog cost what they did.

Evidence: pipeline_router_test, with the bound taken out: 'expected 20 to be less than or equal to 2'.

--- a/packages/gateway/src/streams/pipeline_router.ts
+++ b/packages/gateway/src/streams/pipeline_router.ts
@@ -1,10 +1,15 @@
 /** Chooses pipelines for answers and reserves their share of the engines. */
-import type { LayerRange, Stage } from "@rosemarypin/pipelines";
+import {
+  BACKLOG_COST_SHARE,
+  type LayerRange,
+  type Stage,
+} from "@rosemarypin/pipelines";
 import type { BackendServer } from "../backend_server.ts";
 import type { BackendFleet, ServerCounts } from "../backends/mod.ts";
 import type { EngineShape, Service } from "../configuration.ts";
 import type { AddressedStage } from "../protocol.ts";
 import { DEFAULT_DOMAIN_LIMIT } from "./domain_flow.ts";
+import { createDomainLinks } from "./domain_links.ts";
 import {
   createEngineTable,
   type EngineRow,
@@ -115,6 +120,12 @@
     possibleSendersOf,
   });
   const tables = new Map<string, ServiceTable>();
+  const links = createDomainLinks(() => {
+    let count = 1;
+    for (const domain of domainNames())
+      count += possibleSendersOf(domain).length;
+    return count;
+  });
   fleet.onChanged((id) => {
     const server = fleet.get(id);
     if (!server) usage.forget(id);
@@ -128,6 +139,49 @@
     for (const { table } of tables.values()) table.watch(id);
   });
 
+  function domainNames(): Set<string> {
+    const names = new Set([failureDomain]);
+    for (const { table } of tables.values())
+      for (const { server } of table.rows) names.add(server.failureDomain);
+    return names;
+  }
+
+  /** Prices the links; without `maxLoad`, busy ones are used as well. */
+  function updateLinks(
+    { search }: EngineTable,
+    { service, maxLoad }: PipelineRequest,
+  ): void {
+    if (service.engine?.model.linkTokenMs === undefined) return;
+    const names = [...domainNames()];
+    for (const [index, domain] of names.entries()) {
+      for (const other of names.slice(index + 1)) {
+        const isUsable = maxLoad === undefined || links.isFree(domain, other);
+        const costMs = links.backlogMs(domain, other) * BACKLOG_COST_SHARE;
+        search.setLinkMs(domain, other, isUsable ? costMs : Infinity);
+      }
+    }
+  }
+
+  /** Counts the activations that pass links to or from unread stages. */
+  function countOnLinks(
+    stages: readonly AddressedStage[],
+    unreadStages: readonly AddressedStage[],
+    { service, size }: PipelineRequest,
+  ): void {
+    const tokenMs = service.engine?.model.linkTokenMs;
+    if (tokenMs === undefined) return;
+    const unread = new Set(unreadStages);
+    let last: AddressedStage | null = null;
+    for (const stage of stages) {
+      const domain = fleet.get(stage.engineId)?.failureDomain;
+      const other = fleet.get(last?.engineId ?? "")?.failureDomain;
+      const isCrossing = domain && other && domain !== other;
+      if (isCrossing && (unread.has(stage) || (last && unread.has(last))))
+        links.send(domain, other, totalTokens(size) * tokenMs);
+      last = stage;
+    }
+  }
+
   /** Returns the current table of a service's engines. */
   function tableOf({ name }: Service, engine: EngineShape): EngineTable {
     let entry = tables.get(name);
@@ -213,6 +267,7 @@
     if (!engine) return null;
     const table = tableOf(request.service, engine);
     markUsable(table, request, constraints);
+    updateLinks(table, request);
     const found = table.search.find(constraints.range);
     return found ? withAddresses(found.stages) : null;
   }
@@ -245,6 +300,7 @@
     if (!first) return null;
     const { size, service } = request;
     const believed = loadOf(stages, service);
+    countOnLinks(stages, unreadStages, request);
     const reservation = usage.reserve({
       stages,
       tokens: totalTokens(size),
@@ -284,7 +340,10 @@
       const table = tableOf(request.service, engine);
       const ignoresLimits = request.maxLoad === undefined;
       markUsable(table, request, { ignoresLimits });
-      return table.search.covers();
+      if (!table.search.covers()) return false;
+      if (ignoresLimits) return true;
+      updateLinks(table, request);
+      return table.search.find() !== null;
     },
     replaceStage({ stages }, request) {
       const lostIndex = stages.findIndex(
--- a/packages/gateway/src/streams/pipeline_router_test.ts
+++ b/packages/gateway/src/streams/pipeline_router_test.ts
@@ -228,3 +228,81 @@
     expect([choose(), choose()]).toEqual(["near", "near"]);
   });
 });
+
+/**
+ * Domain `a` has lost its second half. The only pipeline that stays in one
+ * domain begins elsewhere and is slow.
+ */
+function setUpBrokenDomain(linkTokenMs: number | null = 0.1) {
+  const { fleet, usage, slowdowns, servers } = setUp();
+  const half = LAYERS / 2;
+  const halves = [
+    { id: "a-low", domain: "a", held: { from: 0, to: half } },
+    { id: "b-low", domain: "b", held: { from: 0, to: half } },
+    { id: "b-high", domain: "b", held: { from: half, to: LAYERS } },
+  ];
+  servers.length = 0;
+  for (const { id, domain, held } of halves)
+    servers.push({ ...engine(id, domain), held });
+  slowdowns.set("b-low", 12);
+  const router = createPipelineRouter({
+    fleet,
+    failureDomain: "a",
+    usage,
+    possibleSendersOf: (domain) => (domain === "a" ? ["a-1"] : ["b-1", "b-2"]),
+  });
+  for (const peer of ["a-1", "b-1", "b-2"])
+    usage.recordPeerLoads(peer, new Map());
+  const linkSpeed = linkTokenMs === null ? {} : { linkTokenMs };
+  const model = { ...service.engine?.model, ...linkSpeed };
+  const request = {
+    service: { ...service, engine: { ...service.engine, model } } as Service,
+    size: { promptTokens: 700, answerTokens: 200 },
+    avoided: new Set<string>(),
+  };
+  const isCrossing = (ids: readonly string[] | undefined) =>
+    ids?.includes("a-low") === true;
+  const choose = (maxLoad?: number) => {
+    const bounds = maxLoad === undefined ? {} : { maxLoad };
+    const pipeline = router.choose({ ...request, ...bounds });
+    // Their callers leave at once, which takes nothing off the link.
+    pipeline?.release();
+    return pipeline?.stages.map(({ engineId }) => engineId);
+  };
+  return { router, request, choose, isCrossing, servers };
+}
+
+describe("pipelines that cross failure domains", () => {
+  // Guards against first events that wait behind all prompts on a link, once
+  // more prompts cross it than it passes.
+  it("get no more prompts than their link passes", () => {
+    const { choose, isCrossing } = setUpBrokenDomain();
+    const chosen = Array.from({ length: 20 }, () => choose(1));
+    expect(chosen.filter(isCrossing).length).toBeLessThanOrEqual(2);
+    expect(chosen.at(-1)).toEqual(["b-low", "b-high"]);
+    vi.advanceTimersByTime(60_000);
+    expect(isCrossing(choose(1))).toBe(true);
+  });
+
+  it("wait for their link if there is no other pipeline", () => {
+    const { router, request, choose, servers } = setUpBrokenDomain();
+    servers.splice(1, 1);
+    expect(choose(1)).toEqual(["a-low", "b-high"]);
+    expect(choose(1)).toBeUndefined();
+    expect(router.hasPipeline({ ...request, maxLoad: 1 })).toBe(false);
+    expect(router.hasPipeline(request)).toBe(true);
+  });
+
+  it("are the last resort of begun answers", () => {
+    const { choose, servers } = setUpBrokenDomain();
+    servers.splice(1, 1);
+    for (let count = 0; count < 5; count += 1)
+      expect(choose()).toEqual(["a-low", "b-high"]);
+  });
+
+  it("aren't bounded where the speed of links isn't known", () => {
+    const { choose, isCrossing } = setUpBrokenDomain(null);
+    const chosen = Array.from({ length: 20 }, () => choose(1));
+    expect(chosen.every(isCrossing)).toBe(true);
+  });
+});
--- a/packages/pipelines/src/layer_table.ts
+++ b/packages/pipelines/src/layer_table.ts
@@ -14,6 +14,8 @@
   /** Number of its failure domain; 0 is the preferred one. */
   readonly domains: Int32Array;
   readonly domainCount: number;
+  /** Names of the failure domains, by number. */
+  readonly domainNames: readonly string[];
   /** Highest end of a range, or the number of layers of the model. */
   readonly layerCount: number;
   /**
@@ -59,6 +61,7 @@
     ),
     domains,
     domainCount: names.length,
+    domainNames: names,
     layerCount,
     enginesAt: (layer) => byLayer[layer] ?? none,
   };
--- a/packages/pipelines/src/path_search.ts
+++ b/packages/pipelines/src/path_search.ts
@@ -25,6 +25,12 @@
   readonly layerMs: Float64Array;
   /** Cost of the engine's backlog per entry, in milliseconds per token. */
   readonly entryMs: Float64Array;
+  /**
+   * Cost that the link from a failure domain to another adds to a hop, by the
+   * order of the domains, one row for each first one; infinite if it can't be
+   * used.
+   */
+  readonly linkMs: Float64Array;
   /** Order of the failure domains, by number; the preferred one is first. */
   readonly ranks: Int32Array;
   /** The first layer from this one on at which a range begins. */
@@ -38,7 +44,7 @@
  */
 export function createPathSearch(
   { tos, domains, domainCount, layerCount, enginesAt }: LayerTable,
-  { isUsable, layerMs, entryMs, ranks, nextStart }: SearchedColumns,
+  { isUsable, layerMs, entryMs, linkMs, ranks, nextStart }: SearchedColumns,
 ): (range: LayerRange, bounds: PathBounds | null) => EnginePath | null {
   // States are a layer and the failure domain of the stage before it; state 0
   // is the first layer in the preferred domain.
@@ -107,11 +113,22 @@
     relax(lastEnd, entered + ms * (lastEnd - layer), origin, engine);
   }
 
+  /**
+   * Cost of a hop between domains. No activations pass a link before the first
+   * stage.
+   */
+  function hopMs(from: number, to: number, isFirst: boolean): number {
+    if (from === to) return NEAR_ENTRY_COST_MS;
+    if (isFirst) return crossingCostMs(true);
+    return crossingCostMs(false) + (linkMs[from * domainCount + to] as number);
+  }
+
   /**
    * Finds the cheapest state of the layer from which to enter engines of each
    * domain, and whether others cost about the same.
    */
-  function findNearest(layer: number, crossingMs: number): boolean {
+  function findNearest(layer: number): boolean {
+    const isFirst = layer === first;
     const base = (layer - first) * domainCount;
     let isAny = false;
     for (let to = 0; to < domainCount; to += 1) {
@@ -121,9 +138,7 @@
       bestEngine[to] = -1;
       for (let from = 0; from < domainCount; from += 1) {
         const state = base + from;
-        const cost =
-          (costs[state] as number) +
-          (from === to ? NEAR_ENTRY_COST_MS : crossingMs);
+        const cost = (costs[state] as number) + hopMs(from, to, isFirst);
         if (cost === Number.POSITIVE_INFINITY) continue;
         if (stageCounts[state] === MAX_STAGES) continue;
         isAny = true;
@@ -161,8 +176,8 @@
   }
 
   function expand(layer: number): void {
-    const crossingMs = crossingCostMs(layer === first);
-    if (!findNearest(layer, crossingMs)) return;
+    const isFirst = layer === first;
+    if (!findNearest(layer)) return;
     const base = (layer - first) * domainCount;
     const options = enginesAt(layer);
     for (let at = 0; at < options.length; at += 1) {
@@ -178,13 +193,14 @@
           const cost = costs[state] as number;
           if (cost === Number.POSITIVE_INFINITY) continue;
           if (stageCounts[state] === MAX_STAGES) continue;
-          const hop = from === rank ? NEAR_ENTRY_COST_MS : crossingMs;
+          const hop = hopMs(from, rank, isFirst);
           relaxEnds(layer, engine, cost + entry + hop, state, layer + 1);
         }
         continue;
       }
       const origin = nearest[rank] as number;
-      const hop = origin === base + rank ? NEAR_ENTRY_COST_MS : crossingMs;
+      if (origin < 0) continue;
+      const hop = hopMs(origin - base, rank, isFirst);
       const entered = (costs[origin] as number) + entry + hop;
       const ms = layerMs[engine] as number;
       const to = tos[engine] as number;
--- a/packages/pipelines/src/pipeline_search.ts
+++ b/packages/pipelines/src/pipeline_search.ts
@@ -45,11 +45,17 @@
   /** Prefill time of the prompt tokens in the backlog, in milliseconds. */
   readonly backlogsMs: Float64Array;
   setStepFactor(index: number, stepFactor: number): void;
+  /**
+   * Sets what the link between two failure domains adds to the cost of a hop, in
+   * milliseconds per token; infinite for a link that can't be used.
+   */
+  setLinkMs(domain: string, other: string, ms: number): void;
   /** Returns the cheapest pipeline found, or `null` if there is none. */
   find(range?: LayerRange): Pipeline | null;
   /**
    * Whether usable engines cover all layers of the range with as many stages as
-   * a pipeline may have. Then there is a pipeline; searching it takes longer.
+   * a pipeline may have. Then there is a pipeline if all links can be used;
+   * searching it takes longer.
    */
   covers(range?: LayerRange): boolean;
 }
@@ -72,6 +78,9 @@
   );
   const table = createLayerTable(engines, options);
   const { froms, tos, domains, domainCount, layerCount, layerShares } = table;
+  const { domainNames } = table;
+  /** What links add to a hop, by the numbers of the domains. */
+  const linkMs = new Float64Array(domainCount * domainCount);
   const wholeModel = { from: 0, to: model.layerCount };
 
   // What one search computes of its usable engines.
@@ -83,11 +92,14 @@
   const nextStart = new Int32Array(layerCount + 2);
   /** Position of a failure domain in the order of the usable engines. */
   const ranks = new Int32Array(domainCount);
+  /** `linkMs` by that order. */
+  const rankedLinkMs = new Float64Array(domainCount * domainCount);
 
   const searchPath = createPathSearch(table, {
     isUsable,
     layerMs,
     entryMs,
+    linkMs: rankedLinkMs,
     ranks,
     nextStart,
   });
@@ -129,6 +141,7 @@
       );
       entryMs[index] = (backlogsMs[index] as number) * BACKLOG_COST_SHARE;
     }
+    rankLinks();
     let next = layerCount + 1;
     for (let layer = layerCount; layer >= 0; layer -= 1) {
       if ((reach[layer] as number) > 0) next = layer;
@@ -136,6 +149,20 @@
     }
   }
 
+  function rankLinks(): void {
+    for (let from = 0; from < domainCount; from += 1) {
+      const row = ranks[from] as number;
+      if (row < 0) continue;
+      for (let to = 0; to < domainCount; to += 1) {
+        const column = ranks[to] as number;
+        if (column < 0) continue;
+        rankedLinkMs[row * domainCount + column] = linkMs[
+          from * domainCount + to
+        ] as number;
+      }
+    }
+  }
+
   function describe({ engines: passed, ends, first, cost }: EnginePath) {
     const stages: Stage[] = [];
     let from = first;
@@ -155,6 +182,13 @@
     setStepFactor(index, stepFactor) {
       idleMs[index] = idleLayerMs(model, { stepFactor });
     },
+    setLinkMs(domain, other, ms) {
+      const from = domainNames.indexOf(domain);
+      const to = domainNames.indexOf(other);
+      if (from < 0 || to < 0) return;
+      linkMs[from * domainCount + to] = ms;
+      linkMs[to * domainCount + from] = ms;
+    },
     find(range = wholeModel) {
       if (!markRanges(range.from, range.to)) return null;
       prepare();
--- a/packages/pipelines/src/types.ts
+++ b/packages/pipelines/src/types.ts
@@ -24,6 +24,11 @@
   readonly meanAnswerTokens: number;
   /** Maximum number of concurrent answers on an engine as first stage. */
   readonly maxConcurrentAnswers: number;
+  /**
+   * Time that the activations of one token take on the link between two failure
+   * domains, which all pipelines share, in milliseconds. Absent if not known.
+   */
+  readonly linkTokenMs?: number;
 }
 
 /** An engine's location, memory, speed and layers. */
