Plain answers without framing reach their callers without framing

Cause: an answer with neither a length nor chunks ends with its connection, and a connection that is closed doesn't tell whether the body is whole. sendWholeAnswer added the length of whatever had come. The check whether the server still accepts connections was to prevent that, but it is a race: a process that has ended may be up again within milliseconds, its port may belong to another one, its machine may not answer at all.

Change: such an answer stays close-delimited on each hop, with `Connection: close`, in HTTP/1.1 and 1.0, also through another instance; the caller is told no more than this instance was. A length is added only to a body whose end the parser has verified. HEAD, 204 and 304 have no body and are not concerned. An address that refuses connections still gives an idempotent call a retry and an order a 502, and is no ground for any claim; such an attempt keeps its own error now if its body broke off as well. A transfer coding other than chunked isn't framing. `close_delimited_answer` logs what was known of the end and what was decided.

--- a/packages/gateway/src/callers/caller_answer.ts
+++ b/packages/gateway/src/callers/caller_answer.ts
@@ -87,22 +87,39 @@
 /** Statuses whose answers never have a body. */
 const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 
+/** Whether the end of its connection is all that ends an answer's body. */
+export function isCloseDelimited(
+  codec: RequestCodec,
+  method: string,
+  { status, headers }: Pick<OpenAnswer, "status" | "headers">,
+): boolean {
+  if (method === "HEAD" || BODILESS_STATUSES.has(status)) return false;
+  return !codec.decodeAnswer(status, headers).isFramed;
+}
+
 /**
  * Writes status and headers of a backend server's answer to the caller. Without
  * a length it is sent in chunks: only a whole answer gets the final chunk, also
- * when this process is killed. To a caller of HTTP/1.0 it ends with its
- * connection.
+ * when this process is killed. To a caller of HTTP/1.0, or with
+ * `isCloseDelimited`, it ends with its connection.
  */
 export function beginAnswer(
   codec: RequestCodec,
   response: ServerResponse,
-  { status, headers }: Pick<OpenAnswer, "status" | "headers">,
+  answer: Pick<OpenAnswer, "status" | "headers"> & {
+    readonly isCloseDelimited?: boolean;
+  },
 ): void {
+  const { status, headers } = answer;
+  if (answer.isCloseDelimited) response.useChunkedEncodingByDefault = false;
   response.writeHead(status, codec.encodeAnswer(headers));
 }
 
-/** Writes an answer that was read whole, which thus has a known length. */
-export function sendWholeAnswer(
+/**
+ * Writes an answer whose body was read to its end. A close-delimited one stays
+ * so: nobody knows whether its body is whole, so none of its framing may say it.
+ */
+export function sendBufferedAnswer(
   codec: RequestCodec,
   response: ServerResponse,
   answer: Pick<OpenAnswer, "status" | "headers"> & { readonly body: Buffer },
@@ -110,9 +127,11 @@
   const { status, headers, body } = answer;
   const encoded = codec.encodeAnswer(headers);
   const hasLength = headers["content-length"] !== undefined;
-  const hasBody =
-    response.req.method !== "HEAD" && !BODILESS_STATUSES.has(status);
-  if (!hasLength && hasBody)
+  const method = response.req.method ?? "GET";
+  const hasBody = method !== "HEAD" && !BODILESS_STATUSES.has(status);
+  if (isCloseDelimited(codec, method, answer))
+    response.useChunkedEncodingByDefault = false;
+  else if (!hasLength && hasBody)
     encoded.push("Content-Length", String(body.length));
   response.writeHead(status, encoded);
   response.end(body);
@@ -123,13 +142,18 @@
  * complete. If it has neither a length nor chunks, only a reset shows that.
  */
 export function breakAnswerOff(response: ServerResponse): void {
-  const isFramed =
-    response.useChunkedEncodingByDefault ||
-    response.hasHeader("content-length");
-  if (!isFramed) response.socket?.resetAndDestroy();
+  if (endsWithConnection(response)) response.socket?.resetAndDestroy();
   response.destroy();
 }
 
+/** Whether an answer that has begun tells its caller nothing of its end. */
+export function endsWithConnection(response: ServerResponse): boolean {
+  return (
+    !response.useChunkedEncodingByDefault &&
+    !response.hasHeader("content-length")
+  );
+}
+
 /**
  * Tells the instance that handed the call off which servers have answered it
  * with errors. Does nothing for other calls, and once the answer has begun.
--- a/packages/gateway/src/plain/forward_plain.ts
+++ b/packages/gateway/src/plain/forward_plain.ts
@@ -12,9 +12,10 @@
   type CallEnd,
   type CallerCall,
   endWithRefusal,
+  isCloseDelimited,
   maxAttemptsOf,
   reportFailedServers,
-  sendWholeAnswer,
+  sendBufferedAnswer,
   timeLeftMs,
 } from "../callers/mod.ts";
 import {
@@ -355,10 +356,22 @@
     const detail = `refused_${answer.status}`;
     return { kind: "not_run", detail, wasSent: true };
   }
-  // The connections of a process that ends are closed as after a whole answer.
-  if (!metadata.isFramed && (await refusesConnections(server.address)))
-    return { kind: "unknown", detail: "server_ended" };
-  return attempt;
+  if (
+    attempt.kind !== "answer" ||
+    !isCloseDelimited(codec, call.method, answer)
+  )
+    return attempt;
+  // One that still listens proves nothing: its process may have restarted.
+  const hasEnded = await refusesConnections(server.address);
+  log.info("close_delimited_answer", {
+    request: call.id,
+    id: server.id,
+    status: answer.status,
+    bytes: attempt.body.length,
+    evidence: hasEnded ? "refuses_connections" : "none",
+    decision: hasEnded ? "broken" : "relayed_unframed",
+  });
+  return hasEnded ? { kind: "unknown", detail: "server_ended" } : attempt;
 }
 
 interface ReadOptions extends Pick<ForwardingParts, "answerBuffers"> {
@@ -389,7 +402,7 @@
   }: { readonly codec: RequestCodec; readonly attempts: number },
 ): CallEnd {
   const firstByteMs = performance.now() - call.startedAt;
-  sendWholeAnswer(codec, call.response, { ...answer, body });
+  sendBufferedAnswer(codec, call.response, { ...answer, body });
   return {
     status: answer.status,
     outcome: "answered",
--- a/packages/gateway/src/streams/forward_stream.ts
+++ b/packages/gateway/src/streams/forward_stream.ts
@@ -15,7 +15,7 @@
   priorityOf,
   type QueueOutlook,
   reportFailedServers,
-  sendWholeAnswer,
+  sendBufferedAnswer,
 } from "../callers/mod.ts";
 import { attemptsForHelper } from "../handoff/mod.ts";
 import { PROMPT_QUARANTINED, sharedPromptOf } from "../prompts/mod.ts";
@@ -409,7 +409,7 @@
   if (lastEnd.kind === "failed") {
     const { answer, body } = lastEnd;
     const { status } = answer;
-    sendWholeAnswer(parts.codec, call.response, { ...answer, body });
+    sendBufferedAnswer(parts.codec, call.response, { ...answer, body });
     const reason = `status_${status}`;
     return { status, outcome: "answered", reason, attempts, firstByteMs, pace };
   }
--- a/packages/telemetry/src/event_catalogue.ts
+++ b/packages/telemetry/src/event_catalogue.ts
@@ -58,6 +58,18 @@
         "left_ms",
       ],
     },
+    close_delimited_answer: {
+      says: "the connection of an answer without a length or chunks ended, which doesn't tell whether it is whole; `evidence` is what is known of that, and `decision` what its caller is told: `complete`, `relayed_unframed` (the caller's connection ends it, too) or `broken`",
+      fields: [
+        "request",
+        "id",
+        "status",
+        "bytes",
+        "after_event",
+        "evidence",
+        "decision",
+      ],
+    },
     engine_ended: {
       says: "an engine ended with answers in progress; `prompts` counts those of them that it had only begun, and `prompt_parts` lists the parts of their prompts that other requests may share",
       fields: ["id", "service", "prompts", "prompt_parts"],
