--- a/packages/pipelines/src/group_plan.ts
+++ b/packages/pipelines/src/group_plan.ts
@@ -16,6 +16,7 @@
 import {
   replicateLargestUnreplicatedRange,
   replicateScarceLayers,
+  replicateSlowLayers,
 } from "./range_replication.ts";
 import { rebalanceStage } from "./stage_rebalancing.ts";
 import type { ModelShape } from "./types.ts";
@@ -34,6 +35,9 @@
   fillGaps(draft, options.servedElsewhere);
   replicateScarceLayers(draft);
   replicateLargestUnreplicatedRange(draft);
+  // Engines that appeared after the first layout, or lost their layers.
+  layOutPipelines(draft);
+  replicateSlowLayers(draft);
   if (draft.orders().length === 0) {
     for (const engine of lowestCapacityFirst(draft))
       rebalanceStage(draft, engine);
