The final chunk of an unframed stream needs proof that its engine ended it

Cause: the end of a connection between two events was taken for the end of the answer unless the engine's address refused connections at that moment. An engine that is up again by then, or whose port or machine answers otherwise, passed for one that had ended its answer itself.

Change: after such an end the engine is asked for its report, within the timeout of a probe, and its start is compared with the one known when the run began. The same process: the end was its own, and the final chunk follows. No report in time, another start or an unknown one: the end isn't proven, so a resumable stream goes on after its last event within its attempts and the retry budget (an empty rest proves the end), and another one is broken off without its final chunk, with a reset for HTTP/1.0. Events aren't held back. The end isn't taken for the engine's own either while the run is stalled by a later stage: the first engine is alive then, and gives the answer up. An unframed stream of another instance, which always frames streams, is broken. A body that is no event stream has no such evidence and is relayed close-delimited, as plain answers are; one that can't be, since its answer has begun in chunks, is broken off. No failure is counted against an engine for an end.

--- a/packages/gateway/src/backends/backend_fleet.ts
+++ b/packages/gateway/src/backends/backend_fleet.ts
@@ -78,6 +78,11 @@
   slowdownOf(id: string): number;
   /** Applies an engine's report, which is newer than its list entry. */
   putReport(id: string, report: EngineReport): void;
+  /**
+   * Asks an engine for its report, and resolves to whether it comes from the
+   * process that `server` describes.
+   */
+  checkProcess(server: BackendServer): Promise<ProcessCheck>;
   /**
    * Applies what a server says about itself in the headers of an answer, which
    * is newer than its list entry. `server` is as it was when the request was
@@ -103,6 +108,14 @@
   onCondition(callback: (id: string) => void): void;
 }
 
+/** What an engine's report says about one of its processes. */
+export type ProcessCheck =
+  | "same_process"
+  | "other_process"
+  /** The list entry or the report doesn't name a start. */
+  | "start_unknown"
+  | "no_report";
+
 /** Servers of one service that aren't leaving. */
 export interface ServerCounts {
   readonly listed: number;
@@ -197,10 +210,17 @@
   }
 
   /** Reads an engine's report; resolves to whether the engine answered. */
-  async function readReport({ id, address }: BackendServer): Promise<boolean> {
+  async function readReport(server: BackendServer): Promise<boolean> {
+    return (await checkProcess(server)) !== "no_report";
+  }
+
+  async function checkProcess(server: BackendServer): Promise<ProcessCheck> {
+    const { id, address, startedAt } = server;
     const report = await engines.report(address, PROBE_TIMEOUT_MS);
-    if (report) putReport(id, report);
-    return report !== null;
+    if (!report) return "no_report";
+    putReport(id, report);
+    if (startedAt === 0 || report.startedAt === null) return "start_unknown";
+    return report.startedAt === startedAt ? "same_process" : "other_process";
   }
 
   /**
@@ -375,6 +395,7 @@
       replacedEntries.set(id, last);
       this.remove(id);
     },
+    checkProcess,
     putReport,
     recordAnswer,
     handleRefusal(id) {
--- a/packages/gateway/src/streams/stage_recovery.ts
+++ b/packages/gateway/src/streams/stage_recovery.ts
@@ -74,6 +74,8 @@
   onStall(stall: Stall): void;
   /** Reports an event of the answer, which cancels a recovery in progress. */
   onEvent(): void;
+  /** Whether a later stage was lost, or the request, since the last event. */
+  isStalled(): boolean;
   /** Why the run was given up, or its engines are suspected; else `null`. */
   cause(): RecoveryCause | null;
   end(): void;
@@ -101,6 +103,7 @@
   const mayReplace = options.mayReplace ?? (async () => true);
   let cause: RecoveryCause | null = null;
   let hasEnded = false;
+  let isStalled = false;
   let changeCount = 0;
   /** Set while a recovery is in progress; an event aborts it. */
   let recovering: AbortController | null = null;
@@ -267,6 +270,7 @@
 
   return {
     onStall(stall) {
+      isStalled ||= stall.kind !== "first_engine";
       if (recovering || hasEnded || run.stop.signal.aborted) return;
       recovering = new AbortController();
       void recover(stall).finally(() => {
@@ -274,11 +278,13 @@
       });
     },
     onEvent() {
+      isStalled = false;
       recovering?.abort();
       if (run.stop.signal.aborted || hasEnded || cause === null) return;
       cause = null;
       run.pipeline.restore();
     },
+    isStalled: () => isStalled,
     cause: () => cause,
     end() {
       hasEnded = true;
--- a/packages/gateway/src/streams/stream_run.ts
+++ b/packages/gateway/src/streams/stream_run.ts
@@ -5,11 +5,14 @@
   isMalformedAnswer,
   MISDIRECTED_REQUEST,
   type OpenAnswer,
+  type ProcessCheck,
   suspicionReasonOf,
 } from "../backends/mod.ts";
 import {
   beginAnswer,
   type CallerCall,
+  endsWithConnection,
+  isCloseDelimited,
   type StreamPace,
   timeLeftMs,
 } from "../callers/mod.ts";
@@ -159,6 +162,7 @@
     const end = await forwardEvents(call, result, {
       progress,
       codec,
+      serverId: first.id,
       onChunk() {
         if (!hasEvents) options.onFirstEvent?.();
         hasEvents = true;
@@ -167,7 +171,8 @@
         recovery.onEvent();
         promptRun.onEvent();
       },
-      hasServerEnded: () => parts.prompts.checkEnd(run.pipeline.first),
+      checkEnd: async () =>
+        recovery.isStalled() ? "stalled" : parts.fleet.checkProcess(first),
     });
     isComplete = true;
     return end;
@@ -272,6 +277,12 @@
   return { kind: "not_run", detail, wasSent: true };
 }
 
+/** What is known of the end of an answer without framing. */
+type EndEvidence =
+  | ProcessCheck
+  /** Its engine waited for a lost stage, after which it gives the answer up. */
+  | "stalled";
+
 /** Forwards the events of an answer to the caller until it ends. */
 export async function forwardEvents(
   call: CallerCall,
@@ -279,23 +290,31 @@
   options: {
     readonly progress: StreamProgress;
     readonly codec: RequestCodec;
+    /** Absent for another instance. */
+    readonly serverId?: string;
     readonly onChunk?: () => void;
-    /** Resolves to whether the server's process has ended. */
-    readonly hasServerEnded?: () => Promise<boolean>;
+    /** Asks the server whether an end of its connection was the answer's. */
+    readonly checkEnd?: () => Promise<EndEvidence>;
   },
 ): Promise<CompleteRun> {
-  const { progress, codec, onChunk } = options;
-  const { isFramed } = codec.decodeAnswer(answer.status, answer.headers);
+  const { progress, codec, onChunk, checkEnd } = options;
   const { response } = call;
+  const isStream = isEventStream(answer);
+  const isUnframed = isCloseDelimited(codec, call.method, answer);
   const splitter = createEventSplitter({
-    maxEventBytes: isEventStream(answer) ? MAX_EVENT_BYTES : MAX_BODY_BYTES,
+    maxEventBytes: isStream ? MAX_EVENT_BYTES : MAX_BODY_BYTES,
   });
   if (!progress.hasBegun) {
     progress.hasBegun = true;
-    beginAnswer(codec, response, answer);
+    beginAnswer(codec, response, {
+      ...answer,
+      isCloseDelimited: isUnframed && !isStream,
+    });
     response.flushHeaders();
   }
+  let bytes = 0;
   for await (const chunk of answer.body) {
+    bytes += chunk.length;
     onChunk?.();
     for (const event of splitter.push(chunk)) {
       if (event.id !== null && isRepeated(event.id, progress.lastEventId)) {
@@ -309,12 +328,34 @@
   const trailingBytes = splitter.rest();
   if (endsInsideEvent(answer, trailingBytes))
     throw new Error("answer_ended_inside_event");
-  // The connections of a process that ends are closed as after a whole answer.
-  if (!isFramed && (await options.hasServerEnded?.()))
-    throw new Error("server_ended");
+  if (isUnframed) await confirmEnd();
   if (trailingBytes.length > 0) response.write(trailingBytes);
   response.end();
   return { kind: "complete", status: answer.status };
+
+  /**
+   * Throws unless the end of an answer without framing was its own: connections
+   * of a process that ends are closed as after a whole answer.
+   */
+  async function confirmEnd(): Promise<void> {
+    const evidence = isStream ? ((await checkEnd?.()) ?? "none") : "none";
+    const isConfirmed = evidence === "same_process";
+    const claimsNothing = !isStream && endsWithConnection(response);
+    log.info("close_delimited_answer", {
+      request: call.id,
+      id: options.serverId,
+      status: answer.status,
+      bytes,
+      after_event: progress.lastEventId ?? undefined,
+      evidence,
+      decision: isConfirmed
+        ? "complete"
+        : claimsNothing
+          ? "relayed_unframed"
+          : "broken",
+    });
+    if (!isConfirmed && !claimsNothing) throw new Error("end_not_confirmed");
+  }
 }
 
 /**
