Links between domains: an instance's share follows its first events

An instance widens its share while its answers on the link begin in time, and cuts it once they are late. Prompts alone are counted, since the rest of a link is kept for generated tokens.

--- a/packages/gateway/src/streams/domain_links.ts
+++ b/packages/gateway/src/streams/domain_links.ts
@@ -6,45 +6,97 @@
  */
 
 /**
- * Share of a link that all instances use together. The rest is for the tokens
- * that are generated, which need it at once.
+ * Share of a link that the prompts of all instances use together. The rest is
+ * for the tokens that are generated.
  */
 const USABLE_SHARE = 0.7;
 /** Backlog of a link, in the share of one instance, up to which it is used. */
 const MAX_BACKLOG_MS = 250;
+/** Times to the first event of answers on links without and with a queue. */
+const TIMELY_FIRST_EVENT_MS = 250;
+const LATE_FIRST_EVENT_MS = 500;
+const SHARE_GROWTH = 1.25;
+const SHARE_CUT = 0.6;
+const MIN_SHARES = 0.5;
+/** Answers that were sent together begin together, and change a share once. */
+const MIN_GROWTH_INTERVAL_MS = 500;
+const MIN_CUT_INTERVAL_MS = 300;
+
+/** Two failure domains between which activations pass. */
+export type DomainPair = readonly [string, string];
 
 export interface DomainLinks {
   /** Counts activations that take so long on the link. */
-  send(domain: string, other: string, ms: number): void;
+  send(pair: DomainPair, ms: number): void;
+  /** Records the time to the first event, or to an end without one. */
+  observeFirstEvent(pair: DomainPair, ms: number): void;
   /** Time after which the share of this instance is free again. */
-  backlogMs(domain: string, other: string): number;
+  backlogMs(pair: DomainPair): number;
   /** Whether new answers may use the link. */
-  isFree(domain: string, other: string): boolean;
+  isFree(pair: DomainPair): boolean;
+}
+
+interface LinkState {
+  freeAt: number;
+  /** What this instance may use, in equal shares of all instances. */
+  shares: number;
+  grownAt: number;
+  cutAt: number;
 }
 
 /**
  * Creates links without traffic. Each of `countInstances` may use an equal part
- * of a link, so that they keep within it without communication between them.
+ * of a link. It takes more while its answers on the link begin in time, since
+ * others may not use theirs, and less once they begin late.
  */
 export function createDomainLinks(countInstances: () => number): DomainLinks {
-  const freeAt = new Map<string, number>();
+  const states = new Map<string, LinkState>();
+
+  function stateOf([domain, other]: DomainPair): LinkState {
+    const key = domain < other ? `${domain} ${other}` : `${other} ${domain}`;
+    const known = states.get(key);
+    if (known) return known;
+    const created = {
+      freeAt: 0,
+      shares: 1,
+      grownAt: Number.NEGATIVE_INFINITY,
+      cutAt: Number.NEGATIVE_INFINITY,
+    };
+    states.set(key, created);
+    return created;
+  }
 
-  function backlogMs(domain: string, other: string): number {
-    const at = freeAt.get(keyOf(domain, other)) ?? 0;
-    return Math.max(0, at - performance.now());
+  function backlogMs(pair: DomainPair): number {
+    return Math.max(0, stateOf(pair).freeAt - performance.now());
   }
 
   return {
-    send(domain, other, ms) {
-      const busyMs = (ms * Math.max(1, countInstances())) / USABLE_SHARE;
-      const at = performance.now() + backlogMs(domain, other) + busyMs;
-      freeAt.set(keyOf(domain, other), at);
+    send(pair, ms) {
+      const state = stateOf(pair);
+      const share = state.shares / Math.max(1, countInstances());
+      const busyMs = ms / (USABLE_SHARE * Math.min(1, share));
+      state.freeAt = performance.now() + backlogMs(pair) + busyMs;
+    },
+    observeFirstEvent(pair, ms) {
+      const state = stateOf(pair);
+      const now = performance.now();
+      if (
+        ms <= TIMELY_FIRST_EVENT_MS &&
+        now - state.grownAt >= MIN_GROWTH_INTERVAL_MS
+      ) {
+        const most = Math.max(1, countInstances());
+        state.grownAt = now;
+        state.shares = Math.min(most, state.shares * SHARE_GROWTH);
+      }
+      if (
+        ms >= LATE_FIRST_EVENT_MS &&
+        now - state.cutAt >= MIN_CUT_INTERVAL_MS
+      ) {
+        state.cutAt = now;
+        state.shares = Math.max(MIN_SHARES, state.shares * SHARE_CUT);
+      }
     },
     backlogMs,
-    isFree: (domain, other) => backlogMs(domain, other) <= MAX_BACKLOG_MS,
+    isFree: (pair) => backlogMs(pair) <= MAX_BACKLOG_MS,
   };
 }
-
-function keyOf(domain: string, other: string): string {
-  return domain < other ? `${domain} ${other}` : `${other} ${domain}`;
-}
--- a/packages/gateway/src/streams/pipeline_router.ts
+++ b/packages/gateway/src/streams/pipeline_router.ts
@@ -9,7 +9,7 @@
 import type { EngineShape, Service } from "../configuration.ts";
 import type { AddressedStage } from "../protocol.ts";
 import { DEFAULT_DOMAIN_LIMIT } from "./domain_flow.ts";
-import { createDomainLinks } from "./domain_links.ts";
+import { createDomainLinks, type DomainPair } from "./domain_links.ts";
 import {
   createEngineTable,
   type EngineRow,
@@ -18,6 +18,9 @@
 import type { EngineReservation, EngineUsage } from "./engine_usage.ts";
 import { createUnreportedUsage } from "./unreported_usage.ts";
 
+/** Time of an end without events that neither widens nor cuts a share. */
+const EARLY_END_MS = 400;
+
 /** Tokens for which an answer takes memory on each engine of its pipeline. */
 export interface AnswerSize {
   readonly promptTokens: number;
@@ -155,31 +158,60 @@
     const names = [...domainNames()];
     for (const [index, domain] of names.entries()) {
       for (const other of names.slice(index + 1)) {
-        const isUsable = maxLoad === undefined || links.isFree(domain, other);
-        const costMs = links.backlogMs(domain, other) * BACKLOG_COST_SHARE;
+        const pair = [domain, other] as const;
+        const isUsable = maxLoad === undefined || links.isFree(pair);
+        const costMs = links.backlogMs(pair) * BACKLOG_COST_SHARE;
         search.setLinkMs(domain, other, isUsable ? costMs : Infinity);
       }
     }
   }
 
-  /** Counts the activations that pass links to or from unread stages. */
-  function countOnLinks(
+  /** Links that the activations of a prompt pass to or from unread stages. */
+  function linksBetween(
     stages: readonly AddressedStage[],
     unreadStages: readonly AddressedStage[],
+  ): DomainPair[] {
+    const unread = new Set(unreadStages);
+    return stages.flatMap((stage, index): DomainPair[] => {
+      const last = stages[index - 1];
+      if (!last || !(unread.has(stage) || unread.has(last))) return [];
+      const domain = fleet.get(last.engineId)?.failureDomain;
+      const other = fleet.get(stage.engineId)?.failureDomain;
+      return domain && other && domain !== other ? [[domain, other]] : [];
+    });
+  }
+
+  /** Counts a prompt on the links that it passes, until its first event. */
+  function countOnLinks(
+    reservation: EngineReservation,
+    pairs: readonly DomainPair[],
     { service, size }: PipelineRequest,
-  ): void {
+  ): EngineReservation {
     const tokenMs = service.engine?.model.linkTokenMs;
-    if (tokenMs === undefined) return;
-    const unread = new Set(unreadStages);
-    let last: AddressedStage | null = null;
-    for (const stage of stages) {
-      const domain = fleet.get(stage.engineId)?.failureDomain;
-      const other = fleet.get(last?.engineId ?? "")?.failureDomain;
-      const isCrossing = domain && other && domain !== other;
-      if (isCrossing && (unread.has(stage) || (last && unread.has(last))))
-        links.send(domain, other, totalTokens(size) * tokenMs);
-      last = stage;
+    if (tokenMs === undefined || pairs.length === 0) return reservation;
+    const sentAt = performance.now();
+    let isRead = false;
+    for (const pair of pairs) links.send(pair, size.promptTokens * tokenMs);
+
+    function observe(ms: number): void {
+      if (isRead) return;
+      isRead = true;
+      for (const pair of pairs) links.observeFirstEvent(pair, ms);
     }
+
+    return {
+      ...reservation,
+      markPromptRead() {
+        observe(performance.now() - sentAt);
+        reservation.markPromptRead();
+      },
+      release() {
+        // An early end, such as that of a refused run, says nothing.
+        const ms = performance.now() - sentAt;
+        observe(Math.max(ms, EARLY_END_MS));
+        reservation.release();
+      },
+    };
   }
 
   /** Returns the current table of a service's engines. */
@@ -300,14 +332,15 @@
     if (!first) return null;
     const { size, service } = request;
     const believed = loadOf(stages, service);
-    countOnLinks(stages, unreadStages, request);
     const reservation = usage.reserve({
       stages,
       tokens: totalTokens(size),
       unreadTokens: size.promptTokens,
       unreadStages,
     });
-    return { stages, first, believed, ...reservation };
+    const pairs = linksBetween(stages, unreadStages);
+    const counted = countOnLinks(reservation, pairs, request);
+    return { stages, first, believed, ...counted };
   }
 
   function loadOf(
