A later version cuts no answer that is handed off

Now the terms name the version that accepted the request and for how long the request has been accepted. Each instance keeps the versions that it replaced while requests of theirs may be in progress (longest time limit of their routes, eight at most), and decides by its own copy unless it had replaced that version more than a second before the request was accepted. So a request that a late instance accepts after a version is still decided by that version, and nobody gets past the keys through the internal addresses with a key that was never valid: the terms carry no routes or organisations.

Tests: handed_off_versions_test has four more kinds of versions (organisation or service withdrawn, route moved, time limit shortened) and waits for another route's 404 in place of the stream's own 404 or 401, since three of them refuse nothing.

--- a/packages/gateway/src/callers/caller_call.ts
+++ b/packages/gateway/src/callers/caller_call.ts
@@ -13,6 +13,8 @@
   readonly route: Route;
   readonly service: Service;
   readonly organisation: Organisation | null;
+  /** Version of the configuration by which it was accepted. */
+  readonly configurationVersion: number;
   readonly method: string;
   /** Path and query. */
   readonly path: string;
--- a/packages/gateway/src/callers/caller_listener.ts
+++ b/packages/gateway/src/callers/caller_listener.ts
@@ -124,11 +124,10 @@
   closeIdle(): void;
 }
 
-interface Admission {
-  readonly route: Route;
-  readonly service: Service;
-  readonly organisation: Organisation | null;
-}
+type Admission = Pick<
+  CallerCall,
+  "route" | "service" | "organisation" | "configurationVersion"
+>;
 
 interface Refusal {
   readonly status: number;
@@ -250,16 +249,29 @@
     handedOffInProgress -= 1;
   }
 
+  /** The configuration that decides whether and how a request is handled. */
+  function configurationFor(
+    handedOff: HandoffTerms | null,
+    receivedAt: number,
+  ): AppliedConfiguration | null {
+    if (handedOff?.acceptedForMs === undefined) return keeper.applied();
+    const { configurationVersion: version, acceptedForMs } = handedOff;
+    return keeper.inForceFor({
+      version,
+      acceptedAt: receivedAt - acceptedForMs,
+    });
+  }
+
   /** Why this instance can't take a request over; `null` if it can. */
-  function refuseHandedOff(
-    { configurationVersion }: HandoffTerms,
-    applied: AppliedConfiguration | null,
-  ): Refusal | null {
+  function refuseHandedOff({
+    configurationVersion,
+  }: HandoffTerms): Refusal | null {
     if (isStopping()) return { status: 503, reason: "stopping" };
     if (handedOffInProgress > MAX_HANDED_OFF_REQUESTS)
       return { status: 503, reason: "busy" };
     // An older configuration may lack the route or the key of the request.
-    const isBehind = (applied?.version ?? 0) < configurationVersion;
+    const inForce = keeper.applied()?.version ?? 0;
+    const isBehind = inForce < configurationVersion;
     return isBehind ? { status: 503, reason: "configuration_behind" } : null;
   }
 
@@ -285,12 +297,12 @@
         }
       : decoded;
     await options.warmUp();
-    const applied = keeper.applied();
+    const applied = configurationFor(handedOff, startedAt);
     const isPastStopGrace =
       (options.stoppingForMs() ?? 0) > ACCEPT_AFTER_STOP_MS;
     const refusal = isPastStopGrace
       ? { status: 503, reason: "stopping" }
-      : handedOff && refuseHandedOff(handedOff, applied);
+      : handedOff && refuseHandedOff(handedOff);
     const admitted =
       refusal ?? admit(request, { rawHeaders, metadata, applied, handedOff });
     const received = { metadata, startedAt, handedOff };
@@ -452,7 +464,8 @@
     ? sharedService(route, applied.services, handedOff.service)
     : drawService(route, applied.services);
   if (!service) return { status: 503, reason: "no_service" };
-  return { route, service, organisation };
+  const { version: configurationVersion } = applied;
+  return { route, service, organisation, configurationVersion };
 }
 
 function organisationOf(
--- a/packages/gateway/src/callers/handoff_headers.ts
+++ b/packages/gateway/src/callers/handoff_headers.ts
@@ -9,7 +9,7 @@
 /** Name of the header that carries the report, as Node.js gives it. */
 export const HANDOFF_REPORT_HEADER = "rosemarypin-handoff-report";
 
-/** Bound on the time since a first attempt, above that of any deadline. */
+/** Bound on the time that a request may last, above that of any deadline. */
 const MAX_ELAPSED_MS = 3_600_000;
 
 const handoffTermsSchema = z.object({
@@ -17,6 +17,17 @@
   from: z.string(),
   /** Version of the configuration by which it has accepted the request. */
   configurationVersion: z.number(),
+  /**
+   * Milliseconds since it has accepted the request. Instances of older versions
+   * neither send nor read it; without it, or with an invalid one, the version in
+   * force decides.
+   */
+  acceptedForMs: z
+    .number()
+    .min(0)
+    .max(MAX_ELAPSED_MS)
+    .optional()
+    .catch(undefined),
   /** Service that was drawn for the request. */
   service: z.string(),
   /** Time left for the answer, in milliseconds. */
--- a/packages/gateway/src/callers/handoff_headers_test.ts
+++ b/packages/gateway/src/callers/handoff_headers_test.ts
@@ -32,6 +32,15 @@
     expect(decodeHandoffTerms(header)?.arrival).toEqual(ARRIVAL);
   });
 
+  it("keeps the time since it was accepted, unless that is invalid", () => {
+    const times = [1_500, -1, 1e300, "1", null];
+    const decoded = times.map((acceptedForMs) => {
+      const content = JSON.stringify({ ...TERMS, acceptedForMs });
+      return decodeHandoffTerms(encodeURIComponent(content))?.acceptedForMs;
+    });
+    expect(decoded).toEqual([1_500, ...times.slice(1).map(() => undefined)]);
+  });
+
   it("is accepted from an instance of the older version", () => {
     const terms = decodeHandoffTerms(encodeHandoffHeader(TERMS));
     expect(terms).toEqual(TERMS);
@@ -39,7 +48,11 @@
   });
 
   it("is accepted by an instance of the older version", () => {
-    const header = encodeHandoffHeader({ ...TERMS, arrival: ARRIVAL });
+    const header = encodeHandoffHeader({
+      ...TERMS,
+      acceptedForMs: 1_500,
+      arrival: ARRIVAL,
+    });
     const content = JSON.parse(decodeURIComponent(header));
     expect(olderSchema.parse(content)).toEqual(TERMS);
   });
--- a/packages/gateway/src/configuration_test.ts
+++ b/packages/gateway/src/configuration_test.ts
@@ -1,10 +1,13 @@
-import { describe, expect, it } from "vitest";
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 import {
   type Configuration,
   createRouteTable,
   type Route,
 } from "./configuration.ts";
-import { createConfigurationKeeper } from "./following/mod.ts";
+import {
+  type ConfigurationKeeper,
+  createConfigurationKeeper,
+} from "./following/mod.ts";
 
 function route(name: string, host: string, pathPrefix: string): Route {
   return {
@@ -70,4 +73,61 @@
     expect(seen).toEqual([3, 9, 12]);
     expect(keeper.applied()?.version).toBe(12);
   });
+
+  describe("a request that another instance has accepted", () => {
+    beforeEach(() => {
+      vi.useFakeTimers();
+    });
+    afterEach(() => {
+      vi.useRealTimers();
+    });
+
+    function decidingVersion(acceptedForMs: number, { by }: { by: number }) {
+      const acceptedAt = performance.now() - acceptedForMs;
+      return keeper.inForceFor({ version: by, acceptedAt })?.version;
+    }
+
+    let keeper: ConfigurationKeeper;
+    beforeEach(() => {
+      keeper = createConfigurationKeeper();
+      const routes = [{ ...route("r", "x", "/"), timeoutMs: 30_000 }];
+      for (const number of [3, 9]) {
+        keeper.offer({ ...version(number), routes });
+        vi.advanceTimersByTime(10_000);
+      }
+    });
+
+    it("is decided by its version if that was in force", () => {
+      expect(decidingVersion(10_500, { by: 3 })).toBe(3);
+      expect(decidingVersion(60_000, { by: 3 })).toBe(3);
+      expect(decidingVersion(10_500, { by: 9 })).toBe(9);
+    });
+
+    it("is decided by the version in force if its own had been replaced", () => {
+      expect(decidingVersion(9_500, { by: 3 })).toBe(3);
+      expect(decidingVersion(8_500, { by: 3 })).toBe(9);
+      expect(decidingVersion(0, { by: 3 })).toBe(9);
+    });
+
+    it("is decided by the version in force if its own isn't known", () => {
+      for (const by of [0, 2, 4, 10])
+        expect(decidingVersion(10_500, { by })).toBe(9);
+    });
+
+    // Guards against withdrawn keys that stay valid between instances.
+    it("is decided by a version that may have requests in progress", () => {
+      expect(decidingVersion(40_000, { by: 3 })).toBe(3);
+      vi.advanceTimersByTime(21_500);
+      expect(decidingVersion(40_000, { by: 3 })).toBe(9);
+    });
+
+    // Guards against a memory that grows with each version.
+    it("is decided by one of the latest versions", () => {
+      keeper.offer(version(10));
+      expect(decidingVersion(40_000, { by: 9 })).toBe(9);
+      for (let number = 11; number < 30; number += 1)
+        keeper.offer(version(number));
+      expect(decidingVersion(40_000, { by: 9 })).toBe(29);
+    });
+  });
 });
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -221,7 +221,6 @@
     exchange,
     codec,
     reachability: fleet.reachability,
-    configurationVersion: () => keeper.applied()?.version ?? 0,
   });
   const serverChoice = createServerChoice({ fleet, failureDomain });
   const engineUsage = createEngineUsage();
--- a/packages/gateway/src/handoff/request_handoff.ts
+++ b/packages/gateway/src/handoff/request_handoff.ts
@@ -2,6 +2,7 @@
  * Hands requests off to other instances while this one reaches no server of
  * their service. The other instance handles such a request as one of its own
  * callers': it checks the key, chooses servers, and is bound by their limits.
+ * Versions of the configuration that came after the request's don't concern it.
  */
 import { formatAddress } from "@rosemarypin/schemas";
 import { createLogger } from "@rosemarypin/telemetry";
@@ -110,7 +111,6 @@
   readonly reachability: Reachability;
   readonly exchange: BackendExchange;
   readonly codec: RequestCodec;
-  readonly configurationVersion: () => number;
 }
 
 /**
@@ -182,7 +182,8 @@
   function handoffHeaders(call: CallerCall, request: HandoffRequest): string[] {
     const terms = encodeHandoffHeader({
       from: options.instance,
-      configurationVersion: options.configurationVersion(),
+      configurationVersion: call.configurationVersion,
+      acceptedForMs: performance.now() - call.startedAt,
       service: call.service.name,
       deadlineMs: Math.max(1, timeLeftMs(call)),
       maxAttempts: request.maxAttempts,
