A silent run goes on until another instance has begun its answer

Callers of an instance whose new connections to engines are refused saw begun streams cut beside a silence of 0.8 s, with the retry budget used up.

Now the instance asks first, while the run stays open, and stops it only once the other one has begun the answer (its head arrived). An event of the run withdraws the request to the other instance; what may have run there counts as an attempt and as a retry. If nobody takes the answer over, the run goes on.

--- a/packages/gateway/src/handoff/request_handoff.ts
+++ b/packages/gateway/src/handoff/request_handoff.ts
@@ -90,6 +90,8 @@
    * Those that another instance reports are added.
    */
   readonly failedServers: Set<string>;
+  /** Withdraws the request, beside the end of the call. */
+  readonly signal?: AbortSignal;
 }
 
 export interface RequestHandoff {
@@ -154,7 +156,11 @@
         body: call.body,
       },
       {
-        signal: AbortSignal.any([call.signal, lost.signal]),
+        signal: AbortSignal.any([
+          call.signal,
+          lost.signal,
+          ...(request.signal ? [request.signal] : []),
+        ]),
         // An open connection may have become silent for good since its last
         // use, which the pings of the instance don't show.
         freshConnection: true,
@@ -210,7 +216,9 @@
     async send(call, request) {
       const asked = new Set<string>();
       let soonestSeconds = Number.POSITIVE_INFINITY;
-      while (asked.size < MAX_HELPERS && !call.signal.aborted) {
+      const isWithdrawn = () =>
+        call.signal.aborted || request.signal?.aborted === true;
+      while (asked.size < MAX_HELPERS && !isWithdrawn()) {
         const { usedHelpers } = request;
         const helper =
           helpers.choose(new Set([...asked, ...usedHelpers])) ??
--- a/packages/gateway/src/streams/forward_stream.ts
+++ b/packages/gateway/src/streams/forward_stream.ts
@@ -24,7 +24,13 @@
   costOf,
   createAdmission,
 } from "./admission.ts";
-import { runOnHelper } from "./helper_run.ts";
+import {
+  type BegunAnswer,
+  beginOnHelper,
+  forwardBegun,
+  type HelperRequest,
+  type HelperRunEnd,
+} from "./helper_run.ts";
 import type { AnswerSize, ChosenPipeline } from "./pipeline_router.ts";
 import type { RecoveryCause, StreamRun } from "./stage_recovery.ts";
 import {
@@ -92,6 +98,8 @@
   let hasSpareRetry = false;
   /** The pipeline of the run after the present one. */
   let reserved: ChosenPipeline | null = null;
+  /** The answer of another instance that follows the present run. */
+  let begun: BegunAnswer | null = null;
   let lastEnd: RunEnd = {
     kind: "not_run",
     detail: "no_pipeline",
@@ -120,7 +128,8 @@
       break;
     }
     const usesHelper =
-      mayAskHelper() && (!hasPipeline || (await handoff.isNeeded(call)));
+      begun !== null ||
+      (mayAskHelper() && (!hasPipeline || (await handoff.isNeeded(call))));
     const isOver = await (usesHelper ? runThroughHelper() : runDirectly());
     if (isOver) break;
   }
@@ -193,6 +202,8 @@
   function releaseReserved(): void {
     reserved?.release();
     reserved = null;
+    begun?.answer.abandon();
+    begun = null;
   }
 
   /** What follows a run whose engines are silent. */
@@ -225,11 +236,12 @@
         if (!isAllowed(cause)) return false;
         if (runsLeft() <= 1 && !(await isLost())) return false;
         if (await handoff.isNeeded(call))
-          return mayAskHelper() && handoff.hasHelper();
+          return mayAskHelper() && beginElsewhere(cause, signal);
         hasSpareRetry ||= budget.takeRetry(service);
         if (!hasSpareRetry) return false;
         const admitted = await admission.admit({ hasBegun, signal });
-        if (admitted.kind === "out_of_reach") return handoff.hasHelper();
+        if (admitted.kind === "out_of_reach")
+          return mayAskHelper() && beginElsewhere(cause, signal);
         if (admitted.kind !== "admitted") return false;
         reserved = admitted.pipeline;
         const isReady = await mayRunPrompt();
@@ -249,34 +261,67 @@
     hasRetry = false;
   }
 
-  /** Hands the call off to another instance; resolves to whether it is over. */
-  async function runThroughHelper(): Promise<boolean> {
+  /** Asks other instances for an answer, and counts what may have run there. */
+  async function askHelper(
+    runsAllowed: number,
+    request: Pick<HelperRequest, "takesRetry" | "signal">,
+  ): Promise<BegunAnswer | HelperRunEnd> {
     helperAskedAt = performance.now();
-    const takesRetry = !maySend();
-    const helperAttempts = attemptsForHelper(runsLeft(), resumable);
-    const end = await runOnHelper(call, {
+    const helperAttempts = attemptsForHelper(runsAllowed, resumable);
+    const end = await beginOnHelper(call, {
       progress,
       parts,
       maxAttempts: helperAttempts,
       usedHelpers,
       failedServers,
-      takesRetry,
+      ...request,
     });
     for (const id of failedServers) avoided.add(id);
-    if (end.kind === "unavailable") {
+    if (end.kind === "unavailable" || end.kind === "refused") {
       retryAfterSeconds = end.retryAfterSeconds;
-      return false;
+      return end;
     }
     attempts += 1;
+    countSent();
+    runs += helperAttempts;
+    return end;
+  }
+
+  /**
+   * Has another instance begin the answer that follows the present run. The run
+   * goes on until then, since no other instance may have a retry or a pipeline.
+   */
+  async function beginElsewhere(
+    cause: RecoveryCause,
+    signal: AbortSignal,
+  ): Promise<boolean> {
+    hasSpareRetry ||= budget.takeRetry(service);
+    const takesRetry = !hasSpareRetry;
+    const present = cause === "first_engine_away" ? 0 : 1;
+    const end = await askHelper(runsLeft() - present, { takesRetry, signal });
+    if (end.kind === "unavailable" || end.kind === "refused") return false;
+    hasSpareRetry = false;
+    begun = end.kind === "begun" ? end : null;
+    return begun !== null;
+  }
+
+  /** Hands the call off to another instance; resolves to whether it is over. */
+  async function runThroughHelper(): Promise<boolean> {
+    const first =
+      begun ?? (await askHelper(runsLeft(), { takesRetry: !maySend() }));
+    begun = null;
+    const end =
+      first.kind === "begun"
+        ? await forwardBegun(call, first, { progress, parts })
+        : first;
+    if (end.kind === "unavailable") return false;
     if (end.kind === "refused") {
-      retryAfterSeconds = end.retryAfterSeconds;
+      attempts += 1;
       lastEnd = { kind: "not_run", detail: end.reason, wasSent: false };
       // A begun answer waits, since cutting it is the last resort.
       return !progress.hasBegun;
     }
     lastEnd = end;
-    countSent();
-    runs += helperAttempts;
     helperAskedAt = -Infinity;
     return end.kind === "complete" || !mayRunAgain();
   }
@@ -336,6 +381,7 @@
     if (lastEnd.kind === "failed") failedServers.add(pipeline.first.id);
     if (reserved) return false;
     if (lastEnd.kind === "broken" && lastEnd.isFirstEngineLost) lostRuns += 1;
+    if (begun) return false;
     return lostRuns > MAX_LOST_RUNS || !mayRunAgain();
   }
 
--- a/packages/gateway/src/streams/helper_run.ts
+++ b/packages/gateway/src/streams/helper_run.ts
@@ -1,4 +1,5 @@
 /** Runs a streamed answer through another instance. */
+import type { OpenAnswer } from "../backends/mod.ts";
 import type { CallerCall } from "../callers/mod.ts";
 import { isOwnAnswer, readBody } from "../forwarding/mod.ts";
 import type { HandoffRequest, HandoffResult } from "../handoff/mod.ts";
@@ -13,18 +14,26 @@
   | Exclude<RunEnd, { readonly kind: "not_run" }>
   | Extract<HandoffResult, { readonly kind: "refused" | "unavailable" }>;
 
+/** An answer that another instance has begun; no event was forwarded yet. */
+export interface BegunAnswer {
+  readonly kind: "begun";
+  readonly answer: OpenAnswer;
+}
+
+export interface HelperRequest
+  extends Omit<HandoffRequest, "lastEventId" | "isRepeatable"> {
+  readonly progress: StreamProgress;
+  readonly parts: Pick<StreamParts, "codec" | "handoff">;
+}
+
 /**
- * Hands the call off to another instance and forwards the events that it sends.
- * That instance chooses pipelines and recovers from lost stages by itself.
+ * Hands the call off until another instance has begun its answer. That instance
+ * chooses pipelines and recovers from lost stages by itself.
  */
-export async function runOnHelper(
+export async function beginOnHelper(
   call: CallerCall,
-  options: {
-    readonly progress: StreamProgress;
-    readonly parts: Pick<StreamParts, "codec" | "handoff">;
-  } & Omit<HandoffRequest, "lastEventId" | "isRepeatable">,
-): Promise<HelperRunEnd> {
-  const { progress, parts, ...request } = options;
+  { progress, parts, ...request }: HelperRequest,
+): Promise<BegunAnswer | HelperRunEnd> {
   const { codec, handoff } = parts;
   const result = await handoff.send(call, {
     ...request,
@@ -44,15 +53,32 @@
     answer.abandon();
     return brokenRun(`helper_${answer.status}`);
   }
+  if (answer.status < 300) return { kind: "begun", answer };
+  try {
+    return { kind: "failed", answer, body: await readBody(answer) };
+  } catch (error) {
+    return brokenByError(error);
+  }
+}
+
+/** Forwards the events of an answer that another instance has begun. */
+export async function forwardBegun(
+  call: CallerCall,
+  { answer }: BegunAnswer,
+  { progress, parts }: Pick<HelperRequest, "progress" | "parts">,
+): Promise<HelperRunEnd> {
   try {
-    if (answer.status >= 300)
-      return { kind: "failed", answer, body: await readBody(answer) };
+    const { codec } = parts;
     return await forwardEvents(call, answer, { progress, codec });
   } catch (error) {
-    return brokenRun(error instanceof Error ? error.message : String(error));
+    return brokenByError(error);
   }
 }
 
+function brokenByError(error: unknown): HelperRunEnd {
+  return brokenRun(error instanceof Error ? error.message : String(error));
+}
+
 function brokenRun(detail: string): HelperRunEnd {
   return { kind: "broken", detail, isFirstEngineLost: false };
 }
