--- a/packages/gateway/src/placement/placement_loop.ts
+++ b/packages/gateway/src/placement/placement_loop.ts
@@ -232,9 +232,7 @@
       held: order?.range ?? waiting?.range ?? held,
       serving: held,
       acceptsOrders:
-        !order &&
-        !waiting &&
-        fleet.backoffs.remainingMs(server) === 0,
+        !order && !waiting && fleet.backoffs.remainingMs(server) === 0,
       isOwn: options.fencingNumberFor(server.failureDomain) !== null,
     };
   }
