Peers: a copy of the objects is sent only if it brings something new

An instance that the store turns away asks a peer for its objects every 0.4 s and states its revision.

The request states the digest of the objects and of those that are kept for a grace period only; a peer with the same digest answers with its revision. The interval is as before, so a change is known as early. Instances of the version before send and get whole copies as they did.

--- a/packages/gateway/src/following/object_mirror.ts
+++ b/packages/gateway/src/following/object_mirror.ts
@@ -94,6 +94,8 @@
     readonly objects: readonly StoredObject[];
     readonly expiring?: readonly string[] | undefined;
   }): void;
+  /** Records that a peer's newer copy has the same objects. */
+  confirmCopy(revision: number): void;
   /**
    * Records a response of a relay, with or without changes. `ageMs` is the time
    * since the store last answered the relay, in milliseconds.
@@ -342,6 +344,10 @@
       if (snapshot.revision <= currentRevision) return;
       applyChanges({ ...snapshot, isWhole: true, removed: [] });
     },
+    confirmCopy(revision) {
+      isComplete = true;
+      currentRevision = Math.max(currentRevision, revision);
+    },
     recordRelayResponse(ageMs) {
       endOutage();
       lastAnswerAt = Math.max(lastAnswerAt, performance.now() - ageMs);
--- a/packages/gateway/src/following/peer_snapshots.ts
+++ b/packages/gateway/src/following/peer_snapshots.ts
@@ -2,6 +2,7 @@
  * Exchange of mirror contents between instances. An instance that can't reach
  * the store gets the configuration and the list of backend servers from a peer.
  */
+import { createHash } from "node:crypto";
 import type { PeerCaller, PeerMethods } from "@rosemarypin/membership";
 import type { Address } from "@rosemarypin/schemas";
 import { createLogger } from "@rosemarypin/telemetry";
@@ -29,23 +30,43 @@
 const snapshotRequestSchema = z.object({
   prefix: z.string(),
   revision: z.number(),
+  /** Digest of the objects that the instance has; absent from older versions. */
+  digest: z.string().optional().catch(undefined),
 });
 const snapshotSchema = z.object({
   revision: z.int().nonnegative(),
-  objects: storedObjectsSchema,
+  /** Absent if the peer's objects have the digest of the request. */
+  objects: storedObjectsSchema.optional(),
   /** Keys of objects that the peer removes after a grace period. */
   expiring: z.array(z.string()).optional().catch(undefined),
 });
 
+/**
+ * Digest of a mirror's objects and of which of them it keeps for a grace period
+ * only. A revision grows with each write to the store, under any prefix, so a
+ * newer one doesn't show that an object has changed.
+ */
+function digestOf(mirror: ObjectMirror): string {
+  const hash = createHash("sha256");
+  const lines = mirror
+    .objects()
+    .map(({ key, version }) =>
+      JSON.stringify([key, version, mirror.isExpiring(key)]),
+    );
+  for (const line of lines.sort()) hash.update(line);
+  return hash.digest("base64");
+}
+
 /** Creates the RPC methods that serve this instance's mirrors to peers. */
 export function createSnapshotMethods(
   mirrors: readonly ObjectMirror[],
 ): PeerMethods {
   return {
     [SNAPSHOT_METHOD](params) {
-      const { prefix, revision } = snapshotRequestSchema.parse(params);
+      const { prefix, revision, digest } = snapshotRequestSchema.parse(params);
       const mirror = mirrors.find((mirror) => mirror.prefix === prefix);
       if (!mirror || mirror.revision() <= revision) return null;
+      if (digest === digestOf(mirror)) return { revision: mirror.revision() };
       const objects = mirror.objects();
       const expiring = expiringKeysOf(mirror, objects);
       return { revision: mirror.revision(), objects, expiring };
@@ -81,7 +102,8 @@
     const peer = addresses[Math.floor(Math.random() * addresses.length)];
     if (!peer) return;
     const { prefix } = mirror;
-    const params = { prefix, revision: mirror.revision() };
+    const digest = digestOf(mirror);
+    const params = { prefix, revision: mirror.revision(), digest };
     const timeoutMs = CALL_TIMEOUT_MS;
     const response = await caller.call(peer, SNAPSHOT_METHOD, {
       params,
@@ -94,13 +116,19 @@
       log.warn("news_unreadable", { peer: peer.host, reason });
       return;
     }
-    if (snapshot.data.revision <= mirror.revision()) return;
+    const { revision, objects, expiring } = snapshot.data;
+    if (revision <= mirror.revision()) return;
+    if (!objects) {
+      // The mirror may have changed during the call.
+      if (digest === digestOf(mirror)) mirror.confirmCopy(revision);
+      return;
+    }
     log.info("news_from_peer", {
       peer: peer.host,
       prefix,
       from: mirror.revision(),
-      to: snapshot.data.revision,
+      to: revision,
     });
-    mirror.applyPeerSnapshot(snapshot.data);
+    mirror.applyPeerSnapshot({ revision, objects, expiring });
   }
 }
--- a/packages/gateway/src/following/store_following_test.ts
+++ b/packages/gateway/src/following/store_following_test.ts
@@ -277,6 +277,64 @@
   });
 });
 
+describe("an instance that the store turns away", () => {
+  const SERVERS = 100;
+  const OUTAGE_MS = 20_000;
+  /** Answers with all objects, and bytes of all answers. */
+  let traffic: { copies: number; bytes: number };
+
+  beforeEach(async () => {
+    traffic = { copies: 0, bytes: 0 };
+    for (let index = 0; index < SERVERS; index += 1)
+      await writer.write(`servers/s-${index}`, "x".repeat(300), {
+        expectedVersion: null,
+      });
+    await startInstances(3);
+    await advance(1_000);
+    domain.links.filterCalls("i-10", { params: keep, result: countAnswer });
+    domain.faults("i-10").down = true;
+    await advance(CHANGE_BOUND_MS);
+  });
+
+  const keep = (message: unknown) => message;
+
+  function countAnswer(message: unknown): unknown {
+    const hasObjects = message !== null && "objects" in (message as object);
+    traffic.copies += hasObjects ? 1 : 0;
+    traffic.bytes += JSON.stringify(message).length;
+    return message;
+  }
+
+  /** Lets the time pass while objects of other prefixes are written. */
+  async function passOutage(): Promise<void> {
+    for (let passedMs = 0; passedMs < OUTAGE_MS; passedMs += 500) {
+      const key = `others/o-${passedMs}`;
+      await writer.write(key, {}, { expectedVersion: null });
+      await advance(500);
+    }
+  }
+
+  // Guards against copies of all objects that bring nothing new.
+  it("gets no copies while its objects don't change", async () => {
+    await passOutage();
+    expect(traffic.copies).toBe(0);
+    expect(traffic.bytes).toBeLessThan(OUTAGE_MS / 10);
+  });
+
+  it("gets one copy after a change, in time", async () => {
+    expect(await msUntilKnown()).toBeLessThan(CHANGE_BOUND_MS);
+    await passOutage();
+    expect(traffic.copies).toBe(1);
+  });
+
+  it("knows a change in time from peers of the version before", async () => {
+    const params = withoutFields("digest");
+    domain.links.filterCalls("i-10", { params, result: countAnswer });
+    expect(await msUntilKnown()).toBeLessThan(CHANGE_BOUND_MS);
+    expect(traffic.copies).toBeGreaterThan(0);
+  });
+});
+
 describe("instances of the version before", () => {
   it("serve as relays, and the followers list presence themselves", async () => {
     for (const relay of RELAYS) downgrade(relay);
