Services: an encoding without chunks marks no end either (test)

An answer with `Transfer-Encoding: identity` or `gzip` ends with its connection as well. The property-based tests draw it now.

--- a/packages/backends/src/service_client_test.ts
+++ b/packages/backends/src/service_client_test.ts
@@ -70,7 +70,7 @@
 describe("service client, answer that breaks off at any byte", () => {
   const cuts: fc.Arbitrary<Omit<CutAnswer, "hasBody">> = fc.record({
     version: fc.constantFrom("1.0", "1.1"),
-    framing: fc.constantFrom("length", "chunks", "connection", "connection"),
+    framing: fc.constantFrom("length", "chunks", "identity", "connection"),
     status: fc.constantFrom(200, 201, 204, 304, 404, 500),
     body: fc.stringMatching(/^[a-z0-9]{0,40}$/),
     missingBytes: fc.oneof(
--- a/packages/daemon/src/contract/service_answer_ends_test.ts
+++ b/packages/daemon/src/contract/service_answer_ends_test.ts
@@ -180,7 +180,7 @@
     framing: fc.constantFrom(
       "length" as const,
       "chunks" as const,
-      "connection" as const,
+      "identity" as const,
       "connection" as const,
     ),
     status: fc.constantFrom(200, 201, 204, 304, 404, 500),
--- a/packages/fakes/src/cut_answers.ts
+++ b/packages/fakes/src/cut_answers.ts
@@ -13,8 +13,11 @@
 
 export interface CutAnswer {
   readonly version: "1.0" | "1.1";
-  /** What marks the end of the body; `connection` is no mark. */
-  readonly framing: "length" | "chunks" | "connection";
+  /**
+   * What marks the end of the body: a length, chunks, or nothing; `identity` is
+   * an encoding without chunks.
+   */
+  readonly framing: "length" | "chunks" | "identity" | "connection";
   readonly status: number;
   readonly body: string;
   /** Whether the answer has a body; those to HEAD requests have none. */
@@ -44,6 +47,8 @@
     `HTTP/${version} ${status} Status\r\ncontent-type: text/plain\r\n${header}\r\n`;
   if (!hasBody) return { head: head(""), rest: "" };
   if (framing === "connection") return { head: head(""), rest: body };
+  if (framing === "identity")
+    return { head: head("transfer-encoding: identity\r\n"), rest: body };
   if (framing === "length")
     return { head: head(`content-length: ${body.length}\r\n`), rest: body };
   const middle = Math.ceil(body.length / 2);
@@ -64,10 +69,10 @@
   const encoded = encode(answer);
   const { head, rest } = encoded;
   const sent = sentPart(encoded, answer.missingBytes);
-  const hasMark = !answer.hasBody || answer.framing !== "connection";
+  const { hasBody, framing, body } = answer;
+  const hasMark = !hasBody || framing === "length" || framing === "chunks";
   return {
-    body:
-      answer.framing === "connection" ? sent.slice(head.length) : answer.body,
+    body: hasMark ? body : sent.slice(head.length),
     isMarkedWhole: hasMark && sent.length === head.length + rest.length,
   };
 }
