--- a/packages/gateway/src/streams/engine_table.ts
+++ b/packages/gateway/src/streams/engine_table.ts
@@ -32,6 +32,8 @@
 export interface EngineTable {
   /** The engines, in the order of the list. */
   readonly rows: readonly EngineRow[];
+  /** Failure domains of the engines, and that of this instance. */
+  readonly domains: readonly string[];
   readonly search: PipelineSearch;
   /** 1 for engines that new requests may go to. */
   readonly isInUse: Uint8Array;
@@ -133,8 +135,14 @@
           });
   }
 
+  const domains = new Set([
+    failureDomain,
+    ...rows.map(({ server }) => server.failureDomain),
+  ]);
+
   return {
     rows,
+    domains: [...domains],
     search,
     isInUse,
     rowOf: (id) => rowById.get(id) ?? null,
--- a/packages/gateway/src/streams/pipeline_router.ts
+++ b/packages/gateway/src/streams/pipeline_router.ts
@@ -124,8 +124,9 @@
   });
   const tables = new Map<string, ServiceTable>();
   const links = createDomainLinks(() => {
+    const domains = [...tables.values()].flatMap(({ table }) => table.domains);
     let count = 1;
-    for (const domain of domainNames())
+    for (const domain of new Set(domains))
       count += possibleSendersOf(domain).length;
     return count;
   });
@@ -142,22 +143,14 @@
     for (const { table } of tables.values()) table.watch(id);
   });
 
-  function domainNames(): Set<string> {
-    const names = new Set([failureDomain]);
-    for (const { table } of tables.values())
-      for (const { server } of table.rows) names.add(server.failureDomain);
-    return names;
-  }
-
   /** Prices the links; without `maxLoad`, busy ones are used as well. */
   function updateLinks(
-    { search }: EngineTable,
+    { search, domains }: EngineTable,
     { service, maxLoad }: PipelineRequest,
   ): void {
     if (service.engine?.model.linkTokenMs === undefined) return;
-    const names = [...domainNames()];
-    for (const [index, domain] of names.entries()) {
-      for (const other of names.slice(index + 1)) {
+    for (const [index, domain] of domains.entries()) {
+      for (const other of domains.slice(index + 1)) {
         const pair = [domain, other] as const;
         const isUsable = maxLoad === undefined || links.isFree(pair);
         const costMs = links.backlogMs(pair) * BACKLOG_COST_SHARE;
