A stream whose hand-off was withdrawn can still be resumed

The attempt that another instance was asked for stays counted, since it may have run there; so none was left when the present run broke, and the event had cleared the cause by which that run would count as lost with its engine. Where that decides whether the answer can go on, the first engine is connected to now: one that can't be reached doesn't count as an attempt, within the bound on lost runs.

--- a/packages/gateway/src/streams/forward_stream.ts
+++ b/packages/gateway/src/streams/forward_stream.ts
@@ -380,11 +380,25 @@
     runs += 1;
     if (lastEnd.kind === "failed") failedServers.add(pipeline.first.id);
     if (reserved) return false;
-    if (lastEnd.kind === "broken" && lastEnd.isFirstEngineLost) lostRuns += 1;
+    if (lastEnd.kind === "broken" && (await hasLostFirstEngine(lastEnd, run)))
+      lostRuns += 1;
     if (begun) return false;
     return lostRuns > MAX_LOST_RUNS || !mayRunAgain();
   }
 
+  /**
+   * Whether a broken run was lost with its first engine. An engine that can't be
+   * connected to is one, if that decides whether the answer can go on.
+   */
+  async function hasLostFirstEngine(
+    { isFirstEngineLost }: Extract<RunEnd, { readonly kind: "broken" }>,
+    { pipeline }: StreamRun,
+  ): Promise<boolean> {
+    if (isFirstEngineLost || begun || !resumable || runsLeft() > 0)
+      return isFirstEngineLost;
+    return !(await parts.canConnect(pipeline.first.address));
+  }
+
   /** Runs the call and records what it holds and when its answer begins. */
   async function runAndMeasure(run: StreamRun): Promise<RunEnd> {
     const { hasBegun } = progress;
