--- a/packages/gateway/src/callers/caller_answer.ts
+++ b/packages/gateway/src/callers/caller_answer.ts
@@ -1,6 +1,7 @@
 /** Writes answers to callers: relayed ones and the gateway's own. */
 import type { ServerResponse } from "node:http";
 import type { RetryDelayRange, RetryRefusal } from "@rosemarypin/admission";
+import { isBodiless } from "@rosemarypin/backends";
 import type { OpenAnswer } from "../backends/mod.ts";
 import type { RequestCodec } from "../protocol.ts";
 import {
@@ -84,16 +85,13 @@
   });
 }
 
-/** Statuses whose answers never have a body. */
-const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
-
 /** Whether the end of its connection is all that ends an answer's body. */
 export function isCloseDelimited(
   codec: RequestCodec,
   method: string,
   { status, headers }: Pick<OpenAnswer, "status" | "headers">,
 ): boolean {
-  if (method === "HEAD" || BODILESS_STATUSES.has(status)) return false;
+  if (isBodiless(method, status)) return false;
   return !codec.decodeAnswer(status, headers).isFramed;
 }
 
@@ -128,7 +126,7 @@
   const encoded = codec.encodeAnswer(headers);
   const hasLength = headers["content-length"] !== undefined;
   const method = response.req.method ?? "GET";
-  const hasBody = method !== "HEAD" && !BODILESS_STATUSES.has(status);
+  const hasBody = !isBodiless(method, status);
   if (isCloseDelimited(codec, method, answer))
     response.useChunkedEncodingByDefault = false;
   else if (!hasLength && hasBody)
--- a/packages/gateway/src/streams/pipeline_router.ts
+++ b/packages/gateway/src/streams/pipeline_router.ts
@@ -147,16 +147,19 @@
   function updateLinks(
     { search, domains }: EngineTable,
     { service, maxLoad }: PipelineRequest,
-  ): void {
-    if (service.engine?.model.linkTokenMs === undefined) return;
+  ): boolean {
+    if (service.engine?.model.linkTokenMs === undefined) return true;
+    let areUsable = true;
     for (const [index, domain] of domains.entries()) {
       for (const other of domains.slice(index + 1)) {
         const pair = [domain, other] as const;
         const isUsable = maxLoad === undefined || links.isFree(pair);
         const costMs = links.backlogMs(pair) * BACKLOG_COST_SHARE;
         search.setLinkMs(domain, other, isUsable ? costMs : Infinity);
+        areUsable &&= isUsable;
       }
     }
+    return areUsable;
   }
 
   /** Links that the activations of a prompt pass to or from unread stages. */
@@ -368,8 +371,7 @@
       markUsable(table, request, { ignoresLimits });
       if (!table.search.covers()) return false;
       if (ignoresLimits) return true;
-      updateLinks(table, request);
-      return table.search.find() !== null;
+      return updateLinks(table, request) || table.search.find() !== null;
     },
     replaceStage({ stages }, request) {
       const lostIndex = stages.findIndex(
