--- a/packages/gateway/src/peer_input_fuzz_test.ts
+++ b/packages/gateway/src/peer_input_fuzz_test.ts
@@ -182,6 +182,7 @@
     const terms = {
       from: "i-1",
       configurationVersion: 3,
+      acceptedForMs: 5,
       service: "shop",
       deadlineMs: 2_000,
       maxAttempts: 2,
