A reset right behind the last bytes isn't the end of an answer

Cause: when the last bytes and a reset of a connection are polled together, libuv reports the end of the stream and never the error, so ECONNRESET isn't seen at all. Only a reset that comes after the bytes were read is reported.

Change: at the end of a connection, one that has no peer any more was reset and is failed with that error; one that its peer closed still has its peer. It holds for all connections of the timed connector: servers, other instances and control calls of engines.

Evidence: "tells a reset right behind the last bytes" failed without the change: expected 'part' to be 'error'.

--- a/packages/gateway/src/backends/timed_connector.ts
+++ b/packages/gateway/src/backends/timed_connector.ts
@@ -1,5 +1,5 @@
 /** Opens connections with a timeout that is exact to the millisecond. */
-import { connect } from "node:net";
+import { connect, type Socket } from "node:net";
 import { type buildConnector, errors } from "undici";
 import { boundAnswers } from "./answer_bounds.ts";
 
@@ -24,6 +24,7 @@
       clearTimeout(timer);
       socket.off("error", fail);
       socket.on("error", renameReset);
+      detectReset(socket);
       boundAnswers(socket);
       callback(null, socket);
     });
@@ -50,3 +51,18 @@
 function renameReset(error: NodeJS.ErrnoException): void {
   if (error.code === "ECONNRESET") error.code = RESET_AFTER_CONNECT;
 }
+
+/**
+ * Fails a connection that was reset together with its last bytes, which libuv
+ * reports as its regular end. Only a connection that was reset has no peer.
+ */
+function detectReset(socket: Socket): void {
+  const push = socket.push.bind(socket);
+  socket.push = (chunk, encoding) => {
+    if (chunk !== null || socket.remotePort !== undefined)
+      return push(chunk, encoding);
+    const error = new Error("the connection was reset");
+    socket.destroy(Object.assign(error, { code: RESET_AFTER_CONNECT }));
+    return false;
+  };
+}
--- a/packages/gateway/src/backends/timed_connector_test.ts
+++ b/packages/gateway/src/backends/timed_connector_test.ts
@@ -1,6 +1,7 @@
 import { once } from "node:events";
-import { type AddressInfo, createServer } from "node:net";
+import { type AddressInfo, createServer, type Socket } from "node:net";
 import { expect, it } from "vitest";
+import { createBackendExchange } from "./backend_exchange.ts";
 import { createTimedConnector } from "./timed_connector.ts";
 
 const TIMEOUT_MS = 50;
@@ -24,3 +25,35 @@
   expect(await connected).toBeNull();
   server.close();
 });
+
+// Guards against a part of an answer that looks whole because its connection is
+// reset together with its last bytes.
+it.each([
+  ["an end", "part", (socket: Socket) => socket.end()],
+  ["a reset", "error", (socket: Socket) => socket.resetAndDestroy()],
+])("tells %s right behind the last bytes", async (_name, expected, close) => {
+  const server = createServer((socket) => {
+    socket.on("error", () => {});
+    const answer = "HTTP/1.1 200 OK\r\n\r\npart";
+    socket.once("data", () => socket.write(answer, () => close(socket)));
+  });
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  const { port } = server.address() as AddressInfo;
+  const { signal } = new AbortController();
+  const answer = await createBackendExchange().send(
+    { address: `127.0.0.1:${port}` },
+    { method: "GET", path: "/", headers: [], body: null },
+    { signal, freshConnection: false },
+  );
+  if (answer.kind !== "answer") throw new Error(answer.detail);
+  const read = readText(answer.body).catch(() => "error");
+  expect(await read).toBe(expected);
+  server.close();
+});
+
+async function readText(body: AsyncIterable<Buffer>): Promise<string> {
+  let text = "";
+  for await (const chunk of body) text += chunk.toString();
+  return text;
+}
