Placement: a pipeline of several failure domains crosses as few as it can

Where no domain holds the whole model, several form one group, and a pipeline's engines took turns by speed whatever their domain.

The parts of a pipeline are sorted by domain, and a gap goes to an empty engine of a domain that holds layers next to it. The new test has one crossing for two domains.

--- a/packages/pipelines/src/gap_filling.ts
+++ b/packages/pipelines/src/gap_filling.ts
@@ -39,11 +39,15 @@
 
 /**
  * Assigns the gap to the smallest idle engine that is large enough, or else to
- * the largest one. If enough engines are idle, the first gets only half of the
- * gap, which shortens the time to load it.
+ * the largest one, if possible of a failure domain that holds layers next to the
+ * gap. If enough engines are idle, the first gets only half of the gap, which
+ * shortens the time to load it.
  */
 function assignIdleEngine(draft: PlanDraft, gap: LayerRange): boolean {
-  const idle = draft.idleEngines();
+  const domains = domainsNextTo(draft, gap);
+  const all = draft.idleEngines();
+  const near = all.filter(({ failureDomain }) => domains.has(failureDomain));
+  const idle = near.length > 0 ? near : all;
   const isSplit = idle.length > SPLIT_ABOVE_IDLE_ENGINES && layersIn(gap) > 1;
   const wantedLayers = isSplit ? Math.ceil(layersIn(gap) / 2) : layersIn(gap);
   const bySize = [...idle].sort((a, b) => a.memoryMb - b.memoryMb);
@@ -59,6 +63,15 @@
   return true;
 }
 
+/** Failure domains of the engines that hold the layers next to a gap. */
+function domainsNextTo(draft: PlanDraft, gap: LayerRange): Set<string> {
+  const neighbours = draft.group.filter((engine) => {
+    const range = draft.held(engine);
+    return range?.to === gap.from || range?.from === gap.to;
+  });
+  return new Set(neighbours.map(({ failureDomain }) => failureDomain));
+}
+
 /**
  * Assigns layers from the start of a gap up to the engine's target, but none
  * beyond the gap: callers wait until all assigned layers are loaded.
--- a/packages/pipelines/src/group_plan.ts
+++ b/packages/pipelines/src/group_plan.ts
@@ -100,13 +100,23 @@
   layouts.sort((a, b) => largestPart(a) - largestPart(b));
   for (const { parts } of layouts) {
     let from = 0;
-    for (const { engine, layers } of parts) {
+    for (const { engine, layers } of toSortedByDomain(parts)) {
       draft.assign(engine, { from, to: from + layers });
       from += layers;
     }
   }
 }
 
+/** Sorts parts so that a pipeline crosses as few failure domains as it can. */
+function toSortedByDomain(
+  parts: LayerLayout<PlannedEngine>["parts"],
+): LayerLayout<PlannedEngine>["parts"] {
+  const domains = new Set(parts.map(({ engine }) => engine.failureDomain));
+  return [...domains].flatMap((domain) =>
+    parts.filter(({ engine }) => engine.failureDomain === domain),
+  );
+}
+
 function largestPart({ parts }: LayerLayout<PlannedEngine>): number {
   return Math.max(...parts.map(({ layers }) => layers));
 }
--- a/packages/pipelines/src/layer_plan_test.ts
+++ b/packages/pipelines/src/layer_plan_test.ts
@@ -152,6 +152,27 @@
     expect(uncovered(apply(engines))).toEqual([]);
   });
 
+  it("lays a pipeline of several domains out with one crossing between two", () => {
+    // Guards against pipelines that pass the link between two domains at each
+    // stage, when their engines take turns by speed.
+    const engines = ["a", "b"].flatMap((failureDomain) =>
+      fleet({ medium: 1, small: 5 }).map((engine) => ({
+        ...engine,
+        id: `${failureDomain}-${engine.id}`,
+        failureDomain,
+      })),
+    );
+    const stages = apply(engines)
+      .filter(({ held }) => held !== null)
+      .sort((a, b) => (a.held?.from ?? 0) - (b.held?.from ?? 0));
+    const crossings = stages.filter(
+      ({ failureDomain }, index) =>
+        index > 0 && failureDomain !== stages[index - 1]?.failureDomain,
+    );
+    expect(uncovered(stages)).toEqual([]);
+    expect(crossings).toHaveLength(1);
+  });
+
   it("returns no orders for a complete layout", () => {
     const placed = apply(fleet({ large: 1, medium: 1, small: 5, tiny: 7 }));
     expect(planLayers(placed, model)).toEqual([]);
