--- a/packages/calls/src/outcome_table_test.ts
+++ b/packages/calls/src/outcome_table_test.ts
@@ -1,7 +1,7 @@
 import { once } from "node:events";
 import { createServer, type Server, type Socket } from "node:net";
 import { createServiceClient, createServiceFleet } from "@rosemarypin/backends";
-import { createMemoryStore } from "@rosemarypin/fakes";
+import { afterBodyPart, createMemoryStore } from "@rosemarypin/fakes";
 import { emptyCatalogue, type ServiceSettings } from "@rosemarypin/schemas";
 import { afterEach, describe, expect, it } from "vitest";
 import { createClaimRegistry } from "./claim_registry.ts";
@@ -76,6 +76,22 @@
     ),
     ...UNKNOWN_OUTCOME,
   },
+  {
+    fault: "a response without a length or chunks that is reset",
+    serve: afterRequest((socket) => {
+      afterBodyPart(() => socket.resetAndDestroy());
+      socket.write("HTTP/1.1 201 Created\r\n\r\nhalf");
+    }),
+    ...UNKNOWN_OUTCOME,
+  },
+  {
+    fault: "a response without a length or chunks that is closed",
+    serve: afterRequest((socket) =>
+      socket.end("HTTP/1.1 201 Created\r\n\r\nhalf"),
+    ),
+    atMostOnce: "answer 201 of unknown length",
+    idempotent: "answer 201 of unknown length",
+  },
   {
     fault: "something that is not HTTP",
     serve: afterRequest((socket) => socket.end("220 hello\r\n")),
@@ -266,9 +282,9 @@
 }
 
 function summaryOf(result: ServiceCallResult): string {
-  return result.kind === "answer"
-    ? `answer ${result.answer.status}`
-    : result.failure.outcome;
+  if (result.kind === "failed") return result.failure.outcome;
+  const { status, isDelimited } = result.answer;
+  return `answer ${status}${isDelimited ? "" : " of unknown length"}`;
 }
 
 const note = {
