--- a/packages/gateway/src/streams/stage_recovery.ts
+++ b/packages/gateway/src/streams/stage_recovery.ts
@@ -20,11 +20,11 @@
 /** Pipeline changes in one run; the next lost stage stops it. */
 const MAX_PIPELINE_CHANGES = 2;
 /**
- * Longest wait for another engine to load the lost layers. Callers abandon a
- * stream after 2 s without an event, and a new stage has to read all tokens so
- * far before the next event.
+ * Silence up to which an answer waits for another engine of the domain to load
+ * the lost layers. Callers abandon a stream after 2 s without an event, and a new
+ * stage has to read all tokens so far before the next event.
  */
-const MAX_REPLACEMENT_WAIT_MS = 1_500;
+const MAX_REPLACEMENT_SILENCE_MS = 1_000;
 const REPLACEMENT_RETRY_MS = 50;
 /**
  * Share of an engine's memory up to which other pipelines may take over answers
@@ -74,6 +74,8 @@
   onStall(stall: Stall): void;
   /** Reports an event of the answer, which cancels a recovery in progress. */
   onEvent(): void;
+  /** Whether a later stage was lost, or the request, since the last event. */
+  isStalled(): boolean;
   /** Why the run was given up, or its engines are suspected; else `null`. */
   cause(): RecoveryCause | null;
   end(): void;
@@ -95,12 +97,15 @@
     /** Resolves to whether another engine may take a lost one's place. */
     readonly mayReplace?: (engineId: string) => Promise<boolean>;
     readonly onPipelineChanged: () => void;
+    /** When the caller received the last event, or sent its request. */
+    readonly lastEventAt: () => number;
   },
 ): StageRecovery {
   const { router, engines, fleet } = options.parts;
   const mayReplace = options.mayReplace ?? (async () => true);
   let cause: RecoveryCause | null = null;
   let hasEnded = false;
+  let isStalled = false;
   let changeCount = 0;
   /** Set while a recovery is in progress; an event aborts it. */
   let recovering: AbortController | null = null;
@@ -176,7 +181,7 @@
    * the link between the domains.
    */
   async function replaceBeforeDeadline(address: string): Promise<boolean> {
-    const deadlineAt = performance.now() + MAX_REPLACEMENT_WAIT_MS;
+    const deadlineAt = options.lastEventAt() + MAX_REPLACEMENT_SILENCE_MS;
     while (isRecoveryNeeded()) {
       if (await replace(address, true)) return true;
       if (!isRecoveryNeeded()) return false;
@@ -267,6 +272,7 @@
 
   return {
     onStall(stall) {
+      isStalled ||= stall.kind !== "first_engine";
       if (recovering || hasEnded || run.stop.signal.aborted) return;
       recovering = new AbortController();
       void recover(stall).finally(() => {
@@ -274,11 +280,13 @@
       });
     },
     onEvent() {
+      isStalled = false;
       recovering?.abort();
       if (run.stop.signal.aborted || hasEnded || cause === null) return;
       cause = null;
       run.pipeline.restore();
     },
+    isStalled: () => isStalled,
     cause: () => cause,
     end() {
       hasEnded = true;
