--- a/packages/gateway/src/streams/pipeline_router.ts
+++ b/packages/gateway/src/streams/pipeline_router.ts
@@ -124,8 +124,9 @@
   });
   const tables = new Map<string, ServiceTable>();
   const links = createDomainLinks(() => {
+    const domains = [...tables.values()].flatMap(({ table }) => table.domains);
     let count = 1;
-    for (const domain of domainNames())
+    for (const domain of new Set(domains))
       count += possibleSendersOf(domain).length;
     return count;
   });
@@ -142,28 +143,23 @@
     for (const { table } of tables.values()) table.watch(id);
   });
 
-  function domainNames(): Set<string> {
-    const names = new Set([failureDomain]);
-    for (const { table } of tables.values())
-      for (const { server } of table.rows) names.add(server.failureDomain);
-    return names;
-  }
-
   /** Prices the links; without `maxLoad`, busy ones are used as well. */
   function updateLinks(
-    { search }: EngineTable,
+    { search, domains }: EngineTable,
     { service, maxLoad }: PipelineRequest,
-  ): void {
-    if (service.engine?.model.linkTokenMs === undefined) return;
-    const names = [...domainNames()];
-    for (const [index, domain] of names.entries()) {
-      for (const other of names.slice(index + 1)) {
+  ): boolean {
+    if (service.engine?.model.linkTokenMs === undefined) return true;
+    let areUsable = true;
+    for (const [index, domain] of domains.entries()) {
+      for (const other of domains.slice(index + 1)) {
         const pair = [domain, other] as const;
         const isUsable = maxLoad === undefined || links.isFree(pair);
         const costMs = links.backlogMs(pair) * BACKLOG_COST_SHARE;
         search.setLinkMs(domain, other, isUsable ? costMs : Infinity);
+        areUsable &&= isUsable;
       }
     }
+    return areUsable;
   }
 
   /** Links that the activations of a prompt pass to or from unread stages. */
@@ -375,8 +371,7 @@
       markUsable(table, request, { ignoresLimits });
       if (!table.search.covers()) return false;
       if (ignoresLimits) return true;
-      updateLinks(table, request);
-      return table.search.find() !== null;
+      return updateLinks(table, request) || table.search.find() !== null;
     },
     replaceStage({ stages }, request) {
       const lostIndex = stages.findIndex(
