--- a/review/lib/client.mjs
+++ b/review/lib/client.mjs
@@ -11,8 +11,8 @@
 
 /**
  * Sends a request and resolves with what came. `ended` is `complete` where the
- * answer's framing says so, `open` where it has none, `cut` where it broke off,
- * and `none` where the connection ended without an answer.
+ * answer's framing says so, `cut` where it broke off, and `none` where the
+ * connection ended without an answer.
  */
 export function call(instance, options) {
   const id = options.id ?? newId();
@@ -75,7 +75,7 @@
           status: response.statusCode,
           headers: response.headers,
           body,
-          ended: endOf(response, error),
+          ended: response.complete && !error ? "complete" : "cut",
           error,
         }),
       );
@@ -84,12 +84,6 @@
   });
 }
 
-function endOf({ complete, headers }, error) {
-  if (!complete || error) return "cut";
-  const isFramed = headers["content-length"] ?? headers["transfer-encoding"];
-  return isFramed === undefined ? "open" : "complete";
-}
-
 /** Ids of the events in a stream, in order. */
 export function eventIds(body) {
   return [...body.matchAll(/^id: (\d+)$/gm)].map(([, id]) => Number(id));
