--- a/packages/pipelines/src/layer_plan.ts
+++ b/packages/pipelines/src/layer_plan.ts
@@ -10,8 +10,8 @@
 import type { ModelShape } from "./types.ts";
 
 /**
- * Returns the orders to own engines that give each group of engines a complete and
- * balanced set of layers. A failure domain with enough memory for the whole
+ * Returns the orders to own engines that give each group of engines a complete
+ * and balanced set of layers. A failure domain with enough memory for the whole
  * model forms its own group, so that its pipelines need no other domain. The
  * engines of smaller domains form one group together, or join a complete group
  * if they can't hold the whole model.
