Retries: the account behind each decision is logged and counted

What an account believed when it granted a retry (its share of the fixed allowance, its own requests, what it had taken) was in no log, so an excess over the fleet-wide limit couldn't be assigned to a cause.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -310,6 +310,7 @@
     unusableInputs: unusableInputs.totals,
     unexpectedErrors: unexpectedErrors.total,
     relayFollowers: countFollowers,
+    retries: budget.totals,
     servers: () =>
       new Map(services().map(({ name }) => [name, fleet.countServers(name)])),
   });
--- a/packages/gateway/src/operators/class_views_test.ts
+++ b/packages/gateway/src/operators/class_views_test.ts
@@ -95,6 +95,7 @@
       domains: () => new Map(),
       storeCalls: () => ({}),
       relayFollowers: () => 0,
+      retries: () => new Map(),
       unusableInputs: () => new Map(),
       unexpectedErrors: () => 0,
       waitingRequests: () => new Map(),
--- a/packages/gateway/src/operators/gateway_metrics.ts
+++ b/packages/gateway/src/operators/gateway_metrics.ts
@@ -9,6 +9,7 @@
   type ClosedConnection,
   priorityOf,
 } from "../callers/mod.ts";
+import type { RetryTotals } from "../forwarding/mod.ts";
 import { PROMPT_QUARANTINED } from "../prompts/mod.ts";
 import type { AdmissionObserver } from "../streams/mod.ts";
 
@@ -60,6 +61,8 @@
   readonly unusableInputs: () => ReadonlyMap<string, number>;
   /** Errors that no code expects, since the start. */
   readonly unexpectedErrors: () => number;
+  /** Retries since the start, by service. */
+  readonly retries: () => ReadonlyMap<string, RetryTotals>;
   /** Instances that receive changes of the store through this one. */
   readonly relayFollowers: () => number;
 }
@@ -225,6 +228,20 @@
     },
   });
 
+  new Counter({
+    name: "rosemarypin_retries_total",
+    help: "Retries taken from the fleet's limit, and refused as none was left",
+    labelNames: ["service", "decision"] as const,
+    registers,
+    collect() {
+      this.reset();
+      for (const [service, { taken, refused }] of gauges.retries()) {
+        this.inc({ service, decision: "taken" }, taken);
+        this.inc({ service, decision: "refused" }, refused);
+      }
+    },
+  });
+
   new Counter({
     name: "rosemarypin_unexpected_errors_total",
     help: "Errors that no code expects, in requests or anywhere else",
--- a/packages/gateway/src/operators/gateway_metrics_test.ts
+++ b/packages/gateway/src/operators/gateway_metrics_test.ts
@@ -16,6 +16,7 @@
   classLevels: () => new Map(),
   domains: () => new Map(),
   storeCalls: () => ({}),
+  retries: () => new Map(),
   relayFollowers: () => 0,
   unusableInputs: () => new Map(),
   unexpectedErrors: () => 0,
@@ -42,6 +43,19 @@
       expect(page).toContain(`${line}\n`);
   });
 
+  // Guards against callers that are refused for want of retries, unseen.
+  it("show retries that were taken and refused", async () => {
+    const { registry } = createGatewayMetrics({
+      ...GAUGES,
+      retries: () => new Map([["shop", { taken: 5, refused: 2 }]]),
+    });
+    const page = await registry.metrics();
+    expect(page.match(/^rosemarypin_retries_total.*$/gm)).toEqual([
+      'rosemarypin_retries_total{service="shop",decision="taken"} 5',
+      'rosemarypin_retries_total{service="shop",decision="refused"} 2',
+    ]);
+  });
+
   it("show limits and needs of failure domains as far as they are known", async () => {
     const { registry } = createGatewayMetrics({
       ...GAUGES,
--- a/packages/gateway/src/plain/forward_plain.ts
+++ b/packages/gateway/src/plain/forward_plain.ts
@@ -162,6 +162,7 @@
     const isLast = !isRetryable || possibleRuns + 1 >= maxAttempts;
     lastAttempt = await attemptOnce(call, server, {
       ...parts,
+      attempt: sentAttempts + 1,
       timeoutMs: isLast ? null : tryTimeoutOf(call),
       mayAbort: reserveNext,
     });
@@ -258,6 +259,8 @@
   call: CallerCall,
   server: BackendServer,
   options: ForwardParts & {
+    /** Counts the call's attempts that have reached servers, with this one. */
+    readonly attempt: number;
     /** Time after which another attempt may take its place. */
     readonly timeoutMs: number | null;
     readonly mayAbort: () => boolean;
@@ -269,6 +272,7 @@
     request: call.id,
     route: call.route.name,
     id: server.id,
+    attempt: options.attempt,
     left_ms: timeLeftMs(call).toFixed(0),
   });
   choice.requestStarted(server.id);
--- a/packages/gateway/src/streams/forward_stream.ts
+++ b/packages/gateway/src/streams/forward_stream.ts
@@ -415,6 +415,7 @@
         progress,
         parts,
         prompt,
+        attempt: sentAttempts + 1,
         ...measure,
       });
     } finally {
--- a/packages/gateway/src/streams/stream_run.ts
+++ b/packages/gateway/src/streams/stream_run.ts
@@ -100,6 +100,8 @@
     readonly progress: StreamProgress;
     readonly parts: StreamParts;
     readonly prompt: RunningPrompt;
+    /** Counts the call's attempts that have reached servers, with this one. */
+    readonly attempt: number;
     /** Called when the first part of the run's answer arrives. */
     readonly onFirstEvent?: () => void;
   },
@@ -113,6 +115,7 @@
     route: call.route.name,
     id: first.id,
     stages: stages.map(({ engineId }) => engineId).join(","),
+    attempt: options.attempt,
     prompt_parts: call.metadata.sharedPromptParts.join(",") || undefined,
     after_event: progress.lastEventId ?? undefined,
     left_ms: timeLeftMs(call).toFixed(0),
--- a/packages/telemetry/src/event_catalogue.ts
+++ b/packages/telemetry/src/event_catalogue.ts
@@ -47,12 +47,13 @@
   },
   Requests: {
     request_sent: {
-      says: "an attempt is sent to a backend server; `stages` lists its engines, `prompt_parts` the parts of its prompt that other requests may share, and events up to `after_event` were already received; `load` and `backlog_ms` are the highest used memory and the longest backlog of prompts that the instance believed of its engines",
+      says: "an attempt is sent to a backend server, the `attempt`th of this instance that arrives at one; `stages` lists its engines, `prompt_parts` the parts of its prompt that other requests may share, and events up to `after_event` were already received; `load` and `backlog_ms` are the highest used memory and the longest backlog of prompts that the instance believed of its engines",
       fields: [
         "request",
         "route",
         "id",
         "stages",
+        "attempt",
         "prompt_parts",
         "after_event",
         "left_ms",
@@ -60,6 +61,18 @@
         "backlog_ms",
       ],
     },
+    retries_counted: {
+      says: "in the part of the window of the retry limit that has just ended, this instance took or was refused retries; `window_retries` were taken in the whole window, of `allowed`, with `share` of the fleet's fixed allowance and `window_requests` of its own",
+      fields: [
+        "service",
+        "taken",
+        "refused",
+        "window_retries",
+        "window_requests",
+        "allowed",
+        "share",
+      ],
+    },
     run_refused: {
       says: "the engine `id` did not run an attempt; `faulty` is the engine that the refusal names",
       fields: ["request", "id", "faulty", "status"],
