Retry limit: no start, end, cut or recount of instances gives a part out twice

What callers saw: engines that reject get up to 362 retries in 10 s where 335 are allowed, while instances restart, and answers are late and cut.

Cause: each instance took slack / (count of others that aren't leaving) from an account in its own memory. A leaving instance isn't counted by the others while it goes on sending and what it took stands in the window; a new process has an empty account; a recount doesn't take back.

Now the part is 1/n of the most instances listed in the last window, leaving ones included. A process whose predecessor may have used the part has a quarter of it for a window (none after two starts in one), as has one that others may not count yet or whose list is old; none once its entry may be gone. Retries count from when they are taken until a whole window after they are sent; before, a tenth of the window was forgotten early, and a retry that waited was counted before it was sent. Engines' request limits count leaving instances too. The budget moves to packages/limits.

--- /dev/null
+++ b/packages/gateway/src/following/fleet_share_test.ts
@@ -0,0 +1,267 @@
+import { createInstanceDomain } from "@rosemarypin/fakes";
+import { createRetryBudget, type RetryLimit } from "@rosemarypin/limits";
+import fc from "fast-check";
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import { createFleetShare, type FleetView } from "./fleet_share.ts";
+import { startPresence } from "./presence.ts";
+
+const LIMIT: RetryLimit = { ratio: 0.2, windowMs: 10_000, slack: 200 };
+const STEP_MS = 250;
+const REQUESTS_PER_STEP = 4;
+const RETRIES_WANTED_PER_STEP = 12;
+const NAMES = ["i-1", "i-2", "i-3", "i-4", "i-5", "i-6", "i-7", "i-8"];
+const SEED = 61;
+
+beforeEach(() => {
+  vi.useFakeTimers();
+});
+afterEach(() => {
+  vi.useRealTimers();
+});
+
+function createFleet() {
+  return createInstanceDomain(async ({ name, address, store, signal }) => {
+    const presence = startPresence({
+      store,
+      instance: name,
+      failureDomain: `domain of ${name}`,
+      peer: address,
+      signal,
+    });
+    const share = createFleetShare({
+      windowMs: LIMIT.windowMs,
+      view: presence.fleetView,
+    });
+    return { presence, share, budget: createRetryBudget(LIMIT, share) };
+  });
+}
+
+type Fleet = ReturnType<typeof createFleet>;
+
+/** What happens to one instance; one that doesn't run is started. */
+const eventArbitrary = fc.record({
+  afterSteps: fc.integer({ min: 0, max: 30 }),
+  name: fc.constantFrom(...NAMES),
+  kind: fc.constantFrom(
+    "start",
+    "kill",
+    "restart",
+    "leave",
+    "cut",
+    "heal",
+    "slow",
+    "lose_renewals",
+    "lose_replies",
+    "restart_all",
+  ),
+});
+
+type FleetEvent =
+  typeof eventArbitrary extends fc.Arbitrary<infer Event> ? Event : never;
+
+function apply(fleet: Fleet, { name, kind }: FleetEvent): void {
+  if (kind === "restart_all") {
+    for (const each of fleet.names()) {
+      fleet.kill(each);
+      void fleet.start(each);
+    }
+    return;
+  }
+  const runs = fleet.names().includes(name);
+  if (!runs) {
+    void fleet.start(name);
+    return;
+  }
+  const faults = fleet.faults(name);
+  if (kind === "kill" || kind === "restart") fleet.kill(name);
+  if (kind === "restart") void fleet.start(name);
+  if (kind === "leave") {
+    void fleet.get(name).presence.leave();
+    setTimeout(() => {
+      if (fleet.names().includes(name)) fleet.kill(name);
+    }, 8_000);
+  }
+  if (kind === "cut") faults.down = true;
+  if (kind === "heal") Object.assign(faults, { down: false, delayMs: 2 });
+  if (kind === "slow") faults.delayMs = 4_000;
+  if (kind === "lose_renewals") faults.loseRequests = 3;
+  if (kind === "lose_replies") faults.loseReplies = 3;
+}
+
+interface Step {
+  readonly requests: number;
+  readonly retries: number;
+}
+
+/** Lets each instance take all the retries that it gets meanwhile. */
+async function advance(fleet: Fleet, steps: number): Promise<Step[]> {
+  const taken: Step[] = [];
+  for (let step = 0; step < steps; step += 1) {
+    let retries = 0;
+    for (const name of fleet.names()) {
+      const { budget } = fleet.get(name);
+      for (let count = 0; count < REQUESTS_PER_STEP; count += 1)
+        budget.countRequest("s");
+      for (let count = 0; count < RETRIES_WANTED_PER_STEP; count += 1) {
+        const retry = budget.takeRetry("s");
+        retry?.send();
+        if (retry) retries += 1;
+      }
+    }
+    const requests = REQUESTS_PER_STEP * fleet.names().length;
+    taken.push({ requests, retries });
+    await vi.advanceTimersByTimeAsync(STEP_MS);
+  }
+  return taken;
+}
+
+/** Most retries beyond the limit in any window. */
+function excess(steps: readonly Step[]): number {
+  const length = LIMIT.windowMs / STEP_MS;
+  const sum = (from: number, key: keyof Step) =>
+    steps
+      .slice(Math.max(0, from), Math.max(0, from + length))
+      .reduce((total, step) => total + step[key], 0);
+  return Math.max(
+    ...steps.map((_, from) => {
+      const requests = [0, length / 2, length].map((earlier) =>
+        sum(from - earlier, "requests"),
+      );
+      const allowed = LIMIT.slack + LIMIT.ratio * Math.max(...requests);
+      return sum(from, "retries") - allowed;
+    }),
+  );
+}
+
+describe("the retries of a fleet", () => {
+  // Guards against parts of the limit that are given out twice by a start, an
+  // end, a cut or a recount.
+  it(`stay within the limit in any window (seed ${SEED})`, {
+    timeout: 120_000,
+  }, async () => {
+    const property = fc.asyncProperty(
+      fc.integer({ min: 1, max: NAMES.length }),
+      fc.array(eventArbitrary, { minLength: 4, maxLength: 14 }),
+      async (running, events) => {
+        const fleet = createFleet();
+        try {
+          await Promise.all(NAMES.slice(0, running).map(fleet.start));
+          const steps = await advance(fleet, 60);
+          for (const event of events) {
+            steps.push(...(await advance(fleet, event.afterSteps)));
+            apply(fleet, event);
+          }
+          steps.push(...(await advance(fleet, 120)));
+          expect(excess(steps)).toBeLessThanOrEqual(0);
+        } finally {
+          fleet.end();
+        }
+      },
+    );
+    await fc.assert(property, { seed: SEED, numRuns: 60 });
+  });
+
+  // Guards against a limit that holds since nothing is allowed: a fleet without
+  // changes has to get the usable part of its limit.
+  it("are as many as the usable part of the limit in a steady fleet", async () => {
+    const fleet = createFleet();
+    await Promise.all(NAMES.slice(0, 4).map(fleet.start));
+    await advance(fleet, 80);
+    const steps = await advance(fleet, 400);
+    const retries = steps.reduce((total, step) => total + step.retries, 0);
+    const windows = (steps.length * STEP_MS) / LIMIT.windowMs;
+    fleet.end();
+    expect(retries / windows).toBeGreaterThan(0.65 * (200 + 0.2 * 640));
+  });
+});
+
+describe("share of a fleet-wide allowance", () => {
+  let view: FleetView;
+
+  beforeEach(() => {
+    view = {
+      count: 4,
+      knownAt: performance.now(),
+      listedSince: -Infinity,
+      startedWithAll: false,
+      predecessorRanForMs: null,
+      renewedAt: performance.now(),
+    };
+  });
+
+  function createShare() {
+    return createFleetShare({ windowMs: 10_000, view: () => view });
+  }
+
+  async function pass(ms: number): Promise<void> {
+    await vi.advanceTimersByTimeAsync(ms);
+    const now = performance.now();
+    view = { ...view, knownAt: now, renewedAt: now };
+  }
+
+  it("is a quarter for a window after the end of an earlier process", async () => {
+    view = { ...view, predecessorRanForMs: 10_000 };
+    const share = createShare();
+    await pass(9_999);
+    expect(share()).toBe(1 / 16);
+    await pass(1);
+    expect(share()).toBe(1 / 4);
+  });
+
+  it("is none for a window after the second start within one", async () => {
+    view = { ...view, predecessorRanForMs: 9_000 };
+    const share = createShare();
+    await pass(9_999);
+    expect(share()).toBe(0);
+    await pass(1);
+    expect(share()).toBe(1 / 4);
+  });
+
+  it("is whole once the instances of a new fleet know of each other", async () => {
+    const listedSince = performance.now();
+    view = { ...view, listedSince, startedWithAll: true };
+    const share = createShare();
+    await pass(999);
+    expect(share()).toBe(1 / 16);
+    await pass(1);
+    expect(share()).toBe(1 / 4);
+  });
+
+  it("grows a window after the number of instances has fallen", async () => {
+    const share = createShare();
+    await pass(20_000);
+    share();
+    view = { ...view, count: 2 };
+    await pass(20_000);
+    expect(share()).toBe(1 / 4);
+    await pass(9_000);
+    expect(share()).toBe(1 / 4);
+    await pass(1_001);
+    expect(share()).toBe(1 / 2);
+  });
+
+  it("shrinks at once when the number of instances has grown", async () => {
+    const share = createShare();
+    await pass(20_000);
+    view = { ...view, count: 5 };
+    expect(share()).toBe(1 / 5);
+  });
+
+  it("is a quarter until all others count an instance that joins", async () => {
+    view = { ...view, listedSince: performance.now() };
+    const share = createShare();
+    await pass(29_999);
+    expect(share()).toBe(1 / 16);
+    await pass(1);
+    expect(share()).toBe(1 / 4);
+  });
+
+  it("is a quarter while the list is old, and none once the entry may be gone", async () => {
+    const share = createShare();
+    await pass(20_000);
+    await vi.advanceTimersByTimeAsync(20_001);
+    expect(share()).toBe(1 / 16);
+    await vi.advanceTimersByTimeAsync(30_000);
+    expect(share()).toBe(0);
+  });
+});
--- a/packages/gateway/src/following/mod.ts
+++ b/packages/gateway/src/following/mod.ts
@@ -1,5 +1,6 @@
 /** Replicates store objects to each instance and tracks live instances. */
 export * from "./configuration_keeper.ts";
+export { createFleetShare } from "./fleet_share.ts";
 export * from "./occasional_log.ts";
 export {
   type LiveInstance,
--- a/packages/gateway/src/following/presence.ts
+++ b/packages/gateway/src/following/presence.ts
@@ -4,10 +4,15 @@
  * read the objects for the instances that follow them.
  */
 import type { Address } from "@rosemarypin/schemas";
-import type { ObjectStore } from "@rosemarypin/store";
+import type { ObjectStore, StoredObject } from "@rosemarypin/store";
 import { createLogger } from "@rosemarypin/telemetry";
 import { createInterruptibleTimer } from "@rosemarypin/timing";
 import { z } from "zod";
+import {
+  type FleetView,
+  MAX_RENEWAL_AGE_MS,
+  MAX_VIEW_AGE_MS,
+} from "./fleet_share.ts";
 import { createOccasionalWarning } from "./occasional_log.ts";
 import {
   createPresenceTable,
@@ -15,6 +20,7 @@
   type ObservedPresence,
   PRESENCE_PREFIX,
   type PresenceObject,
+  presenceSchema,
 } from "./presence_table.ts";
 import {
   type DomainInstance,
@@ -51,6 +57,9 @@
 /** A wait without a reason to end; timers take no longer ones. */
 const MAX_TIMER_MS = 2 ** 31 - 1;
 
+/** Instances whose starts differ by less may be those of a fleet that starts. */
+const FLEET_START_SPREAD_MS = 3_000;
+
 /** Assumed until the first read of the objects succeeds. */
 const INITIAL_INSTANCE_COUNT = 8;
 
@@ -70,6 +79,8 @@
    * be cut off and still send requests.
    */
   countPossiblyLive(failureDomain: string | null): number;
+  /** What decides on this instance's part of fleet-wide allowances. */
+  fleetView(): FleetView;
   /** Names of other instances in a failure domain that may send requests. */
   possibleSendersOf(failureDomain: string): readonly string[];
   /** Whether a failure domain has another live instance that reaches engines. */
@@ -138,6 +149,7 @@
   const { store, instance, failureDomain, peer, ability, signal } = options;
   const ownKey = `${PRESENCE_PREFIX}${instance}`;
   const startedAt = Date.now();
+  const startedAtMs = performance.now();
   const table = createPresenceTable(ownKey);
   const list = createPresenceList(table);
   let renewal = 0;
@@ -148,6 +160,12 @@
   let following: FollowingState = "none";
   let lastFollowerAt = -Infinity;
   let renewedAt = -Infinity;
+  /** When the latest renewal that succeeded was begun. */
+  let storedAt = -Infinity;
+  let listedSince = Infinity;
+  let startedWithAll = false;
+  /** The object of this instance's earlier process, as the first list had it. */
+  let predecessor: PresenceObject | null = null;
   /** Delay before a failed renewal is repeated; `null` if it succeeded. */
   let retryMs: number | null = null;
   let lastListAttemptAt = -Infinity;
@@ -229,6 +247,28 @@
     // attempt continues from the actual version.
     const isWritten = (await tryWrite()) || (await tryWrite());
     retryMs = isWritten ? null : RENEWAL_RETRY_MS * (0.5 + Math.random() / 2);
+    if (isWritten) recordRenewal(renewedAt);
+  }
+
+  function recordRenewal(begunAt: number): void {
+    const isFirst = storedAt === -Infinity;
+    if (isFirst && predecessor?.isEstablished) listedSince = -Infinity;
+    else if (isFirst || begunAt - storedAt > MAX_RENEWAL_AGE_MS) {
+      listedSince = performance.now();
+      startedWithAll &&= isFirst;
+    }
+    storedAt = begunAt;
+  }
+
+  function applyFirstList(objects: readonly StoredObject[]): void {
+    const own = objects.find(({ key }) => key === ownKey);
+    predecessor = presenceSchema.safeParse(own?.value).data ?? null;
+    startedWithAll = table
+      .entries()
+      .every(
+        ({ presence }) =>
+          presence.startedAt > startedAt - FLEET_START_SPREAD_MS,
+      );
   }
 
   /** Resolves to `false` if the object was at another version. */
@@ -241,6 +281,8 @@
       peer,
       leaving: isLeaving,
       reachesEngines,
+      isEstablished: isEstablished(),
+      ranForMs: performance.now() - startedAtMs,
       ...(ability === undefined ? {} : { ability }),
     };
     const result = await store.write(ownKey, value, {
@@ -259,9 +301,11 @@
       hasListFailed = true;
       return;
     }
+    const isFirst = lastListedAt === -Infinity;
     lastListedAt = requestedAt;
     knowsOthers = true;
     table.applyList(result.value, { isRecovery: hasListFailed });
+    if (isFirst) applyFirstList(result.value);
     hasListFailed = false;
     const own = result.value.find(({ key }) => key === ownKey);
     version ??= own?.version ?? null;
@@ -277,6 +321,11 @@
     log.info("instance_forgotten", { key });
   }
 
+  function isEstablished(): boolean {
+    const listedForMs = performance.now() - listedSince;
+    return startedWithAll ? listedForMs >= 0 : listedForMs >= MAX_VIEW_AGE_MS;
+  }
+
   function runningOthers(): ObservedPresence[] {
     return table.entries().filter(({ presence }) => !presence.leaving);
   }
@@ -313,13 +362,25 @@
   return {
     countPossiblyLive(domain) {
       const isIn = (other: string) => domain === null || other === domain;
-      const others = runningOthers().filter(({ presence }) =>
-        isIn(presence.failureDomain),
-      ).length;
+      // One that is leaving goes on with the answers that it has begun.
+      const others = table
+        .entries()
+        .filter(({ presence }) => isIn(presence.failureDomain))
+        .filter(
+          (other) => !other.presence.leaving || table.maySend(other),
+        ).length;
       const count = others + (isIn(failureDomain) ? 1 : 0);
       const isUnknown = domain === null && !table.hasRead();
       return isUnknown ? Math.max(INITIAL_INSTANCE_COUNT, count) : count;
     },
+    fleetView: () => ({
+      count: table.hasRead() ? table.entries().length + 1 : null,
+      knownAt: table.knownAt(),
+      listedSince,
+      startedWithAll,
+      predecessorRanForMs: predecessor && (predecessor.ranForMs ?? 0),
+      renewedAt: storedAt,
+    }),
     possibleSendersOf: (domain) =>
       runningOthers()
         .filter(({ presence }) => presence.failureDomain === domain)
--- a/packages/gateway/src/following/presence_table.ts
+++ b/packages/gateway/src/following/presence_table.ts
@@ -47,7 +47,7 @@
   port: z.int().min(1).max(65_535),
 });
 
-const presenceSchema = z.object({
+export const presenceSchema = z.object({
   failureDomain: z.string(),
   /** Start of the process in Unix milliseconds. */
   startedAt: z.number(),
@@ -65,6 +65,10 @@
    * is unknown and the rest of the object holds.
    */
   ability: z.number().min(0).max(MAX_ABILITY).optional().catch(undefined),
+  /** Whether all others count the instance; for its next process. */
+  isEstablished: z.boolean().optional().catch(undefined),
+  /** How long the process has run, in milliseconds; for its next process. */
+  ranForMs: z.number().min(0).optional().catch(undefined),
 });
 
 export type PresenceObject = z.infer<typeof presenceSchema>;
@@ -90,6 +94,8 @@
   hasRead(): boolean;
   /** When the latest list was read from the store, by this one or a relay. */
   lastReadAt(): number;
+  /** When the list was last as it is known here. */
+  knownAt(): number;
   entries(): readonly ObservedPresence[];
   /** Applies a list of the store; `isRecovery` if the last one failed. */
   applyList(
@@ -199,6 +205,7 @@
   return {
     hasRead: () => lastReadAt > -Infinity,
     lastReadAt: () => lastReadAt,
+    knownAt: () => Math.max(lastReadAt, confirmedAt),
     entries: () => [...observedByKey.values()],
     applyList(objects, { isRecovery }) {
       const now = performance.now();
--- a/packages/gateway/src/following/relayed_presence.ts
+++ b/packages/gateway/src/following/relayed_presence.ts
@@ -34,7 +34,12 @@
     const flags = [table.isLive, table.isReachable, table.maySend]
       .map((has) => (has(observed) ? 1 : 0))
       .join("");
-    const { renewal: _, ...announced } = observed.presence;
+    const {
+      renewal: _renewal,
+      isEstablished: _isEstablished,
+      ranForMs: _ranForMs,
+      ...announced
+    } = observed.presence;
     return `${observed.key} ${flags} ${JSON.stringify(announced)}`;
   }
 
--- a/packages/gateway/src/forwarding/forwarding_parts.ts
+++ b/packages/gateway/src/forwarding/forwarding_parts.ts
@@ -1,8 +1,8 @@
 /** Dependencies of forwarding plain calls and streams. */
+import type { RetryBudget } from "@rosemarypin/limits";
 import type { BackendExchange, BackendFleet } from "../backends/mod.ts";
 import type { RefusalParts } from "../callers/mod.ts";
 import type { AnswerBuffers } from "./answer_buffers.ts";
-import type { RetryBudget } from "./retry_budget.ts";
 
 export interface ForwardingParts extends RefusalParts {
   readonly exchange: BackendExchange;
--- a/packages/gateway/src/forwarding/mod.ts
+++ b/packages/gateway/src/forwarding/mod.ts
@@ -2,4 +2,3 @@
 export * from "./answer_buffers.ts";
 export * from "./backend_request.ts";
 export * from "./forwarding_parts.ts";
-export * from "./retry_budget.ts";
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -3,6 +3,7 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { setImmediate as nextTurn } from "node:timers/promises";
 import { createReturningCallers } from "@rosemarypin/admission";
+import { createRetryBudget } from "@rosemarypin/limits";
 import { createPeerCaller, createUdpTransport } from "@rosemarypin/membership";
 import { countStoreCalls, type StoredObject } from "@rosemarypin/store";
 import { createLogger } from "@rosemarypin/telemetry";
@@ -28,9 +29,10 @@
 import type { Service } from "./configuration.ts";
 import {
   createConfigurationKeeper,
+  createFleetShare,
   startStoreFollowing,
 } from "./following/mod.ts";
-import { createAnswerBuffers, createRetryBudget } from "./forwarding/mod.ts";
+import { createAnswerBuffers } from "./forwarding/mod.ts";
 import {
   createHelperInstances,
   createRequestHandoff,
@@ -204,8 +206,12 @@
     // Links to the servers of other services are often lost together.
     for (const { name } of services()) fleet.reachability.check(name);
   });
-  const budget = createRetryBudget(settings.retryBudget, () =>
-    presence.countPossiblyLive(null),
+  const budget = createRetryBudget(
+    settings.retryBudget,
+    createFleetShare({
+      windowMs: settings.retryBudget.windowMs,
+      view: presence.fleetView,
+    }),
   );
   const exchange = createBackendExchange();
   const answerBuffers = createAnswerBuffers();
@@ -387,8 +393,10 @@
     handedOff,
   }: CallerCall): Promise<string | null> {
     if (await fleet.reachability.settled(service.name)) return "cut_off";
-    const lacksRetry = handedOff?.takesRetry && !budget.takeRetry(service.name);
-    return lacksRetry ? "no_retry_left" : null;
+    if (!handedOff?.takesRetry) return null;
+    const retry = budget.takeRetry(service.name);
+    retry?.send();
+    return retry ? null : "no_retry_left";
   }
 
   async function forward(call: CallerCall): Promise<CallEnd> {
--- a/packages/gateway/src/operators/gateway_metrics.ts
+++ b/packages/gateway/src/operators/gateway_metrics.ts
@@ -1,6 +1,7 @@
 /** Prometheus metrics of one gateway. */
 import { performance as runtime } from "node:perf_hooks";
 import type { ClassLevel } from "@rosemarypin/admission";
+import type { RetryTotals } from "@rosemarypin/limits";
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import type { ServerCounts } from "../backends/mod.ts";
 import {
@@ -9,7 +10,6 @@
   type ClosedConnection,
   priorityOf,
 } from "../callers/mod.ts";
-import type { RetryTotals } from "../forwarding/mod.ts";
 import { PROMPT_QUARANTINED } from "../prompts/mod.ts";
 import type { AdmissionObserver } from "../streams/mod.ts";
 
--- a/packages/gateway/src/plain/forward_plain.ts
+++ b/packages/gateway/src/plain/forward_plain.ts
@@ -1,4 +1,5 @@
 /** Forwards requests of plain services, with a bounded number of retries. */
+import type { Retry } from "@rosemarypin/limits";
 import { createLogger } from "@rosemarypin/telemetry";
 import { withTimeout } from "@rosemarypin/timing";
 import type { BackendServer } from "../backend_server.ts";
@@ -91,14 +92,15 @@
   let mayHaveHelper = true;
   let retryAfterSeconds: number | null = null;
   let lastAttempt = unsentAttempt("no_server");
-  /** Server and retry of the attempt after the present one. */
+  /** Server of the attempt after the present one, and its retry. */
   let nextServer: BackendServer | null = null;
-  let hasRetry = false;
+  let retry: Retry | null = null;
   while (!call.signal.aborted) {
     const usesHelper = mayHaveHelper && (await handoff.isNeeded(call));
     const isOver = await (usesHelper ? tryHelper() : tryServer());
     if (isOver) break;
   }
+  releaseRetry();
   reportFailedServers(call, failedServers);
   if (call.hasCallerLeft()) {
     const reason = "caller_left";
@@ -124,6 +126,8 @@
       maxAttempts - possibleRuns,
       isRetryable,
     );
+    const takesRetry = sentAttempts > 0 && !takeRetry();
+    retry?.send();
     const attempt = await attemptOnHelper(call, {
       codec,
       handoff,
@@ -131,7 +135,7 @@
       maxAttempts: helperAttempts,
       usedHelpers,
       failedServers,
-      takesRetry: sentAttempts > 0 && !budget.takeRetry(service),
+      takesRetry,
     });
     if (attempt.kind === "unavailable") {
       mayHaveHelper = false;
@@ -146,6 +150,7 @@
     }
     lastAttempt = attempt;
     sentAttempts += 1;
+    retry = null;
     possibleRuns += helperAttempts;
     return isFinal(attempt) || !isRetryable || possibleRuns >= maxAttempts;
   }
@@ -156,7 +161,9 @@
     nextServer = null;
     if (!server) return true;
     if (sentAttempts > 0 && !takeRetry()) return true;
-    hasRetry = false;
+    const presentRetry = retry;
+    presentRetry?.send();
+    retry = null;
     attempts += 1;
     triedIds.add(server.id);
     const isLast = !isRetryable || possibleRuns + 1 >= maxAttempts;
@@ -168,6 +175,7 @@
     });
     if (lastAttempt.kind === "not_run") {
       if (lastAttempt.wasSent) sentAttempts += 1;
+      else presentRetry?.release();
       return attempts - possibleRuns > MAX_REFUSALS;
     }
     sentAttempts += 1;
@@ -182,8 +190,13 @@
   }
 
   function takeRetry(): boolean {
-    hasRetry ||= budget.takeRetry(service);
-    return hasRetry;
+    retry ??= budget.takeRetry(service);
+    return retry !== null;
+  }
+
+  function releaseRetry(): void {
+    retry?.release();
+    retry = null;
   }
 
   /** Whether another attempt can follow a server that is silent. */
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -1,19 +1,11 @@
 /** Start-up settings of an instance. */
+import type { RetryLimit } from "@rosemarypin/limits";
 
 export interface ListenAddress {
   readonly host: string;
   readonly port: number;
 }
 
-/** Limits of the retries that all instances together send to one service. */
-export interface RetryBudgetSettings {
-  /** Retries per request in the window. */
-  readonly ratio: number;
-  readonly windowMs: number;
-  /** Retries that are allowed in addition to the ratio. */
-  readonly slack: number;
-}
-
 export interface GatewaySettings {
   readonly instance: string;
   readonly failureDomain: string;
@@ -34,5 +26,5 @@
   readonly storeAddress: string;
   /** Milliseconds from the stop signal until the process is killed. */
   readonly graceMs: number;
-  readonly retryBudget: RetryBudgetSettings;
+  readonly retryBudget: RetryLimit;
 }
--- a/packages/gateway/src/streams/forward_stream.ts
+++ b/packages/gateway/src/streams/forward_stream.ts
@@ -3,6 +3,7 @@
  * another pipeline after the last event that the caller has received.
  */
 import type { RetryDelayRange } from "@rosemarypin/admission";
+import type { Retry } from "@rosemarypin/limits";
 import type { BackendServer } from "../backend_server.ts";
 import type { BackendFleet } from "../backends/mod.ts";
 import {
@@ -92,10 +93,10 @@
   let runs = 0;
   let lostRuns = 0;
   let sentAttempts = 0;
-  /** Whether a retry was taken from the budget and not used so far. */
-  let hasRetry = false;
-  /** Whether another one was taken for the run after the present one. */
-  let hasSpareRetry = false;
+  /** Taken from the budget, and not known to have arrived so far. */
+  let retry: Retry | null = null;
+  /** Taken for the run after the present one. */
+  let spareRetry: Retry | null = null;
   /** The pipeline of the run after the present one. */
   let reserved: ChosenPipeline | null = null;
   /** The answer of another instance that follows the present run. */
@@ -134,6 +135,7 @@
     if (isOver) break;
   }
   releaseReserved();
+  releaseRetry();
   reportFailedServers(call, failedServers);
   return endCall(call, {
     lastEnd,
@@ -189,17 +191,20 @@
 
   /** Whether the call may be sent, or sent once more within the budget. */
   function maySend(): boolean {
-    hasRetry ||= sentAttempts > 0 && takeRetry();
-    return sentAttempts === 0 || hasRetry;
+    if (sentAttempts === 0) return true;
+    retry ??= spareRetry ?? budget.takeRetry(service);
+    spareRetry = null;
+    return retry !== null;
   }
 
-  function takeRetry(): boolean {
-    const isTaken = hasSpareRetry || budget.takeRetry(service);
-    hasSpareRetry = false;
-    return isTaken;
+  function releaseRetry(): void {
+    retry?.release();
+    retry = null;
   }
 
   function releaseReserved(): void {
+    spareRetry?.release();
+    spareRetry = null;
     reserved?.release();
     reserved = null;
     begun?.answer.abandon();
@@ -229,36 +234,43 @@
       },
       cancel: releaseReserved,
       async reserve(cause, signal) {
-        const { hasBegun } = progress;
-        const elapsedMs = performance.now() - startedAt;
-        if (resumable && !hasBegun && elapsedMs > MAX_UNBEGUN_RUN_MS)
-          return true;
-        if (!isAllowed(cause)) return false;
-        if (runsLeft() <= 1 && !(await isLost())) return false;
-        if (await handoff.isNeeded(call))
-          return mayAskHelper() && beginElsewhere(cause, signal);
-        hasSpareRetry ||= budget.takeRetry(service);
-        if (!hasSpareRetry) return false;
-        const admitted = await admission.admit({ hasBegun, signal });
-        if (admitted.kind === "out_of_reach")
-          return mayAskHelper() && beginElsewhere(cause, signal);
-        if (admitted.kind !== "admitted") return false;
-        reserved = admitted.pipeline;
-        const isReady = await mayRunPrompt();
-        if (!isReady) releaseReserved();
-        else if (cause === "first_engine_away") {
-          void isLost().then((isEngineLost) => {
-            if (isEngineLost) lostRuns += 1;
-          });
-        }
-        return isReady;
+        const isReserved = await reserve(cause, signal);
+        if (!isReserved) releaseReserved();
+        return isReserved;
       },
     };
+
+    async function reserve(
+      cause: RecoveryCause,
+      signal: AbortSignal,
+    ): Promise<boolean> {
+      const { hasBegun } = progress;
+      const elapsedMs = performance.now() - startedAt;
+      if (resumable && !hasBegun && elapsedMs > MAX_UNBEGUN_RUN_MS) return true;
+      if (!isAllowed(cause)) return false;
+      if (runsLeft() <= 1 && !(await isLost())) return false;
+      if (await handoff.isNeeded(call))
+        return mayAskHelper() && beginElsewhere(cause, signal);
+      spareRetry ??= budget.takeRetry(service);
+      if (!spareRetry) return false;
+      const admitted = await admission.admit({ hasBegun, signal });
+      if (admitted.kind === "out_of_reach")
+        return mayAskHelper() && beginElsewhere(cause, signal);
+      if (admitted.kind !== "admitted") return false;
+      reserved = admitted.pipeline;
+      if (!(await mayRunPrompt())) return false;
+      if (cause === "first_engine_away") {
+        void isLost().then((isEngineLost) => {
+          if (isEngineLost) lostRuns += 1;
+        });
+      }
+      return true;
+    }
   }
 
   function countSent(): void {
     sentAttempts += 1;
-    hasRetry = false;
+    retry = null;
   }
 
   /** Asks other instances for an answer, and counts what may have run there. */
@@ -295,20 +307,26 @@
     cause: RecoveryCause,
     signal: AbortSignal,
   ): Promise<boolean> {
-    hasSpareRetry ||= budget.takeRetry(service);
-    const takesRetry = !hasSpareRetry;
+    spareRetry ??= budget.takeRetry(service);
+    spareRetry?.send();
+    const takesRetry = spareRetry === null;
     const present = cause === "first_engine_away" ? 0 : 1;
     const end = await askHelper(runsLeft() - present, { takesRetry, signal });
     if (end.kind === "unavailable" || end.kind === "refused") return false;
-    hasSpareRetry = false;
+    spareRetry = null;
     begun = end.kind === "begun" ? end : null;
     return begun !== null;
   }
 
+  async function sendToHelper(): Promise<BegunAnswer | HelperRunEnd> {
+    const takesRetry = !maySend();
+    retry?.send();
+    return askHelper(runsLeft(), { takesRetry });
+  }
+
   /** Hands the call off to another instance; resolves to whether it is over. */
   async function runThroughHelper(): Promise<boolean> {
-    const first =
-      begun ?? (await askHelper(runsLeft(), { takesRetry: !maySend() }));
+    const first = begun ?? (await sendToHelper());
     begun = null;
     const end =
       first.kind === "begun"
@@ -363,6 +381,7 @@
       return true;
     }
     attempts += 1;
+    retry?.send();
     const run = {
       pipeline,
       size,
--- a/packages/limits/src/mod.ts
+++ b/packages/limits/src/mod.ts
@@ -1,6 +1,7 @@
-/** Limits of organisations that are shared by all instances. */
+/** Limits that all instances share: of organisations, and of retries. */
 export * from "./coordinator_choice.ts";
 export * from "./limit_coordinator.ts";
 export * from "./limit_report.ts";
 export * from "./limits_lookup.ts";
+export * from "./retry_budget.ts";
 export * from "./shared_limits.ts";
