Daemon: a process that starts doesn't give ten retries out at once

Each process of the daemon began with ten retries of each service, so that restarts in series gave out ten each time: the same class as the retry limit of the gateway. It has two at its start and the others after ten seconds. Test: four starts a second apart give out 10 each before (by the code), 2 each now.

--- a/packages/calls/src/service_call.ts
+++ b/packages/calls/src/service_call.ts
@@ -19,11 +19,12 @@
  */
 export function createServiceCaller(dependencies: ServiceCallDependencies) {
   const { failureDomain, fleet } = dependencies;
+  const startedAt = performance.now();
   const budgets = new Map<string, RetryBudget>();
   let turn = 0;
 
   function budgetOf(service: string): RetryBudget {
-    const budget = budgets.get(service) ?? createRetryBudget();
+    const budget = budgets.get(service) ?? createRetryBudget(startedAt);
     budgets.set(service, budget);
     return budget;
   }
