--- a/packages/gateway/src/streams/admission.ts
+++ b/packages/gateway/src/streams/admission.ts
@@ -10,6 +10,7 @@
   AdmissionQueues,
   StreamAdmissionRequest,
 } from "./admission_queues.ts";
+import type { AvoidedEngines } from "./avoided_engines.ts";
 import type {
   AnswerSize,
   ChosenPipeline,
@@ -94,8 +95,8 @@
   call: CallerCall,
   parts: AdmissionParts,
   request: Omit<PipelineRequest, "service" | "avoided" | "maxLoad"> & {
-    /** Engines that the call avoids; emptied while a begun answer waits. */
-    readonly avoided: Set<string>;
+    /** Engines that the call avoids; forgiven while a begun answer waits. */
+    readonly avoided: AvoidedEngines;
     /** Whether the call should go through another instance instead. */
     readonly isOutOfReach: () => boolean;
   },
@@ -162,7 +163,8 @@
       return { kind: "out_of_reach" };
     if (signal.aborted && !call.signal.aborted) return { kind: "withdrawn" };
     // Cutting an answer that the caller has begun to receive is the last
-    // resort: after the wait, full engines are accepted too.
+    // resort: after the wait, full and avoided engines are accepted too.
+    if (hasBegun) request.avoided.clear();
     const pipeline =
       hasBegun && result.reason !== "stopped" && !call.signal.aborted
         ? router.choose(pipelineRequest)
--- a/packages/gateway/src/streams/admission_queues.ts
+++ b/packages/gateway/src/streams/admission_queues.ts
@@ -10,6 +10,7 @@
   type DemandRecorder,
   type Shortage,
 } from "@rosemarypin/admission";
+import type { AvoidedEngines } from "./avoided_engines.ts";
 import type {
   ChosenPipeline,
   PipelineRequest,
@@ -48,7 +49,7 @@
 /** A run of a call that waits for a pipeline. */
 export interface StreamAdmissionRequest extends AdmissionRequest {
   readonly pipelineRequest: Omit<PipelineRequest, "avoided" | "maxLoad"> & {
-    readonly avoided: Set<string>;
+    readonly avoided: AvoidedEngines;
   };
   /** Called before each pump, to end waits that have become pointless. */
   readonly onPump: () => void;
@@ -126,7 +127,7 @@
     if (pipeline) return pipeline;
     const shortage = isCovered(request) ? "full" : "uncovered";
     // Engines that this call avoided may have recovered.
-    if (hasBegun) avoided.clear();
+    if (hasBegun) avoided.forgive();
     return shortage;
   }
 
--- a/packages/gateway/src/streams/admission_queues_test.ts
+++ b/packages/gateway/src/streams/admission_queues_test.ts
@@ -5,6 +5,7 @@
   type AdmissionQueuesOptions,
   createAdmissionQueues,
 } from "./admission_queues.ts";
+import { createAvoidedEngines } from "./avoided_engines.ts";
 import type {
   ChosenPipeline,
   PipelineRequest,
@@ -63,7 +64,7 @@
       { router, queues, observer },
       {
         size: { promptTokens: 80, answerTokens: 20 },
-        avoided: new Set(),
+        avoided: createAvoidedEngines(),
         isOutOfReach: () => false,
       },
     );
--- a/packages/gateway/src/streams/admission_test.ts
+++ b/packages/gateway/src/streams/admission_test.ts
@@ -2,6 +2,7 @@
 import type { CallerCall } from "../callers/mod.ts";
 import { createAdmission } from "./admission.ts";
 import { createAdmissionQueues } from "./admission_queues.ts";
+import { createAvoidedEngines } from "./avoided_engines.ts";
 import type {
   ChosenPipeline,
   PipelineRequest,
@@ -22,7 +23,7 @@
   let engines = first;
   let isCutOff = false;
   const caller = new AbortController();
-  const avoided = new Set(["e-1"]);
+  const avoided = createAvoidedEngines(["e-1"]);
   const pipeline = { stages: [] } as unknown as ChosenPipeline;
   const router = {
     choose: ({ maxLoad }: PipelineRequest) =>
@@ -170,6 +171,15 @@
     expect([...avoided]).toEqual([]);
   });
 
+  // Guards against an engine that is asked again while the answer waits, though
+  // it has just rejected the call.
+  it("keeps away from an engine that has just rejected it", async () => {
+    const { next, avoided } = setUp("missing");
+    avoided.reject("e-2");
+    await next(true, [[350, "free"]]);
+    expect([...avoided]).toEqual(["e-2"]);
+  });
+
   it("uses full engines after the wait instead of cutting the answer", async () => {
     const { next } = setUp("full");
     expect(await next(true)).toEqual({ result: "admitted", afterMs: 4_000 });
--- a/packages/gateway/src/streams/forward_stream.ts
+++ b/packages/gateway/src/streams/forward_stream.ts
@@ -25,6 +25,7 @@
   costOf,
   createAdmission,
 } from "./admission.ts";
+import { createAvoidedEngines } from "./avoided_engines.ts";
 import {
   type BegunAnswer,
   beginOnHelper,
@@ -88,7 +89,7 @@
   };
   /** Engines that have answered with errors, to this or another instance. */
   const failedServers = new Set(call.handedOff?.failedServers);
-  const avoided = new Set(failedServers);
+  const avoided = createAvoidedEngines(failedServers);
   let attempts = 0;
   let runs = 0;
   let lostRuns = 0;
--- a/packages/gateway/src/streams/stage_recovery.ts
+++ b/packages/gateway/src/streams/stage_recovery.ts
@@ -7,6 +7,7 @@
 import type { BackendFleet } from "../backends/mod.ts";
 import type { CallerCall } from "../callers/mod.ts";
 import type { EngineCalls } from "../protocol.ts";
+import type { AvoidedEngines } from "./avoided_engines.ts";
 import type {
   AnswerSize,
   ChosenPipeline,
@@ -43,7 +44,7 @@
   pipeline: ChosenPipeline;
   readonly size: AnswerSize;
   /** Ids of engines that the call avoids; lost engines are added. */
-  readonly avoided: Set<string>;
+  readonly avoided: AvoidedEngines;
   readonly successor: RunSuccessor;
   readonly stop: AbortController;
 }
--- a/packages/gateway/src/streams/stage_recovery_test.ts
+++ b/packages/gateway/src/streams/stage_recovery_test.ts
@@ -1,6 +1,7 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 import type { CallerCall } from "../callers/mod.ts";
 import type { AddressedStage, PipelineChangeOutcome } from "../protocol.ts";
+import { createAvoidedEngines } from "./avoided_engines.ts";
 import type { ChosenPipeline } from "./pipeline_router.ts";
 import {
   createStageRecovery,
@@ -62,7 +63,7 @@
   const run: StreamRun = {
     pipeline: pipeline(keptStage, stage("dead", 4, 8)),
     size: { promptTokens: 80, answerTokens: 20 },
-    avoided: new Set<string>(),
+    avoided: createAvoidedEngines(),
     successor: {
       isAllowed: () => true,
       reserve: vi.fn(async () => hasSuccessor),
--- a/packages/gateway/src/streams/stream_run.ts
+++ b/packages/gateway/src/streams/stream_run.ts
@@ -283,7 +283,7 @@
   ) {
     parts.fleet.markReplaced(faultyServer.id);
   } else if (faultyServer) {
-    run.avoided.add(faultyServer.id);
+    run.avoided.reject(faultyServer.id);
     parts.fleet.handleRefusal(faultyServer.id);
   }
   const detail = `refused_${answer.status}`;
