Hand-off: a retry that a server rejected at the other instance isn't returned

A reservation that fails after its run has ended leaves what a later run has reserved, and errors that no code expects return retries that were not sent.

--- a/packages/gateway/src/handoff/request_handoff.ts
+++ b/packages/gateway/src/handoff/request_handoff.ts
@@ -37,6 +37,8 @@
  * and limits all instances share, or from all instances.
  */
 const FINAL_REASON = /^(no_room|prompt_quarantined|refused_\d+)$/;
+/** Reason of a refusal that a server gave. */
+const SERVER_REFUSAL = /^refused_\d+$/;
 /** Reasons that say why the other instance itself can't take a request over. */
 const HELPER_FAILURES: ReadonlySet<string> = new Set<HelperFailure>([
   "cut_off",
@@ -65,6 +67,18 @@
   /** The request may have run; no answer arrived. */
   | { readonly kind: "broken"; readonly detail: string };
 
+/** Whether a request that was handed off may have reached a server. */
+export function hasReachedServer({
+  kind,
+  reason = "",
+}: {
+  readonly kind: string;
+  readonly reason?: string;
+}): boolean {
+  if (kind === "refused") return SERVER_REFUSAL.test(reason);
+  return kind !== "unavailable";
+}
+
 interface Declined {
   readonly kind: "declined";
   readonly failure: HelperFailure;
--- a/packages/gateway/src/peer_input_fuzz_test.ts
+++ b/packages/gateway/src/peer_input_fuzz_test.ts
@@ -73,6 +73,8 @@
   leaving: false,
   reachesEngines: true,
   ability: 100,
+  isEstablished: true,
+  ranForMs: 5_000,
 };
 
 const indexes = {
--- a/packages/gateway/src/plain/forward_plain.ts
+++ b/packages/gateway/src/plain/forward_plain.ts
@@ -28,6 +28,7 @@
   attemptsForHelper,
   type HandoffRequest,
   type HandoffResult,
+  hasReachedServer,
   type RequestHandoff,
 } from "../handoff/mod.ts";
 import type { RequestCodec } from "../protocol.ts";
@@ -95,12 +96,15 @@
   /** Server of the attempt after the present one, and its retry. */
   let nextServer: BackendServer | null = null;
   let retry: Retry | null = null;
-  while (!call.signal.aborted) {
-    const usesHelper = mayHaveHelper && (await handoff.isNeeded(call));
-    const isOver = await (usesHelper ? tryHelper() : tryServer());
-    if (isOver) break;
+  try {
+    while (!call.signal.aborted) {
+      const usesHelper = mayHaveHelper && (await handoff.isNeeded(call));
+      const isOver = await (usesHelper ? tryHelper() : tryServer());
+      if (isOver) break;
+    }
+  } finally {
+    releaseRetry();
   }
-  releaseRetry();
   reportFailedServers(call, failedServers);
   if (call.hasCallerLeft()) {
     const reason = "caller_left";
@@ -137,6 +141,10 @@
       failedServers,
       takesRetry,
     });
+    if (hasReachedServer(attempt)) {
+      sentAttempts += 1;
+      retry = null;
+    }
     if (attempt.kind === "unavailable") {
       mayHaveHelper = false;
       retryAfterSeconds = attempt.retryAfterSeconds;
@@ -149,8 +157,6 @@
       return true;
     }
     lastAttempt = attempt;
-    sentAttempts += 1;
-    retry = null;
     possibleRuns += helperAttempts;
     return isFinal(attempt) || !isRetryable || possibleRuns >= maxAttempts;
   }
--- a/packages/gateway/src/streams/forward_stream.ts
+++ b/packages/gateway/src/streams/forward_stream.ts
@@ -18,7 +18,7 @@
   reportFailedServers,
   sendBufferedAnswer,
 } from "../callers/mod.ts";
-import { attemptsForHelper } from "../handoff/mod.ts";
+import { attemptsForHelper, hasReachedServer } from "../handoff/mod.ts";
 import { PROMPT_QUARANTINED, sharedPromptOf } from "../prompts/mod.ts";
 import {
   type AdmissionDecision,
@@ -124,19 +124,22 @@
       isQuarantined() ||
       (mayAskHelper() && fleet.reachability.isCutOff(service)),
   });
-  while (!call.signal.aborted) {
-    if (isQuarantined()) {
-      lastEnd = quarantinedEnd();
-      break;
+  try {
+    while (!call.signal.aborted) {
+      if (isQuarantined()) {
+        lastEnd = quarantinedEnd();
+        break;
+      }
+      const usesHelper =
+        begun !== null ||
+        (mayAskHelper() && (!hasPipeline || (await handoff.isNeeded(call))));
+      const isOver = await (usesHelper ? runThroughHelper() : runDirectly());
+      if (isOver) break;
     }
-    const usesHelper =
-      begun !== null ||
-      (mayAskHelper() && (!hasPipeline || (await handoff.isNeeded(call))));
-    const isOver = await (usesHelper ? runThroughHelper() : runDirectly());
-    if (isOver) break;
+  } finally {
+    releaseReserved();
+    releaseRetry();
   }
-  releaseReserved();
-  releaseRetry();
   reportFailedServers(call, failedServers);
   return endCall(call, {
     lastEnd,
@@ -215,6 +218,7 @@
   /** What follows a run whose engines are silent. */
   function successorOf(first: BackendServer): StreamRun["successor"] {
     const startedAt = performance.now();
+    const attempt = attempts;
     /** An engine that can't be connected to doesn't count as an attempt. */
     const isLost = async () => !(await parts.canConnect(first.address));
 
@@ -236,7 +240,8 @@
       cancel: releaseReserved,
       async reserve(cause, signal) {
         const isReserved = await reserve(cause, signal);
-        if (!isReserved) releaseReserved();
+        // Once the run has ended, what is reserved belongs to a later one.
+        if (!isReserved && attempts === attempt) releaseReserved();
         return isReserved;
       },
     };
@@ -290,12 +295,12 @@
       ...request,
     });
     for (const id of failedServers) avoided.add(id);
+    if (hasReachedServer(end)) countSent();
     if (end.kind === "unavailable" || end.kind === "refused") {
       retryAfterSeconds = end.retryAfterSeconds;
       return end;
     }
     attempts += 1;
-    countSent();
     runs += helperAttempts;
     return end;
   }
@@ -313,8 +318,8 @@
     const takesRetry = spareRetry === null;
     const present = cause === "first_engine_away" ? 0 : 1;
     const end = await askHelper(runsLeft() - present, { takesRetry, signal });
+    if (hasReachedServer(end)) spareRetry = null;
     if (end.kind === "unavailable" || end.kind === "refused") return false;
-    spareRetry = null;
     begun = end.kind === "begun" ? end : null;
     return begun !== null;
   }
