Retry limit: a restart doesn't give the retries for the same requests twice

A start forgets what its predecessor took of both parts of the limit; only the fixed one was mended.

In its first window a process now has a quarter of the retries for its own requests, too, and none after two starts in one window.

--- a/packages/gateway/src/following/fleet_share.ts
+++ b/packages/gateway/src/following/fleet_share.ts
@@ -3,6 +3,7 @@
  * start, end, cut or recount of instances gives a part out twice within the
  * window of the allowance.
  */
+import type { RetryShare } from "@rosemarypin/limits";
 
 /** What an instance knows of the list of all instances in the store. */
 export interface FleetView {
@@ -52,7 +53,7 @@
   /** Window of the allowance, in milliseconds. */
   readonly windowMs: number;
   readonly view: () => FleetView;
-}): () => number {
+}): () => RetryShare {
   const startedAt = performance.now();
   /** Each holds until the next one. */
   let counts: CountedInstances[] = [];
@@ -73,17 +74,25 @@
     return performance.now() - listedSince >= MAX_VIEW_AGE_MS + windowMs;
   }
 
+  /**
+   * What is left of an allowance beside what an earlier process may have used in
+   * the window. Two starts in a window would use the unconfirmed part twice.
+   */
+  function unusedByPredecessor({ predecessorRanForMs }: FleetView): number {
+    const isOver = performance.now() - startedAt >= windowMs;
+    if (predecessorRanForMs === null || isOver) return 1;
+    return predecessorRanForMs < windowMs ? 0 : UNCONFIRMED_PART;
+  }
+
   return () => {
     const current = view();
-    const { count, knownAt, renewedAt, predecessorRanForMs } = current;
+    const { count, knownAt, renewedAt } = current;
     const now = performance.now();
-    if (count === null || now - renewedAt > MAX_RENEWAL_AGE_MS) return 0;
-    const part = 1 / greatestCount(count);
-    if (predecessorRanForMs !== null && now - startedAt < windowMs) {
-      // Two starts in a window would use the unconfirmed part twice.
-      return predecessorRanForMs < windowMs ? 0 : part * UNCONFIRMED_PART;
-    }
+    const ratio = unusedByPredecessor(current);
+    if (count === null || now - renewedAt > MAX_RENEWAL_AGE_MS)
+      return { slack: 0, ratio };
     const isWhole = isCounted(current) && now - knownAt <= MAX_VIEW_AGE_MS;
-    return isWhole ? part : part * UNCONFIRMED_PART;
+    const confirmed = isWhole ? 1 : UNCONFIRMED_PART;
+    return { slack: Math.min(ratio, confirmed) / greatestCount(count), ratio };
   };
 }
--- a/packages/gateway/src/following/fleet_share_test.ts
+++ b/packages/gateway/src/following/fleet_share_test.ts
@@ -19,7 +19,7 @@
   vi.useRealTimers();
 });
 
-function createFleet() {
+function createFleet(limit = LIMIT) {
   return createInstanceDomain(async ({ name, address, store, signal }) => {
     const presence = startPresence({
       store,
@@ -29,10 +29,10 @@
       signal,
     });
     const share = createFleetShare({
-      windowMs: LIMIT.windowMs,
+      windowMs: limit.windowMs,
       view: presence.fleetView,
     });
-    return { presence, share, budget: createRetryBudget(LIMIT, share) };
+    return { presence, share, budget: createRetryBudget(limit, share) };
   });
 }
 
@@ -94,7 +94,11 @@
 }
 
 /** Lets each instance take all the retries that it gets meanwhile. */
-async function advance(fleet: Fleet, steps: number): Promise<Step[]> {
+async function advance(
+  fleet: Fleet,
+  steps: number,
+  wanted = RETRIES_WANTED_PER_STEP,
+): Promise<Step[]> {
   const taken: Step[] = [];
   for (let step = 0; step < steps; step += 1) {
     let retries = 0;
@@ -102,7 +106,7 @@
       const { budget } = fleet.get(name);
       for (let count = 0; count < REQUESTS_PER_STEP; count += 1)
         budget.countRequest("s");
-      for (let count = 0; count < RETRIES_WANTED_PER_STEP; count += 1) {
+      for (let count = 0; count < wanted; count += 1) {
         const retry = budget.takeRetry("s");
         retry?.send();
         if (retry) retries += 1;
@@ -116,7 +120,7 @@
 }
 
 /** Most retries beyond the limit in any window. */
-function excess(steps: readonly Step[]): number {
+function excess(steps: readonly Step[], { slack, ratio } = LIMIT): number {
   const length = LIMIT.windowMs / STEP_MS;
   const sum = (from: number, key: keyof Step) =>
     steps
@@ -127,7 +131,7 @@
       const requests = [0, length / 2, length].map((earlier) =>
         sum(from - earlier, "requests"),
       );
-      const allowed = LIMIT.slack + LIMIT.ratio * Math.max(...requests);
+      const allowed = slack + ratio * Math.max(...requests);
       return sum(from, "retries") - allowed;
     }),
   );
@@ -136,29 +140,51 @@
 describe("the retries of a fleet", () => {
   // Guards against parts of the limit that are given out twice by a start, an
   // end, a cut or a recount.
-  it(`stay within the limit in any window (seed ${SEED})`, {
-    timeout: 120_000,
-  }, async () => {
-    const property = fc.asyncProperty(
-      fc.integer({ min: 1, max: NAMES.length }),
-      fc.array(eventArbitrary, { minLength: 4, maxLength: 14 }),
-      async (running, events) => {
-        const fleet = createFleet();
-        try {
-          await Promise.all(NAMES.slice(0, running).map(fleet.start));
-          const steps = await advance(fleet, 60);
-          for (const event of events) {
-            steps.push(...(await advance(fleet, event.afterSteps)));
-            apply(fleet, event);
+  it.each([200, 30])(
+    `stay within the limit in any window (slack %i, seed ${SEED})`,
+    {
+      timeout: 120_000,
+    },
+    async (slack) => {
+      const limit = { ...LIMIT, slack };
+      const property = fc.asyncProperty(
+        fc.integer({ min: 1, max: NAMES.length }),
+        fc.array(eventArbitrary, { minLength: 4, maxLength: 14 }),
+        async (running, events) => {
+          const fleet = createFleet(limit);
+          try {
+            await Promise.all(NAMES.slice(0, running).map(fleet.start));
+            const steps = await advance(fleet, 60);
+            for (const event of events) {
+              steps.push(...(await advance(fleet, event.afterSteps)));
+              apply(fleet, event);
+            }
+            steps.push(...(await advance(fleet, 120)));
+            expect(excess(steps, limit)).toBeLessThanOrEqual(0);
+          } finally {
+            fleet.end();
           }
-          steps.push(...(await advance(fleet, 120)));
-          expect(excess(steps)).toBeLessThanOrEqual(0);
-        } finally {
-          fleet.end();
-        }
-      },
-    );
-    await fc.assert(property, { seed: SEED, numRuns: 60 });
+        },
+      );
+      await fc.assert(property, { seed: SEED, numRuns: 60 });
+    },
+  );
+
+  // Guards against retries for the requests of a window that are used up by the
+  // processes before a restart, and again by those after it.
+  it("stay within the limit when all restart as servers begin to fail", async () => {
+    const limit = { ...LIMIT, slack: 30 };
+    const fleet = createFleet(limit);
+    await Promise.all(NAMES.slice(0, 4).map(fleet.start));
+    const steps = await advance(fleet, 80, 0);
+    steps.push(...(await advance(fleet, 8)));
+    for (const name of fleet.names()) {
+      fleet.kill(name);
+      void fleet.start(name);
+    }
+    steps.push(...(await advance(fleet, 80)));
+    fleet.end();
+    expect(excess(steps, limit)).toBeLessThanOrEqual(0);
   });
 
   // Guards against a limit that holds since nothing is allowed: a fleet without
@@ -203,18 +229,18 @@
     view = { ...view, predecessorRanForMs: 10_000 };
     const share = createShare();
     await pass(9_999);
-    expect(share()).toBe(1 / 16);
+    expect(share()).toEqual({ slack: 1 / 16, ratio: 1 / 4 });
     await pass(1);
-    expect(share()).toBe(1 / 4);
+    expect(share()).toEqual({ slack: 1 / 4, ratio: 1 });
   });
 
   it("is none for a window after the second start within one", async () => {
     view = { ...view, predecessorRanForMs: 9_000 };
     const share = createShare();
     await pass(9_999);
-    expect(share()).toBe(0);
+    expect(share()).toEqual({ slack: 0, ratio: 0 });
     await pass(1);
-    expect(share()).toBe(1 / 4);
+    expect(share()).toEqual({ slack: 1 / 4, ratio: 1 });
   });
 
   it("is whole once the instances of a new fleet know of each other", async () => {
@@ -222,9 +248,9 @@
     view = { ...view, listedSince, startedWithAll: true };
     const share = createShare();
     await pass(999);
-    expect(share()).toBe(1 / 16);
+    expect(share().slack).toBe(1 / 16);
     await pass(1);
-    expect(share()).toBe(1 / 4);
+    expect(share().slack).toBe(1 / 4);
   });
 
   it("grows a window after the number of instances has fallen", async () => {
@@ -233,35 +259,35 @@
     share();
     view = { ...view, count: 2 };
     await pass(20_000);
-    expect(share()).toBe(1 / 4);
+    expect(share().slack).toBe(1 / 4);
     await pass(9_000);
-    expect(share()).toBe(1 / 4);
+    expect(share().slack).toBe(1 / 4);
     await pass(1_001);
-    expect(share()).toBe(1 / 2);
+    expect(share().slack).toBe(1 / 2);
   });
 
   it("shrinks at once when the number of instances has grown", async () => {
     const share = createShare();
     await pass(20_000);
     view = { ...view, count: 5 };
-    expect(share()).toBe(1 / 5);
+    expect(share().slack).toBe(1 / 5);
   });
 
   it("is a quarter until all others count an instance that joins", async () => {
     view = { ...view, listedSince: performance.now() };
     const share = createShare();
     await pass(29_999);
-    expect(share()).toBe(1 / 16);
+    expect(share().slack).toBe(1 / 16);
     await pass(1);
-    expect(share()).toBe(1 / 4);
+    expect(share().slack).toBe(1 / 4);
   });
 
   it("is a quarter while the list is old, and none once the entry may be gone", async () => {
     const share = createShare();
     await pass(20_000);
     await vi.advanceTimersByTimeAsync(20_001);
-    expect(share()).toBe(1 / 16);
+    expect(share().slack).toBe(1 / 16);
     await vi.advanceTimersByTimeAsync(30_000);
-    expect(share()).toBe(0);
+    expect(share().slack).toBe(0);
   });
 });
--- a/packages/limits/src/retry_budget.ts
+++ b/packages/limits/src/retry_budget.ts
@@ -31,6 +31,14 @@
   release(): void;
 }
 
+/** What an instance may use of the limit, each from 0 to 1. */
+export interface RetryShare {
+  /** Its part of the slack. */
+  readonly slack: number;
+  /** The share of the retries that its own requests allow. */
+  readonly ratio: number;
+}
+
 export interface RetryTotals {
   taken: number;
   /** Asked for while none was left. */
@@ -62,12 +70,12 @@
 }
 
 /**
- * Creates the budget of one instance: its part of the fixed allowance, from 0 to
- * 1 by `fleetShare`, and a share of the requests that it received itself.
+ * Creates the budget of one instance: its part of the slack, and retries for the
+ * requests that it received itself.
  */
 export function createRetryBudget(
   limit: RetryLimit,
-  fleetShare: () => number,
+  ownShare: () => RetryShare,
 ): RetryBudget {
   const sliceMs = limit.windowMs / WINDOW_SLICES;
   const accounts = new Map<string, Account>();
@@ -112,9 +120,10 @@
       if (slice.index > sliceIndex() - WINDOW_SLICES)
         requests += slice.requests;
     }
-    const share = fleetShare();
-    const allowed =
-      USABLE_SHARE * (limit.slack * share + limit.ratio * requests);
+    const share = ownShare();
+    const fixed = limit.slack * share.slack;
+    const earned = limit.ratio * share.ratio * requests;
+    const allowed = USABLE_SHARE * (fixed + earned);
     return { requests, retries, share, allowed };
   }
 
@@ -128,7 +137,7 @@
       window_retries: balance.retries,
       window_requests: balance.requests,
       allowed: balance.allowed.toFixed(1),
-      share: balance.share.toFixed(3),
+      share: balance.share.slack.toFixed(3),
     });
   }
 
--- a/packages/limits/src/retry_budget_test.ts
+++ b/packages/limits/src/retry_budget_test.ts
@@ -2,6 +2,7 @@
 import { createRetryBudget } from "./retry_budget.ts";
 
 const settings = { ratio: 0.2, windowMs: 10_000, slack: 40 };
+const ownShare = () => ({ slack: 1 / 4, ratio: 1 });
 
 beforeEach(() => {
   vi.useFakeTimers({ toFake: ["performance"] });
@@ -21,14 +22,14 @@
 
 describe("retry budget", () => {
   it("adds a share of local requests to a part of the fixed allowance", () => {
-    const budget = createRetryBudget(settings, () => 1 / 4);
+    const budget = createRetryBudget(settings, ownShare);
     expect(takeAllRetries(budget)).toBe(7);
     for (let request = 0; request < 100; request += 1) budget.countRequest("s");
     expect(takeAllRetries(budget)).toBe(15);
   });
 
   it("is restored as the window slides", () => {
-    const budget = createRetryBudget(settings, () => 1 / 4);
+    const budget = createRetryBudget(settings, ownShare);
     takeAllRetries(budget);
     vi.advanceTimersByTime(9_000);
     expect(budget.takeRetry("s")).toBeNull();
@@ -40,7 +41,7 @@
     // Guards against each instance using the whole allowance because it does
     // not know of the others: four times the retries that services can bear.
     const budgets = [1, 2, 3, 4].map(() =>
-      createRetryBudget(settings, () => 1 / 4),
+      createRetryBudget(settings, ownShare),
     );
     const taken = budgets.reduce(
       (sum, budget) => sum + takeAllRetries(budget),
@@ -50,7 +51,7 @@
   });
 
   it("counts each service separately", () => {
-    const budget = createRetryBudget(settings, () => 1 / 4);
+    const budget = createRetryBudget(settings, ownShare);
     takeAllRetries(budget);
     expect(budget.takeRetry("other")).not.toBeNull();
   });
@@ -58,7 +59,7 @@
   // Guards against retries that are taken early, leave the window while they
   // wait, and arrive together with those of the next one.
   it("counts a retry from when it is taken until a window after it is sent", () => {
-    const budget = createRetryBudget(settings, () => 1 / 4);
+    const budget = createRetryBudget(settings, ownShare);
     const waiting = Array.from({ length: 7 }, () => budget.takeRetry("s"));
     vi.advanceTimersByTime(30_000);
     expect(budget.takeRetry("s")).toBeNull();
@@ -70,7 +71,7 @@
   });
 
   it("gets a retry back that did not arrive", () => {
-    const budget = createRetryBudget(settings, () => 1 / 4);
+    const budget = createRetryBudget(settings, ownShare);
     const retries = Array.from({ length: 7 }, () => budget.takeRetry("s"));
     retries[0]?.release();
     retries[1]?.send();
@@ -81,7 +82,7 @@
   // Guards against two windows' retries in one: a whole part at the end of a
   // tenth, and another one as soon as that tenth is the oldest.
   it("frees nothing before a whole window has passed", () => {
-    const budget = createRetryBudget(settings, () => 1 / 4);
+    const budget = createRetryBudget(settings, ownShare);
     vi.advanceTimersByTime(990);
     takeAllRetries(budget);
     vi.advanceTimersByTime(9_990);
