Streams: a run goes on until the one that follows it has begun

Cause: a run was stopped as soon as a retry and a pipeline were reserved for its successor, not once an engine had begun that one.

The successor is now sent while the present run goes on, and an engine's first sign of an answer ends the present run. One that is rejected or silent is given up for the present run; one that is under way when the present run ends by itself goes on. A call still has at most four rejections.

--- a/packages/gateway/src/backends/backend_exchange.ts
+++ b/packages/gateway/src/backends/backend_exchange.ts
@@ -147,15 +147,15 @@
     body: request.body,
     signal,
   });
+  // Destroying a body that isn't read emits an error. Without a listener, that
+  // error would end the process and all other answers in progress.
+  response.body.on("error", () => {});
   return {
     kind: "answer",
     status: response.statusCode,
     headers: response.headers,
     body: response.body,
     abandon() {
-      // Destroying the body emits an error. Without a listener, that error
-      // would end the process and all other answers in progress.
-      response.body.once("error", () => {});
       response.body.destroy();
     },
   };
--- a/packages/gateway/src/streams/forward_stream.ts
+++ b/packages/gateway/src/streams/forward_stream.ts
@@ -4,6 +4,7 @@
  */
 import type { RetryDelayRange } from "@rosemarypin/admission";
 import type { Retry } from "@rosemarypin/limits";
+import { createDeferred } from "@rosemarypin/timing";
 import type { BackendServer } from "../backend_server.ts";
 import type { BackendFleet } from "../backends/mod.ts";
 import {
@@ -34,7 +35,12 @@
   type HelperRunEnd,
 } from "./helper_run.ts";
 import type { AnswerSize, ChosenPipeline } from "./pipeline_router.ts";
-import type { RecoveryCause, StreamRun } from "./stage_recovery.ts";
+import {
+  type RecoveryCause,
+  RUN_ENDED,
+  type RunSuccessor,
+  type StreamRun,
+} from "./stage_recovery.ts";
 import {
   type RunEnd,
   runStream,
@@ -72,6 +78,16 @@
   maxSeconds: 2,
 };
 
+/** A run that was started while another one goes on. */
+interface FollowingRun {
+  readonly run: StreamRun;
+  readonly end: Promise<RunEnd>;
+  /** Resolves to whether an engine has begun it. */
+  readonly hasBegun: Promise<boolean>;
+  /** Lets its events go to the caller, since the other run has ended. */
+  take(): void;
+}
+
 /** Forwards a call until its stream is complete or can't be completed. */
 export async function forwardStream(
   call: CallerCall,
@@ -98,8 +114,10 @@
   let retry: Retry | null = null;
   /** Taken for the run after the present one. */
   let spareRetry: Retry | null = null;
-  /** The pipeline of the run after the present one. */
-  let reserved: ChosenPipeline | null = null;
+  /** The run after the present one, which goes on until it has begun. */
+  let following: FollowingRun | null = null;
+  /** Counts the runs that were the present one. */
+  let turn = 0;
   /** The answer of another instance that follows the present run. */
   let begun: BegunAnswer | null = null;
   let lastEnd: RunEnd = {
@@ -130,10 +148,11 @@
         lastEnd = quarantinedEnd();
         break;
       }
-      const usesHelper =
-        begun !== null ||
-        (mayAskHelper() && (!hasPipeline || (await handoff.isNeeded(call))));
-      const isOver = await (usesHelper ? runThroughHelper() : runDirectly());
+      const isOver = await (following
+        ? takeFollowing(following)
+        : (await usesHelper())
+          ? runThroughHelper()
+          : runDirectly());
       if (isOver) break;
     }
   } finally {
@@ -188,6 +207,11 @@
     return prompt.isSound() || quarantine.mayRepeat(sharedPrompt);
   }
 
+  async function usesHelper(): Promise<boolean> {
+    if (begun) return true;
+    return mayAskHelper() && (!hasPipeline || (await handoff.isNeeded(call)));
+  }
+
   function mayAskHelper(): boolean {
     if (call.handedOff) return false;
     return performance.now() - helperAskedAt >= HELPER_RETRY_MS;
@@ -207,18 +231,26 @@
   }
 
   function releaseReserved(): void {
-    spareRetry?.release();
-    spareRetry = null;
-    reserved?.release();
-    reserved = null;
+    if (following) following.run.stop.abort();
+    else {
+      spareRetry?.release();
+      spareRetry = null;
+    }
     begun?.answer.abandon();
     begun = null;
   }
 
+  async function hasEnded(address: string): Promise<boolean> {
+    if (!(await parts.refusesConnections(address))) return false;
+    // While this instance has lost its links, all engines look so.
+    fleet.reachability.check(service);
+    return !(await fleet.reachability.settled(service));
+  }
+
   /** What follows a run whose engines are silent. */
-  function successorOf(first: BackendServer): StreamRun["successor"] {
+  function successorOf(first: BackendServer): RunSuccessor {
     const startedAt = performance.now();
-    const attempt = attempts;
+    const ownTurn = turn;
     /** An engine that can't be connected to doesn't count as an attempt. */
     const isLost = async () => !(await parts.canConnect(first.address));
 
@@ -231,17 +263,12 @@
 
     return {
       isAllowed,
-      async hasEnded(address) {
-        if (!(await parts.refusesConnections(address))) return false;
-        // While this instance has lost its links, all engines look so.
-        fleet.reachability.check(service);
-        return !(await fleet.reachability.settled(service));
-      },
+      hasEnded,
       cancel: releaseReserved,
       async reserve(cause, signal) {
         const isReserved = await reserve(cause, signal);
         // Once the run has ended, what is reserved belongs to a later one.
-        if (!isReserved && attempts === attempt) releaseReserved();
+        if (!isReserved && ownTurn === turn && !following) releaseReserved();
         return isReserved;
       },
     };
@@ -254,6 +281,7 @@
       const elapsedMs = performance.now() - startedAt;
       if (resumable && !hasBegun && elapsedMs > MAX_UNBEGUN_RUN_MS) return true;
       if (!isAllowed(cause)) return false;
+      if (following || attempts - runs > MAX_REFUSALS) return false;
       if (runsLeft() <= 1 && !(await isLost())) return false;
       if (await handoff.isNeeded(call))
         return mayAskHelper() && beginElsewhere(cause, signal);
@@ -263,22 +291,108 @@
       if (admitted.kind === "out_of_reach")
         return mayAskHelper() && beginElsewhere(cause, signal);
       if (admitted.kind !== "admitted") return false;
-      reserved = admitted.pipeline;
-      if (!(await mayRunPrompt())) return false;
-      if (cause === "first_engine_away") {
-        void isLost().then((isEngineLost) => {
-          if (isEngineLost) lostRuns += 1;
-        });
-      }
-      return true;
+      const { pipeline } = admitted;
+      const mayRun = (await mayRunPrompt()) && !signal.aborted;
+      if (mayRun) return beginHere(pipeline, signal);
+      pipeline.release();
+      return false;
     }
   }
 
+  /**
+   * Starts the run that follows the present one, and resolves to whether an
+   * engine has begun it. Engines that reject it don't end the present run.
+   */
+  function beginHere(
+    pipeline: ChosenPipeline,
+    signal: AbortSignal,
+  ): Promise<boolean> {
+    attempts += 1;
+    spareRetry?.send();
+    const next = startFollowing(pipeline);
+    following = next;
+    signal.addEventListener("abort", () => {
+      if (signal.reason !== RUN_ENDED) next.run.stop.abort();
+    });
+    // A failure is met once the run is taken.
+    next.end.then(
+      (end) => {
+        if (following !== next) return;
+        following = null;
+        if (countEnd(end, pipeline)) spareRetry = null;
+      },
+      () => {},
+    );
+    return next.hasBegun;
+  }
+
+  function startFollowing(pipeline: ChosenPipeline): FollowingRun {
+    const opened = createDeferred<boolean>();
+    const taken = createDeferred<void>();
+    // Until it is taken, it can be given up for the present run.
+    let successor: RunSuccessor = {
+      isAllowed: () => false,
+      reserve: async () => true,
+      hasEnded,
+      cancel() {},
+    };
+    const run: StreamRun = {
+      ...createRun(pipeline),
+      get successor() {
+        return successor;
+      },
+    };
+    run.stop.signal.addEventListener("abort", () => taken.resolve());
+    call.signal.addEventListener("abort", () => taken.resolve(), {
+      signal: run.stop.signal,
+    });
+    const end = runAndMeasure(run, {
+      attempt: sentAttempts + 2,
+      async onOpened() {
+        opened.resolve(true);
+        await taken.promise;
+      },
+    });
+    void end.then(
+      () => opened.resolve(false),
+      () => opened.resolve(false),
+    );
+    return {
+      run,
+      end,
+      hasBegun: opened.promise,
+      take() {
+        successor = successorOf(pipeline.first);
+        taken.resolve();
+      },
+    };
+  }
+
+  /** Goes on with a run that was started; resolves to whether it is over. */
+  async function takeFollowing(next: FollowingRun): Promise<boolean> {
+    following = null;
+    retry = spareRetry;
+    spareRetry = null;
+    turn += 1;
+    next.take();
+    return endRun(next.run, await next.end);
+  }
+
   function countSent(): void {
     sentAttempts += 1;
     retry = null;
   }
 
+  /** Counts a run that has ended; returns whether it reached an engine. */
+  function countEnd(end: RunEnd, { first }: ChosenPipeline): boolean {
+    if (end.kind === "not_run" && !end.wasSent) return false;
+    sentAttempts += 1;
+    if (end.kind === "not_run") return true;
+    runs += 1;
+    if (end.kind === "failed") failedServers.add(first.id);
+    return true;
+  }
+
   /** Asks other instances for an answer, and counts what may have run there. */
   async function askHelper(
     runsAllowed: number,
@@ -362,10 +476,7 @@
   /** Runs the call on a pipeline; resolves to whether it is over. */
   async function runDirectly(): Promise<boolean> {
     const { hasBegun } = progress;
-    const admitted: AdmissionDecision = reserved
-      ? { kind: "admitted", pipeline: reserved }
-      : await admission.admit({ hasBegun });
-    reserved = null;
+    const admitted: AdmissionDecision = await admission.admit({ hasBegun });
     if (admitted.kind === "out_of_reach") return false;
     if (admitted.kind === "withdrawn") return true;
     if (admitted.kind === "refused") {
@@ -387,30 +498,44 @@
       return true;
     }
     attempts += 1;
+    turn += 1;
     retry?.send();
     const run = {
-      pipeline,
-      size,
-      avoided,
+      ...createRun(pipeline),
       successor: successorOf(pipeline.first),
-      stop: new AbortController(),
     };
-    lastEnd = await runAndMeasure(run);
-    if (lastEnd.kind === "complete") return true;
-    if (lastEnd.kind === "not_run") {
-      if (lastEnd.wasSent) countSent();
-      return attempts - runs > MAX_REFUSALS;
+    return endRun(run, await runAndMeasure(run));
+  }
+
+  function createRun(pipeline: ChosenPipeline): Omit<StreamRun, "successor"> {
+    return { pipeline, size, avoided, stop: new AbortController() };
+  }
+
+  /** Resolves to whether the call is over with the run that has ended. */
+  async function endRun(run: StreamRun, end: RunEnd): Promise<boolean> {
+    lastEnd = end;
+    if (end.kind === "complete") return true;
+    if (countEnd(end, run.pipeline)) retry = null;
+    if (following) {
+      void countIfLost(end, run);
+      return false;
     }
-    countSent();
-    runs += 1;
-    if (lastEnd.kind === "failed") failedServers.add(pipeline.first.id);
-    if (reserved) return false;
-    if (lastEnd.kind === "broken" && (await hasLostFirstEngine(lastEnd, run)))
+    if (end.kind === "not_run") return attempts - runs > MAX_REFUSALS;
+    if (end.kind === "broken" && (await hasLostFirstEngine(end, run)))
       lostRuns += 1;
     if (begun) return false;
     return lostRuns > MAX_LOST_RUNS || !mayRunAgain();
   }
 
+  /** Counts a run as lost if its first engine can't be connected to any more. */
+  async function countIfLost(
+    end: RunEnd,
+    { pipeline }: StreamRun,
+  ): Promise<void> {
+    if (end.kind !== "broken" || !end.isFirstEngineLost) return;
+    if (!(await parts.canConnect(pipeline.first.address))) lostRuns += 1;
+  }
+
   /**
    * Whether a broken run was lost with its first engine. An engine that can't be
    * connected to is one, if that decides whether the answer can go on.
@@ -425,7 +550,13 @@
   }
 
   /** Runs the call and records what it holds and when its answer begins. */
-  async function runAndMeasure(run: StreamRun): Promise<RunEnd> {
+  async function runAndMeasure(
+    run: StreamRun,
+    options: {
+      readonly attempt?: number;
+      readonly onOpened?: () => Promise<void>;
+    } = {},
+  ): Promise<RunEnd> {
     const { hasBegun } = progress;
     const grantedAt = performance.now();
     const onFirstEvent = () =>
@@ -442,6 +573,7 @@
         prompt,
         attempt: sentAttempts + 1,
         ...measure,
+        ...options,
       });
     } finally {
       queues.recorder.heldChanged(service, priority, -cost);
--- a/packages/gateway/src/streams/stage_recovery.ts
+++ b/packages/gateway/src/streams/stage_recovery.ts
@@ -34,6 +34,9 @@
  */
 const MAX_LOAD_ELSEWHERE = 0.75;
 
+/** Reason of the signal to a search whose run has ended by itself. */
+export const RUN_ENDED = "run_ended";
+
 const log = createLogger("streams");
 
 /**
@@ -54,13 +57,14 @@
   /** Whether the call may have another run at all. */
   isAllowed(cause: RecoveryCause): boolean;
   /**
-   * Resolves to whether all that another run needs is reserved for it. Without
-   * that, a run isn't given up: its engine may only be silent for a moment.
+   * Resolves to whether another run has begun. Without that, a run isn't given
+   * up: its engine may only be silent for a moment. The signal ends the search;
+   * with the reason `RUN_ENDED`, what has been sent so far goes on.
    */
   reserve(cause: RecoveryCause, signal: AbortSignal): Promise<boolean>;
   /** Resolves to whether the process of an engine has ended. */
   hasEnded(address: string): Promise<boolean>;
-  /** Returns what was reserved, since the run goes on. */
+  /** Ends what has begun or is reserved, since the run goes on. */
   cancel(): void;
 }
 
@@ -168,7 +172,7 @@
       (call.route.resumable && (await successor.hasEnded(address)));
     if (!mayStop) return;
     if (isRecoveryNeeded()) run.stop.abort();
-    else successor.cancel();
+    else if (!hasEnded) successor.cancel();
   }
 
   function isRecoveryNeeded(): boolean {
@@ -291,7 +295,7 @@
     cause: () => cause,
     end() {
       hasEnded = true;
-      recovering?.abort();
+      recovering?.abort(RUN_ENDED);
     },
   };
 }
--- a/packages/gateway/src/streams/stream_run.ts
+++ b/packages/gateway/src/streams/stream_run.ts
@@ -104,6 +104,11 @@
     readonly attempt: number;
     /** Called when the first part of the run's answer arrives. */
     readonly onFirstEvent?: () => void;
+    /**
+     * Called when an engine has begun the answer, which is forwarded once the
+     * promise resolves, unless the run was stopped.
+     */
+    readonly onOpened?: () => Promise<void>;
   },
 ): Promise<RunEnd> {
   const { progress, parts, prompt } = options;
@@ -163,6 +168,11 @@
       result.abandon();
       return brokenRun(recovery, "unsigned_answer");
     }
+    await options.onOpened?.();
+    if (run.stop.signal.aborted || call.signal.aborted) {
+      result.abandon();
+      return brokenRun(recovery, "stopped");
+    }
     const { codec, fleet } = parts;
     fleet.outliers.record(run.pipeline.first.id, "good");
     const end = await forwardEvents(call, result, {
--- a/packages/timing/src/mod.ts
+++ b/packages/timing/src/mod.ts
@@ -1,4 +1,5 @@
 /** Delays based on the runtime's timers. */
+export * from "./deferred.ts";
 export * from "./interruptible_timer.ts";
 export * from "./patient_timeout.ts";
 export * from "./pause.ts";
