--- a/packages/gateway/src/streams/forward_stream.ts
+++ b/packages/gateway/src/streams/forward_stream.ts
@@ -314,7 +314,7 @@
     signal.addEventListener("abort", () => {
       if (signal.reason !== RUN_ENDED) next.run.stop.abort();
     });
-    // A failure is met once the run is taken.
+    // An unexpected error is thrown where the run is taken.
     next.end.then(
       (end) => {
         if (following !== next) return;
