Connections: requests of one connection are handled in turn

Callers saw whole requests run without an answer: of three orders in one write after a signal to stop one was answered; behind bytes that are no request the HTTP server's 400 took the place of the first answer; a daemon closed a connection with four running orders at its limit of requests.

Cause: what closes a connection looked at one response and not at the connection. The new package `connections` owns both: one request of a connection is handled at a time, a close is announced on the last answer only, the parser's errors and timeouts wait for the answers before, and a request behind an announced close doesn't run. Each close has a cause; `unexplained` counts what neither a cause nor the caller accounts for.

Time limits of heads and bodies are checked for each request: the HTTP server's own check answers 408 in place of a request in progress. A request that waits past its deadline is refused as not run.

--- /dev/null
+++ b/packages/connections/src/caller_server.ts
@@ -0,0 +1,270 @@
+/**
+ * HTTP servers that handle the requests of a connection one after the other,
+ * and close it only between two of them. A request that was sent ahead of the
+ * answer before it is handled once that answer is whole, so one that is lost
+ * with its connection has not run.
+ */
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerOptions,
+  type ServerResponse,
+} from "node:http";
+import { Server as NetServer, type Socket } from "node:net";
+import type { Duplex } from "node:stream";
+import { createLogger } from "@rosemarypin/telemetry";
+import {
+  type CloseCause,
+  closeCauseOf,
+  closeConnection,
+  recordCloseCause,
+} from "./close_cause.ts";
+
+/** Answers one request, whose head came at `receivedAt` (monotonic, ms). */
+export type RequestHandler = (
+  request: IncomingMessage,
+  response: ServerResponse,
+  timing: { readonly receivedAt: number },
+) => void;
+
+/** A connection that this process has closed. */
+export interface ClosedConnection {
+  readonly cause: CloseCause;
+  /** Whether a request that was handled had no whole answer. */
+  readonly isUnanswered: boolean;
+}
+
+export interface CallerServerOptions {
+  readonly http: ServerOptions;
+  /** Handles a request; at most one of each connection at a time. */
+  readonly handle: RequestHandler;
+  /** Whether connections stay open after their answers. */
+  readonly mayKeepOpen: () => boolean;
+  /** ID of a request in the log. */
+  readonly requestIdOf: (request: IncomingMessage) => string;
+  /** The whole response to what can't be parsed, by the code of the error. */
+  readonly refuseUnparsed: (code: string) => string;
+  readonly onClosed: (connection: ClosedConnection) => void;
+  /**
+   * Requests of one connection that may wait. The answer to the last of them
+   * announces the close, so those behind it don't run.
+   */
+  readonly maxWaiting?: number;
+}
+
+export interface CallerServer {
+  readonly server: Server;
+  /** Handles a request in its turn, for further events of the server. */
+  receive(request: IncomingMessage, response: ServerResponse): void;
+  /** IDs of the requests without a whole answer. */
+  unanswered(): readonly string[];
+  /** Stops listening; open connections stay. */
+  stopListening(): void;
+  /** Closes connections without a request, as part of a stop. */
+  closeIdle(): void;
+  /** Closes all connections, as part of a stop. */
+  closeAll(): void;
+}
+
+interface Exchange {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly requestId: string;
+  readonly receivedAt: number;
+  /** Whether its caller lets the connection stay open. */
+  readonly isPersistent: boolean;
+}
+
+interface Connection {
+  readonly socket: Socket;
+  /** Requests without a whole answer; the first one is being handled. */
+  readonly exchanges: Exchange[];
+  /** Whether it is closed after the answers to its requests. */
+  isEnding: boolean;
+  isClosedByCaller: boolean;
+  lastRequestId: string;
+  answered: number;
+  /** Bytes that belong to answered requests. */
+  answeredBytes: number;
+  /** Requests that came after the last one that is handled. */
+  dropped: number;
+}
+
+const MAX_WAITING = 64;
+/** A caller that sends more behind the last request is cut off. */
+const MAX_DROPPED = 1_000;
+
+/** Codes of errors for which the server closes a connection by itself. */
+const PARSER_ERRORS = /^(HPE_|ERR_HTTP_REQUEST_TIMEOUT$)/;
+
+const log = createLogger("callers");
+
+/** Creates the server; the caller binds it to an address. */
+export function createCallerServer(options: CallerServerOptions): CallerServer {
+  const { maxWaiting = MAX_WAITING } = options;
+  const connections = new Map<Duplex, Connection>();
+  const server = createServer(
+    // The parser would answer such requests out of turn.
+    { ...options.http, requireHostHeader: false },
+    receive,
+  );
+  server.prependListener("connection", watch);
+  server.on("clientError", ({ code = "" }: NodeJS.ErrnoException, socket) => {
+    const connection = connections.get(socket);
+    if (connection && PARSER_ERRORS.test(code))
+      refuseRest(connection, options.refuseUnparsed(code));
+    else socket.destroy();
+  });
+  server.on("connect", (_request, socket) => {
+    const connection = connections.get(socket);
+    if (connection) refuseRest(connection, "");
+    else socket.destroy();
+  });
+
+  function watch(socket: Socket): void {
+    const connection: Connection = {
+      socket,
+      exchanges: [],
+      isEnding: false,
+      isClosedByCaller: false,
+      lastRequestId: "",
+      answered: 0,
+      answeredBytes: 0,
+      dropped: 0,
+    };
+    connections.set(socket, connection);
+    // The server's own listener closes the connection.
+    socket.prependListener("timeout", () => recordCloseCause(socket, "idle"));
+    socket.once("end", () => {
+      connection.isClosedByCaller = true;
+    });
+    socket.on("error", ({ code = "" }: NodeJS.ErrnoException) => {
+      if (!PARSER_ERRORS.test(code)) connection.isClosedByCaller = true;
+    });
+    socket.once("close", () => {
+      connections.delete(socket);
+      const cause = closeCauseOf(socket);
+      if (cause) record(connection, cause);
+      else if (!connection.isClosedByCaller) record(connection, "unexplained");
+    });
+  }
+
+  function record(connection: Connection, cause: CloseCause): void {
+    const { exchanges, lastRequestId, answered } = connection;
+    const [handled, ...waiting] = exchanges.map(({ requestId }) => requestId);
+    const isUnanswered = handled !== undefined;
+    options.onClosed({ cause, isUnanswered });
+    const fields = { cause, request: lastRequestId || undefined, answered };
+    if (isUnanswered) {
+      const notHandled = waiting.join(",") || undefined;
+      const unanswered = { unanswered: handled, not_handled: notHandled };
+      log.warn("connection_closed", { ...fields, ...unanswered });
+    } else if (cause !== "announced") log.info("connection_closed", fields);
+  }
+
+  function receive(request: IncomingMessage, response: ServerResponse): void {
+    const connection = connections.get(request.socket);
+    if (!connection) return;
+    const { exchanges } = connection;
+    if (connection.isEnding) return drop(connection);
+    const exchange = {
+      request,
+      response,
+      requestId: options.requestIdOf(request),
+      receivedAt: performance.now(),
+      isPersistent: response.shouldKeepAlive,
+    };
+    const previous = exchanges.at(-1);
+    exchanges.push(exchange);
+    connection.lastRequestId = exchange.requestId;
+    response.once("finish", () => settle(connection));
+    if (!previous) return handleFirst(connection);
+    if (!previous.response.headersSent)
+      previous.response.shouldKeepAlive = previous.isPersistent;
+    if (exchanges.length > maxWaiting) connection.isEnding = true;
+  }
+
+  function drop(connection: Connection): void {
+    connection.dropped += 1;
+    if (connection.dropped > MAX_DROPPED)
+      closeConnection(connection.socket, "bad_request");
+  }
+
+  function handleFirst({ exchanges, isEnding }: Connection): void {
+    const [first, next] = exchanges;
+    if (!first) return;
+    const { request, response, receivedAt } = first;
+    const isLast = !next && (isEnding || !options.mayKeepOpen());
+    if (isLast) response.shouldKeepAlive = false;
+    if (request.headers.host === undefined && request.httpVersion === "1.1") {
+      request.resume();
+      response.writeHead(400, { Connection: "close" }).end();
+    } else options.handle(request, response, { receivedAt });
+  }
+
+  /** Called once the answer to the first request has left this process. */
+  function settle(connection: Connection): void {
+    const { socket, exchanges } = connection;
+    const closes = socket.writableEnded || socket.destroyed;
+    exchanges.shift();
+    connection.answered += 1;
+    connection.answeredBytes = socket.bytesRead;
+    if (closes) {
+      if (!connection.isClosedByCaller) recordCloseCause(socket, "announced");
+      return;
+    }
+    if (connection.isEnding && exchanges.length === 0) socket.destroySoon();
+    else handleFirst(connection);
+  }
+
+  /**
+   * Closes a connection from which no more can be read. Its whole requests are
+   * answered first; without one, the refusal is written.
+   */
+  function refuseRest(connection: Connection, refusal: string): void {
+    const { socket, exchanges } = connection;
+    if (connection.isEnding) return;
+    connection.isEnding = true;
+    recordCloseCause(socket, "bad_request");
+    const last = exchanges.at(-1);
+    const isBroken = last !== undefined && !last.request.complete;
+    if (isBroken && exchanges.length > 1) exchanges.pop();
+    else if (isBroken || !last) {
+      const hasAnswer = last?.response.headersSent || !socket.writable;
+      if (hasAnswer) socket.destroy();
+      else socket.end(refusal, () => socket.destroy());
+      return;
+    }
+    const [first, next] = exchanges;
+    if (first && !next && !first.response.headersSent)
+      first.response.shouldKeepAlive = false;
+  }
+
+  /** Whether its last request was answered. A first one may be on its way. */
+  function isIdle(connection: Connection): boolean {
+    const { socket, exchanges, answered, answeredBytes } = connection;
+    const hasNoRequest = exchanges.length === 0 && answered > 0;
+    return hasNoRequest && socket.bytesRead === answeredBytes;
+  }
+
+  return {
+    server,
+    receive,
+    unanswered: () =>
+      [...connections.values()].flatMap(({ exchanges }) =>
+        exchanges.map(({ requestId }) => requestId),
+      ),
+    // The HTTP server's own `close` also closes connections whose answers are
+    // ended and not yet sent.
+    stopListening: () => void NetServer.prototype.close.call(server),
+    closeIdle() {
+      for (const connection of connections.values())
+        if (isIdle(connection)) closeConnection(connection.socket, "stop");
+    },
+    closeAll() {
+      for (const { socket } of connections.values())
+        closeConnection(socket, "stop");
+    },
+  };
+}
--- /dev/null
+++ b/packages/connections/src/mod.ts
@@ -0,0 +1,3 @@
+/** HTTP servers for callers, and how their connections are closed. */
+export * from "./caller_server.ts";
+export * from "./close_cause.ts";
--- a/packages/daemon/src/admin_server.ts
+++ b/packages/daemon/src/admin_server.ts
@@ -79,7 +79,9 @@
 });
 
 /** Starts to answer at the administrators' address. */
-export function startAdminServer(options: AdminServerOptions): Promise<Server> {
+export async function startAdminServer(
+  options: AdminServerOptions,
+): Promise<Server> {
   const { settings, publisher, inspector } = options;
   const memory = createBodyMemory(settings.limits.bodiesBytes);
 
@@ -245,10 +247,11 @@
       : { kind: "note", note };
   }
 
-  return startServer(settings.instance.addresses.admin, {
+  const { server } = await startServer(settings.instance.addresses.admin, {
     limits: settings.limits,
     handle: (request, response) => void handle(request, response),
   });
+  return server;
 }
 
 function ok(body: unknown): Reply {
--- a/packages/daemon/src/answer_stream.ts
+++ b/packages/daemon/src/answer_stream.ts
@@ -6,6 +6,7 @@
   type CallFailure,
   formatEventId,
 } from "@rosemarypin/calls";
+import { closeConnection } from "@rosemarypin/connections";
 import type { AnswerProvenance } from "@rosemarypin/schemas";
 import { failureBody, sendFailure, sendJson } from "./http_basics.ts";
 
@@ -119,7 +120,10 @@
   if (response.write(text) || response.destroyed) return;
   const closed = new AbortController();
   const onClose = () => closed.abort();
-  const timer = setTimeout(() => response.destroy(), readerStallMs);
+  const timer = setTimeout(
+    () => closeConnection(response.socket, "slow_reader"),
+    readerStallMs,
+  );
   response.once("close", onClose);
   try {
     await once(response, "drain", { signal: closed.signal });
--- a/packages/daemon/src/caller_server.ts
+++ b/packages/daemon/src/caller_server.ts
@@ -1,11 +1,12 @@
 /** The callers' HTTP interface. */
 import { randomUUID } from "node:crypto";
-import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { IncomingMessage, ServerResponse } from "node:http";
 import type {
   ResumeDependencies,
   ServiceCall,
   ServiceCallResult,
 } from "@rosemarypin/calls";
+import { type CallerServer, closeConnection } from "@rosemarypin/connections";
 import type { SharedLimits } from "@rosemarypin/limits";
 import type { Settings } from "@rosemarypin/schemas";
 import {
@@ -41,6 +42,8 @@
   readonly work: WorkInProgress;
   readonly requests: RequestMemory;
   readonly limits: SharedLimits;
+  /** Whether callers are to leave for another instance. */
+  readonly isDraining?: () => boolean;
 }
 
 interface Endpoint {
@@ -51,7 +54,7 @@
 /** Starts to take calls at the callers' address. */
 export function startCallerServer(
   options: CallerServerOptions,
-): Promise<Server> {
+): Promise<CallerServer> {
   const { settings, metrics, work } = options;
   const authenticate = createAuthenticator(settings.organisations);
   const memory = createBodyMemory(settings.limits.bodiesBytes);
@@ -83,7 +86,7 @@
     } catch (error) {
       const reason = error instanceof Error ? error.message : String(error);
       log.warn("internal_error", { request: requestId, reason });
-      if (response.headersSent) response.destroy();
+      if (response.headersSent) closeConnection(response.socket, "exception");
       sendFailure(response, internalError(exchange.handedOn), { requestId });
     } finally {
       end();
@@ -138,5 +141,6 @@
   return startServer(settings.instance.addresses.callers, {
     limits: settings.limits,
     handle: (request, response) => void handle(request, response),
+    mayKeepOpen: () => !options.isDraining?.(),
   });
 }
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -282,9 +282,7 @@
     work,
     requests,
     limits,
-  });
-  callerServer.prependListener("request", (_request, response) => {
-    if (draining) response.setHeader("connection", "close");
+    isDraining: () => draining,
   });
   log.info("started", { instance: id, domain: failureDomain });
 
@@ -295,7 +293,7 @@
       await new Promise((resolve) =>
         setTimeout(resolve, settings.balancerLagMs),
       );
-      await waitForQuiet(callerServer, {
+      await waitForQuiet(callerServer.server, {
         quietMs: QUIET_MS,
         withinMs: QUIET_WITHIN_MS,
       });
--- a/packages/daemon/src/graceful_close.ts
+++ b/packages/daemon/src/graceful_close.ts
@@ -1,5 +1,6 @@
 /** Ways to close a server of HTTP. */
 import type { Server } from "node:http";
+import type { CallerServer } from "@rosemarypin/connections";
 import { pause } from "@rosemarypin/timing";
 import type { WorkInProgress } from "./work_in_progress.ts";
 
@@ -40,16 +41,15 @@
  * A connection whose last answer began before the drain is kept alive by its
  * caller and would hold the server open until the grace time cuts it.
  */
-export function closeGracefully(server: Server): Promise<void> {
+export function closeGracefully(callers: CallerServer): Promise<void> {
+  const sweep = setInterval(callers.closeIdle, SWEEP_EVERY_MS);
   return new Promise((resolve) => {
-    const sweep = setInterval(
-      () => server.closeIdleConnections(),
-      SWEEP_EVERY_MS,
-    );
-    server.close(() => {
+    callers.server.once("close", () => {
       clearInterval(sweep);
       resolve();
     });
+    callers.stopListening();
+    callers.closeIdle();
   });
 }
 
@@ -73,7 +73,7 @@
  * time.
  */
 export async function closeRest(
-  server: Pick<Server, "closeAllConnections">,
+  callers: Pick<CallerServer, "closeAll">,
   { closed, work, withinMs }: RestOfWork,
 ): Promise<boolean> {
   const cutAt = performance.now() + withinMs;
@@ -91,7 +91,7 @@
     if (!ended) break;
   }
   const allEnded = work.count() === 0;
-  server.closeAllConnections();
+  callers.closeAll();
   await closed;
   return allEnded;
 }
--- a/packages/daemon/src/http_basics.ts
+++ b/packages/daemon/src/http_basics.ts
@@ -1,6 +1,7 @@
 /** Small pieces that both HTTP servers use. */
 import type { ServerResponse } from "node:http";
 import type { CallFailure } from "@rosemarypin/calls";
+import { closeConnection } from "@rosemarypin/connections";
 import type { FailureBody } from "@rosemarypin/schemas";
 
 /** How long a caller may go on sending after it was refused. */
@@ -66,6 +67,6 @@
   const { socket } = response.req;
   headers.connection = "close";
   response.once("finish", () => {
-    setTimeout(() => socket.destroy(), LINGER_MS).unref();
+    setTimeout(() => closeConnection(socket, "announced"), LINGER_MS).unref();
   });
 }
--- a/packages/gateway/src/callers/caller_answer.ts
+++ b/packages/gateway/src/callers/caller_answer.ts
@@ -2,6 +2,7 @@
 import type { ServerResponse } from "node:http";
 import type { RetryDelayRange, RetryRefusal } from "@rosemarypin/admission";
 import { isBodiless } from "@rosemarypin/backends";
+import { closeConnection } from "@rosemarypin/connections";
 import type { OpenAnswer } from "../backends/mod.ts";
 import type { RequestCodec } from "../protocol.ts";
 import {
@@ -140,7 +141,8 @@
  * complete. If it has neither a length nor chunks, only a reset shows that.
  */
 export function breakAnswerOff(response: ServerResponse): void {
-  if (endsWithConnection(response)) response.socket?.resetAndDestroy();
+  const isReset = endsWithConnection(response);
+  closeConnection(response.socket, "answer_cut", { isReset });
   response.destroy();
 }
 
--- a/packages/gateway/src/callers/caller_listener.ts
+++ b/packages/gateway/src/callers/caller_listener.ts
@@ -1,9 +1,9 @@
 /** HTTP listener that admits callers' requests and has them forwarded. */
 import {
-  createServer,
   type IncomingMessage,
   type Server,
   type ServerResponse,
+  STATUS_CODES,
 } from "node:http";
 import {
   type Arrival,
@@ -11,6 +11,12 @@
   FIRST_ARRIVAL,
   type ReturningCallers,
 } from "@rosemarypin/admission";
+import {
+  type ClosedConnection,
+  closeConnection,
+  createCallerServer,
+  recordCloseCause,
+} from "@rosemarypin/connections";
 import { createLogger } from "@rosemarypin/telemetry";
 import type {
   CallerLimits,
@@ -33,10 +39,6 @@
   retryDelayOf,
 } from "./caller_answer.ts";
 import { type CallEnd, type CallerCall, priorityOf } from "./caller_call.ts";
-import {
-  type ClosedConnection,
-  createCallerConnections,
-} from "./caller_connections.ts";
 import { createConnectionSurge } from "./connection_surge.ts";
 import {
   decodeHandoffTerms,
@@ -58,8 +60,8 @@
 };
 /** Limit of the HTTP parser, above the limit of any configuration. */
 const PARSER_HEADER_BYTES = 65_536;
-/** Time limit for receiving a whole request including its body. */
-const REQUEST_TIMEOUT_MS = 20_000;
+/** Time limit for receiving a body. */
+const BODY_TIMEOUT_MS = 20_000;
 const DEFAULT_DEADLINE_MS = 30_000;
 /**
  * Time for which requests are accepted after the signal to stop. The load
@@ -78,7 +80,13 @@
 const BODY_REFUSALS = {
   too_large: { status: 413, reason: "body_too_large" },
   no_room: { status: 503, reason: "bodies_memory_full" },
+  too_slow: { status: 408, reason: "body_too_slow" },
 } as const;
+/** Statuses of refusals by the parser's code; 400 for all others. */
+const PARSER_STATUSES: Readonly<Record<string, number>> = {
+  HPE_HEADER_OVERFLOW: 431,
+  HPE_CHUNK_EXTENSIONS_OVERFLOW: 413,
+};
 /** Refusal after an error of this instance before the request was sent. */
 const FAILED = { status: 503, reason: "internal_error" };
 
@@ -122,6 +130,7 @@
   closeAll(): void;
   /** Closes those without a request in progress, for a stop. */
   closeIdle(): void;
+  stopListening(): void;
 }
 
 type Admission = Pick<
@@ -152,21 +161,40 @@
   const { keeper, codec } = options;
   const answers = createOpenAnswers();
   let handedOffInProgress = 0;
-  const server = createServer(
-    { maxHeaderSize: PARSER_HEADER_BYTES, requestTimeout: REQUEST_TIMEOUT_MS },
-    (request, response) => void handleTracked(request, response, null),
-  );
+  const callers = createCallerServer({
+    // Time limits are checked for each request in its turn.
+    http: {
+      maxHeaderSize: PARSER_HEADER_BYTES,
+      headersTimeout: 0,
+      requestTimeout: 0,
+    },
+    handle: (request, response, { receivedAt }) =>
+      void handleTracked(request, response, { receivedAt, handedOff: null }),
+    mayKeepOpen,
+    requestIdOf: ({ headers }) => codec.decodeRequest(headers).requestId ?? "",
+    refuseUnparsed,
+    onClosed: options.onClosed,
+  });
+  const { server } = callers;
   const surge = createConnectionSurge();
   server.prependListener("connection", (socket) => {
     if (surge.mayAccept() || !options.hasOtherInstances()) return;
-    connections.closing(socket, "surge");
-    socket.resetAndDestroy();
+    closeConnection(socket, "surge", { isReset: true });
   });
-  const connections = createCallerConnections(server, options.onClosed);
   server.once("close", surge.stop);
-  startHeadTimeouts(server, () => server.headersTimeout);
-  applyLimits(server, DEFAULT_LIMITS);
-  keeper.onChanged(({ limits }) => applyLimits(server, limits));
+  startHeadTimeouts(server, () => limits().headerTimeoutMs);
+  server.keepAliveTimeout = DEFAULT_LIMITS.idleTimeoutMs;
+  keeper.onChanged(({ limits }) => {
+    server.keepAliveTimeout = limits.idleTimeoutMs;
+  });
+
+  function limits(): CallerLimits {
+    return keeper.applied()?.limits ?? DEFAULT_LIMITS;
+  }
+
+  function mayKeepOpen(): boolean {
+    return !isStopping() && !options.isIsolated();
+  }
 
   function isStopping(): boolean {
     return options.stoppingForMs() !== null;
@@ -175,14 +203,15 @@
   async function handleTracked(
     request: IncomingMessage,
     response: ServerResponse,
-    handedOff: HandoffTerms | null,
+    received: Pick<RefusedRequest, "handedOff"> & {
+      readonly receivedAt: number;
+    },
   ): Promise<void> {
     answers.add(response);
     const room = options.bodyBudget.open();
-    if (isStopping() || options.isIsolated())
-      response.setHeader("Connection", "close");
+    if (received.handedOff && !mayKeepOpen()) response.shouldKeepAlive = false;
     try {
-      await handle(request, response, { handedOff, room });
+      await handle(request, response, { ...received, room });
     } catch (error) {
       endUnforwarded(request, response, error);
     } finally {
@@ -198,7 +227,7 @@
     error: unknown,
   ): void {
     options.unexpectedErrors.record("request", error);
-    if (response.headersSent) connections.closing(response.socket, "exception");
+    if (response.headersSent) recordCloseCause(response.socket, "exception");
     request.resume();
     const { requestId } = codec.decodeRequest(request.headers);
     const retryAfterSeconds = null;
@@ -245,7 +274,8 @@
       return refuseRequest(request, response, refused);
     }
     handedOffInProgress += 1;
-    await handleTracked(request, response, terms);
+    const receivedAt = performance.now();
+    await handleTracked(request, response, { receivedAt, handedOff: terms });
     handedOffInProgress -= 1;
   }
 
@@ -280,15 +310,18 @@
     response: ServerResponse,
     {
       handedOff,
+      receivedAt: startedAt,
       room,
-    }: { readonly handedOff: HandoffTerms | null; readonly room: BodyRoom },
+    }: {
+      readonly handedOff: HandoffTerms | null;
+      readonly receivedAt: number;
+      readonly room: BodyRoom;
+    },
   ): Promise<void> {
-    const startedAt = performance.now();
     const rawHeaders = handedOff
       ? withoutHandoffTerms(request.rawHeaders)
       : request.rawHeaders;
     const decoded = codec.decodeRequest(request.headers);
-    connections.track(request, response, decoded.requestId ?? "");
     const metadata = handedOff
       ? {
           ...decoded,
@@ -312,17 +345,21 @@
     }
     const { arrival, elapsedMs } = classify(admitted.route, received);
     const { bodyBytes } = applied?.limits ?? DEFAULT_LIMITS;
-    const body = await readRequestBody(request, { bodyBytes, room });
-    if (body === "too_large" || body === "no_room") {
+    const body = await readRequestBody(request, {
+      bodyBytes,
+      room,
+      timeoutMs: BODY_TIMEOUT_MS,
+    });
+    if (body === "too_large" || body === "no_room" || body === "too_slow") {
       const refusal = BODY_REFUSALS[body];
-      response.setHeader("Connection", "close");
+      if (!request.complete) response.shouldKeepAlive = false;
       const priority = priorityOf(admitted);
       const refused = { ...received, refusal, priority, arrival };
       return refuseRequest(request, response, refused);
     }
     if (body === "broken") {
       log.info("request_broken", { request: metadata.requestId ?? "" });
-      response.destroy();
+      closeConnection(request.socket, "bad_request");
       return;
     }
     const { route } = admitted;
@@ -330,9 +367,15 @@
       metadata.deadlineMs ?? DEFAULT_DEADLINE_MS,
       route.timeoutMs,
     );
+    const deadlineAt = startedAt + callTimeoutMs;
+    if (performance.now() >= deadlineAt) {
+      const refusal = { status: 503, reason: "deadline_passed" };
+      const priority = priorityOf(admitted);
+      const refused = { ...received, refusal, priority, arrival };
+      return refuseRequest(request, response, refused);
+    }
     const callAbort = new AbortController();
     let callerLeft = false;
-    const deadlineAt = startedAt + callTimeoutMs;
     const timer = setTimeout(
       () => callAbort.abort(),
       deadlineAt - performance.now(),
@@ -365,7 +408,7 @@
       if (end.outcome === "cut") {
         const isError = end.reason === FAILED.reason;
         const cause = isError ? "exception" : "answer_cut";
-        connections.closing(response.socket, cause);
+        recordCloseCause(response.socket, cause);
       }
       logEnd(call, end);
       options.onEnded(call, end);
@@ -423,15 +466,12 @@
     handleHandedOff: (request, response) =>
       void handleHandedOff(request, response),
     inProgress: answers.count,
-    unanswered: connections.unanswered,
+    unanswered: callers.unanswered,
+    stopListening: callers.stopListening,
+    closeIdle: callers.closeIdle,
     closeAll() {
-      connections.closingAll("stop");
       answers.breakOff();
-      server.closeAllConnections();
-    },
-    closeIdle() {
-      connections.closingAll("stop", { onlyIdle: true });
-      server.closeIdleConnections();
+      callers.closeAll();
     },
   };
 }
@@ -508,7 +548,11 @@
   return rawHeaders.reduce((sum, text) => sum + text.length + 2, 0);
 }
 
-function applyLimits(server: Server, limits: CallerLimits): void {
-  server.headersTimeout = limits.headerTimeoutMs;
-  server.keepAliveTimeout = limits.idleTimeoutMs;
+/** The response to bytes that are no request, by the code of their error. */
+function refuseUnparsed(code: string): string {
+  const status = PARSER_STATUSES[code] ?? 400;
+  return (
+    `HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\n` +
+    "Connection: close\r\nContent-Length: 0\r\n\r\n"
+  );
 }
--- a/packages/gateway/src/callers/head_timeouts.ts
+++ b/packages/gateway/src/callers/head_timeouts.ts
@@ -1,11 +1,12 @@
 /**
  * Closes connections whose requests' heads take too long. The HTTP server's own
- * check comes every 30 s, and at once after this process was blocked, although
- * the rest of a head may have arrived meanwhile. A blocked interval counts as
- * one here, however long it was.
+ * check doesn't wait for the answers before, and comes at once after this
+ * process was blocked, although the rest of a head may have arrived meanwhile.
+ * A blocked interval counts as one here, however long it was.
  */
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import { closeConnection } from "@rosemarypin/connections";
 
 const CHECK_INTERVAL_MS = 250;
 
@@ -44,7 +45,8 @@
       connection.partialMs = isPartial
         ? connection.partialMs + CHECK_INTERVAL_MS
         : 0;
-      if (connection.partialMs > timeoutMs()) socket.destroy();
+      if (connection.partialMs > timeoutMs())
+        closeConnection(socket, "bad_request");
     }
   }
 }
--- a/packages/gateway/src/callers/mod.ts
+++ b/packages/gateway/src/callers/mod.ts
@@ -2,7 +2,6 @@
 export * from "./body_budget.ts";
 export * from "./caller_answer.ts";
 export * from "./caller_call.ts";
-export type { ClosedConnection } from "./caller_connections.ts";
 export * from "./caller_listener.ts";
 export * from "./handoff_headers.ts";
 export * from "./request_body.ts";
--- a/packages/gateway/src/callers/request_body.ts
+++ b/packages/gateway/src/callers/request_body.ts
@@ -10,11 +10,14 @@
   | "too_large"
   /** The bodies of other requests take all memory that there is for them. */
   | "no_room"
+  | "too_slow"
   | "broken";
 
 export interface ReadBodyOptions extends Pick<CallerLimits, "bodyBytes"> {
   /** Bounds the memory; the reader of the body releases it. */
   readonly room?: BodyRoom;
+  /** Time limit for receiving it. */
+  readonly timeoutMs?: number;
 }
 
 /**
@@ -23,7 +26,7 @@
  */
 export async function readRequestBody(
   request: IncomingMessage,
-  { bodyBytes, room }: ReadBodyOptions,
+  { bodyBytes, room, timeoutMs }: ReadBodyOptions,
 ): Promise<RequestBody> {
   const length = Number(request.headers["content-length"] ?? 0);
   if (length > bodyBytes) return "too_large";
@@ -34,23 +37,29 @@
   return collect(request, {
     bodyBytes,
     ...(room && length === 0 ? { room } : {}),
+    ...(timeoutMs === undefined ? {} : { timeoutMs }),
   });
 }
 
 /** Listens by hand: a `for await` that ends early destroys the connection. */
 function collect(
   request: IncomingMessage,
-  { bodyBytes, room }: ReadBodyOptions,
+  { bodyBytes, room, timeoutMs }: ReadBodyOptions,
 ): Promise<RequestBody> {
   const chunks: Buffer[] = [];
   let bytes = 0;
   return new Promise((resolve) => {
+    const isArriving = !request.complete && timeoutMs !== undefined;
+    const timer = isArriving
+      ? setTimeout(() => finish("too_slow"), timeoutMs)
+      : undefined;
     request.on("data", take);
     request.once("end", end);
     request.once("error", fail);
     request.once("close", fail);
 
     function finish(result: RequestBody): void {
+      clearTimeout(timer);
       request.off("data", take);
       request.off("end", end);
       request.off("error", fail);
--- a/packages/gateway/src/graceful_stop.ts
+++ b/packages/gateway/src/graceful_stop.ts
@@ -54,7 +54,7 @@
       await pause(SHUTDOWN_POLL_MS);
     }
     listener.closeIdle();
-    listener.server.close();
+    listener.stopListening();
     const connectionLimitMs = Math.min(
       elapsedMs() + CONNECTION_DRAIN_MS,
       drainLimitMs,
--- a/packages/gateway/src/operators/gateway_metrics.ts
+++ b/packages/gateway/src/operators/gateway_metrics.ts
@@ -1,15 +1,11 @@
 /** Prometheus metrics of one gateway. */
 import { performance as runtime } from "node:perf_hooks";
 import type { ClassLevel } from "@rosemarypin/admission";
+import type { ClosedConnection } from "@rosemarypin/connections";
 import type { RetryTotals } from "@rosemarypin/limits";
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import type { ServerCounts } from "../backends/mod.ts";
-import {
-  type CallEnd,
-  type CallerCall,
-  type ClosedConnection,
-  priorityOf,
-} from "../callers/mod.ts";
+import { type CallEnd, type CallerCall, priorityOf } from "../callers/mod.ts";
 import { PROMPT_QUARANTINED } from "../prompts/mod.ts";
 import type { AdmissionObserver } from "../streams/mod.ts";
 
--- a/packages/telemetry/src/event_catalogue.ts
+++ b/packages/telemetry/src/event_catalogue.ts
@@ -165,8 +165,8 @@
       ],
     },
     connection_closed: {
-      says: "this instance closed a caller's connection; `request` is its latest request, `unanswered` names those without a whole answer",
-      fields: ["cause", "request", "answered", "unanswered"],
+      says: "this instance closed a caller's connection; `request` is its latest request, `unanswered` the one that was handled and has no whole answer, `not_handled` those behind it, which have not run",
+      fields: ["cause", "request", "answered", "unanswered", "not_handled"],
     },
     request_broken: {
       says: "the caller disconnected before its request was complete",
@@ -176,10 +176,6 @@
       says: "the HTTP parser rejected a request, or its connection failed or timed out",
       fields: ["code"],
     },
-    pipelining_cut_off: {
-      says: "a connection exceeded the limit of requests in progress and was closed",
-      fields: ["requests"],
-    },
     no_pipeline: {
       says: "some layers that a request needs are held by no usable engine; of `engines` in the list this instance avoids `engines_avoided` after failures",
       fields: [
