--- a/packages/connections/src/caller_server.ts
+++ b/packages/connections/src/caller_server.ts
@@ -31,7 +31,7 @@
 /** A connection that this process has closed. */
 export interface ClosedConnection {
   readonly cause: CloseCause;
-  /** Whether a request that was handled had no whole answer. */
+  /** Whether a whole request that was handled had no whole answer. */
   readonly isUnanswered: boolean;
 }
 
@@ -74,6 +74,7 @@
   readonly receivedAt: number;
   /** Whether its caller lets the connection stay open. */
   readonly isPersistent: boolean;
+  isHandled: boolean;
 }
 
 interface Connection {
@@ -87,14 +88,11 @@
   answered: number;
   /** Bytes that belong to answered requests. */
   answeredBytes: number;
-  /** Requests that came after the last one that is handled. */
-  dropped: number;
 }
 
 const MAX_WAITING = 64;
-/** A caller that sends more behind the last request is cut off. */
-const MAX_DROPPED = 1_000;
 
+const TIMEOUT = "ERR_HTTP_REQUEST_TIMEOUT";
 /** Codes of errors for which the server closes a connection by itself. */
 const PARSER_ERRORS = /^(HPE_|ERR_HTTP_REQUEST_TIMEOUT$)/;
 
@@ -112,14 +110,16 @@
   server.prependListener("connection", watch);
   server.on("clientError", ({ code = "" }: NodeJS.ErrnoException, socket) => {
     const connection = connections.get(socket);
-    if (connection && PARSER_ERRORS.test(code))
+    if (!connection || !PARSER_ERRORS.test(code)) socket.destroy();
+    else if (code !== TIMEOUT || !waitsWithBody(connection))
       refuseRest(connection, options.refuseUnparsed(code));
-    else socket.destroy();
   });
   server.on("connect", (_request, socket) => {
     const connection = connections.get(socket);
-    if (connection) refuseRest(connection, "");
-    else socket.destroy();
+    if (!connection) return void socket.destroy();
+    // The server has taken its own listener off.
+    socket.on("drain", () => connection.exchanges[0]?.response.emit("drain"));
+    refuseRest(connection, "");
   });
 
   function watch(socket: Socket): void {
@@ -131,7 +131,6 @@
       lastRequestId: "",
       answered: 0,
       answeredBytes: 0,
-      dropped: 0,
     };
     connections.set(socket, connection);
     // The server's own listener closes the connection.
@@ -152,49 +151,54 @@
 
   function record(connection: Connection, cause: CloseCause): void {
     const { exchanges, lastRequestId, answered } = connection;
-    const [handled, ...waiting] = exchanges.map(({ requestId }) => requestId);
-    const isUnanswered = handled !== undefined;
+    const [first, ...others] = exchanges;
+    const waiting = first?.isHandled ? others : exchanges;
+    const isUnanswered = first?.isHandled === true && first.request.complete;
     options.onClosed({ cause, isUnanswered });
-    const fields = { cause, request: lastRequestId || undefined, answered };
-    if (isUnanswered) {
-      const notHandled = waiting.join(",") || undefined;
-      const unanswered = { unanswered: handled, not_handled: notHandled };
-      log.warn("connection_closed", { ...fields, ...unanswered });
-    } else if (cause !== "announced") log.info("connection_closed", fields);
+    const fields = {
+      cause,
+      request: lastRequestId || undefined,
+      answered,
+      unanswered: isUnanswered ? first.requestId : undefined,
+      not_handled:
+        waiting.map(({ requestId }) => requestId).join(",") || undefined,
+    };
+    if (isUnanswered) log.warn("connection_closed", fields);
+    else if (cause !== "announced") log.info("connection_closed", fields);
   }
 
   function receive(request: IncomingMessage, response: ServerResponse): void {
     const connection = connections.get(request.socket);
     if (!connection) return;
     const { exchanges } = connection;
-    if (connection.isEnding) return drop(connection);
+    if (connection.isEnding) return discardRest(connection);
     const exchange = {
       request,
       response,
       requestId: options.requestIdOf(request),
       receivedAt: performance.now(),
       isPersistent: response.shouldKeepAlive,
+      isHandled: false,
     };
     const previous = exchanges.at(-1);
     exchanges.push(exchange);
     connection.lastRequestId = exchange.requestId;
     response.once("finish", () => settle(connection));
+    // The parser drops what follows a request for another protocol.
+    const isLastOfMany = exchanges.length > maxWaiting;
+    connection.isEnding = isLastOfMany || asksForUpgrade(request);
     if (!previous) return handleFirst(connection);
     if (!previous.response.headersSent)
       previous.response.shouldKeepAlive = previous.isPersistent;
-    if (exchanges.length > maxWaiting) connection.isEnding = true;
-  }
-
-  function drop(connection: Connection): void {
-    connection.dropped += 1;
-    if (connection.dropped > MAX_DROPPED)
-      closeConnection(connection.socket, "bad_request");
   }
 
-  function handleFirst({ exchanges, isEnding }: Connection): void {
+  function handleFirst(connection: Connection): void {
+    const { exchanges, isEnding } = connection;
     const [first, next] = exchanges;
     if (!first) return;
     const { request, response, receivedAt } = first;
+    first.isHandled = true;
+    limitBody(connection, request);
     const isLast = !next && (isEnding || !options.mayKeepOpen());
     if (isLast) response.shouldKeepAlive = false;
     if (request.headers.host === undefined && request.httpVersion === "1.1") {
@@ -236,11 +240,47 @@
       else socket.end(refusal, () => socket.destroy());
       return;
     }
+    discardRest(connection);
+    announceClose(connection);
+  }
+
+  /** Announces the close on the only answer that is left, if it can. */
+  function announceClose({ exchanges }: Connection): void {
     const [first, next] = exchanges;
     if (first && !next && !first.response.headersSent)
       first.response.shouldKeepAlive = false;
   }
 
+  /**
+   * Reads and drops what follows the last request. Unread bytes would reset the
+   * connection at its close, and with it the last answer.
+   */
+  function discardRest({ socket }: Connection): void {
+    const discard = () => {};
+    // With a listener the parser gives the socket back to JavaScript.
+    socket.on("data", discard);
+    for (const listener of socket.listeners("data"))
+      if (listener !== discard) socket.off("data", listener as () => void);
+    socket.resume();
+  }
+
+  /** Whether the server's time limit has run out for a request in a queue. */
+  function waitsWithBody({ exchanges }: Connection): boolean {
+    return exchanges.length > 1 && !exchanges.at(-1)?.request.complete;
+  }
+
+  /** Limits the time for a body that the server's own limit no longer bounds. */
+  function limitBody(connection: Connection, request: IncomingMessage): void {
+    const { requestTimeout } = server;
+    if (connection.answered === 0 || requestTimeout === 0) return;
+    if (request.complete) return;
+    const refuse = () =>
+      refuseRest(connection, options.refuseUnparsed(TIMEOUT));
+    const timer = setTimeout(refuse, requestTimeout);
+    request.once("close", () => clearTimeout(timer));
+    request.once("end", () => clearTimeout(timer));
+  }
+
   /** Whether its last request was answered. A first one may be on its way. */
   function isIdle(connection: Connection): boolean {
     const { socket, exchanges, answered, answeredBytes } = connection;
@@ -257,7 +297,12 @@
       ),
     // The HTTP server's own `close` also closes connections whose answers are
     // ended and not yet sent.
-    stopListening: () => void NetServer.prototype.close.call(server),
+    stopListening() {
+      NetServer.prototype.close.call(server);
+      // A caller that always has a request ahead would never see the close.
+      for (const connection of connections.values())
+        if (connection.exchanges.length > 1) connection.isEnding = true;
+    },
     closeIdle() {
       for (const connection of connections.values())
         if (isIdle(connection)) closeConnection(connection.socket, "stop");
@@ -268,3 +313,8 @@
     },
   };
 }
+
+function asksForUpgrade({ headers }: IncomingMessage): boolean {
+  const isAsked = /\bupgrade\b/i.test(headers.connection ?? "");
+  return isAsked && headers.upgrade !== undefined;
+}
--- a/packages/connections/src/caller_server_test.ts
+++ b/packages/connections/src/caller_server_test.ts
@@ -1,5 +1,7 @@
 import { once } from "node:events";
 import { type AddressInfo, connect, type Socket } from "node:net";
+import { Readable } from "node:stream";
+import { pipeline } from "node:stream/promises";
 import { setTimeout as pause } from "node:timers/promises";
 import { afterEach, describe, expect, it } from "vitest";
 import {
@@ -194,14 +196,96 @@
     expect(text.split("Connection: close").length - 1).toBe(1);
   });
 
-  it("without end are cut off", async () => {
+  // Guards against a close that takes the request in progress with it.
+  it("without end cut none of those that are handled", async () => {
     await start();
-    await send(await open(), encode("r").repeat(2_000));
-    expect(handled).toEqual(["r"]);
+    const flood = "GET /r HTTP/1.1\r\nHost: x\r\n\r\n".repeat(5_000);
+    const answered = await send(await open(), ...ORDERS, flood);
+    expect(answered).toEqual([...IDS, "r", "r"]);
+    expect(handled).toEqual(answered);
+    expect(closed.every(({ isUnanswered }) => !isUnanswered)).toBe(true);
+  });
+
+  // Guards against an answer that waits for a reader and never goes on.
+  it.each([
+    "no request\r\n\r\n",
+    "CONNECT other:80 HTTP/1.1\r\nHost: x\r\n\r\n",
+  ])("are answered to a slow reader before %j", async (bytes) => {
+    const size = 8_000_000;
+    const pieces = Array<Buffer>(100).fill(Buffer.alloc(size / 100));
+    await start((_request, response) =>
+      pipeline(Readable.from(pieces), response),
+    );
+    const socket = await open();
+    socket.pause();
+    socket.write(encode("a"));
+    await pause(2 * WORK_MS);
+    socket.write(bytes);
+    await pause(2 * WORK_MS);
+    let read = 0;
+    socket.on("data", (chunk: Buffer) => {
+      read += chunk.length;
+    });
+    socket.resume();
+    await closeOf(socket);
+    expect(read).toBeGreaterThan(size);
+  });
+
+  // Guards against a body that counts as late because it had to wait.
+  it("may wait for longer than the time limit of their bodies", async () => {
+    await start(async (_request, response) => {
+      await pause(4 * WORK_MS);
+      response.end("done");
+    });
+    callers.server.requestTimeout = WORK_MS;
+    const socket = await open();
+    const body = "x".repeat(400_000);
+    const reading = send(socket, encode("a"), encode("b", { body }));
+    await expect.poll(() => handled).toEqual(IDS.slice(0, 2));
+    await pause(8 * WORK_MS);
+    socket.end();
+    expect(await reading).toEqual(["a", "b"]);
+  });
+
+  // Guards against an answer that is taken for that of another request: the
+  // parser drops what follows such a request in one read.
+  it("aren't read behind one that asks for another protocol", async () => {
+    await start();
+    const upgrade = "Host: x\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n";
+    const socket = await open();
+    const reading = send(socket, encode("a", { host: upgrade }), encode("b"));
+    await pause(WORK_MS / 2);
+    socket.write(encode("c"));
+    expect(await reading).toEqual(["a"]);
+    expect(handled).toEqual(["a"]);
+  });
+
+  it("count as unanswered only if they were handled", async () => {
+    await start((_request, response) => {
+      response.writeHead(200, { Connection: "close" }).end("done");
+    });
+    await send(await open(), ...ORDERS);
+    await expect
+      .poll(() => closed)
+      .toEqual([{ cause: "announced", isUnanswered: false }]);
   });
 });
 
 describe("the end of a server", () => {
+  it("reaches a caller that always has a request ahead", async () => {
+    await start();
+    const socket = await open();
+    socket.on("data", (chunk: Buffer) => {
+      if (chunk.includes("HTTP/1.1")) socket.write(encode("more"));
+    });
+    const reading = send(socket, encode("a"), encode("b"));
+    await pause(3 * WORK_MS);
+    mayKeepOpen = false;
+    callers.stopListening();
+    expect(await reading).toEqual(handled);
+    expect(closed).toEqual([{ cause: "announced", isUnanswered: false }]);
+  });
+
   it("leaves connections whose answers are ended and not yet sent", async () => {
     const size = 8_000_000;
     await start((_request, response) => void response.end(Buffer.alloc(size)));
@@ -222,7 +306,7 @@
     expect(bytes).toBeGreaterThan(3 * size);
     await expect
       .poll(() => closed)
-      .toEqual([{ cause: "stop", isUnanswered: false }]);
+      .toEqual([{ cause: "announced", isUnanswered: false }]);
   });
 
   it("closes idle connections, and none whose next request is arriving", async () => {
--- a/packages/daemon/src/contract/pipelined_calls_test.ts
+++ b/packages/daemon/src/contract/pipelined_calls_test.ts
@@ -3,7 +3,7 @@
 import type { CallerServer } from "@rosemarypin/connections";
 import { afterEach, describe, expect, it } from "vitest";
 import { startCallerServer } from "../caller_server.ts";
-import { closeGracefully } from "../graceful_close.ts";
+import { closeGracefully, closeRest } from "../graceful_close.ts";
 import { fakeCallerParts, fakeSettings, goodKey } from "./fake_parts.ts";
 
 const WORK_MS = 100;
@@ -15,6 +15,7 @@
 let running: number;
 let mostAtOnce: number;
 let isDraining: boolean;
+let parts: ReturnType<typeof fakeCallerParts>;
 
 afterEach(() => {
   callers.closeAll();
@@ -26,7 +27,7 @@
   running = 0;
   mostAtOnce = 0;
   isDraining = false;
-  const parts = fakeCallerParts(fakeSettings());
+  parts = fakeCallerParts(fakeSettings());
   const callService: typeof parts.callService = async () => {
     ran.push(`order-${ran.length}`);
     running += 1;
@@ -124,12 +125,14 @@
   it("are answered whole to a slow reader while the server closes", async () => {
     const size = 8_000_000;
     await start(size);
-    const sent = send(encodeOrders(2), { readsAfterMs: 1_500 });
+    const sent = send(encodeOrders(2), { readsAfterMs: 4_000 });
     await pause(3 * WORK_MS + 300);
     const closed = closeGracefully(callers);
+    const { work } = parts;
+    const rest = closeRest(callers, { closed, work, withinMs: 20_000 });
     const { answers, bytes } = await sent;
     expect(answers).toBe(2);
     expect(bytes).toBeGreaterThan(2 * size);
-    await closed;
+    expect(await rest).toBe(true);
   });
 });
--- a/packages/daemon/src/graceful_close.ts
+++ b/packages/daemon/src/graceful_close.ts
@@ -73,7 +73,7 @@
  * time.
  */
 export async function closeRest(
-  callers: Pick<CallerServer, "closeAll">,
+  callers: Pick<CallerServer, "closeAll" | "unanswered">,
   { closed, work, withinMs }: RestOfWork,
 ): Promise<boolean> {
   const cutAt = performance.now() + withinMs;
@@ -86,11 +86,14 @@
     ]);
     lastBytes.abort();
     if (isClosed) return true;
-    if (work.count() === 0) break;
+    const isAnswered = callers.unanswered().length === 0;
+    if (work.count() === 0 && isAnswered) break;
+    if (performance.now() >= cutAt) break;
     const ended = await work.waitForEnd(cutAt - performance.now());
     if (!ended) break;
   }
-  const allEnded = work.count() === 0;
+  const isAnswered = callers.unanswered().length === 0;
+  const allEnded = work.count() === 0 && isAnswered;
   callers.closeAll();
   await closed;
   return allEnded;
--- a/packages/daemon/src/graceful_close_test.ts
+++ b/packages/daemon/src/graceful_close_test.ts
@@ -63,7 +63,7 @@
   });
 
   function close(withinMs: number) {
-    const server = { closeAll: vi.fn() };
+    const server = { closeAll: vi.fn(), unanswered: () => [] };
     const closed = createGate();
     server.closeAll.mockImplementation(closed.resolve);
     const work = createWorkInProgress();
--- a/packages/gateway/src/callers/caller_listener.ts
+++ b/packages/gateway/src/callers/caller_listener.ts
@@ -18,19 +18,12 @@
   recordCloseCause,
 } from "@rosemarypin/connections";
 import { createLogger } from "@rosemarypin/telemetry";
-import type {
-  CallerLimits,
-  Organisation,
-  Route,
-  Service,
-} from "../configuration.ts";
-import type {
-  AppliedConfiguration,
-  ConfigurationKeeper,
-} from "../following/mod.ts";
+import type { CallerLimits, Route } from "../configuration.ts";
+import type { ConfigurationKeeper } from "../following/mod.ts";
 import type { RequestMetadata } from "../protocol.ts";
 import { endAfterError, type UnexpectedErrors } from "../unexpected_errors.ts";
 import type { BodyBudget, BodyRoom } from "./body_budget.ts";
+import { admit, type Refusal } from "./call_admission.ts";
 import { logEnd } from "./call_log.ts";
 import {
   endWithRefusal,
@@ -40,6 +33,7 @@
 } from "./caller_answer.ts";
 import { type CallEnd, type CallerCall, priorityOf } from "./caller_call.ts";
 import { createConnectionSurge } from "./connection_surge.ts";
+import { createHandoffAcceptance } from "./handoff_acceptance.ts";
 import {
   decodeHandoffTerms,
   HANDOFF_HEADER,
@@ -71,12 +65,6 @@
  */
 export const ACCEPT_AFTER_STOP_MS = 2_600;
 
-/**
- * Bound on requests in progress for other instances. With more, this instance
- * would be too busy for its own callers.
- */
-const MAX_HANDED_OFF_REQUESTS = 256;
-
 const BODY_REFUSALS = {
   too_large: { status: 413, reason: "body_too_large" },
   no_room: { status: 503, reason: "bodies_memory_full" },
@@ -133,16 +121,6 @@
   stopListening(): void;
 }
 
-type Admission = Pick<
-  CallerCall,
-  "route" | "service" | "organisation" | "configurationVersion"
->;
-
-interface Refusal {
-  readonly status: number;
-  readonly reason: string;
-}
-
 /** What is known of a request that is refused. */
 interface RefusedRequest {
   readonly metadata: RequestMetadata;
@@ -160,7 +138,7 @@
 ): CallerListener {
   const { keeper, codec } = options;
   const answers = createOpenAnswers();
-  let handedOffInProgress = 0;
+  const acceptance = createHandoffAcceptance({ keeper, isStopping });
   const callers = createCallerServer({
     // Time limits are checked for each request in its turn.
     http: {
@@ -176,6 +154,8 @@
     onClosed: options.onClosed,
   });
   const { server } = callers;
+  // HTTP lets a server ignore an expectation that it doesn't know.
+  server.on("checkExpectation", callers.receive);
   const surge = createConnectionSurge();
   server.prependListener("connection", (socket) => {
     if (surge.mayAccept() || !options.hasOtherInstances()) return;
@@ -227,7 +207,6 @@
     error: unknown,
   ): void {
     options.unexpectedErrors.record("request", error);
-    if (response.headersSent) recordCloseCause(response.socket, "exception");
     request.resume();
     const { requestId } = codec.decodeRequest(request.headers);
     const retryAfterSeconds = null;
@@ -273,36 +252,8 @@
       const refused = { metadata, refusal, startedAt, handedOff: null };
       return refuseRequest(request, response, refused);
     }
-    handedOffInProgress += 1;
-    const receivedAt = performance.now();
-    await handleTracked(request, response, { receivedAt, handedOff: terms });
-    handedOffInProgress -= 1;
-  }
-
-  /** The configuration that decides whether and how a request is handled. */
-  function configurationFor(
-    handedOff: HandoffTerms | null,
-    receivedAt: number,
-  ): AppliedConfiguration | null {
-    if (handedOff?.acceptedForMs === undefined) return keeper.applied();
-    const { configurationVersion: version, acceptedForMs } = handedOff;
-    return keeper.inForceFor({
-      version,
-      acceptedAt: receivedAt - acceptedForMs,
-    });
-  }
-
-  /** Why this instance can't take a request over; `null` if it can. */
-  function refuseHandedOff({
-    configurationVersion,
-  }: HandoffTerms): Refusal | null {
-    if (isStopping()) return { status: 503, reason: "stopping" };
-    if (handedOffInProgress > MAX_HANDED_OFF_REQUESTS)
-      return { status: 503, reason: "busy" };
-    // An older configuration may lack the route or the key of the request.
-    const inForce = keeper.applied()?.version ?? 0;
-    const isBehind = inForce < configurationVersion;
-    return isBehind ? { status: 503, reason: "configuration_behind" } : null;
+    const received = { receivedAt: performance.now(), handedOff: terms };
+    await acceptance.during(() => handleTracked(request, response, received));
   }
 
   async function handle(
@@ -330,12 +281,12 @@
         }
       : decoded;
     await options.warmUp();
-    const applied = configurationFor(handedOff, startedAt);
+    const applied = acceptance.configurationFor(handedOff, startedAt);
     const isPastStopGrace =
       (options.stoppingForMs() ?? 0) > ACCEPT_AFTER_STOP_MS;
     const refusal = isPastStopGrace
       ? { status: 503, reason: "stopping" }
-      : handedOff && refuseHandedOff(handedOff);
+      : handedOff && acceptance.refusalOf(handedOff);
     const admitted =
       refusal ?? admit(request, { rawHeaders, metadata, applied, handedOff });
     const received = { metadata, startedAt, handedOff };
@@ -405,11 +356,8 @@
     };
     try {
       const end = await forward(call);
-      if (end.outcome === "cut") {
-        const isError = end.reason === FAILED.reason;
-        const cause = isError ? "exception" : "answer_cut";
-        recordCloseCause(response.socket, cause);
-      }
+      if (end.outcome === "cut")
+        recordCloseCause(response.socket, "answer_cut");
       logEnd(call, end);
       options.onEnded(call, end);
     } finally {
@@ -476,78 +424,6 @@
   };
 }
 
-/** Finds route, service and organisation of a request, or refuses it. */
-function admit(
-  request: IncomingMessage,
-  options: {
-    readonly rawHeaders: readonly string[];
-    readonly metadata: RequestMetadata;
-    readonly applied: AppliedConfiguration | null;
-    readonly handedOff: HandoffTerms | null;
-  },
-): Admission | Refusal {
-  const { rawHeaders, metadata, applied, handedOff } = options;
-  if (!applied) return { status: 503, reason: "no_configuration" };
-  if (headerBytes(rawHeaders) > applied.limits.headerBytes) {
-    return { status: 431, reason: "headers_too_large" };
-  }
-  const route = applied.table.find(
-    request.headers.host ?? "",
-    pathOf(request.url ?? "/"),
-  );
-  if (!route) return { status: 404, reason: "no_route" };
-  const organisation = organisationOf(applied, metadata);
-  if (!organisation && applied.organisations && !route.isPublic) {
-    return { status: 401, reason: "unknown_key" };
-  }
-  const service = handedOff
-    ? sharedService(route, applied.services, handedOff.service)
-    : drawService(route, applied.services);
-  if (!service) return { status: 503, reason: "no_service" };
-  const { version: configurationVersion } = applied;
-  return { route, service, organisation, configurationVersion };
-}
-
-function organisationOf(
-  { organisations }: AppliedConfiguration,
-  { key }: RequestMetadata,
-): Organisation | null {
-  return key === null ? null : (organisations?.get(key) ?? null);
-}
-
-/** Returns a service by name if the route still has a share of it. */
-function sharedService(
-  { shares }: Route,
-  services: ReadonlyMap<string, Service>,
-  name: string,
-): Service | null {
-  const hasShare = shares.some(({ service }) => service === name);
-  return hasShare ? (services.get(name) ?? null) : null;
-}
-
-/** Draws a service at random by the weights of the route's shares. */
-function drawService(
-  { shares }: Route,
-  services: ReadonlyMap<string, Service>,
-): Service | null {
-  const total = shares.reduce((sum, { weight }) => sum + weight, 0);
-  let remainingWeight = Math.random() * total;
-  for (const { service, weight } of shares) {
-    remainingWeight -= weight;
-    if (remainingWeight < 0) return services.get(service) ?? null;
-  }
-  return services.get(shares.at(-1)?.service ?? "") ?? null;
-}
-
-function pathOf(url: string): string {
-  const query = url.indexOf("?");
-  return query < 0 ? url : url.slice(0, query);
-}
-
-function headerBytes(rawHeaders: readonly string[]): number {
-  return rawHeaders.reduce((sum, text) => sum + text.length + 2, 0);
-}
-
 /** The response to bytes that are no request, by the code of their error. */
 function refuseUnparsed(code: string): string {
   const status = PARSER_STATUSES[code] ?? 400;
--- a/packages/gateway/src/unexpected_errors.ts
+++ b/packages/gateway/src/unexpected_errors.ts
@@ -3,6 +3,7 @@
  * what went on beside it goes on.
  */
 import type { ServerResponse } from "node:http";
+import { closeConnection, recordCloseCause } from "@rosemarypin/connections";
 import { createLogger } from "@rosemarypin/telemetry";
 import { breakAnswerOff } from "./callers/caller_answer.ts";
 
@@ -64,12 +65,15 @@
   refuse: () => void,
 ): void {
   if (response.writableEnded) return;
-  if (response.headersSent) return breakAnswerOff(response);
+  if (response.headersSent) {
+    recordCloseCause(response.socket, "exception");
+    return breakAnswerOff(response);
+  }
   try {
     refuse();
   } catch {
     // Only the closed connection is left to say that there is no answer.
-    response.destroy();
+    closeConnection(response.socket, "exception");
   }
 }
 
