--- a/packages/store/src/instance_list_test.ts
+++ b/packages/store/src/instance_list_test.ts
@@ -91,8 +91,9 @@
       expect(await response.json()).toEqual({ megabytes });
       ended.push(name);
     };
+    const hasArrived = once(server, "request");
     const first = load("large", 300);
-    await new Promise((resolve) => setTimeout(resolve, 50));
+    await hasArrived;
     await Promise.all([first, load("small", 1)]);
     expect(ended).toEqual(["large", "small"]);
   });
