Following: presence is split by what its parts decide

- own_entry: what this instance's object says, which object in the store it takes the place of, and since when the others can know of it
- live_instances: which other instances count as live, and for what
- presence_timing: how often the object is renewed and the others are listed
- presence: the sequence of the start, of renewals and of lists

Imports go one way; the folder exports what it did. No change of behaviour.

Tests: gateway/following, gateway/operators and import_order_test, unchanged (152 passed).

--- a/packages/gateway/src/following/relay_follower.ts
+++ b/packages/gateway/src/following/relay_follower.ts
@@ -9,7 +9,8 @@
 import { createInterruptibleTimer, pause } from "@rosemarypin/timing";
 import type { ChangePosition } from "./change_log.ts";
 import type { ObjectMirror, RelayFollower } from "./object_mirror.ts";
-import { type Presence, READ_SPREAD_MS } from "./presence.ts";
+import type { Presence } from "./presence.ts";
+import { READ_SPREAD_MS } from "./presence_timing.ts";
 import {
   FOLLOW_METHOD,
   type FollowResponse,
