Callers: the rest of a refused body has a time limit

With the HTTP server's own limits off, only the bodies of admitted requests had one: a request that was refused at its head, and whose body never ended, held its connection for good.

Tests: callers/head_timeouts_test (one of two failed without the limit).

--- a/packages/gateway/src/callers/caller_listener.ts
+++ b/packages/gateway/src/callers/caller_listener.ts
@@ -54,7 +54,7 @@
 };
 /** Limit of the HTTP parser, above the limit of any configuration. */
 const PARSER_HEADER_BYTES = 65_536;
-/** Time limit for receiving a body. */
+/** Time limit for receiving a body, or the rest of one that is refused. */
 const BODY_TIMEOUT_MS = 20_000;
 const DEFAULT_DEADLINE_MS = 30_000;
 /**
@@ -162,7 +162,10 @@
     closeConnection(socket, "surge", { isReset: true });
   });
   server.once("close", surge.stop);
-  startHeadTimeouts(server, () => limits().headerTimeoutMs);
+  startHeadTimeouts(server, {
+    headMs: () => limits().headerTimeoutMs,
+    bodyMs: BODY_TIMEOUT_MS,
+  });
   server.keepAliveTimeout = DEFAULT_LIMITS.idleTimeoutMs;
   keeper.onChanged(({ limits }) => {
     server.keepAliveTimeout = limits.idleTimeoutMs;
--- a/packages/gateway/src/callers/head_timeouts.ts
+++ b/packages/gateway/src/callers/head_timeouts.ts
@@ -1,5 +1,6 @@
 /**
- * Closes connections whose requests' heads take too long. The HTTP server's own
+ * Closes connections whose requests' heads take too long, or the rest of a body
+ * whose request has been answered without it. The HTTP server's own
  * check doesn't wait for the answers before, and comes at once after this
  * process was blocked, although the rest of a head may have arrived meanwhile.
  * A blocked interval counts as one here, however long it was.
@@ -17,17 +18,30 @@
   countedBytes: number;
   /** Time for which a part of a head has been there. */
   partialMs: number;
+  /** The request that was answered before its body had come, if any. */
+  answeredEarly: IncomingMessage | null;
+  /** Time for which the rest of that body hasn't come. */
+  restMs: number;
 }
 
 /** Starts to check the server's connections until it is closed. */
 export function startHeadTimeouts(
   server: Server,
-  timeoutMs: () => number,
+  limits: {
+    readonly headMs: () => number;
+    /** For the rest of a body, from the answer on. */
+    readonly bodyMs: number;
+  },
 ): void {
   const connections = new Map<Socket, Connection>();
   server.on("connection", (socket: Socket) => {
-    const connection = { requests: 0, countedBytes: 0, partialMs: 0 };
-    connections.set(socket, connection);
+    connections.set(socket, {
+      requests: 0,
+      countedBytes: 0,
+      partialMs: 0,
+      answeredEarly: null,
+      restMs: 0,
+    });
     socket.once("close", () => connections.delete(socket));
   });
   server.on("request", (request: IncomingMessage, response) => {
@@ -45,8 +59,14 @@
       connection.partialMs = isPartial
         ? connection.partialMs + CHECK_INTERVAL_MS
         : 0;
-      if (connection.partialMs > timeoutMs())
-        closeConnection(socket, "bad_request");
+      const isRestMissing = connection.answeredEarly?.complete === false;
+      connection.restMs = isRestMissing
+        ? connection.restMs + CHECK_INTERVAL_MS
+        : 0;
+      const isLate =
+        connection.partialMs > limits.headMs() ||
+        connection.restMs > limits.bodyMs;
+      if (isLate) closeConnection(socket, "bad_request");
     }
   }
 }
@@ -68,5 +88,8 @@
     connection.countedBytes = socket.bytesRead;
   };
   request.once("close", closePart);
-  response.once("close", closePart);
+  response.once("close", () => {
+    connection.answeredEarly = request.complete ? null : request;
+    closePart();
+  });
 }
