Daemon: results of calls that ran while the rest closed are recorded too

By reading (review): work counts as ended between two requests of one connection, so the last results could be recorded before a call that was sent ahead ran.

--- a/packages/connections/src/caller_server.ts
+++ b/packages/connections/src/caller_server.ts
@@ -218,8 +218,10 @@
       if (!connection.isClosedByCaller) recordCloseCause(socket, "announced");
       return;
     }
-    if (connection.isEnding && exchanges.length === 0) socket.destroySoon();
-    else handleFirst(connection);
+    if (connection.isEnding && exchanges.length === 0) {
+      recordCloseCause(socket, "announced");
+      socket.destroySoon();
+    } else handleFirst(connection);
   }
 
   /**
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -300,9 +300,7 @@
       const stopAccepting = closeGracefully(callerServer);
       const cutAt = performance.now() + settings.shutdownGraceMs;
       const answered = await work.waitForEnd(settings.shutdownGraceMs);
-      const recorded = await services.finishRecording(
-        cutAt - performance.now(),
-      );
+      await services.finishRecording(cutAt - performance.now());
       // The goodbye is evidence that this instance answers nothing any more,
       // so it comes after the last connection.
       const rested = await closeRest(callerServer, {
@@ -310,6 +308,10 @@
         work,
         withinMs: cutAt - performance.now(),
       });
+      // Calls that were sent ahead may have run since.
+      const recorded = await services.finishRecording(
+        cutAt - performance.now(),
+      );
       const ended = answered && recorded && rested;
       await control.stop();
       router.stop();
