Backend servers: a process that starts takes over limits and backoffs

Cause: request limits and backoffs lived only in the process that got the answers. One that starts learned them with its own first answer, so that what came to it before went to a server that wants little or nothing; a planned roll repeats that for each instance.

Change: once an instance knows the others, it asks three of them at most, those of its failure domain first, which limits are in force and for how long backoffs still run. First requests wait for the answers, 0.2 s at most and within the 0.4 s of the warm-up. Answers name 1,024 servers at most and are checked element by element; they apply to the listed start of a server only, also if it is listed later. The lowest limit and the longest backoff of several answers apply; what the server itself has said goes first. No call of the store is added.

Not covered: all instances restart at once, the store is away at the start, announced ends.

--- a/packages/gateway/src/backends/request_limits.ts
+++ b/packages/gateway/src/backends/request_limits.ts
@@ -35,6 +35,8 @@
 export interface RequestLimits {
   /** Applies the limit that a server named last; `null` lifts it. */
   record(server: LimitedServer, requestsPerSecond: number | null): void;
+  /** The limit for all instances together; `null` if none is known. */
+  limitOf(server: Incarnation): number | null;
   /** Whether the server's limit allows a request at present. */
   allows(server: LimitedServer): boolean;
   /**
@@ -114,6 +116,7 @@
       limits.delete(server);
       log.info("request_limit_lifted", { id: server.id });
     },
+    limitOf: (server) => limits.get(server)?.requestsPerSecond ?? null,
     allows(server) {
       const limit = limits.get(server);
       return !limit || performance.now() >= limit.nextAt;
--- a/packages/gateway/src/backends/requested_backoffs.ts
+++ b/packages/gateway/src/backends/requested_backoffs.ts
@@ -3,7 +3,7 @@
 import { createIncarnationMap, type Incarnation } from "./incarnation_map.ts";
 
 /** Bound on a backoff, since a wrong value would exclude a server for good. */
-const MAX_BACKOFF_MS = 600_000;
+export const MAX_BACKOFF_MS = 600_000;
 
 const log = createLogger("backends");
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -10,8 +10,10 @@
 import {
   checkConnection,
   checkRefusal,
+  copyRestrictions,
   createBackendExchange,
   createBackendFleet,
+  createRestrictionMethods,
   createServerEntries,
 } from "./backends/mod.ts";
 import { createCallForwarding } from "./call_forwarding.ts";
@@ -143,6 +145,7 @@
     peers: settings.peers,
     peerMethods: {
       [PING_METHOD]: () => true,
+      ...createRestrictionMethods(fleet),
       ...quarantine.methods,
       [HOLDS_LEASE_METHOD]: (params) =>
         isListening &&
@@ -163,6 +166,12 @@
   const [configurationMirror, serverMirror, quarantineMirror] = mirrors;
   if (!configurationMirror || !serverMirror || !quarantineMirror)
     throw new Error("no mirror for a store prefix");
+  let hasCopiedRestrictions = false;
+  void presence.started.then(async () => {
+    const others = presence.liveOthers();
+    await copyRestrictions({ fleet, failureDomain, others, caller });
+    hasCopiedRestrictions = true;
+  });
   const placementLeases = createPlacementLeases({
     store,
     instance,
@@ -306,7 +315,8 @@
       () =>
         keeper.applied() !== null &&
         serverMirror.ageMs() < Number.POSITIVE_INFINITY &&
-        quarantineMirror.ageMs() < Number.POSITIVE_INFINITY,
+        quarantineMirror.ageMs() < Number.POSITIVE_INFINITY &&
+        hasCopiedRestrictions,
     ),
     stoppingForMs: graceful.stoppingForMs,
     hasOtherInstances: () => presence.liveOthers().length > 0,
--- a/packages/gateway/src/peer_input_fuzz_test.ts
+++ b/packages/gateway/src/peer_input_fuzz_test.ts
@@ -6,6 +6,7 @@
 } from "@rosemarypin/fakes";
 import fc from "fast-check";
 import { describe, expect, it } from "vitest";
+import { decodeRestrictions } from "./backends/mod.ts";
 import { decodeHandoffReport, decodeHandoffTerms } from "./callers/mod.ts";
 import { createChangeLog, positionSchema } from "./following/change_log.ts";
 import {
@@ -160,6 +161,24 @@
     });
   });
 
+  it("in limits and backoffs of servers gives figures in bounds, or none", () => {
+    const odd = { id: "e-1", startedAt: 5, requestsPerSecond: 3, backoffMs: 0 };
+    const sound = { id: "e-2", startedAt: 5, requestsPerSecond: 3 };
+    fuzz([odd, odd], (changed) => {
+      const elements = Array.isArray(changed) ? changed : [changed];
+      const { restrictions } = decodeRestrictions([
+        ...elements,
+        { ...sound, backoffMs: 5 },
+      ]);
+      expect(restrictions.at(-1)?.id).toBe("e-2");
+      for (const { requestsPerSecond, backoffMs } of restrictions) {
+        expect((requestsPerSecond ?? 0) >= 0).toBe(true);
+        expect(backoffMs >= 0 && backoffMs <= 600_000).toBe(true);
+      }
+      decodeRestrictions(changed);
+    });
+  });
+
   it("in datagrams gives figures in bounds, or none", () => {
     const datagram = JSON.parse(
       encodeUsageReport(usageReport, indexes).toString(),
--- a/packages/telemetry/src/event_catalogue.ts
+++ b/packages/telemetry/src/event_catalogue.ts
@@ -342,6 +342,10 @@
       says: "a server no longer names a limit of requests",
       fields: ["id"],
     },
+    restrictions_unreadable: {
+      says: "what a peer said of the limits and backoffs of servers is malformed and was ignored in part or whole",
+      fields: ["peer", "reason"],
+    },
     server_returned: {
       says: "a server that was leaving accepts work again",
       fields: ["server"],
