Soak: callers that send requests ahead on one connection

Cause: no caller of the soak of real processes sent a request before the answer to the one before it, so connections that close with whole requests unanswered went unseen.

Change: two callers send two or three requests at a time (orders, lookups, streams) in one write or in two, and use their connection until it is closed, also after an answer that announces it. The judges see a request that ran behind a missing, cut or closing answer of its connection, under any fault, and an answer that doesn't name its request (for all callers; so the judge's samples name theirs). The reader of several answers takes chunks too.

--- a/packages/checks/src/platform_soak/judges.ts
+++ b/packages/checks/src/platform_soak/judges.ts
@@ -1,5 +1,9 @@
 /** Checks what callers got against what backend servers saw. */
-import { type CallerAnswer, PATIENCE_MS } from "@rosemarypin/platform/stand_in";
+import {
+  type CallerAnswer,
+  HEADERS,
+  PATIENCE_MS,
+} from "@rosemarypin/platform/stand_in";
 import type { SoakRequest } from "./soak_request.ts";
 import { isRefusedByVersion, judgeAllowance } from "./version_judges.ts";
 import type { Allowance } from "./versions.ts";
@@ -15,6 +19,11 @@
   readonly onlyPlanned: boolean;
   /** Whether all callers used one instance when it was sent. */
   readonly throughOneEntry?: boolean;
+  /**
+   * Whether it was sent ahead, and the answer to one before it on its
+   * connection is missing, ends early or announces the close.
+   */
+  readonly isBehindEnd?: boolean;
   /** What the versions of the configuration allowed. */
   readonly allowed?: Allowance;
 }
@@ -34,6 +43,7 @@
 /** Requests through one instance may be served this much less often. */
 const MIN_ENTRY_RATIO = 0.75;
 
+const REQUEST_ID = HEADERS.requestId.toLowerCase();
 /** Statuses that promise that a request did not and will not run. */
 const NOT_RUN = new Set([408, 421, 429, 503]);
 
@@ -66,6 +76,13 @@
   if (NOT_RUN.has(answer.status) && runs > 0) {
     return "a request was refused as not run, and ran";
   }
+  if (call.isBehindEnd && runs > 0) {
+    return "a request ran behind the end of its connection";
+  }
+  const named = answer.headers[REQUEST_ID];
+  if (named === undefined ? answer.status === 200 : named !== call.id) {
+    return "an answer doesn't name its request";
+  }
   const late = judgeDelay(call, heldMs) ?? judgeWait(call, trace);
   if (late) return late;
   const disallowed = judgeAllowance(call);
@@ -78,7 +95,8 @@
   if (answer.status === 200 && kind === "stream") return judgeStream(call);
   // A request may cross the close of its connection, or of the listener that
   // has not accepted it yet. No process reads it then, and it runs nowhere.
-  const wasTaken = wasRead || runs > 0;
+  // The same holds for one behind the end of its connection, which may be read.
+  const wasTaken = (wasRead && !call.isBehindEnd) || runs > 0;
   if (call.onlyPlanned && answer.status === 0 && wasTaken) {
     return "a planned stop cut a request";
   }
--- a/packages/checks/src/platform_soak/judges_test.ts
+++ b/packages/checks/src/platform_soak/judges_test.ts
@@ -13,7 +13,7 @@
     onlyPlanned: false,
     answer: {
       status: 200,
-      headers: {},
+      headers: { "x-request-id": "r" },
       body: "done by p-1",
       whole: true,
       tookMs: 1,
@@ -48,6 +48,18 @@
       ),
       1,
     ],
+    [
+      "got the answer to another one",
+      call({}, { headers: { "x-request-id": "q" } }),
+      1,
+    ],
+    ["got an answer to no request", call({}, { headers: {} }), 1],
+    [
+      "ran behind the end of its connection",
+      call({ isBehindEnd: true }, { status: 0 }),
+      1,
+    ],
+    ["was answered behind the end", call({ isBehindEnd: true }), 1],
     ["was given up", call({}, { status: 0, tookMs: 6_010 }), 0],
     ["has another body", call({}, { body: "done by nobody" }), 1],
     ["misses an event", call(stream, { body: "id: 2\ndata: r.2\n\n" }), 1],
@@ -108,6 +120,11 @@
       ),
       1,
     ],
+    [
+      "a request that was read behind the end of its connection",
+      call({ isBehindEnd: true, onlyPlanned: true }, { status: 0 }),
+      0,
+    ],
     ["a whole stream", call(stream, { body: whole }), 1],
     [
       "a stream that was cut",
--- a/packages/checks/src/platform_soak/soak_run.ts
+++ b/packages/checks/src/platform_soak/soak_run.ts
@@ -3,12 +3,21 @@
 import { Agent } from "node:http";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
-import { call, type ServerLinks } from "@rosemarypin/platform/stand_in";
+import {
+  type CallerAnswer,
+  call,
+  type ServerLinks,
+} from "@rosemarypin/platform/stand_in";
 import {
   createSeededRandom,
   HIGHEST_SEED,
   type SeededRandom,
 } from "../seeded_random.ts";
+import {
+  AHEAD_KINDS,
+  type AheadConnection,
+  openAheadConnection,
+} from "./ahead_caller.ts";
 import { runBurst } from "./burst.ts";
 import { HABITS, idleMsOf } from "./caller_habits.ts";
 import { judgeQuarantines, sendEndingPrompts } from "./ending_prompts.ts";
@@ -42,6 +51,8 @@
 import { sleep } from "./timing.ts";
 
 const CALLERS = 6;
+/** Callers that send requests ahead of their answers. */
+const AHEAD_CALLERS = 2;
 /** Faults overlap: an engine ends while an instance is replaced. */
 const FAULTS_AT_ONCE = 2;
 const DEADLINE_MS = 3_000;
@@ -71,6 +82,8 @@
   readonly folder: string;
   readonly faults: readonly string[];
   readonly calls: readonly SoakCall[];
+  /** Those that were sent ahead of their answers. */
+  readonly ahead: readonly SoakCall[];
   /** Requests that an instance handed off to another one. */
   readonly handedOff: number;
   readonly broken: readonly string[];
@@ -96,6 +109,7 @@
   const folder = mkdtempSync(join(tmpdir(), "rosemarypin-soak-"));
   const world = await startWorld(folder);
   const calls: SoakCall[] = [];
+  const ahead: SoakCall[] = [];
   const faults: string[] = [];
   /** Unplanned faults in progress, and the end of the last one. */
   let unplanned = 0;
@@ -113,18 +127,24 @@
   const faultSeeds = Array.from({ length: FAULTS_AT_ONCE }, () =>
     random.between(0, HIGHEST_SEED),
   );
+  const aheadSeeds = Array.from({ length: AHEAD_CALLERS }, () =>
+    random.between(0, HIGHEST_SEED),
+  );
   await waitUntilServed(world);
   const endsAt = performance.now() + durationMs;
   const isOver = () => performance.now() >= endsAt;
   const callers = Array.from({ length: CALLERS }, (_, index) =>
     keepCalling(index),
   );
+  const aheadCallers = aheadSeeds.map((seed, index) =>
+    keepSendingAhead(`a${index}`, createSeededRandom(seed)),
+  );
   const breakers = Array.from({ length: FAULTS_AT_ONCE }, (_, index) =>
     keepBreaking(createSeededRandom(faultSeeds[index] ?? 0)),
   );
   try {
     await steps.waitFor(
-      Promise.all([...callers, ...breakers]),
+      Promise.all([...callers, ...aheadCallers, ...breakers]),
       durationMs + END_TIMEOUT_MS,
     );
   } catch (error) {
@@ -147,7 +167,7 @@
     };
   };
   const broken = [
-    ...judgeCalls(calls, traceOf),
+    ...judgeCalls([...calls, ...ahead], traceOf),
     ...judgeShares(calls),
     ...judgeEntry(calls),
     ...judgeQuarantines(logs),
@@ -155,7 +175,7 @@
       .filter((instance) => instance.ownEnds() > 0)
       .map(({ name }) => `${name} ended by itself`),
   ];
-  return { folder, faults, calls, handedOff: handedOff.size, broken };
+  return { folder, faults, calls, ahead, handedOff: handedOff.size, broken };
 
   async function keepBreaking(faultRandom: SeededRandom): Promise<void> {
     while (!isOver()) await breakSomething(faultRandom);
@@ -190,38 +210,91 @@
     }
   }
 
+  /** Sends two or three requests at a time, and uses connections to their end. */
+  async function keepSendingAhead(
+    name: string,
+    aheadRandom: SeededRandom,
+  ): Promise<void> {
+    let connection: AheadConnection | null = null;
+    for (let count = 0; !isOver(); count += 1) {
+      if (!connection?.isOpen()) {
+        const drawn = world.instances[aheadRandom.between(0, 2)];
+        const instance = entry ?? drawn;
+        if (!instance?.isUp()) {
+          await sleep(20);
+          continue;
+        }
+        connection = openAheadConnection(instance.url);
+      }
+      const requests = Array.from({ length: aheadRandom.between(2, 3) }, () =>
+        drawRequest(aheadRandom, { kind: aheadRandom.pick(AHEAD_KINDS) }),
+      );
+      const sent = requests.map((request, index) => {
+        const id = `${name}-${count}-${index}`;
+        const complete = draft(request, {
+          id,
+          attempt: 1,
+          deadlineMs: DEADLINE_MS,
+        });
+        const options = { ...callOptionsOf(request), id };
+        return { complete, options: { ...options, deadlineMs: DEADLINE_MS } };
+      });
+      const answers = await steps.during(
+        `ahead ${name}-${count}`,
+        connection.send(
+          sent.map(({ options }) => options),
+          aheadRandom,
+        ),
+      );
+      for (const [index, { answer, isBehindEnd }] of answers.entries()) {
+        const complete = sent[index]?.complete;
+        if (complete) ahead.push({ ...complete(answer), isBehindEnd });
+      }
+    }
+    connection?.close();
+  }
+
   async function send(
     instance: InstanceProcess,
     request: SoakRequest,
     { attempt, ...options }: SendOptions,
   ): Promise<SoakCall> {
     const { id, deadlineMs } = options;
-    const startedAt = performance.now();
-    const throughOneEntry = entry !== null;
+    const complete = draft(request, { id, attempt, deadlineMs });
     const answering = call(instance.url, {
       ...options,
       ...callOptionsOf(request),
     });
     const answer = await steps.during(`${request.kind} ${id}`, answering);
-    const isCalm = unplannedAt < startedAt - SETTLE_MS;
-    const onlyPlanned = unplanned === 0 && isCalm;
-    const sent = {
-      ...request,
-      id,
-      attempt,
-      deadlineMs,
-      answer,
-      onlyPlanned,
-      throughOneEntry,
-      allowed: world.versions.allowanceOf(request, {
-        sentAt: startedAt,
-        wasInTouch: onlyPlanned,
-      }),
-    };
+    const sent = complete(answer);
     calls.push(sent);
     return sent;
   }
 
+  /** Notes that a request is sent now; it is completed with its answer. */
+  function draft(
+    request: SoakRequest,
+    sent: Pick<SoakCall, "id" | "attempt" | "deadlineMs">,
+  ): (answer: CallerAnswer) => SoakCall {
+    const startedAt = performance.now();
+    const throughOneEntry = entry !== null;
+    return (answer) => {
+      const isCalm = unplannedAt < startedAt - SETTLE_MS;
+      const onlyPlanned = unplanned === 0 && isCalm;
+      return {
+        ...request,
+        ...sent,
+        answer,
+        onlyPlanned,
+        throughOneEntry,
+        allowed: world.versions.allowanceOf(request, {
+          sentAt: startedAt,
+          wasInTouch: onlyPlanned,
+        }),
+      };
+    };
+  }
+
   function burst(burstRandom: SeededRandom): Promise<void> {
     bursts += 1;
     return runBurst(`b${bursts}`, burstRandom, {
--- a/packages/checks/src/platform_soak/soak_run_test.ts
+++ b/packages/checks/src/platform_soak/soak_run_test.ts
@@ -87,7 +87,8 @@
 
   // Guards against requests that get neither an answer nor a refusal while the
   // configuration changes, settings are reloaded, engines are replaced, and
-  // sound servers are silent for a second or two.
+  // sound servers are silent for a second or two, also behind other requests of
+  // their connection.
   it("holds every promise beside planned work alone", async () => {
     const random = createSeededRandom(7);
     const result = await runPlatformSoak(random, 2 * DURATION_MS, [
@@ -98,6 +99,7 @@
     expect(result.broken).toEqual([]);
     expect(result.faults).toContain("versions");
     expect(result.faults).toContain("engine_pauses");
+    expect(result.ahead.some(({ answer }) => answer.status === 200)).toBe(true);
     expect(result.calls.some(({ answer }) => answer.status === 200)).toBe(true);
     rmSync(result.folder, { recursive: true });
   });
--- a/packages/checks/src/platform_soak_main.ts
+++ b/packages/checks/src/platform_soak_main.ts
@@ -48,7 +48,7 @@
   const isShown = kinds.every((kind) => answered(kind) > 0);
   console.log(
     `seed ${seed}: ${result.faults.length} faults, ${result.calls.length} ` +
-      `calls, answered ${counts}, handed off ${result.handedOff}, ` +
+      `calls, ${result.ahead.length} ahead, answered ${counts}, handed off ${result.handedOff}, ` +
       `broken ${result.broken.length}`,
   );
   for (const line of describeGroups(result.calls)) console.log(`  ${line}`);
