--- a/packages/gateway/src/handoff/helper_instances.ts
+++ b/packages/gateway/src/handoff/helper_instances.ts
@@ -63,10 +63,10 @@
   /** Draws an instance that isn't excluded; `null` if there is none. */
   choose(excluded: ReadonlySet<string>): Helper | null;
   /**
-   * Counts a request at an instance until its end; `onLost` is called if the
-   * instance stops answering before.
+   * Counts a request at an instance until its end. `onLost` is called while the
+   * instance doesn't answer, until it returns that the request is given up.
    */
-  use(helper: Helper, onLost: () => void): HelperUse;
+  use(helper: Helper, onLost: () => boolean): HelperUse;
   /** Keeps requests away from an instance for a time. */
   recordFailure(instance: string, failure: HelperFailure): void;
   /** Starts to observe whether any other instance answers; see `isIsolated`. */
@@ -83,7 +83,7 @@
 }
 
 interface HelperState {
-  readonly lostCallbacks: Set<() => void>;
+  readonly lostCallbacks: Set<() => boolean>;
   heardAt: number;
   avoidedUntil: number;
   isWatched: boolean;
@@ -166,8 +166,8 @@
         requests: state.lostCallbacks.size,
       });
       recordFailure(helper.instance, "unreachable");
-      for (const onLost of [...state.lostCallbacks]) onLost();
-      state.lostCallbacks.clear();
+      for (const onLost of [...state.lostCallbacks])
+        if (onLost()) state.lostCallbacks.delete(onLost);
     }
     state.isWatched = false;
   }
--- a/packages/gateway/src/handoff/helper_instances_test.ts
+++ b/packages/gateway/src/handoff/helper_instances_test.ts
@@ -93,7 +93,7 @@
     for (let request = 0; request < 400; request += 1) {
       const helper = helpers.choose(none);
       if (!helper) throw new Error("no helper");
-      helpers.use(helper, () => {});
+      helpers.use(helper, () => true);
       counts.set(helper.instance, (counts.get(helper.instance) ?? 0) + 1);
     }
     expect(Math.max(...counts.values())).toBeLessThanOrEqual(110);
@@ -110,6 +110,7 @@
     let choiceWhenLost: unknown = "not lost";
     const onLost = vi.fn(() => {
       choiceWhenLost = helpers.choose(none);
+      return true;
     });
     const use = helpers.use(helper, onLost);
     use.heard();
@@ -119,11 +120,28 @@
     expect(choiceWhenLost).toBeNull();
   });
 
+  // Guards against requests that nothing else can serve, and that are given up
+  // or forgotten because their helper is silent for a time.
+  it("keeps a request that isn't given up, until it answers again", async () => {
+    const { helpers, silent } = setUp([live("b-1")]);
+    const helper = helpers.choose(none);
+    if (!helper) throw new Error("no helper");
+    const onLost = vi.fn(() => false);
+    helpers.use(helper, onLost).heard();
+    silent.add("b-1");
+    await vi.advanceTimersByTimeAsync(3_000);
+    const asked = onLost.mock.calls.length;
+    expect(asked).toBeGreaterThan(1);
+    silent.delete("b-1");
+    await vi.advanceTimersByTimeAsync(10_000);
+    expect(onLost.mock.calls.length).toBeLessThanOrEqual(asked + 1);
+  });
+
   it("is not lost while it answers pings, though its answers are silent", async () => {
     const { helpers } = setUp([live("b-1")]);
     const helper = helpers.choose(none);
     if (!helper) throw new Error("no helper");
-    const onLost = vi.fn();
+    const onLost = vi.fn(() => true);
     const use = helpers.use(helper, onLost);
     await vi.advanceTimersByTimeAsync(10_000);
     expect(onLost).not.toHaveBeenCalled();
@@ -134,7 +152,7 @@
     const { helpers, pings } = setUp([live("b-1")]);
     const helper = helpers.choose(none);
     if (!helper) throw new Error("no helper");
-    const use = helpers.use(helper, () => {});
+    const use = helpers.use(helper, () => true);
     await vi.advanceTimersByTimeAsync(1_000);
     use.end();
     await vi.advanceTimersByTimeAsync(1_000);
--- a/packages/gateway/src/handoff/request_handoff.ts
+++ b/packages/gateway/src/handoff/request_handoff.ts
@@ -152,7 +152,10 @@
     const lost = new AbortController();
     const use = helpers.use(helper, () => {
       // A request that may run only once is left to its deadline.
-      if (request.isRepeatable) lost.abort();
+      const isGivenUp =
+        request.isRepeatable && canFollow(helper, call, request);
+      if (isGivenUp) lost.abort();
+      return isGivenUp;
     });
     log.info("request_handed_off", {
       request: call.id,
@@ -199,6 +202,19 @@
       : declined("not_able", retryAfterSeconds);
   }
 
+  /**
+   * Whether anything else can serve a call: this instance, or one that was not
+   * asked yet. A silent instance that is sound goes on with its answer.
+   */
+  function canFollow(
+    { instance }: Helper,
+    { service }: CallerCall,
+    { usedHelpers }: HandoffRequest,
+  ): boolean {
+    if (!reachability.isCutOff(service.name)) return true;
+    return helpers.choose(new Set([...usedHelpers, instance])) !== null;
+  }
+
   function handoffHeaders(call: CallerCall, request: HandoffRequest): string[] {
     const terms = encodeHandoffHeader({
       from: options.instance,
