--- a/packages/gateway/src/callers/connection_surge.ts
+++ b/packages/gateway/src/callers/connection_surge.ts
@@ -5,7 +5,6 @@
  * while one that is accepted has to wait for all others.
  */
 import { createLogger } from "@rosemarypin/telemetry";
-import { createAcceptBacklog } from "./accept_backlog.ts";
 
 const SLICE_MS = 100;
 /** Time over which the present rate is measured. */
@@ -28,10 +27,6 @@
 const LAG_VALID_MS = 500;
 /** A single late timer may be due to a pause of the process, which is over. */
 const LAG_REPEATS_WITHIN_MS = 1_000;
-/** Time without a turn that left no connection waiting, in a process that lags. */
-const MAX_WAITING_MS = 1_000;
-/** With fewer on record, callers that begin to come look like a surge. */
-const MIN_USUAL_CONNECTIONS = 50;
 
 /** A longer surge is the usual rate from then on. */
 const MAX_SURGE_MS = 30_000;
@@ -44,13 +39,6 @@
   stop(): void;
 }
 
-/** What came before. */
-interface Usual {
-  /** Connections per second. */
-  readonly perSecond: number;
-  readonly isWellKnown: boolean;
-}
-
 interface Slice {
   all: number;
   accepted: number;
@@ -58,7 +46,8 @@
 
 /** The surge that may be in progress. */
 interface Surge {
-  readonly usual: Usual;
+  /** Connections per second before it. */
+  readonly usualPerSecond: number;
   readonly endsBy: number;
   readonly lagTimer: NodeJS.Timeout;
   laggedAt: number;
@@ -73,7 +62,6 @@
   /** Counts of connections by number of their slice. */
   const slices = new Map<number, Slice>();
   let surge: Surge | null = null;
-  const backlog = createAcceptBacklog();
 
   function currentSlice(now: number): Slice {
     const number = Math.floor(now / SLICE_MS);
@@ -94,33 +82,23 @@
     return (1_000 * total) / PRESENT_MS;
   }
 
-  function measureUsual(now: number): Usual | null {
+  function usualPerSecond(now: number): number | null {
     const endsAt = now - PRESENT_MS;
     // Without callers, as after the start of all instances, nothing is usual.
     const durationMs = Math.min(USUAL_MS, endsAt - (firstAcceptedAt ?? now));
     if (durationMs < MIN_USUAL_MS) return null;
     let total = 0;
-    // Callers that begin to come don't make known what was usual before them.
-    const waitingSince = endsAt - backlog.waitingMs();
-    let known = 0;
-    for (const [number, { accepted }] of slices) {
+    for (const [number, { accepted }] of slices)
       if (number * SLICE_MS < endsAt) total += accepted;
-      if (number * SLICE_MS < waitingSince) known += accepted;
-    }
-    const measured = (1_000 * total) / durationMs;
-    return {
-      perSecond: Math.max(MIN_USUAL_PER_SECOND, measured),
-      isWellKnown:
-        known >= MIN_USUAL_CONNECTIONS && measured >= MIN_USUAL_PER_SECOND,
-    };
+    return Math.max(MIN_USUAL_PER_SECOND, (1_000 * total) / durationMs);
   }
 
   /** Begins to measure how late timers are, for as long as a surge lasts. */
-  function watch(usual: Usual): Surge {
+  function watch(usual: number): Surge {
     const now = performance.now();
     let dueAt = now + LAG_CHECK_MS;
     const watched: Surge = {
-      usual,
+      usualPerSecond: usual,
       endsBy: now + MAX_SURGE_MS,
       laggedAt: -Infinity,
       laggedBeforeAt: -Infinity,
@@ -132,8 +110,7 @@
           watched.laggedAt = now;
         }
         dueAt = now + LAG_CHECK_MS;
-        const isOver =
-          presentPerSecond(now, "all") < SURGE_FACTOR * usual.perSecond;
+        const isOver = presentPerSecond(now, "all") < SURGE_FACTOR * usual;
         if (isOver || now > watched.endsBy) end();
       }, LAG_CHECK_MS),
     };
@@ -149,32 +126,18 @@
     surge = null;
   }
 
-  function isBacklogged({ isWellKnown }: Usual): boolean {
-    return isWellKnown && backlog.waitingMs() >= MAX_WAITING_MS;
-  }
-
   function beginIfUnusual(now: number): void {
     const present = presentPerSecond(now, "all");
     if (surge || present < SURGE_FACTOR * MIN_USUAL_PER_SECOND) return;
-    const usual = measureUsual(now);
-    if (usual && present >= SURGE_FACTOR * usual.perSecond)
-      surge = watch(usual);
-  }
-
-  function areTimersLate(
-    { laggedAt, laggedBeforeAt }: Surge,
-    now: number,
-  ): boolean {
-    return (
-      now - laggedAt <= LAG_VALID_MS &&
-      laggedAt - laggedBeforeAt <= LAG_REPEATS_WITHIN_MS
-    );
+    const usual = usualPerSecond(now);
+    if (usual !== null && present >= SURGE_FACTOR * usual) surge = watch(usual);
   }
 
   function isBeyondLimit(now: number): boolean {
-    if (!surge) return false;
-    if (!isBacklogged(surge.usual) && !areTimersLate(surge, now)) return false;
-    const limit = ACCEPTED_FACTOR * surge.usual.perSecond;
+    if (!surge || now - surge.laggedAt > LAG_VALID_MS) return false;
+    const { laggedAt, laggedBeforeAt } = surge;
+    if (laggedAt - laggedBeforeAt > LAG_REPEATS_WITHIN_MS) return false;
+    const limit = ACCEPTED_FACTOR * surge.usualPerSecond;
     return presentPerSecond(now, "accepted") >= limit;
   }
 
@@ -183,7 +146,6 @@
       const now = performance.now();
       const slice = currentSlice(now);
       slice.all += 1;
-      backlog.recordAccepted();
       beginIfUnusual(now);
       if (!surge || !isBeyondLimit(now)) {
         slice.accepted += 1;
@@ -194,13 +156,10 @@
       if (surge.closed > 1) return false;
       log.warn("connection_surge", {
         per_second: presentPerSecond(now, "all").toFixed(0),
-        usual_per_second: surge.usual.perSecond.toFixed(0),
+        usual_per_second: surge.usualPerSecond.toFixed(0),
       });
       return false;
     },
-    stop() {
-      end();
-      backlog.stop();
-    },
+    stop: end,
   };
 }
--- a/packages/gateway/src/callers/connection_surge_test.ts
+++ b/packages/gateway/src/callers/connection_surge_test.ts
@@ -42,25 +42,6 @@
   vi.advanceTimersByTime(durationMs - 60);
 }
 
-/**
- * Offers one connection in each turn of the event loop, as a process does that
- * always finds some waiting; returns how many are accepted.
- */
-function offerEachTurn(turnMs: number, durationMs: number): number {
-  const startedAt = performance.now();
-  let accepted = 0;
-  const clock = vi.spyOn(performance, "now");
-  for (let at = 0; at < durationMs; at += turnMs) {
-    clock.mockReturnValue(startedAt + at);
-    if (surge.mayAccept()) accepted += 1;
-    // The end of the turn; the next one hasn't ended yet.
-    vi.advanceTimersToNextTimer();
-  }
-  clock.mockRestore();
-  vi.advanceTimersByTime(durationMs);
-  return accepted;
-}
-
 describe("new connections", () => {
   it("are all accepted at the usual rate, also by a process that lags", () => {
     expect(offer(20, 10_000)).toBe(200);
@@ -96,34 +77,6 @@
     expect(offer(20, 2_000)).toBe(40);
   });
 
-  // Guards against a process that accepts one connection in each turn, so that
-  // its timers are not late and the rest wait unread.
-  it("are closed in part when each turn finds another one waiting", () => {
-    offer(10, 10_000);
-    const accepted = offerEachTurn(25, 6_000);
-    expect(accepted).toBeGreaterThan(6 * 10);
-    expect(accepted).toBeLessThan(6 * 10 * 2.4);
-  });
-
-  it("are all accepted when all that waited after a pause are soon read", () => {
-    offer(10, 10_000);
-    blockFor(900);
-    expect(offerEachTurn(10, 800)).toBe(80);
-    expect(offer(20, 2_000)).toBe(40);
-  });
-
-  // Guards against callers that begin to come to an instance that had few, and
-  // are taken for many more than usual because it accepts them late.
-  it("are all accepted when few came before and each turn finds one", () => {
-    offer(1, 10_000);
-    expect(offerEachTurn(50, 3_000)).toBe(60);
-  });
-
-  it("are all accepted at the usual rate when each turn finds one", () => {
-    offer(10, 10_000);
-    expect(offerEachTurn(100, 5_000)).toBe(50);
-  });
-
   // Guards against a pause of the process, after which it has nothing to do, that
   // is taken for overload.
   it("are all accepted in a surge after a single pause", () => {
