Connections: the last request's body is limited in time while a connection ends

Found in the read-through: with the most requests ahead, or after `Upgrade`, a body that never ends held its connection for good, since the refusal took the connection for one that is refused already.

--- a/packages/connections/src/caller_server.ts
+++ b/packages/connections/src/caller_server.ts
@@ -83,6 +83,8 @@
   readonly exchanges: Exchange[];
   /** Whether it is closed after the answers to its requests. */
   isEnding: boolean;
+  /** Whether what was read last can't be parsed. */
+  isUnreadable: boolean;
   isClosedByCaller: boolean;
   lastRequestId: string;
   answered: number;
@@ -127,6 +129,7 @@
       socket,
       exchanges: [],
       isEnding: false,
+      isUnreadable: false,
       isClosedByCaller: false,
       lastRequestId: "",
       answered: 0,
@@ -184,8 +187,8 @@
     exchanges.push(exchange);
     connection.lastRequestId = exchange.requestId;
     response.once("finish", () => settle(connection));
-    // The parser drops what follows a request for another protocol.
     const isLastOfMany = exchanges.length > maxWaiting;
+    // The parser drops what follows a request for another protocol.
     connection.isEnding = isLastOfMany || asksForUpgrade(request);
     if (!previous) return handleFirst(connection);
     if (!previous.response.headersSent)
@@ -230,7 +233,8 @@
    */
   function refuseRest(connection: Connection, refusal: string): void {
     const { socket, exchanges } = connection;
-    if (connection.isEnding) return;
+    if (connection.isUnreadable) return;
+    connection.isUnreadable = true;
     connection.isEnding = true;
     recordCloseCause(socket, "bad_request");
     const last = exchanges.at(-1);
--- a/packages/connections/src/caller_server_test.ts
+++ b/packages/connections/src/caller_server_test.ts
@@ -260,6 +260,19 @@
     expect(handled).toEqual(["a"]);
   });
 
+  // Guards against a connection that is held for good by its last request.
+  it("are limited in time if the last one's body doesn't end", async () => {
+    await start((request, response, _timing, id) => {
+      if (request.complete) response.end(id);
+    });
+    callers.server.requestTimeout = WORK_MS;
+    const orders = Array.from({ length: MAX_WAITING }, () => encode("a"));
+    const last = encode("b", { body: "unfinished" }).slice(0, -1);
+    const answered = await send(await open(), ...orders, last);
+    expect(answered).toEqual(orders.map(() => "a"));
+    expect(closed).toEqual([{ cause: "bad_request", isUnanswered: false }]);
+  });
+
   it("count as unanswered only if they were handled", async () => {
     await start((_request, response) => {
       response.writeHead(200, { Connection: "close" }).end("done");
