--- a/packages/checks/src/platform_soak/version_judges_test.ts
+++ b/packages/checks/src/platform_soak/version_judges_test.ts
@@ -23,7 +23,7 @@
     allowed: { ...ALLOWED, ...allowed },
     answer: {
       status: 200,
-      headers: {},
+      headers: { "x-request-id": "r" },
       body: "done by p-1",
       whole: true,
       tookMs: 1,
