--- a/packages/checks/src/platform_soak/instance_process.ts
+++ b/packages/checks/src/platform_soak/instance_process.ts
@@ -9,6 +9,8 @@
   readonly url: string;
   /** Whether it runs and was not asked to stop. */
   isUp(): boolean;
+  /** ID of its process; throws if none runs. */
+  pid(): number;
   /** Whether no process of it is left, be it stopping or frozen. */
   isGone(): boolean;
   start(): void;
@@ -32,6 +34,8 @@
   readonly url: string;
   readonly settingsFile: string;
   readonly logFile: string;
+  /** Flags of Node.js. */
+  readonly nodeFlags?: readonly string[];
 }): InstanceProcess {
   const log = createWriteStream(options.logFile, { flags: "a" });
   let child: ChildProcess | null = null;
@@ -53,11 +57,20 @@
     name: options.name,
     url: options.url,
     isUp: () => child !== null && child.exitCode === null,
+    pid() {
+      if (child?.pid === undefined) throw new Error("no process runs");
+      return child.pid;
+    },
     isGone: () => running === 0,
     start() {
       const spawned = spawn(
         process.execPath,
-        [PLATFORM_PROGRAM, "--settings", options.settingsFile],
+        [
+          ...(options.nodeFlags ?? []),
+          PLATFORM_PROGRAM,
+          "--settings",
+          options.settingsFile,
+        ],
         { stdio: ["ignore", "pipe", "pipe"] },
       );
       child = spawned;
--- a/packages/launcher/src/deployment.ts
+++ b/packages/launcher/src/deployment.ts
@@ -57,6 +57,8 @@
   /** Folder for that of the deployment; the system's temporary one if absent. */
   readonly parentFolder?: string;
   readonly daemonArgs?: readonly string[];
+  /** Flags of Node.js for each instance. */
+  readonly daemonNodeFlags?: readonly string[];
   /** Keeps what each engine runs in files, which costs it some time. */
   readonly engineJournals?: boolean;
   /**
@@ -141,7 +143,8 @@
     const file = writeSettings(id, settings);
     const args = ["--settings", file, ...(options.daemonArgs ?? [])];
     const script = options.daemonScript ?? daemonScript;
-    processes.start(id, { script, args });
+    const nodeFlags = options.daemonNodeFlags ?? [];
+    processes.start(id, { script, args, nodeFlags });
   }
 
   /** Waits until a process answers; rejects if it ends before. */
--- a/packages/launcher/src/process_group.ts
+++ b/packages/launcher/src/process_group.ts
@@ -12,7 +12,12 @@
 export interface ProcessGroup {
   start(
     name: string,
-    options: { readonly script: string; readonly args: readonly string[] },
+    options: {
+      readonly script: string;
+      readonly args: readonly string[];
+      /** Flags of Node.js. */
+      readonly nodeFlags?: readonly string[];
+    },
   ): void;
   /** Sends a signal to a process that this group started. */
   signal(name: string, signal: NodeJS.Signals): void;
@@ -73,8 +78,8 @@
   }
 
   return {
-    start(name, { script, args }) {
-      const child = spawn(process.execPath, [script, ...args], {
+    start(name, { script, args, nodeFlags = [] }) {
+      const child = spawn(process.execPath, [...nodeFlags, script, ...args], {
         stdio: ["ignore", "pipe", "pipe"],
       });
       const log = createWriteStream(logFileOf(name), { flags: "a" });
--- a/packages/schemas/src/settings.ts
+++ b/packages/schemas/src/settings.ts
@@ -119,7 +119,7 @@
 });
 export type PeerSettings = z.infer<typeof peerSchema>;
 
-const limitsSchema = z.strictObject({
+export const limitsSchema = z.strictObject({
   /** Maximum size of a request body, in bytes. */
   bodyBytes: z.number().int().positive().default(262_144),
   /** Maximum size of a header block, in bytes. */
