Bodies: parts are copied into one buffer, and bodies that stall are given up

Callers saw resets: one sound body of a million chunks of a byte ended a process in calm, and a crowd of such bodies ended gateway and daemon. Cause: each chunk was kept as a buffer of its own, an object of some hundred bytes for a byte of content, and the budget counted the content. Now parts are copied into one buffer that doubles, and its capacity is what counts.

When room was out the new body was refused, while those that made no progress kept theirs. Now the body that holds most and has stalled for longest is given up with 503, not run. The daemon counts whole bodies until their response is closed, and gives up bodies of the same organisation only for its share.

The daemon's test of a million chunks was wrong: its order had no idempotency key and was answered 400. It has one now; rows with a key are added to the crowds, and those that were there stay.

--- a/packages/checks/src/crowds/daemon_crowds_test.ts
+++ b/packages/checks/src/crowds/daemon_crowds_test.ts
@@ -52,11 +52,18 @@
 });
 const STREAM = `${ORDER.replace("/services/dealer-app/orders", "/v1/completions")}content-length: ${COMPLETION.length}\r\n\r\n${COMPLETION}`;
 
+const KEYED_ORDER = `${ORDER}idempotency-key: crowd\r\n`;
+
 const kinds = crowdKinds(
   { order: ORDER, lookup: LOOKUP, stream: STREAM },
   BODY_BYTES,
 );
 
+/** Bodies that the daemon wants to read. */
+const keyedKinds = crowdKinds(
+  { order: KEYED_ORDER, lookup: LOOKUP, stream: STREAM },
+  BODY_BYTES,
+).filter(({ opening }) => opening.startsWith("POST /services"));
 const named = kinds.map((kind) => [kind.what, kind] as const);
 
 let deployment: Deployment;
@@ -94,6 +101,10 @@
 });
 afterAll(() => deployment.stop());
 
+function chunkFor(text: string): string {
+  return `${text.length.toString(16)}\r\n${text}\r\n`;
+}
+
 /** Publishes the note that brings the service and the model, once. */
 async function publishFirstNote(): Promise<void> {
   const { plan } = deployment;
@@ -168,6 +179,13 @@
     await liveThrough([kind]);
   });
 
+  it.each(keyedKinds.map((kind) => [kind.what, kind] as const))(
+    "lives and serves beside orders with a key: %s",
+    async (_what, kind) => {
+      await liveThrough([kind]);
+    },
+  );
+
   it("lives and serves: more connections than it allows", async () => {
     await liveThrough([halfLines(2 * MAX_CONNECTIONS)]);
   });
@@ -185,9 +203,16 @@
   it("answers one body of a million chunks in calm", async () => {
     const socket = connect(port, "127.0.0.1");
     const reading = createAnswerReader(socket).read(1);
-    socket.write(`${ORDER}transfer-encoding: chunked\r\n\r\n`);
-    const chunks = [`1\r\n"\r\n`, ONE_BYTE_CHUNK.repeat(BODY_BYTES - 2)];
-    for (const text of [...chunks, `1\r\n"\r\n0\r\n\r\n`])
+    socket.write(`${KEYED_ORDER}transfer-encoding: chunked\r\n\r\n`);
+    const [before, after] = ['{"part":"', '"}'];
+    const count = BODY_BYTES - before.length - after.length;
+    const chunks = ONE_BYTE_CHUNK.repeat(count);
+    for (const text of [
+      chunkFor(before),
+      chunks,
+      chunkFor(after),
+      chunkFor(""),
+    ])
       await new Promise((resolve) => socket.write(text, resolve));
     const [answer] = await reading;
     socket.destroy();
--- a/packages/connections/src/caller_server.ts
+++ b/packages/connections/src/caller_server.ts
@@ -14,6 +14,7 @@
 import { Server as NetServer, type Socket } from "node:net";
 import type { Duplex } from "node:stream";
 import { createLogger } from "@rosemarypin/telemetry";
+import type { CallerMemories } from "./caller_memory.ts";
 import {
   type CloseCause,
   closeCauseOf,
@@ -51,6 +52,8 @@
    * announces the close, so those behind it don't run.
    */
   readonly maxWaiting?: number;
+  /** Where requests that wait are counted. */
+  readonly memories?: CallerMemories;
 }
 
 export interface CallerServer {
--- a/packages/daemon/src/admin_server.ts
+++ b/packages/daemon/src/admin_server.ts
@@ -2,6 +2,7 @@
 import { randomUUID } from "node:crypto";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { CallFailure } from "@rosemarypin/calls";
+import { createCallerMemories } from "@rosemarypin/connections";
 import type { Publisher } from "@rosemarypin/release";
 import {
   type NoteStatus,
@@ -83,7 +84,8 @@
   options: AdminServerOptions,
 ): Promise<Server> {
   const { settings, publisher, inspector } = options;
-  const memory = createBodyMemory(settings.limits.bodiesBytes);
+  const memories = createCallerMemories(settings.limits.bodiesBytes);
+  const memory = createBodyMemory(memories.bodies);
 
   const routes: readonly Route[] = [
     {
@@ -249,6 +251,7 @@
 
   const { server } = await startServer(settings.instance.addresses.admin, {
     limits: settings.limits,
+    memories,
     handle: (request, response) => void handle(request, response),
   });
   return server;
--- a/packages/daemon/src/caller_server.ts
+++ b/packages/daemon/src/caller_server.ts
@@ -6,7 +6,11 @@
   ServiceCall,
   ServiceCallResult,
 } from "@rosemarypin/calls";
-import { type CallerServer, closeConnection } from "@rosemarypin/connections";
+import {
+  type CallerServer,
+  closeConnection,
+  createCallerMemories,
+} from "@rosemarypin/connections";
 import type { SharedLimits } from "@rosemarypin/limits";
 import type { Settings } from "@rosemarypin/schemas";
 import {
@@ -57,7 +61,8 @@
 ): Promise<CallerServer> {
   const { settings, metrics, work } = options;
   const authenticate = createAuthenticator(settings.organisations);
-  const memory = createBodyMemory(settings.limits.bodiesBytes);
+  const memories = createCallerMemories(settings.limits.bodiesBytes);
+  const memory = createBodyMemory(memories.bodies);
   const answer = createAnswerEndpoint({ ...options, memory });
   const callService = createServiceEndpoint({ ...options, memory });
 
@@ -140,6 +145,7 @@
 
   return startServer(settings.instance.addresses.callers, {
     limits: settings.limits,
+    memories,
     handle: (request, response) => void handle(request, response),
     mayKeepOpen: () => !options.isDraining?.(),
   });
--- a/packages/daemon/src/http_server.ts
+++ b/packages/daemon/src/http_server.ts
@@ -3,6 +3,7 @@
 import type { IncomingMessage } from "node:http";
 import { badCall, type CallFailure } from "@rosemarypin/calls";
 import {
+  type CallerMemories,
   type CallerServer,
   createCallerServer,
   type RequestHandler,
@@ -28,6 +29,7 @@
   options: {
     readonly limits: Limits;
     readonly handle: RequestHandler;
+    readonly memories: CallerMemories;
     /** Whether connections stay open after their answers; always by default. */
     readonly mayKeepOpen?: () => boolean;
   },
@@ -53,6 +55,7 @@
     refuseUnparsed,
     onClosed() {},
     maxWaiting: limits.requestsPerConnection,
+    memories: options.memories,
   });
   const { server } = callers;
   server.maxConnections = limits.connections;
--- a/packages/daemon/src/request_body.ts
+++ b/packages/daemon/src/request_body.ts
@@ -1,6 +1,13 @@
 /** Reads bodies of requests within bounds of size and memory. */
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { badCall, type CallFailure, notRun } from "@rosemarypin/calls";
+import {
+  type CallerMemory,
+  createBodyBuffer,
+  createCallerMemory,
+  createProgress,
+  type MemoryShare,
+} from "@rosemarypin/connections";
 
 /** Share of the memory for bodies that one sender may hold. */
 const SENDER_SHARE = 1 / 4;
@@ -12,35 +19,48 @@
   | { readonly kind: "refused"; readonly failure: CallFailure }
   | { readonly kind: "aborted" };
 
-/** Memory that bodies on their way in may take together. */
+type BodyShare = Pick<
+  MemoryShare,
+  "tryTake" | "progress" | "onGiveUp" | "release"
+>;
+
+/** Memory that bodies may take together. */
 export interface BodyMemory {
-  /** Takes bytes for `sender`; `false` when there is no room. */
-  take(sender: string, bytes: number): boolean;
-  giveBack(sender: string, bytes: number): void;
+  /** Opens the share of one body of `sender`. */
+  open(sender: string): BodyShare;
 }
 
 /**
- * Creates a memory of `limit` bytes. Bodies that trickle in hold memory until
- * they time out; were there one bound for all, one organisation with many slow
- * bodies would shut the others out. So each may hold only a share.
+ * Divides the memory for bodies among senders. Were there one bound for all, one
+ * organisation with many bodies would shut the others out. So each may hold only
+ * a share, and only its own bodies are given up for it.
  */
-export function createBodyMemory(limit: number): BodyMemory {
-  const held = new Map<string, number>();
-  let total = 0;
+export function createBodyMemory(memory: CallerMemory): BodyMemory {
+  const senders = new Map<string, CallerMemory>();
+
+  function memoryOf(sender: string): CallerMemory {
+    const existing = senders.get(sender);
+    if (existing) return existing;
+    const own = createCallerMemory(memory.limitBytes * SENDER_SHARE, {
+      smallBytes: 0,
+    });
+    senders.set(sender, own);
+    return own;
+  }
 
   return {
-    take(sender, bytes) {
-      const own = (held.get(sender) ?? 0) + bytes;
-      if (total + bytes > limit || own > limit * SENDER_SHARE) return false;
-      held.set(sender, own);
-      total += bytes;
-      return true;
-    },
-    giveBack(sender, bytes) {
-      const own = (held.get(sender) ?? 0) - bytes;
-      total -= bytes;
-      if (own > 0) held.set(sender, own);
-      else held.delete(sender);
+    open(sender) {
+      const senderMemory = memoryOf(sender);
+      const parts = [senderMemory.open(), memory.open()] as const;
+      return {
+        tryTake: (bytes) => parts.every((part) => part.tryTake(bytes)),
+        progress: () => parts.forEach((part) => void part.progress()),
+        onGiveUp: (end) => parts.forEach((part) => void part.onGiveUp(end)),
+        release() {
+          for (const part of parts) part.release();
+          if (senderMemory.heldBytes() === 0) senders.delete(sender);
+        },
+      };
     },
   };
 }
@@ -53,19 +73,21 @@
   readonly sender: string;
 }
 
-/** Reads a whole body. */
+interface RequestParts {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+}
+
+/** Reads a whole body; its memory counts until the response is closed. */
 export async function readBody(
-  exchange: {
-    readonly request: IncomingMessage;
-    readonly response: ServerResponse;
-  },
+  exchange: RequestParts,
   options: ReadBodyOptions,
 ): Promise<BodyResult> {
   const { request, response } = exchange;
   const failure = checkHeaders(request, options.limit);
   if (failure) return { kind: "refused", failure };
   if (request.headers.expect !== undefined) response.writeContinue();
-  const result = await collect(request, options);
+  const result = await collect(exchange, options);
   if (result.kind === "refused") request.pause();
   return result;
 }
@@ -87,31 +109,34 @@
 
 /** Listens by hand: a `for await` that ends early would cut the connection. */
 function collect(
-  request: IncomingMessage,
+  { request, response }: RequestParts,
   options: ReadBodyOptions,
 ): Promise<BodyResult> {
   const { limit, memory, sender } = options;
-  const chunks: Buffer[] = [];
-  let size = 0;
+  const body = createBodyBuffer(limit);
+  const progress = createProgress();
+  const share = memory.open(sender);
+  response.once("close", share.release);
   return new Promise((resolve) => {
     const finish = (result: BodyResult): void => {
       request.off("data", take);
       request.off("end", end);
       request.off("close", abort);
-      memory.giveBack(sender, size);
+      share.onGiveUp(null);
+      if (result.kind !== "body") share.release();
       resolve(result);
     };
+    const refuse = (failure: CallFailure) =>
+      finish({ kind: "refused", failure });
+    share.onGiveUp(() => refuse(memoryFull()));
     const take = (chunk: Buffer): void => {
-      if (size + chunk.length > limit) {
-        return finish({ kind: "refused", failure: tooLarge(limit) });
-      }
-      if (!memory.take(sender, chunk.length)) {
-        return finish({ kind: "refused", failure: memoryFull() });
-      }
-      size += chunk.length;
-      chunks.push(chunk);
+      if (body.length() + chunk.length > limit) return refuse(tooLarge(limit));
+      const growth = body.growthFor(chunk.length);
+      if (growth > 0 && !share.tryTake(growth)) return refuse(memoryFull());
+      body.add(chunk);
+      if (progress.isMade(body.length())) share.progress();
     };
-    const end = () => finish({ kind: "body", body: Buffer.concat(chunks) });
+    const end = () => finish({ kind: "body", body: body.content() });
     const abort = () => finish({ kind: "aborted" });
     request.on("data", take);
     request.once("end", end);
--- a/packages/gateway/src/callers/caller_listener.ts
+++ b/packages/gateway/src/callers/caller_listener.ts
@@ -12,9 +12,11 @@
   type ReturningCallers,
 } from "@rosemarypin/admission";
 import {
+  type CallerMemories,
   type ClosedConnection,
   closeConnection,
   createCallerServer,
+  type MemoryShare,
   recordCloseCause,
 } from "@rosemarypin/connections";
 import { createLogger } from "@rosemarypin/telemetry";
@@ -22,7 +24,6 @@
 import type { ConfigurationKeeper } from "../following/mod.ts";
 import type { RequestMetadata } from "../protocol.ts";
 import { endAfterError, type UnexpectedErrors } from "../unexpected_errors.ts";
-import type { BodyBudget, BodyRoom } from "./body_budget.ts";
 import { admit, type Refusal } from "./call_admission.ts";
 import { logEnd } from "./call_log.ts";
 import {
@@ -83,7 +84,7 @@
 export interface CallerListenerOptions extends RefusalParts {
   readonly keeper: ConfigurationKeeper;
   readonly returningCallers: ReturningCallers;
-  readonly bodyBudget: BodyBudget;
+  readonly memories: CallerMemories;
   readonly forward: (call: CallerCall) => Promise<CallEnd>;
   /** Awaited before each request is admitted. */
   readonly warmUp: WarmUp;
@@ -152,6 +153,7 @@
     requestIdOf: ({ headers }) => codec.decodeRequest(headers).requestId ?? "",
     refuseUnparsed,
     onClosed: options.onClosed,
+    memories: options.memories,
   });
   const { server } = callers;
   // HTTP lets a server ignore an expectation that it doesn't know.
@@ -191,7 +193,7 @@
     },
   ): Promise<void> {
     answers.add(response);
-    const room = options.bodyBudget.open();
+    const room = options.memories.bodies.open();
     if (received.handedOff && !mayKeepOpen()) response.shouldKeepAlive = false;
     try {
       await handle(request, response, { ...received, room });
@@ -269,7 +271,7 @@
     }: {
       readonly handedOff: HandoffTerms | null;
       readonly receivedAt: number;
-      readonly room: BodyRoom;
+      readonly room: MemoryShare;
     },
   ): Promise<void> {
     const rawHeaders = handedOff
--- a/packages/gateway/src/callers/mod.ts
+++ b/packages/gateway/src/callers/mod.ts
@@ -1,5 +1,4 @@
 /** Accepts callers' requests and writes their answers. */
-export * from "./body_budget.ts";
 export * from "./caller_answer.ts";
 export * from "./caller_call.ts";
 export * from "./caller_listener.ts";
--- a/packages/gateway/src/callers/request_body.ts
+++ b/packages/gateway/src/callers/request_body.ts
@@ -1,7 +1,11 @@
 /** Reads the bodies of callers' requests. */
 import type { IncomingMessage } from "node:http";
+import {
+  createBodyBuffer,
+  createProgress,
+  type MemoryShare,
+} from "@rosemarypin/connections";
 import type { CallerLimits } from "../configuration.ts";
-import type { BodyRoom } from "./body_budget.ts";
 
 /** The body, `null` if there is none, or why it was not read to its end. */
 export type RequestBody =
@@ -15,11 +19,16 @@
 
 export interface ReadBodyOptions extends Pick<CallerLimits, "bodyBytes"> {
   /** Bounds the memory; the reader of the body releases it. */
-  readonly room?: BodyRoom;
+  readonly room?: MemoryShare;
   /** Time limit for receiving it. */
   readonly timeoutMs?: number;
 }
 
+interface CollectOptions extends ReadBodyOptions {
+  /** Its length, for which there is room; 0 if it is not known. */
+  readonly length: number;
+}
+
 /**
  * Reads a whole body. The rest of one that is refused stays unread, and its
  * connection open for an answer.
@@ -36,7 +45,8 @@
   if (request.destroyed) return "broken";
   return collect(request, {
     bodyBytes,
-    ...(room && length === 0 ? { room } : {}),
+    length,
+    ...(room ? { room } : {}),
     ...(timeoutMs === undefined ? {} : { timeoutMs }),
   });
 }
@@ -44,15 +54,16 @@
 /** Listens by hand: a `for await` that ends early destroys the connection. */
 function collect(
   request: IncomingMessage,
-  { bodyBytes, room, timeoutMs }: ReadBodyOptions,
+  { bodyBytes, room, timeoutMs, length }: CollectOptions,
 ): Promise<RequestBody> {
-  const chunks: Buffer[] = [];
-  let bytes = 0;
+  const body = createBodyBuffer(length > 0 ? length : bodyBytes);
+  const progress = createProgress();
   return new Promise((resolve) => {
     const isArriving = !request.complete && timeoutMs !== undefined;
     const timer = isArriving
       ? setTimeout(() => finish("too_slow"), timeoutMs)
       : undefined;
+    room?.onGiveUp(() => finish("no_room"));
     request.on("data", take);
     request.once("end", end);
     request.once("error", fail);
@@ -60,6 +71,7 @@
 
     function finish(result: RequestBody): void {
       clearTimeout(timer);
+      room?.onGiveUp(null);
       request.off("data", take);
       request.off("end", end);
       request.off("error", fail);
@@ -68,19 +80,20 @@
     }
 
     function take(chunk: Buffer): void {
-      bytes += chunk.length;
-      if (bytes > bodyBytes) return finish("too_large");
-      chunks.push(chunk);
-      if (!room || room.tryTake(chunk.length)) return;
+      if (body.length() + chunk.length > bodyBytes) return finish("too_large");
+      const growth = length > 0 ? 0 : body.growthFor(chunk.length);
+      body.add(chunk);
+      if (progress.isMade(body.length())) room?.progress();
+      if (!room || growth === 0 || room.tryTake(growth)) return;
       request.pause();
-      void room.waitFor(chunk.length).then((hasRoom) => {
+      void room.waitFor(growth).then((hasRoom) => {
         if (hasRoom) request.resume();
         else finish("no_room");
       });
     }
 
     function end(): void {
-      finish(bytes === 0 ? null : Buffer.concat(chunks));
+      finish(body.length() === 0 ? null : body.content());
     }
 
     function fail(): void {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -3,6 +3,7 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { setImmediate as nextTurn } from "node:timers/promises";
 import { createReturningCallers } from "@rosemarypin/admission";
+import { createCallerMemories } from "@rosemarypin/connections";
 import { createRetryBudget } from "@rosemarypin/limits";
 import { createPeerCaller } from "@rosemarypin/membership";
 import { countStoreCalls, type StoredObject } from "@rosemarypin/store";
@@ -18,7 +19,6 @@
 } from "./backends/mod.ts";
 import { createCallForwarding } from "./call_forwarding.ts";
 import {
-  createBodyBudget,
   createCallerListener,
   createRetrySchedules,
   createWarmUp,
@@ -249,10 +249,17 @@
     fencingNumberFor: (domain) => placementLeases.fencingNumberFor(domain),
     onLeaseAcquired: placementLeases.onAcquired,
   });
+  const memories = createCallerMemories(
+    settings.bodyBudgetBytes ?? DEFAULT_BODY_BUDGET_BYTES,
+  );
   const metrics = createGatewayMetrics({
     inProgress: () => listener.inProgress(),
-    bodyBytes: () => bodyBudget.heldBytes(),
-    bodyBudgetBytes: () => bodyBudget.limitBytes,
+    bodyBytes: () => memories.bodies.heldBytes(),
+    bodyBudgetBytes: () => memories.bodies.limitBytes,
+    requestBytes: () => memories.requests.heldBytes(),
+    unparsedBytes: () => memories.unparsed.heldBytes(),
+    requestsGivenUp: () =>
+      Object.values(memories).reduce((sum, each) => sum + each.givenUp(), 0),
     waitingRequests: queues.waitingRequests,
     configurationVersion: () => keeper.applied()?.version ?? 0,
     configurationAgeSeconds: () => configurationMirror.ageMs() / 1_000,
@@ -269,9 +276,6 @@
     servers: () =>
       new Map(services().map(({ name }) => [name, fleet.countServers(name)])),
   });
-  const bodyBudget = createBodyBudget(
-    settings.bodyBudgetBytes ?? DEFAULT_BODY_BUDGET_BYTES,
-  );
   const refusalParts = { codec, retrySchedules: createRetrySchedules() };
   const forwarding = {
     ...refusalParts,
@@ -309,7 +313,7 @@
     ...refusalParts,
     keeper,
     returningCallers: createReturningCallers(),
-    bodyBudget,
+    memories,
     forward: createCallForwarding({ budget, fleet, plain, streams }),
     warmUp: createWarmUp(
       () =>
--- a/packages/gateway/src/operators/gateway_metrics.ts
+++ b/packages/gateway/src/operators/gateway_metrics.ts
@@ -34,6 +34,12 @@
   readonly bodyBytes: () => number;
   /** Bytes that they may take in all. */
   readonly bodyBudgetBytes: () => number;
+  /** Bytes that were received from callers and aren't parsed. */
+  readonly unparsedBytes: () => number;
+  /** Bytes that the objects of requests take, without bodies. */
+  readonly requestBytes: () => number;
+  /** Requests and connections that were given up for their memory. */
+  readonly requestsGivenUp: () => number;
   /** Requests that wait for capacity on engines, by priority. */
   readonly waitingRequests: () => ReadonlyMap<number, number>;
   readonly configurationVersion: () => number;
@@ -168,6 +174,21 @@
     "Memory that the bodies of requests in progress may take",
     gauges.bodyBudgetBytes,
   );
+  addGauge(
+    "rosemarypin_unparsed_bytes",
+    "Memory that received bytes take until they are parsed",
+    gauges.unparsedBytes,
+  );
+  addGauge(
+    "rosemarypin_request_bytes",
+    "Memory that the objects of requests in progress take, without bodies",
+    gauges.requestBytes,
+  );
+  addGauge(
+    "rosemarypin_requests_given_up",
+    "Requests and connections given up since the start for their memory",
+    gauges.requestsGivenUp,
+  );
   addGauge(
     "rosemarypin_configuration_version",
     "Version of the configuration in force",
--- a/packages/gateway/src/unexpected_errors_test.ts
+++ b/packages/gateway/src/unexpected_errors_test.ts
@@ -5,11 +5,11 @@
 import { fileURLToPath } from "node:url";
 import { promisify } from "node:util";
 import { createReturningCallers } from "@rosemarypin/admission";
+import { createCallerMemories } from "@rosemarypin/connections";
 import { pause } from "@rosemarypin/timing";
 import { afterEach, expect, it } from "vitest";
 import {
   type CallerListener,
-  createBodyBudget,
   createCallerListener,
   createRetrySchedules,
 } from "./callers/mod.ts";
@@ -80,7 +80,7 @@
     hasOtherInstances: () => false,
     isIsolated: () => false,
     unexpectedErrors,
-    bodyBudget: createBodyBudget(1e6),
+    memories: createCallerMemories(1e6),
     onEnded: (_call, end) => ends.push(end),
     onRefused: () => {},
     onClosed: () => {},
--- a/packages/membership/src/peer_rpc.ts
+++ b/packages/membership/src/peer_rpc.ts
@@ -5,6 +5,7 @@
   type RequestListener,
   type Server,
 } from "node:http";
+import { createBodyBuffer } from "@rosemarypin/connections";
 import { type Address, formatAddress } from "@rosemarypin/schemas";
 import { withPatientTimeout } from "@rosemarypin/timing";
 import {
@@ -116,14 +117,13 @@
 }
 
 async function readBody(incoming: IncomingMessage): Promise<string> {
-  const chunks: Buffer[] = [];
-  let size = 0;
+  const body = createBodyBuffer(MAX_BODY_BYTES);
   for await (const chunk of incoming as AsyncIterable<Buffer>) {
-    size += chunk.length;
-    if (size > MAX_BODY_BYTES) throw new Error("body too large");
-    chunks.push(chunk);
+    if (body.length() + chunk.length > MAX_BODY_BYTES)
+      throw new Error("body too large");
+    body.add(chunk);
   }
-  return Buffer.concat(chunks).toString();
+  return body.content().toString();
 }
 
 /** Calls methods of other instances. */
--- a/packages/telemetry/src/event_catalogue.ts
+++ b/packages/telemetry/src/event_catalogue.ts
@@ -168,6 +168,14 @@
       says: "this instance closed a caller's connection; `request` is its latest request, `unanswered` the one that was handled and has no whole answer, `not_handled` those behind it, which have not run",
       fields: ["cause", "request", "answered", "unanswered", "not_handled"],
     },
+    connections_closed: {
+      says: "further connections that this instance closed in the second before, whose lines were left out",
+      fields: ["count"],
+    },
+    requests_given_up: {
+      says: "requests and connections were given up that held the most memory and progressed least; `held_bytes` of `limit_bytes` are left; once a second at most",
+      fields: ["count", "held_bytes", "limit_bytes"],
+    },
     request_broken: {
       says: "the caller disconnected before its request was complete",
       fields: ["request"],
