Connections: the parser is fed in pieces, and reading stops

Callers saw no answers for seconds beside a crowd, and processes ended: one read of 64 KB holds thousands of requests or chunks, and all of them were parsed at once, each an object that stayed until its turn. Those without Host were answered without end in one turn of the event loop.

Now a connection's bytes go to the parser in pieces of at most 4 KB that end behind a head. Between two pieces reading stops while the requests that wait take 40 KB, or while nobody consumes the body that arrives; when parsing has taken 10 ms of a turn of the event loop, connections wait for the next one, those that have taken least first. What waits is counted: beyond a quarter of the heap for requests, or an eighth of the machine's memory for bytes that aren't parsed, the connection that holds most and has stalled for longest is given up; its request in progress is answered, those behind it have not run. The same reading serves the ports for other instances, readiness and operators.

What a process had received when it stops listening is still answered. Lines of connection_closed are 20 a second at most, the rest is counted in one line.

--- a/packages/connections/src/caller_server.ts
+++ b/packages/connections/src/caller_server.ts
@@ -14,13 +14,15 @@
 import { Server as NetServer, type Socket } from "node:net";
 import type { Duplex } from "node:stream";
 import { createLogger } from "@rosemarypin/telemetry";
-import type { CallerMemories } from "./caller_memory.ts";
+import type { CallerMemories, MemoryShare } from "./caller_memory.ts";
 import {
   type CloseCause,
   closeCauseOf,
   closeConnection,
   recordCloseCause,
 } from "./close_cause.ts";
+import { createCloseLog } from "./close_log.ts";
+import { paceReading, parsedBytesOf } from "./paced_reading.ts";
 
 /** Answers one request, whose head came at `receivedAt` (monotonic, ms). */
 export type RequestHandler = (
@@ -52,7 +54,7 @@
    * announces the close, so those behind it don't run.
    */
   readonly maxWaiting?: number;
-  /** Where requests that wait are counted. */
+  /** Where requests that wait and bytes that aren't parsed are counted. */
   readonly memories?: CallerMemories;
 }
 
@@ -77,6 +79,8 @@
   readonly receivedAt: number;
   /** Whether its caller lets the connection stay open. */
   readonly isPersistent: boolean;
+  /** Memory that it takes while it waits or is answered. */
+  readonly headBytes: number;
   isHandled: boolean;
 }
 
@@ -84,8 +88,16 @@
   readonly socket: Socket;
   /** Requests without a whole answer; the first one is being handled. */
   readonly exchanges: Exchange[];
+  readonly shares: {
+    readonly unparsed: MemoryShare;
+    readonly requests: MemoryShare;
+  } | null;
+  /** Bytes that were received and not parsed, with what its socket buffers. */
+  unparsedBytes: number;
   /** Whether it is closed after the answers to its requests. */
   isEnding: boolean;
+  /** Up to these bytes, requests that were received before the end count. */
+  endsAtByte: number;
   /** Whether what was read last can't be parsed. */
   isUnreadable: boolean;
   isClosedByCaller: boolean;
@@ -93,9 +105,19 @@
   answered: number;
   /** Bytes that belong to answered requests. */
   answeredBytes: number;
+  /** When it was opened, or its last answer has left this process. */
+  progressAt: number;
 }
 
 const MAX_WAITING = 64;
+/** Memory of the requests that wait, beyond which reading stops. */
+const MAX_AHEAD_BYTES = 40_960;
+/** Objects of a request and its response, without its headers. */
+const REQUEST_BYTES = 4_096;
+/** Objects of a header's name or value, without its text. */
+const HEADER_BYTES = 32;
+/** What a socket may read once more before it stops. */
+const SOCKET_BUFFER_BYTES = 65_536;
 
 const TIMEOUT = "ERR_HTTP_REQUEST_TIMEOUT";
 /** Codes of errors for which the server closes a connection by itself. */
@@ -105,14 +127,25 @@
 
 /** Creates the server; the caller binds it to an address. */
 export function createCallerServer(options: CallerServerOptions): CallerServer {
-  const { maxWaiting = MAX_WAITING } = options;
+  const { maxWaiting = MAX_WAITING, memories } = options;
   const connections = new Map<Duplex, Connection>();
+  const closeLog = createCloseLog();
   const server = createServer(
     // The parser would answer such requests out of turn.
     { ...options.http, requireHostHeader: false },
     receive,
   );
   server.prependListener("connection", watch);
+  const reading = paceReading(server, {
+    mayRead,
+    lastRequest: (socket) => connections.get(socket)?.exchanges.at(-1)?.request,
+    onUnparsed(socket, bytes) {
+      const connection = connections.get(socket);
+      if (!connection) return;
+      connection.unparsedBytes = bytes > 0 ? bytes + SOCKET_BUFFER_BYTES : 0;
+      countMemory(connection);
+    },
+  });
   server.on("clientError", ({ code = "" }: NodeJS.ErrnoException, socket) => {
     const connection = connections.get(socket);
     if (!connection || !PARSER_ERRORS.test(code)) socket.destroy();
@@ -131,14 +164,25 @@
     const connection: Connection = {
       socket,
       exchanges: [],
+      shares: memories
+        ? {
+            unparsed: memories.unparsed.open(),
+            requests: memories.requests.open(),
+          }
+        : null,
+      unparsedBytes: 0,
       isEnding: false,
+      endsAtByte: -1,
       isUnreadable: false,
       isClosedByCaller: false,
       lastRequestId: "",
       answered: 0,
       answeredBytes: 0,
+      progressAt: performance.now(),
     };
     connections.set(socket, connection);
+    for (const share of Object.values(connection.shares ?? {}))
+      share.onGiveUp(() => giveUpWaiting(connection));
     // The server's own listener closes the connection.
     socket.prependListener("timeout", () => recordCloseCause(socket, "idle"));
     socket.once("end", () => {
@@ -149,6 +193,8 @@
     });
     socket.once("close", () => {
       connections.delete(socket);
+      connection.shares?.unparsed.release();
+      connection.shares?.requests.release();
       const cause = closeCauseOf(socket);
       if (cause) record(connection, cause);
       else if (!connection.isClosedByCaller) record(connection, "unexplained");
@@ -170,20 +216,24 @@
         waiting.map(({ requestId }) => requestId).join(",") || undefined,
     };
     if (isUnanswered) log.warn("connection_closed", fields);
-    else if (cause !== "announced") log.info("connection_closed", fields);
+    else closeLog.add(cause, fields);
   }
 
   function receive(request: IncomingMessage, response: ServerResponse): void {
     const connection = connections.get(request.socket);
     if (!connection) return;
     const { exchanges } = connection;
-    if (connection.isEnding) return discardRest(connection);
+    const isBehindEnd =
+      parsedBytesOf(connection.socket) > connection.endsAtByte;
+    if (connection.isEnding && isBehindEnd)
+      return reading.discard(connection.socket);
     const exchange = {
       request,
       response,
       requestId: options.requestIdOf(request),
       receivedAt: performance.now(),
       isPersistent: response.shouldKeepAlive,
+      headBytes: headBytesOf(request),
       isHandled: false,
     };
     const previous = exchanges.at(-1);
@@ -192,7 +242,11 @@
     response.once("finish", () => settle(connection));
     const isLastOfMany = exchanges.length > maxWaiting;
     // The parser drops what follows a request for another protocol.
-    connection.isEnding = isLastOfMany || asksForUpgrade(request);
+    if (isLastOfMany || asksForUpgrade(request)) {
+      connection.isEnding = true;
+      connection.endsAtByte = -1;
+    }
+    countMemory(connection);
     if (!previous) return handleFirst(connection);
     if (!previous.response.headersSent)
       previous.response.shouldKeepAlive = previous.isPersistent;
@@ -201,11 +255,12 @@
   function handleFirst(connection: Connection): void {
     const { exchanges, isEnding } = connection;
     const [first, next] = exchanges;
-    if (!first) return;
+    if (!first || first.isHandled) return;
     const { request, response, receivedAt } = first;
     first.isHandled = true;
     limitBody(connection, request);
-    const isLast = !next && (isEnding || !options.mayKeepOpen());
+    const mayFollow = next !== undefined || connection.unparsedBytes > 0;
+    const isLast = !mayFollow && (isEnding || !options.mayKeepOpen());
     if (isLast) response.shouldKeepAlive = false;
     if (request.headers.host === undefined && request.httpVersion === "1.1") {
       request.resume();
@@ -219,17 +274,60 @@
     const closes = socket.writableEnded || socket.destroyed;
     exchanges.shift();
     connection.answered += 1;
-    connection.answeredBytes = socket.bytesRead;
+    connection.answeredBytes = parsedBytesOf(socket);
+    connection.progressAt = performance.now();
+    connection.shares?.unparsed.progress();
+    connection.shares?.requests.progress();
+    countMemory(connection);
     if (closes) {
       if (!connection.isClosedByCaller) recordCloseCause(socket, "announced");
       return;
     }
-    if (connection.isEnding && exchanges.length === 0) {
+    reading.resume(socket);
+    const mayFollow = exchanges.length > 0 || connection.unparsedBytes > 0;
+    if (connection.isEnding && !mayFollow) {
       recordCloseCause(socket, "announced");
       socket.destroySoon();
     } else handleFirst(connection);
   }
 
+  function waitingBytes({ exchanges }: Connection): number {
+    let bytes = 0;
+    for (const { headBytes } of exchanges.slice(1)) bytes += headBytes;
+    return bytes;
+  }
+
+  /** Whether another request of a connection may be parsed. */
+  function mayRead(socket: Socket): boolean {
+    const connection = connections.get(socket);
+    if (!connection || connection.isEnding) return true;
+    return waitingBytes(connection) <= MAX_AHEAD_BYTES;
+  }
+
+  function countMemory(connection: Connection): void {
+    const { shares, exchanges, unparsedBytes } = connection;
+    const first = exchanges[0]?.headBytes ?? 0;
+    shares?.requests.hold(first + waitingBytes(connection));
+    shares?.unparsed.hold(unparsedBytes);
+  }
+
+  /**
+   * Gives up what waits on a connection, which has not run. The request in
+   * progress is answered first.
+   */
+  function giveUpWaiting(connection: Connection): void {
+    const { socket, exchanges } = connection;
+    const [first] = exchanges;
+    const isRunning = first?.isHandled && !first.response.writableEnded;
+    if (!isRunning || !first.request.complete)
+      return closeConnection(socket, "memory");
+    exchanges.splice(1);
+    connection.isEnding = true;
+    connection.endsAtByte = -1;
+    reading.discard(socket);
+    announceClose(connection);
+  }
+
   /**
    * Closes a connection from which no more can be read. Its whole requests are
    * answered first; without one, the refusal is written.
@@ -240,6 +338,7 @@
     connection.isUnreadable = true;
     connection.isEnding = true;
     recordCloseCause(socket, "bad_request");
+    reading.discard(socket);
     const last = exchanges.at(-1);
     const isBroken = last !== undefined && !last.request.complete;
     if (isBroken && exchanges.length > 1) exchanges.pop();
@@ -249,7 +348,6 @@
       else socket.end(refusal, () => socket.destroy());
       return;
     }
-    discardRest(connection);
     announceClose(connection);
   }
 
@@ -260,19 +358,6 @@
       first.response.shouldKeepAlive = false;
   }
 
-  /**
-   * Reads and drops what follows the last request. Unread bytes would reset the
-   * connection at its close, and with it the last answer.
-   */
-  function discardRest({ socket }: Connection): void {
-    const discard = () => {};
-    // With a listener the parser gives the socket back to JavaScript.
-    socket.on("data", discard);
-    for (const listener of socket.listeners("data"))
-      if (listener !== discard) socket.off("data", listener as () => void);
-    socket.resume();
-  }
-
   /** Whether the server's time limit has run out for a request in a queue. */
   function waitsWithBody({ exchanges }: Connection): boolean {
     return exchanges.length > 1 && !exchanges.at(-1)?.request.complete;
@@ -309,8 +394,12 @@
     stopListening() {
       NetServer.prototype.close.call(server);
       // A caller that always has a request ahead would never see the close.
-      for (const connection of connections.values())
-        if (connection.exchanges.length > 1) connection.isEnding = true;
+      for (const connection of connections.values()) {
+        const { socket, exchanges, unparsedBytes, isEnding } = connection;
+        if (isEnding || (exchanges.length < 2 && unparsedBytes === 0)) continue;
+        connection.isEnding = true;
+        connection.endsAtByte = socket.bytesRead;
+      }
     },
     closeIdle() {
       for (const connection of connections.values())
@@ -323,6 +412,12 @@
   };
 }
 
+function headBytesOf({ rawHeaders, url = "" }: IncomingMessage): number {
+  let bytes = REQUEST_BYTES + url.length + rawHeaders.length * HEADER_BYTES;
+  for (const text of rawHeaders) bytes += text.length;
+  return bytes;
+}
+
 function asksForUpgrade({ headers }: IncomingMessage): boolean {
   const isAsked = /\bupgrade\b/i.test(headers.connection ?? "");
   return isAsked && headers.upgrade !== undefined;
--- a/packages/connections/src/caller_server_test.ts
+++ b/packages/connections/src/caller_server_test.ts
@@ -4,8 +4,10 @@
 import { pipeline } from "node:stream/promises";
 import { setTimeout as pause } from "node:timers/promises";
 import { afterEach, describe, expect, it } from "vitest";
+import { createCallerMemory } from "./caller_memory.ts";
 import {
   type CallerServer,
+  type CallerServerOptions,
   type ClosedConnection,
   createCallerServer,
   type RequestHandler,
@@ -39,6 +41,7 @@
 async function start(
   answer: Answer = answerWhole,
   options: { readonly headersTimeout?: number } = {},
+  limits: Pick<CallerServerOptions, "memories"> = {},
 ): Promise<void> {
   mayKeepOpen = true;
   handled = [];
@@ -64,6 +67,7 @@
     refuseUnparsed: () => REFUSAL,
     onClosed: (connection) => closedNow.push(connection),
     maxWaiting: MAX_WAITING,
+    ...limits,
   });
   callers.server.listen(0, "127.0.0.1");
   await once(callers.server, "listening");
@@ -361,3 +365,48 @@
     expect(closed).toEqual([]);
   });
 });
+
+describe("requests that wait when the memory for them is used up", () => {
+  // Guards against a given-up connection whose request in progress is lost.
+  it("aren't run, and the one in progress is answered", async () => {
+    const memories = {
+      bodies: createCallerMemory(1_000_000),
+      unparsed: createCallerMemory(1_000_000),
+      requests: createCallerMemory(20_000),
+    };
+    await start(
+      async (_request, response) => {
+        await pause(1_500);
+        response.end("done");
+      },
+      {},
+      { memories },
+    );
+    const answers = send(await open(), ...ORDERS);
+    await expect.poll(() => handled).toEqual(["a"]);
+    await pause(1_100);
+    memories.requests.open().hold(15_000);
+    expect(await answers).toEqual(["a"]);
+    expect(handled).toEqual(["a"]);
+    expect(closed).toEqual([{ cause: "announced", isUnanswered: false }]);
+  });
+
+  // Guards against connections that hold memory with nothing in progress.
+  it("lose their connection if none is in progress", async () => {
+    const memories = {
+      bodies: createCallerMemory(1_000_000),
+      unparsed: createCallerMemory(1_000_000),
+      requests: createCallerMemory(20_000),
+    };
+    await start(() => {}, {}, { memories });
+    const body = "POST /a HTTP/1.1\r\nHost: t\r\nContent-Length: 9\r\n\r\nx";
+    const answers = send(await open(), body);
+    await expect.poll(() => handled).toEqual(["a"]);
+    await pause(1_100);
+    memories.requests.open().hold(19_000);
+    expect(await answers).toEqual([]);
+    await expect
+      .poll(() => closed)
+      .toEqual([{ cause: "memory", isUnanswered: false }]);
+  });
+});
--- /dev/null
+++ b/packages/connections/src/loop_turn_test.ts
@@ -0,0 +1,30 @@
+import { setImmediate as nextTurn } from "node:timers/promises";
+import { expect, it } from "vitest";
+import { createLoopTurn } from "./loop_turn.ts";
+
+// Guards against connections whose work keeps the event loop from all others.
+it("is over once its time is taken, until the next one", async () => {
+  const turn = createLoopTurn();
+  turn.spend(9);
+  expect(turn.isOver()).toBe(false);
+  turn.spend(1);
+  expect(turn.isOver()).toBe(true);
+  await nextTurn();
+  expect(turn.isOver()).toBe(false);
+});
+
+// Guards against a small request that waits for all costly ones.
+it("goes on with those that have taken least, while there is time", async () => {
+  const turn = createLoopTurn();
+  const order: number[] = [];
+  for (const spentMs of [40, 2, 30, 1]) {
+    turn.waitForNext({ spentMs }, () => {
+      order.push(spentMs);
+      turn.spend(6);
+    });
+  }
+  await nextTurn();
+  expect(order).toEqual([1, 2]);
+  await nextTurn();
+  expect(order).toEqual([1, 2, 30, 40]);
+});
--- a/packages/connections/src/mod.ts
+++ b/packages/connections/src/mod.ts
@@ -1,5 +1,7 @@
-/** HTTP servers for callers, and how their connections are closed. */
+/** Connections of callers. */
 export * from "./body_buffer.ts";
 export * from "./caller_memory.ts";
 export * from "./caller_server.ts";
 export * from "./close_cause.ts";
+export * from "./paced_reading.ts";
+export * from "./plain_pacing.ts";
--- a/packages/gateway/src/callers/head_timeouts.ts
+++ b/packages/gateway/src/callers/head_timeouts.ts
@@ -7,7 +7,7 @@
  */
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
-import { closeConnection } from "@rosemarypin/connections";
+import { closeConnection, parsedBytesOf } from "@rosemarypin/connections";
 
 const CHECK_INTERVAL_MS = 250;
 
@@ -55,7 +55,8 @@
   function check(): void {
     for (const [socket, connection] of connections) {
       const isPartial =
-        connection.requests === 0 && socket.bytesRead > connection.countedBytes;
+        connection.requests === 0 &&
+        parsedBytesOf(socket) > connection.countedBytes;
       connection.partialMs = isPartial
         ? connection.partialMs + CHECK_INTERVAL_MS
         : 0;
@@ -85,7 +86,7 @@
     openParts -= 1;
     if (openParts > 0) return;
     connection.requests -= 1;
-    connection.countedBytes = socket.bytesRead;
+    connection.countedBytes = parsedBytesOf(socket);
   };
   request.once("close", closePart);
   response.once("close", () => {
--- a/packages/gateway/src/operators/control_listener.ts
+++ b/packages/gateway/src/operators/control_listener.ts
@@ -5,23 +5,28 @@
   type Server,
   type ServerResponse,
 } from "node:http";
+import { paceServer } from "@rosemarypin/connections";
 import type { Registry } from "prom-client";
 import { readRequestBody } from "../callers/mod.ts";
 import { endAfterError, type UnexpectedErrors } from "../unexpected_errors.ts";
 import type { Administration, AdministrationAnswer } from "./administration.ts";
 
 const MAX_BODY_BYTES = 4_096;
+/** Connections of load balancers, or of operators. */
+const MAX_CONNECTIONS = 64;
 
 /** Answers `path` with 200 if ready, else 503; other paths with 404. */
 export function createReadinessServer(options: {
   readonly path: string;
   readonly isReady: () => boolean;
 }): Server {
-  return createServer((request, response) => {
+  const server = createServer((request, response) => {
     const isReadinessPath = request.url === options.path;
     response.writeHead(isReadinessPath ? (options.isReady() ? 200 : 503) : 404);
     response.end();
   });
+  paceServer(server, { maxConnections: MAX_CONNECTIONS });
+  return server;
 }
 
 /** Serves metrics as text at `/metrics`, and the administration API. */
@@ -64,12 +69,14 @@
     response.end(JSON.stringify(answer.body));
   }
 
-  return createServer((request, response) => {
+  const server = createServer((request, response) => {
     handle(request, response).catch((error: unknown) => {
       unexpectedErrors.record("operators", error);
       endAfterError(response, () => response.writeHead(500).end());
     });
   });
+  paceServer(server, { maxConnections: MAX_CONNECTIONS });
+  return server;
 }
 
 /** Reads a JSON body; `null` if there is none that can be read. */
--- a/packages/membership/src/peer_rpc.ts
+++ b/packages/membership/src/peer_rpc.ts
@@ -5,7 +5,7 @@
   type RequestListener,
   type Server,
 } from "node:http";
-import { createBodyBuffer } from "@rosemarypin/connections";
+import { createBodyBuffer, paceServer } from "@rosemarypin/connections";
 import { type Address, formatAddress } from "@rosemarypin/schemas";
 import { withPatientTimeout } from "@rosemarypin/timing";
 import {
@@ -23,6 +23,8 @@
 const MAX_ANSWER_BYTES = 64 * 1024 * 1024;
 /** Requests of callers, with headers of up to 64 KB, may come through peers. */
 const MAX_HEADER_BYTES = 72 * 1024;
+/** Beyond these, connections of peers without a request are closed. */
+const MAX_CONNECTIONS = 512;
 const PARSE_ERROR = -32_700;
 /** Hosts that bind all addresses of the machine. */
 const WILDCARD_HOSTS = new Set(["0.0.0.0", "::"]);
@@ -82,6 +84,7 @@
     outgoing.setHeader("content-type", "application/json");
     outgoing.end(text);
   });
+  paceServer(server, { maxConnections: MAX_CONNECTIONS });
   await new Promise<void>((resolve, reject) => {
     server.once("error", reject);
     server.listen(address.port, address.host, resolve);
