Connections: a bound whose place goes to new callers

Callers saw refused connections beside a crowd: the daemon refused all beyond its bound, which idle connections filled, and the gateway had none, so a crowd took the descriptors for servers, peers and the store. Now both stacks bound callers' connections, and beyond the bound the one that has progressed least is closed for a new one: first those on which no whole request came, oldest first, then idle ones, then those whose body has stalled. With a request in progress on all of them the new one is reset unread.

--- a/packages/connections/src/caller_server.ts
+++ b/packages/connections/src/caller_server.ts
@@ -54,6 +54,11 @@
    * announces the close, so those behind it don't run.
    */
   readonly maxWaiting?: number;
+  /**
+   * Connections that may be open. Beyond them, the one that has progressed least
+   * is closed for a new one.
+   */
+  readonly maxConnections?: number;
   /** Where requests that wait and bytes that aren't parsed are counted. */
   readonly memories?: CallerMemories;
 }
@@ -118,6 +123,8 @@
 const HEADER_BYTES = 32;
 /** What a socket may read once more before it stops. */
 const SOCKET_BUFFER_BYTES = 65_536;
+/** Without progress for this time, a connection may be closed for another. */
+const STALL_MS = 1_000;
 
 const TIMEOUT = "ERR_HTTP_REQUEST_TIMEOUT";
 /** Codes of errors for which the server closes a connection by itself. */
@@ -127,7 +134,7 @@
 
 /** Creates the server; the caller binds it to an address. */
 export function createCallerServer(options: CallerServerOptions): CallerServer {
-  const { maxWaiting = MAX_WAITING, memories } = options;
+  const { maxWaiting = MAX_WAITING, maxConnections, memories } = options;
   const connections = new Map<Duplex, Connection>();
   const closeLog = createCloseLog();
   const server = createServer(
@@ -183,6 +190,7 @@
     connections.set(socket, connection);
     for (const share of Object.values(connection.shares ?? {}))
       share.onGiveUp(() => giveUpWaiting(connection));
+    if (connections.size > (maxConnections ?? Infinity)) closeOne(socket);
     // The server's own listener closes the connection.
     socket.prependListener("timeout", () => recordCloseCause(socket, "idle"));
     socket.once("end", () => {
@@ -328,6 +336,26 @@
     announceClose(connection);
   }
 
+  /** Closes the connection that has progressed least, or the new one. */
+  function closeOne(newest: Socket): void {
+    const stalledAt = performance.now() - STALL_MS;
+    let idle: Connection | null = null;
+    let arriving: Connection | null = null;
+    for (const connection of connections.values()) {
+      const { socket, exchanges, answered, progressAt } = connection;
+      if (socket === newest || socket.destroyed) continue;
+      const [first] = exchanges;
+      if (!first && answered === 0)
+        return closeConnection(socket, "connection_limit", { isReset: true });
+      if (progressAt > stalledAt) continue;
+      if (!first && progressAt < (idle?.progressAt ?? Infinity))
+        idle = connection;
+      if (first && !first.request.complete) arriving ??= connection;
+    }
+    const closed = idle?.socket ?? arriving?.socket ?? newest;
+    closeConnection(closed, "connection_limit", { isReset: closed === newest });
+  }
+
   /**
    * Closes a connection from which no more can be read. Its whole requests are
    * answered first; without one, the refusal is written.
--- a/packages/connections/src/close_cause.ts
+++ b/packages/connections/src/close_cause.ts
@@ -6,6 +6,8 @@
   "idle",
   /** The answer before announced the close, or the caller asked for it. */
   "announced",
+  /** As many connections are open as may be. */
+  "connection_limit",
   /** The memory for callers' requests is used up. */
   "memory",
   /** Too many new connections for a process that lags. */
--- a/packages/daemon/src/http_server.ts
+++ b/packages/daemon/src/http_server.ts
@@ -55,10 +55,10 @@
     refuseUnparsed,
     onClosed() {},
     maxWaiting: limits.requestsPerConnection,
+    maxConnections: limits.connections,
     memories: options.memories,
   });
   const { server } = callers;
-  server.maxConnections = limits.connections;
   // The reader of the body sends `100 Continue` once it wants the body.
   server.on("checkContinue", callers.receive);
   server.on("checkExpectation", callers.receive);
--- a/packages/gateway/src/callers/caller_listener.ts
+++ b/packages/gateway/src/callers/caller_listener.ts
@@ -85,6 +85,8 @@
   readonly keeper: ConfigurationKeeper;
   readonly returningCallers: ReturningCallers;
   readonly memories: CallerMemories;
+  /** Connections of callers that may be open. */
+  readonly maxConnections: number;
   readonly forward: (call: CallerCall) => Promise<CallEnd>;
   /** Awaited before each request is admitted. */
   readonly warmUp: WarmUp;
@@ -154,6 +156,7 @@
     refuseUnparsed,
     onClosed: options.onClosed,
     memories: options.memories,
+    maxConnections: options.maxConnections,
   });
   const { server } = callers;
   // HTTP lets a server ignore an expectation that it doesn't know.
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -72,6 +72,7 @@
 const CONNECTION_CHECK_MS = 200;
 /** Memory for the bodies of requests in progress, if the settings name none. */
 const DEFAULT_BODY_BUDGET_BYTES = 128 * 2 ** 20;
+const DEFAULT_MAX_CONNECTIONS = 2_000;
 
 const log = createLogger("gateway");
 
@@ -314,6 +315,7 @@
     keeper,
     returningCallers: createReturningCallers(),
     memories,
+    maxConnections: settings.maxConnections ?? DEFAULT_MAX_CONNECTIONS,
     forward: createCallForwarding({ budget, fleet, plain, streams }),
     warmUp: createWarmUp(
       () =>
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -16,6 +16,8 @@
   readonly ability?: number;
   /** Bytes that the bodies of all requests in progress may take. */
   readonly bodyBudgetBytes?: number;
+  /** Connections of callers that may be open; beyond them, others are closed. */
+  readonly maxConnections?: number;
   readonly callers: ListenAddress;
   readonly readiness: ListenAddress;
   /** Address of the operators' server; `null` disables it. */
--- a/packages/gateway/src/unexpected_errors_test.ts
+++ b/packages/gateway/src/unexpected_errors_test.ts
@@ -81,6 +81,7 @@
     isIsolated: () => false,
     unexpectedErrors,
     memories: createCallerMemories(1e6),
+    maxConnections: 100,
     onEnded: (_call, end) => ends.push(end),
     onRefused: () => {},
     onClosed: () => {},
