Answers: a caller that reads nothing for 30 seconds is disconnected

An answer that was ended and isn't read stayed in memory, and its connection open, for as long as its caller liked: only streams of the daemon had a limit. Now both stacks close a connection whose written bytes haven't become fewer for 30 s (slow_reader).

--- a/packages/connections/src/caller_server.ts
+++ b/packages/connections/src/caller_server.ts
@@ -23,6 +23,7 @@
 } from "./close_cause.ts";
 import { createCloseLog } from "./close_log.ts";
 import { paceReading, parsedBytesOf } from "./paced_reading.ts";
+import { closeUnreadAnswers } from "./unread_answers.ts";
 
 /** Answers one request, whose head came at `receivedAt` (monotonic, ms). */
 export type RequestHandler = (
@@ -153,6 +154,7 @@
       countMemory(connection);
     },
   });
+  closeUnreadAnswers(server);
   server.on("clientError", ({ code = "" }: NodeJS.ErrnoException, socket) => {
     const connection = connections.get(socket);
     if (!connection || !PARSER_ERRORS.test(code)) socket.destroy();
