Soak: crowds as a fault; bodies grow by blocks, turns are short while connections come

By hand, at the size of a machine of 610 MB with 600 connections of bodies in chunks of 128 KB, a gateway peaked at 656 MB with what was unread: buffers that are replaced by larger ones stay until garbage is collected.

Ordinary callers waited in the backlog behind the crowd, since the event loop accepts one connection a turn: 600 connections of one-byte chunks left them 11 answers in 6 s, 5.8 s the longest.

--- a/packages/checks/src/crowds/gateway_crowds_test.ts
+++ b/packages/checks/src/crowds/gateway_crowds_test.ts
@@ -29,7 +29,8 @@
   type InstanceProcess,
 } from "../platform_soak/instance_process.ts";
 import { type CrowdKind, ONE_BYTE_CHUNK, sendCrowd } from "./crowd.ts";
-import { crowdKinds, halfLines } from "./crowd_kinds.ts";
+import { halfLines } from "./crowd_kinds.ts";
+import { gatewayCrowdKinds } from "./gateway_crowds.ts";
 import { type UsageWatch, watchUsage } from "./process_usage.ts";
 
 const BYTES_PER_MB = 1_048_576;
@@ -46,19 +47,10 @@
 const root = fileURLToPath(new URL("../../../../", import.meta.url));
 const lookup = { method: "GET", path: "/look/1", deadlineMs: DEADLINE_MS };
 
-/** Head up to its last line, which the sender adds. */
-function openHead(options: Parameters<typeof encodeHead>[0]): string {
-  return encodeHead({ deadlineMs: DEADLINE_MS, ...options }, []).slice(0, -2);
-}
-
-const kinds = crowdKinds(
-  {
-    order: openHead({ path: "/order/1" }),
-    lookup: openHead(lookup),
-    stream: `${openHead({ path: "/ask/1", headers: streamHeaders(2_000) })}Content-Length: 3\r\n\r\nwhy`,
-  },
-  MAX_BODY_BYTES,
-);
+const kinds = gatewayCrowdKinds({
+  bodyBytes: MAX_BODY_BYTES,
+  deadlineMs: DEADLINE_MS,
+});
 
 /** Flags of the start command, with less memory for old objects. */
 function runtimeFlags(): string[] {
--- a/packages/checks/src/platform_soak/soak_run.ts
+++ b/packages/checks/src/platform_soak/soak_run.ts
@@ -20,6 +20,7 @@
 } from "./ahead_caller.ts";
 import { runBurst } from "./burst.ts";
 import { HABITS, idleMsOf } from "./caller_habits.ts";
+import { sendCrowds } from "./crowds.ts";
 import { judgeQuarantines, sendEndingPrompts } from "./ending_prompts.ts";
 import {
   carryOut,
@@ -66,12 +67,14 @@
   | Fault
   | PlannedWork
   | "burst"
+  | "crowd"
   | "ending_prompts"
   | "one_entry"
   | "answers_unframed";
 export const ALL_FAULTS: readonly [SoakFault, ...SoakFault[]] = [
   ...FAULTS,
   "burst",
+  "crowd",
   "ending_prompts",
   "one_entry",
   "answers_unframed",
@@ -328,6 +331,7 @@
     const random = faultRandom;
     if (isPlannedWork(fault)) return carryOutWork(fault, { world, random });
     if (fault === "burst") return burst(random);
+    if (fault === "crowd") return sendCrowds(instances, random);
     if (fault === "one_entry") return useOneEntry(random);
     if (fault === "answers_unframed") return leaveUnframed(engines, random);
     if (fault === "ending_prompts") {
--- a/packages/checks/src/platform_soak/soak_run_test.ts
+++ b/packages/checks/src/platform_soak/soak_run_test.ts
@@ -103,4 +103,23 @@
     expect(result.calls.some(({ answer }) => answer.status === 200)).toBe(true);
     rmSync(result.folder, { recursive: true });
   });
+
+  // Guards against callers that keep to no limits and end a process, or take an
+  // answer from those that do, while instances stop, the store is away and
+  // servers are silent.
+  it("holds every promise beside crowds with seed 21", async () => {
+    const random = createSeededRandom(21);
+    const result = await runPlatformSoak(random, 2 * DURATION_MS, [
+      "crowd",
+      "crowd",
+      "versions",
+      "stop_instance",
+      "store_down",
+      "engine_silent",
+    ]);
+    expect(result.broken).toEqual([]);
+    expect(result.faults).toContain("crowd");
+    expect(result.calls.some(({ answer }) => answer.status === 200)).toBe(true);
+    rmSync(result.folder, { recursive: true });
+  });
 });
--- a/packages/connections/src/body_buffer.ts
+++ b/packages/connections/src/body_buffer.ts
@@ -3,7 +3,8 @@
  * byte, and as an object of its own it costs over a hundred.
  */
 
-const FIRST_BYTES = 1_024;
+const FIRST_BLOCK_BYTES = 1_024;
+const MAX_BLOCK_BYTES = 262_144;
 
 export interface BodyBuffer {
   /** Bytes of the body so far. */
@@ -15,31 +16,45 @@
   content(): Buffer;
 }
 
-/** Creates an empty one for at most `limitBytes`. */
+/**
+ * Creates an empty one for at most `limitBytes`. It grows by blocks, as a buffer
+ * that is replaced by a larger one stays in memory until garbage is collected.
+ */
 export function createBodyBuffer(limitBytes: number): BodyBuffer {
-  let buffer = Buffer.alloc(0);
+  const blocks: Buffer[] = [];
+  let capacity = 0;
   let length = 0;
+  /** Bytes that the last block has room for. */
+  let room = 0;
 
-  function capacityFor(bytes: number): number {
-    if (length + bytes <= buffer.length) return buffer.length;
-    const doubled = Math.max(FIRST_BYTES, 2 * buffer.length);
-    return Math.max(length + bytes, Math.min(doubled, limitBytes));
+  function blockFor(bytes: number): number {
+    const usual = Math.max(FIRST_BLOCK_BYTES, capacity);
+    const bounded = Math.min(usual, MAX_BLOCK_BYTES, limitBytes - capacity);
+    return Math.max(bytes, bounded);
   }
 
   return {
     length: () => length,
-    growthFor: (bytes) => capacityFor(bytes) - buffer.length,
+    growthFor: (bytes) => (bytes <= room ? 0 : blockFor(bytes - room)),
     add(part) {
-      const capacity = capacityFor(part.length);
-      if (capacity > buffer.length) {
-        const grown = Buffer.allocUnsafeSlow(capacity);
-        buffer.copy(grown, 0, 0, length);
-        buffer = grown;
-      }
-      part.copy(buffer, length);
+      const last = blocks.at(-1);
+      const fitting = Math.min(room, part.length);
+      if (last && fitting > 0) part.copy(last, last.length - room, 0, fitting);
+      room -= fitting;
       length += part.length;
+      if (fitting === part.length) return;
+      const rest = part.length - fitting;
+      const block = Buffer.allocUnsafeSlow(blockFor(rest));
+      part.copy(block, 0, fitting);
+      blocks.push(block);
+      capacity += block.length;
+      room = block.length - rest;
+    },
+    content() {
+      const [only] = blocks;
+      const isOne = only !== undefined && blocks.length === 1;
+      return isOne ? only.subarray(0, length) : Buffer.concat(blocks, length);
     },
-    content: () => buffer.subarray(0, length),
   };
 }
 
--- a/packages/connections/src/loop_turn_test.ts
+++ b/packages/connections/src/loop_turn_test.ts
@@ -28,3 +28,15 @@
   await nextTurn();
   expect(order).toEqual([1, 2, 30, 40]);
 });
+
+// Guards against callers that wait in the backlog behind a crowd: the event loop
+// accepts one connection in a turn.
+it("is shorter while connections come", async () => {
+  const turn = createLoopTurn();
+  turn.accept();
+  turn.spend(1);
+  expect(turn.isOver()).toBe(true);
+  await nextTurn();
+  turn.spend(1);
+  expect(turn.isOver()).toBe(false);
+});
--- a/packages/connections/src/paced_reading.ts
+++ b/packages/connections/src/paced_reading.ts
@@ -72,6 +72,7 @@
   server.on("connection", follow);
 
   function follow(socket: Socket): void {
+    turn.accept();
     const [parse] = socket.listeners("data");
     if (!parse) return;
     const reader: Reader = {
