--- a/packages/connections/src/caller_memory.ts
+++ b/packages/connections/src/caller_memory.ts
@@ -71,12 +71,18 @@
 const UNPARSED_SHARE = 1 / 2;
 
 /** Creates the accounts of a process; only `requests` are in its heap. */
-export function createCallerMemories(bodyBytes: number): CallerMemories {
-  const heapBytes = getHeapStatistics().heap_size_limit;
+export function createCallerMemories({
+  bodyBudgetBytes,
+  requestBudgetBytes = Number.POSITIVE_INFINITY,
+}: {
+  readonly bodyBudgetBytes: number;
+  readonly requestBudgetBytes?: number;
+}): CallerMemories {
+  const heapBytes = getHeapStatistics().heap_size_limit * HEAP_SHARE;
   return {
-    bodies: createCallerMemory(bodyBytes),
-    unparsed: createCallerMemory(bodyBytes * UNPARSED_SHARE),
-    requests: createCallerMemory(heapBytes * HEAP_SHARE),
+    bodies: createCallerMemory(bodyBudgetBytes),
+    unparsed: createCallerMemory(bodyBudgetBytes * UNPARSED_SHARE),
+    requests: createCallerMemory(Math.min(heapBytes, requestBudgetBytes)),
   };
 }
 
--- a/packages/daemon/src/admin_server.ts
+++ b/packages/daemon/src/admin_server.ts
@@ -84,7 +84,9 @@
   options: AdminServerOptions,
 ): Promise<Server> {
   const { settings, publisher, inspector } = options;
-  const memories = createCallerMemories(settings.limits.bodiesBytes);
+  const memories = createCallerMemories({
+    bodyBudgetBytes: settings.limits.bodiesBytes,
+  });
   const memory = createBodyMemory(memories.bodies);
 
   const routes: readonly Route[] = [
--- a/packages/daemon/src/caller_server.ts
+++ b/packages/daemon/src/caller_server.ts
@@ -61,7 +61,9 @@
 ): Promise<CallerServer> {
   const { settings, metrics, work } = options;
   const authenticate = createAuthenticator(settings.organisations);
-  const memories = createCallerMemories(settings.limits.bodiesBytes);
+  const memories = createCallerMemories({
+    bodyBudgetBytes: settings.limits.bodiesBytes,
+  });
   const memory = createBodyMemory(memories.bodies);
   const answer = createAnswerEndpoint({ ...options, memory });
   const callService = createServiceEndpoint({ ...options, memory });
--- a/packages/gateway/src/forwarding/answer_buffers.ts
+++ b/packages/gateway/src/forwarding/answer_buffers.ts
@@ -7,7 +7,7 @@
 const MAX_ANSWER_BYTES = 16 * MEBIBYTE;
 /** Above this sum, answers that have more than the free bytes wait. */
 const MAX_TOTAL_BYTES = 64 * MEBIBYTE;
-const FREE_BYTES = 65_536;
+const FREE_BYTES = 16_384;
 const RECHECK_MS = 1_000;
 
 export interface AnswerBuffers {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -202,7 +202,10 @@
     }),
   );
   const exchange = createBackendExchange();
-  const answerBuffers = createAnswerBuffers();
+  const { answerBudgetBytes: maxTotalBytes } = settings;
+  const answerBuffers = createAnswerBuffers(
+    maxTotalBytes === undefined ? {} : { maxTotalBytes },
+  );
   const helpers = createHelperInstances({
     failureDomain,
     liveOthers: presence.liveOthers,
@@ -250,9 +253,11 @@
     fencingNumberFor: (domain) => placementLeases.fencingNumberFor(domain),
     onLeaseAcquired: placementLeases.onAcquired,
   });
-  const memories = createCallerMemories(
-    settings.bodyBudgetBytes ?? DEFAULT_BODY_BUDGET_BYTES,
-  );
+  const { requestBudgetBytes } = settings;
+  const memories = createCallerMemories({
+    bodyBudgetBytes: settings.bodyBudgetBytes ?? DEFAULT_BODY_BUDGET_BYTES,
+    ...(requestBudgetBytes === undefined ? {} : { requestBudgetBytes }),
+  });
   const metrics = createGatewayMetrics({
     inProgress: () => listener.inProgress(),
     bodyBytes: () => memories.bodies.heldBytes(),
--- a/packages/gateway/src/mod.ts
+++ b/packages/gateway/src/mod.ts
@@ -4,6 +4,7 @@
 export * from "./configuration.ts";
 export { withoutConnectionHeaders } from "./connection_headers.ts";
 export { type Gateway, startGateway } from "./gateway.ts";
+export { memoryBoundsOf } from "./memory_bounds.ts";
 export * from "./platform.ts";
 export * from "./protocol.ts";
 export * from "./settings.ts";
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -16,6 +16,10 @@
   readonly ability?: number;
   /** Bytes that the bodies of all requests in progress may take. */
   readonly bodyBudgetBytes?: number;
+  /** Bytes that the objects of requests may take, without bodies. */
+  readonly requestBudgetBytes?: number;
+  /** Bytes that answers may take that are read whole. */
+  readonly answerBudgetBytes?: number;
   /** Connections of callers that may be open; beyond them, others are closed. */
   readonly maxConnections?: number;
   readonly callers: ListenAddress;
--- a/packages/gateway/src/unexpected_errors_test.ts
+++ b/packages/gateway/src/unexpected_errors_test.ts
@@ -80,7 +80,7 @@
     hasOtherInstances: () => false,
     isIsolated: () => false,
     unexpectedErrors,
-    memories: createCallerMemories(1e6),
+    memories: createCallerMemories({ bodyBudgetBytes: 1e6 }),
     maxConnections: 100,
     onEnded: (_call, end) => ends.push(end),
     onRefused: () => {},
