Deadlines: a request isn't ended before its deadline

A timer counts from the beginning of its turn of the event loop and may fire early by as much as the turn had lasted; the request then ended as failed and not as past its deadline.

--- a/packages/gateway/src/callers/caller_listener.ts
+++ b/packages/gateway/src/callers/caller_listener.ts
@@ -20,6 +20,7 @@
   recordCloseCause,
 } from "@rosemarypin/connections";
 import { createLogger } from "@rosemarypin/telemetry";
+import { abortAt } from "@rosemarypin/timing";
 import type { CallerLimits, Route } from "../configuration.ts";
 import type { ConfigurationKeeper } from "../following/mod.ts";
 import type { RequestMetadata } from "../protocol.ts";
@@ -335,10 +336,7 @@
     }
     const callAbort = new AbortController();
     let callerLeft = false;
-    const timer = setTimeout(
-      () => callAbort.abort(),
-      deadlineAt - performance.now(),
-    );
+    const stopTimer = abortAt(callAbort, deadlineAt);
     response.once("close", () => {
       // After a complete answer, the close needs no abort.
       if (response.writableFinished) return;
@@ -369,7 +367,7 @@
       logEnd(call, end);
       options.onEnded(call, end);
     } finally {
-      clearTimeout(timer);
+      stopTimer();
     }
   }
 
--- a/packages/timing/src/mod.ts
+++ b/packages/timing/src/mod.ts
@@ -1,4 +1,5 @@
 /** Delays based on the runtime's timers. */
+export * from "./abort_at.ts";
 export * from "./deferred.ts";
 export * from "./interruptible_timer.ts";
 export * from "./patient_timeout.ts";
