--- a/packages/schemas/src/settings.ts
+++ b/packages/schemas/src/settings.ts
@@ -130,11 +130,14 @@
   requestTimeoutMs: z.number().int().positive().default(10_000),
   /** How long a caller may stop reading its answer, in milliseconds. */
   readerStallMs: z.number().int().positive().default(15_000),
-  /** Maximum number of open caller connections. */
+  /**
+   * Maximum number of open caller connections; beyond it, the one that has
+   * progressed least is closed for a new one.
+   */
   connections: z.number().int().positive().default(2_000),
   /** Maximum number of requests in progress on one connection. */
   requestsPerConnection: z.number().int().positive().default(8),
-  /** Maximum size of all request bodies in memory, in bytes. */
+  /** Maximum size of all request bodies until they are answered, in bytes. */
   bodiesBytes: z.number().int().positive().default(33_554_432),
   /** Maximum number of requests that wait for a pipeline. */
   queueLength: z.number().int().positive().default(1_000),
