Answers: a silent attempt is read on while other engines are sought

Callers of a daemon lost an answer (failed after 2 of 6 tokens) when a sound engine said nothing for a second and no other could be had: the attempt was ended on an unanswered probe, and engines were sought for the next one only then. Now the stream is read on during the search, and the answer switches once engines and a recovery slot are had. A stage that has restarted ends the attempt at once, as before.

--- a/packages/calls/src/answer.ts
+++ b/packages/calls/src/answer.ts
@@ -125,7 +125,7 @@
       if (end.kind === "migrated") migration = end.migration;
       const newTokens = progress.deliveredTokens.length - tokensBefore;
       if (newTokens >= MIN_TOKENS_OF_ATTEMPT) shortAttempts = 0;
-      else if (end.kind !== "migrated")
+      else if (end.kind !== "migrated" || end.migration.isRecovery)
         shortAttempts += progress.attemptNumber - attemptsBefore;
       log.info("attempt_ended", {
         request: request.requestId,
@@ -194,7 +194,8 @@
   options: NextAttemptOptions,
 ): AsyncGenerator<AnswerEvent, NextAttemptEnd> {
   const { progress, signal, metrics, migration } = options;
-  const isLossRecovery = progress.mayHaveRun && !migration;
+  const isLossRecovery =
+    progress.mayHaveRun && (!migration || migration.isRecovery === true);
   const acquired: AcquiredEngines | Refused = migration
     ? { kind: "acquired", ...migration }
     : await acquireEnginesAndSlot(request, options);
--- a/packages/calls/src/answer_attempt.ts
+++ b/packages/calls/src/answer_attempt.ts
@@ -44,6 +44,7 @@
   const migrator = createMigrator({ ...options, request, attempt });
   const startedAt = performance.now();
   const state = {
+    request,
     attempt,
     incarnations,
     signal,
--- a/packages/calls/src/answer_attempt_events.ts
+++ b/packages/calls/src/answer_attempt_events.ts
@@ -8,6 +8,7 @@
 import { recordImport, recordMissingCache } from "./answer_cache_import.ts";
 import type { AnswerEvent } from "./answer_event.ts";
 import { createEventReader } from "./answer_liveness.ts";
+import { createSilence, type Silence } from "./answer_silence.ts";
 import { checkStall } from "./answer_stall.ts";
 import { createTokenOrder, type TokenEvent } from "./answer_token_order.ts";
 
@@ -18,21 +19,38 @@
   events: AsyncIterable<EngineEvent>,
   options: RunningAttempt,
 ): AsyncGenerator<AnswerEvent, AttemptEnd> {
-  const { progress, attempt, pace, lostStages } = options;
+  const silence = createSilence(options);
+  try {
+    return yield* readEvents(events, { ...options, silence });
+  } finally {
+    silence.stop();
+  }
+}
+
+async function* readEvents(
+  events: AsyncIterable<EngineEvent>,
+  options: RunningAttempt & { readonly silence: Silence },
+): AsyncGenerator<AnswerEvent, AttemptEnd> {
+  const { progress, attempt, pace, lostStages, silence } = options;
   const reader = createEventReader(events);
   const order = createTokenOrder(progress.deliveredTokens.length);
   const firstEngine = attempt.stages[0]?.engine ?? "";
   let silentMs = 0;
   let waitingSince = performance.now();
   while (true) {
-    const next = await reader.next(pace.silenceThresholdMs());
+    const next = await silence.orSuccessor(
+      reader.next(pace.silenceThresholdMs()),
+    );
     if (!(await mayDeliver(options))) return CANCELLED;
+    if (next.kind === "successor") return silence.switchTo(next.migration);
     if (next.kind === "timeout") {
       silentMs = performance.now() - waitingSince;
-      const end = await checkStall(silentMs, { ...options, reader });
-      if (end) return end;
+      const stall = await checkStall(silentMs, { ...options, reader });
+      if (stall?.kind === "silent") silence.begin(stall.engines);
+      else if (stall) return stall;
       continue;
     }
+    silence.end();
     if (next.kind === "ended") {
       lostStages.set(firstEngine, "unreachable");
       return { kind: "retry", reason: "the stream broke" };
--- a/packages/calls/src/answer_attempt_state.ts
+++ b/packages/calls/src/answer_attempt_state.ts
@@ -2,7 +2,11 @@
 import type { EngineClient, EngineFleet } from "@rosemarypin/backends";
 import { mayContinue, type NoteKeeper } from "@rosemarypin/release";
 import type { Grant, Router } from "@rosemarypin/routing";
-import type { AttemptRequest, LostCause } from "@rosemarypin/schemas";
+import type {
+  AnswerRequest,
+  AttemptRequest,
+  LostCause,
+} from "@rosemarypin/schemas";
 import type { Metrics } from "@rosemarypin/telemetry";
 import type { LinkSpeeds } from "./answer_link_speeds.ts";
 import type { LivenessLimits, TokenPace } from "./answer_liveness.ts";
@@ -44,6 +48,7 @@
 
 /** An attempt that is starting or running. */
 export interface RunningAttempt extends AttemptOptions {
+  readonly request: AnswerRequest;
   readonly attempt: AttemptRequest;
   /** Cause of loss of each stage found lost, by engine. */
   readonly lostStages: Map<string, LostCause>;
--- a/packages/calls/src/answer_liveness.ts
+++ b/packages/calls/src/answer_liveness.ts
@@ -127,6 +127,20 @@
   };
 }
 
+interface ProbeOptions {
+  readonly engines: EngineClient;
+  readonly fleet: EngineFleet;
+  readonly incarnations: ReadonlyMap<string, number>;
+  readonly probeMs: number;
+}
+
+/** Stages that an attempt may have lost. */
+export interface LostStages {
+  readonly restarted: readonly Stage[];
+  /** Those that do not respond. */
+  readonly silent: readonly Stage[];
+}
+
 /**
  * Probes the stages and returns those that do not respond or that restarted
  * since the attempt began. A restarted engine responds at the same address but
@@ -134,25 +148,26 @@
  */
 export async function findLostStages(
   stages: readonly Stage[],
-  options: {
-    readonly engines: EngineClient;
-    readonly fleet: EngineFleet;
-    readonly incarnations: ReadonlyMap<string, number>;
-    readonly probeMs: number;
-  },
-): Promise<readonly Stage[]> {
+  options: ProbeOptions,
+): Promise<LostStages> {
   const { fleet, incarnations } = options;
   const states = await probeStages(stages, options);
-  return stages.filter(({ engine }, index) => {
+  const restarted: Stage[] = [];
+  const silent: Stage[] = [];
+  for (const [index, stage] of stages.entries()) {
     const state = states[index];
-    if (!state) return true;
+    if (!state) {
+      silent.push(stage);
+      continue;
+    }
     fleet.observe(state);
-    const incarnationAtStart = incarnations.get(engine);
-    return (
+    const incarnationAtStart = incarnations.get(stage.engine);
+    const hasRestarted =
       incarnationAtStart !== undefined &&
-      state.incarnation !== incarnationAtStart
-    );
-  });
+      state.incarnation !== incarnationAtStart;
+    if (hasRestarted) restarted.push(stage);
+  }
+  return { restarted, silent };
 }
 
 /**
--- a/packages/calls/src/answer_liveness_test.ts
+++ b/packages/calls/src/answer_liveness_test.ts
@@ -35,13 +35,14 @@
     const { readState } = engines;
     engines.readState = (address) =>
       address.port === 12 ? new Promise(() => {}) : readState(address);
-    const lost = await findLostStages(stages, {
+    const { restarted, silent } = await findLostStages(stages, {
       engines,
       fleet,
       incarnations: new Map(),
       probeMs: 60_000,
     });
-    expect(lost.map(({ engine }) => engine)).toEqual(["engine-12"]);
+    expect(silent.map(({ engine }) => engine)).toEqual(["engine-12"]);
+    expect(restarted).toEqual([]);
   });
 });
 
--- a/packages/calls/src/answer_migration.ts
+++ b/packages/calls/src/answer_migration.ts
@@ -44,6 +44,8 @@
   readonly releaseSlot: () => void;
   /** The engines that the answer migrates off. */
   readonly sources: readonly string[];
+  /** Whether these engines had fallen silent. */
+  readonly isRecovery?: boolean;
 }
 
 /** Prepares the migration of one attempt. */
