Retries: a process whose list is old isn't established

Trace of the counterexample: the store is slow and answers old lists; i-1 restarts without its entry and i-8 starts beside it. i-1 counts one instance, and after 5 s in the list it wrote that it is established, though it had seen no list from after its entry. Its next process took that over, with a count of one, and used the whole limit beside the half of i-8.

A process that started with all others is established now once a list shows the others, or, as any other, after the time in which each of them lists it.

--- a/packages/gateway/src/following/fleet_retries_test.ts
+++ b/packages/gateway/src/following/fleet_retries_test.ts
@@ -20,7 +20,7 @@
 /** Age of the lists that a store of old lists answers. */
 const STALE_STEPS = 20;
 const NAMES = ["i-1", "i-2", "i-3", "i-4", "i-5", "i-6", "i-7", "i-8"];
-const SEEDS = testSeeds([61, 2, 7, 12, 13, 1_194_104_856]);
+const SEEDS = testSeeds([61, 2, 7, 12, 13, 1_194_104_856, 396_224_581]);
 const SLACKS = [200, 30];
 const CASES = SEEDS.flatMap((each) =>
   SLACKS.map((slack) => ({ ...each, slack })),
--- a/packages/gateway/src/following/own_entry.ts
+++ b/packages/gateway/src/following/own_entry.ts
@@ -173,10 +173,14 @@
     return result.kind === "ok";
   }
 
+  /**
+   * Whether each other instance counts this one, and this one has seen those that
+   * started with it. The process after it takes that over.
+   */
   function isEstablished(): boolean {
     if (storedAt === -Infinity) return predecessor?.isEstablished === true;
-    const listedForMs = performance.now() - listedSince;
-    return listedForMs >= (startedWithAll ? FLEET_LISTING_MS : JOIN_MS);
+    if (performance.now() - listedSince >= JOIN_MS) return true;
+    return startedWithAll && knownAt - listedSince >= FLEET_LISTING_MS;
   }
 
   return {
