Body buffer: its test fails when parts aren't copied

check:guards said that the test doesn't hold its guard: a buffer that isn't written has no byte of the changed part either. It asks for the whole content now.

--- a/packages/connections/src/body_buffer_test.ts
+++ b/packages/connections/src/body_buffer_test.ts
@@ -9,8 +9,7 @@
   const part = Buffer.from("x");
   for (let count = 0; count < LIMIT; count += 1) body.add(part);
   part.fill("y");
-  expect(body.length()).toBe(LIMIT);
-  expect(body.content().includes("y")).toBe(false);
+  expect(body.content()).toEqual(Buffer.alloc(LIMIT, "x"));
 });
 
 // Guards against memory that is taken and not counted.
