Daemon: an organisation's share is of bodies that arrive, as before

Since bodies count until their response is closed, so did the share of an organisation: one with 8 MB of prompts in progress would have been refused, which a client inside the limits may meet. The share is of bodies that arrive again, and limits.bodiesBytes, which bounds all until they are answered, is 128 MB by default (it was 32 MB, of those that arrive).

--- a/packages/daemon/src/request_body.ts
+++ b/packages/daemon/src/request_body.ts
@@ -19,10 +19,11 @@
   | { readonly kind: "refused"; readonly failure: CallFailure }
   | { readonly kind: "aborted" };
 
-type BodyShare = Pick<
-  MemoryShare,
-  "tryTake" | "progress" | "onGiveUp" | "release"
->;
+interface BodyShare
+  extends Pick<MemoryShare, "tryTake" | "progress" | "onGiveUp" | "release"> {
+  /** Gives the sender's share back, since the body is whole. */
+  arrived(): void;
+}
 
 /** Memory that bodies may take together. */
 export interface BodyMemory {
@@ -31,9 +32,9 @@
 }
 
 /**
- * Divides the memory for bodies among senders. Were there one bound for all, one
- * organisation with many bodies would shut the others out. So each may hold only
- * a share, and only its own bodies are given up for it.
+ * Divides the memory for bodies that arrive among senders. Were there one bound
+ * for all, one organisation with many slow bodies would shut the others out. So
+ * each may hold only a share, and only its own bodies are given up for it.
  */
 export function createBodyMemory(memory: CallerMemory): BodyMemory {
   const senders = new Map<string, CallerMemory>();
@@ -51,14 +52,21 @@
   return {
     open(sender) {
       const senderMemory = memoryOf(sender);
-      const parts = [senderMemory.open(), memory.open()] as const;
+      const own = senderMemory.open();
+      const all = memory.open();
+      const parts = [own, all] as const;
+      const arrived = (): void => {
+        own.release();
+        if (senderMemory.heldBytes() === 0) senders.delete(sender);
+      };
       return {
         tryTake: (bytes) => parts.every((part) => part.tryTake(bytes)),
         progress: () => parts.forEach((part) => void part.progress()),
         onGiveUp: (end) => parts.forEach((part) => void part.onGiveUp(end)),
+        arrived,
         release() {
-          for (const part of parts) part.release();
-          if (senderMemory.heldBytes() === 0) senders.delete(sender);
+          arrived();
+          all.release();
         },
       };
     },
@@ -123,7 +131,8 @@
       request.off("end", end);
       request.off("close", abort);
       share.onGiveUp(null);
-      if (result.kind !== "body") share.release();
+      if (result.kind === "body") share.arrived();
+      else share.release();
       resolve(result);
     };
     const refuse = (failure: CallFailure) =>
--- a/packages/schemas/src/settings.ts
+++ b/packages/schemas/src/settings.ts
@@ -138,7 +138,7 @@
   /** Maximum number of requests in progress on one connection. */
   requestsPerConnection: z.number().int().positive().default(8),
   /** Maximum size of all request bodies until they are answered, in bytes. */
-  bodiesBytes: z.number().int().positive().default(33_554_432),
+  bodiesBytes: z.number().int().positive().default(134_217_728),
   /** Maximum number of requests that wait for a pipeline. */
   queueLength: z.number().int().positive().default(1_000),
   /** Maximum number of concurrent answers of this instance on one engine. */
