--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -46,6 +46,13 @@
 export function createMachines() {
   const folder = mkdtempSync(join(tmpdir(), "review-"));
   const children = new Set();
+  const kill = () => {
+    for (const { child } of children) child.kill("SIGKILL");
+  };
+  // Also when the script itself is ended early.
+  process.once("exit", kill);
+  for (const signal of ["SIGINT", "SIGTERM", "SIGHUP"])
+    process.once(signal, () => process.exit(2));
 
   async function start(name, { zone, store, logs }) {
     const [front, ready, internal] = await drawPorts(3);
@@ -107,7 +114,7 @@
   return {
     start,
     async stop() {
-      for (const { child } of children) child.kill("SIGKILL");
+      kill();
       await Promise.all([...children].map(({ ended }) => ended));
       rmSync(folder, { recursive: true, force: true });
     },
